Write down the messages between the project's own processes

Heartbeats, relayed submissions, hand-over, settings, demand and grants, and what operators inspect: one schema each, and the handlers' interface.

--- /dev/null
+++ b/packages/peers/src/handlers.ts
@@ -0,0 +1,30 @@
+/** What an instance does with what its peers send. */
+import type {
+  Demand,
+  Grants,
+  HandOver,
+  Heartbeat,
+  Inspection,
+  JobQuery,
+  RelayAnswer,
+  SessionQuery,
+  Settlement,
+  SettingsAnswer,
+  SettingsQuery,
+  Submission,
+} from './messages/index.js';
+
+/** One method for each call of the peers' protocol. */
+export interface PeerHandlers {
+  heartbeat(message: Heartbeat): Promise<Heartbeat>;
+  submit(message: Submission): Promise<RelayAnswer>;
+  read(message: JobQuery): Promise<RelayAnswer>;
+  cancel(message: JobQuery): Promise<RelayAnswer>;
+  endSession(message: SessionQuery): Promise<RelayAnswer>;
+  handOver(message: HandOver): Promise<void>;
+  readSettings(message: SettingsQuery): Promise<SettingsAnswer>;
+  demand(message: Demand): Promise<Grants>;
+  settle(message: Settlement): Promise<Grants>;
+  offer(message: Grants): Promise<void>;
+  inspect(): Promise<Inspection>;
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,2 +1,3 @@
-/** The protocol between the project's own processes: tRPC router, messages and connections. */
-export {};
+/** The protocol between the project's own processes. */
+export * from './handlers.js';
+export * from './messages/index.js';
--- /dev/null
+++ b/packages/peers/src/messages/index.ts
@@ -0,0 +1,7 @@
+/** Every message between the project's own processes. */
+export * from './hand_over.js';
+export * from './inspection.js';
+export * from './membership.js';
+export * from './placement.js';
+export * from './relay.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/peers/src/messages/membership.ts
@@ -0,0 +1,54 @@
+/** Heartbeats: who is there, and what rides along. */
+import {z} from 'zod';
+
+/** Whether an instance takes new work. */
+export enum MemberState {
+  Live = 'live',
+  Leaving = 'leaving',
+}
+
+/** One entry instance as its peers know it. */
+export const memberSchema = z.object({
+  /** `zone.instance.nonce`. */
+  incarnation: z.string(),
+  zone: z.string(),
+  instance: z.string(),
+  /** `host:port` of its peers' listener. */
+  peerAddress: z.string(),
+  state: z.enum(MemberState),
+  /** Its size relative to the others; instances are not all alike. */
+  weight: z.number().positive(),
+});
+
+/** Which instance answers for the sessions of one that left. */
+export const heirSchema = z.object({
+  incarnation: z.string(),
+  heir: z.string(),
+});
+
+/** What each instance tells each peer at an interval, and is answered with. */
+export const heartbeatSchema = z.object({
+  from: memberSchema,
+  /** The sender's monotonic clock, in milliseconds. */
+  sentAt: z.number(),
+  settingsRevision: z.number().int().nonnegative(),
+  heirs: z.array(heirSchema),
+  /** Grants the sender uses of servers that it believes the receiver holds. */
+  grantsInUse: z.array(z.object({grant: z.string(), server: z.string()})),
+  /** Free capacity of the servers the sender holds, by pool. */
+  spare: z.array(
+    z.object({
+      pool: z.string(),
+      free: z.number().int().nonnegative(),
+      /** Speed of the fastest free server, 1 being the pool's mean. */
+      speed: z.number(),
+    }),
+  ),
+});
+
+/** One entry instance as its peers know it. */
+export type Member = Readonly<z.infer<typeof memberSchema>>;
+/** Which instance answers for the sessions of one that left. */
+export type Heir = Readonly<z.infer<typeof heirSchema>>;
+/** What each instance tells each peer at an interval. */
+export type Heartbeat = Readonly<z.infer<typeof heartbeatSchema>>;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,2 @@
-/** The platform's key-value service and instance list, spoken to over HTTP. */
-export {};
+/** The platform's key-value service and instance list, over HTTP. */
+export * from './servers.js';
