--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,2 @@
-/** One schema for the process file and the inherited tree of settings, with its checks, defaults and edits. */
-export {};
+/** One schema for the inherited tree of settings. */
+export * from './tree/schema.js';
