Keep sessions, attempts and jobs as their owner, and listen to callers

The callers' listener reads bounded bodies and answers typed failures. Not wired to a backend server yet.

--- /dev/null
+++ b/packages/entry/src/callers/index.ts
@@ -0,0 +1,140 @@
+/** The callers' listener: HTTP and JSON, bounded in every direction. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {createFailure, FailureCode} from '@goldcrestpier/protocol';
+import {readClock, type Logger, type Millis} from '@goldcrestpier/runtime';
+import type {Gateway} from '../gateway/types.js';
+import {
+  handleCancel,
+  handleEndSession,
+  handleOpenSession,
+  handleRead,
+  handleSubmit,
+  handleSubmitPlain,
+  type Exchange,
+} from './handlers.js';
+import {respondFailure, respondJson} from './respond.js';
+import {matchRoute, RouteKind, type Route} from './routes.js';
+
+const MAX_HEADERS = 64;
+const MAX_HEADER_BYTES = 16 * 1024;
+const REQUEST_TIMEOUT_MS = 30_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/** What the callers' listener is given. */
+export interface CallersOptions {
+  readonly gateway: Gateway;
+  readonly limits: {
+    readonly maxBodyBytes: number;
+    readonly maxConnections: number;
+    readonly idleMs: Millis;
+  };
+  /** Whether the balancer should send new callers here. */
+  readonly isReady: () => boolean;
+  /** The metrics in the text form of Prometheus. */
+  readonly readMetrics: () => Promise<string>;
+  /** When data read at `now` may first have reached this process. */
+  readonly arrivalTime: (now: Millis) => Millis;
+  readonly countRequest: (route: RouteKind, status: number) => void;
+  readonly logger: Logger;
+}
+
+/** Creates the callers' server; the life cycle that asked for it listens. */
+export function createCallersServer(options: CallersOptions): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: options.limits.idleMs,
+    },
+    (request, response) => {
+      serve(options, request, response).catch((cause: unknown) => {
+        options.logger.error('request failed unforeseen', {
+          cause: String(cause),
+        });
+        const failure = createFailure(FailureCode.InternalFault, {
+          part: 'callers',
+        });
+        respondFailure(response, failure);
+      });
+    },
+  );
+  server.maxHeadersCount = MAX_HEADERS;
+  server.maxConnections = options.limits.maxConnections;
+  return server;
+}
+
+async function serve(
+  options: CallersOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const now = readClock();
+  const url = new URL(request.url ?? '/', 'http://callers');
+  const route = matchRoute(request.method ?? 'GET', url.pathname);
+  if (route.isErr()) {
+    request.resume();
+    return respondFailure(response, route.error);
+  }
+  const {kind} = route.value;
+  response.once('finish', () => {
+    options.countRequest(kind, response.statusCode);
+  });
+  const exchange: Exchange = {
+    request,
+    response,
+    query: url.searchParams,
+    gateway: options.gateway,
+    maxBodyBytes: options.limits.maxBodyBytes,
+    receivedAt: options.arrivalTime(now),
+    signal: abortOnClose(response),
+  };
+  await handle(options, exchange, route.value, now);
+}
+
+async function handle(
+  options: CallersOptions,
+  exchange: Exchange,
+  route: Route,
+  now: Millis,
+): Promise<void> {
+  switch (route.kind) {
+    case RouteKind.OpenSession:
+      exchange.request.resume();
+      return handleOpenSession(exchange, now);
+    case RouteKind.EndSession:
+      return handleEndSession(exchange, route.session);
+    case RouteKind.Submit:
+      return handleSubmit(exchange, route.session, route.key);
+    case RouteKind.Read:
+      return handleRead(exchange, route.session, route.key);
+    case RouteKind.Cancel:
+      return handleCancel(exchange, route.session, route.key);
+    case RouteKind.SubmitPlain:
+      return handleSubmitPlain(exchange);
+    case RouteKind.Health:
+      return respondJson(exchange.response, STATUS_OK, {healthy: true});
+    case RouteKind.Ready:
+      return respondReady(exchange.response, options.isReady());
+    case RouteKind.Metrics:
+      exchange.response.setHeader('content-type', 'text/plain; version=0.0.4');
+      exchange.response.end(await options.readMetrics());
+  }
+}
+
+function respondReady(response: ServerResponse, ready: boolean): void {
+  respondJson(response, ready ? STATUS_OK : STATUS_UNAVAILABLE, {ready});
+}
+
+function abortOnClose(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => controller.abort());
+  return controller.signal;
+}
--- /dev/null
+++ b/packages/entry/src/callers/routes.ts
@@ -0,0 +1,81 @@
+/** The callers' paths. */
+import {
+  createFailure,
+  FailureCode,
+  type Failure,
+} from '@goldcrestpier/protocol';
+import {Err, Ok, type Result} from 'ts-results-es';
+
+/** Everything a caller or the balancer can ask for. */
+export enum RouteKind {
+  OpenSession = 'open_session',
+  EndSession = 'end_session',
+  Submit = 'submit',
+  Read = 'read',
+  Cancel = 'cancel',
+  SubmitPlain = 'submit_plain',
+  Health = 'health',
+  Ready = 'ready',
+  Metrics = 'metrics',
+}
+
+/** What was asked for. */
+export type Route =
+  | {
+      readonly kind:
+        | RouteKind.OpenSession
+        | RouteKind.SubmitPlain
+        | RouteKind.Health
+        | RouteKind.Ready
+        | RouteKind.Metrics;
+    }
+  | {readonly kind: RouteKind.EndSession; readonly session: string}
+  | {
+      readonly kind: RouteKind.Submit | RouteKind.Read | RouteKind.Cancel;
+      readonly session: string;
+      readonly key: string;
+    };
+
+type Methods = ReadonlyMap<string, Route>;
+
+/** Finds what a method and path ask for. */
+export function matchRoute(
+  method: string,
+  path: string,
+): Result<Route, Failure> {
+  const methods = matchPath(path);
+  if (methods === undefined) {
+    return Err(createFailure(FailureCode.NotFound, {what: 'such path'}));
+  }
+  const route = methods.get(method);
+  if (route !== undefined) return Ok(route);
+  const allowed = [...methods.keys()];
+  return Err(createFailure(FailureCode.MethodNotAllowed, {allowed}));
+}
+
+function matchPath(path: string): Methods | undefined {
+  const fixed = FIXED_PATHS.get(path);
+  if (fixed !== undefined) return fixed;
+  const [, version, sessions, session, jobs, key, ...rest] = path.split('/');
+  if (version !== 'v1' || sessions !== 'sessions') return undefined;
+  if (session === undefined || session === '' || rest.length > 0) {
+    return undefined;
+  }
+  if (jobs === undefined) {
+    return new Map([['DELETE', {kind: RouteKind.EndSession, session}]]);
+  }
+  if (jobs !== 'jobs' || key === undefined || key === '') return undefined;
+  return new Map<string, Route>([
+    ['PUT', {kind: RouteKind.Submit, session, key}],
+    ['GET', {kind: RouteKind.Read, session, key}],
+    ['DELETE', {kind: RouteKind.Cancel, session, key}],
+  ]);
+}
+
+const FIXED_PATHS = new Map<string, Methods>([
+  ['/v1/sessions', new Map([['POST', {kind: RouteKind.OpenSession}]])],
+  ['/v1/jobs', new Map([['POST', {kind: RouteKind.SubmitPlain}]])],
+  ['/healthz', new Map([['GET', {kind: RouteKind.Health}]])],
+  ['/readyz', new Map([['GET', {kind: RouteKind.Ready}]])],
+  ['/metrics', new Map([['GET', {kind: RouteKind.Metrics}]])],
+]);
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,2 +1,4 @@
 /** Sessions, jobs, attempts and answers, as their owner keeps them. */
-export {};
+export * from './owner/index.js';
+export {JobRecord, type JobHeader} from './record/index.js';
+export {KeyKind, Session, type KeyEntry} from './sessions/index.js';
--- a/packages/protocol/src/failures/arguments.ts
+++ b/packages/protocol/src/failures/arguments.ts
@@ -35,6 +35,7 @@
   [FailureCode.ContentConflict]: {readonly key: string};
   [FailureCode.SessionEnded]: {readonly session: string};
   [FailureCode.JobUnknown]: {readonly key: string};
+  [FailureCode.AnswerExpired]: {readonly key: string};
   [FailureCode.OwnerUnreachable]: {readonly owner: string};
   [FailureCode.OwnerLost]: {readonly owner: string};
   [FailureCode.TaskFailed]: {readonly failed: number; readonly tasks: number};
--- a/packages/protocol/src/failures/codes.ts
+++ b/packages/protocol/src/failures/codes.ts
@@ -33,6 +33,7 @@
   ContentConflict = 'content_conflict',
   SessionEnded = 'session_ended',
   JobUnknown = 'job_unknown',
+  AnswerExpired = 'answer_expired',
   OwnerUnreachable = 'owner_unreachable',
   OwnerLost = 'owner_lost',
   // How a task or job failed.
--- a/packages/protocol/src/failures/outcomes.ts
+++ b/packages/protocol/src/failures/outcomes.ts
@@ -7,6 +7,7 @@
   | FailureCode.ContentConflict
   | FailureCode.SessionEnded
   | FailureCode.JobUnknown
+  | FailureCode.AnswerExpired
   | FailureCode.OwnerUnreachable
   | FailureCode.OwnerLost
   | FailureCode.TaskFailed
@@ -48,6 +49,14 @@
     message: ({key}) => `No job with key "${key}" has arrived.`,
     hint: 'Submit it; a copy may still be under way.',
   },
+  [FailureCode.AnswerExpired]: {
+    title: 'The answer is no longer kept',
+    status: 410,
+    ran: Ran.MayHaveRun,
+    final: true,
+    message: ({key}) => `The job with key "${key}" ended long ago.`,
+    hint: 'Collect answers sooner. The job is not started again.',
+  },
   [FailureCode.OwnerUnreachable]: {
     title: 'The owner of the session does not answer',
     status: 503,
