Start tasks on runners and say what is known afterwards

A start ends as done, failed, busy, leaving, refused, unknown or stopped. Proof of not run is a typed answer under its own status, or undici not having begun to write: it calls onRequestStart right before the first byte. A second call of it would be a retry of undici's own and is cut off. A kept-alive connection that the runner closes under a request is unknown: undici cannot tell whether the request was read.

--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -1,2 +1,4 @@
 /** Clients for runners and guarded workers. */
-export {};
+export type {ConnectionBounds} from './exchange/index.js';
+export * from './runners/index.js';
+export * from './start_outcome.js';
