Stand in for the runner and the instance list, with a switch for faults

Tests and tools need the backend servers and the platform at their wire forms, and a record of every start to prove what ran. The runner writes the start down before the work begins; faults are one document that is replaced as a whole. The admin routes have a listener of their own, because a stand-in that refuses connections must still hear that it may accept again.

--- /dev/null
+++ b/packages/standins/test/instance_list.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  InstanceRole,
+  InstanceState,
+  startInstanceList,
+  type InstanceTarget,
+} from '../src/index.js';
+import {createSend, openLifecycle, waitUntil} from './helpers.js';
+
+const lifecycle = openLifecycle();
+const send = createSend(lifecycle);
+
+const target: InstanceTarget = {
+  targets: ['127.0.0.1:9000'],
+  labels: {
+    role: InstanceRole.Runner,
+    name: 'r1',
+    zone: 'batangas-1',
+    state: InstanceState.Live,
+    service: 'invoicing',
+    slots: '8',
+  },
+};
+
+test('the list shows, changes and drops an instance', async () => {
+  const list = await startInstanceList({}, lifecycle);
+  const path = '/admin/targets/r1';
+  const leaving = {...target, labels: {...target.labels, state: 'leaving'}};
+  for (const shown of [target, leaving]) {
+    assert.equal((await send('PUT', list.address, path, shown)).status, 200);
+    const answer = await send('GET', list.address, '/targets');
+    assert.deepEqual(answer.body, [shown]);
+  }
+  await send('DELETE', list.address, path);
+  assert.deepEqual((await send('GET', list.address, '/targets')).body, []);
+  const wrong = await send('PUT', list.address, path, {targets: []});
+  assert.equal(wrong.status, 400);
+});
+
+test('a change shows only after the lag', async () => {
+  const list = await startInstanceList({lagMs: 300}, lifecycle);
+  list.put(target);
+  assert.deepEqual((await send('GET', list.address, '/targets')).body, []);
+  await waitUntil('the change shows', async () => {
+    const {body} = await send('GET', list.address, '/targets');
+    return (body as unknown[]).length === 1;
+  });
+});
+
+test('the list can be out', async () => {
+  const list = await startInstanceList({}, lifecycle);
+  list.faults.set({listOut: true});
+  assert.equal((await send('GET', list.address, '/targets')).status, 503);
+  assert.equal(list.records.report().refused['out'], 1);
+});
--- /dev/null
+++ b/packages/standins/test/runner.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import {describe, test} from 'node:test';
+import {startRunner, type Runner} from '../src/index.js';
+import {createSend, openLifecycle, waitUntil} from './helpers.js';
+
+/** Longer than any test here; ends when the runner closes. */
+const LONG_MS = 600_000;
+
+const lifecycle = openLifecycle();
+const send = createSend(lifecycle);
+
+function task(name: string, payload: unknown) {
+  return {job: 'job-1', task: name, payload};
+}
+
+function sendTask(runner: Runner, name: string, payload: unknown = {}) {
+  return send('POST', runner.address, '/v1/tasks', task(name, payload));
+}
+
+describe('a runner', () => {
+  test('answers with the echo and records the start', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    const answer = await sendTask(runner, 'a', {runMs: 5, echo: {barrels: 3}});
+    assert.deepEqual(answer, {
+      status: 200,
+      body: {result: {echo: {barrels: 3}, server: 'r1'}},
+    });
+    const starts = await send('GET', runner.adminAddress, '/admin/starts');
+    const [start] = starts.body as [Record<string, unknown>];
+    assert.equal(start['job'], 'job-1');
+    assert.equal(start['task'], 'a');
+    assert.equal(start['server'], 'r1');
+  });
+
+  test('fails a task that asks for it, and makes large results', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    const failed = await sendTask(runner, 'a', {fail: true});
+    assert.equal(failed.status, 500);
+    const large = await sendTask(runner, 'b', {resultBytes: 100_000});
+    assert.ok(JSON.stringify(large.body).length > 100_000);
+  });
+
+  test('refuses without a start when its slots are taken', async () => {
+    const runner = await startRunner({name: 'r1', slots: 1}, lifecycle);
+    const first = sendTask(runner, 'a', {runMs: LONG_MS});
+    first.catch(() => undefined);
+    await waitUntil('the first runs', () => runner.records.starts.length === 1);
+    const second = await sendTask(runner, 'b');
+    assert.deepEqual(second, {status: 429, body: {code: 'busy'}});
+    const health = await send('GET', runner.address, '/health');
+    assert.deepEqual(health.body, {state: 'live', slots: 1, inUse: 1});
+    assert.equal(runner.records.starts.length, 1);
+    assert.equal(runner.records.report().refused['busy'], 1);
+  });
+
+  test('closes connections beyond its limit and counts them', async () => {
+    const runner = await startRunner(
+      {name: 'r1', connectionLimit: 1},
+      lifecycle,
+    );
+    const first = sendTask(runner, 'a', {runMs: LONG_MS});
+    first.catch(() => undefined);
+    await waitUntil('the first runs', () => runner.records.starts.length === 1);
+    await assert.rejects(sendTask(runner, 'b'));
+    const {connections} = runner.records.report();
+    assert.equal(connections.peak, 1);
+    assert.equal(connections.overLimit, 1);
+  });
+});
+
+describe('the faults of a runner', () => {
+  test('are checked, replaced as a whole, and read back', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    const put = (body: unknown) =>
+      send('PUT', runner.adminAddress, '/admin/faults', body);
+    assert.equal((await put({slow: 3})).status, 400);
+    await put({leaving: true});
+    const refused = await sendTask(runner, 'a');
+    assert.deepEqual(refused, {status: 503, body: {code: 'leaving'}});
+    await put({failAll: true});
+    assert.equal((await sendTask(runner, 'b', {runMs: 60_000})).status, 500);
+    const faults = await send('GET', runner.adminAddress, '/admin/faults');
+    assert.equal((faults.body as {leaving: boolean}).leaving, false);
+  });
+
+  test('frozen: nothing starts and nothing is answered until thawed', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    runner.faults.set({frozen: true});
+    const answer = sendTask(runner, 'a');
+    await waitUntil(
+      'it is connected',
+      () => runner.records.report().connections.open === 1,
+    );
+    assert.equal(runner.records.starts.length, 0);
+    runner.faults.set({});
+    assert.equal((await answer).status, 200);
+    assert.equal(runner.records.starts.length, 1);
+  });
+
+  test('refusing connections, and accepting them again', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    const put = (body: unknown) =>
+      send('PUT', runner.adminAddress, '/admin/faults', body);
+    await sendTask(runner, 'a');
+    await put({refuseConnections: true});
+    await assert.rejects(sendTask(runner, 'b'));
+    await assert.rejects(sendTask(runner, 'c'), {code: 'ECONNREFUSED'});
+    assert.equal(runner.records.starts.length, 1);
+    await put({});
+    await waitUntil('it accepts again', async () =>
+      sendTask(runner, 'd').then(
+        () => true,
+        () => false,
+      ),
+    );
+  });
+
+  test('resetting after the start leaves a start without a reply', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    runner.faults.set({resetAfterStart: true});
+    await assert.rejects(sendTask(runner, 'a'));
+    assert.equal(runner.records.starts.length, 1);
+  });
+
+  test('losing every second reply', async () => {
+    const runner = await startRunner({name: 'r1'}, lifecycle);
+    runner.faults.set({loseEveryNthReply: 2});
+    assert.equal((await sendTask(runner, 'a')).status, 200);
+    await assert.rejects(sendTask(runner, 'b'));
+    assert.equal((await sendTask(runner, 'c')).status, 200);
+    assert.equal(runner.records.starts.length, 3);
+    assert.equal(runner.records.report().lostReplies, 1);
+  });
+});
