Serve a job from caller to runner through separate processes

One caller, one entry process with its settings file, one process with a runner and the instance list.

--- /dev/null
+++ b/packages/entry/src/bin/goldcrestpier.ts
@@ -0,0 +1,45 @@
+#!/usr/bin/env node
+/** The goldcrestpier program: one entry instance. */
+import {loadProcessSettings} from '@goldcrestpier/settings';
+import sade from 'sade';
+import {startEntry} from '../start/index.js';
+
+/** Documented in docs/operators.md. */
+enum ExitCode {
+  Stopped = 0,
+  Fault = 1,
+  WrongSettings = 2,
+}
+
+interface Flags {
+  readonly settings?: string;
+}
+
+async function run(path: string): Promise<void> {
+  const settings = loadProcessSettings(path);
+  if (settings.isErr()) {
+    const {title, message, hint} = settings.error;
+    process.stderr.write(`${title}\n${message}\n${hint}\n`);
+    process.exitCode = ExitCode.WrongSettings;
+    return;
+  }
+  const entry = await startEntry(settings.value);
+  const stop = () => {
+    void entry.stop().then(() => process.exit(ExitCode.Stopped));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+sade('goldcrestpier', true)
+  .version('0.1.0')
+  .describe('Run one entry instance between callers and backend servers')
+  .option('-s, --settings', 'The TOML file of this instance')
+  .example('--settings /etc/goldcrestpier.toml')
+  .action((flags: Flags) => {
+    run(flags.settings ?? 'goldcrestpier.toml').catch((cause: unknown) => {
+      process.stderr.write(`could not start: ${String(cause)}\n`);
+      process.exitCode = ExitCode.Fault;
+    });
+  })
+  .parse(process.argv);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,2 @@
-/** The goldcrestpier program: an entry instance between callers and backend servers. */
-export {};
+/** The goldcrestpier program: an entry instance. */
+export {startEntry, type Entry} from './start/index.js';
--- /dev/null
+++ b/packages/entry/test/whole_path.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {JobState, type JobAnswer} from '@goldcrestpier/protocol';
+import {
+  findFreePort,
+  Processes,
+  readFirstLine,
+  waitUntilReady,
+} from './fixtures/processes.js';
+
+const TOKEN = 'a-token-for-this-test-only';
+const processes = new Processes();
+let callers = '';
+let runnerAdmin = '';
+
+before(async () => {
+  const backend = processes.start('./backend_process.js');
+  const addresses = (await readFirstLine(backend)) as {
+    list: string;
+    runnerAdmin: string;
+  };
+  runnerAdmin = addresses.runnerAdmin;
+  const port = await findFreePort();
+  const path = processes.write(
+    'entry.toml',
+    `zone = "batangas-1"
+instance = "e1"
+[callers]
+listen = "127.0.0.1:${port}"
+[peers]
+listen = "127.0.0.1:${await findFreePort()}"
+token = "${TOKEN}"
+[operators]
+listen = "127.0.0.1:${await findFreePort()}"
+token = "${TOKEN}"
+[platform]
+key_value = ["http://127.0.0.1:9"]
+instance_list = "http://${addresses.list}/targets"
+[logs]
+level = "warn"
+`,
+  );
+  processes.start('../../src/bin/goldcrestpier.js', '--settings', path);
+  callers = `http://127.0.0.1:${port}`;
+  await waitUntilReady(`${callers}/readyz`);
+});
+
+after(() => processes.close());
+
+test('a job sent to an entry process comes back whole from the runner', async () => {
+  const opened = await fetch(`${callers}/v1/sessions`, {method: 'POST'});
+  assert.equal(opened.status, 201);
+  const {session} = (await opened.json()) as {session: string};
+  const tasks = [0, 1, 2].map(number => ({
+    service: 'invoicing',
+    payload: {runMs: 20, echo: number},
+  }));
+  const url = `${callers}/v1/sessions/${session}/jobs/quote-1?attempt=1&wait=30000`;
+  const submit = () =>
+    fetch(url, {method: 'PUT', body: JSON.stringify({tasks})});
+  const first = await submit();
+  const answer = (await first.json()) as JobAnswer;
+  assert.equal(answer.state, JobState.Complete);
+  assert.deepEqual(
+    answer.tasks.map(task => (task.result as {echo: number}).echo),
+    [0, 1, 2],
+  );
+  const again = (await (await submit()).json()) as JobAnswer;
+  assert.deepEqual(again, answer);
+
+  const record = await fetch(`http://${runnerAdmin}/admin/starts`);
+  const starts = JSON.stringify(await record.json());
+  for (const index of [0, 1, 2]) {
+    assert.equal(starts.split(`quote-1#${index}`).length, 2);
+  }
+});
+
+test('a body that is not JSON is refused as not run', async () => {
+  const opened = await fetch(`${callers}/v1/sessions`, {method: 'POST'});
+  const {session} = (await opened.json()) as {session: string};
+  const refused = await fetch(`${callers}/v1/sessions/${session}/jobs/broken`, {
+    method: 'PUT',
+    body: '{"tasks": [',
+  });
+  assert.equal(refused.status, 400);
+  const failure = (await refused.json()) as {code: string; ran: string};
+  assert.equal(failure.code, 'invalid_json');
+  assert.equal(failure.ran, 'not_run');
+});
