Let instances call each other over tRPC

The peers' listener checks the shared token at the upgrade and each message by its schema; a link keeps one connection to one peer and says of each failed call whether it was not sent, may have arrived or was refused.

tRPC's own WebSocket link was ruled out: it queues calls until a connection is there, waits a timer's turn before it sends, and cannot say whether a failed call had left. Its typed client and its server adapter stay; the last link of the client is the project's own.

--- /dev/null
+++ b/packages/peers/src/calls.ts
@@ -0,0 +1,39 @@
+/** The names of the protocol's calls, and counts of their messages. */
+import type {PeerHandlers} from './handlers.js';
+
+/** The name of one call of the peers' protocol. */
+export type PeerCall = keyof PeerHandlers;
+
+const peerCalls: Readonly<Record<PeerCall, true>> = {
+  heartbeat: true,
+  submit: true,
+  read: true,
+  cancel: true,
+  endSession: true,
+  handOver: true,
+  readSettings: true,
+  demand: true,
+  settle: true,
+  offer: true,
+  inspect: true,
+};
+
+/** Whether `path` names a call of the protocol. */
+export function isPeerCall(path: unknown): path is PeerCall {
+  return typeof path === 'string' && Object.hasOwn(peerCalls, path);
+}
+
+/** Which way a message went. */
+export enum Direction {
+  Sent = 'sent',
+  Received = 'received',
+}
+
+/** Told of each message with its size. Pings of the transport are left out. */
+export interface MessageCounts {
+  /** `bytes` is the size of the message's text, without framing. */
+  count(direction: Direction, call: PeerCall, bytes: number): void;
+}
+
+/** Counts nothing. */
+export const noCounts: MessageCounts = {count: () => undefined};
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,3 +1,7 @@
 /** The protocol between the project's own processes. */
+export * from './calls.js';
 export * from './handlers.js';
+export * from './link/index.js';
 export * from './messages/index.js';
+export * from './server/index.js';
+export {SparseLog} from './sparse_log.js';
--- /dev/null
+++ b/packages/peers/src/link/index.ts
@@ -0,0 +1,11 @@
+/** Links to peers. */
+export {chooseBackoff} from './backoff.js';
+export {
+  NotSentReason,
+  PeerFailureKind,
+  UnknownReason,
+  type PeerFailure,
+} from './failure.js';
+export {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
+export type {PeerAnswer, PeerCalls} from './client_calls.js';
+export {createPeerLink, type PeerLink, type PeerLinkOptions} from './link.js';
--- /dev/null
+++ b/packages/peers/src/link/link.ts
@@ -0,0 +1,130 @@
+/**
+ * A link to one peer: one connection, kept up by one loop. A call while the
+ * connection is down fails at once, so that no call waits for a peer that may
+ * never come back.
+ */
+import {
+  readClock,
+  sleep,
+  type Lifecycle,
+  type Logger,
+} from '@goldcrestpier/runtime';
+import {WebSocket} from 'ws';
+import {noCounts, type MessageCounts} from '../calls.js';
+import {watchSilence} from '../silence.js';
+import {SparseLog} from '../sparse_log.js';
+import {chooseBackoff} from './backoff.js';
+import {ClientCalls, type PeerCalls} from './client_calls.js';
+import {PeerConnection} from './connection.js';
+import {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
+import {openSocket} from './open.js';
+
+/** What a link to one peer needs. */
+export interface PeerLinkOptions {
+  /** `host:port` of the peer's listener. */
+  readonly address: string;
+  readonly token: string;
+  /** The incarnation of this process. */
+  readonly self: string;
+  readonly logger: Logger;
+  readonly lifecycle: Lifecycle;
+  readonly limits?: Partial<PeerLinkLimits>;
+  readonly counts?: MessageCounts;
+}
+
+/** A link to one peer. */
+export interface PeerLink extends PeerCalls {
+  readonly address: string;
+  /** Whether there is a connection at present. */
+  isConnected(): boolean;
+  /** Ends the link; calls in flight end as unknown. */
+  close(): Promise<void>;
+}
+
+/** Starts a link; it connects on its own and again whenever it is cut. */
+export function createPeerLink(options: PeerLinkOptions): PeerLink {
+  const link = new Link(options);
+  link.start();
+  return link;
+}
+
+class Link extends ClientCalls implements PeerLink {
+  private readonly limits: PeerLinkLimits;
+  private readonly lifecycle: Lifecycle;
+  private readonly log: SparseLog;
+  private connection: PeerConnection | undefined;
+
+  constructor(private readonly options: PeerLinkOptions) {
+    super(() => this.connection);
+    this.limits = {...defaultPeerLinkLimits, ...options.limits};
+    this.lifecycle = options.lifecycle.createChild(`link ${options.address}`);
+    this.log = new SparseLog(options.logger);
+  }
+
+  get address(): string {
+    return this.options.address;
+  }
+
+  isConnected(): boolean {
+    return this.connection?.isOpen === true;
+  }
+
+  async close(): Promise<void> {
+    await this.lifecycle.close();
+  }
+
+  start(): void {
+    this.lifecycle.run(
+      'connection',
+      signal => this.keepConnected(signal),
+      () => {
+        this.options.logger.error('link ended by a fault', {
+          address: this.address,
+        });
+      },
+    );
+  }
+
+  private async keepConnected(signal: AbortSignal): Promise<void> {
+    const {address, limits} = this;
+    let failures = 0;
+    while (!signal.aborted) {
+      const opened = await openSocket(this.options, limits, signal);
+      if (opened.isOk()) {
+        const openedAt = readClock();
+        await this.serve(opened.value, signal);
+        // One that ends at once counts as a failure, or it would be opened
+        // again without end.
+        const lastedMs = readClock() - openedAt;
+        failures = lastedMs >= limits.longestRetryMs ? 0 : failures + 1;
+      } else if (!signal.aborted) {
+        failures += 1;
+        const fields = {address, reason: opened.error};
+        this.log.warn('no connection', opened.error, fields, readClock());
+      }
+      const {firstRetryMs, longestRetryMs} = limits;
+      const wait = chooseBackoff(
+        failures,
+        firstRetryMs,
+        longestRetryMs,
+        Math.random(),
+      );
+      await sleep(wait, signal);
+    }
+  }
+
+  /** Sends calls on one connection until it ends. */
+  private async serve(socket: WebSocket, signal: AbortSignal): Promise<void> {
+    const {counts = noCounts} = this.options;
+    if (socket.readyState === WebSocket.CLOSED) return;
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    this.connection = new PeerConnection(socket, this.limits, counts);
+    watchSilence(socket, {silenceMs: this.limits.silenceMs, asks: true});
+    const end = () => socket.terminate();
+    signal.addEventListener('abort', end, {once: true});
+    if (signal.aborted) end();
+    await closed;
+    signal.removeEventListener('abort', end);
+    this.connection = undefined;
+  }
+}
--- /dev/null
+++ b/packages/peers/src/link/open.ts
@@ -0,0 +1,79 @@
+/** Opens a connection to a peer's listener. */
+import {Err, Ok, type Result} from 'ts-results-es';
+import {WebSocket} from 'ws';
+import {formatAuthorization, INCARNATION_HEADER} from '../token.js';
+import type {PeerLinkLimits} from './limits.js';
+
+/** Status of an answer to a wrong token. */
+const UNAUTHORIZED = 401;
+
+/** Why a connection could not be opened. */
+export enum OpenFailure {
+  /** The address is not `host:port`. */
+  BadAddress = 'bad_address',
+  /** Nothing answers there, or not as a peer does. */
+  Unreachable = 'unreachable',
+  /** The peer does not take this process's token. */
+  Unauthorized = 'unauthorized',
+  /** The peer takes no more connections. */
+  Refused = 'refused',
+}
+
+/** Where to connect, and what to show there. */
+export interface OpenOptions {
+  /** `host:port` of the peer's listener. */
+  readonly address: string;
+  readonly token: string;
+  /** The incarnation of this process. */
+  readonly self: string;
+}
+
+/** Opens a connection to a peer, or gives up once `signal` aborts. */
+export async function openSocket(
+  options: OpenOptions,
+  limits: PeerLinkLimits,
+  signal: AbortSignal,
+): Promise<Result<WebSocket, OpenFailure>> {
+  const socket = createSocket(options, limits);
+  if (socket === undefined) return Err(OpenFailure.BadAddress);
+  const abort = () => socket.terminate();
+  signal.addEventListener('abort', abort, {once: true});
+  const failure = await new Promise<OpenFailure | undefined>(resolve => {
+    socket.once('open', () => resolve(undefined));
+    socket.once('close', () => resolve(OpenFailure.Unreachable));
+    socket.once('unexpected-response', (request, response) => {
+      resolve(readRefusal(response.statusCode));
+      request.destroy();
+    });
+    // Each error ends in a close; this keeps it from ending the process.
+    socket.on('error', () => resolve(OpenFailure.Unreachable));
+  });
+  signal.removeEventListener('abort', abort);
+  return failure === undefined ? Ok(socket) : Err(failure);
+}
+
+function createSocket(
+  {address, token, self}: OpenOptions,
+  limits: PeerLinkLimits,
+): WebSocket | undefined {
+  try {
+    return new WebSocket(`ws://${address}/`, {
+      headers: {
+        authorization: formatAuthorization(token),
+        [INCARNATION_HEADER]: self,
+      },
+      handshakeTimeout: limits.connectMs,
+      maxPayload: limits.maxMessageBytes,
+      perMessageDeflate: false,
+    });
+  } catch {
+    // The constructor throws on what it cannot read as an address.
+    return undefined;
+  }
+}
+
+function readRefusal(status: number | undefined): OpenFailure {
+  return status === UNAUTHORIZED
+    ? OpenFailure.Unauthorized
+    : OpenFailure.Refused;
+}
--- /dev/null
+++ b/packages/peers/src/server/connection.ts
@@ -0,0 +1,75 @@
+/** One peer's connection as the server sees it. */
+import type {WebSocket} from 'ws';
+import {z} from 'zod';
+import {
+  Direction,
+  isPeerCall,
+  type MessageCounts,
+  type PeerCall,
+} from '../calls.js';
+import type {PeerServerLimits} from './limits.js';
+
+/** tRPC's message for one call. Batches and subscriptions are not spoken. */
+const requestSchema = z.object({
+  id: z.number(),
+  method: z.enum(['query', 'mutation']),
+  params: z.object({path: z.string(), input: z.unknown().optional()}),
+});
+
+/**
+ * Reads and writes the text frames of one connection. It stands between
+ * tRPC's adapter and the socket because only there the size of a message and
+ * its call are both known.
+ */
+export class PeerConnection {
+  /** Calls whose answers are still to come, by their ids. */
+  private readonly waiting = new Map<number, PeerCall>();
+
+  constructor(
+    private readonly socket: WebSocket,
+    private readonly limits: PeerServerLimits,
+    private readonly counts: MessageCounts,
+  ) {}
+
+  /** Calls that wait for their answers. */
+  get callsInFlight(): number {
+    return this.waiting.size;
+  }
+
+  /** Whether one call too many waits for its answer. */
+  get isFull(): boolean {
+    return this.waiting.size > this.limits.maxCallsInFlight;
+  }
+
+  /** Reads one frame. Throws on anything but one call, which tRPC answers. */
+  decode(frame: unknown): unknown {
+    if (typeof frame !== 'string') throw new TypeError('expected a text frame');
+    const request = requestSchema.parse(JSON.parse(frame));
+    if (this.waiting.has(request.id)) throw new TypeError('id is in use');
+    const {path} = request.params;
+    if (isPeerCall(path)) {
+      this.waiting.set(request.id, path);
+      this.counts.count(Direction.Received, path, Buffer.byteLength(frame));
+    }
+    return request;
+  }
+
+  /** Writes one answer. */
+  encode(answer: unknown): string {
+    const frame = JSON.stringify(answer);
+    const {id} = answer as {readonly id?: unknown};
+    if (typeof id === 'number') this.noteAnswer(id, frame);
+    if (this.socket.bufferedAmount > this.limits.maxUnreadBytes) {
+      // A reader that takes nothing must not fill this process's memory.
+      this.socket.terminate();
+    }
+    return frame;
+  }
+
+  private noteAnswer(id: number, frame: string): void {
+    const call = this.waiting.get(id);
+    if (call === undefined) return;
+    this.waiting.delete(id);
+    this.counts.count(Direction.Sent, call, Buffer.byteLength(frame));
+  }
+}
--- /dev/null
+++ b/packages/peers/src/server/router.ts
@@ -0,0 +1,91 @@
+/** The peers' protocol as a tRPC router over the handlers of one instance. */
+import {createFailure, FailureCode} from '@goldcrestpier/protocol';
+import {initTRPC, TRPCError} from '@trpc/server';
+import type {PeerHandlers} from '../handlers.js';
+import {
+  demandSchema,
+  grantsSchema,
+  handOverSchema,
+  heartbeatSchema,
+  jobQuerySchema,
+  sessionQuerySchema,
+  settingsQuerySchema,
+  settlementSchema,
+  submissionSchema,
+} from '../messages/index.js';
+import type {PeerConnection} from './connection.js';
+import {RefusedCallError, toFailure} from './failure.js';
+
+/** What every call of one connection shares. */
+export interface PeerContext {
+  readonly connection: Pick<PeerConnection, 'callsInFlight' | 'isFull'>;
+}
+
+/** How long a peer that sent too many calls at once stays away, in ms. */
+const FULL_RETRY_AFTER_MS = 100;
+
+const trpc = initTRPC.context<PeerContext>().create({
+  isServer: true,
+  errorFormatter: ({shape, error, input}) => ({
+    ...shape,
+    // Neither a stack nor an inner message leaves this process.
+    message: error.code,
+    data: {
+      code: shape.data.code,
+      httpStatus: shape.data.httpStatus,
+      failure: toFailure(error, input),
+    },
+  }),
+});
+
+const call = trpc.procedure.use(({ctx, next}) => {
+  if (!ctx.connection.isFull) return next();
+  const waiting = ctx.connection.callsInFlight;
+  const failure = createFailure(
+    FailureCode.QueueFull,
+    {waiting, limit: waiting - 1},
+    {retryAfterMs: FULL_RETRY_AFTER_MS},
+  );
+  throw new TRPCError({
+    code: 'TOO_MANY_REQUESTS',
+    cause: new RefusedCallError(failure),
+  });
+});
+
+/** Builds the router. Every input is checked before its handler sees it. */
+export function createPeerRouter(handlers: PeerHandlers) {
+  return trpc.router({
+    heartbeat: call
+      .input(heartbeatSchema)
+      .mutation(({input}) => handlers.heartbeat(input)),
+    submit: call
+      .input(submissionSchema)
+      .mutation(({input}) => handlers.submit(input)),
+    read: call.input(jobQuerySchema).query(({input}) => handlers.read(input)),
+    cancel: call
+      .input(jobQuerySchema)
+      .mutation(({input}) => handlers.cancel(input)),
+    endSession: call
+      .input(sessionQuerySchema)
+      .mutation(({input}) => handlers.endSession(input)),
+    handOver: call
+      .input(handOverSchema)
+      .mutation(({input}) => handlers.handOver(input)),
+    readSettings: call
+      .input(settingsQuerySchema)
+      .query(({input}) => handlers.readSettings(input)),
+    demand: call
+      .input(demandSchema)
+      .mutation(({input}) => handlers.demand(input)),
+    settle: call
+      .input(settlementSchema)
+      .mutation(({input}) => handlers.settle(input)),
+    offer: call
+      .input(grantsSchema)
+      .mutation(({input}) => handlers.offer(input)),
+    inspect: call.query(() => handlers.inspect()),
+  });
+}
+
+/** The router's type, for typed calls. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/packages/peers/src/sparse_log.ts
@@ -0,0 +1,35 @@
+/** Keeps repeated log lines from flooding the log. */
+import type {LogFields, Logger, Millis} from '@goldcrestpier/runtime';
+
+/** How often a line is written at most, in ms. */
+const LINE_EVERY_MS = 10_000;
+/** Lines remembered, so that no number of subjects fills the memory. */
+const MAX_SUBJECTS = 1_000;
+
+interface Line {
+  writtenAt: Millis;
+  left: number;
+}
+
+/** Writes each kind of line at most once in a while, with what it left out. */
+export class SparseLog {
+  private readonly lines = new Map<string, Line>();
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly everyMs: Millis = LINE_EVERY_MS,
+  ) {}
+
+  /** Warns about `subject`; repetitions are counted and left out. */
+  warn(message: string, subject: string, fields: LogFields, now: Millis): void {
+    const key = `${message} ${subject}`;
+    const line = this.lines.get(key);
+    if (line !== undefined && now - line.writtenAt < this.everyMs) {
+      line.left += 1;
+      return;
+    }
+    if (this.lines.size >= MAX_SUBJECTS) this.lines.clear();
+    this.lines.set(key, {writtenAt: now, left: 0});
+    this.logger.warn(message, {...fields, repeated: line?.left});
+  }
+}
--- /dev/null
+++ b/packages/peers/test/calls.test.ts
@@ -0,0 +1,223 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {FailureCode, JobState} from '@goldcrestpier/protocol';
+import {Lifecycle, sleep} from '@goldcrestpier/runtime';
+import {createFailure} from '@goldcrestpier/protocol';
+import {
+  Direction,
+  NotSentReason,
+  PeerFailureKind,
+  RelayAnswerKind,
+  UnknownReason,
+  type MessageCounts,
+  type RelayAnswer,
+  type Submission,
+} from '../src/index.js';
+import {
+  createHandlers,
+  createHeartbeat,
+  startPair,
+  TIMEOUT_MS,
+  waitFor,
+} from './fixtures.js';
+
+function createLifecycle(context: TestContext): Lifecycle {
+  const lifecycle = new Lifecycle('test');
+  context.after(async () => {
+    assert.deepEqual(await lifecycle.close(), []);
+  });
+  return lifecycle;
+}
+
+const query = {session: 'east.a.0123456789ab.1', key: 'k', waitMs: 0};
+
+test('each call is answered over one connection', async context => {
+  const lifecycle = createLifecycle(context);
+  const {server, link} = await startPair(lifecycle);
+  const ended = {kind: RelayAnswerKind.Ended};
+  const beat = createHeartbeat();
+  const submission: Submission = {
+    ...query,
+    job: {
+      team: 'default',
+      deadlineMs: 1000,
+      tasks: [{service: 'pricing', repeatable: false, payload: {photo: 'x'}}],
+    },
+    ownerClock: 1,
+  };
+  const t = TIMEOUT_MS;
+  assert.deepEqual((await link.heartbeat(beat, t)).unwrap(), beat);
+  assert.deepEqual((await link.submit(submission, t)).unwrap(), ended);
+  assert.deepEqual((await link.read(query, t)).unwrap(), ended);
+  assert.deepEqual((await link.cancel(query, t)).unwrap(), ended);
+  assert.deepEqual((await link.endSession(query, t)).unwrap(), ended);
+  const handOver = {from: 'east.a.0123456789ab', sessions: []};
+  assert.equal((await link.handOver(handOver, t)).unwrap(), undefined);
+  const settings = await link.readSettings({knownRevision: 7}, t);
+  assert.deepEqual(settings.unwrap(), {revision: 7});
+  const demand = await link.demand({owner: 'x', pools: []}, t);
+  assert.deepEqual(demand.unwrap(), {grants: []});
+  const settled = await link.settle({owner: 'x', ends: []}, t);
+  assert.deepEqual(settled.unwrap(), {grants: []});
+  assert.equal((await link.offer({grants: []}, t)).unwrap(), undefined);
+  assert.equal((await link.inspect(t)).unwrap().incarnation, 'east.a.0');
+  assert.equal(server.connections(), 1);
+});
+
+test('answers find their calls when they come out of order', async context => {
+  const lifecycle = createLifecycle(context);
+  const handlers = createHandlers({
+    readSettings: async ({knownRevision}) => {
+      await sleep((knownRevision * 7) % 20);
+      return {revision: knownRevision};
+    },
+  });
+  const {link} = await startPair(lifecycle, {handlers});
+  const revisions = Array.from({length: 2_000}, (_, index) => index);
+  const answers = await Promise.all(
+    revisions.map(knownRevision =>
+      link.readSettings({knownRevision}, TIMEOUT_MS),
+    ),
+  );
+  const read = answers.map(answer => answer.unwrap().revision);
+  assert.deepEqual(read, revisions);
+});
+
+test('a failure of the owner arrives whole', async context => {
+  const lifecycle = createLifecycle(context);
+  const failure = createFailure(
+    FailureCode.QueueFull,
+    {waiting: 1, limit: 1},
+    {retryAfterMs: 5},
+  );
+  const answer: RelayAnswer = {kind: RelayAnswerKind.Failure, failure};
+  const handlers = createHandlers({submit: () => Promise.resolve(answer)});
+  const {link} = await startPair(lifecycle, {
+    handlers: {...handlers, read: () => Promise.resolve(answer)},
+  });
+  assert.deepEqual((await link.read(query, TIMEOUT_MS)).unwrap(), answer);
+});
+
+test('a call without an answer in time is unknown, and its late answer is dropped', async context => {
+  const lifecycle = createLifecycle(context);
+  let answer: (value: RelayAnswer) => void = () => undefined;
+  const handlers = createHandlers({
+    read: () => new Promise(resolve => (answer = resolve)),
+  });
+  const {link} = await startPair(lifecycle, {handlers});
+  const read = await link.read(query, 20);
+  assert.deepEqual(read.unwrapErr(), {
+    kind: PeerFailureKind.Unknown,
+    reason: UnknownReason.TimedOut,
+  });
+  answer({kind: RelayAnswerKind.Ended});
+  const next = await link.readSettings({knownRevision: 1}, TIMEOUT_MS);
+  assert.equal(next.unwrap().revision, 1);
+});
+
+test('a fault of a handler is a typed failure that may have run', async context => {
+  const lifecycle = createLifecycle(context);
+  const handlers = createHandlers({
+    cancel: () => Promise.reject(new Error('secret detail')),
+  });
+  const {link} = await startPair(lifecycle, {handlers});
+  const failure = (await link.cancel(query, TIMEOUT_MS)).unwrapErr();
+  assert.equal(failure.kind, PeerFailureKind.Refused);
+  assert.equal(failure.failure.code, FailureCode.InternalFault);
+  assert.equal(failure.failure.ran, 'may_have_run');
+  assert.doesNotMatch(JSON.stringify(failure), /secret/);
+  assert.equal(link.isConnected(), true);
+});
+
+test('an answer of the wrong form is unknown', async context => {
+  const lifecycle = createLifecycle(context);
+  const wrong = {kind: RelayAnswerKind.Job} as unknown as RelayAnswer;
+  const handlers = createHandlers({read: () => Promise.resolve(wrong)});
+  const {link} = await startPair(lifecycle, {handlers});
+  const failure = (await link.read(query, TIMEOUT_MS)).unwrapErr();
+  assert.deepEqual(failure, {
+    kind: PeerFailureKind.Unknown,
+    reason: UnknownReason.Malformed,
+  });
+});
+
+test('a message that is too large or has no JSON form is not sent', async context => {
+  const lifecycle = createLifecycle(context);
+  const limits = {maxMessageBytes: 2_000};
+  const {link} = await startPair(lifecycle, {limits}, {limits});
+  const large = {...query, key: 'k'.repeat(3_000)};
+  const loop: Record<string, unknown> = {};
+  loop['self'] = loop;
+  const endless = {...query, loop};
+  for (const [message, reason] of [
+    [large, NotSentReason.TooLarge],
+    [endless, NotSentReason.NoJson],
+  ] as const) {
+    const failure = (await link.read(message, TIMEOUT_MS)).unwrapErr();
+    assert.deepEqual(failure, {kind: PeerFailureKind.NotSent, reason});
+  }
+  const next = await link.readSettings({knownRevision: 1}, TIMEOUT_MS);
+  assert.equal(next.isOk(), true);
+});
+
+test('calls past the limit of one connection are refused as not run', async context => {
+  const lifecycle = createLifecycle(context);
+  const answers: Array<(value: RelayAnswer) => void> = [];
+  const handlers = createHandlers({
+    read: () => new Promise(resolve => answers.push(resolve)),
+  });
+  const limits = {maxCallsInFlight: 3};
+  const {link} = await startPair(lifecycle, {handlers, limits});
+  const reads = [1, 2, 3].map(() => link.read(query, TIMEOUT_MS));
+  await waitFor('three reads', () => answers.length === 3);
+  const refused = (await link.read(query, TIMEOUT_MS)).unwrapErr();
+  assert.equal(refused.kind, PeerFailureKind.Refused);
+  assert.equal(refused.failure.code, FailureCode.QueueFull);
+  for (const answer of answers) answer({kind: RelayAnswerKind.Ended});
+  for (const read of await Promise.all(reads)) assert.equal(read.isOk(), true);
+  const next = await link.readSettings({knownRevision: 1}, TIMEOUT_MS);
+  assert.equal(next.isOk(), true);
+});
+
+test('both sides count the same messages and bytes', async context => {
+  const lifecycle = createLifecycle(context);
+  const seen = {
+    link: new Map<string, number>(),
+    server: new Map<string, number>(),
+  };
+  const countInto = (totals: Map<string, number>): MessageCounts => ({
+    count: (direction, call, bytes) => {
+      const key = `${direction} ${call}`;
+      totals.set(key, (totals.get(key) ?? 0) + bytes);
+    },
+  });
+  const {link} = await startPair(
+    lifecycle,
+    {counts: countInto(seen.server)},
+    {counts: countInto(seen.link)},
+  );
+  await link.heartbeat(createHeartbeat(), TIMEOUT_MS);
+  const received = `${Direction.Received} heartbeat`;
+  const sent = `${Direction.Sent} heartbeat`;
+  assert.ok((seen.link.get(sent) ?? 0) > 0);
+  assert.equal(seen.link.get(sent), seen.server.get(received));
+  assert.equal(seen.link.get(received), seen.server.get(sent));
+});
+
+test('a whole job comes back as it was answered', async context => {
+  const lifecycle = createLifecycle(context);
+  const tasks = Array.from({length: 690}, (_, index) => ({
+    index,
+    state: 'done',
+    result: {price: index, note: 'ñ'.repeat(50)},
+  }));
+  const answer = {
+    kind: RelayAnswerKind.Job,
+    answer: {...query, attempt: 1, state: JobState.Complete, tasks},
+  } as unknown as RelayAnswer;
+  const handlers = createHandlers({read: () => Promise.resolve(answer)});
+  const {link} = await startPair(lifecycle, {handlers});
+  const read = (await link.read(query, TIMEOUT_MS)).unwrap();
+  assert.equal(read.kind, RelayAnswerKind.Job);
+  assert.deepEqual(read.answer.tasks, tasks);
+});
