--- a/packages/backends/src/answers.ts
+++ b/packages/backends/src/answers.ts
@@ -1,17 +1,18 @@
 /** What backend servers answer, checked before it is believed. */
+import type {Millis} from '@goldcrestpier/runtime';
 import {z} from 'zod';
+import {ExchangeKind, type Exchange} from './exchange/index.js';
+import {StartKind, type StartOutcome} from './start_outcome.js';
 
 const LONGEST_REASON_CHARACTERS = 500;
 
-/** Codes of a server's answer that is not a result. */
-export enum RefusalCode {
+enum RefusalCode {
   Busy = 'busy',
   Leaving = 'leaving',
   Failed = 'failed',
 }
 
-/** A refusal or failure that the server typed. */
-export const refusalSchema = z.object({
+const refusalSchema = z.object({
   code: z.enum(RefusalCode),
   reason: z
     .string()
@@ -19,10 +20,42 @@
     .default('no reason given'),
 });
 
-/** The status that goes with each code; another pair is not believed. */
-export const REFUSAL_STATUS: Readonly<Record<RefusalCode, readonly number[]>> =
-  {
-    [RefusalCode.Busy]: [429, 409],
-    [RefusalCode.Leaving]: [503],
-    [RefusalCode.Failed]: [500],
-  };
+/** A code is believed under its own status only. */
+const STATUSES: Readonly<Record<RefusalCode, readonly number[]>> = {
+  [RefusalCode.Busy]: [429, 409],
+  [RefusalCode.Leaving]: [503],
+  [RefusalCode.Failed]: [500],
+};
+
+/** What is known when an exchange brought neither a result nor a lease. */
+export function toRefusal(exchange: Exchange): StartOutcome {
+  switch (exchange.kind) {
+    case ExchangeKind.NotSent:
+      return {kind: StartKind.Refused, reason: exchange.reason};
+    case ExchangeKind.Lost:
+      return {kind: StartKind.Unknown, reason: exchange.reason};
+    case ExchangeKind.Aborted:
+      return {kind: StartKind.Stopped, sent: exchange.sent};
+    case ExchangeKind.Answered:
+      return readRefusal(exchange.status, exchange.body, exchange.elapsedMs);
+  }
+}
+
+function readRefusal(
+  status: number,
+  body: unknown,
+  runMs: Millis,
+): StartOutcome {
+  const refusal = refusalSchema.safeParse(body).data;
+  if (refusal === undefined || !STATUSES[refusal.code].includes(status)) {
+    return {kind: StartKind.Unknown, reason: `status ${status}`};
+  }
+  switch (refusal.code) {
+    case RefusalCode.Busy:
+      return {kind: StartKind.Busy};
+    case RefusalCode.Leaving:
+      return {kind: StartKind.Leaving};
+    case RefusalCode.Failed:
+      return {kind: StartKind.Failed, reason: refusal.reason, runMs};
+  }
+}
--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -2,3 +2,4 @@
 export type {ConnectionBounds} from './exchange/index.js';
 export * from './runners/index.js';
 export * from './start_outcome.js';
+export * from './workers/index.js';
--- a/packages/backends/src/runners/runner_client.ts
+++ b/packages/backends/src/runners/runner_client.ts
@@ -1,6 +1,6 @@
 /** Starts tasks on a service's runners: one request, one answer. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {refusalSchema, REFUSAL_STATUS, RefusalCode} from '../answers.js';
+import {toRefusal} from '../answers.js';
 import {
   ExchangeKind,
   ServerPools,
@@ -57,36 +57,9 @@
 }
 
 function toOutcome(exchange: Exchange): StartOutcome {
-  switch (exchange.kind) {
-    case ExchangeKind.NotSent:
-      return {kind: StartKind.Refused, reason: exchange.reason};
-    case ExchangeKind.Lost:
-      return {kind: StartKind.Unknown, reason: exchange.reason};
-    case ExchangeKind.Aborted:
-      return {kind: StartKind.Stopped, sent: exchange.sent};
-    case ExchangeKind.Answered:
-      return readAnswer(exchange.status, exchange.body, exchange.elapsedMs);
-  }
-}
-
-function readAnswer(
-  status: number,
-  body: unknown,
-  runMs: Millis,
-): StartOutcome {
-  if (status === HTTP_OK) return readResult(body, runMs);
-  const refusal = refusalSchema.safeParse(body);
-  if (!refusal.success || !fits(refusal.data.code, status)) {
-    return {kind: StartKind.Unknown, reason: `status ${status}`};
-  }
-  switch (refusal.data.code) {
-    case RefusalCode.Busy:
-      return {kind: StartKind.Busy};
-    case RefusalCode.Leaving:
-      return {kind: StartKind.Leaving};
-    case RefusalCode.Failed:
-      return {kind: StartKind.Failed, reason: refusal.data.reason, runMs};
-  }
+  if (exchange.kind !== ExchangeKind.Answered) return toRefusal(exchange);
+  if (exchange.status !== HTTP_OK) return toRefusal(exchange);
+  return readResult(exchange.body, exchange.elapsedMs);
 }
 
 function readResult(body: unknown, runMs: Millis): StartOutcome {
@@ -100,7 +73,3 @@
   }
   return {kind: StartKind.Done, result: body.result, runMs};
 }
-
-function fits(code: RefusalCode, status: number): boolean {
-  return REFUSAL_STATUS[code].includes(status);
-}
--- a/packages/backends/src/start_outcome.ts
+++ b/packages/backends/src/start_outcome.ts
@@ -35,13 +35,13 @@
       readonly result: unknown;
       readonly runMs: Millis;
       /** What a worker measured; runners measure nothing. */
-      readonly usage?: WorkerUsage;
+      readonly usage?: WorkerUsage | undefined;
     }
   | {
       readonly kind: StartKind.Failed;
       readonly reason: string;
       readonly runMs: Millis;
-      readonly usage?: WorkerUsage;
+      readonly usage?: WorkerUsage | undefined;
     }
   | {readonly kind: StartKind.Busy}
   | {readonly kind: StartKind.Leaving}
