--- /dev/null
+++ b/packages/client/src/sessions/index.ts
@@ -0,0 +1,3 @@
+/** The client's session. */
+export * from './opener.js';
+export * from './session.js';
