--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 /** Small stand-ins for the platform and the backend servers, with switches for faults; never shipped. */
 export * from './instance_list/index.js';
+export * from './relay/index.js';
 export * from './runner/index.js';
 export {
   faultsSchema,
@@ -9,5 +10,7 @@
   type CountsReport,
   type FaultChoice,
   type Faults,
+  type Standin,
   type StartRecord,
 } from './server/index.js';
+export * from './worker/index.js';
--- a/packages/standins/src/instance_list/index.ts
+++ b/packages/standins/src/instance_list/index.ts
@@ -10,9 +10,8 @@
   replyBadRequest,
   ReplyCode,
   StandinServer,
-  type FaultSwitch,
+  type Standin,
   type JsonRequest,
-  type Records,
   type Reply,
 } from '../server/index.js';
 
@@ -59,15 +58,9 @@
 export type InstanceTarget = Readonly<z.infer<typeof targetSchema>>;
 
 /** A running instance list. */
-export interface InstanceList {
-  /** `host:port` of the list. */
-  readonly address: string;
-  /** `host:port` of the admin routes. */
-  readonly adminAddress: string;
+export interface InstanceList extends Standin {
   /** Where the list is read. */
   readonly url: string;
-  readonly faults: FaultSwitch;
-  readonly records: Records;
   /** Adds or changes an instance; shows after the lag. */
   put(target: InstanceTarget): void;
   /** Takes an instance out; shows after the lag. */
@@ -84,13 +77,9 @@
     lifecycle,
   );
   await list.server.listen(lifecycle);
-  const {address, adminAddress, faults, records} = list.server;
   return {
-    address,
-    adminAddress,
-    url: `http://${address}/targets`,
-    faults,
-    records,
+    ...list.server.describe(),
+    url: `http://${list.server.address}/targets`,
     put: target => list.change(target.labels.name, target),
     remove: name => list.change(name, undefined),
   };
--- a/packages/standins/src/runner/index.ts
+++ b/packages/standins/src/runner/index.ts
@@ -11,9 +11,8 @@
   ReplyCode,
   ReplyKind,
   StandinServer,
-  type FaultSwitch,
+  type Standin,
   type JsonRequest,
-  type Records,
   type Reply,
 } from '../server/index.js';
 import {
@@ -48,29 +47,17 @@
   payload: z.unknown().optional(),
 });
 
-/** A running runner. */
-export interface Runner {
-  readonly name: string;
-  /** `host:port` of the runners' wire form. */
-  readonly address: string;
-  /** `host:port` of the admin routes. */
-  readonly adminAddress: string;
-  readonly faults: FaultSwitch;
-  readonly records: Records;
-}
-
 /** Starts a runner that listens until `lifecycle` closes. */
 export async function startRunner(
   options: RunnerOptions,
   lifecycle: Lifecycle,
-): Promise<Runner> {
+): Promise<Standin> {
   const runner = new RunnerServer(
     runnerOptionsSchema.parse(options),
     lifecycle.signal,
   );
   await runner.server.listen(lifecycle);
-  const {address, adminAddress, faults, records} = runner.server;
-  return {name: options.name, address, adminAddress, faults, records};
+  return runner.server.describe();
 }
 
 class RunnerServer {
@@ -137,20 +124,11 @@
     this.inUse -= 1;
     if (failAll || plan.fail) return replyFailed();
     const result = createResult(plan, this.options.name);
-    return {
-      kind: ReplyKind.Json,
-      status: HttpStatus.Ok,
-      body: {result},
-      started: true,
-    };
+    return {...reply(HttpStatus.Ok, {result}), started: true};
   }
 }
 
 function replyFailed(): Reply {
-  return {
-    kind: ReplyKind.Json,
-    status: HttpStatus.Failed,
-    body: {code: ReplyCode.Failed, reason: 'the task failed'},
-    started: true,
-  };
+  const body = {code: ReplyCode.Failed, reason: 'the task failed'};
+  return {...reply(HttpStatus.Failed, body), started: true};
 }
--- a/packages/standins/src/server/messages.ts
+++ b/packages/standins/src/server/messages.ts
@@ -50,16 +50,17 @@
   Reset = 'reset',
 }
 
+/** An answer with a JSON body. */
+export interface JsonReply {
+  readonly kind: ReplyKind.Json;
+  readonly status: HttpStatus;
+  readonly body: unknown;
+  /** Whether it answers for a task that was started. */
+  readonly started?: boolean;
+}
+
 /** The answer to one request. */
-export type Reply =
-  | {
-      readonly kind: ReplyKind.Json;
-      readonly status: HttpStatus;
-      readonly body: unknown;
-      /** Whether it answers for a task that was started. */
-      readonly started?: boolean;
-    }
-  | {readonly kind: ReplyKind.Reset};
+export type Reply = JsonReply | {readonly kind: ReplyKind.Reset};
 
 /** Answers a request, or leaves it to others with undefined. */
 export type Handler = (
@@ -67,7 +68,7 @@
 ) => Promise<Reply | undefined> | Reply | undefined;
 
 /** A JSON answer. */
-export function reply(status: HttpStatus, body: unknown): Reply {
+export function reply(status: HttpStatus, body: unknown): JsonReply {
   return {kind: ReplyKind.Json, status, body};
 }
 
--- a/packages/standins/src/server/standin_server.ts
+++ b/packages/standins/src/server/standin_server.ts
@@ -38,6 +38,17 @@
   readonly handleAdmin?: Handler;
 }
 
+/** A running stand-in. */
+export interface Standin {
+  readonly name: string;
+  /** `host:port` of its wire form. */
+  readonly address: string;
+  /** `host:port` of the admin routes; answers under every fault. */
+  readonly adminAddress: string;
+  readonly faults: FaultSwitch;
+  readonly records: Records;
+}
+
 /** A stand-in's listeners, faults and records. */
 export class StandinServer {
   readonly faults = new FaultSwitch();
@@ -84,6 +95,12 @@
     );
   }
 
+  /** The door to a stand-in that listens. */
+  describe(): Standin {
+    const {address, adminAddress, faults, records} = this;
+    return {name: this.options.name, address, adminAddress, faults, records};
+  }
+
   private async serve(
     message: IncomingMessage,
     response: ServerResponse,
@@ -106,7 +123,7 @@
     response: ServerResponse,
   ): Promise<void> {
     await this.faults.thawed();
-    this.records.addRequest(`${request.method} /${request.path.join('/')}`);
+    this.records.addRequest(describeRequest(request));
     const answer = (await this.options.handle(request)) ?? replyNotFound();
     await this.faults.thawed();
     const {replyDelayMs} = this.faults.current;
@@ -168,6 +185,12 @@
   }
 }
 
+/** Method and path, without the identity in third place. */
+function describeRequest({method, path}: JsonRequest): string {
+  const kind = path.map((part, index) => (index === 2 ? '*' : part));
+  return `${method} /${kind.join('/')}`;
+}
+
 function replyNotFound(): Reply {
   return reply(HttpStatus.NotFound, {code: ReplyCode.NotFound});
 }
--- a/packages/standins/src/work/index.ts
+++ b/packages/standins/src/work/index.ts
@@ -1,7 +1,11 @@
 /** The pretended work of a task, as its payload describes it. */
 import {z} from 'zod';
 
+const DEFAULT_KIND = 'task';
+
 const payloadSchema = z.object({
+  /** Kind of task, by which its use is reported. */
+  kind: z.string().default(DEFAULT_KIND),
   /** Time the work takes on a server of speed 1, in milliseconds. */
   runMs: z.number().min(0).default(0),
   /** Comes back in the result. */
--- a/packages/standins/test/instance_list.test.ts
+++ b/packages/standins/test/instance_list.test.ts
@@ -39,13 +39,16 @@
 });
 
 test('a change shows only after the lag', async () => {
-  const list = await startInstanceList({lagMs: 300}, lifecycle);
+  const list = await startInstanceList({lagMs: 600_000}, lifecycle);
   list.put(target);
   assert.deepEqual((await send('GET', list.address, '/targets')).body, []);
-  await waitUntil('the change shows', async () => {
-    const {body} = await send('GET', list.address, '/targets');
-    return (body as unknown[]).length === 1;
-  });
+  list.faults.set({lagMs: 20});
+  const other = {...target, labels: {...target.labels, name: 'r2'}};
+  list.put(other);
+  const read = async () =>
+    (await send('GET', list.address, '/targets')).body as unknown[];
+  await waitUntil('a change shows', async () => (await read()).length > 0);
+  assert.deepEqual(await read(), [other]);
 });
 
 test('the list can be out', async () => {
--- a/packages/standins/test/runner.test.ts
+++ b/packages/standins/test/runner.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, test} from 'node:test';
-import {startRunner, type Runner} from '../src/index.js';
+import {startRunner, type Standin} from '../src/index.js';
 import {createSend, openLifecycle, waitUntil} from './helpers.js';
 
 /** Longer than any test here; ends when the runner closes. */
@@ -13,7 +13,7 @@
   return {job: 'job-1', task: name, payload};
 }
 
-function sendTask(runner: Runner, name: string, payload: unknown = {}) {
+function sendTask(runner: Standin, name: string, payload: unknown = {}) {
   return send('POST', runner.address, '/v1/tasks', task(name, payload));
 }
 
