Nap only while a nap is short against what is left of a delay

A nap of 0.05 ms takes 0.13 ms with the scheduler's share, so a trip of 0.5 ms each way took 1.35 ms there and back at the median.

--- a/packages/standins/src/relay/delay_line.ts
+++ b/packages/standins/src/relay/delay_line.ts
@@ -6,6 +6,8 @@
 import {readClock} from '@goldcrestpier/runtime';
 
 const NAP_MS = 0.05;
+/** What a nap takes with the scheduler's share. */
+const NAP_AT_MOST_MS = 0.2;
 /** Below this, a timer would wake too late. */
 const COARSE_MS = 2;
 
@@ -72,7 +74,7 @@
       return;
     }
     // A nap gives the processor away, where turning at once would burn it.
-    if (leftMs > NAP_MS) Atomics.wait(this.cell, 0, 0, NAP_MS);
+    if (leftMs > NAP_AT_MOST_MS) Atomics.wait(this.cell, 0, 0, NAP_MS);
     setImmediate(() => this.turn());
   }
 }
