--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,4 @@
 /** The platform's key-value service and instance list, over HTTP. */
+export * from './failure.js';
+export * from './key_value/index.js';
 export * from './servers.js';
