--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -1,2 +1,5 @@
 /** Clients for runners and guarded workers. */
-export {};
+export type {ConnectionBounds} from './exchange/index.js';
+export * from './runners/index.js';
+export * from './start_outcome.js';
+export * from './workers/index.js';
