--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 /** Small stand-ins for the platform and the backend servers, with switches for faults; never shipped. */
 export * from './instance_list/index.js';
+export * from './kv/index.js';
 export * from './relay/index.js';
 export * from './runner/index.js';
 export {
