Launch clusters of real processes, with one process for many stand-ins

Tests, the demo and the measuring tool need entry instances, backend servers and the platform as processes, with a network between the zones that can be cut and slowed. Not yet run as a whole.

--- /dev/null
+++ b/packages/standins/src/cluster/index.ts
@@ -0,0 +1,28 @@
+/** Launches clusters of real processes, for tests, the demo and tools. */
+export {
+  Cluster,
+  countDoubledStarts,
+  type ClusterPlatform,
+  type ClusterServer,
+} from './cluster.js';
+export {EntryProcess, type EntryAddresses} from './entry_process.js';
+export {launchCluster} from './launch.js';
+export {
+  launchProcess,
+  LaunchedProcess,
+  type ProcessExit,
+  type ProcessOptions,
+} from './launched_process.js';
+export {CLIENTS, Network, PLATFORM, type NetworkDelays} from './network.js';
+export {
+  planZones,
+  type ClusterPlan,
+  type EntryPlan,
+  type RunnerPlan,
+  type SettingsTable,
+  type WorkerPlan,
+  type ZonePlan,
+  type ZoneShape,
+} from './plan.js';
+export {findFreePort} from './ports.js';
+export {launchStandins, type StandinProcess} from './standin_processes.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,7 @@
 /** Small stand-ins for the platform and the backend servers, with switches for faults; never shipped. */
+export * from './admin/index.js';
+export * from './cluster/index.js';
+export * from './host/index.js';
 export * from './instance_list/index.js';
 export * from './kv/index.js';
 export * from './relay/index.js';
