Run clusters of real processes, and a demo of the main job

A cluster of two zones serves a job through an entry process and its stand-ins record both starts; a zone is cut and healed, an entry instance is frozen, killed and started again, and nothing is left behind. Entry instances are ended all at once: one after the other, each would wait for those before it.

--- a/packages/standins/src/cluster/entry_process.ts
+++ b/packages/standins/src/cluster/entry_process.ts
@@ -2,14 +2,10 @@
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {readClock, sleep, type Lifecycle} from '@goldcrestpier/runtime';
+import {readClock, sleep} from '@goldcrestpier/runtime';
 import {stringify} from 'smol-toml';
 import {request, type Agent} from 'undici';
-import {
-  LaunchedProcess,
-  launchProcess,
-  type ProcessExit,
-} from './launched_process.js';
+import {LaunchedProcess, type ProcessExit} from './launched_process.js';
 
 const ENTRY_FILE = fileURLToPath(
   new URL('../../../../entry/dist/src/bin/goldcrestpier.js', import.meta.url),
@@ -50,10 +46,7 @@
   readonly settingsFile: string;
   private launched: LaunchedProcess | undefined;
 
-  constructor(
-    private readonly options: EntryProcessOptions,
-    private readonly lifecycle: Lifecycle,
-  ) {
+  constructor(private readonly options: EntryProcessOptions) {
     this.name = options.name;
     this.zone = options.zone;
     this.addresses = options.addresses;
@@ -78,17 +71,14 @@
     return this.launched?.isRunning === true ? this.launched.pid : undefined;
   }
 
-  /** Starts a process without waiting for it. */
+  /** Starts a process without waiting for it; its owner has to end it. */
   launch(): void {
-    this.launched = launchProcess(
-      {
-        name: this.name,
-        file: ENTRY_FILE,
-        args: ['--settings', this.settingsFile],
-        logFile: join(this.options.folder, `${this.name}.log`),
-      },
-      this.lifecycle,
-    );
+    this.launched = new LaunchedProcess({
+      name: this.name,
+      file: ENTRY_FILE,
+      args: ['--settings', this.settingsFile],
+      logFile: join(this.options.folder, `${this.name}.log`),
+    });
   }
 
   /** Starts a process and waits until it is ready. */
@@ -145,4 +135,9 @@
     this.process.signal('SIGTERM');
     return this.process.exited;
   }
+
+  /** Ends it, patiently at first; nothing happens when it has ended. */
+  async end(): Promise<void> {
+    await this.launched?.end();
+  }
 }
--- a/packages/standins/src/cluster/launch.ts
+++ b/packages/standins/src/cluster/launch.ts
@@ -56,6 +56,10 @@
   }));
   const listing = new Listing(lists, network);
   await listServers(plan, servers, listing);
+  // All at once: one after the other, each would wait for those before it.
+  lifecycle.own('entries', async () => {
+    await Promise.all(entries.map(entry => entry.end()));
+  });
   for (const entry of entries) entry.launch();
   await Promise.all(entries.map(entry => entry.waitUntilReady()));
   await Promise.all(entries.map(entry => listing.put(describeEntry(entry))));
--- a/packages/standins/src/cluster/launch_entries.ts
+++ b/packages/standins/src/cluster/launch_entries.ts
@@ -83,19 +83,16 @@
   const {plan, zone, addresses} = entry;
   const settings = await createSettings(entry, seeds, surroundings);
   const {operatorsToken} = surroundings;
-  const {folder, connections, lifecycle} = site;
-  return new EntryProcess(
-    {
-      name: plan.name,
-      zone,
-      addresses,
-      operatorsToken,
-      settings: layOver(settings, plan.settings ?? {}),
-      folder,
-      connections,
-    },
-    lifecycle,
-  );
+  const {folder, connections} = site;
+  return new EntryProcess({
+    name: plan.name,
+    zone,
+    addresses,
+    operatorsToken,
+    settings: layOver(settings, plan.settings ?? {}),
+    folder,
+    connections,
+  });
 }
 
 async function createSettings(
--- a/packages/standins/src/cluster/launched_process.ts
+++ b/packages/standins/src/cluster/launched_process.ts
@@ -4,8 +4,8 @@
 import {createInterface} from 'node:readline';
 import {sleep, type Lifecycle} from '@goldcrestpier/runtime';
 
-/** How long a process may take to stop when it is asked to. */
-const STOP_MS = 30_000;
+/** How long a process may take to stop before `end` kills it. */
+const STOP_MS = 5_000;
 const LOG_TAIL_CHARACTERS = 2_000;
 
 /** How a process ended. */
--- a/packages/standins/src/instance_list/index.ts
+++ b/packages/standins/src/instance_list/index.ts
@@ -129,7 +129,9 @@
 
   private handleAdmin({method, path, body}: JsonRequest): Reply | undefined {
     const [, collection, name] = path;
-    if (collection !== 'targets' || name === undefined) return undefined;
+    if (collection !== 'targets') return undefined;
+    if (name === undefined)
+      return reply(HttpStatus.Ok, [...this.shown.values()]);
     switch (method) {
       case 'PUT':
         return this.putTarget(name, body);
--- /dev/null
+++ b/packages/standins/test/cluster.test.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import {existsSync, readFileSync} from 'node:fs';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import {once} from 'node:events';
+import {before, describe, test} from 'node:test';
+import {
+  Cut,
+  InstanceState,
+  launchCluster,
+  planZones,
+  type Cluster,
+  type InstanceTarget,
+} from '../src/index.js';
+import {findSourceProcess} from '../src/cluster/source_process.js';
+import {createSend, openLifecycle, waitUntil} from './helpers.js';
+
+const lifecycle = openLifecycle();
+const send = createSend(lifecycle);
+
+const plan = {
+  zones: planZones({
+    zones: ['batangas-1', 'batangas-2'],
+    entriesPerZone: 1,
+    runnersPerZone: 1,
+    workersPerZone: 1,
+  }),
+  isRelayed: true,
+  standinProcesses: 2,
+};
+
+/** Where the list of the first zone says that `name` is. */
+async function findListed(cluster: Cluster, name: string) {
+  const [list] = cluster.platform.lists;
+  const shown = await send('GET', list?.address ?? '', '/admin/targets');
+  const target = (shown.body as InstanceTarget[]).find(
+    ({labels}) => labels.name === name,
+  );
+  return {address: target?.targets[0] ?? '', state: target?.labels.state};
+}
+
+async function isReached(address: string): Promise<boolean> {
+  try {
+    return (await send('GET', address, '/health')).status === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** The system's letter for what a process does; T is stopped. */
+function readState(pid: number | undefined): string | undefined {
+  return readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.[0];
+}
+
+describe('a cluster of processes', () => {
+  let cluster: Cluster;
+  before(async () => {
+    cluster = await launchCluster(plan, lifecycle);
+  });
+
+  test('serves a job, and its servers record the starts', async () => {
+    const [entry] = cluster.entries;
+    const address = entry?.addresses.callers ?? '';
+    const opened = await send('POST', address, '/v1/sessions', {});
+    const {session} = opened.body as {session: string};
+    const path = `/v1/sessions/${session}/jobs/quotes?attempt=1&wait=20000`;
+    const task = {service: 'invoicing', payload: {runMs: 5, echo: 1}};
+    const answer = await send('PUT', address, path, {tasks: [task, task]});
+    assert.equal((answer.body as {state: string}).state, 'complete');
+    const starts = await cluster.readStarts();
+    assert.deepEqual(
+      starts.map(({job}) => job),
+      [`${session}/quotes`, `${session}/quotes`],
+    );
+  });
+
+  test('cuts a zone off from the others and heals it', async () => {
+    const own = await findListed(cluster, 'r1-1');
+    const other = await findListed(cluster, 'r2-1');
+    assert.equal(own.address, cluster.server('r1-1').address);
+    assert.notEqual(other.address, cluster.server('r2-1').address);
+    assert.ok(await isReached(other.address));
+    cluster.cutZone('batangas-1', Cut.Closed);
+    assert.ok(await isReached(own.address));
+    assert.ok(!(await isReached(other.address)));
+    cluster.healZone('batangas-1');
+    await waitUntil('it is reached again', () => isReached(other.address));
+  });
+
+  test('shows a leaving server in every list', async () => {
+    await cluster.listing.setState('r2-1', InstanceState.Leaving);
+    assert.equal((await findListed(cluster, 'r2-1')).state, 'leaving');
+    await cluster.listing.remove('r2-1');
+    assert.equal((await findListed(cluster, 'r2-1')).address, '');
+  });
+
+  test('freezes, kills and starts an entry instance again', async () => {
+    const entry = cluster.entry('e1-1');
+    entry.pause();
+    await waitUntil('it is frozen', () => readState(entry.pid) === 'T');
+    const answer = entry.isReady();
+    entry.resume();
+    assert.ok(await answer);
+    assert.equal((await entry.kill()).signal, 'SIGKILL');
+    assert.equal(entry.pid, undefined);
+    await entry.start();
+    assert.ok(await entry.isReady());
+    assert.equal((await entry.stop()).code, 0);
+  });
+
+  test('leaves no process and no folder behind', async () => {
+    const {pid} = cluster.entry('e2-1').process;
+    await cluster.close();
+    assert.ok(!existsSync(cluster.folder));
+    assert.throws(() => process.kill(pid, 0));
+  });
+});
+
+test('the process at the other end of a connection is found', async () => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const [accepted] = (await once(server, 'connection')) as [Socket];
+  const init = 1;
+  const found = findSourceProcess(accepted, [init, process.pid]);
+  assert.equal(found, process.pid);
+  assert.equal(findSourceProcess(accepted, []), undefined);
+  client.destroy();
+  accepted.destroy();
+  server.close();
+});
