--- a/packages/standins/src/demo/index.ts
+++ b/packages/standins/src/demo/index.ts
@@ -3,7 +3,11 @@
 import {Agent} from 'undici';
 import {launchCluster, type Cluster} from '../cluster/index.js';
 import {Caller} from './caller.js';
-import {createInvoicingJob, createPricingJob} from './jobs.js';
+import {
+  createInvoicingJob,
+  createPricingJob,
+  createReleaseJob,
+} from './jobs.js';
 import {planDemo} from './plan.js';
 import {runJob} from './run_job.js';
 
@@ -15,17 +19,20 @@
   console.log('starting three zones');
   const cluster = await launchCluster(planDemo(), lifecycle);
   printCluster(cluster);
-  const invoicing = runJob(cluster, caller, createInvoicingJob(), {
+  const isInvoiced = await runJob(cluster, caller, createInvoicingJob(), {
     first: 'e1-1',
     second: 'e2-1',
   });
-  const isInvoiced = await invoicing;
+  const isReleased = await runJob(cluster, caller, createReleaseJob(), {
+    first: 'e2-2',
+    second: 'e3-2',
+  });
   const isPriced = await runJob(cluster, caller, createPricingJob(), {
     first: 'e3-1',
     second: 'e1-2',
   });
   const isStopped = await stopEntries(cluster);
-  return isInvoiced && isPriced && isStopped;
+  return isInvoiced && isReleased && isPriced && isStopped;
 }
 
 function printCluster(cluster: Cluster): void {
--- a/packages/standins/src/runner/index.ts
+++ b/packages/standins/src/runner/index.ts
@@ -36,6 +36,8 @@
   slots: z.number().int().min(1).default(DEFAULT_SLOTS),
   /** Connections at once. */
   connectionLimit: z.number().int().min(1).default(DEFAULT_CONNECTION_LIMIT),
+  /** Whether a task stops, and frees its slot, when its client is gone. */
+  stopsOnClose: z.boolean().default(false),
 });
 
 /** What a runner is set up with; all but the name have defaults. */
@@ -77,7 +79,7 @@
   private handle(request: JsonRequest): Promise<Reply> | Reply | undefined {
     switch (`${request.method} /${request.path.join('/')}`) {
       case 'POST /v1/tasks':
-        return this.startTask(request.body);
+        return this.startTask(request);
       case 'GET /health':
         return this.answerHealth();
       default:
@@ -93,7 +95,7 @@
     });
   }
 
-  private startTask(body: unknown): Promise<Reply> | Reply {
+  private startTask({body, over}: JsonRequest): Promise<Reply> | Reply {
     const task = taskSchema.safeParse(body);
     if (!task.success) return replyBadRequest(task.error.message);
     if (this.server.faults.current.leaving) {
@@ -104,8 +106,12 @@
     }
     const {records, faults} = this.server;
     records.addStart(task.data.job, task.data.task, Date.now());
-    const ended = this.work(readWorkPlan(task.data.payload));
-    return faults.current.resetAfterStart ? {kind: ReplyKind.Reset} : ended;
+    const plan = readWorkPlan(task.data.payload);
+    if (faults.current.resetAfterStart) {
+      void this.work(plan, this.closing);
+      return {kind: ReplyKind.Reset};
+    }
+    return this.work(plan, this.options.stopsOnClose ? over : this.closing);
   }
 
   private refuse(status: HttpStatus, code: ReplyCode): Reply {
@@ -113,12 +119,12 @@
     return reply(status, {code});
   }
 
-  private async work(plan: WorkPlan): Promise<Reply> {
+  private async work(plan: WorkPlan, stopped: AbortSignal): Promise<Reply> {
     const {failAll, slowFactor} = this.server.faults.current;
     this.inUse += 1;
     if (!failAll) {
       const runMs = computeRunMs(plan, this.options.speed, slowFactor);
-      await sleep(runMs, this.closing);
+      await sleep(runMs, stopped);
     }
     await this.server.faults.thawed();
     this.inUse -= 1;
--- a/packages/standins/src/server/messages.ts
+++ b/packages/standins/src/server/messages.ts
@@ -41,6 +41,8 @@
   readonly path: readonly string[];
   readonly query: URLSearchParams;
   readonly body: unknown;
+  /** Aborts when the client is gone, or was answered. */
+  readonly over: AbortSignal;
 }
 
 /** How a request is answered. */
@@ -80,7 +82,10 @@
 /** Reads a request and its body to the end. */
 export async function readRequest(
   message: IncomingMessage,
+  response: ServerResponse,
 ): Promise<Result<JsonRequest, ReadFailure>> {
+  const over = new AbortController();
+  response.once('close', () => over.abort());
   const url = new URL(message.url ?? '/', 'http://standin');
   const text = await readText(message);
   if (text.isErr()) return text;
@@ -90,6 +95,7 @@
     path: url.pathname.split('/').filter(Boolean).map(decodeURIComponent),
     query: url.searchParams,
     body: value,
+    over: over.signal,
   }));
 }
 
--- a/packages/standins/src/server/standin_server.ts
+++ b/packages/standins/src/server/standin_server.ts
@@ -105,7 +105,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const request = await readRequest(message);
+    const request = await readRequest(message, response);
     if (request.isErr()) {
       const {status, body} = describeUnreadable(request.error);
       sendJson(response, status, body, true);
--- a/packages/standins/test/runner.test.ts
+++ b/packages/standins/test/runner.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, test} from 'node:test';
+import {Lifecycle} from '@goldcrestpier/runtime';
 import {startRunner, type Standin} from '../src/index.js';
 import {createSend, openLifecycle, waitUntil} from './helpers.js';
 
@@ -68,6 +69,24 @@
   });
 });
 
+test('a runner may stop a task whose client is gone', async () => {
+  for (const stopsOnClose of [true, false]) {
+    const runner = await startRunner({name: 'r1', stopsOnClose}, lifecycle);
+    const own = new Lifecycle('client');
+    const lost = createSend(own)('POST', runner.address, '/v1/tasks', {
+      ...task('a', {runMs: LONG_MS}),
+    });
+    lost.catch(() => undefined);
+    await waitUntil('it runs', () => runner.records.starts.length === 1);
+    await own.close();
+    const open = () => runner.records.report().connections.open;
+    await waitUntil('the connection is closed', () => open() === 0);
+    const readHealth = () => send('GET', runner.address, '/health');
+    const {inUse} = (await readHealth()).body as {inUse: number};
+    assert.equal(inUse, stopsOnClose ? 0 : 1);
+  }
+});
+
 describe('the faults of a runner', () => {
   test('are checked, replaced as a whole, and read back', async () => {
     const runner = await startRunner({name: 'r1'}, lifecycle);
