Give each kind of stand-in its own admin, and start entry instances late

The key-value service has other faults than the HTTP stand-ins, so its admin has types of its own; starts can be read from a number on.

--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -1,11 +1,16 @@
 /** A cluster that runs: its processes, its network, and what it recorded. */
-import {StandinAdmin} from '../admin/index.js';
+import type {
+  InstanceListAdmin,
+  KeyValueAdmin,
+  StandinAdmin,
+} from '../admin/index.js';
 import type {FaultChoice, StartRecord} from '../server/index.js';
 import type {Cut} from '../relay/index.js';
 import type {EntryProcess} from './entry_process.js';
 import type {LaunchedProcess} from './launched_process.js';
 import type {Listing} from './listing.js';
 import {PLATFORM, type Network} from './network.js';
+import {describeEntry} from './targets.js';
 
 /** One stand-in of a backend server. */
 export interface ClusterServer {
@@ -21,9 +26,9 @@
 export interface ClusterPlatform {
   /** `http://host:port` of the key-value service itself. */
   readonly keyValueUrl: string;
-  readonly keyValue: StandinAdmin;
+  readonly keyValue: KeyValueAdmin;
   /** The instance lists; one, or one for each zone of a relayed cluster. */
-  readonly lists: readonly StandinAdmin[];
+  readonly lists: readonly InstanceListAdmin[];
   readonly process: LaunchedProcess;
 }
 
@@ -91,6 +96,20 @@
     await Promise.all(this.servers.map(({admin}) => admin.setFaults(choice)));
   }
 
+  /** Takes the key-value service and the lists away, or gives them back. */
+  async setPlatformOut(isOut: boolean): Promise<void> {
+    const {keyValue, lists} = this.platform;
+    await keyValue.setFaults({down: isOut});
+    await Promise.all(lists.map(list => list.setFaults({listOut: isOut})));
+  }
+
+  /** Starts an entry instance, waits until it is ready, and lists it. */
+  async startEntry(name: string): Promise<void> {
+    const entry = this.entry(name);
+    await entry.start();
+    await this.listing.put(describeEntry(entry));
+  }
+
   /** Cuts a zone off from the other zones and the platform. */
   cutZone(zone: string, cut: Cut): void {
     for (const other of this.listOthers(zone)) {
--- a/packages/standins/src/cluster/launch.ts
+++ b/packages/standins/src/cluster/launch.ts
@@ -5,6 +5,7 @@
 import {Lifecycle} from '@goldcrestpier/runtime';
 import {Agent} from 'undici';
 import {Cluster, type ClusterServer} from './cluster.js';
+import type {EntryProcess} from './entry_process.js';
 import {prepareEntries} from './launch_entries.js';
 import {launchPlatform, launchServers} from './launch_servers.js';
 import {Listing} from './listing.js';
@@ -60,9 +61,10 @@
   lifecycle.own('entries', async () => {
     await Promise.all(entries.map(entry => entry.end()));
   });
-  for (const entry of entries) entry.launch();
-  await Promise.all(entries.map(entry => entry.waitUntilReady()));
-  await Promise.all(entries.map(entry => listing.put(describeEntry(entry))));
+  const first = pickFirst(plan, entries);
+  for (const entry of first) entry.launch();
+  await Promise.all(first.map(entry => entry.waitUntilReady()));
+  await Promise.all(first.map(entry => listing.put(describeEntry(entry))));
   return new Cluster({
     zones,
     folder,
@@ -100,6 +102,17 @@
   }
 }
 
+/** The entry instances that start with the cluster. */
+function pickFirst(
+  plan: ClusterPlan,
+  entries: readonly EntryProcess[],
+): EntryProcess[] {
+  const plans = plan.zones.flatMap(zone => zone.entries);
+  const later = plans.filter(({startsLater}) => startsLater === true);
+  const names = new Set(later.map(({name}) => name));
+  return entries.filter(({name}) => !names.has(name));
+}
+
 function pickServers(
   plans: ReadonlyArray<{readonly name: string}>,
   servers: ReadonlyMap<string, ClusterServer>,
--- a/packages/standins/src/cluster/launch_servers.ts
+++ b/packages/standins/src/cluster/launch_servers.ts
@@ -1,7 +1,11 @@
 /** Launches the stand-ins of a cluster: platform, runners and workers. */
 import type {Lifecycle} from '@goldcrestpier/runtime';
 import type {Agent} from 'undici';
-import {StandinAdmin} from '../admin/index.js';
+import {
+  InstanceListAdmin,
+  KeyValueAdmin,
+  StandinAdmin,
+} from '../admin/index.js';
 import {StandinKind, type StandinPlan} from '../host/index.js';
 import type {ClusterPlatform, ClusterServer} from './cluster.js';
 import type {ClusterPlan, ZonePlan} from './plan.js';
@@ -48,9 +52,9 @@
   return {
     platform: {
       keyValueUrl: `http://${address}`,
-      keyValue: new StandinAdmin(address, site.connections),
+      keyValue: new KeyValueAdmin(address, site.connections),
       lists: hosted.map(
-        each => new StandinAdmin(each.adminAddress, site.connections),
+        each => new InstanceListAdmin(each.adminAddress, site.connections),
       ),
       process: launched.process,
     },
--- a/packages/standins/src/cluster/listing.ts
+++ b/packages/standins/src/cluster/listing.ts
@@ -2,14 +2,14 @@
  * What the instance lists show. Each zone has a list of its own, for servers
  * of other zones are reached through relays that differ from zone to zone.
  */
-import type {StandinAdmin} from '../admin/index.js';
+import type {InstanceListAdmin} from '../admin/index.js';
 import {InstanceState, type InstanceTarget} from '../instance_list/index.js';
 import type {Network} from './network.js';
 
 /** One zone's list. */
 export interface ZoneList {
   readonly zone: string;
-  readonly admin: StandinAdmin;
+  readonly admin: InstanceListAdmin;
 }
 
 /** Keeps the lists of all zones. */
--- a/packages/standins/src/cluster/plan.ts
+++ b/packages/standins/src/cluster/plan.ts
@@ -11,6 +11,8 @@
   readonly name: string;
   /** Size relative to the others; 1 where it is absent. */
   readonly weight?: number;
+  /** Whether it is left for `startEntry`; false where it is absent. */
+  readonly startsLater?: boolean;
   /** Tables and keys that are laid over the settings file. */
   readonly settings?: SettingsTable;
 }
--- a/packages/standins/src/server/standin_server.ts
+++ b/packages/standins/src/server/standin_server.ts
@@ -166,7 +166,7 @@
       case 'PUT faults':
         return this.putFaults(request.body);
       case 'GET starts':
-        return reply(HttpStatus.Ok, this.records.starts);
+        return this.answerStarts(Number(request.query.get('from') ?? 0));
       case 'DELETE starts':
         this.records.clearStarts();
         return reply(HttpStatus.Ok, {});
@@ -177,6 +177,10 @@
     }
   }
 
+  private answerStarts(from: number): Reply {
+    return reply(HttpStatus.Ok, this.records.starts.slice(from));
+  }
+
   private putFaults(body: unknown): Reply {
     const faults = faultsSchema.safeParse(body);
     if (!faults.success) return replyBadRequest(faults.error.message);
--- a/packages/standins/test/cluster.test.ts
+++ b/packages/standins/test/cluster.test.ts
@@ -9,7 +9,6 @@
   launchCluster,
   planZones,
   type Cluster,
-  type InstanceTarget,
 } from '../src/index.js';
 import {findSourceProcess} from '../src/cluster/source_process.js';
 import {createSend, openLifecycle, waitUntil} from './helpers.js';
@@ -17,13 +16,17 @@
 const lifecycle = openLifecycle();
 const send = createSend(lifecycle);
 
+const zones = planZones({
+  zones: ['batangas-1', 'batangas-2'],
+  entriesPerZone: 1,
+  runnersPerZone: 1,
+  workersPerZone: 1,
+});
 const plan = {
-  zones: planZones({
-    zones: ['batangas-1', 'batangas-2'],
-    entriesPerZone: 1,
-    runnersPerZone: 1,
-    workersPerZone: 1,
-  }),
+  zones: zones.map((zone, index) => ({
+    ...zone,
+    entries: zone.entries.map(entry => ({...entry, startsLater: index > 0})),
+  })),
   isRelayed: true,
   standinProcesses: 2,
 };
@@ -31,10 +34,8 @@
 /** Where the list of the first zone says that `name` is. */
 async function findListed(cluster: Cluster, name: string) {
   const [list] = cluster.platform.lists;
-  const shown = await send('GET', list?.address ?? '', '/admin/targets');
-  const target = (shown.body as InstanceTarget[]).find(
-    ({labels}) => labels.name === name,
-  );
+  const shown = (await list?.readTargets()) ?? [];
+  const target = shown.find(({labels}) => labels.name === name);
   return {address: target?.targets[0] ?? '', state: target?.labels.state};
 }
 
@@ -107,6 +108,20 @@
     assert.equal((await entry.stop()).code, 0);
   });
 
+  test('starts an entry instance while the platform is out', async () => {
+    await cluster.setPlatformOut(true);
+    const [list] = cluster.platform.lists;
+    const readStatus = async () =>
+      (await send('GET', list?.address ?? '', '/targets')).status;
+    assert.equal(await readStatus(), 503);
+    const late = cluster.entry('e2-1');
+    assert.equal(late.pid, undefined);
+    late.launch();
+    await cluster.setPlatformOut(false);
+    await late.waitUntilReady();
+    assert.equal(await readStatus(), 200);
+  });
+
   test('leaves no process and no folder behind', async () => {
     const {pid} = cluster.entry('e2-1').process;
     await cluster.close();
