--- a/packages/standins/src/cluster/index.ts
+++ b/packages/standins/src/cluster/index.ts
@@ -24,5 +24,4 @@
   type ZonePlan,
   type ZoneShape,
 } from './plan.js';
-export {findFreePort} from './ports.js';
 export {launchStandins, type StandinProcess} from './standin_processes.js';
--- a/packages/standins/src/cluster/launch_entries.ts
+++ b/packages/standins/src/cluster/launch_entries.ts
@@ -1,14 +1,14 @@
 /** Prepares the entry instances of a cluster: ports, relays, settings. */
 import {randomBytes} from 'node:crypto';
 import type {Socket} from 'node:net';
+import {findFreePort, HOST} from '../ports/index.js';
 import {EntryProcess, type EntryAddresses} from './entry_process.js';
 import type {LaunchSite, PlatformAddresses} from './launch_servers.js';
 import {CLIENTS, PLATFORM, type Network} from './network.js';
 import type {ClusterPlan, EntryPlan} from './plan.js';
-import {findFreePort} from './ports.js';
+
 import {findSourceProcess} from './source_process.js';
 
-const HOST = '127.0.0.1';
 const TOKEN_BYTES = 16;
 const MOST_SEEDS = 3;
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,6 +4,7 @@
 export * from './host/index.js';
 export * from './instance_list/index.js';
 export * from './kv/index.js';
+export {findFreePort} from './ports/index.js';
 export * from './relay/index.js';
 export * from './runner/index.js';
 export {
--- a/packages/standins/src/relay/index.ts
+++ b/packages/standins/src/relay/index.ts
@@ -2,20 +2,14 @@
  * A TCP relay between two parties, with delays and cuts. Connections belong to
  * a link; several relays may share one, so that a whole zone is cut at once.
  */
-import {
-  createServer,
-  type AddressInfo,
-  type Server,
-  type Socket,
-} from 'node:net';
+import {createServer, type Server, type Socket} from 'node:net';
 import type {Lifecycle} from '@goldcrestpier/runtime';
 import {Cut, Link, type LinkMember} from './link.js';
+import {HOST, listenAgain, listenOn} from '../ports/index.js';
 import {RelayedConnection} from './relayed_connection.js';
 
 export {Cut, Link, type Delays} from './link.js';
 
-const HOST = '127.0.0.1';
-
 /** Chooses the link of a new connection; undefined closes it. */
 export type ChooseLink = (source: Socket) => Link | undefined;
 
@@ -57,12 +51,12 @@
     connections.add(connection);
     source.on('close', () => connections.delete(connection));
   });
-  const port = await listen(server, options.port ?? 0);
+  const port = await listenOn(server, options.port ?? 0);
   const listener = new RefusingListener(server, port);
   if (options.link instanceof Link) options.link.addListener(listener);
   lifecycle.own(`relay to ${options.target}`, () => {
     if (options.link instanceof Link) options.link.removeListener(listener);
-    server.close();
+    listener.cut(Cut.Closed);
     for (const connection of connections) connection.close();
   });
   return {address: `${HOST}:${port}`, countAccepted: () => accepted};
@@ -70,28 +64,25 @@
 
 /** Refuses connections while the only link behind a listener is closed. */
 class RefusingListener implements LinkMember {
+  private isWanted = true;
+
   constructor(
     private readonly server: Server,
     private readonly port: number,
   ) {}
 
   cut(cut: Cut): void {
-    if (cut === Cut.Closed && this.server.listening) this.server.close();
+    if (cut !== Cut.Closed) return;
+    this.isWanted = false;
+    if (this.server.listening) this.server.close();
   }
 
   heal(): void {
-    if (!this.server.listening) this.server.listen(this.port, HOST);
+    this.isWanted = true;
+    void listenAgain(this.server, this.port, () => this.isWanted);
   }
 }
 
-async function listen(server: Server, port: number): Promise<number> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, HOST, resolve);
-  });
-  return (server.address() as AddressInfo).port;
-}
-
 function toChoice(link: Link | ChooseLink): ChooseLink {
   return typeof link === 'function' ? link : () => link;
 }
--- a/packages/standins/src/server/listener.ts
+++ b/packages/standins/src/server/listener.ts
@@ -5,10 +5,10 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
+import {HOST, listenAgain, listenOn} from '../ports/index.js';
 import type {ConnectionCounts} from './records.js';
 
-const HOST = '127.0.0.1';
 const KEEP_ALIVE_MS = 60_000;
 
 /** Serves one request; called for each, without waiting. */
@@ -25,6 +25,7 @@
   private accepted = 0;
   private overLimit = 0;
   private bound = 0;
+  private isWanted = false;
 
   constructor(
     serve: Serve,
@@ -49,24 +50,20 @@
 
   /** Listens on `port`; 0 takes a free one. Rejects when it is taken. */
   async listen(port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, HOST, () => {
-        this.server.removeListener('error', reject);
-        resolve();
-      });
-    });
-    this.bound = (this.server.address() as AddressInfo).port;
+    this.isWanted = true;
+    this.bound = await listenOn(this.server, port);
   }
 
   /** Refuses new connections and closes idle ones until accepted again. */
   refuse(): void {
+    this.isWanted = false;
     if (this.server.listening) this.server.close();
   }
 
   /** Listens again on the same port after `refuse`. */
   async acceptAgain(): Promise<void> {
-    if (!this.server.listening) await this.listen(this.bound);
+    this.isWanted = true;
+    await listenAgain(this.server, this.bound, () => this.isWanted);
   }
 
   /** The connections so far. */
