--- a/packages/standins/src/server/messages.ts
+++ b/packages/standins/src/server/messages.ts
@@ -41,6 +41,8 @@
   readonly path: readonly string[];
   readonly query: URLSearchParams;
   readonly body: unknown;
+  /** Aborts when the client is gone, or was answered. */
+  readonly over: AbortSignal;
 }
 
 /** How a request is answered. */
@@ -50,16 +52,17 @@
   Reset = 'reset',
 }
 
+/** An answer with a JSON body. */
+export interface JsonReply {
+  readonly kind: ReplyKind.Json;
+  readonly status: HttpStatus;
+  readonly body: unknown;
+  /** Whether it answers for a task that was started. */
+  readonly started?: boolean;
+}
+
 /** The answer to one request. */
-export type Reply =
-  | {
-      readonly kind: ReplyKind.Json;
-      readonly status: HttpStatus;
-      readonly body: unknown;
-      /** Whether it answers for a task that was started. */
-      readonly started?: boolean;
-    }
-  | {readonly kind: ReplyKind.Reset};
+export type Reply = JsonReply | {readonly kind: ReplyKind.Reset};
 
 /** Answers a request, or leaves it to others with undefined. */
 export type Handler = (
@@ -67,7 +70,7 @@
 ) => Promise<Reply | undefined> | Reply | undefined;
 
 /** A JSON answer. */
-export function reply(status: HttpStatus, body: unknown): Reply {
+export function reply(status: HttpStatus, body: unknown): JsonReply {
   return {kind: ReplyKind.Json, status, body};
 }
 
@@ -79,7 +82,10 @@
 /** Reads a request and its body to the end. */
 export async function readRequest(
   message: IncomingMessage,
+  response: ServerResponse,
 ): Promise<Result<JsonRequest, ReadFailure>> {
+  const over = new AbortController();
+  response.once('close', () => over.abort());
   const url = new URL(message.url ?? '/', 'http://standin');
   const text = await readText(message);
   if (text.isErr()) return text;
@@ -89,6 +95,7 @@
     path: url.pathname.split('/').filter(Boolean).map(decodeURIComponent),
     query: url.searchParams,
     body: value,
+    over: over.signal,
   }));
 }
 
