Read the instance list

The targets of Prometheus's HTTP service discovery become backend servers and entry instances. A malformed or doubled target is left out, counted and named in the log once; the rest of the list stands. While the list is out the last good one stays, with its age; a list that did not change is not published again.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,5 @@
 /** The platform's key-value service and instance list, over HTTP. */
 export * from './failure.js';
+export * from './instance_list/index.js';
 export * from './key_value/index.js';
 export * from './servers.js';
--- /dev/null
+++ b/packages/platform/src/instance_list/poller.ts
@@ -0,0 +1,172 @@
+import {
+  createTopic,
+  readClock,
+  sleep,
+  type Lifecycle,
+  type Logger,
+  type Millis,
+} from '@goldcrestpier/runtime';
+import type {Stream} from 'most';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {Agent, request} from 'undici';
+import {PlatformReason, type PlatformFailure} from '../failure.js';
+import {
+  parseInstanceList,
+  type InstanceList,
+  type ParsedList,
+  type SkippedTarget,
+} from './parse.js';
+
+const LARGEST_LIST_BYTES = 32 * 1024 * 1024;
+/** Skipped targets that are named in one log line. */
+const MOST_NAMED = 5;
+const CALL = 'instance list';
+
+/** What a poller is made with. */
+export interface PollerOptions {
+  readonly url: string;
+  readonly pollMs: Millis;
+  readonly timeoutMs: Millis;
+  readonly logger: Logger;
+  /** Ends the polling. */
+  readonly lifecycle: Lifecycle;
+  /** Told of each reading, for counting. */
+  readonly onPoll?: (poll: PollReport) => void;
+}
+
+/** How one reading went. */
+export interface PollReport {
+  readonly failed: PlatformReason | undefined;
+  /** Targets left out as malformed. */
+  readonly skipped: number;
+}
+
+/** Reads the instance list at an interval and keeps the last good one. */
+export class InstanceListPoller {
+  private readonly topic = createTopic<InstanceList>();
+  private readonly agent = new Agent({
+    connections: 1,
+    maxResponseSize: LARGEST_LIST_BYTES,
+  });
+  private list: InstanceList = {servers: [], entries: []};
+  private readAt: Millis | undefined;
+  private wasSkipped = '';
+  private wasOut = false;
+
+  constructor(private readonly options: PollerOptions) {
+    options.lifecycle.own('instance list', async () => {
+      this.topic.end();
+      await this.agent.destroy();
+    });
+  }
+
+  /** The last good list; empty until there is one. */
+  get current(): InstanceList {
+    return this.list;
+  }
+
+  /** Publishes each list that differs from the one before. */
+  get changes(): Stream<InstanceList> {
+    return this.topic.stream;
+  }
+
+  /** How old the list is; undefined until there is one. */
+  readAge(now: Millis): Millis | undefined {
+    return this.readAt === undefined ? undefined : now - this.readAt;
+  }
+
+  /** Reads at the interval until the life cycle closes. */
+  start(): void {
+    const {lifecycle, logger} = this.options;
+    lifecycle.run(
+      'instance list polls',
+      async signal => {
+        while (!signal.aborted) {
+          await this.poll(readClock());
+          await sleep(this.options.pollMs, signal);
+        }
+      },
+      cause => logger.error('polling ended', {cause: String(cause)}),
+    );
+  }
+
+  /** Reads once, at `now`. */
+  async poll(now: Millis): Promise<Result<InstanceList, PlatformFailure>> {
+    const read = await this.read();
+    if (read.isErr()) {
+      this.noteOutage(read.error, now);
+      return read;
+    }
+    const {list, skipped} = read.value;
+    this.options.onPoll?.({failed: undefined, skipped: skipped.length});
+    this.noteSkipped(skipped);
+    this.take(list, now);
+    return Ok(list);
+  }
+
+  private take(list: InstanceList, now: Millis): void {
+    if (this.wasOut) this.options.logger.info('the instance list is back');
+    this.wasOut = false;
+    const isFirst = this.readAt === undefined;
+    this.readAt = now;
+    if (!isFirst && JSON.stringify(list) === JSON.stringify(this.list)) return;
+    this.list = list;
+    this.topic.publish(list);
+  }
+
+  private async read(): Promise<Result<ParsedList, PlatformFailure>> {
+    try {
+      const {statusCode, body} = await request(this.options.url, {
+        dispatcher: this.agent,
+        headers: {accept: 'application/json'},
+        signal: AbortSignal.any([
+          AbortSignal.timeout(this.options.timeoutMs),
+          this.options.lifecycle.signal,
+        ]),
+      });
+      if (statusCode !== 200) {
+        await body.dump();
+        return fail(PlatformReason.Refused, `status ${statusCode}`);
+      }
+      const parsed = parseInstanceList(await body.json());
+      if (parsed !== undefined) return Ok(parsed);
+      return fail(PlatformReason.Malformed, 'not a list');
+    } catch (cause) {
+      if (cause instanceof SyntaxError) {
+        return fail(PlatformReason.Malformed, 'not JSON');
+      }
+      const {name, code} = cause as NodeJS.ErrnoException;
+      return name === 'TimeoutError'
+        ? fail(PlatformReason.TimedOut, 'no answer in time')
+        : fail(PlatformReason.Unreachable, code ?? name);
+    }
+  }
+
+  private noteOutage(failure: PlatformFailure, now: Millis): void {
+    this.options.onPoll?.({failed: failure.reason, skipped: 0});
+    if (this.wasOut) return;
+    this.wasOut = true;
+    this.options.logger.warn('the instance list is out, keeping the last one', {
+      reason: failure.reason,
+      detail: failure.detail,
+      ageMs: this.readAge(now),
+    });
+  }
+
+  /** Says what was left out, once for as long as it stays the same. */
+  private noteSkipped(skipped: readonly SkippedTarget[]): void {
+    const named = skipped
+      .slice(0, MOST_NAMED)
+      .map(({target, reason}) => `${target} (${reason})`)
+      .join(', ');
+    const isNews = named !== this.wasSkipped;
+    this.wasSkipped = named;
+    if (skipped.length === 0 || !isNews) return;
+    const fields = {count: skipped.length, targets: named};
+    this.options.logger.warn('malformed targets were left out', fields);
+  }
+}
+
+function fail(reason: PlatformReason, detail: string): Err<PlatformFailure> {
+  return Err({reason, call: CALL, detail, mayHaveTakenEffect: false});
+}
