Inherit, check, compare and write down the tree of settings

A tree is checked whole: its form, its size, and what is in force at every node. A problem names the node and the key, and what a node only inherits is told once, where it is written. Two checks look at settings together: a lease has to outlast its renewal, and an ejection's first time its longest. Keys are written in snake_case everywhere that operators see them, as in the file of a process; only the effective settings carry the code's own names.

The protocol's failures gain an optional list of newer edits, for conflicts.

--- a/packages/protocol/src/failures/index.ts
+++ b/packages/protocol/src/failures/index.ts
@@ -3,11 +3,21 @@
 import type {FailureArguments} from './arguments.js';
 import {failureCatalogue} from './catalogue.js';
 import {FailureCode, Ran} from './codes.js';
+import {
+  settingsRevisionSchema,
+  type SettingsRevision,
+} from './settings_changes.js';
 
 export * from './arguments.js';
 export * from './codes.js';
 export {failureCatalogue, type FailureEntry} from './catalogue.js';
 export {toProblems} from './problems.js';
+export {
+  settingsChangeSchema,
+  settingsRevisionSchema,
+  type SettingsChange,
+  type SettingsRevision,
+} from './settings_changes.js';
 
 /** The typed body that callers, operators and peers see. */
 export const failureSchema = z.object({
@@ -20,6 +30,8 @@
   final: z.boolean(),
   /** When to come back, in milliseconds; absent when that cannot help. */
   retryAfterMs: z.number().int().nonnegative().optional(),
+  /** The edits that came before, with a conflict of settings. */
+  newer: z.array(settingsRevisionSchema).optional(),
 });
 
 /** One refusal or failure, as it travels. */
@@ -29,6 +41,7 @@
 export interface FailureDetails {
   readonly retryAfterMs?: number;
   readonly ran?: Ran;
+  readonly newer?: readonly SettingsRevision[];
 }
 
 /** Builds a failure from the catalogue. */
@@ -46,8 +59,14 @@
     ran: details.ran ?? entry.ran,
     final: entry.final,
   };
-  if (details.retryAfterMs === undefined) return failure;
-  return {...failure, retryAfterMs: Math.ceil(details.retryAfterMs)};
+  const {retryAfterMs, newer} = details;
+  return {
+    ...failure,
+    ...(retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: Math.ceil(retryAfterMs)}),
+    ...(newer === undefined ? {} : {newer: [...newer]}),
+  };
 }
 
 /** The HTTP status of an answer that consists of this failure. */
--- /dev/null
+++ b/packages/settings/src/tree/index.ts
@@ -0,0 +1,18 @@
+/** The inherited tree of settings. */
+export {LARGEST_TREE_BYTES} from './check.js';
+export {diffNodes, KIND_KEY} from './diff.js';
+export {
+  formatDocument,
+  parseDocument,
+  parseSettingValue,
+  type SettingsDocument,
+} from './document.js';
+export {
+  settingsNodeSchema,
+  type NodeValues,
+  type SettingsNode,
+  type SettingsNodes,
+} from './node.js';
+export {findName, findParent, isNodePath, ROOT_PATH} from './path.js';
+export * from './schema.js';
+export {SettingsTree, type SettingsSnapshot} from './tree.js';
--- a/packages/settings/src/tree/schema.ts
+++ b/packages/settings/src/tree/schema.ts
@@ -110,7 +110,12 @@
   logs: z
     .strictObject({
       /** Level of each part of the log; `info` where unnamed. */
-      levels: z.partialRecord(z.enum(LogPart), z.enum(LogLevel)).default({}),
+      levels: z
+        .partialRecord(
+          z.enum(LogPart),
+          z.enum(LogLevel, 'expected debug, info, warn, error or silent'),
+        )
+        .default({}),
     })
     .prefault({}),
 });
--- /dev/null
+++ b/packages/settings/test/tree.test.ts
@@ -0,0 +1,208 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FailureCode} from '@goldcrestpier/protocol';
+import {openSnapshots} from '@goldcrestpier/testing';
+import fc from 'fast-check';
+import {
+  defaultSettings,
+  diffNodes,
+  formatDocument,
+  parseDocument,
+  parseSettingValue,
+  SettingsTree,
+} from '../src/index.js';
+
+const snapshots = openSnapshots(import.meta.url);
+
+const DOCUMENT = `
+revision = 7
+["/".queue]
+max_waiting = 1000
+["/".fairness.weights]
+night-batch = 2
+["/pricing"]
+kind = "group"
+retry.budget_share = 0.2
+["/pricing/tags"]
+kind = "service"
+queue.max_waiting = 50
+fairness.weights = {day-shift = 3}
+["/invoicing"]
+kind = "service"
+["/racks"]
+kind = "workers"
+workers = {lease_ms = 5000, renew_ms = 1000}
+`;
+
+function createTree(text: string): SettingsTree {
+  const {nodes, revision} = parseDocument(text).unwrap();
+  return SettingsTree.create(revision ?? 0, nodes).unwrap();
+}
+
+test('a node inherits from its parent and overrides only what it names', () => {
+  const tree = createTree(DOCUMENT);
+  const tags = tree.forService('tags');
+  assert.equal(tags?.queue.maxWaiting, 50);
+  assert.equal(tags?.retry.budgetShare, 0.2);
+  assert.deepEqual(tags?.fairness.weights, {'night-batch': 2, 'day-shift': 3});
+  assert.equal(tree.forService('invoicing')?.queue.maxWaiting, 1000);
+  assert.equal(tree.forWorkers().workers.leaseMs, 5000);
+  assert.equal(tree.forRoot().retry.budgetShare, 0.1);
+  assert.equal(tree.forService('unknown'), undefined);
+  assert.deepEqual(tree.services(), ['invoicing', 'tags']);
+});
+
+test('without an edit the defaults are in force', () => {
+  const tree = SettingsTree.createEmpty();
+  assert.deepEqual(tree.effective('/'), defaultSettings);
+  assert.deepEqual(tree.forWorkers(), defaultSettings);
+});
+
+test('the document of a tree reads back as the same tree', () => {
+  const tree = createTree(DOCUMENT);
+  const text = formatDocument(tree);
+  snapshots.match('document', text);
+  assert.deepEqual(createTree(text).toSnapshot(), tree.toSnapshot());
+  const copy = SettingsTree.fromSnapshot(tree.toSnapshot()).unwrap();
+  assert.deepEqual(copy.forService('tags'), tree.forService('tags'));
+});
+
+test('a wrong value is told once, with the node and key that hold it', () => {
+  const {nodes} = parseDocument(`
+["/".queue]
+max_waiting = -1
+maxWaiting = 5
+["/".logs.levels]
+peers = "loud"
+nobody = "info"
+["/pricing"]
+kind = "group"
+colour = "red"
+retry = 3
+["/pricing/tags"]
+kind = "service"
+["/pricing/labels"]
+kind = "service"
+placement.policy = "best"
+fairness.weights = {Team_1 = 1, team_2 = 0}
+`).unwrap();
+  snapshots.match('values', SettingsTree.create(1, nodes).unwrapErr());
+});
+
+test('settings that must fit each other are checked at every node', () => {
+  const {nodes} = parseDocument(`
+["/"]
+workers.renew_ms = 9000
+["/racks"]
+kind = "workers"
+workers = {lease_ms = 9000}
+ejection.base_ms = 70000
+`).unwrap();
+  snapshots.match('together', SettingsTree.create(1, nodes).unwrapErr());
+});
+
+test('a tree has a root, groups above, and one node for each purpose', () => {
+  const {nodes} = parseDocument(`
+["/a"]
+kind = "service"
+["/a/b"]
+kind = "group"
+["/c/d"]
+kind = "group"
+["/g"]
+kind = "group"
+["/g/a"]
+kind = "service"
+["/w"]
+kind = "workers"
+["/g/w"]
+kind = "workers"
+["no path"]
+kind = "group"
+["/Upper"]
+kind = "group"
+`).unwrap();
+  snapshots.match('form', SettingsTree.create(1, nodes).unwrapErr());
+  snapshots.match('empty', SettingsTree.create(1, new Map()).unwrapErr());
+});
+
+test('a tree larger than the platform can hold is refused', () => {
+  const weights = Array.from({length: 80_000}, (_, n) => [`team-${n}-team`, 1]);
+  const root = {
+    kind: 'group',
+    values: {fairness: {weights: Object.fromEntries(weights) as object}},
+  };
+  const large = SettingsTree.fromSnapshot({revision: 1, nodes: {'/': root}});
+  snapshots.match('size', large.unwrapErr());
+});
+
+test('a difference names every key that changed, and nodes that came or went', () => {
+  const after = createTree(`
+["/".queue]
+max_waiting = 1000
+["/pricing"]
+kind = "group"
+retry.budget_share = 0.3
+["/pricing/tags"]
+kind = "service"
+["/pricing/labels"]
+kind = "service"
+`);
+  snapshots.match('diff', diffNodes(createTree(DOCUMENT).nodes, after.nodes));
+  assert.deepEqual(diffNodes(after.nodes, after.nodes), []);
+});
+
+test('a document that is none is refused with its place', () => {
+  const text = 'revision = -1\nqueue = 3\n["/a"]\nkind = "thing"\n["/b"]\nx=1';
+  const failure = parseDocument(text).unwrapErr();
+  assert.equal(failure.code, FailureCode.SettingsInvalid);
+  snapshots.match('no document', failure.message);
+});
+
+test('values typed on a command line are read as TOML, else as text', () => {
+  const read = [
+    '20000',
+    'true',
+    '0.5',
+    'holding',
+    '"a b"',
+    '{a = 1}',
+    '1\nb=2',
+  ];
+  assert.equal(
+    JSON.stringify(read.map(text => parseSettingValue(text))),
+    JSON.stringify([20000, true, 0.5, 'holding', 'a b', {a: 1}, '1\nb=2']),
+  );
+});
+
+test('any snapshot ends in a tree or in problems, and never reaches prototypes', () => {
+  const key = fc.constantFrom(
+    '/',
+    '/a',
+    'kind',
+    'values',
+    'queue',
+    'max_waiting',
+    'weights',
+    '__proto__',
+    'constructor',
+  );
+  const {node} = fc.letrec(tie => ({
+    node: fc.oneof(
+      {depthSize: 'small'},
+      fc.constantFrom('group', 'service', 1, null, true),
+      fc.dictionary(key, tie('node')),
+    ),
+  }));
+  fc.assert(
+    fc.property(fc.dictionary(key, node), nodes => {
+      const text = JSON.stringify({revision: 1, nodes});
+      const snapshot = JSON.parse(text) as {revision: number; nodes: object};
+      SettingsTree.fromSnapshot({revision: 1, nodes: {...snapshot.nodes}});
+      const root = {'/': {kind: 'group', values: {...snapshot.nodes}}};
+      SettingsTree.fromSnapshot({revision: 1, nodes: root});
+      assert.equal(({} as Record<string, unknown>)['max_waiting'], undefined);
+    }),
+    {seed: 5, numRuns: 300},
+  );
+});
