Tell reads from writes in transactions

A transaction that only reads goes to the next endpoint when an answer is lost, and the stand-in no longer counts it among the writes whose answers it loses: it watches whether the store changed. The client can also read the keys between two others.

--- a/packages/platform/src/key_value/client.ts
+++ b/packages/platform/src/key_value/client.ts
@@ -4,6 +4,7 @@
 import {PlatformReason, type PlatformFailure} from '../failure.js';
 import {
   encodeTransaction,
+  isReadOnly,
   matchBranch,
   txnAnswerSchema,
   type Transaction,
@@ -104,7 +105,8 @@
    */
   txn(transaction: Transaction): Promise<Result<TxnAnswer, PlatformFailure>> {
     const body = encodeTransaction(transaction);
-    const call = {path: 'kv/txn', effect: CallEffect.Write, body};
+    const effect = isReadOnly(transaction) ? CallEffect.Read : CallEffect.Write;
+    const call = {path: 'kv/txn', effect, body};
     return this.call(call, txnAnswerSchema, answer => {
       const matched = matchBranch(transaction, answer);
       return matched && {revision: answer.header.revision, ...matched};
--- a/packages/platform/src/key_value/transaction.ts
+++ b/packages/platform/src/key_value/transaction.ts
@@ -103,6 +103,15 @@
 type Branch = z.infer<typeof branchSchema>;
 type Response = z.infer<typeof responseSchema>;
 
+/** Whether neither branch writes anything. */
+export function isReadOnly({success, failure}: Transaction): boolean {
+  return [...success, ...failure].every(
+    step =>
+      step.kind === StepKind.Get ||
+      (step.kind === StepKind.Txn && isReadOnly(step)),
+  );
+}
+
 /** Writes a transaction in the gateway's JSON form. */
 export function encodeTransaction(transaction: Transaction): object {
   return {
--- a/packages/platform/src/key_value/values.ts
+++ b/packages/platform/src/key_value/values.ts
@@ -50,10 +50,12 @@
   return Buffer.from(text, 'utf8').toString('base64');
 }
 
-/** One key, or every key that begins with it. */
+/** One key, every key that begins with it, or those up to another. */
 export interface KeyQuery {
   readonly key: string;
   readonly isPrefix?: boolean;
+  /** All keys from `key` up to this one, which is left out. */
+  readonly before?: string;
 }
 
 /** The fields that name one key or a range of them. */
@@ -62,8 +64,11 @@
   readonly range_end?: string;
 }
 
-/** Writes a query's key, and for a prefix the first key past it. */
-export function encodeKeys({key, isPrefix}: KeyQuery): KeyFields {
+/** Writes a query's key, and for more than one the first key past them. */
+export function encodeKeys({key, isPrefix, before}: KeyQuery): KeyFields {
+  if (before !== undefined) {
+    return {key: encodeText(key), range_end: encodeText(before)};
+  }
   if (!isPrefix) return {key: encodeText(key)};
   const end = Buffer.from(key, 'utf8');
   const last = end.length - 1;
--- a/packages/standins/src/kv/leases.ts
+++ b/packages/standins/src/kv/leases.ts
@@ -13,6 +13,8 @@
 /** Leases; the keys of one that ends are deleted. */
 export class Leases {
   private readonly leases = new Map<number, Lease>();
+  /** Grows with each lease that is made or ends. */
+  changes = 0;
 
   constructor(private readonly store: KeyValueStore) {}
 
@@ -21,6 +23,7 @@
     const id = wanted === 0 ? randomInt(1, HIGHEST_LEASE) : wanted;
     const expiresAt = now + ttlSeconds * MILLIS_PER_SECOND;
     this.leases.set(id, {ttlSeconds, expiresAt});
+    this.changes += 1;
     return id;
   }
 
@@ -58,6 +61,7 @@
 
   private end(ids: readonly number[]): void {
     const ended = new Set(ids);
+    this.changes += ended.size;
     for (const id of ended) this.leases.delete(id);
     const all = this.store.range({key: '\0', range_end: '\0'});
     for (const {key, lease} of all) {
--- a/packages/standins/src/kv/service.ts
+++ b/packages/standins/src/kv/service.ts
@@ -62,6 +62,11 @@
     Object.values(CallKind).map(kind => [kind, 0]),
   ) as CallCounts;
 
+  /** Grows with each write that took effect, leases with them. */
+  get changes(): number {
+    return this.store.revision + this.leases.changes;
+  }
+
   /** Runs one call that has one answer. Throws a `ServiceError`. */
   call(
     kind: Exclude<CallKind, CallKind.Watch>,
