--- a/packages/settings/test/edits.test.ts
+++ b/packages/settings/test/edits.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
-import {after, test} from 'node:test';
-import {KeyValueClient} from '@goldcrestpier/platform';
+import {test} from 'node:test';
+import type {KeyValueClient} from '@goldcrestpier/platform';
 import {FailureCode, Ran, type Failure} from '@goldcrestpier/protocol';
-import {Lifecycle, silentLogger} from '@goldcrestpier/runtime';
-import {startKeyValue} from '@goldcrestpier/standins';
+import {silentLogger} from '@goldcrestpier/runtime';
 import fc from 'fast-check';
 import {
   createEditId,
@@ -16,18 +15,13 @@
   type EditRequest,
   type SettingsEdit,
 } from '../src/index.js';
-
-const lifecycle = new Lifecycle('test');
-after(() => lifecycle.close());
+import {createClient, setWaiting, startService} from './service_fixture.js';
 
 const AT = new Date('2024-05-06T07:08:09Z');
 
-async function startStore(timeoutMs = 5_000) {
-  const service = await startKeyValue({host: '127.0.0.1', port: 0});
-  lifecycle.own('service', () => service.close());
-  const endpoints = [service.address];
-  const options = {endpoints, timeoutMs, logger: silentLogger, lifecycle};
-  const client = new KeyValueClient(options);
+async function startStore() {
+  const service = await startService();
+  const client = createClient(service.address);
   return {service, client, store: new SettingsStore(client, silentLogger)};
 }
 
@@ -38,10 +32,6 @@
   return {editId: createEditId(), by: 'maria', edits: [...edits], ...more};
 }
 
-function setWaiting(value: unknown, node = '/'): SettingsEdit {
-  return {kind: EditKind.Set, node, key: 'queue.max_waiting', value};
-}
-
 const addTags: readonly SettingsEdit[] = [
   {kind: EditKind.AddNode, node: '/pricing', nodeKind: NodeKind.Group},
   {kind: EditKind.AddNode, node: '/pricing/tags', nodeKind: NodeKind.Service},
