--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -8,6 +8,7 @@
   sleep,
   type Lifecycle,
   type Logger,
+  type Millis,
 } from '@goldcrestpier/runtime';
 import {WebSocket} from 'ws';
 import {noCounts, type MessageCounts} from '../calls.js';
@@ -37,6 +38,8 @@
   readonly address: string;
   /** Whether there is a connection at present. */
   isConnected(): boolean;
+  /** When opening the present connection began; undefined without one. */
+  connectedAt(): Millis | undefined;
   /** Ends the link; calls in flight end as unknown. */
   close(): Promise<void>;
 }
@@ -53,6 +56,7 @@
   private readonly lifecycle: Lifecycle;
   private readonly log: SparseLog;
   private connection: PeerConnection | undefined;
+  private openedAt: Millis = 0;
 
   constructor(private readonly options: PeerLinkOptions) {
     super(() => this.connection);
@@ -69,6 +73,10 @@
     return this.connection?.isOpen === true;
   }
 
+  connectedAt(): Millis | undefined {
+    return this.isConnected() ? this.openedAt : undefined;
+  }
+
   async close(): Promise<void> {
     await this.lifecycle.close();
   }
@@ -89,13 +97,14 @@
     const {address, limits} = this;
     let failures = 0;
     while (!signal.aborted) {
+      const triedAt = readClock();
       const opened = await openSocket(this.options, limits, signal);
       if (opened.isOk()) {
-        const openedAt = readClock();
+        this.openedAt = triedAt;
         await this.serve(opened.value, signal);
         // One that ends at once counts as a failure, or it would be opened
         // again without end.
-        const lastedMs = readClock() - openedAt;
+        const lastedMs = readClock() - this.openedAt;
         failures = lastedMs >= limits.longestRetryMs ? 0 : failures + 1;
       } else if (!signal.aborted) {
         failures += 1;
--- a/packages/peers/src/messages/membership.ts
+++ b/packages/peers/src/messages/membership.ts
@@ -1,6 +1,9 @@
 /** Heartbeats: who is there, and what rides along. */
 import {z} from 'zod';
 
+/** Addresses in one heartbeat. */
+export const MAX_ADDRESSES = 64;
+
 /** Whether an instance takes new work. */
 export enum MemberState {
   Live = 'live',
@@ -18,12 +21,16 @@
   state: z.enum(MemberState),
   /** Its size relative to the others; instances are not all alike. */
   weight: z.number().positive(),
+  /** Wall clock at the start of its process, in ms; orders incarnations. */
+  startedAt: z.number().optional(),
 });
 
 /** Which instance answers for the sessions of one that left. */
 export const heirSchema = z.object({
   incarnation: z.string(),
   heir: z.string(),
+  /** How long ago the instance left, in ms. */
+  ageMs: z.number().nonnegative().optional(),
 });
 
 /** What each instance tells each peer at an interval, and is answered with. */
@@ -33,6 +40,8 @@
   sentAt: z.number(),
   settingsRevision: z.number().int().nonnegative(),
   heirs: z.array(heirSchema),
+  /** Peers' listeners that a newcomer may not know. */
+  addresses: z.array(z.string()).max(MAX_ADDRESSES).optional(),
   /** Grants the sender uses of servers that it believes the receiver holds. */
   grantsInUse: z.array(z.object({grant: z.string(), server: z.string()})),
   /** Free capacity of the servers the sender holds, by pool. */
--- a/packages/peers/src/sparse_log.ts
+++ b/packages/peers/src/sparse_log.ts
@@ -22,14 +22,25 @@
 
   /** Warns about `subject`; repetitions are counted and left out. */
   warn(message: string, subject: string, fields: LogFields, now: Millis): void {
-    const key = `${message} ${subject}`;
+    const line = this.admit(`${message} ${subject}`, now);
+    if (line !== undefined) this.logger.warn(message, {...fields, ...line});
+  }
+
+  /** Informs about `subject`; repetitions are counted and left out. */
+  info(message: string, subject: string, fields: LogFields, now: Millis): void {
+    const line = this.admit(`${message} ${subject}`, now);
+    if (line !== undefined) this.logger.info(message, {...fields, ...line});
+  }
+
+  /** What to add to the line; undefined when it is to be left out. */
+  private admit(key: string, now: Millis): LogFields | undefined {
     const line = this.lines.get(key);
     if (line !== undefined && now - line.writtenAt < this.everyMs) {
       line.left += 1;
-      return;
+      return undefined;
     }
     if (this.lines.size >= MAX_SUBJECTS) this.lines.clear();
     this.lines.set(key, {writtenAt: now, left: 0});
-    this.logger.warn(message, {...fields, repeated: line?.left});
+    return {repeated: line?.left};
   }
 }
