Hold the peers' listener and links against faults and bad input

An id that is in use is now answered as an invalid request that names it, and slow handshakes are looked for every second and not every half minute, Node's default.

--- a/packages/peers/src/server/connection.ts
+++ b/packages/peers/src/server/connection.ts
@@ -1,4 +1,5 @@
 /** One peer's connection as the server sees it. */
+import {createFailure, FailureCode} from '@goldcrestpier/protocol';
 import type {WebSocket} from 'ws';
 import {z} from 'zod';
 import {
@@ -7,6 +8,7 @@
   type MessageCounts,
   type PeerCall,
 } from '../calls.js';
+import {RefusedCallError} from './failure.js';
 import type {PeerServerLimits} from './limits.js';
 
 /** tRPC's message for one call. Batches and subscriptions are not spoken. */
@@ -45,7 +47,7 @@
   decode(frame: unknown): unknown {
     if (typeof frame !== 'string') throw new TypeError('expected a text frame');
     const request = requestSchema.parse(JSON.parse(frame));
-    if (this.waiting.has(request.id)) throw new TypeError('id is in use');
+    this.checkId(request.id);
     const {path} = request.params;
     if (isPeerCall(path)) {
       this.waiting.set(request.id, path);
@@ -66,6 +68,15 @@
     return frame;
   }
 
+  private checkId(id: number): void {
+    if (!this.waiting.has(id)) return;
+    const expected = 'expected an id that is not in use';
+    const problem = {path: 'id', found: String(id), expected};
+    throw new RefusedCallError(
+      createFailure(FailureCode.InvalidRequest, {problems: [problem]}),
+    );
+  }
+
   private noteAnswer(id: number, frame: string): void {
     const call = this.waiting.get(id);
     if (call === undefined) return;
--- a/packages/peers/src/server/upgrade.ts
+++ b/packages/peers/src/server/upgrade.ts
@@ -12,6 +12,8 @@
 
 /** How long a new connection may take to send its request, in ms. */
 const HANDSHAKE_MS = 5_000;
+/** How often slow handshakes are looked for, in ms. */
+const CHECK_MS = 1_000;
 /** Size of all headers of a request, in bytes. */
 const MAX_HEADER_BYTES = 8 * 1024;
 /** Headers of a request. */
@@ -30,6 +32,7 @@
     headersTimeout: HANDSHAKE_MS,
     requestTimeout: HANDSHAKE_MS,
     keepAliveTimeout: 1,
+    connectionsCheckingInterval: CHECK_MS,
   });
   server.maxHeadersCount = MAX_HEADERS;
   // Some connections may be in their handshake while all others are taken.
--- a/packages/peers/test/calls.test.ts
+++ b/packages/peers/test/calls.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict';
-import {test, type TestContext} from 'node:test';
-import {FailureCode, JobState} from '@goldcrestpier/protocol';
-import {Lifecycle, sleep} from '@goldcrestpier/runtime';
-import {createFailure} from '@goldcrestpier/protocol';
+import {test} from 'node:test';
+import {createFailure, FailureCode, JobState} from '@goldcrestpier/protocol';
+import {sleep} from '@goldcrestpier/runtime';
 import {
   Direction,
   NotSentReason,
@@ -16,21 +15,13 @@
 import {
   createHandlers,
   createHeartbeat,
+  createLifecycle,
+  query,
   startPair,
   TIMEOUT_MS,
   waitFor,
 } from './fixtures.js';
 
-function createLifecycle(context: TestContext): Lifecycle {
-  const lifecycle = new Lifecycle('test');
-  context.after(async () => {
-    assert.deepEqual(await lifecycle.close(), []);
-  });
-  return lifecycle;
-}
-
-const query = {session: 'east.a.0123456789ab.1', key: 'k', waitMs: 0};
-
 test('each call is answered over one connection', async context => {
   const lifecycle = createLifecycle(context);
   const {server, link} = await startPair(lifecycle);
--- /dev/null
+++ b/packages/peers/test/faults.test.ts
@@ -0,0 +1,229 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {test} from 'node:test';
+import {WebSocketServer, type WebSocket} from 'ws';
+import type {AddressInfo} from 'node:net';
+import {silentLogger, sleep} from '@goldcrestpier/runtime';
+import {
+  chooseBackoff,
+  NotSentReason,
+  PeerFailureKind,
+  RelayAnswerKind,
+  startPeerServer,
+  UnknownReason,
+  type RelayAnswer,
+} from '../src/index.js';
+import {
+  createHandlers,
+  createLifecycle,
+  query,
+  startLink,
+  startPair,
+  startServer,
+  TIMEOUT_MS,
+  TOKEN,
+  waitFor,
+} from './fixtures.js';
+import {startRelay} from './tcp_relay.js';
+
+const disconnected = {
+  notSent: {
+    kind: PeerFailureKind.NotSent,
+    reason: NotSentReason.Disconnected,
+  },
+  unknown: {kind: PeerFailureKind.Unknown, reason: UnknownReason.Disconnected},
+};
+const hang = () => new Promise<RelayAnswer>(() => undefined);
+
+test('without a connection a call fails at once as not sent', async context => {
+  const lifecycle = createLifecycle(context);
+  const link = startLink(lifecycle, 1);
+  const failure = (await link.read(query, TIMEOUT_MS)).unwrapErr();
+  assert.deepEqual(failure, disconnected.notSent);
+});
+
+test('an address that is none is not sent to, and ends nothing', async context => {
+  const lifecycle = createLifecycle(context);
+  for (const address of ['', 'no port', '127.0.0.1:99999', 'a b://c']) {
+    const link = startLink(lifecycle, 0, {address});
+    const failure = (await link.read(query, TIMEOUT_MS)).unwrapErr();
+    assert.deepEqual(failure, disconnected.notSent);
+  }
+});
+
+test('a wrong token is refused before anything is read', async context => {
+  const lifecycle = createLifecycle(context);
+  let calls = 0;
+  const count = () => {
+    calls += 1;
+    return Promise.resolve({kind: RelayAnswerKind.Ended as const});
+  };
+  const warnings: string[] = [];
+  const logger = {
+    ...silentLogger,
+    warn: (_: string, fields?: object) => warnings.push(JSON.stringify(fields)),
+  };
+  const handlers = createHandlers({read: count});
+  const server = await startServer(lifecycle, {handlers});
+  const changes = {token: `${TOKEN}x`, logger};
+  const link = startLink(lifecycle, server.port, changes);
+  await waitFor('a refusal', () => warnings.length > 0);
+  assert.match(warnings.join(), /unauthorized/);
+  assert.doesNotMatch(warnings.join(), new RegExp(TOKEN));
+  const failure = (await link.read(query, TIMEOUT_MS)).unwrapErr();
+  assert.deepEqual(failure, disconnected.notSent);
+  assert.equal(server.connections(), 0);
+  assert.equal(calls, 0);
+});
+
+test('a call that is cut off is unknown, and the link comes back', async context => {
+  const lifecycle = createLifecycle(context);
+  const handlers = createHandlers({read: hang});
+  const server = await startServer(lifecycle, {
+    handlers,
+    limits: {drainMs: 20},
+  });
+  const relay = await startRelay(server.port, lifecycle);
+  const link = startLink(lifecycle, relay.port);
+  await waitFor('a connection', () => link.isConnected());
+  const reading = link.read(query, TIMEOUT_MS);
+  await sleep(20);
+  relay.cut();
+  assert.deepEqual((await reading).unwrapErr(), disconnected.unknown);
+  await waitFor('a connection', () => link.isConnected());
+  const next = await link.readSettings({knownRevision: 1}, TIMEOUT_MS);
+  assert.equal(next.isOk(), true);
+});
+
+test('a connection that swallows everything is noticed and given up', async context => {
+  const lifecycle = createLifecycle(context);
+  const server = await startServer(lifecycle, {limits: {idleMs: 500}});
+  const relay = await startRelay(server.port, lifecycle);
+  const limits = {silenceMs: 400, connectMs: 400};
+  const link = startLink(lifecycle, relay.port, {limits});
+  await waitFor('a connection', () => link.isConnected());
+  relay.swallow = true;
+  const reading = await link.read(query, TIMEOUT_MS);
+  assert.deepEqual(reading.unwrapErr(), disconnected.unknown);
+  assert.equal(link.isConnected(), false);
+  await waitFor('the other end', () => server.connections() === 0);
+  relay.swallow = false;
+  await waitFor('a connection', () => link.isConnected());
+});
+
+test('a quiet connection with a peer that lives is kept', async context => {
+  const lifecycle = createLifecycle(context);
+  const limits = {silenceMs: 200};
+  const {link} = await startPair(lifecycle, {limits: {idleMs: 600}}, {limits});
+  const openedAt = link.connectedAt();
+  assert.notEqual(openedAt, undefined);
+  await sleep(1_500);
+  assert.equal(link.connectedAt(), openedAt);
+});
+
+test('a link finds its peer again after a restart on the same port', async context => {
+  const lifecycle = createLifecycle(context);
+  const first = lifecycle.createChild('first');
+  const server = await startServer(first);
+  const link = startLink(lifecycle, server.port);
+  await waitFor('a connection', () => link.isConnected());
+  await first.close();
+  await waitFor('the end of it', () => !link.isConnected());
+  const listen = {host: '127.0.0.1', port: server.port};
+  const handlers = createHandlers({
+    readSettings: () => Promise.resolve({revision: 99}),
+  });
+  await startServer(lifecycle, {listen, handlers});
+  await waitFor('a connection', () => link.isConnected());
+  const read = await link.readSettings({knownRevision: 1}, TIMEOUT_MS);
+  assert.equal(read.unwrap().revision, 99);
+});
+
+test('closing the listener lets calls in flight be answered', async context => {
+  const lifecycle = createLifecycle(context);
+  const inner = lifecycle.createChild('server');
+  let answer: (value: RelayAnswer) => void = () => undefined;
+  const handlers = createHandlers({
+    read: () => new Promise(resolve => (answer = resolve)),
+  });
+  const server = await startServer(inner, {
+    handlers,
+    limits: {drainMs: TIMEOUT_MS},
+  });
+  const link = startLink(lifecycle, server.port);
+  await waitFor('a connection', () => link.isConnected());
+  const reading = link.read(query, TIMEOUT_MS);
+  await sleep(30);
+  const closing = inner.close();
+  await sleep(30);
+  answer({kind: RelayAnswerKind.Ended});
+  assert.equal((await reading).isOk(), true);
+  await closing;
+});
+
+test('closing a link ends its calls as unknown', async context => {
+  const lifecycle = createLifecycle(context);
+  const handlers = createHandlers({read: hang});
+  const {link} = await startPair(lifecycle, {
+    handlers,
+    limits: {drainMs: 20},
+  });
+  const reading = link.read(query, TIMEOUT_MS);
+  await link.close();
+  assert.deepEqual((await reading).unwrapErr(), disconnected.unknown);
+  const next = (await link.read(query, TIMEOUT_MS)).unwrapErr();
+  assert.deepEqual(next, disconnected.notSent);
+});
+
+test('an address in use is a typed failure', async context => {
+  const lifecycle = createLifecycle(context);
+  const {port} = await startServer(lifecycle);
+  const again = await startPeerServer({
+    listen: {host: '127.0.0.1', port},
+    token: TOKEN,
+    handlers: createHandlers(),
+    logger: silentLogger,
+    lifecycle,
+  });
+  assert.equal(again.unwrapErr().code, 'EADDRINUSE');
+});
+
+test('a peer that answers nonsense makes calls unknown and ends nothing', async context => {
+  const lifecycle = createLifecycle(context);
+  const answers: Array<(socket: WebSocket, id: number) => void> = [
+    (socket, id) => socket.send(JSON.stringify({id, result: 'nothing'})),
+    (socket, id) => socket.send(JSON.stringify({id, error: {code: 1}})),
+    (socket, id) => socket.send(JSON.stringify({id, result: {data: 1}})),
+    socket => socket.send('not json'),
+    socket => socket.send(Buffer.from([0, 1, 2])),
+    socket => socket.send(JSON.stringify([{id: null}])),
+    socket => socket.close(),
+  ];
+  const server = new WebSocketServer({port: 0, host: '127.0.0.1'});
+  lifecycle.own('nonsense', () => {
+    for (const socket of server.clients) socket.terminate();
+    server.close();
+  });
+  await once(server, 'listening');
+  let next = 0;
+  server.on('connection', socket => {
+    socket.on('message', data => {
+      const {id} = JSON.parse((data as Buffer).toString()) as {id: number};
+      answers[next]?.(socket, id);
+    });
+  });
+  const {port} = server.address() as AddressInfo;
+  const link = startLink(lifecycle, port);
+  for (; next < answers.length; next += 1) {
+    await waitFor('a connection', () => link.isConnected());
+    const failure = (await link.read(query, 300)).unwrapErr();
+    assert.equal(failure.kind, PeerFailureKind.Unknown);
+  }
+});
+
+test('waits between tries double up to a limit and vary', () => {
+  assert.equal(chooseBackoff(0, 50, 2_000, 0), 50);
+  assert.equal(chooseBackoff(3, 50, 2_000, 0), 400);
+  assert.equal(chooseBackoff(3, 50, 2_000, 1), 200);
+  assert.equal(chooseBackoff(5_000, 50, 2_000, 0), 2_000);
+});
--- a/packages/peers/test/fixtures.ts
+++ b/packages/peers/test/fixtures.ts
@@ -1,4 +1,6 @@
 /** Handlers that answer, and messages that are well formed. */
+import assert from 'node:assert/strict';
+import type {TestContext} from 'node:test';
 import {Lifecycle, silentLogger, sleep} from '@goldcrestpier/runtime';
 import {
   createPeerLink,
@@ -17,6 +19,18 @@
 /** Long enough for a busy machine. */
 export const TIMEOUT_MS = 20_000;
 
+/** Names one job. */
+export const query = {session: 'east.a.0123456789ab.1', key: 'k', waitMs: 0};
+
+/** A life cycle that closes with the test, and must close cleanly. */
+export function createLifecycle(context: TestContext): Lifecycle {
+  const lifecycle = new Lifecycle('test');
+  context.after(async () => {
+    assert.deepEqual(await lifecycle.close(), []);
+  });
+  return lifecycle;
+}
+
 /** A heartbeat of one instance. */
 export function createHeartbeat(instance = 'a', sentAt = 1): Heartbeat {
   return {
