--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -8,16 +8,18 @@
   sleep,
   type Lifecycle,
   type Logger,
+  type Millis,
 } from '@goldcrestpier/runtime';
 import {WebSocket} from 'ws';
 import {noCounts, type MessageCounts} from '../calls.js';
+import {Coalescer} from '../coalesce.js';
 import {watchSilence} from '../silence.js';
 import {SparseLog} from '../sparse_log.js';
 import {chooseBackoff} from './backoff.js';
 import {ClientCalls, type PeerCalls} from './client_calls.js';
 import {PeerConnection} from './connection.js';
 import {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
-import {openSocket} from './open.js';
+import {openSocket, type OpenedSocket} from './open.js';
 
 /** What a link to one peer needs. */
 export interface PeerLinkOptions {
@@ -37,6 +39,8 @@
   readonly address: string;
   /** Whether there is a connection at present. */
   isConnected(): boolean;
+  /** When opening the present connection began; undefined without one. */
+  connectedAt(): Millis | undefined;
   /** Ends the link; calls in flight end as unknown. */
   close(): Promise<void>;
 }
@@ -53,6 +57,7 @@
   private readonly lifecycle: Lifecycle;
   private readonly log: SparseLog;
   private connection: PeerConnection | undefined;
+  private openedAt: Millis = 0;
 
   constructor(private readonly options: PeerLinkOptions) {
     super(() => this.connection);
@@ -69,6 +74,10 @@
     return this.connection?.isOpen === true;
   }
 
+  connectedAt(): Millis | undefined {
+    return this.isConnected() ? this.openedAt : undefined;
+  }
+
   async close(): Promise<void> {
     await this.lifecycle.close();
   }
@@ -89,13 +98,14 @@
     const {address, limits} = this;
     let failures = 0;
     while (!signal.aborted) {
+      const triedAt = readClock();
       const opened = await openSocket(this.options, limits, signal);
       if (opened.isOk()) {
-        const openedAt = readClock();
+        this.openedAt = triedAt;
         await this.serve(opened.value, signal);
         // One that ends at once counts as a failure, or it would be opened
         // again without end.
-        const lastedMs = readClock() - openedAt;
+        const lastedMs = readClock() - this.openedAt;
         failures = lastedMs >= limits.longestRetryMs ? 0 : failures + 1;
       } else if (!signal.aborted) {
         failures += 1;
@@ -114,11 +124,19 @@
   }
 
   /** Sends calls on one connection until it ends. */
-  private async serve(socket: WebSocket, signal: AbortSignal): Promise<void> {
+  private async serve(
+    {socket, stream}: OpenedSocket,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {counts = noCounts} = this.options;
     if (socket.readyState === WebSocket.CLOSED) return;
     const closed = new Promise(resolve => socket.once('close', resolve));
-    this.connection = new PeerConnection(socket, this.limits, counts);
+    this.connection = new PeerConnection(
+      socket,
+      this.limits,
+      counts,
+      new Coalescer(stream),
+    );
     watchSilence(socket, {silenceMs: this.limits.silenceMs, asks: true});
     const end = () => socket.terminate();
     signal.addEventListener('abort', end, {once: true});
--- a/packages/peers/src/server/connection.ts
+++ b/packages/peers/src/server/connection.ts
@@ -1,4 +1,5 @@
 /** One peer's connection as the server sees it. */
+import {createFailure, FailureCode} from '@goldcrestpier/protocol';
 import type {WebSocket} from 'ws';
 import {z} from 'zod';
 import {
@@ -7,6 +8,8 @@
   type MessageCounts,
   type PeerCall,
 } from '../calls.js';
+import type {Coalescer} from '../coalesce.js';
+import {RefusedCallError} from './failure.js';
 import type {PeerServerLimits} from './limits.js';
 
 /** tRPC's message for one call. Batches and subscriptions are not spoken. */
@@ -29,6 +32,7 @@
     private readonly socket: WebSocket,
     private readonly limits: PeerServerLimits,
     private readonly counts: MessageCounts,
+    private readonly coalescer: Coalescer,
   ) {}
 
   /** Calls that wait for their answers. */
@@ -45,7 +49,7 @@
   decode(frame: unknown): unknown {
     if (typeof frame !== 'string') throw new TypeError('expected a text frame');
     const request = requestSchema.parse(JSON.parse(frame));
-    if (this.waiting.has(request.id)) throw new TypeError('id is in use');
+    this.checkId(request.id);
     const {path} = request.params;
     if (isPeerCall(path)) {
       this.waiting.set(request.id, path);
@@ -63,9 +67,19 @@
       // A reader that takes nothing must not fill this process's memory.
       this.socket.terminate();
     }
+    this.coalescer.hold();
     return frame;
   }
 
+  private checkId(id: number): void {
+    if (!this.waiting.has(id)) return;
+    const expected = 'expected an id that is not in use';
+    const problem = {path: 'id', found: String(id), expected};
+    throw new RefusedCallError(
+      createFailure(FailureCode.InvalidRequest, {problems: [problem]}),
+    );
+  }
+
   private noteAnswer(id: number, frame: string): void {
     const call = this.waiting.get(id);
     if (call === undefined) return;
