--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,2 +1,6 @@
 /** Bounded fair queues, quotas, admission and retry budgets. */
-export {};
+export * from './admission/index.js';
+export * from './budgets/index.js';
+export * from './heap/index.js';
+export * from './queue/index.js';
+export * from './rates/index.js';
