Place tasks by grants from holders, or by baselines

A demand says how many grants its owner had received, so that a holder does not grant twice for one task.

--- a/packages/limits/src/queue/fair_queue.ts
+++ b/packages/limits/src/queue/fair_queue.ts
@@ -65,6 +65,14 @@
     this.length += 1;
   }
 
+  /** Takes a certain item, charging its team as `take` does. */
+  takePlace(place: Place<Item>, weights: TeamWeights, cost: number): boolean {
+    const team = this.teams.get(place.team);
+    if (team === undefined || !place.inLine) return false;
+    this.charge(place.team, team, weights, cost);
+    return this.remove(place);
+  }
+
   /** Takes an item out from anywhere; false when it no longer waits. */
   remove(place: Place<Item>): boolean {
     const team = this.teams.get(place.team);
@@ -80,6 +88,21 @@
     return this.teams.get(team)?.line.first?.item;
   }
 
+  /** About the first `limit` items, some of each team; they stay in. */
+  firstItems(limit: number): Item[] {
+    const perTeam = Math.ceil(limit / Math.max(this.teams.size, 1));
+    const items: Item[] = [];
+    for (const {line} of this.teams.values()) {
+      let place = line.first;
+      for (let i = 0; i < perTeam && place !== undefined; i += 1) {
+        items.push(place.item);
+        place = place.after;
+      }
+      if (items.length >= limit) break;
+    }
+    return items;
+  }
+
   /** The item whose turn it is; it stays in. */
   peek(): Item | undefined {
     const team = this.order.peek()?.item;
@@ -99,13 +122,22 @@
     const team = name === undefined ? undefined : this.teams.get(name);
     const place = team?.line.first;
     if (team === undefined || place === undefined) return undefined;
-    this.virtualTime = this.order.peek()?.priority ?? this.virtualTime;
-    const weight = weights[place.team] ?? DEFAULT_WEIGHT;
-    this.order.move(team.rank, team.rank.priority + cost / weight);
+    this.charge(place.team, team, weights, cost);
     this.remove(place);
     return place;
   }
 
+  private charge(
+    name: string,
+    team: TeamLine<Item>,
+    weights: TeamWeights,
+    cost: number,
+  ): void {
+    this.virtualTime = this.order.peek()?.priority ?? this.virtualTime;
+    const weight = weights[name] ?? DEFAULT_WEIGHT;
+    this.order.move(team.rank, team.rank.priority + cost / weight);
+  }
+
   private whoseTurn(preferred: string | undefined): string | undefined {
     if (preferred !== undefined && this.teams.has(preferred)) return preferred;
     return this.order.peek()?.item;
--- a/packages/limits/src/rates/index.ts
+++ b/packages/limits/src/rates/index.ts
@@ -4,8 +4,11 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 
-/** Older measurements fade with this time constant. */
-const FADE_MS = 10_000;
+/**
+ * Older measurements fade with this time constant, so that a rate measured in
+ * a bad time refuses nobody for long after it.
+ */
+const FADE_MS = 3_000;
 /** Less backlogged time than this says too little. */
 const LEAST_MEASURED_MS = 250;
 const MS_PER_SECOND = 1_000;
--- a/packages/peers/src/messages/placement.ts
+++ b/packages/peers/src/messages/placement.ts
@@ -14,6 +14,11 @@
       oldestMs: z.number().nonnegative(),
     }),
   ),
+  /**
+   * Grants of this pool that the owner got from this holder so far; the holder
+   * sees by it which of its grants the owner had not seen when it wrote.
+   */
+  received: z.number().int().nonnegative().optional(),
   /** The needs of the first waiting tasks, for workers only. */
   needs: z.array(
     z.object({
@@ -59,6 +64,8 @@
   Unreachable = 'unreachable',
   Unknown = 'unknown',
   Returned = 'returned',
+  /** Given up by the owner after the start: cancelled, late or hedged. */
+  Stopped = 'stopped',
 }
 
 /** Tells a holder how some of its grants ended. */
--- /dev/null
+++ b/packages/placement/bench/trial.ts
@@ -0,0 +1,175 @@
+/**
+ * Compares grants with each baseline over the same seeded arrivals, against an
+ * ideal central queue. Several owners in one process, fake runners on timers.
+ *
+ * Run: node packages/placement/dist/bench/trial.js
+ *   [policy,...|all] [load] [seconds] [seed] [ms between zones]
+ */
+import {
+  BackendKind,
+  OutcomeKind,
+  type PlacedTask,
+} from '@goldcrestpier/protocol';
+import {Lifecycle, readClock, sleep} from '@goldcrestpier/runtime';
+import {PolicyKind} from '@goldcrestpier/settings';
+import {createFleet} from './fleet.js';
+import {runIdeal} from './ideal.js';
+import {
+  createArrivals,
+  createServers,
+  type Arrival,
+  type TrialShape,
+} from './workload.js';
+
+const WARM_UP_MS = 5_000;
+const DEADLINE_MS = 120_000;
+const SETTLE_MS = 200;
+
+interface TrialResult {
+  readonly responses: ReadonlyArray<number | undefined>;
+  readonly sent: ReadonlyMap<string, number>;
+  readonly wasted: ReadonlyMap<string, number>;
+}
+
+async function runPolicy(
+  shape: TrialShape,
+  policy: PolicyKind,
+  betweenZonesMs: number,
+): Promise<TrialResult> {
+  const lifecycle = new Lifecycle('trial');
+  const arrivals = createArrivals(shape);
+  const responses: Array<number | undefined> = arrivals.map(() => undefined);
+  const arrivedAt = arrivals.map(() => 0);
+  const sent = new Map<string, number>();
+  const wasted = new Map<string, number>();
+  let open = arrivals.length;
+  const placements = createFleet({
+    owners: shape.owners,
+    servers: createServers(shape),
+    policy,
+    betweenZonesMs,
+    lifecycle,
+    counters: {
+      sent: (kind, by) => sent.set(kind, (sent.get(kind) ?? 0) + by),
+      wasted: (kind, by) => wasted.set(kind, (wasted.get(kind) ?? 0) + by),
+    },
+    onEnd: (task, outcome) => {
+      open -= 1;
+      if (outcome.kind !== OutcomeKind.Done) return;
+      responses[task.index] = readClock() - (arrivedAt[task.index] ?? 0);
+    },
+  });
+  const startedAt = readClock() + SETTLE_MS;
+  for (let i = 0; i < arrivals.length;) {
+    const next = arrivals[i];
+    if (next === undefined) break;
+    const waitMs = startedAt + next.atMs - readClock();
+    if (waitMs > 1) await sleep(waitMs);
+    const now = readClock();
+    const tasks: PlacedTask[] = [];
+    for (; arrivals[i]?.job === next.job; i += 1) {
+      arrivedAt[i] = now;
+      tasks.push(createTask(arrivals[i] ?? next, i, now));
+    }
+    const taken = placements[next.owner]?.enqueue(tasks, now);
+    if (taken?.isOk() !== true) open -= tasks.length;
+  }
+  const giveUpAt = readClock() + DEADLINE_MS;
+  while (open > 0 && readClock() < giveUpAt) await sleep(50);
+  await lifecycle.close();
+  return {responses, sent, wasted};
+}
+
+function createTask(arrival: Arrival, index: number, now: number): PlacedTask {
+  return {
+    id: `s/${arrival.job}#${index}`,
+    job: `s/${arrival.job}`,
+    index,
+    team: arrival.team,
+    target: {kind: BackendKind.Runner, service: 'quotes'},
+    declaredMs: arrival.declaredMs,
+    repeatable: false,
+    deadlineAt: now + DEADLINE_MS,
+    payload: arrival.workMs,
+  };
+}
+
+interface Summary {
+  readonly mean: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+}
+
+function summarize(values: readonly number[]): Summary {
+  const sorted = [...values].sort((a, b) => a - b);
+  const at = (share: number) =>
+    sorted[Math.min(Math.floor(sorted.length * share), sorted.length - 1)] ?? 0;
+  const mean = sorted.reduce((sum, each) => sum + each, 0) / sorted.length;
+  return {mean, p50: at(0.5), p95: at(0.95), p99: at(0.99)};
+}
+
+function report(
+  shape: TrialShape,
+  policy: PolicyKind,
+  result: TrialResult,
+): void {
+  const arrivals = createArrivals(shape);
+  const ideal = runIdeal(arrivals, createServers(shape));
+  const isCounted = (_: unknown, i: number) =>
+    (arrivals[i]?.atMs ?? 0) >= WARM_UP_MS && result.responses[i] !== undefined;
+  const found = summarize(
+    result.responses.filter(isCounted).filter(each => each !== undefined),
+  );
+  const best = summarize(ideal.filter(isCounted));
+  const total = sumOf(result.sent);
+  const share = (100 * sumOf(result.wasted)) / Math.max(total, 1);
+  const answers = result.responses.filter(each => each !== undefined).length;
+  console.log(
+    [
+      policy.padEnd(16),
+      `load ${shape.load}`,
+      `tasks ${arrivals.length}`,
+      `answered ${answers}`,
+      `mean ${found.mean.toFixed(0)} ms`,
+      `to ideal: mean ${(found.mean / best.mean).toFixed(3)}`,
+      `p50 ${(found.p50 / best.p50).toFixed(3)}`,
+      `p95 ${(found.p95 / best.p95).toFixed(3)}`,
+      `p99 ${(found.p99 / best.p99).toFixed(3)}`,
+      `messages per answer ${(total / answers).toFixed(2)}`,
+      `wasted ${share.toFixed(1)}%`,
+      listOf(result.sent),
+      `wasted: ${listOf(result.wasted)}`,
+    ].join(', '),
+  );
+}
+
+function sumOf(counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((sum, each) => sum + each, 0);
+}
+
+function listOf(counts: ReadonlyMap<string, number>): string {
+  return [...counts].map(([kind, count]) => `${kind} ${count}`).join(' ');
+}
+
+const [
+  policies = 'all',
+  load = '0.7',
+  seconds = '25',
+  seed = '1',
+  zones = '1',
+] = process.argv.slice(2);
+const shape: TrialShape = {
+  seed: Number(seed),
+  load: Number(load),
+  seconds: Number(seconds),
+  owners: 8,
+  runners: 30,
+  slots: 8,
+};
+const chosen = Object.values(PolicyKind).filter(
+  policy => policies === 'all' || policies.split(',').includes(policy),
+);
+for (const policy of chosen) {
+  report(shape, policy, await runPolicy(shape, policy, Number(zones)));
+}
