Add goldcrestpierctl, the operators' command line

Cause: operators had no program; a raced or half-known edit would have gone unseen.

What: settings (get, effective, diff, history, set, unset, remove, apply), jobs (list, show, cancel), instances, servers and drain over the operators' listener. An edit names the revision that was just read; when it loses, both sides' changes are shown and the exit code says so. A lost answer to an edit is asked for again under the edit's id. Answers with gaps (instances not reached) end with a code of their own.

--- /dev/null
+++ b/packages/ctl/src/bin/goldcrestpierctl.ts
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/** The operators' command line. */
+import {runCtl} from '../program/program.js';
+
+process.exitCode = await runCtl(process);
--- /dev/null
+++ b/packages/ctl/src/commands/index.ts
@@ -0,0 +1,7 @@
+/** The commands. */
+export * from './apply.js';
+export * from './command.js';
+export * from './edits.js';
+export * from './fleet.js';
+export * from './jobs.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/ctl/src/commands/jobs.ts
@@ -0,0 +1,114 @@
+/** Commands on jobs. */
+import {fleetJobsSchema} from '@goldcrestpier/operators';
+import {
+  formatJob,
+  JobState,
+  jobAnswerSchema,
+  keySchema,
+  type JobAnswer,
+} from '@goldcrestpier/protocol';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {OperatorsCalls} from '../calls/index.js';
+import {createUsageProblem, type CtlProblem} from '../failures/index.js';
+import {formatSeconds, renderTable} from '../output/index.js';
+import type {Command, CommandOutput, CommandResult} from './command.js';
+
+/** Options of `jobs list`. */
+export interface JobFilter {
+  readonly team?: string;
+  readonly state?: string;
+}
+
+/** `jobs list` */
+export async function listJobs(
+  calls: OperatorsCalls,
+  filter: JobFilter,
+): CommandResult {
+  const state = filter.state;
+  if (state !== undefined && !isJobState(state)) {
+    const expected = `expected ${Object.values(JobState).join(', ')}`;
+    const hint = 'Leave it out to list jobs in every state.';
+    const found = JSON.stringify(state);
+    return Err(createUsageProblem('--state', found, expected, hint));
+  }
+  const answer = await calls.call('GET', 'jobs', fleetJobsSchema);
+  return answer.map(({jobs, unreached}) => {
+    const chosen = jobs.filter(
+      job =>
+        (filter.team === undefined || job.team === filter.team) &&
+        (state === undefined || job.state === state),
+    );
+    const rows = chosen.map(job => [
+      formatJob(job.session, job.key),
+      job.team,
+      job.state,
+      `${job.done}/${job.tasks}`,
+      String(job.failed),
+      formatSeconds(job.ageMs),
+    ]);
+    const headings = ['JOB', 'TEAM', 'STATE', 'DONE', 'FAILED', 'AGE'];
+    return {
+      data: {jobs: chosen, unreached},
+      text: renderTable(headings, rows),
+      unreached,
+    };
+  });
+}
+
+/** `jobs show SESSION/KEY` */
+export function showJob(job: string): Command {
+  return calls => callOnJob(calls, 'GET', job);
+}
+
+/** `jobs cancel SESSION/KEY` */
+export function cancelJob(job: string): Command {
+  return calls => callOnJob(calls, 'DELETE', job);
+}
+
+async function callOnJob(
+  calls: OperatorsCalls,
+  method: 'GET' | 'DELETE',
+  job: string,
+): CommandResult {
+  const path = readJobPath(job);
+  if (path.isErr()) return path;
+  const answer = await calls.call(method, path.value, jobAnswerSchema);
+  return answer.map(renderJob);
+}
+
+function readJobPath(job: string): Result<string, CtlProblem> {
+  const [session = '', key = '', ...rest] = job.split('/');
+  const isNamed = session !== '' && rest.length === 0;
+  if (isNamed && keySchema.safeParse(key).success) {
+    return Ok(`jobs/${encodeURIComponent(session)}/${key}`);
+  }
+  return Err(
+    createUsageProblem(
+      'JOB',
+      JSON.stringify(job),
+      'expected a session and a key, "SESSION/KEY"',
+      'Take it from "goldcrestpierctl jobs list".',
+    ),
+  );
+}
+
+function renderJob(data: JobAnswer): CommandOutput {
+  const rows = data.tasks.map(({index, state, failure}) => [
+    String(index),
+    state,
+    failure === undefined ? '' : `${failure.code} (${failure.ran})`,
+    failure?.message ?? '',
+  ]);
+  const name = formatJob(data.session, data.key);
+  const lines = [`${name}, attempt ${data.attempt}: ${data.state}`];
+  if (data.failure !== undefined) {
+    const {code, ran, message} = data.failure;
+    lines.push(`${code} (${ran}): ${message}`);
+  }
+  lines.push(renderTable(['TASK', 'STATE', 'FAILURE', 'MESSAGE'], rows));
+  return {data, text: lines.join('\n')};
+}
+
+function isJobState(text: string): text is JobState {
+  return Object.values<string>(JobState).includes(text);
+}
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,2 +1,3 @@
 /** The goldcrestpierctl program: the operators' command line. */
-export {};
+export {ExitCode} from './failures/exit_code.js';
+export {runCtl, type CtlProcess} from './program/program.js';
--- /dev/null
+++ b/packages/ctl/src/output/index.ts
@@ -0,0 +1,4 @@
+/** What the program prints. */
+export * from './problems.js';
+export * from './table.js';
+export * from './values.js';
--- /dev/null
+++ b/packages/ctl/src/output/table.ts
@@ -0,0 +1,39 @@
+/** Plain tables for people: no borders, no colours, aligned columns. */
+import Table from 'cli-table3';
+
+const NO_BORDERS = {
+  top: '',
+  'top-mid': '',
+  'top-left': '',
+  'top-right': '',
+  bottom: '',
+  'bottom-mid': '',
+  'bottom-left': '',
+  'bottom-right': '',
+  left: '',
+  'left-mid': '',
+  mid: '',
+  'mid-mid': '',
+  right: '',
+  'right-mid': '',
+  middle: '  ',
+};
+
+/** One table with a line of headings; a sentence when there are no rows. */
+export function renderTable(
+  headings: readonly string[],
+  rows: ReadonlyArray<readonly string[]>,
+): string {
+  if (rows.length === 0) return '(none)';
+  const table = new Table({
+    head: [...headings],
+    chars: NO_BORDERS,
+    style: {head: [], border: [], 'padding-left': 0, 'padding-right': 0},
+  });
+  table.push(...rows.map(row => [...row]));
+  return table
+    .toString()
+    .split('\n')
+    .map(line => line.trimEnd())
+    .join('\n');
+}
