Wire an entry instance: peers, membership, holding, settings, operators

Sessions of other owners are relayed with a bound on each copy's age; a planned stop ends open work and hands what was not collected to a peer. Idempotency keys are not connected yet.

--- a/packages/entry/src/callers/handlers.ts
+++ b/packages/entry/src/callers/handlers.ts
@@ -1,5 +1,11 @@
 /** One function for each thing a caller can ask for. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  checkValue,
+  readJson,
+  respondFailure,
+  respondJson,
+} from '@goldcrestpier/http';
 import {
   attemptSchema,
   createFailure,
@@ -12,8 +18,7 @@
 import {Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
 import type {Gateway, JobReply, Wait} from '../gateway/types.js';
-import {checkValue, readJson} from './body.js';
-import {respondFailure, respondJob, respondJson} from './respond.js';
+import {respondJob} from './respond.js';
 
 const STATUS_CREATED = 201;
 const STATUS_NO_CONTENT = 204;
--- a/packages/entry/src/callers/index.ts
+++ b/packages/entry/src/callers/index.ts
@@ -5,9 +5,11 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import {respondFailure, respondJson} from '@goldcrestpier/http';
 import {createFailure, FailureCode} from '@goldcrestpier/protocol';
 import {readClock, type Logger, type Millis} from '@goldcrestpier/runtime';
 import type {Gateway} from '../gateway/types.js';
+import type {Readiness} from '../start/readiness.js';
 import {
   handleCancel,
   handleEndSession,
@@ -17,7 +19,6 @@
   handleSubmitPlain,
   type Exchange,
 } from './handlers.js';
-import {respondFailure, respondJson} from './respond.js';
 import {matchRoute, RouteKind, type Route} from './routes.js';
 
 const MAX_HEADERS = 64;
@@ -35,8 +36,7 @@
     readonly maxConnections: number;
     readonly idleMs: Millis;
   };
-  /** Whether the balancer should send new callers here. */
-  readonly isReady: () => boolean;
+  readonly readiness: Readiness;
   /** The metrics in the text form of Prometheus. */
   readonly readMetrics: () => Promise<string>;
   /** When data read at `now` may first have reached this process. */
@@ -84,7 +84,9 @@
     return respondFailure(response, route.error);
   }
   const {kind} = route.value;
-  response.once('finish', () => {
+  const endRequest = options.readiness.beginRequest();
+  response.once('close', () => {
+    endRequest();
     options.countRequest(kind, response.statusCode);
   });
   const exchange: Exchange = {
@@ -122,7 +124,7 @@
     case RouteKind.Health:
       return respondJson(exchange.response, STATUS_OK, {healthy: true});
     case RouteKind.Ready:
-      return respondReady(exchange.response, options.isReady());
+      return respondReady(exchange.response, options.readiness.isReady);
     case RouteKind.Metrics:
       exchange.response.setHeader('content-type', 'text/plain; version=0.0.4');
       exchange.response.end(await options.readMetrics());
--- a/packages/entry/src/gateway/relay.ts
+++ b/packages/entry/src/gateway/relay.ts
@@ -168,6 +168,8 @@
     switch (place.kind) {
       case OwnerPlace.Here:
         return here();
+      case OwnerPlace.Adopted:
+        return adopted();
       case OwnerPlace.Peer:
         return peer(place.calls, place.clock, owner);
       case OwnerPlace.Gone:
--- a/packages/entry/src/metrics/index.ts
+++ b/packages/entry/src/metrics/index.ts
@@ -1,4 +1,5 @@
 /** What an entry instance counts, in the form of Prometheus. */
+import type {MessageCounts} from '@goldcrestpier/peers';
 import type {Failure} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
 import {
@@ -50,6 +51,16 @@
     'Bytes exchanged with peers, by call and direction.',
     ['call', 'direction'],
   );
+  private readonly peerMessages = this.createCounter(
+    'goldcrestpier_peer_messages_total',
+    'Messages exchanged with peers, by call and direction.',
+    ['call', 'direction'],
+  );
+  private readonly platformCalls = this.createCounter(
+    'goldcrestpier_platform_calls_total',
+    'Calls to the platform, by call and how they ended.',
+    ['call', 'result'],
+  );
   private readonly tasks = this.createCounter(
     'goldcrestpier_tasks_total',
     'Tasks ended, by how they ended.',
@@ -97,9 +108,17 @@
     this.wasted.inc({kind}, count);
   }
 
-  /** Counts bytes exchanged with peers. */
-  countBytes(call: string, direction: string, bytes: number): void {
-    this.bytes.inc({call, direction}, bytes);
+  /** Counts messages exchanged with peers, and their bytes. */
+  readonly peerCounts: MessageCounts = {
+    count: (direction, call, bytes) => {
+      this.peerMessages.inc({call, direction});
+      this.bytes.inc({call, direction}, bytes);
+    },
+  };
+
+  /** Counts one call to the platform; `failed` is why it failed. */
+  countPlatformCall(call: string, failed: string | undefined): void {
+    this.platformCalls.inc({call, result: failed ?? 'ok'});
   }
 
   /** Counts one ended task. */
--- /dev/null
+++ b/packages/entry/src/start/listeners.ts
@@ -0,0 +1,69 @@
+/** Opens the listeners of callers, peers and operators. */
+import type {Server} from 'node:http';
+import {
+  createOperatorsServer,
+  type FleetOperations,
+  type SettingsOperations,
+} from '@goldcrestpier/operators';
+import {startPeerServer, type PeerHandlers} from '@goldcrestpier/peers';
+import {LogPart} from '@goldcrestpier/runtime';
+import {createCallersServer, type CallersOptions} from '../callers/index.js';
+import type {Context} from './context.js';
+import {listen} from './listen.js';
+
+/** Listens for peers; rejects when the address is taken. */
+export async function listenForPeers(
+  {settings, logs, lifecycle, metrics}: Context,
+  handlers: PeerHandlers,
+): Promise<void> {
+  const started = await startPeerServer({
+    listen: settings.peers.listen,
+    token: settings.peers.token,
+    handlers,
+    logger: logs.forPart(LogPart.Peers),
+    lifecycle,
+    counts: metrics.peerCounts,
+  });
+  if (started.isOk()) return;
+  const {host, port, code} = started.error;
+  throw new ListenError(`${host}:${port}`, code);
+}
+
+/** Listens for callers; rejects when the address is taken. */
+export async function listenForCallers(
+  {settings, logs, lifecycle, metrics}: Context,
+  options: Pick<CallersOptions, 'gateway' | 'readiness' | 'arrivalTime'>,
+): Promise<Server> {
+  const server = createCallersServer({
+    ...options,
+    limits: settings.callers,
+    readMetrics: () => metrics.read(),
+    countRequest: (route, status) => metrics.countRequest(route, status),
+    logger: logs.forPart(LogPart.Callers),
+  });
+  await listen(server, settings.callers.listen, lifecycle);
+  return server;
+}
+
+/** Listens for operators; rejects when the address is taken. */
+export async function listenForOperators(
+  {settings, logs, lifecycle}: Context,
+  operations: {
+    readonly settings: SettingsOperations;
+    readonly fleet: FleetOperations;
+  },
+): Promise<void> {
+  const server = createOperatorsServer({
+    ...operations,
+    token: settings.operators.token,
+    logger: logs.forPart(LogPart.Operators),
+  });
+  await listen(server, settings.operators.listen, lifecycle);
+}
+
+/** An address could not be listened on. */
+class ListenError extends Error {
+  constructor(address: string, code: string) {
+    super(`${address}: ${code}`);
+  }
+}
--- a/packages/jobs/src/handover/index.ts
+++ b/packages/jobs/src/handover/index.ts
@@ -24,8 +24,8 @@
 /** One session as it is handed over. */
 export interface HandedSession {
   readonly session: string;
-  readonly answers: readonly HandedAnswer[];
-  readonly closed: readonly {readonly key: string; readonly attempt: number}[];
+  readonly answers: HandedAnswer[];
+  readonly closed: {key: string; attempt: number}[];
 }
 
 interface AdoptedSession {
--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -43,6 +43,11 @@
     return this.open.jobCount;
   }
 
+  /** How many sessions can be used. */
+  get sessionCount(): number {
+    return this.sessions.size;
+  }
+
   /** The sessions that can be used. */
   listSessions(): Iterable<Session> {
     return this.sessions.values();
--- a/packages/platform/src/instance_list/poller.ts
+++ b/packages/platform/src/instance_list/poller.ts
@@ -44,6 +44,7 @@
 /** Reads the instance list at an interval and keeps the last good one. */
 export class InstanceListPoller {
   private readonly topic = createTopic<InstanceList>();
+  private readonly readingTopic = createTopic<InstanceList>();
   private readonly agent = new Agent({
     connections: 1,
     maxResponseSize: LARGEST_LIST_BYTES,
@@ -56,6 +57,7 @@
   constructor(private readonly options: PollerOptions) {
     options.lifecycle.own('instance list', async () => {
       this.topic.end();
+      this.readingTopic.end();
       await this.agent.destroy();
     });
   }
@@ -70,6 +72,11 @@
     return this.topic.stream;
   }
 
+  /** Publishes each list that was read whole, also one without a change. */
+  get readings(): Stream<InstanceList> {
+    return this.readingTopic.stream;
+  }
+
   /** How old the list is; undefined until there is one. */
   readAge(now: Millis): Millis | undefined {
     return this.readAt === undefined ? undefined : now - this.readAt;
@@ -101,6 +108,7 @@
     this.options.onPoll?.({failed: undefined, skipped: skipped.length});
     this.noteSkipped(skipped);
     this.take(list, now);
+    this.readingTopic.publish(list);
     return Ok(list);
   }
 
--- a/scripts/run_spec.mjs
+++ b/scripts/run_spec.mjs
@@ -6,8 +6,6 @@
 import {join, resolve} from 'node:path';
 
 const DEPTH = '1000000';
-// Counterexamples are short; a bound keeps the search near the start.
-const VARIANT_DEPTH = '400';
 const LONGEST_RUN_MS = 240_000;
 const HASH_BITS = '24';
 
@@ -40,12 +38,13 @@
 }
 
 function check(model, flags, folder) {
-  const depth = flags.length > 0 ? VARIANT_DEPTH : DEPTH;
   const defines = flags.map(flag => `-D${flag}`);
   runProgram('spin', [...defines, '-a', model], folder);
-  const compiler = ['-w', '-O2', '-DSAFETY', '-DCOLLAPSE', '-o', 'pan'];
+  // Breadth first finds the shortest counterexample.
+  const search = flags.length > 0 ? ['-DBFS'] : ['-DCOLLAPSE'];
+  const compiler = ['-w', '-O1', '-DSAFETY', ...search, '-o', 'pan'];
   runProgram('gcc', [...compiler, 'pan.c'], folder);
-  const words = [`-m${depth}`, `-w${HASH_BITS}`];
+  const words = [`-m${DEPTH}`, `-w${HASH_BITS}`];
   const output = runProgram('./pan', words, folder);
   const errors = Number(/errors: (\d+)/.exec(output)?.[1] ?? NaN);
   const states = /([\d.e+]+) states, stored/.exec(output)?.[1] ?? 'no';
