--- /dev/null
+++ b/packages/proofs/src/audit/index.ts
@@ -0,0 +1,54 @@
+/** Compares what callers were told with what the stand-ins recorded. */
+import assert from 'node:assert/strict';
+import {
+  JobState,
+  TaskState,
+  type Failure,
+  type JobAnswer,
+} from '@goldcrestpier/protocol';
+import {countDoubledStarts, type Cluster} from '@goldcrestpier/standins';
+import {ReplyKind, type JobBody, type Reply} from '../caller/index.js';
+
+/** The answer of a reply; throws when it is another kind of reply. */
+export function expectAnswer(reply: Reply): JobAnswer {
+  if (reply.kind === ReplyKind.Job) return reply.answer;
+  throw new assert.AssertionError({
+    message: `expected an answer, got ${JSON.stringify(reply)}`,
+  });
+}
+
+/** The failure of a reply; throws when it is another kind of reply. */
+export function expectFailure(reply: Reply): Failure {
+  if (reply.kind === ReplyKind.Failure) return reply.failure;
+  throw new assert.AssertionError({
+    message: `expected a failure, got ${JSON.stringify(reply)}`,
+  });
+}
+
+/** A job that is complete has each task's own result, in its place. */
+export function assertWhole(answer: JobAnswer, job: JobBody): void {
+  assert.equal(answer.state, JobState.Complete);
+  assert.equal(answer.tasks.length, job.tasks.length);
+  for (const [index, task] of answer.tasks.entries()) {
+    assert.equal(task.state, TaskState.Done);
+    const {echo} = task.result as {echo: unknown};
+    const {payload} = job.tasks[index] as {payload: {echo: unknown}};
+    assert.deepEqual(echo, payload.echo);
+  }
+}
+
+/** No task was started twice at any server. */
+export async function assertNoDoubledStart(cluster: Cluster): Promise<void> {
+  const doubled = countDoubledStarts(await cluster.readStarts());
+  assert.deepEqual([...doubled], []);
+}
+
+/** How many starts the servers recorded for one job. */
+export async function countStarts(
+  cluster: Cluster,
+  session: string,
+  key: string,
+): Promise<number> {
+  const starts = await cluster.readStarts();
+  return starts.filter(({job}) => job === `${session}/${key}`).length;
+}
