--- a/packages/standins/src/demo/caller.ts
+++ b/packages/standins/src/demo/caller.ts
@@ -2,7 +2,7 @@
 import {sleep} from '@goldcrestpier/runtime';
 import {request, type Agent} from 'undici';
 
-const WAIT_MS = 500;
+const WAIT_MS = 150;
 const FIRST_REFUSAL = 300;
 const MOST_TRIES = 20;
 const DEFAULT_RETRY_MS = 200;
--- a/packages/standins/src/demo/jobs.ts
+++ b/packages/standins/src/demo/jobs.ts
@@ -2,9 +2,9 @@
 import type {DemoJob} from './caller.js';
 
 const DEADLINE_MS = 60_000;
-const INVOICES = 48;
-const PRICES = 36;
-const RELEASES = 12;
+const INVOICES = 144;
+const PRICES = 96;
+const RELEASES = 36;
 /** What a release check needs of a worker. */
 const NEEDS = {processors: 8, memoryMb: 4096, accelerators: 0};
 const SHORTEST_RUN_MS = 100;
--- a/packages/standins/test/cluster.test.ts
+++ b/packages/standins/test/cluster.test.ts
@@ -106,6 +106,7 @@
     await entry.start();
     assert.ok(await entry.isReady());
     assert.equal((await entry.stop()).code, 0);
+    await cluster.startEntry('e1-1');
   });
 
   test('starts an entry instance while the platform is out', async () => {
@@ -120,6 +121,8 @@
     await cluster.setPlatformOut(false);
     await late.waitUntilReady();
     assert.equal(await readStatus(), 200);
+    const link = cluster.network.link('batangas-2', 'batangas-1');
+    await waitUntil('it reaches the other zone', () => link.connections > 0);
   });
 
   test('leaves no process and no folder behind', async () => {
