--- /dev/null
+++ b/packages/platform/src/journal/reader.ts
@@ -0,0 +1,29 @@
+import {Ok, type Result} from 'ts-results-es';
+import type {PlatformFailure} from '../failure.js';
+import type {KeyValueClient} from '../key_value/index.js';
+import {JOURNAL_PREFIX, parseJournal, type JournalRecord} from './record.js';
+
+const PAGE = 50;
+/** Sorts after every key below the prefix. */
+const PAST_PREFIX = `${JOURNAL_PREFIX}\u{10ffff}`;
+
+/** Reads the journals of all incarnations, page by page. */
+export async function readJournals(
+  client: KeyValueClient,
+): Promise<Result<readonly JournalRecord[], PlatformFailure>> {
+  const records: JournalRecord[] = [];
+  let key = JOURNAL_PREFIX;
+  for (;;) {
+    const page = await client.range({key, before: PAST_PREFIX}, PAGE);
+    if (page.isErr()) return page;
+    const {values, hasMore} = page.value;
+    for (const {value} of values) {
+      const record = parseJournal(value);
+      if (record !== undefined) records.push(record);
+    }
+    const last = values.at(-1);
+    if (!hasMore || last === undefined) return Ok(records);
+    // The first key that can come after this one.
+    key = `${last.key}\0`;
+  }
+}
--- a/packages/platform/src/key_value/client.ts
+++ b/packages/platform/src/key_value/client.ts
@@ -39,6 +39,8 @@
 export interface RangeAnswer {
   readonly revision: number;
   readonly values: readonly KeyValue[];
+  /** Whether a limit left out some. */
+  readonly hasMore: boolean;
 }
 
 /** A write's own revision. */
@@ -57,6 +59,7 @@
 const rangeSchema = z.object({
   header: headerSchema,
   kvs: z.array(keyValueSchema).default([]),
+  more: z.boolean().default(false),
 });
 const grantSchema = z.object({ID: leaseIdSchema, TTL: int64Schema});
 const keepAliveSchema = z.object({result: grantSchema});
@@ -70,13 +73,18 @@
     options.lifecycle.own('key-value client', () => this.transport.close());
   }
 
-  /** Reads one key or a prefix. */
-  range(query: KeyQuery): Promise<Result<RangeAnswer, PlatformFailure>> {
-    const body = encodeKeys(query);
+  /** Reads one key or several, in their order; no more than `limit`. */
+  range(
+    query: KeyQuery,
+    limit?: number,
+  ): Promise<Result<RangeAnswer, PlatformFailure>> {
+    const keys = encodeKeys(query);
+    const body = limit === undefined ? keys : {...keys, limit: String(limit)};
     const call = {path: 'kv/range', effect: CallEffect.Read, body};
-    return this.call(call, rangeSchema, ({header, kvs}) => ({
+    return this.call(call, rangeSchema, ({header, kvs, more}) => ({
       revision: header.revision,
       values: kvs,
+      hasMore: more,
     }));
   }
 
--- /dev/null
+++ b/packages/platform/test/claims.test.ts
@@ -0,0 +1,194 @@
+import assert from 'node:assert/strict';
+import {after, test} from 'node:test';
+import {FailureCode, Ran} from '@goldcrestpier/protocol';
+import {
+  Lifecycle,
+  readClock,
+  silentLogger,
+  sleep,
+} from '@goldcrestpier/runtime';
+import {startKeyValue} from '@goldcrestpier/standins';
+import fc from 'fast-check';
+import {
+  ClaimKind,
+  ClaimStore,
+  KeyValueClient,
+  type ClaimAnswer,
+} from '../src/index.js';
+
+const lifecycle = new Lifecycle('test');
+after(() => lifecycle.close());
+
+async function startService() {
+  const service = await startKeyValue({host: '127.0.0.1', port: 0});
+  lifecycle.own('service', () => service.close());
+  return service;
+}
+
+function createStore(address: string, owner = lifecycle): ClaimStore {
+  const common = {logger: silentLogger, lifecycle: owner};
+  const client = new KeyValueClient({
+    endpoints: [address],
+    timeoutMs: 5_000,
+    ...common,
+  });
+  return new ClaimStore({
+    client,
+    keptMs: 60_000,
+    readFleetSize: () => 1,
+    ...common,
+  });
+}
+
+function claim(store: ClaimStore, key: string, session: string) {
+  return store.claim(key, {session, key: 'job'}, readClock());
+}
+
+/** Asks again, as a plain client does, until the answer is known. */
+async function claimUntilAnswered(
+  store: ClaimStore,
+  key: string,
+  session: string,
+): Promise<ClaimAnswer> {
+  for (;;) {
+    const answer = await claim(store, key, session);
+    if (answer.isOk()) return answer.value;
+    assert.equal(answer.error.code, FailureCode.PlatformUnavailable);
+    assert.equal(answer.error.ran, Ran.NotRun);
+    await sleep(20);
+  }
+}
+
+test('the first claim of a key is granted and all others find it', async () => {
+  const {address} = await startService();
+  const first = createStore(address);
+  const second = createStore(address);
+  const granted = (await claim(first, 'key', 's1')).unwrap();
+  assert.equal(granted.kind, ClaimKind.Granted);
+  for (const store of [first, second]) {
+    const found = (await claim(store, 'key', 's2')).unwrap();
+    assert.deepEqual(found, {kind: ClaimKind.Found, claim: granted.claim});
+  }
+});
+
+test('hundreds of claims from two instances share few calls, one grant for each key', async () => {
+  const service = await startService();
+  const stores = [createStore(service.address), createStore(service.address)];
+  const keys = Array.from({length: 150}, (_, index) => `key-${index}`);
+  const answers = await Promise.all(
+    keys.flatMap(key =>
+      stores.flatMap((store, index) => [
+        claim(store, key, `s${index}-a`),
+        claim(store, key, `s${index}-b`),
+      ]),
+    ),
+  );
+  const granted = answers
+    .map(answer => answer.unwrap())
+    .filter(({kind}) => kind === ClaimKind.Granted);
+  assert.equal(granted.length, keys.length);
+  assert.ok(service.readCounts().txn < answers.length / 10);
+});
+
+test('a claim whose answer is lost is found to be its own', async () => {
+  const service = await startService();
+  const store = createStore(service.address);
+  // The first write makes the lease; then every second claim's answer is lost.
+  service.setFaults({loseAnswers: 2});
+  for (const key of ['a', 'b', 'c']) {
+    const {kind} = await claimUntilAnswered(store, key, 's1');
+    assert.equal(kind, ClaimKind.Granted);
+  }
+  service.setFaults({});
+  const other = createStore(service.address);
+  const found = (await claim(other, 'a', 's2')).unwrap();
+  assert.equal(found.kind, ClaimKind.Found);
+});
+
+test('in an outage a claim is refused as not run, soon without any call', async () => {
+  const service = await startService();
+  const store = createStore(service.address);
+  service.setFaults({down: true});
+  const wanted = {session: 's1', key: 'job'};
+  const now = readClock();
+  const first = (await store.claim('key', wanted, now)).unwrapErr();
+  const calls = service.readCounts();
+  const second = (await store.claim('other', wanted, now)).unwrapErr();
+  for (const failure of [first, second]) {
+    assert.equal(failure.code, FailureCode.PlatformUnavailable);
+    assert.equal(failure.ran, Ran.NotRun);
+    assert.ok((failure.retryAfterMs ?? 0) > 0);
+  }
+  assert.deepEqual(service.readCounts(), calls);
+  service.setFaults({});
+  const answer = await claimUntilAnswered(store, 'key', 's1');
+  assert.equal(answer.kind, ClaimKind.Granted);
+});
+
+test('claims go on when the lease they share has lapsed', async () => {
+  const service = await startService();
+  const store = createStore(service.address);
+  (await claim(store, 'a', 's1')).unwrap();
+  service.setFaults({lapseLeases: true});
+  const {kind} = (await claim(store, 'b', 's1')).unwrap();
+  assert.equal(kind, ClaimKind.Granted);
+  assert.equal(service.readCounts().leaseGrant, 2);
+});
+
+test('what waits when the instance ends is refused', async () => {
+  const service = await startService();
+  service.setFaults({slowMs: 50});
+  const child = lifecycle.createChild('instance');
+  const store = createStore(service.address, child);
+  const keys = Array.from({length: 200}, (_, index) => `key-${index}`);
+  const claims = keys.map(key => claim(store, key, 's1'));
+  await child.close();
+  const late = await claim(store, 'late', 's1');
+  const answers = await Promise.all(claims);
+  assert.ok(late.isErr());
+  assert.ok(answers.some(answer => answer.isErr()));
+});
+
+test('whatever fails, no key is granted to two claims', async () => {
+  const fault = fc.constantFrom(
+    {},
+    {loseAnswers: 1},
+    {loseAnswers: 2},
+    {loseAnswers: 3},
+    {down: true},
+  );
+  const keys = fc.array(fc.constantFrom('a', 'b', 'c'), {
+    minLength: 1,
+    maxLength: 12,
+  });
+  const step = fc.record({fault, keys});
+  const steps = fc.array(step, {minLength: 1, maxLength: 4});
+  await fc.assert(
+    fc.asyncProperty(steps, async drawn => {
+      const child = lifecycle.createChild('drawn');
+      const service = await startKeyValue({host: '127.0.0.1', port: 0});
+      child.own('service', () => service.close());
+      const stores = [0, 1, 2].map(() => createStore(service.address, child));
+      const granted: string[] = [];
+      for (const {fault, keys} of drawn) {
+        service.setFaults(fault);
+        await Promise.all(
+          keys.map(async (key, index) => {
+            const store = stores[index % stores.length];
+            const answer = await store?.claim(
+              key,
+              {session: `s${index}`, key: 'job'},
+              readClock(),
+            );
+            if (answer?.isOk() && answer.value.kind === ClaimKind.Granted) {
+              granted.push(key);
+            }
+          }),
+        );
+      }
+      assert.deepEqual(granted, [...new Set(granted)]);
+      await child.close();
+    }),
+    {seed: 33, numRuns: 25},
+  );
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,3 +3,4 @@
 export * from './lifecycle/index.js';
 export * from './logger/index.js';
 export * from './stream/index.js';
+export * from './wakeup/index.js';
--- a/packages/settings/src/follow/follower.ts
+++ b/packages/settings/src/follow/follower.ts
@@ -3,6 +3,7 @@
 import type {Failure} from '@goldcrestpier/protocol';
 import {
   createTopic,
+  Wakeup,
   type Lifecycle,
   type Logger,
   type Millis,
@@ -11,7 +12,6 @@
 import type {Result} from 'ts-results-es';
 import {SettingsTree} from '../tree/tree.js';
 import {PlatformWatch} from './platform_watch.js';
-import {Wakeup} from './wakeup.js';
 
 const DEFAULT_POLL_MS = 2_000;
 
