Suspect an instance at once when its host refuses connections

A killed process is told by its host in a fraction of a second, while silence takes several heartbeats to mean anything. It makes an instance suspect and never gone, since one that drains refuses connections as well.

--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -75,6 +75,11 @@
     return this.parts.view.find(incarnation)?.heardAt;
   }
 
+  /** Takes a host's word that no process listens at an address. */
+  noteRefused(address: string, now: Millis): void {
+    this.parts.view.noteRefused(address, now);
+  }
+
   /** Answers a peer's heartbeat with this instance's own. */
   answer(message: Heartbeat, now: Millis): Heartbeat {
     const {peers, targets, view, self} = this.parts;
--- a/packages/membership/src/heartbeat/pace.ts
+++ b/packages/membership/src/heartbeat/pace.ts
@@ -8,7 +8,10 @@
 export interface PaceSettings {
   /** Shortest interval to a peer of the own zone, in ms. */
   readonly intervalMs: Millis;
-  /** Bytes of heartbeats a second, sent and received, for all peers. */
+  /**
+   * Bytes of heartbeats a second, sent and received, for all peers. Frames
+   * and packets come on top, so it is below the 4 KB that control may take.
+   */
   readonly bytesPerSecond: number;
   /** Intervals without a sign of life after which a peer is suspect. */
   readonly missesToSuspect: number;
@@ -19,7 +22,7 @@
 /** The settings where none are given. */
 export const defaultPaceSettings: PaceSettings = {
   intervalMs: 500,
-  bytesPerSecond: 3_600,
+  bytesPerSecond: 3_000,
   missesToSuspect: 3.5,
   minSilenceMs: 1_750,
 };
--- a/packages/membership/src/heartbeat/peer_loop.ts
+++ b/packages/membership/src/heartbeat/peer_loop.ts
@@ -18,6 +18,8 @@
   compose(address: string, now: Millis): Heartbeat;
   /** Takes an answer. */
   takeAnswer(answer: Heartbeat, evidence: AnswerEvidence, now: Millis): void;
+  /** Takes a host's word that no process listens at this address. */
+  noteRefused(address: string, now: Millis): void;
   /** The present interval to this address, in ms. */
   chooseInterval(address: string): Millis;
   /** When the instance at this address was last heard. */
@@ -56,6 +58,7 @@
   while (!signal.aborted) {
     const connectedAt = link.connectedAt();
     if (connectedAt === undefined) {
+      if (link.isRefused()) owner.noteRefused(link.address, options.clock());
       await sleep(CONNECT_LOOK_MS, signal);
       continue;
     }
--- a/packages/membership/src/view/instance.ts
+++ b/packages/membership/src/view/instance.ts
@@ -46,6 +46,8 @@
   /** Whether the list says that it leaves. */
   isListedLeaving: boolean;
   heardAt: Millis | undefined;
+  /** Whether its host said since then that no process listens there. */
+  isRefused: boolean;
   /** When the newest heartbeat that it answered had been sent. */
   answeredSentAt: Millis | undefined;
   readonly createdAt: Millis;
@@ -59,6 +61,7 @@
     state: InstanceState.Suspect,
     isListedLeaving: false,
     heardAt: undefined,
+    isRefused: false,
     answeredSentAt: undefined,
     createdAt: now,
     listing: {isShown: false, absences: 0, absentSince: now},
--- a/packages/membership/src/view/view.ts
+++ b/packages/membership/src/view/view.ts
@@ -18,11 +18,10 @@
   type ViewChange,
 } from './instance.js';
 import {isDropped, noteListing, type ListedInstance} from './listing.js';
+import {UnknownIncarnations} from './unknown.js';
 
 /** Incarnations remembered as gone for ever. */
 const MAX_GONE = 20_000;
-/** Unknown incarnations remembered since they were asked for. */
-const MAX_ASKED = 1_000;
 
 /** Times of the view. */
 export interface ViewTiming {
@@ -47,7 +46,7 @@
 export class View {
   private readonly records = new Map<string, InstanceRecord>();
   private readonly gone = new BoundedMap<string, Millis>(MAX_GONE);
-  private readonly asked = new BoundedMap<string, Millis>(MAX_ASKED);
+  private readonly unknown = new UnknownIncarnations();
   private readonly topic = createTopic<ViewChange>();
   private readonly membersByZone = new Map<string, readonly Member[]>();
   /** When this process was found to have been stopped; silence starts anew. */
@@ -113,6 +112,7 @@
     const isMoved = !isSameMember(record.member, member);
     record.member = member;
     record.heardAt = now;
+    record.isRefused = false;
     if (evidence !== undefined) {
       record.answeredSentAt = evidence.sentAt;
       this.retireOthersAt(evidence, member, now);
@@ -122,6 +122,18 @@
     return true;
   }
 
+  /**
+   * Takes a host's word that no process listens at an address. That instance
+   * is suspect at once; it may still be draining, so it is not gone.
+   */
+  noteRefused(address: string, now: Millis): void {
+    for (const record of this.records.values()) {
+      if (record.member.peerAddress !== address || record.isRefused) continue;
+      record.isRefused = true;
+      this.judge(now);
+    }
+  }
+
   /** Takes one whole answer of the instance list. */
   readList(entries: readonly ListedInstance[], now: Millis): void {
     for (const entry of entries) this.addListed(entry, now);
@@ -157,7 +169,11 @@
     if (incarnation === this.self.incarnation) return false;
     if (this.gone.has(incarnation)) return true;
     const record = this.records.get(incarnation);
-    if (record === undefined) return this.isUnknownGone(incarnation, now);
+    if (record === undefined) {
+      const {dropConfirmMs} = this.timing;
+      const records = this.records.values();
+      return this.unknown.isEnded(incarnation, records, dropConfirmMs, now);
+    }
     return this.judgeOne(record, now) === InstanceState.Gone;
   }
 
@@ -221,8 +237,9 @@
       : InstanceState.Suspect;
   }
 
-  private isSilent({heardAt, member}: InstanceRecord, now: Millis): boolean {
-    if (heardAt === undefined) return true;
+  private isSilent(record: InstanceRecord, now: Millis): boolean {
+    const {heardAt, isRefused, member} = record;
+    if (heardAt === undefined || isRefused) return true;
     const since = Math.max(heardAt, this.resumedAt ?? heardAt);
     return now - since > this.timing.patience(member);
   }
@@ -242,28 +259,6 @@
     return false;
   }
 
-  /**
-   * An incarnation that was never heard, but whose session somebody holds: it
-   * had started before it was first asked for. When its instance answers a
-   * heartbeat that was sent well after that, and as another run, the unknown
-   * one ended; an older run may answer a little longer, while it drains.
-   */
-  private isUnknownGone(incarnation: string, now: Millis): boolean {
-    const askedAt = this.asked.get(incarnation);
-    if (askedAt === undefined) {
-      this.asked.set(incarnation, now);
-      return false;
-    }
-    const unknown = parseIncarnation(incarnation);
-    if (unknown === undefined) return false;
-    return [...this.records.values()].some(
-      ({member, answeredSentAt}) =>
-        isSameInstance(member, unknown) &&
-        answeredSentAt !== undefined &&
-        answeredSentAt > askedAt + this.timing.dropConfirmMs,
-    );
-  }
-
   private forget(now: Millis): void {
     for (const [incarnation, record] of this.records) {
       const quietSince = record.heardAt ?? record.createdAt;
--- a/packages/membership/test/view.test.ts
+++ b/packages/membership/test/view.test.ts
@@ -108,6 +108,16 @@
   assert.equal(view.isGone(later.incarnation, 1_700), false);
 });
 
+test('an instance whose host refuses connections is suspect at once, not gone', () => {
+  const view = new View(self, timing);
+  view.hear(a, 0);
+  view.noteRefused(a.peerAddress, 10);
+  assert.equal(view.find(a.incarnation)?.state, InstanceState.Suspect);
+  assert.equal(view.isGone(a.incarnation, 90_000), false);
+  view.hear(a, 20);
+  assert.equal(view.find(a.incarnation)?.state, InstanceState.Live);
+});
+
 test('silence starts anew after this process was stopped', () => {
   const view = new View(self, timing);
   view.hear(a, 0);
--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -19,7 +19,7 @@
 import {ClientCalls, type PeerCalls} from './client_calls.js';
 import {PeerConnection} from './connection.js';
 import {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
-import {openSocket, type OpenedSocket} from './open.js';
+import {OpenFailure, openSocket, type OpenedSocket} from './open.js';
 
 /** What a link to one peer needs. */
 export interface PeerLinkOptions {
@@ -41,6 +41,8 @@
   isConnected(): boolean;
   /** When opening the present connection began; undefined without one. */
   connectedAt(): Millis | undefined;
+  /** Whether the host last said that no process listens at the address. */
+  isRefused(): boolean;
   /** Ends the link; calls in flight end as unknown. */
   close(): Promise<void>;
 }
@@ -58,6 +60,7 @@
   private readonly log: SparseLog;
   private connection: PeerConnection | undefined;
   private openedAt: Millis = 0;
+  private openFailure: OpenFailure | undefined;
 
   constructor(private readonly options: PeerLinkOptions) {
     super(() => this.connection);
@@ -78,6 +81,10 @@
     return this.isConnected() ? this.openedAt : undefined;
   }
 
+  isRefused(): boolean {
+    return !this.isConnected() && this.openFailure === OpenFailure.NotListening;
+  }
+
   async close(): Promise<void> {
     await this.lifecycle.close();
   }
@@ -102,6 +109,7 @@
       const opened = await openSocket(this.options, limits, signal);
       if (opened.isOk()) {
         this.openedAt = triedAt;
+        this.openFailure = undefined;
         await this.serve(opened.value, signal);
         // One that ends at once counts as a failure, or it would be opened
         // again without end.
@@ -109,6 +117,7 @@
         failures = lastedMs >= limits.longestRetryMs ? 0 : failures + 1;
       } else if (!signal.aborted) {
         failures += 1;
+        this.openFailure = opened.error;
         const fields = {address, reason: opened.error};
         this.log.warn('no connection', opened.error, fields, readClock());
       }
--- a/packages/peers/src/link/open.ts
+++ b/packages/peers/src/link/open.ts
@@ -12,6 +12,8 @@
 export enum OpenFailure {
   /** The address is not `host:port`. */
   BadAddress = 'bad_address',
+  /** The host answers that no process listens there. */
+  NotListening = 'not_listening',
   /** Nothing answers there, or not as a peer does. */
   Unreachable = 'unreachable',
   /** The peer does not take this process's token. */
@@ -57,7 +59,10 @@
       request.destroy();
     });
     // Each error ends in a close; this keeps it from ending the process.
-    socket.on('error', () => resolve(OpenFailure.Unreachable));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      const isRefused = error.code === 'ECONNREFUSED';
+      resolve(isRefused ? OpenFailure.NotListening : OpenFailure.Unreachable);
+    });
   });
   signal.removeEventListener('abort', abort);
   if (failure !== undefined || stream === undefined) {
