--- a/packages/membership/test/fixtures.ts
+++ b/packages/membership/test/fixtures.ts
@@ -1,5 +1,7 @@
 /** Instances that speak to each other over real sockets in one process. */
+import assert from 'node:assert/strict';
 import {randomBytes} from 'node:crypto';
+import type {TestContext} from 'node:test';
 import {
   Lifecycle,
   readClock,
@@ -16,10 +18,12 @@
   createMembership,
   defaultMembershipTiming,
   type HeartbeatLoad,
+  type InstanceState,
   type ListedInstance,
   type Membership,
   type MembershipOptions,
   type MembershipTiming,
+  type PaceSettings,
 } from '../src/index.js';
 
 const TOKEN = 'a token of the tests';
@@ -45,6 +49,9 @@
   readonly zone?: string;
   readonly port?: number;
   readonly seeds?: readonly string[];
+  /** The address it gives for itself, where that is not its own. */
+  readonly advertised?: string;
+  readonly pace?: Partial<PaceSettings>;
   readonly load?: Partial<HeartbeatLoad>;
   readonly changes?: Partial<MembershipOptions>;
 }
@@ -86,7 +93,7 @@
       incarnation,
       zone,
       instance: name,
-      peerAddress: address,
+      peerAddress: settings.advertised ?? address,
       weight: 1,
       startedAt: Date.now(),
     },
@@ -99,6 +106,7 @@
         self: incarnation,
         logger: silentLogger,
         lifecycle,
+        limits: {silenceMs: 800, connectMs: 800},
       }),
     load: {
       settingsRevision: () => 0,
@@ -109,7 +117,7 @@
     lifecycle,
     logger: silentLogger,
     clock: readClock,
-    timing: quickTiming,
+    timing: {...quickTiming, pace: {...quickTiming.pace, ...settings.pace}},
     ...settings.changes,
   });
   found.membership = membership;
@@ -157,3 +165,32 @@
     inspect: refuse,
   };
 }
+
+/** A life cycle that closes with the test, and must close cleanly. */
+export function createLifecycle(context: TestContext): Lifecycle {
+  const lifecycle = new Lifecycle('test');
+  context.after(async () => {
+    assert.deepEqual(await lifecycle.close(), []);
+  });
+  return lifecycle;
+}
+
+/** The live members of all zones in one line. */
+export function namesSeenBy({membership}: RunningInstance): string {
+  return membership
+    .zones()
+    .flatMap(zone => membership.members(zone))
+    .map(member => `${member.zone}/${member.instance}`)
+    .sort()
+    .join(' ');
+}
+
+/** The state of one instance as another sees it. */
+export function stateSeenBy(
+  {membership}: RunningInstance,
+  incarnation: string,
+): InstanceState | undefined {
+  return membership
+    .instances()
+    .find(({member}) => member.incarnation === incarnation)?.state;
+}
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -1,34 +1,15 @@
 import assert from 'node:assert/strict';
-import {test, type TestContext} from 'node:test';
-import {Lifecycle, readClock} from '@goldcrestpier/runtime';
+import {test} from 'node:test';
+import {readClock} from '@goldcrestpier/runtime';
 import {InstanceState, ListedState, pickHolder} from '../src/index.js';
-import {startInstance, waitFor, type RunningInstance} from './fixtures.js';
-
-function createLifecycle(context: TestContext): Lifecycle {
-  const lifecycle = new Lifecycle('test');
-  context.after(async () => {
-    assert.deepEqual(await lifecycle.close(), []);
-  });
-  return lifecycle;
-}
-
-function namesSeenBy({membership}: RunningInstance): string {
-  return membership
-    .zones()
-    .flatMap(zone => membership.members(zone))
-    .map(member => `${member.zone}/${member.instance}`)
-    .sort()
-    .join(' ');
-}
-
-function stateSeenBy(
-  {membership}: RunningInstance,
-  incarnation: string,
-): InstanceState | undefined {
-  return membership
-    .instances()
-    .find(({member}) => member.incarnation === incarnation)?.state;
-}
+import {
+  createLifecycle,
+  namesSeenBy,
+  startInstance,
+  stateSeenBy,
+  waitFor,
+  type RunningInstance,
+} from './fixtures.js';
 
 test('six instances that know only the first find each other and agree', async context => {
   const lifecycle = createLifecycle(context);
