Want each waiting task from one holder, where it would end soonest

Now holders tell what one more task may expect (wait, pace, speed), each task is wanted from one holder, moved only when 30 ms are saved, and slow servers are held back by the share of idle time.

--- a/packages/peers/src/messages/membership.ts
+++ b/packages/peers/src/messages/membership.ts
@@ -1,5 +1,6 @@
 /** Heartbeats: who is there, and what rides along. */
 import {z} from 'zod';
+import {prospectSchema} from './placement.js';
 
 /** Whether an instance takes new work. */
 export enum MemberState {
@@ -44,6 +45,8 @@
       speed: z.number(),
     }),
   ),
+  /** What one more task may expect at the sender, by pool. */
+  prospects: z.array(prospectSchema).optional(),
 });
 
 /** One entry instance as its peers know it. */
--- a/packages/peers/src/messages/placement.ts
+++ b/packages/peers/src/messages/placement.ts
@@ -52,8 +52,23 @@
   expiresInMs: z.number().positive(),
 });
 
+/** What one more task may expect at a holder, by pool. */
+export const prospectSchema = z.object({
+  pool: z.string(),
+  /** How long it would wait for a slot, in milliseconds. */
+  waitMs: z.number().nonnegative(),
+  /** Mean time between two slots that come free, in milliseconds. */
+  everyMs: z.number().nonnegative(),
+  /** Expected speed of the server that it would get. */
+  speed: z.number().positive(),
+});
+
 /** Grants, in answer to a demand or pushed when slots come free. */
-export const grantsSchema = z.object({grants: z.array(grantSchema)});
+export const grantsSchema = z.object({
+  grants: z.array(grantSchema),
+  /** What one more task may expect at this holder. */
+  prospects: z.array(prospectSchema).optional(),
+});
 
 /** How a grant ended. */
 export enum GrantEnd {
@@ -94,5 +109,7 @@
 export type Grant = Readonly<z.infer<typeof grantSchema>>;
 /** Grants, in answer to a demand or pushed when slots come free. */
 export type Grants = Readonly<z.infer<typeof grantsSchema>>;
+/** What one more task may expect at a holder. */
+export type Prospect = Readonly<z.infer<typeof prospectSchema>>;
 /** Tells a holder how some of its grants ended. */
 export type Settlement = Readonly<z.infer<typeof settlementSchema>>;
--- a/packages/placement/src/ejection/index.ts
+++ b/packages/placement/src/ejection/index.ts
@@ -1,3 +1,3 @@
 /** Ejection of servers that fail what they start. */
-export * from './failure_share.js';
+export * from './pool_ejections.js';
 export * from './server_health.js';
--- a/packages/placement/src/holding/choose_server.ts
+++ b/packages/placement/src/holding/choose_server.ts
@@ -47,16 +47,20 @@
   /** Ends per millisecond at this holder; undefined while unknown. */
   readonly endsPerMs: number | undefined;
   readonly waitedMs: Millis;
+  /** Share of the time in which nothing waited here. */
+  readonly idleShare: number;
 }
 
 /**
- * Whether a free slow server is worth a start. It is not while the queue would
- * be served by faster ones sooner than the slow run is longer.
+ * Whether a free slow server is worth a start. The slow run costs its task the
+ * difference to a run at typical speed; in return each task behind it starts
+ * one slot sooner, and so do those that come until nothing waits any more.
+ * That is the longer, the busier the holder is: hence the share of idle time.
  */
 export function isWorthStarting(choice: SlowChoice): boolean {
   const slower = 1 / choice.speed - 1 / choice.typicalSpeed;
-  const lossMs = choice.meanRunMs * slower;
-  if (lossMs <= 0 || choice.waitedMs >= lossMs) return true;
+  const costMs = choice.meanRunMs * slower * choice.idleShare ** 2;
+  if (costMs <= 0 || choice.waitedMs >= costMs) return true;
   if (choice.endsPerMs === undefined || choice.endsPerMs <= 0) return true;
-  return choice.waiting / choice.endsPerMs >= lossMs;
+  return choice.waiting / choice.endsPerMs >= costMs;
 }
--- a/packages/placement/src/holding/demand_book.ts
+++ b/packages/placement/src/holding/demand_book.ts
@@ -40,14 +40,11 @@
   private readonly owners = new Map<string, OwnerDemand>();
   private readonly virtualTimes = new Map<string, number>();
   private virtualTime = 0;
+  private total = 0;
 
   /** Tasks that wait, as far as is known. */
   get waiting(): number {
-    let waiting = 0;
-    for (const {teams} of this.owners.values()) {
-      for (const team of teams.values()) waiting += team.waiting;
-    }
-    return waiting;
+    return this.total;
   }
 
   /** Replaces what an owner told before. */
@@ -58,16 +55,19 @@
     demand.unseen = lastOf(demand.unseen, demand.sent - received);
     demand.needs = told.needs.slice(demand.unseen.length);
     demand.toldAt = now;
-    demand.teams.clear();
+    this.forgetTeams(demand);
     for (const {team, waiting, oldestMs} of told.teams) {
+      this.total += waiting;
       demand.teams.set(team, {waiting, oldestAt: now - oldestMs});
     }
     // The owner wrote this before it saw these grants.
-    for (const team of demand.unseen) takeOne(demand, team);
+    for (const team of demand.unseen) this.takeOne(demand, team);
   }
 
   /** Forgets an owner that is gone. */
   forget(owner: string): void {
+    const demand = this.owners.get(owner);
+    if (demand !== undefined) this.forgetTeams(demand);
     this.owners.delete(owner);
   }
 
@@ -111,7 +111,7 @@
     demand.sent += 1;
     demand.unseen.push(claim.team);
     demand.needs = demand.needs.filter(each => each !== needs);
-    takeOne(demand, claim.team);
+    this.takeOne(demand, claim.team);
     const start = this.timeOf(claim.team);
     const weight = weights[claim.team] ?? DEFAULT_WEIGHT;
     this.virtualTime = start;
@@ -119,6 +119,22 @@
     if (this.virtualTimes.size > MAX_TEAMS) this.forgetPast();
   }
 
+  /** Takes one waiting task out; the rest is taken as evenly spread in time. */
+  private takeOne(demand: OwnerDemand, team: string): void {
+    const known = demand.teams.get(team);
+    if (known === undefined || known.waiting <= 0) return;
+    const spreadMs = Math.max(demand.toldAt - known.oldestAt, 0);
+    known.oldestAt += spreadMs / known.waiting;
+    known.waiting -= 1;
+    this.total -= 1;
+    if (known.waiting === 0) demand.teams.delete(team);
+  }
+
+  private forgetTeams(demand: OwnerDemand): void {
+    for (const {waiting} of demand.teams.values()) this.total -= waiting;
+    demand.teams.clear();
+  }
+
   private timeOf(team: string): number {
     return Math.max(this.virtualTimes.get(team) ?? 0, this.virtualTime);
   }
@@ -144,16 +160,6 @@
   }
 }
 
-/** Takes one waiting task out; those behind it are taken as evenly spread. */
-function takeOne(demand: OwnerDemand, team: string): void {
-  const known = demand.teams.get(team);
-  if (known === undefined) return;
-  const spreadMs = Math.max(demand.toldAt - known.oldestAt, 0);
-  known.oldestAt += spreadMs / known.waiting;
-  known.waiting -= 1;
-  if (known.waiting <= 0) demand.teams.delete(team);
-}
-
 function lastOf(list: string[], count: number): string[] {
   return count > 0 ? list.slice(-count) : [];
 }
--- a/packages/placement/src/holding/held_pool.ts
+++ b/packages/placement/src/holding/held_pool.ts
@@ -1,7 +1,7 @@
 /** The held servers of one pool, the demand for them, and grants of them. */
-import type {Grant, GrantEnd} from '@goldcrestpier/peers';
-import {GrantEnd as End} from '@goldcrestpier/peers';
+import {GrantEnd, type Grant, type Prospect} from '@goldcrestpier/peers';
 import {ServerState, type Server} from '@goldcrestpier/platform';
+import {BackendKind} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {EffectiveSettings} from '@goldcrestpier/settings';
 import {
@@ -9,12 +9,12 @@
   WasteKind,
   type PlacementCounters,
 } from '../counters.js';
-import {FailureShare, HealthState} from '../ejection/index.js';
+import {HealthState, PoolEjections} from '../ejection/index.js';
 import type {Resources} from '../fit/index.js';
 import {chooseServer, isWorthStarting} from './choose_server.js';
 import {DemandBook, type Claim} from './demand_book.js';
-import {EndRate} from './end_rate.js';
 import {HeldServer, type HeldGrant} from './held_server.js';
+import {PoolPace} from './pool_pace.js';
 
 /** A server is taken for frozen after this many mean run times... */
 const FROZEN_RUNS = 8;
@@ -22,7 +22,13 @@
 const LEAST_FROZEN_MS = 1_500;
 /** One entry instance opens no more connections to a runner than this. */
 const GRANTS_PER_OWNER = 7;
-const DEFAULT_RUN_MS = 300;
+const LONGEST_WAIT_MS = 60_000;
+/** To see whether a worker has any room at all. */
+const SMALLEST_NEEDS: Resources = {
+  processors: 1,
+  memoryMb: 1,
+  accelerators: 0,
+};
 
 /** What a pool of held servers needs from its surroundings. */
 export interface HeldPoolParts {
@@ -48,10 +54,16 @@
 export class HeldPool {
   readonly servers = new Map<string, HeldServer>();
   readonly demand = new DemandBook();
-  private readonly failures = new FailureShare();
-  private readonly ends = new EndRate();
+  private readonly ejections: PoolEjections;
+  private readonly pace = new PoolPace(this.servers);
 
-  constructor(private readonly parts: HeldPoolParts) {}
+  constructor(private readonly parts: HeldPoolParts) {
+    this.ejections = new PoolEjections({
+      healths: () => [...this.servers.values()].map(({health}) => health),
+      rules: () => parts.settings().ejection,
+      onEjected: reason => parts.counters.ejected(reason, parts.pool),
+    });
+  }
 
   /** Grants what is free to those whose turn it is. */
   allocate(now: Millis): Map<string, Grant[]> {
@@ -59,7 +71,10 @@
     const skipped = new Set<string>();
     for (;;) {
       const claim = this.demand.next(now, skipped);
-      if (claim === undefined) return granted;
+      if (claim === undefined) {
+        this.pace.idle.record(this.demand.waiting === 0, now);
+        return granted;
+      }
       const grant = this.grantTo(claim, now);
       if (grant === undefined) {
         skipped.add(claim.owner);
@@ -77,8 +92,7 @@
     if (held === undefined) return;
     held.end(report.grant, now);
     this.learn(held, report, now);
-    const reason = held.health.record(report.end, this.rules, now);
-    if (reason !== undefined) this.eject(held, reason, now);
+    this.ejections.record(held.health, report.end, now);
   }
 
   /** Takes over a server, or its newer description. */
@@ -94,6 +108,7 @@
   /** Frees grants that were neither used nor returned in their time. */
   expire(now: Millis): void {
     for (const held of this.servers.values()) {
+      this.countFrozen(held, now);
       for (const grant of held.grants.values()) {
         if (!grant.confirmed && now >= grant.expiresAt) this.drop(held, grant);
       }
@@ -103,6 +118,8 @@
   /** Frees a grant that its owner does not use. */
   drop(held: HeldServer, grant: HeldGrant): void {
     held.grants.delete(grant.id);
+    // It was used, and its settlement is under way or was lost.
+    if (grant.confirmed) return;
     this.demand.forgetSent(grant.owner);
     this.parts.counters.wasted(WasteKind.ExpiredGrant, 1);
   }
@@ -125,6 +142,20 @@
     return {free: Math.floor(free), speed};
   }
 
+  /** What one more task may expect here. */
+  prospect(now: Millis): Prospect {
+    const {pool} = this.parts;
+    const {waiting} = this.demand;
+    const free = this.chooseFor(undefined, SMALLEST_NEEDS, now);
+    if (free !== undefined && waiting === 0 && this.isWorth(free, 1, 0, now)) {
+      const everyMs = this.pace.everyMsIfFree;
+      return {pool, waitMs: 0, everyMs, speed: free.speed.speed};
+    }
+    const everyMs = this.pace.everyMs(now);
+    const waitMs = Math.min((waiting + 1) * everyMs, LONGEST_WAIT_MS);
+    return {pool, waitMs, everyMs, speed: this.pace.nextSpeed};
+  }
+
   private grantTo(claim: Claim, now: Millis): Grant | undefined {
     if (claim.needs.length === 0) return this.grantFor(claim, undefined, now);
     for (const needs of claim.needs) {
@@ -139,16 +170,10 @@
     needs: Resources | undefined,
     now: Millis,
   ): Grant | undefined {
-    const members = this.parts.memberCount();
-    const held = chooseServer({
-      servers: this.servers.values(),
-      needs,
-      admits: server =>
-        this.takesNew(server, now) &&
-        server.hasRoom(needs, members, now) &&
-        (needs !== undefined || server.countOf(claim.owner) < GRANTS_PER_OWNER),
-    });
-    if (held === undefined || !this.isWorth(held, claim, now)) return undefined;
+    const held = this.chooseFor(claim.owner, needs, now);
+    if (held === undefined) return undefined;
+    const {waiting} = this.demand;
+    if (!this.isWorth(held, waiting, claim.waitedMs, now)) return undefined;
     const settings = this.parts.settings();
     const {grantMs} = settings.placement;
     const grant: HeldGrant = {
@@ -177,26 +202,40 @@
     };
   }
 
-  private isWorth(held: HeldServer, claim: Claim, now: Millis): boolean {
-    return isWorthStarting({
-      speed: held.speed.speed,
-      typicalSpeed: this.typicalSpeed,
-      meanRunMs: this.ends.meanRunMs ?? DEFAULT_RUN_MS,
-      waiting: this.demand.waiting,
-      endsPerMs: this.ends.perMs(now),
-      waitedMs: claim.waitedMs,
+  private chooseFor(
+    owner: string | undefined,
+    needs: Resources | undefined,
+    now: Millis,
+  ): HeldServer | undefined {
+    const members = this.parts.memberCount();
+    return chooseServer({
+      servers: this.servers.values(),
+      needs,
+      admits: server =>
+        this.takesNew(server, now) &&
+        server.hasRoom(needs, members, now) &&
+        (server.server.kind === BackendKind.Worker ||
+          owner === undefined ||
+          server.countOf(owner) < GRANTS_PER_OWNER),
     });
   }
 
-  /** Mean speed of the grants in use; that of nothing in use is 0. */
-  private get typicalSpeed(): number {
-    let sum = 0;
-    let count = 0;
-    for (const held of this.servers.values()) {
-      sum += held.speed.speed * held.grants.size;
-      count += held.grants.size;
-    }
-    return count > 0 ? sum / count : 0;
+  /** Whether a start there is better than to wait for a faster server. */
+  private isWorth(
+    held: HeldServer,
+    waiting: number,
+    waitedMs: Millis,
+    now: Millis,
+  ): boolean {
+    return isWorthStarting({
+      speed: held.speed.speed,
+      typicalSpeed: this.pace.typicalSpeed,
+      meanRunMs: this.pace.meanRunMs,
+      waiting,
+      endsPerMs: this.pace.measuredEndsPerMs(now),
+      waitedMs,
+      idleShare: this.pace.idle.share,
+    });
   }
 
   private takesNew(held: HeldServer, now: Millis): boolean {
@@ -212,51 +251,31 @@
     }
   }
 
+  private countFrozen(held: HeldServer, now: Millis): void {
+    const isFrozen = held.isFrozen(this.frozenMs, now);
+    if (isFrozen && !held.wasFrozen) {
+      this.parts.counters.ejected(EjectionReason.Frozen, this.parts.pool);
+    }
+    held.wasFrozen = isFrozen;
+  }
+
   private learn(held: HeldServer, report: GrantReport, now: Millis): void {
     const {end, runMs, expectedMs} = report;
-    if (end === End.Busy) return held.lowerBelief(now);
-    if (end === End.Leaving) {
+    if (end === GrantEnd.Busy) return held.lowerBelief(now);
+    if (end === GrantEnd.Leaving) {
       held.leaving = true;
       return;
     }
-    if (end === End.Done || end === End.Failed) {
+    if (end === GrantEnd.Done || end === GrantEnd.Failed) {
       held.raiseBelief();
-      this.failures.record(end === End.Failed);
-      this.ends.record(runMs, now);
+      this.pace.recordEnd(runMs, now);
     }
-    if (end !== End.Done || runMs === undefined) return;
+    if (end !== GrantEnd.Done || runMs === undefined) return;
     if (expectedMs !== undefined) held.speed.record(runMs, expectedMs);
   }
 
-  private eject(held: HeldServer, reason: EjectionReason, now: Millis): void {
-    const isTasks = reason === EjectionReason.Failed && this.failures.isCommon;
-    const mayLeave = this.countAway(now) + 1 <= this.mostAway;
-    const isProbe = held.health.stateAt(now) === HealthState.Probing;
-    if (!isProbe && (isTasks || !mayLeave)) return;
-    held.health.eject(this.rules, now);
-    this.parts.counters.ejected(reason, this.parts.pool);
-  }
-
-  private countAway(now: Millis): number {
-    let away = 0;
-    for (const held of this.servers.values()) {
-      if (held.health.stateAt(now) !== HealthState.Live) away += 1;
-    }
-    return away;
-  }
-
-  private get mostAway(): number {
-    const {maxShare} = this.rules;
-    return Math.max(Math.floor(this.servers.size * maxShare), 1);
-  }
-
-  private get rules(): EffectiveSettings['ejection'] {
-    return this.parts.settings().ejection;
-  }
-
   private get frozenMs(): Millis {
-    const meanRunMs = this.ends.meanRunMs ?? DEFAULT_RUN_MS;
-    return Math.max(FROZEN_RUNS * meanRunMs, LEAST_FROZEN_MS);
+    return Math.max(FROZEN_RUNS * this.pace.meanRunMs, LEAST_FROZEN_MS);
   }
 }
 
--- a/packages/placement/src/holding/held_server.ts
+++ b/packages/placement/src/holding/held_server.ts
@@ -33,6 +33,8 @@
   readonly unheard: Set<string>;
   /** Set by the server's own answer; the instance list may lag behind it. */
   leaving = false;
+  /** Whether it was frozen when last looked at. */
+  wasFrozen = false;
   private lastEndAt: Millis;
   private limit = Infinity;
   private limitUntil: Millis = 0;
--- a/packages/placement/src/holding/holding.ts
+++ b/packages/placement/src/holding/holding.ts
@@ -9,6 +9,7 @@
   type Grants,
   type Heartbeat,
   type PoolDemand,
+  type Prospect,
   type ServerSummary,
   type Settlement,
 } from '@goldcrestpier/peers';
@@ -142,6 +143,11 @@
       });
   }
 
+  /** What one more task may expect of each held pool, for the heartbeats. */
+  allProspects(now: Millis): Prospect[] {
+    return this.prospects(this.pools.keys(), now);
+  }
+
   /** The held servers, for operators. */
   summarize(now: Millis): ServerSummary[] {
     const holder = this.parts.view.self.incarnation;
@@ -175,8 +181,8 @@
         else pushed.set(owner, [...(pushed.get(owner) ?? []), ...grants]);
       }
     }
-    for (const [owner, grants] of pushed) this.push(owner, {grants}, now);
-    return {grants: answer};
+    for (const [owner, grants] of pushed) this.push(owner, grants, now);
+    return {grants: answer, prospects: this.prospects(pools, now)};
   }
 
   private pushFree(now: Millis): void {
@@ -184,8 +190,18 @@
     this.grant(this.pools.keys(), '', now);
   }
 
-  private push(owner: string, grants: Grants, now: Millis): void {
+  /** What one more task may expect here. */
+  private prospects(pools: Iterable<string>, now: Millis): Prospect[] {
+    return [...pools]
+      .map(name => this.openPool(name))
+      .filter(({servers}) => servers.size > 0)
+      .map(pool => pool.prospect(now));
+  }
+
+  private push(owner: string, list: Grant[], now: Millis): void {
     const {view, peers, counters, deliver, logger} = this.parts;
+    const pools = new Set(list.map(({pool}) => pool));
+    const grants = {grants: list, prospects: this.prospects(pools, now)};
     if (owner === view.self.incarnation) return deliver(grants, now);
     counters.sent(MessageKind.Offer, 1);
     peers.offer(owner, grants).catch(() => {
--- a/packages/placement/src/owner/grant_binding.ts
+++ b/packages/placement/src/owner/grant_binding.ts
@@ -8,7 +8,7 @@
   type Demand,
   type Grant,
   type Grants,
-  type Heartbeat,
+  type Prospect,
   type Settlement,
 } from '@goldcrestpier/peers';
 import {readClock, type Lifecycle, type Millis} from '@goldcrestpier/runtime';
@@ -17,9 +17,13 @@
 import type {Holding} from '../holding/index.js';
 import type {PlacementPeers, PlacementView} from '../view.js';
 import type {Binding, EndedGrant} from './binding.js';
-import {PoolDesk, type Errand} from './pool_desk.js';
+import type {HolderDesk} from './holder_desk.js';
+import {PoolDesk} from './pool_desk.js';
 import type {PoolQueue} from './pool_queue.js';
 
+/** How soon it is looked again whether others would serve sooner. */
+const REVIEW_MS = 5;
+
 /** What binding by grants needs. */
 export interface GrantBindingParts {
   readonly view: PlacementView;
@@ -39,7 +43,6 @@
   private readonly ended = new Map<string, EndedGrant[]>();
   /** The holder of each server. */
   private readonly holders = new Map<string, string>();
-  private readonly spares = new Map<string, Heartbeat['spare']>();
   private flushing: NodeJS.Immediate | undefined;
   private reviewing: NodeJS.Timeout | undefined;
 
@@ -70,8 +73,7 @@
     return 0;
   }
 
-  /** Grants that came from a holder. */
-  take(grants: Grants, now: Millis): void {
+  private take(grants: Grants, now: Millis): void {
     for (const grant of grants.grants) {
       this.desks.get(grant.pool)?.deskOf(grant.holder)?.receive();
       if (this.parts.use(grant, now)) continue;
@@ -95,16 +97,17 @@
     this.flushSoon();
   }
 
-  /** What a peer says it has to spare. */
-  hearSpare(peer: string, spare: Heartbeat['spare']): void {
-    this.spares.set(peer, spare);
+  /** What a task may expect at a holder. */
+  hearProspects(holder: string, prospects: readonly Prospect[]): void {
+    for (const prospect of prospects) {
+      this.desks.get(prospect.pool)?.deskOf(holder)?.hear(prospect);
+    }
   }
 
-  /** Forgets what peers that are gone had to spare. */
-  forgetSpares(seen: ReadonlySet<string>): void {
-    for (const peer of this.spares.keys()) {
-      if (!seen.has(peer)) this.spares.delete(peer);
-    }
+  /** Grants that a holder pushed. */
+  takeOffer(grants: Grants, now: Millis): void {
+    const [first] = grants.grants;
+    if (first !== undefined) this.hear(first.holder, grants, now);
   }
 
   /** The present holder of a grant's server. */
@@ -120,52 +123,42 @@
   }
 
   private flush(now: Millis): void {
+    for (const desk of this.awake) desk.share(now);
     for (const [holder, ended] of this.ended) {
       this.ended.delete(holder);
       void this.sendSettlement(holder, ended, now);
     }
-    for (const desk of this.awake) this.runErrands(desk, now);
-    this.reviewLater();
-  }
-
-  private runErrands(desk: PoolDesk, now: Millis): void {
-    for (;;) {
-      const errand = desk.nextErrand(
-        holder => this.spareOf(holder, desk.queue.pool),
-        now,
-      );
-      if (errand === undefined) break;
-      void this.sendDemand(desk, errand, now);
+    for (const desk of this.awake) {
+      for (const holder of desk.toTell()) {
+        void this.sendDemand(desk, holder, now);
+      }
+      if (!desk.isWaiting) this.awake.delete(desk);
     }
-    if (desk.reviewMs() === undefined) this.awake.delete(desk);
+    this.reviewLater();
   }
 
   /** Looks again while tasks wait: time alone may change whom to ask. */
   private reviewLater(): void {
-    let soonest = Infinity;
-    for (const desk of this.awake) {
-      soonest = Math.min(soonest, desk.reviewMs() ?? Infinity);
-    }
-    if (soonest === Infinity || this.reviewing !== undefined) return;
+    if (this.awake.size === 0 || this.reviewing !== undefined) return;
     this.reviewing = setTimeout(() => {
       this.reviewing = undefined;
       this.flush(readClock());
-    }, soonest);
+    }, REVIEW_MS);
   }
 
   private async sendDemand(
     desk: PoolDesk,
-    errand: Errand,
+    holder: HolderDesk,
     now: Millis,
   ): Promise<void> {
-    const {desk: holder, isWithdrawal} = errand;
     const {view, counters} = this.parts;
+    const isWithdrawal = holder.wanted === 0;
     const pools = [desk.demandFor(holder, now)];
     const message: Demand = {owner: view.self.incarnation, pools};
-    const before = holder.received;
-    holder.tell(desk.queue.waiting, now);
+    holder.told = holder.wanted;
     if (holder.holder === view.self.incarnation) {
-      return this.take(this.parts.holding.demand(message, now), now);
+      const grants = this.parts.holding.demand(message, now);
+      return this.hear(holder.holder, grants, now);
     }
     counters.sent(MessageKind.Demand, 1);
     if (isWithdrawal) {
@@ -179,15 +172,13 @@
     try {
       const grants = await this.parts.peers.demand(holder.holder, message);
       holder.asking = false;
-      this.take(grants, readClock());
+      this.hear(holder.holder, grants, readClock());
     } catch {
       counters.wasted(WasteKind.LostMessage, 1);
       holder.asking = false;
       holder.fail(readClock());
     }
-    if (holder.received > before || desk.queue.waiting > 0) {
-      this.wake(desk.queue);
-    }
+    if (desk.isWaiting) this.wake(desk.queue);
   }
 
   private async sendSettlement(
@@ -203,12 +194,12 @@
       ...(demand.length > 0 ? {demand} : {}),
     };
     if (holder === view.self.incarnation) {
-      return this.take(this.parts.holding.settle(message, now), now);
+      return this.hear(holder, this.parts.holding.settle(message, now), now);
     }
     counters.sent(MessageKind.Settlement, 1);
     try {
       const grants = await this.parts.peers.settle(holder, message);
-      this.take(grants, readClock());
+      this.hear(holder, grants, readClock());
     } catch {
       // The next heartbeats tell the holder which grants are still in use.
       counters.wasted(WasteKind.LostMessage, 1);
@@ -224,14 +215,19 @@
     for (const desk of this.desks.values()) {
       const known = desk.deskOf(holder);
       if (known === undefined || known.asking) continue;
-      if (known.believed === desk.queue.waiting) continue;
-      if (!known.isNear && known.believed === 0) continue;
+      if (known.wanted === known.told) continue;
       riding.push(desk.demandFor(known, now));
-      known.tell(desk.queue.waiting, now);
+      known.told = known.wanted;
     }
     return riding;
   }
 
+  /** Takes a holder's answer: its grants, and how long its queues are. */
+  private hear(holder: string, answer: Grants, now: Millis): void {
+    this.hearProspects(holder, answer.prospects ?? []);
+    this.take(answer, now);
+  }
+
   private deskOf(queue: PoolQueue): PoolDesk {
     const known = this.desks.get(queue.pool);
     if (known !== undefined) return known;
@@ -254,11 +250,6 @@
     }
     return holders;
   }
-
-  private spareOf(holder: string, pool: string): number {
-    const spare = this.spares.get(holder)?.find(each => each.pool === pool);
-    return spare?.free ?? 0;
-  }
 }
 
 function createReturn(grant: Grant): EndedGrant {
--- a/packages/placement/src/owner/holder_desk.ts
+++ b/packages/placement/src/owner/holder_desk.ts
@@ -1,21 +1,27 @@
 /** What this owner and one holder know of each other's business in one pool. */
+import type {Prospect} from '@goldcrestpier/peers';
 import type {Millis} from '@goldcrestpier/runtime';
 
+/** What a holder in another zone has to save, for the way there and back. */
+const TRIP_MS = 5;
 /** A holder that did not answer is asked again after this long. */
 const SILENT_MS = 500;
 
 /** One holder of servers of one pool. */
 export class HolderDesk {
-  /** Tasks that the holder believes to wait here. */
-  believed = 0;
+  /** Waiting tasks that this holder is to find a slot for. */
+  wanted = 0;
+  /** Waiting tasks that it was told of and has not granted. */
+  told = 0;
   /** Grants that came from it. */
   received = 0;
   /** Whether a demand to it is under way. */
   asking = false;
-  /** When it was last told. */
-  toldAt: Millis = -Infinity;
   /** Demands that brought nothing so far. */
   vain = 0;
+  private waitMs: Millis = 0;
+  private everyMs: Millis = 0;
+  private speed = 1;
   private silentUntil: Millis = 0;
 
   constructor(
@@ -23,27 +29,43 @@
     readonly isNear: boolean,
   ) {}
 
+  /** What one more task may expect there. */
+  hear({waitMs, everyMs, speed}: Prospect): void {
+    this.waitMs = waitMs;
+    this.everyMs = everyMs;
+    this.speed = speed;
+  }
+
+  /** When one more task of `runMs` at mean speed would end there. */
+  finishMs(runMs: Millis): Millis {
+    const tripMs = this.isNear ? 0 : TRIP_MS;
+    return this.waitMs + runMs / this.speed + tripMs;
+  }
+
+  /** One more task is wanted of it. */
+  want(): void {
+    this.wanted += 1;
+    // Until the next answer, each task makes the next one wait longer.
+    this.waitMs += this.everyMs;
+  }
+
   /** A grant came. */
   receive(): void {
     this.received += 1;
-    this.believed = Math.max(this.believed - 1, 0);
+    this.wanted = Math.max(this.wanted - 1, 0);
+    this.told = Math.max(this.told - 1, 0);
     this.vain = 0;
   }
 
-  /** It was told that `waiting` tasks wait here. */
-  tell(waiting: number, now: Millis): void {
-    this.believed = waiting;
-    this.toldAt = now;
-  }
-
   /** It did not answer. */
   fail(now: Millis): void {
-    this.believed = 0;
+    this.wanted = 0;
+    this.told = 0;
     this.silentUntil = now + SILENT_MS;
   }
 
-  /** Whether it can be asked. */
-  isOpen(now: Millis): boolean {
-    return !this.asking && now >= this.silentUntil;
+  /** Whether it answers, as far as is known. */
+  isUp(now: Millis): boolean {
+    return now >= this.silentUntil;
   }
 }
--- a/packages/placement/src/owner/owner.ts
+++ b/packages/placement/src/owner/owner.ts
@@ -3,7 +3,7 @@
  * when a grant is there, and gets its final answer once.
  */
 import type {RunnerClient, WorkerClient} from '@goldcrestpier/backends';
-import type {Grant, Grants, Heartbeat} from '@goldcrestpier/peers';
+import type {Grant, Grants, Heartbeat, Prospect} from '@goldcrestpier/peers';
 import {
   createFailure,
   FailureCode,
@@ -153,7 +153,7 @@
 
   /** Takes grants for waiting tasks; those that none waits for go back. */
   takeGrants(grants: Grants, now: Millis): void {
-    this.grants.take(grants, now);
+    this.grants.takeOffer(grants, now);
   }
 
   /** The grants in use of servers that `holder` holds now. */
@@ -166,17 +166,14 @@
     return inUse;
   }
 
-  /** What a peer's heartbeat says it has to spare. */
-  hearSpare(peer: string, spare: Heartbeat['spare']): void {
-    this.grants.hearSpare(peer, spare);
+  /** What a task may expect at a peer, as its heartbeat says. */
+  hearProspects(peer: string, prospects: readonly Prospect[]): void {
+    this.grants.hearProspects(peer, prospects);
   }
 
   /** Takes up what members, servers and settings are now. */
   refresh(now: Millis): void {
     this.needs.refresh();
-    this.grants.forgetSpares(
-      new Set(this.parts.view.members().map(({incarnation}) => incarnation)),
-    );
     this.grants.refresh();
     for (const queue of this.queues.values()) {
       if (queue.waiting > 0) this.bindingOf(queue.pool).wake(queue, now);
--- a/packages/placement/src/owner/pool_desk.ts
+++ b/packages/placement/src/owner/pool_desk.ts
@@ -1,7 +1,7 @@
 /**
- * Which holders of one pool are asked, and when. The own zone's come first.
- * A holder that had nothing keeps the demand, and grants when a slot comes
- * free; later changes ride on settlements wherever one goes there anyway.
+ * Which holder finds a slot for which part of a queue. Each waiting task is
+ * wanted from one holder at a time, the one where it waits least: asked of
+ * several, it would bring grants that have to go back.
  */
 import type {PoolDemand} from '@goldcrestpier/peers';
 import type {Millis} from '@goldcrestpier/runtime';
@@ -9,21 +9,18 @@
 import {HolderDesk} from './holder_desk.js';
 import type {PoolQueue} from './pool_queue.js';
 
-/** A task that waited this long is worth asking in other zones for. */
-const SPREAD_MS = 5;
-/** A holder with a standing demand hears of more tasks after this long. */
-const UPDATE_MS = 25;
+/** Moving a task has to save at least this much. */
+const LEAST_SAVED_MS = 30;
+/** A task that waited this long may be wanted from another holder instead. */
+const REBALANCE_MS = 20;
+/** A better holder that has not answered for this long is not waited for. */
+const PATIENCE_MS = 20;
 /** Tasks whose needs are told to a holder. */
 const MOST_NEEDS = 16;
 
-/** One holder to be told, and why. */
-export interface Errand {
-  readonly desk: HolderDesk;
-  readonly isWithdrawal: boolean;
-}
-
 /** Asks the holders of one pool. */
 export class PoolDesk {
+  private rebalancedAt: Millis = 0;
   private readonly desks = new Map<string, HolderDesk>();
 
   constructor(
@@ -47,91 +44,90 @@
     return this.desks.get(holder);
   }
 
-  /** The next holder to be told something; undefined when all is said. */
-  nextErrand(
-    spareOf: (holder: string) => number,
-    now: Millis,
-  ): Errand | undefined {
-    const desks = [...this.desks.values()];
-    const waiting = this.queue.waiting;
-    if (waiting === 0) return withdraw(desks, now);
-    const near = desks.filter(desk => desk.isNear);
-    // One question at a time: its answer may make the next one needless.
-    if (near.some(desk => desk.asking)) {
-      // ...unless it takes its time: it may be frozen or cut off.
-      return this.hasWaited(now) ? this.spread(desks, spareOf, now) : undefined;
-    }
-    const unaware = near.find(desk => desk.isOpen(now) && desk.believed === 0);
-    if (unaware !== undefined) return ask(unaware);
-    return this.spread(desks, spareOf, now) ?? this.update(desks, now);
+  /** Shares the waiting tasks out between the holders. */
+  share(now: Millis): void {
+    let wanted = 0;
+    for (const desk of this.desks.values()) wanted += desk.wanted;
+    const missing = this.queue.waiting - wanted;
+    if (missing < 0) return this.takeBack(-missing);
+    if (missing === 0) return this.rebalance(now);
+    for (let i = 0; i < missing; i += 1) this.soonest(now)?.want();
+  }
+
+  /** Holders that should be told, each of which is open to a message. */
+  toTell(): HolderDesk[] {
+    return [...this.desks.values()].filter(
+      desk => !desk.asking && desk.wanted > desk.told,
+    );
   }
 
-  /** How long until `nextErrand` may have something new. */
-  reviewMs(): Millis | undefined {
-    return this.queue.waiting > 0 ? SPREAD_MS : undefined;
+  /** Whether time alone may change what is wanted of whom. */
+  get isWaiting(): boolean {
+    return this.queue.waiting > 0;
   }
 
   /** The demand as one holder is told of it. */
   demandFor(desk: HolderDesk, now: Millis): PoolDemand {
     const {queue} = this.queue;
-    const teams = [...queue.waitingTeams].map(team => ({
-      team,
-      waiting: queue.sizeOf(team),
-      oldestMs: this.queue.oldestOf(team, now),
-    }));
+    let passed = 0;
+    let given = 0;
+    const teams = [];
+    for (const team of queue.waitingTeams) {
+      passed += queue.sizeOf(team);
+      // Each team's part in proportion, rounded so that the sum is right.
+      const due = Math.round((passed * desk.wanted) / queue.size);
+      const waiting = due - given;
+      given = due;
+      if (waiting === 0) continue;
+      const oldestMs = this.queue.oldestOf(team, now);
+      teams.push({team, waiting, oldestMs});
+    }
     return {
       pool: this.queue.pool,
       teams,
-      needs: this.needsOf(this.queue, MOST_NEEDS),
+      needs: this.needsOf(this.queue, Math.min(desk.wanted, MOST_NEEDS)),
       received: desk.received,
     };
   }
 
-  private spread(
-    desks: readonly HolderDesk[],
-    spareOf: (holder: string) => number,
-    now: Millis,
-  ): Errand | undefined {
-    const far = desks.filter(desk => !desk.isNear);
-    if (far.some(desk => desk.asking)) return undefined;
-    const unaware = far.filter(desk => desk.isOpen(now) && desk.believed === 0);
-    if (unaware.length === 0) return undefined;
-    const isAlone = !desks.some(desk => desk.isNear && desk.isOpen(now));
-    const [best] = unaware.sort(
-      (a, b) => spareOf(b.holder) - spareOf(a.holder),
-    );
-    if (best === undefined) return undefined;
-    const isWorth = this.hasWaited(now) || isAlone || spareOf(best.holder) > 0;
-    return isWorth ? ask(best) : undefined;
+  /** The holder where one more task would end first. */
+  private soonest(now: Millis): HolderDesk | undefined {
+    const isLate = this.queue.oldestMs(now) >= PATIENCE_MS;
+    let best: HolderDesk | undefined;
+    let bestMs = Infinity;
+    for (const desk of this.desks.values()) {
+      if (!desk.isUp(now) || (desk.asking && isLate)) continue;
+      const finishMs = desk.finishMs(this.queue.meanRunMs);
+      if (finishMs >= bestMs) continue;
+      best = desk;
+      bestMs = finishMs;
+    }
+    return best;
   }
 
-  private hasWaited(now: Millis): boolean {
-    return this.queue.oldestMs(now) >= SPREAD_MS;
+  /** Moves a task that waited long to a holder where it would end sooner. */
+  private rebalance(now: Millis): void {
+    if (this.queue.oldestMs(now) < REBALANCE_MS) return;
+    if (now - this.rebalancedAt < REBALANCE_MS) return;
+    this.rebalancedAt = now;
+    const best = this.soonest(now);
+    if (best === undefined || best.asking) return;
+    const bestMs = best.finishMs(this.queue.meanRunMs);
+    for (const desk of this.desks.values()) {
+      if (desk === best || desk.wanted === 0) continue;
+      const savedMs = desk.finishMs(this.queue.meanRunMs) - bestMs;
+      if (savedMs < LEAST_SAVED_MS) continue;
+      desk.wanted -= 1;
+      best.want();
+    }
   }
 
-  private update(
-    desks: readonly HolderDesk[],
-    now: Millis,
-  ): Errand | undefined {
-    const stale = desks.find(
-      desk =>
-        desk.isOpen(now) &&
-        desk.believed > 0 &&
-        desk.believed < this.queue.waiting &&
-        now - desk.toldAt >= UPDATE_MS,
-    );
-    return stale === undefined ? undefined : ask(stale);
+  private takeBack(surplus: number): void {
+    let left = surplus;
+    for (const desk of this.desks.values()) {
+      const taken = Math.min(desk.wanted, left);
+      desk.wanted -= taken;
+      left -= taken;
+    }
   }
 }
-
-function ask(desk: HolderDesk): Errand {
-  return {desk, isWithdrawal: false};
-}
-
-function withdraw(
-  desks: readonly HolderDesk[],
-  now: Millis,
-): Errand | undefined {
-  const aware = desks.find(desk => desk.isOpen(now) && desk.believed > 0);
-  return aware === undefined ? undefined : {desk: aware, isWithdrawal: true};
-}
--- a/packages/placement/src/owner/pool_queue.ts
+++ b/packages/placement/src/owner/pool_queue.ts
@@ -11,6 +11,9 @@
 
 /** Every start is charged alike: run times are not known beforehand. */
 const START_COST = 1;
+const DEFAULT_RUN_MS = 300;
+/** Runs that count for the mean run time. */
+const RUNS_WINDOW = 500;
 
 /** The queue of one pool. */
 export class PoolQueue {
@@ -21,6 +24,8 @@
   /** Tasks of each team that wait or run. */
   private readonly teamTasks = new Map<string, number>();
   private open = 0;
+  private runs = 0;
+  private runMs = DEFAULT_RUN_MS;
 
   constructor(readonly pool: string) {}
 
@@ -47,6 +52,17 @@
     }));
   }
 
+  /** Mean run time of the pool's tasks on a server of mean speed. */
+  get meanRunMs(): Millis {
+    return this.runMs;
+  }
+
+  /** Learns from one run. */
+  recordRun(runMs: Millis): void {
+    this.runs = Math.min(this.runs + 1, RUNS_WINDOW);
+    this.runMs += (runMs - this.runMs) / this.runs;
+  }
+
   /** Takes a new task in. */
   add(record: TaskRecord, now: Millis): void {
     const {team} = record.task;
--- a/packages/placement/src/owner/starts.ts
+++ b/packages/placement/src/owner/starts.ts
@@ -106,7 +106,7 @@
     record.running.delete(start);
     this.underWay.delete(start);
     this.hedges.forget(start);
-    this.settle(record, start, outcome, now);
+    this.settle(queue, record, start, outcome, now);
     this.countWaste(outcome);
     if (provesNotRun(outcome)) record.starts -= 1;
     if (record.state !== RecordState.Ended) {
@@ -142,6 +142,7 @@
   }
 
   private settle(
+    queue: PoolQueue,
     {task, pool}: TaskRecord,
     {grant, startedAt}: RunningStart,
     outcome: StartOutcome,
@@ -154,6 +155,7 @@
     const runMs = 'runMs' in outcome ? outcome.runMs : undefined;
     if (outcome.kind === StartKind.Done) {
       estimates.record(kind, task.declaredMs, outcome.runMs);
+      queue.recordRun(outcome.runMs);
       const {usage} = outcome;
       if (usage !== undefined) {
         learned.record(kind, usage.processors, usage.memoryMb);
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -58,7 +58,7 @@
   heartbeatParts(
     peer: string,
     now: Millis,
-  ): Pick<Heartbeat, 'grantsInUse' | 'spare'>;
+  ): Pick<Heartbeat, 'grantsInUse' | 'spare' | 'prospects'>;
   /** A heartbeat arrived, or an answer to one. */
   hearHeartbeat(message: Heartbeat, now: Millis): void;
   /** The servers that this instance holds. */
@@ -94,11 +94,12 @@
     heartbeatParts: (peer, now) => ({
       grantsInUse: owner.grantsInUse(peer),
       spare: holding.spare(now),
+      prospects: holding.allProspects(now),
     }),
     hearHeartbeat: (message, now) => {
       const peer = message.from.incarnation;
       holding.learnInUse(peer, message.grantsInUse, now);
-      owner.hearSpare(peer, message.spare);
+      owner.hearProspects(peer, message.prospects ?? []);
     },
     servers: now => holding.summarize(now),
   };
