--- a/packages/backends/src/exchange/server_pools.ts
+++ b/packages/backends/src/exchange/server_pools.ts
@@ -12,14 +12,14 @@
 const KEEP_ALIVE_MS = 1_000;
 /** A pool without requests for this long is closed. */
 const POOL_IDLE_MS = 60_000;
-const DEFAULT_CONNECTIONS = 7;
+const DEFAULT_CONNECTIONS = 8;
 const DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 /** Bounds on the connections to backend servers. */
 export interface ConnectionBounds {
   /** Closes all connections when it closes. */
   readonly lifecycle: Lifecycle;
-  /** Connections to one server; 7 unless said. */
+  /** Connections to one server; 8 unless said. */
   readonly connections?: number;
   /** Longest answer that is read, in bytes; 8 MiB unless said. */
   readonly maxAnswerBytes?: number;
--- a/packages/placement/src/holding/held_pool.ts
+++ b/packages/placement/src/holding/held_pool.ts
@@ -20,8 +20,8 @@
 const FROZEN_RUNS = 8;
 /** ...but not before this. */
 const LEAST_FROZEN_MS = 1_500;
-/** One entry instance opens no more connections to a runner than this. */
-const GRANTS_PER_OWNER = 7;
+/** Connections of a runner that the entry instances share between them. */
+const RUNNER_CONNECTIONS = 56;
 const LONGEST_WAIT_MS = 60_000;
 /** To see whether a worker has any room at all. */
 const SMALLEST_NEEDS: Resources = {
@@ -207,7 +207,8 @@
     needs: Resources | undefined,
     now: Millis,
   ): HeldServer | undefined {
-    const members = this.parts.memberCount();
+    const members = Math.max(this.parts.memberCount(), 1);
+    const mostOfOwner = Math.max(Math.floor(RUNNER_CONNECTIONS / members), 1);
     return chooseServer({
       servers: this.servers.values(),
       needs,
@@ -216,7 +217,7 @@
         server.hasRoom(needs, members, now) &&
         (server.server.kind === BackendKind.Worker ||
           owner === undefined ||
-          server.countOf(owner) < GRANTS_PER_OWNER),
+          server.countOf(owner) < mostOfOwner),
     });
   }
 
