Fit the operators' calls to the tree of settings and its edits

Cause: the calls were written before the tree; their paths, keys and edits had shapes of their own.

What: edits, revisions and nodes are now the tree's own. The operators' package turns the store and the applied tree into its operations: what each value in force comes from, and what changed between two revisions, summed up from the history. goldcrestpierctl shows a lost race from the newer edits that come with the conflict, in one call less, and writes the whole tree as TOML, whose revision guards the later apply.

--- a/packages/ctl/src/commands/edits.ts
+++ b/packages/ctl/src/commands/edits.ts
@@ -1,16 +1,18 @@
 /** Commands that change the settings. */
-import {randomUUID} from 'node:crypto';
 import {
-  ChangeKind,
   editAnswerSchema,
-  settingsDiffSchema,
   settingsViewSchema,
   type EditAnswer,
   type EditRequest,
-  type SettingsChange,
   type SettingsView,
 } from '@goldcrestpier/operators';
-import {FailureCode} from '@goldcrestpier/protocol';
+import {FailureCode, type SettingsChange} from '@goldcrestpier/protocol';
+import {
+  applyEdits,
+  createEditId,
+  diffNodes,
+  type SettingsEdit,
+} from '@goldcrestpier/settings';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {CallResult, OperatorsCalls} from '../calls/index.js';
 import {
@@ -18,8 +20,8 @@
   ProblemKind,
   type CtlProblem,
 } from '../failures/index.js';
+import {renderChanges} from '../output/index.js';
 import type {Command, CommandResult} from './command.js';
-import {listDifferences} from './differences.js';
 
 const MAX_COPIES = 3;
 
@@ -32,66 +34,81 @@
 }
 
 /**
- * Makes one change. Without `--revision` it is made on the tree as it is read
- * here, so that an edit which races this one is seen and never overwritten.
+ * Makes one edit. Without `--revision` and without a revision in the file
+ * (`fileRevision`) it is made on the tree as it is read here, so that an edit
+ * which races this one is seen and never overwritten.
  */
-export function createEdit(change: SettingsChange, flags: EditFlags): Command {
+export function createEdit(
+  edit: SettingsEdit,
+  flags: EditFlags,
+  fileRevision?: number,
+): Command {
   return async calls => {
     const named = readRevision(flags.revision);
     if (named.isErr()) return named;
     const base = await calls.call('GET', 'settings', settingsViewSchema);
     if (base.isErr()) return base;
     const request: EditRequest = {
-      id: randomUUID(),
+      editId: createEditId(),
       by: flags.by,
-      expectedRevision: named.value ?? base.value.revision,
-      changes: [change],
+      expectedRevision: named.value ?? fileRevision ?? base.value.revision,
+      edits: [edit],
     };
-    return edit(calls, request, change, base.value);
+    return makeEdit(calls, request, base.value);
   };
 }
 
-async function edit(
+async function makeEdit(
   calls: OperatorsCalls,
   request: EditRequest,
-  change: SettingsChange,
   base: SettingsView,
 ): CommandResult {
   const answer = await sendEdit(calls, request);
-  if (answer.isOk()) {
-    const {revision} = answer.value;
-    return Ok({data: answer.value, text: `written as revision ${revision}`});
-  }
-  const problem = answer.error;
-  if (
-    problem.kind !== ProblemKind.Refused ||
-    problem.failure.code !== FailureCode.SettingsConflict
-  ) {
-    return answer;
-  }
-  const from = String(request.expectedRevision);
-  const theirs = await calls.call('GET', 'settings/diff', settingsDiffSchema, {
-    query: {from},
-  });
-  return Err({
-    kind: ProblemKind.Conflict,
-    failure: problem.failure,
-    mine: listDifferences(change, base),
-    theirs: theirs.isOk() ? theirs.value.differences : undefined,
-  });
+  if (answer.isErr()) return Err(explainConflict(answer.error, request, base));
+  const {revision, changes} = answer.value;
+  const written =
+    changes.length === 0
+      ? `nothing to change at revision ${revision}`
+      : `written as revision ${revision}\n${renderChanges(changes)}`;
+  return Ok({data: answer.value, text: written});
+}
+
+/** Adds both sides' changes to a lost race. */
+function explainConflict(
+  problem: CtlProblem,
+  request: EditRequest,
+  base: SettingsView,
+): CtlProblem {
+  if (problem.kind !== ProblemKind.Refused) return problem;
+  const {failure} = problem;
+  if (failure.code !== FailureCode.SettingsConflict) return problem;
+  const mine = listChanges(request, base);
+  const theirs = failure.newer ?? [];
+  return {kind: ProblemKind.Conflict, failure, mine, theirs};
+}
+
+/** What the edit would have changed in the tree `base`. */
+function listChanges(
+  request: EditRequest,
+  base: SettingsView,
+): readonly SettingsChange[] {
+  const before = new Map(Object.entries(base.nodes));
+  return applyEdits(before, request.edits)
+    .map(after => diffNodes(before, after))
+    .unwrapOr([]);
 }
 
 /** A lost answer is asked for again: the edit's own id makes it one edit. */
 async function sendEdit(
   calls: OperatorsCalls,
-  request: EditRequest,
+  body: EditRequest,
 ): CallResult<EditAnswer> {
   for (let copy = 1; ; copy += 1) {
     const answer = await calls.call(
       'POST',
       'settings/edits',
       editAnswerSchema,
-      {body: request},
+      {body},
     );
     const lost =
       answer.isErr() &&
@@ -115,19 +132,3 @@
     ),
   );
 }
-
-/** `settings set NODE KEY VALUE`; VALUE is JSON, or else text. */
-export function readValue(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return text;
-  }
-}
-
-/** The change of `settings apply`. */
-export function createApplyChange(
-  document: Record<string, unknown>,
-): SettingsChange {
-  return {kind: ChangeKind.Apply, document};
-}
--- a/packages/ctl/src/failures/problem.ts
+++ b/packages/ctl/src/failures/problem.ts
@@ -1,6 +1,10 @@
 /** Why a command did not succeed. */
-import type {SettingsDifference} from '@goldcrestpier/operators';
-import type {Failure, Problem} from '@goldcrestpier/protocol';
+import type {
+  Failure,
+  Problem,
+  SettingsChange,
+  SettingsRevision,
+} from '@goldcrestpier/protocol';
 
 /** Why a command did not succeed. */
 export enum ProblemKind {
@@ -29,9 +33,9 @@
       readonly kind: ProblemKind.Conflict;
       readonly failure: Failure;
       /** What this edit wanted to change. */
-      readonly mine: readonly SettingsDifference[];
-      /** What others changed; undefined when it could not be read. */
-      readonly theirs: readonly SettingsDifference[] | undefined;
+      readonly mine: readonly SettingsChange[];
+      /** The edits that came before, newest first. */
+      readonly theirs: readonly SettingsRevision[];
     };
 
 /** A wrong command line, file or environment. */
--- a/packages/ctl/src/output/problems.ts
+++ b/packages/ctl/src/output/problems.ts
@@ -1,7 +1,7 @@
 /** Problems as people and as programs read them. */
-import type {Failure} from '@goldcrestpier/protocol';
+import type {Failure, SettingsRevision} from '@goldcrestpier/protocol';
 import {ProblemKind, type CtlProblem} from '../failures/index.js';
-import {renderDifferences} from './values.js';
+import {renderChanges} from './values.js';
 
 /** A problem for people: what, where, found, expected, and what to do. */
 export function renderProblem(problem: CtlProblem): string {
@@ -22,12 +22,8 @@
       return [
         renderFailure(problem.failure),
         'mine (not written):',
-        renderDifferences(problem.mine),
-        '',
-        'theirs (in force):',
-        problem.theirs === undefined
-          ? '(could not be read; see "goldcrestpierctl settings history")'
-          : renderDifferences(problem.theirs),
+        renderChanges(problem.mine),
+        ...problem.theirs.map(renderTheirs),
         '',
       ].join('\n');
   }
@@ -42,6 +38,12 @@
   return `error: ${title} (${code})\n  ${message}\nhint: ${hint}\n`;
 }
 
+function renderTheirs(edit: SettingsRevision): string {
+  const {revision, by, at, changes, omitted} = edit;
+  const table = renderChanges(changes, omitted);
+  return `\ntheirs (revision ${revision}, by ${by}, ${at}):\n${table}`;
+}
+
 function renderUnreachable(
   instance: string,
   reason: string,
--- a/packages/ctl/src/output/values.ts
+++ b/packages/ctl/src/output/values.ts
@@ -1,5 +1,5 @@
 /** Settings' values and times as people read them. */
-import type {SettingsDifference} from '@goldcrestpier/operators';
+import type {SettingsChange} from '@goldcrestpier/protocol';
 import {renderTable} from './table.js';
 
 const MILLIS_PER_SECOND = 1_000;
@@ -24,29 +24,26 @@
   return value === undefined ? NOT_SET : JSON.stringify(value);
 }
 
-/** A node's path; the root's own path is empty. */
-export function formatNode(path: string): string {
-  return path === '' ? '/' : path;
-}
-
 /** A duration in milliseconds as seconds. */
 export function formatSeconds(milliseconds: number): string {
   return `${(milliseconds / MILLIS_PER_SECOND).toFixed(1)} s`;
 }
 
-/** What changed, as a table. */
-export function renderDifferences(
-  differences: readonly SettingsDifference[],
+/** What changed, as a table; `omitted` changes are not listed. */
+export function renderChanges(
+  changes: readonly SettingsChange[],
+  omitted = 0,
 ): string {
-  return renderTable(
+  const table = renderTable(
     ['NODE', 'KEY', 'BEFORE', 'AFTER'],
-    differences.map(({node, key, before, after}) => [
-      formatNode(node),
+    changes.map(({node, key, before, after}) => [
+      node,
       key,
       formatValue(before),
       formatValue(after),
     ]),
   );
+  return omitted === 0 ? table : `${table}\n(and ${omitted} more)`;
 }
 
 function isTable(value: unknown): value is Record<string, unknown> {
--- a/packages/ctl/src/program/commands.ts
+++ b/packages/ctl/src/program/commands.ts
@@ -1,10 +1,14 @@
 /** The command line: commands, arguments and options, on sade. */
-import {ChangeKind} from '@goldcrestpier/operators';
-import {Ok, type Result} from 'ts-results-es';
+import {
+  EditKind,
+  NodeKind,
+  parseSettingValue,
+  type SettingsEdit,
+} from '@goldcrestpier/settings';
+import {Err, Ok, type Result} from 'ts-results-es';
 import sade, {type Sade} from 'sade';
 import {
   cancelJob,
-  createApplyChange,
   createEdit,
   drain,
   getDiff,
@@ -15,12 +19,10 @@
   listJobs,
   listServers,
   readDocument,
-  readNode,
-  readValue,
   showJob,
   type Command,
 } from '../commands/index.js';
-import type {CtlProblem} from '../failures/index.js';
+import {createUsageProblem, type CtlProblem} from '../failures/index.js';
 import type {CtlFlags} from './flags.js';
 
 const PROGRAM = 'goldcrestpierctl';
@@ -52,14 +54,15 @@
     .describe(
       'Show what each node sets itself. Or only one node. The root is "/"',
     )
-    .example('settings get billing/quotes')
+    .option('--toml', 'Print the document that "settings apply" reads')
+    .example('settings get /billing/quotes')
     .action((node: string | undefined, flags: CtlFlags) =>
-      choose(flags, calls => getSettings(calls, node)),
+      choose(flags, calls => getSettings(calls, node, flags.toml)),
     );
   line
     .command('settings effective <node>')
     .describe('Show every setting in force at a node and where it comes from')
-    .example('settings effective billing/quotes')
+    .example('settings effective /billing/quotes')
     .action((node: string, flags: CtlFlags) =>
       choose(flags, calls => getEffective(calls, node)),
     );
@@ -81,39 +84,66 @@
 
 function addSettingsEdits(line: Sade): void {
   addEdit(line, 'settings set <node> <key> <value>')
-    .describe('Set one key of a node. VALUE is JSON, or else text')
-    .example('settings set billing/quotes retry.maxStarts 2')
-    .action((node: string, key: string, value: string, flags: CtlFlags) => {
-      const kind = ChangeKind.Set as const;
-      const target = {node: readNode(node), key, value: readValue(value)};
-      return choose(flags, createEdit({kind, ...target}, flags));
+    .describe('Set one key of a node. VALUE is TOML, or else text')
+    .example('settings set /billing/quotes retry.max_starts 2')
+    .action((node: string, key: string, text: string, flags: CtlFlags) => {
+      const value = parseSettingValue(text);
+      return edit({kind: EditKind.Set, node, key, value}, flags);
     });
   addEdit(line, 'settings unset <node> <key>')
     .describe('Let a node take one key from its parent again')
-    .example('settings unset billing/quotes retry.maxStarts')
-    .action((node: string, key: string, flags: CtlFlags) => {
-      const kind = ChangeKind.Unset as const;
-      const target = {node: readNode(node), key};
-      return choose(flags, createEdit({kind, ...target}, flags));
-    });
+    .example('settings unset /billing/quotes retry.max_starts')
+    .action((node: string, key: string, flags: CtlFlags) =>
+      edit({kind: EditKind.Unset, node, key}, flags),
+    );
+  addEdit(line, 'settings add <node> <kind>')
+    .describe('Add a node. KIND is group, service or workers')
+    .example('settings add /billing/quotes service')
+    .action((node: string, kind: string, flags: CtlFlags) => ({
+      command: readNodeKind(kind).map(nodeKind =>
+        createEdit({kind: EditKind.AddNode, node, nodeKind}, flags),
+      ),
+      flags,
+    }));
   addEdit(line, 'settings remove <node>')
     .describe('Remove a node with all nodes below it')
-    .example('settings remove billing/old')
-    .action((node: string, flags: CtlFlags) => {
-      const kind = ChangeKind.Remove as const;
-      return choose(flags, createEdit({kind, node: readNode(node)}, flags));
-    });
+    .example('settings remove /billing/old')
+    .action((node: string, flags: CtlFlags) =>
+      edit({kind: EditKind.RemoveNode, node}, flags),
+    );
   addEdit(line, 'settings apply <file>')
     .describe('Make the whole tree equal to a TOML file')
-    .example('settings apply tree.toml --revision 41')
+    .example('settings apply tree.toml')
     .action((file: string, flags: CtlFlags) => ({
-      command: readDocument(file).map(document =>
-        createEdit(createApplyChange(document), flags),
-      ),
+      command: readDocument(file).map(document => {
+        const nodes = Object.fromEntries(document.nodes);
+        const change = {kind: EditKind.Apply, nodes} as const;
+        return createEdit(change, flags, document.revision);
+      }),
       flags,
     }));
 }
 
+function edit(change: SettingsEdit, flags: CtlFlags): ChosenCommand {
+  return choose(flags, createEdit(change, flags));
+}
+
+function readNodeKind(text: string): Result<NodeKind, CtlProblem> {
+  if (isNodeKind(text)) return Ok(text);
+  return Err(
+    createUsageProblem(
+      'KIND',
+      JSON.stringify(text),
+      `expected ${Object.values(NodeKind).join(', ')}`,
+      'A group holds other nodes; a service is named by its node.',
+    ),
+  );
+}
+
+function isNodeKind(text: string): text is NodeKind {
+  return Object.values<string>(NodeKind).includes(text);
+}
+
 function addEdit(line: Sade, usage: string): Sade {
   return line
     .command(usage)
--- a/packages/ctl/src/program/flags.ts
+++ b/packages/ctl/src/program/flags.ts
@@ -6,6 +6,7 @@
 /** The options of all commands, as given. */
 export interface CtlFlags extends TargetFlags {
   readonly json: boolean;
+  readonly toml: boolean;
   readonly by: string;
   readonly revision?: string;
   readonly limit?: string;
--- a/packages/ctl/src/program/program.ts
+++ b/packages/ctl/src/program/program.ts
@@ -34,7 +34,7 @@
 function parseLazily({argv, env}: CtlProcess) {
   return createCommandLine().parse(argv, {
     lazy: true,
-    boolean: ['json'],
+    boolean: ['json', 'toml'],
     string: [...TEXT_OPTIONS],
     default: {by: readUserName(env)},
     unknown: option => `Unknown option: ${option}`,
--- a/packages/ctl/test/ctl.test.ts
+++ b/packages/ctl/test/ctl.test.ts
@@ -3,7 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {after, before, beforeEach, describe, test} from 'node:test';
-import {ChangeKind} from '@goldcrestpier/operators';
+import {EditKind} from '@goldcrestpier/settings';
 import {openSnapshots} from '@goldcrestpier/testing';
 import {ExitCode} from '../src/index.js';
 import {FakeInstance, JOB, TOKEN} from './fake_instance.js';
@@ -55,16 +55,17 @@
   ['jobs list --help', ExitCode.Success],
   ['--version', ExitCode.Success],
   ['settings get', ExitCode.Success],
-  ['settings get billing/quotes --json', ExitCode.Success],
-  ['settings get nowhere', ExitCode.NotFound],
-  ['settings effective billing/quotes', ExitCode.Success],
+  ['settings get --toml', ExitCode.Success],
+  ['settings get /billing/quotes --json', ExitCode.Success],
+  ['settings get /nowhere', ExitCode.NotFound],
+  ['settings effective /billing/quotes', ExitCode.Success],
   ['settings history', ExitCode.Success],
   ['settings history --limit none', ExitCode.Invalid],
-  ['settings set billing/quotes retry.maxStarts two', ExitCode.Invalid],
-  [
-    'settings set billing/quotes retry.maxStarts 2 --revision x',
-    ExitCode.Usage,
-  ],
+  ['settings diff 9', ExitCode.Invalid],
+  ['settings set /billing/quotes retry.max_starts two', ExitCode.Invalid],
+  ['settings set /billing/quotes retry.colour 2', ExitCode.Invalid],
+  ['settings set / retry.max_starts 2 --revision x', ExitCode.Usage],
+  ['settings add /billing/tags runner', ExitCode.Usage],
   ['settings apply missing.toml', ExitCode.Usage],
   ['jobs list', ExitCode.Partial],
   ['jobs list --team billing --json', ExitCode.Partial],
@@ -117,34 +118,29 @@
   match('a wrong token', ended);
 });
 
-test('an edit is written and shows in the difference', async () => {
-  const set = await ctl('settings set / retry.maxStarts 2 --by lucia');
-  assert.deepEqual(set, {
-    exitCode: ExitCode.Success,
-    stdout: 'written as revision 1\n',
-    stderr: '',
-  });
-  assert.deepEqual(instance.editors, ['setup', 'lucia']);
-  match('a difference', await ctl('settings diff 0'));
-  await ctl('settings unset billing/quotes queue.maxWaiting');
-  await ctl('settings remove billing/quotes');
-  assert.deepEqual(instance.trees.at(-1), {'': {'retry.maxStarts': 2}});
+test('edits are written, show in the difference and name their author', async () => {
+  const set = await ctl('settings set / retry.max_starts 2 --by lucia');
+  match('a written edit', set);
+  assert.equal(set.exitCode, ExitCode.Success);
+  await ctl('settings unset /billing/quotes fairness.quotas.clerks');
+  await ctl('settings add /billing/tags service');
+  await ctl('settings remove /billing/quotes');
+  match('a difference', await ctl('settings diff 1'));
+  match('a history', await ctl('settings history --limit 2'));
+  const authors = instance.settings.edits.map(({by}) => by);
+  assert.deepEqual(authors, ['rosa', 'rosa', 'rosa', 'lucia', 'setup']);
 });
 
 test('a race is lost with both changes shown', async () => {
-  instance.beforeEdit = () =>
-    instance.write('turi', {
-      kind: ChangeKind.Set,
-      node: '',
-      key: 'retry.maxStarts',
-      value: 5,
-    });
-  const ended = await ctl('settings set / retry.maxStarts 2');
+  const key = 'retry.max_starts';
+  instance.settings.beforeEdit = () =>
+    instance.write('turi', [{kind: EditKind.Set, node: '/', key, value: 5}]);
+  const ended = await ctl('settings set / retry.max_starts 2');
   assert.equal(ended.exitCode, ExitCode.Conflict);
   match('a lost race', ended);
-  assert.equal(instance.trees.at(-1)?.['']?.['retry.maxStarts'], 5);
+  assert.equal(instance.settings.tree.forRoot().retry.maxStarts, 5);
   const json = await ctl(
-    'settings set / retry.maxStarts 2 --revision 0 --json',
+    'settings set / retry.max_starts 2 --revision 1 --json',
   );
   assert.equal(json.exitCode, ExitCode.Conflict);
   match('a lost race as JSON', json);
@@ -152,24 +148,25 @@
 
 test('a lost answer to an edit is found again by the id of the edit', async () => {
   instance.losesAnswer = true;
-  const ended = await ctl('settings set / retry.maxStarts 2');
-  assert.equal(ended.stdout, 'written as revision 1\n');
-  assert.equal(instance.trees.length, 2);
+  const ended = await ctl('settings set / retry.max_starts 2');
+  assert.match(ended.stdout, /^written as revision 2\n/);
+  assert.equal(instance.settings.edits.length, 2);
 });
 
-test('a whole tree is applied from a file, and a broken one is not', async () => {
-  const good = writeFile(
-    'good.toml',
-    '["billing/quotes".queue]\nmaxWaiting = 9',
-  );
-  assert.equal(
-    (await ctl(`settings apply ${good}`)).exitCode,
-    ExitCode.Success,
-  );
-  assert.deepEqual(instance.trees.at(-1), {
-    'billing/quotes': {queue: {maxWaiting: 9}},
-  });
-  const bad = writeFile('bad.toml', 'queue = \n');
-  match('a broken file', await ctl(`settings apply ${bad}`));
-  match('a file that lost', await ctl(`settings apply ${good} --revision 0`));
+test('a tree is written to a file, edited and applied at its revision', async () => {
+  const {stdout} = await ctl('settings get --toml');
+  const text = stdout.replace('max_starts = 4', 'max_starts = 6');
+  const file = writeFile('tree.toml', text);
+  const applied = await ctl(`settings apply ${file}`);
+  match('an applied file', applied);
+  assert.equal(instance.settings.tree.forRoot().retry.maxStarts, 6);
+  const again = await ctl(`settings apply ${file}`);
+  assert.equal(again.exitCode, ExitCode.Conflict);
+});
+
+test('a broken file is refused with the place, and nothing is sent', async () => {
+  const file = writeFile('bad.toml', 'queue = \n');
+  const ended = await ctl(`settings apply ${file}`);
+  match('a broken file', ended);
+  assert.equal(ended.exitCode, ExitCode.Invalid);
 });
--- a/packages/ctl/test/fake_instance.ts
+++ b/packages/ctl/test/fake_instance.ts
@@ -1,14 +1,10 @@
-/** An operators' listener over a small tree and fleet held in memory. */
+/** An operators' listener over a tree and a small fleet held in memory. */
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-  ChangeKind,
   createOperatorsHandler,
-  type EditRequest,
+  createSettingsOperations,
   type FleetOperations,
-  type SettingsChange,
-  type SettingsDifference,
-  type SettingsOperations,
 } from '@goldcrestpier/operators';
 import {MemberState} from '@goldcrestpier/peers';
 import {
@@ -20,7 +16,9 @@
   type Failure,
 } from '@goldcrestpier/protocol';
 import {silentLogger} from '@goldcrestpier/runtime';
+import {EditKind, NodeKind, type SettingsEdit} from '@goldcrestpier/settings';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {MemorySettings} from './memory_settings.js';
 
 /** The token that the instance asks for. */
 export const TOKEN = 'a token for operators';
@@ -29,25 +27,20 @@
 /** The one job of the fleet. */
 export const JOB = `${OWNER}.4/quote-4711`;
 
-type Nodes = Record<string, Record<string, unknown>>;
-
 /** What a test changes while the instance runs. */
 export class FakeInstance {
-  /** The tree at each revision, from 0. */
-  readonly trees: Nodes[] = [];
-  readonly editors: string[] = [];
-  /** Called before the next edit is taken up. */
-  beforeEdit: (() => void) | undefined;
+  readonly settings = new MemorySettings();
   /** Whether the next answer to an edit is lost on its way. */
   losesAnswer = false;
-  private readonly written = new Map<string, number>();
   private readonly server: Server;
 
   constructor() {
-    this.reset();
     const handler = createOperatorsHandler({
       token: TOKEN,
-      settings: this.createSettings(),
+      settings: createSettingsOperations({
+        store: this.settings,
+        readApplied: () => this.settings.tree,
+      }),
       fleet: createFleet(),
       logger: silentLogger,
     });
@@ -61,14 +54,30 @@
     });
   }
 
-  /** Back to one revision with two nodes. */
+  /** A tree of three nodes at revision 1. */
   reset(): void {
-    const root = {'retry.maxStarts': 3};
-    this.trees.splice(0, this.trees.length, {
-      '': root,
-      'billing/quotes': {'queue.maxWaiting': 500},
-    });
-    this.editors.splice(0, this.editors.length, 'setup');
+    this.settings.reset();
+    this.write('setup', [
+      {kind: EditKind.Set, node: '/', key: 'retry.max_starts', value: 4},
+      {kind: EditKind.AddNode, node: '/billing', nodeKind: NodeKind.Group},
+      {
+        kind: EditKind.AddNode,
+        node: '/billing/quotes',
+        nodeKind: NodeKind.Service,
+      },
+      {
+        kind: EditKind.Set,
+        node: '/billing/quotes',
+        key: 'fairness.quotas.clerks',
+        value: 500,
+      },
+    ]);
+  }
+
+  /** Edits as another operator would. */
+  write(by: string, edits: SettingsEdit[]): void {
+    const editId = `edit-${this.settings.tree.revision}`;
+    this.settings.editNow({editId, by, edits}).unwrap();
   }
 
   async listen(): Promise<string> {
@@ -83,116 +92,6 @@
     this.server.closeAllConnections();
     this.server.close();
   }
-
-  /** Writes one key as another operator would. */
-  write(by: string, change: SettingsChange): void {
-    const tree = structuredClone(this.trees.at(-1) ?? {});
-    applyChange(tree, change);
-    this.trees.push(tree);
-    this.editors.push(by);
-  }
-
-  private get revision(): number {
-    return this.trees.length - 1;
-  }
-
-  private createSettings(): SettingsOperations {
-    return {
-      read: node => {
-        const tree = this.trees[this.revision] ?? {};
-        if (node === undefined)
-          return ok({revision: this.revision, nodes: tree});
-        const values = tree[node];
-        if (values === undefined) return unknownNode(node);
-        return ok({revision: this.revision, nodes: {[node]: values}});
-      },
-      readEffective: node => {
-        const tree = this.trees[this.revision] ?? {};
-        if (tree[node] === undefined) return unknownNode(node);
-        const values = ['', node].flatMap(from =>
-          Object.entries(tree[from] ?? {}).map(([key, value]) => ({
-            key,
-            value,
-            from,
-          })),
-        );
-        values.push({key: 'hedge.enabled', value: false} as never);
-        return ok({revision: this.revision, node, values});
-      },
-      edit: request => Promise.resolve(this.edit(request)),
-      readHistory: limit =>
-        ok({
-          edits: this.editors
-            .map((by, revision) => {
-              const at = Date.UTC(2026, 0, 1) + revision;
-              const changes = [`change ${revision}`, 'and another'];
-              return {revision, id: `edit-${revision}`, by, at, changes};
-            })
-            .reverse()
-            .slice(0, limit),
-        }),
-      diff: (from, to = this.revision) =>
-        ok({from, to, differences: this.compare(from, to)}),
-    };
-  }
-
-  private edit(
-    request: EditRequest,
-  ): Result<{id: string; revision: number}, Failure> {
-    const before = this.beforeEdit;
-    this.beforeEdit = undefined;
-    before?.();
-    const {id, by, expectedRevision: expected, changes} = request;
-    const known = this.written.get(id);
-    if (known !== undefined) return Ok({id, revision: known});
-    if (expected !== undefined && expected !== this.revision) {
-      const args = {expected, found: this.revision};
-      return Err(createFailure(FailureCode.SettingsConflict, args));
-    }
-    for (const change of changes) {
-      const problem = findProblem(change);
-      if (problem !== undefined) return Err(problem);
-      this.write(by, change);
-    }
-    this.written.set(id, this.revision);
-    return Ok({id, revision: this.revision});
-  }
-
-  private compare(from: number, to: number): SettingsDifference[] {
-    const [old = {}, young = {}] = [this.trees[from], this.trees[to]];
-    return Object.keys(young).flatMap(node =>
-      Object.entries(young[node] ?? {})
-        .map(([key, after]) => ({node, key, before: old[node]?.[key], after}))
-        .filter(({before, after}) => before !== after),
-    );
-  }
-}
-
-function applyChange(tree: Nodes, change: SettingsChange): void {
-  switch (change.kind) {
-    case ChangeKind.Set:
-      tree[change.node] = {...tree[change.node], [change.key]: change.value};
-      break;
-    case ChangeKind.Unset:
-      delete tree[change.node]?.[change.key];
-      break;
-    case ChangeKind.Remove:
-      delete tree[change.node];
-      break;
-    case ChangeKind.Apply:
-      for (const node of Object.keys(tree)) delete tree[node];
-      Object.assign(tree, change.document);
-  }
-}
-
-function findProblem(change: SettingsChange): Failure | undefined {
-  if (change.kind !== ChangeKind.Set || typeof change.value === 'number') {
-    return undefined;
-  }
-  const path = `${change.node}.${change.key}`;
-  const found = JSON.stringify(change.value);
-  const problems = [{path, found, expected: 'expected a number'}];
-  return createFailure(FailureCode.SettingsInvalid, {problems});
 }
 
 function createFleet(): FleetOperations {
@@ -275,7 +174,3 @@
 function fail(failure: Failure): Promise<Err<Failure>> {
   return Promise.resolve(Err(failure));
 }
-
-function unknownNode(node: string): Promise<Err<Failure>> {
-  return fail(createFailure(FailureCode.SettingsUnknownNode, {node}));
-}
--- a/packages/operators/src/handlers/settings.ts
+++ b/packages/operators/src/handlers/settings.ts
@@ -1,8 +1,8 @@
 /** One function for each thing an operator can ask of the settings. */
 import type {IncomingMessage} from 'node:http';
 import {readJson} from '@goldcrestpier/http';
+import {editRequestSchema, ROOT_PATH} from '@goldcrestpier/settings';
 import {
-  editRequestSchema,
   type EditAnswer,
   type EffectiveView,
   type SettingsDiff,
@@ -14,7 +14,6 @@
 
 /** A whole tree fits the platform's value of a megabyte. */
 const MAX_EDIT_BYTES = 1024 * 1024;
-const ROOT = '';
 
 /** `GET /operators/v1/settings?node=` */
 export async function handleReadSettings(
@@ -32,7 +31,7 @@
 ): OperationResult<EffectiveView> {
   const checked = readNodeQuery(query);
   if (checked.isErr()) return checked;
-  return settings.readEffective(checked.value.node ?? ROOT);
+  return settings.readEffective(checked.value.node ?? ROOT_PATH);
 }
 
 /** `POST /operators/v1/settings/edits` */
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -6,3 +6,8 @@
   type OperatorsOptions,
 } from './server/handler.js';
 export {createOperatorsServer} from './server/server.js';
+export {
+  createSettingsOperations,
+  type EditableSettings,
+  type SettingsSources,
+} from './views/index.js';
--- a/packages/operators/test/fake_operations.ts
+++ b/packages/operators/test/fake_operations.ts
@@ -20,10 +20,7 @@
 
 /** A tree with one node that accepts every edit of its newest revision. */
 export function createFakeSettings(asked: Asked): SettingsOperations {
-  const note = <Answer>(name: string, args: unknown, answer: Answer) => {
-    asked.push([name, args]);
-    return Promise.resolve<Result<Answer, Failure>>(Ok(answer));
-  };
+  const note = createNote(asked);
   return {
     read: node => note('read', node, {revision: REVISION, nodes: {}}),
     readEffective: node =>
@@ -31,21 +28,19 @@
     edit: request => {
       const refusal = refuseEdit(request);
       if (refusal !== undefined) return Promise.resolve(Err(refusal));
-      return note('edit', request, {id: request.id, revision: REVISION + 1});
+      const answer = {revision: REVISION + 1, changes: [], repeated: false};
+      return note('edit', request, answer);
     },
     readHistory: limit => note('history', limit, {edits: []}),
     diff: (from, to = REVISION) =>
-      note('diff', [from, to], {from, to, differences: []}),
+      note('diff', [from, to], {from, to, changes: [], omitted: 0}),
   };
 }
 
 /** A fleet of one instance, with one peer that does not answer. */
 export function createFakeFleet(asked: Asked): FleetOperations {
   const unreached = ['batangas-2.e2.0123456789ab'];
-  const note = <Answer>(name: string, args: unknown, answer: Answer) => {
-    asked.push([name, args]);
-    return Promise.resolve<Result<Answer, Failure>>(Ok(answer));
-  };
+  const note = createNote(asked);
   const job = (session: string, key: string) => {
     const answer = {session, key, attempt: 1, state: JobState.Complete};
     return {...answer, tasks: []};
@@ -61,6 +56,13 @@
   };
 }
 
+function createNote(asked: Asked) {
+  return <Answer>(name: string, args: unknown, answer: Answer) => {
+    asked.push([name, args]);
+    return Promise.resolve<Result<Answer, Failure>>(Ok(answer));
+  };
+}
+
 function refuseEdit({expectedRevision}: EditRequest): Failure | undefined {
   if (expectedRevision === undefined || expectedRevision === REVISION) {
     return undefined;
--- a/packages/operators/test/operators.test.ts
+++ b/packages/operators/test/operators.test.ts
@@ -62,15 +62,16 @@
 }
 
 const EDIT = {
-  id: 'edit-1',
+  editId: 'edit-1',
   by: 'rosa',
-  changes: [{kind: 'set', node: 'billing', key: 'retry.maxStarts', value: 2}],
+  edits: [{kind: 'set', node: '/billing', key: 'retry.max_starts', value: 2}],
 };
 
 const calls: ReadonlyArray<[string, string, unknown, number]> = [
   ['GET', 'settings', ['read', undefined], 200],
-  ['GET', 'settings?node=billing/quotes', ['read', 'billing/quotes'], 200],
-  ['GET', 'settings/effective?node=billing', ['effective', 'billing'], 200],
+  ['GET', 'settings?node=/billing', ['read', '/billing'], 200],
+  ['GET', 'settings/effective?node=/billing', ['effective', '/billing'], 200],
+  ['GET', 'settings/effective', ['effective', '/'], 200],
   ['GET', 'settings/history?limit=3', ['history', 3], 200],
   ['GET', 'settings/history', ['history', 20], 200],
   ['GET', 'settings/diff?from=3&to=5', ['diff', [3, 5]], 200],
@@ -93,7 +94,7 @@
   const answer = await call('POST', 'settings/edits', JSON.stringify(EDIT));
   assert.deepEqual(answer, {
     status: 200,
-    body: {id: 'edit-1', revision: REVISION + 1},
+    body: {revision: REVISION + 1, changes: [], repeated: false},
   });
   assert.deepEqual(asked, [['edit', EDIT]]);
 });
@@ -113,7 +114,7 @@
     undefined,
     /limit: found "0", expected 1/,
   ],
-  ['POST', 'settings/edits', '{"id":"e"}', /changes: found nothing, expected/],
+  ['POST', 'settings/edits', '{"editId":"e","by":"r"}', /edits: found nothing/],
   ['POST', 'settings/edits', '[', /could not be read as JSON/],
   ['POST', 'settings/edits', `"${'x'.repeat(2e6)}"`, /larger than 1048576/],
   ['GET', 'nothing', undefined, /There is no such path/],
--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -7,7 +7,9 @@
   parseSettingValue,
   type SettingsDocument,
 } from './document.js';
+export {toSnakeCase} from './keys.js';
 export {
+  isTable,
   settingsNodeSchema,
   type NodeValues,
   type SettingsNode,
