--- a/packages/jobs/src/record/index.ts
+++ b/packages/jobs/src/record/index.ts
@@ -55,6 +55,11 @@
     return this.failure?.ran === Ran.NotRun;
   }
 
+  /** Why the job failed; undefined while it has not. */
+  get failureCode(): FailureCode | undefined {
+    return this.failure?.code;
+  }
+
   /** Whether the answer has been dropped to free its memory. */
   get answerExpired(): boolean {
     return this.expired;
--- a/packages/proofs/src/stage/index.ts
+++ b/packages/proofs/src/stage/index.ts
@@ -1,10 +1,10 @@
 /** A cluster on its stage: its callers and operators, and its clean-up. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {
-  ChangeKind,
+  EditKind,
   type EditRequest,
-  type SettingsChange,
-} from '@goldcrestpier/operators';
+  type SettingsEdit,
+} from '@goldcrestpier/settings';
 import {Lifecycle} from '@goldcrestpier/runtime';
 import {
   launchCluster,
@@ -25,7 +25,7 @@
 export class Stage {
   private readonly connections = new Agent({connections: 64});
   private readonly lifecycle = new Lifecycle('stage');
-  private edits = 0;
+  private editCount = 0;
 
   private constructor(readonly cluster: Cluster) {}
 
@@ -58,9 +58,9 @@
   }
 
   /** Edits the settings through one instance; throws when that is refused. */
-  async edit(name: string, changes: SettingsChange[]): Promise<number> {
-    this.edits += 1;
-    const edit = {id: `edit-${this.edits}`, by: 'proofs', changes};
+  async edit(name: string, edits: SettingsEdit[]): Promise<number> {
+    this.editCount += 1;
+    const edit = {editId: `edit-${this.editCount}`, by: 'proofs', edits};
     const {statusCode, body} = await this.sendEdit(name, edit);
     if (statusCode !== 200) throw new Error(JSON.stringify(body));
     return (body as {revision: number}).revision;
@@ -141,8 +141,8 @@
   node: string,
   key: string,
   value: unknown,
-): SettingsChange {
-  return {kind: ChangeKind.Set, node, key, value};
+): SettingsEdit {
+  return {kind: EditKind.Set, node, key, value};
 }
 
 function planSmall() {
--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -17,5 +17,4 @@
 } from './node.js';
 export {findName, findParent, isNodePath, ROOT_PATH} from './path.js';
 export * from './schema.js';
-export {traceValues, type TracedValue} from './trace.js';
 export {SettingsTree, type SettingsSnapshot} from './tree.js';
