Meet operators' spellings of nodes, and trace values by their own keys

A node may be named as pricing/tags or with nothing for the root; the tree itself knows /pricing/tags and / only. Setting the key kind adds a node, so that one command line can. A document that was parsed elsewhere can be read, and the nodes be shown in its form; one node written twice is a problem.

Cause of the wrong origins: the trace compared the code's keys (maxStarts) with the stored ones (max_starts), so a value of a two-word key always seemed to be a default. It now tells the stored keys.

--- a/packages/settings/src/edits/edit.ts
+++ b/packages/settings/src/edits/edit.ts
@@ -7,13 +7,14 @@
 } from '@goldcrestpier/protocol';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
+import {KIND_KEY} from '../tree/diff.js';
 import {parseKey, setValue, unsetValue} from '../tree/keys.js';
 import {
   settingsNodeSchema,
   type SettingsNode,
   type SettingsNodes,
 } from '../tree/node.js';
-import {isAtOrBelow, ROOT_PATH} from '../tree/path.js';
+import {isAtOrBelow, ROOT_PATH, toNodePath} from '../tree/path.js';
 import {NodeKind} from '../tree/schema.js';
 
 const EDIT_ID_BYTES = 12;
@@ -23,7 +24,7 @@
 
 /** The kinds of edit. */
 export enum EditKind {
-  /** Overrides one key at one node. */
+  /** Overrides one key at one node. With the key `kind` it adds the node. */
   Set = 'set',
   /** Lets one key of one node be inherited again. */
   Unset = 'unset',
@@ -34,6 +35,8 @@
   Apply = 'apply',
 }
 
+const KIND_EXPECTED = 'expected group, service or workers';
+const kindSchema = z.enum(NodeKind, KIND_EXPECTED);
 const pathSchema = z.string('expected the path of a node');
 const keySchema = z.string('expected a key').min(1, 'expected a key');
 
@@ -55,7 +58,7 @@
     z.strictObject({
       kind: z.literal(EditKind.AddNode),
       node: pathSchema,
-      nodeKind: z.enum(NodeKind, 'expected group, service or workers'),
+      nodeKind: kindSchema,
     }),
     z.strictObject({
       kind: z.literal(EditKind.RemoveNode),
@@ -117,24 +120,38 @@
 ): Result<SettingsNodes, Failure> {
   switch (edit.kind) {
     case EditKind.Set:
-      return changeNode(nodes, edit.node, ({kind, values}) => ({
-        kind,
-        values: setValue(values, parseKey(edit.key), edit.value),
-      }));
+      return setKey(nodes, toNodePath(edit.node), edit.key, edit.value);
     case EditKind.Unset:
-      return changeNode(nodes, edit.node, ({kind, values}) => ({
+      return changeNode(nodes, toNodePath(edit.node), ({kind, values}) => ({
         kind,
         values: unsetValue(values, parseKey(edit.key)),
       }));
     case EditKind.AddNode:
-      return addNode(nodes, edit.node, edit.nodeKind);
+      return addNode(nodes, toNodePath(edit.node), edit.nodeKind);
     case EditKind.RemoveNode:
-      return removeNode(nodes, edit.node);
+      return removeNode(nodes, toNodePath(edit.node));
     case EditKind.Apply:
       return Ok(new Map(Object.entries(edit.nodes)));
   }
 }
 
+function setKey(
+  nodes: SettingsNodes,
+  path: string,
+  key: string,
+  value: unknown,
+): Result<SettingsNodes, Failure> {
+  if (key === KIND_KEY) {
+    const kind = kindSchema.safeParse(value);
+    if (kind.success) return addNode(nodes, path, kind.data);
+    return refuse(`${path} ${key}`, JSON.stringify(value), KIND_EXPECTED);
+  }
+  return changeNode(nodes, path, node => ({
+    kind: node.kind,
+    values: setValue(node.values, parseKey(key), value),
+  }));
+}
+
 function changeNode(
   nodes: SettingsNodes,
   path: string,
--- a/packages/settings/src/tree/document.ts
+++ b/packages/settings/src/tree/document.ts
@@ -15,10 +15,11 @@
 import {
   isTable,
   settingsNodeSchema,
+  type NodeValues,
   type SettingsNode,
   type SettingsNodes,
 } from './node.js';
-import {ROOT_PATH} from './path.js';
+import {ROOT_PATH, toNodePath} from './path.js';
 import {NodeKind} from './schema.js';
 import type {SettingsTree} from './tree.js';
 
@@ -33,27 +34,35 @@
 
 /** Writes a tree as TOML, with its revision. */
 export function formatDocument(tree: SettingsTree): string {
-  const tables = [...tree.nodes].map(
-    ([path, {kind, values}]) => [path, {kind, ...values}] as const,
+  return stringify({[REVISION_KEY]: tree.revision, ...toTables(tree.nodes)});
+}
+
+/** The nodes as a document has them: for each its kind and its values. */
+export function toTables(nodes: SettingsNodes): Record<string, NodeValues> {
+  return Object.fromEntries(
+    [...nodes].map(([path, {kind, values}]) => [path, {kind, ...values}]),
   );
-  return stringify({
-    [REVISION_KEY]: tree.revision,
-    ...Object.fromEntries(tables),
-  });
 }
 
 /** Reads a TOML document. */
 export function parseDocument(text: string): Result<SettingsDocument, Failure> {
   const toml = parseToml(text);
-  if (toml.isErr()) return refuse([toml.error]);
-  const {[REVISION_KEY]: revision, ...tables} = toml.value;
+  return toml.isErr() ? refuse([toml.error]) : readDocument(toml.value);
+}
+
+/** Reads a document that was parsed already. */
+export function readDocument(
+  document: NodeValues,
+): Result<SettingsDocument, Failure> {
+  const {[REVISION_KEY]: revision, ...tables} = document;
   const problems: Problem[] = [];
-  const root = {kind: NodeKind.Group, values: {}};
-  const nodes = new Map<string, SettingsNode>([[ROOT_PATH, root]]);
-  for (const [path, table] of Object.entries(tables)) {
+  const nodes = new Map<string, SettingsNode>();
+  for (const [name, table] of Object.entries(tables)) {
+    const path = toNodePath(name);
     const node = parseNode(path, table);
-    if (node.isOk()) nodes.set(path, node.value);
-    else problems.push(...node.error);
+    if (node.isErr()) problems.push(...node.error);
+    else if (nodes.has(path)) problems.push(describeTwice(path));
+    else nodes.set(path, node.value);
   }
   if (revision !== undefined && !isRevision(revision)) {
     problems.push({
@@ -63,6 +72,9 @@
     });
   }
   if (problems.length > 0) return refuse(problems);
+  if (!nodes.has(ROOT_PATH)) {
+    nodes.set(ROOT_PATH, {kind: NodeKind.Group, values: {}});
+  }
   return Ok({revision: isRevision(revision) ? revision : undefined, nodes});
 }
 
@@ -97,6 +109,11 @@
   );
 }
 
+function describeTwice(path: string): Problem {
+  const expected = 'expected one table for each node';
+  return {path, found: 'a second table', expected};
+}
+
 function isRevision(value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0;
 }
--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -5,6 +5,8 @@
   formatDocument,
   parseDocument,
   parseSettingValue,
+  readDocument,
+  toTables,
   type SettingsDocument,
 } from './document.js';
 export {
@@ -13,7 +15,13 @@
   type SettingsNode,
   type SettingsNodes,
 } from './node.js';
-export {findName, findParent, isNodePath, ROOT_PATH} from './path.js';
+export {
+  findName,
+  findParent,
+  isNodePath,
+  ROOT_PATH,
+  toNodePath,
+} from './path.js';
 export * from './schema.js';
 export {traceValues, type TracedValue} from './trace.js';
 export {SettingsTree, type SettingsSnapshot} from './tree.js';
--- a/packages/settings/src/tree/path.ts
+++ b/packages/settings/src/tree/path.ts
@@ -18,6 +18,12 @@
   return parts.every(part => nameSchema.safeParse(part).success);
 }
 
+/** The path that a person means: `pricing/tags` too, and nothing for the root. */
+export function toNodePath(text: string): string {
+  const bare = text.replace(/^\/+|\/+$/g, '');
+  return `${SEPARATOR}${bare}`;
+}
+
 /** The path of the node above; undefined for the root. */
 export function findParent(path: string): string | undefined {
   if (path === ROOT_PATH) return undefined;
--- a/packages/settings/src/tree/trace.ts
+++ b/packages/settings/src/tree/trace.ts
@@ -1,7 +1,7 @@
 /** Where each value that is in force at a node comes from. */
-import {listValues} from './keys.js';
+import {listValues, toSnakeCase} from './keys.js';
 import {isTable} from './node.js';
-import {findParent} from './path.js';
+import {findParent, toNodePath} from './path.js';
 import type {SettingsTree} from './tree.js';
 
 /** One value in force. */
@@ -12,19 +12,19 @@
   readonly from: string | undefined;
 }
 
-/** Every value in force at `path`; undefined when there is no such node. */
+/** Every value in force at a node; undefined when there is no such node. */
 export function traceValues(
   tree: SettingsTree,
-  path: string,
+  node: string,
 ): readonly TracedValue[] | undefined {
+  const path = toNodePath(node);
   const effective: unknown = tree.effective(path);
   if (!isTable(effective)) return undefined;
   const sources = listSources(tree, path);
-  return listValues(effective).map(([key, value]) => ({
-    key,
-    value,
-    from: sources.get(key),
-  }));
+  return listValues(effective).map(([codeKey, value]) => {
+    const key = toSnakeCase(codeKey);
+    return {key, value, from: sources.get(key)};
+  });
 }
 
 /** The nearest node at or above `path` that sets each key. */
--- a/packages/settings/test/edits.test.ts
+++ b/packages/settings/test/edits.test.ts
@@ -76,6 +76,19 @@
   ]);
 });
 
+test('a node is added by setting its kind, at a path as people write it', async () => {
+  const {store} = await startStore();
+  const edit = {kind: EditKind.Set as const, key: 'kind'};
+  const edits = [
+    {...edit, node: 'pricing', value: 'group'},
+    {...edit, node: '/pricing/tags/', value: 'service'},
+    setWaiting(8, ''),
+  ];
+  (await store.edit(createRequest(edits), AT)).unwrap();
+  const tree = await readTree(store);
+  assert.equal(tree.forService('tags')?.queue.maxWaiting, 8);
+});
+
 test('a wrong edit is refused whole and changes nothing', async () => {
   const {store} = await startStore();
   const refused: Array<readonly [FailureCode, SettingsEdit[]]> = [
@@ -94,6 +107,10 @@
       FailureCode.SettingsInvalid,
       [{kind: EditKind.AddNode, node: '/', nodeKind: NodeKind.Workers}],
     ],
+    [
+      FailureCode.SettingsInvalid,
+      [{kind: EditKind.Set, node: '/a', key: 'kind', value: 'thing'}],
+    ],
   ];
   for (const [code, edits] of refused) {
     const failure = (await store.edit(createRequest(edits), AT)).unwrapErr();
--- a/packages/settings/test/tree.test.ts
+++ b/packages/settings/test/tree.test.ts
@@ -10,6 +10,7 @@
   parseDocument,
   parseSettingValue,
   SettingsTree,
+  traceValues,
 } from '../src/index.js';
 
 const snapshots = openSnapshots(import.meta.url);
@@ -152,8 +153,24 @@
   assert.deepEqual(diffNodes(after.nodes, after.nodes), []);
 });
 
+test('each value in force tells the nearest node that sets it', () => {
+  const tree = createTree(DOCUMENT);
+  const traced = traceValues(tree, 'pricing/tags') ?? [];
+  const keys = ['queue.max_waiting', 'retry.budget_share', 'retry.max_starts'];
+  assert.deepEqual(
+    traced.filter(({key}) => keys.includes(key)),
+    [
+      {key: 'queue.max_waiting', value: 50, from: '/pricing/tags'},
+      {key: 'retry.budget_share', value: 0.2, from: '/pricing'},
+      {key: 'retry.max_starts', value: 3, from: undefined},
+    ],
+  );
+  assert.equal(traceValues(tree, '/nowhere'), undefined);
+});
+
 test('a document that is none is refused with its place', () => {
-  const text = 'revision = -1\nqueue = 3\n["/a"]\nkind = "thing"\n["/b"]\nx=1';
+  const text =
+    'revision = -1\nqueue = 3\n["/a"]\nkind = "thing"\n["/b"]\nx=1\n[c]\nkind="group"\n["/c"]\nkind="group"';
   const failure = parseDocument(text).unwrapErr();
   assert.equal(failure.code, FailureCode.SettingsInvalid);
   snapshots.match('no document', failure.message);
