--- a/packages/platform/src/instance_list/poller.ts
+++ b/packages/platform/src/instance_list/poller.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {
   createTopic,
   readClock,
@@ -51,6 +52,7 @@
   });
   private list: InstanceList = {servers: [], entries: []};
   private readAt: Millis | undefined;
+  private last: {digest: string; parsed: ParsedList} | undefined;
   private wasSkipped = '';
   private wasOut = false;
 
@@ -115,9 +117,8 @@
   private take(list: InstanceList, now: Millis): void {
     if (this.wasOut) this.options.logger.info('the instance list is back');
     this.wasOut = false;
-    const isFirst = this.readAt === undefined;
     this.readAt = now;
-    if (!isFirst && JSON.stringify(list) === JSON.stringify(this.list)) return;
+    if (list === this.list) return;
     this.list = list;
     this.topic.publish(list);
   }
@@ -136,9 +137,7 @@
         await body.dump();
         return fail(PlatformReason.Refused, `status ${statusCode}`);
       }
-      const parsed = parseInstanceList(await body.json());
-      if (parsed !== undefined) return Ok(parsed);
-      return fail(PlatformReason.Malformed, 'not a list');
+      return this.parse(await body.text());
     } catch (cause) {
       if (cause instanceof SyntaxError) {
         return fail(PlatformReason.Malformed, 'not JSON');
@@ -150,6 +149,18 @@
     }
   }
 
+  /** A large fleet's list is parsed only when it is another. */
+  private parse(text: string): Result<ParsedList, PlatformFailure> {
+    const digest = createHash('sha1').update(text).digest('hex');
+    if (digest === this.last?.digest) return Ok(this.last.parsed);
+    const parsed = parseInstanceList(JSON.parse(text));
+    if (parsed === undefined) {
+      return fail(PlatformReason.Malformed, 'not a list');
+    }
+    this.last = {digest, parsed};
+    return Ok(parsed);
+  }
+
   private noteOutage(failure: PlatformFailure, now: Millis): void {
     this.options.onPoll?.({failed: failure.reason, skipped: 0});
     if (this.wasOut) return;
