--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -9,7 +9,9 @@
   toTables,
   type SettingsDocument,
 } from './document.js';
+export {toSnakeCase} from './keys.js';
 export {
+  isTable,
   settingsNodeSchema,
   type NodeValues,
   type SettingsNode,
