Check a tree by the sections that its nodes override

Cause: each node's whole settings were parsed, with all that it inherits. Checking only what differs from the tree before was ruled out for now: the sections gave enough, and a check that depends on no earlier tree is easier to trust.

A drawn test holds the sections against the whole schema.

--- a/packages/settings/src/tree/check.ts
+++ b/packages/settings/src/tree/check.ts
@@ -1,14 +1,6 @@
 /** The checks of a whole tree. Each problem names the node and the key. */
 import type {Problem} from '@goldcrestpier/protocol';
-import {toSettingsProblems} from '../problems/index.js';
-import {
-  formatKey,
-  inheritValues,
-  listMisspelt,
-  toCamelCase,
-  toSnakeCase,
-} from './keys.js';
-import type {NodeValues, SettingsNode, SettingsNodes} from './node.js';
+import type {SettingsNode, SettingsNodes} from './node.js';
 import {
   comparePaths,
   findName,
@@ -16,11 +8,8 @@
   isNodePath,
   ROOT_PATH,
 } from './path.js';
-import {
-  effectiveSettingsSchema,
-  NodeKind,
-  type EffectiveSettings,
-} from './schema.js';
+import {NodeKind, type EffectiveSettings} from './schema.js';
+import {checkNode, defaultNode, type CheckedNode} from './sections.js';
 
 /** The whole tree must fit one value of the platform's service. */
 export const LARGEST_TREE_BYTES = 1_000_000;
@@ -29,15 +18,10 @@
 /** A tree that was checked, or what is wrong with it. */
 export interface CheckedTree {
   readonly problems: readonly Problem[];
-  /** What is in force at each node without problems. */
+  /** What is in force at each node; of use only without problems. */
   readonly effective: ReadonlyMap<string, EffectiveSettings>;
 }
 
-interface CheckedNode {
-  readonly values: NodeValues;
-  readonly problems: readonly Problem[];
-}
-
 /** Checks the form of the tree and what is in force at every node. */
 export function checkTree(nodes: SettingsNodes): CheckedTree {
   const formProblems = [...checkSize(nodes), ...checkForm(nodes)];
@@ -45,71 +29,19 @@
     return {problems: formProblems, effective: new Map()};
   }
   const checked = new Map<string, CheckedNode>();
-  const effective = new Map<string, EffectiveSettings>();
   const problems: Problem[] = [];
   for (const path of [...nodes.keys()].sort(comparePaths)) {
-    const above = checked.get(findParent(path) ?? '');
-    const own = nodes.get(path)?.values ?? {};
-    const inherited = above?.values ?? {};
-    const {node, settings} = checkNode(inheritValues(inherited, own));
-    checked.set(path, node);
-    if (settings !== undefined) effective.set(path, settings);
-    // What a node only inherits is told once, where it is written.
-    const told = new Set(above?.problems.map(toText));
-    for (const problem of node.problems) {
-      if (told.has(toText(problem))) continue;
+    const parent = checked.get(findParent(path) ?? '') ?? defaultNode;
+    const check = checkNode(parent, nodes.get(path)?.values ?? {});
+    checked.set(path, check.node);
+    for (const problem of check.problems) {
       problems.push({...problem, path: `${path} ${problem.path}`});
     }
   }
-  return {problems, effective};
-}
-
-function checkNode(values: NodeValues): {
-  node: CheckedNode;
-  settings: EffectiveSettings | undefined;
-} {
-  const keyProblems = checkKeys(values);
-  const camel = toCamelCase(values);
-  const parsed = effectiveSettingsSchema.safeParse(camel);
-  const valueProblems = parsed.success
-    ? checkTogether(parsed.data)
-    : toSettingsProblems(parsed.error, camel).map(problem => ({
-        ...problem,
-        path: toSnakeCase(problem.path),
-      }));
-  const problems = [...keyProblems, ...valueProblems];
-  const settings =
-    problems.length === 0 && parsed.success ? parsed.data : undefined;
-  return {node: {values, problems}, settings};
-}
-
-/** Rejects other ways to write a key, such as the code's own. */
-function checkKeys(values: NodeValues): Problem[] {
-  return listMisspelt(values).map(parts => {
-    const key = formatKey(parts);
-    const expected = `expected a key as in ${toSnakeCase(key)}`;
-    return {path: key, found: 'another spelling', expected};
-  });
-}
-
-/** Checks settings that must fit each other. */
-function checkTogether({workers, ejection}: EffectiveSettings): Problem[] {
-  const problems: Problem[] = [];
-  if (workers.renewMs >= workers.leaseMs) {
-    problems.push({
-      path: 'workers.renew_ms',
-      found: String(workers.renewMs),
-      expected: `expected less than lease_ms, ${workers.leaseMs}`,
-    });
-  }
-  if (ejection.baseMs > ejection.maxMs) {
-    problems.push({
-      path: 'ejection.base_ms',
-      found: String(ejection.baseMs),
-      expected: `expected no more than max_ms, ${ejection.maxMs}`,
-    });
-  }
-  return problems;
+  const effective = [...checked].map(
+    ([path, {settings}]) => [path, settings] as const,
+  );
+  return {problems, effective: new Map(effective)};
 }
 
 function checkSize(nodes: SettingsNodes): Problem[] {
@@ -173,7 +105,3 @@
       return 'the guarded workers';
   }
 }
-
-function toText({path, found, expected}: Problem): string {
-  return JSON.stringify([path, found, expected]);
-}
--- a/packages/settings/src/tree/keys.ts
+++ b/packages/settings/src/tree/keys.ts
@@ -109,5 +109,7 @@
 }
 
 function toSnakePart(part: string): string {
-  return part.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+  return part
+    .replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)
+    .replace(/^_/, '');
 }
--- a/packages/settings/test/tree.test.ts
+++ b/packages/settings/test/tree.test.ts
@@ -6,12 +6,15 @@
 import {
   defaultSettings,
   diffNodes,
+  effectiveSettingsSchema,
   formatDocument,
+  NodeKind,
   parseDocument,
   parseSettingValue,
   SettingsTree,
   traceValues,
 } from '../src/index.js';
+import {inheritValues, toCamelCase} from '../src/tree/keys.js';
 
 const snapshots = openSnapshots(import.meta.url);
 
@@ -192,6 +195,36 @@
   );
 });
 
+test('what is in force is what the whole schema makes of all that is inherited', () => {
+  const section = fc.record(
+    {
+      max_waiting: fc.oneof(fc.integer({min: -1, max: 9}), fc.constant('x')),
+      budget_share: fc.double({min: -0.1, max: 1.1, noNaN: true}),
+      max_starts: fc.integer({min: 0, max: 3}),
+      weights: fc.dictionary(fc.constantFrom('a', 'b-c', 'D'), fc.nat(3)),
+    },
+    {requiredKeys: []},
+  );
+  const name = fc.constantFrom('queue', 'retry', 'fairness', 'other');
+  const values = fc.dictionary(name, section, {maxKeys: 3});
+  fc.assert(
+    fc.property(values, values, (root, own) => {
+      const nodes = {
+        '/': {kind: NodeKind.Group, values: root},
+        '/a': {kind: NodeKind.Service, values: own},
+      };
+      const tree = SettingsTree.fromSnapshot({revision: 1, nodes});
+      const [above, whole] = [root, inheritValues(root, own)].map(each =>
+        effectiveSettingsSchema.safeParse(toCamelCase(each)),
+      );
+      assert.equal(tree.isOk(), above?.success && whole?.success);
+      if (tree.isOk())
+        assert.deepEqual(tree.value.forService('a'), whole?.data);
+    }),
+    {seed: 17, numRuns: 500},
+  );
+});
+
 test('any snapshot ends in a tree or in problems, and never reaches prototypes', () => {
   const key = fc.constantFrom(
     '/',
