--- a/packages/settings/test/tree.test.ts
+++ b/packages/settings/test/tree.test.ts
@@ -6,11 +6,15 @@
 import {
   defaultSettings,
   diffNodes,
+  effectiveSettingsSchema,
   formatDocument,
+  NodeKind,
   parseDocument,
   parseSettingValue,
   SettingsTree,
+  traceValues,
 } from '../src/index.js';
+import {inheritValues, toCamelCase} from '../src/tree/keys.js';
 
 const snapshots = openSnapshots(import.meta.url);
 
@@ -152,8 +156,24 @@
   assert.deepEqual(diffNodes(after.nodes, after.nodes), []);
 });
 
+test('each value in force tells the nearest node that sets it', () => {
+  const tree = createTree(DOCUMENT);
+  const traced = traceValues(tree, 'pricing/tags') ?? [];
+  const keys = ['queue.max_waiting', 'retry.budget_share', 'retry.max_starts'];
+  assert.deepEqual(
+    traced.filter(({key}) => keys.includes(key)),
+    [
+      {key: 'queue.max_waiting', value: 50, from: '/pricing/tags'},
+      {key: 'retry.budget_share', value: 0.2, from: '/pricing'},
+      {key: 'retry.max_starts', value: 3, from: undefined},
+    ],
+  );
+  assert.equal(traceValues(tree, '/nowhere'), undefined);
+});
+
 test('a document that is none is refused with its place', () => {
-  const text = 'revision = -1\nqueue = 3\n["/a"]\nkind = "thing"\n["/b"]\nx=1';
+  const text =
+    'revision = -1\nqueue = 3\n["/a"]\nkind = "thing"\n["/b"]\nx=1\n[c]\nkind="group"\n["/c"]\nkind="group"';
   const failure = parseDocument(text).unwrapErr();
   assert.equal(failure.code, FailureCode.SettingsInvalid);
   snapshots.match('no document', failure.message);
@@ -175,6 +195,36 @@
   );
 });
 
+test('what is in force is what the whole schema makes of all that is inherited', () => {
+  const section = fc.record(
+    {
+      max_waiting: fc.oneof(fc.integer({min: -1, max: 9}), fc.constant('x')),
+      budget_share: fc.double({min: -0.1, max: 1.1, noNaN: true}),
+      max_starts: fc.integer({min: 0, max: 3}),
+      weights: fc.dictionary(fc.constantFrom('a', 'b-c', 'D'), fc.nat(3)),
+    },
+    {requiredKeys: []},
+  );
+  const name = fc.constantFrom('queue', 'retry', 'fairness', 'other');
+  const values = fc.dictionary(name, section, {maxKeys: 3});
+  fc.assert(
+    fc.property(values, values, (root, own) => {
+      const nodes = {
+        '/': {kind: NodeKind.Group, values: root},
+        '/a': {kind: NodeKind.Service, values: own},
+      };
+      const tree = SettingsTree.fromSnapshot({revision: 1, nodes});
+      const [above, whole] = [root, inheritValues(root, own)].map(each =>
+        effectiveSettingsSchema.safeParse(toCamelCase(each)),
+      );
+      assert.equal(tree.isOk(), above?.success && whole?.success);
+      if (tree.isOk())
+        assert.deepEqual(tree.value.forService('a'), whole?.data);
+    }),
+    {seed: 17, numRuns: 500},
+  );
+});
+
 test('any snapshot ends in a tree or in problems, and never reaches prototypes', () => {
   const key = fc.constantFrom(
     '/',
