Hear an owner's clock anew before a relay when it is old

Heartbeats to other zones come at longer intervals the more peers there are, and a submission's age was counted from the last one: with a limit of 5 s on the age of a copy, relays in a larger fleet would have refused fresh submissions as stale. A reading heard after the arrival, turned back by the time since, bounds the owner's clock at the arrival as well, so that a relay can ask. Putting an old reading forward was ruled out, since an owner's host may have been paused meanwhile.

An instance that is only listed is no longer ended by an answer at its address: the list may name a run that does not listen yet.

--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -1,11 +1,13 @@
 /** What this instance tells its peers, and what it takes from their words. */
 import {MAX_ADDRESSES, type Heartbeat, type Member} from '@goldcrestpier/peers';
 import type {Millis, Topic} from '@goldcrestpier/runtime';
-import type {
-  OwnerClocks,
-  Pace,
-  PeerLoopOwner,
-  Peers,
+import {
+  sendHeartbeat,
+  type OwnerClocks,
+  type Pace,
+  type Peer,
+  type PeerLoopOwner,
+  type Peers,
 } from './heartbeat/index.js';
 import type {HeardHeartbeat, HeartbeatLoad} from './options.js';
 import type {Heirs} from './roles/index.js';
@@ -26,12 +28,15 @@
   readonly heirs: Heirs;
   readonly load: HeartbeatLoad;
   readonly heartbeats: Topic<HeardHeartbeat>;
+  readonly clock: () => Millis;
   /** Notices a stop of this process before anything is judged. */
   readonly notice: (now: Millis) => void;
 }
 
 /** Composes heartbeats and takes those of others. */
 export class Exchange implements PeerLoopOwner {
+  private readonly refreshes = new Map<string, Promise<unknown>>();
+
   constructor(private readonly parts: ExchangeParts) {}
 
   /** The heartbeat to send to an address. */
@@ -101,6 +106,23 @@
     return this.describe(from.incarnation, isNewcomer, now);
   }
 
+  /**
+   * Hears the clock of a peer now, out of turn. Those who ask while one is
+   * under way share its answer.
+   */
+  async refresh({address, link}: Peer, timeoutMs: Millis): Promise<void> {
+    const connectedAt = link.connectedAt();
+    if (connectedAt === undefined) return;
+    const {clock} = this.parts;
+    const underWay =
+      this.refreshes.get(address) ??
+      sendHeartbeat({link, owner: this, clock}, connectedAt, timeoutMs);
+    this.refreshes.set(address, underWay);
+    await underWay;
+    if (this.refreshes.get(address) === underWay)
+      this.refreshes.delete(address);
+  }
+
   /** Opens and closes links to fit what is known. */
   keepPeers(now: Millis): void {
     const {peers, pace, targets, view, self} = this.parts;
--- a/packages/membership/src/heartbeat/index.ts
+++ b/packages/membership/src/heartbeat/index.ts
@@ -9,4 +9,4 @@
   type PeerLoad,
 } from './pace.js';
 export {Peers, type Peer} from './peers.js';
-export {runPeerLoop, type PeerLoopOwner} from './peer_loop.js';
+export {runPeerLoop, sendHeartbeat, type PeerLoopOwner} from './peer_loop.js';
--- a/packages/membership/src/heartbeat/owner_clock.ts
+++ b/packages/membership/src/heartbeat/owner_clock.ts
@@ -36,13 +36,24 @@
   }
 
   /**
-   * The clock as it had been heard at `arrivedAt`; undefined when it had not.
-   * The owner's present clock less this is never below the age of what
-   * arrived then.
+   * A time that the owner's clock had reached by `arrivedAt`; undefined when
+   * it was never heard. The owner's present clock less this is never below
+   * the age of what arrived then.
    */
   find(incarnation: string, arrivedAt: Millis): Millis | undefined {
     const known = this.readings.get(incarnation) ?? [];
-    const heard = known.filter(({heardAt}) => heardAt <= arrivedAt);
-    return heard.at(-1)?.sentAt;
+    let latest: Millis | undefined;
+    for (const {heardAt, sentAt} of known) {
+      // What was heard later is turned back by all the time since then, of
+      // which the owner's clock cannot have gone on by more.
+      const bound = sentAt - Math.max(heardAt - arrivedAt, 0);
+      if (latest === undefined || bound > latest) latest = bound;
+    }
+    return latest;
+  }
+
+  /** When the clock was last heard; undefined when it never was. */
+  lastHeardAt(incarnation: string): Millis | undefined {
+    return this.readings.get(incarnation)?.at(-1)?.heardAt;
   }
 }
--- a/packages/membership/src/heartbeat/peer_loop.ts
+++ b/packages/membership/src/heartbeat/peer_loop.ts
@@ -1,7 +1,6 @@
 /** One loop for each peer: it sends heartbeats and hands their answers on. */
-import type {Heartbeat, PeerFailure, PeerLink} from '@goldcrestpier/peers';
+import type {Heartbeat, PeerLink} from '@goldcrestpier/peers';
 import {sleep, type Lifecycle, type Millis} from '@goldcrestpier/runtime';
-import type {Result} from 'ts-results-es';
 import type {AnswerEvidence} from '../view/index.js';
 import {addJitter} from './pace.js';
 
@@ -26,11 +25,15 @@
   findHeardAt(address: string): Millis | undefined;
 }
 
-/** What a loop needs. */
-export interface PeerLoopOptions {
+/** What sending a heartbeat needs. */
+export interface HeartbeatSender {
   readonly link: PeerLink;
   readonly owner: PeerLoopOwner;
   readonly clock: () => Millis;
+}
+
+/** What a loop needs. */
+export interface PeerLoopOptions extends HeartbeatSender {
   readonly onFailure: (cause: unknown) => void;
 }
 
@@ -64,7 +67,9 @@
     }
     const intervalMs = owner.chooseInterval(link.address);
     if (isDue(options, last, intervalMs)) {
-      last = (await exchange(options, connectedAt, intervalMs)) ?? last;
+      const timeoutMs = Math.max(intervalMs, MIN_TIMEOUT_MS);
+      const answeredAt = await sendHeartbeat(options, connectedAt, timeoutMs);
+      if (answeredAt !== undefined) last = {connectedAt, at: answeredAt};
     }
     const nextMs = owner.chooseInterval(link.address);
     await sleep(addJitter(nextMs, Math.random()), signal);
@@ -89,21 +94,18 @@
   return heardAt === undefined || now - heardAt >= intervalMs / 2;
 }
 
-async function exchange(
-  {link, owner, clock}: PeerLoopOptions,
+/** Sends one heartbeat; says when it was answered, if it was. */
+export async function sendHeartbeat(
+  {link, owner, clock}: HeartbeatSender,
   connectedAt: Millis,
-  intervalMs: Millis,
-): Promise<LastAnswer | undefined> {
+  timeoutMs: Millis,
+): Promise<Millis | undefined> {
   const sentAt = clock();
   const message = owner.compose(link.address, sentAt);
-  const timeoutMs = Math.max(intervalMs, MIN_TIMEOUT_MS);
-  const answer: Result<Heartbeat, PeerFailure> = await link.heartbeat(
-    message,
-    timeoutMs,
-  );
+  const answer = await link.heartbeat(message, timeoutMs);
   if (answer.isErr()) return undefined;
   const now = clock();
   const evidence = {address: link.address, connectedAt, sentAt};
   owner.takeAnswer(answer.value, evidence, now);
-  return {connectedAt, at: now};
+  return now;
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -21,6 +21,10 @@
 import {Targets} from './targets.js';
 import {InstanceState, View, type ListedInstance} from './view/index.js';
 
+/** Age of a clock's last reading up to which it is not asked for, in ms. */
+const FRESH_CLOCK_MS = 500;
+/** How long asking for a clock may take, in ms. */
+const REFRESH_MS = 1_000;
 /** How long peers may take to hear that this instance leaves, in ms. */
 const ANNOUNCE_MS = 1_000;
 /** How often links are opened and closed without a change, in ms. */
@@ -80,6 +84,7 @@
       heirs: this.heirs,
       load,
       heartbeats: this.topic,
+      clock,
       notice: now => this.notice(now),
     });
   }
@@ -159,6 +164,19 @@
     return this.clocks.find(incarnation, this.arrivalTime(now));
   }
 
+  async learnOwnerClock(
+    incarnation: string,
+    arrivedAt: Millis,
+  ): Promise<Millis | undefined> {
+    const heardAt = this.clocks.lastHeardAt(incarnation) ?? -Infinity;
+    const member = this.view.find(incarnation)?.member;
+    const peer = member && this.peers.find(member.peerAddress);
+    if (peer !== undefined && arrivedAt - heardAt > FRESH_CLOCK_MS) {
+      await this.exchange.refresh(peer, REFRESH_MS);
+    }
+    return this.clocks.find(incarnation, arrivedAt);
+  }
+
   arrivalTime(now: Millis): Millis {
     return this.liveness.arrivalTime(now);
   }
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -76,10 +76,19 @@
   /** Whether an incarnation ended for certain; what makes a loss final. */
   isGone(incarnation: string, now: Millis): boolean;
   /**
-   * The clock of an incarnation as last heard before what is read at `now`
-   * can have arrived; undefined when it was never heard before that.
+   * A time that the clock of an incarnation had reached before what is read
+   * at `now` can have arrived; undefined when it was never heard.
    */
   ownerClock(incarnation: string, now: Millis): Millis | undefined;
+  /**
+   * The same for what arrived at `arrivedAt` (from `arrivalTime`), after
+   * hearing the clock anew when its last reading is older than half a second,
+   * so that a relayed submission does not look older than it need.
+   */
+  learnOwnerClock(
+    incarnation: string,
+    arrivedAt: Millis,
+  ): Promise<Millis | undefined>;
   /** The latest time before which data read at `now` was surely unread. */
   arrivalTime(now: Millis): Millis;
   /** Who watches the settings for a zone, and who stands by. */
--- a/packages/membership/src/view/view.ts
+++ b/packages/membership/src/view/view.ts
@@ -206,8 +206,10 @@
     now: Millis,
   ): void {
     for (const record of this.records.values()) {
-      const {member, createdAt} = record;
+      const {member, createdAt, heardAt} = record;
       if (member.incarnation === answering.incarnation) continue;
+      // The list may name a run that does not listen yet.
+      if (heardAt === undefined) continue;
       if (member.peerAddress !== address || createdAt >= connectedAt) continue;
       if (startedBefore(answering, member)) continue;
       this.retire(record, now);
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {readClock} from '@goldcrestpier/runtime';
+import {readClock, sleep} from '@goldcrestpier/runtime';
 import {InstanceState, ListedState, pickHolder} from '../src/index.js';
 import {
   createLifecycle,
@@ -160,6 +160,31 @@
   assert.ok(clock <= readClock());
 });
 
+test('a clock that was not heard lately is heard before a relay', async context => {
+  const lifecycle = createLifecycle(context);
+  const pace = {intervalMs: 60 * 60 * 1000, minSilenceMs: 60 * 60 * 1000};
+  const a = await startInstance({lifecycle, name: 'a', pace});
+  const seeds = [a.address];
+  const b = await startInstance({lifecycle, name: 'b', seeds, pace});
+  await waitFor('b', () => namesSeenBy(a) === 'east/a east/b');
+  await waitForClock(a, b.incarnation);
+  await sleep(1_200);
+  const arrivedAt = a.membership.arrivalTime(readClock());
+  const stale = a.membership.ownerClock(b.incarnation, readClock());
+  const asked = [1, 2, 3].map(() =>
+    a.membership.learnOwnerClock(b.incarnation, arrivedAt),
+  );
+  for (const clock of await Promise.all(asked)) {
+    assert.ok(clock !== undefined);
+    // One clock serves both, as they run in one process.
+    assert.ok(clock <= arrivedAt);
+    assert.ok(clock > (stale ?? Infinity));
+  }
+  const stranger = 'east.x.000000000000';
+  const unknown = await a.membership.learnOwnerClock(stranger, readClock());
+  assert.equal(unknown, undefined);
+});
+
 async function waitForClock(
   {membership}: RunningInstance,
   incarnation: string,
