Answer in a typed way when an answer is too large to send

A whole over the limit made the peer end its connection, and with it every other call in flight became unknown. The call alone now fails, as may have run. Tests for that, for a reader that takes nothing, and for log lines that repeat.

--- a/packages/peers/src/server/connection.ts
+++ b/packages/peers/src/server/connection.ts
@@ -1,5 +1,5 @@
 /** One peer's connection as the server sees it. */
-import {createFailure, FailureCode} from '@goldcrestpier/protocol';
+import {createFailure, FailureCode, Ran} from '@goldcrestpier/protocol';
 import type {WebSocket} from 'ws';
 import {z} from 'zod';
 import {
@@ -12,6 +12,9 @@
 import {RefusedCallError} from './failure.js';
 import type {PeerServerLimits} from './limits.js';
 
+/** tRPC's code of a message that is too large. */
+const PAYLOAD_TOO_LARGE = -32013;
+
 /** tRPC's message for one call. Batches and subscriptions are not spoken. */
 const requestSchema = z.object({
   id: z.number(),
@@ -60,8 +63,10 @@
 
   /** Writes one answer. */
   encode(answer: unknown): string {
-    const frame = JSON.stringify(answer);
     const {id} = answer as {readonly id?: unknown};
+    const whole = JSON.stringify(answer);
+    const isTooLarge = Buffer.byteLength(whole) > this.limits.maxMessageBytes;
+    const frame = isTooLarge ? this.refuseAnswer(id) : whole;
     if (typeof id === 'number') this.noteAnswer(id, frame);
     if (this.socket.bufferedAmount > this.limits.maxUnreadBytes) {
       // A reader that takes nothing must not fill this process's memory.
@@ -80,6 +85,18 @@
     );
   }
 
+  /** The peer would end its connection, and every call on it, over the whole. */
+  private refuseAnswer(id: unknown): string {
+    const {maxMessageBytes} = this.limits;
+    const failure = createFailure(
+      FailureCode.BodyTooLarge,
+      {limitBytes: maxMessageBytes},
+      {ran: Ran.MayHaveRun},
+    );
+    const error = {code: PAYLOAD_TOO_LARGE, message: failure.code};
+    return JSON.stringify({id, error: {...error, data: {failure}}});
+  }
+
   private noteAnswer(id: number, frame: string): void {
     const call = this.waiting.get(id);
     if (call === undefined) return;
--- a/packages/peers/test/bad_input.test.ts
+++ b/packages/peers/test/bad_input.test.ts
@@ -158,6 +158,20 @@
   assert.equal(read.isOk(), true);
 });
 
+test('a reader that takes nothing loses its connection, not the process its memory', async context => {
+  const lifecycle = createLifecycle(context);
+  const answer = {incarnation: 'x'.repeat(500_000), jobs: [], servers: []};
+  const handlers = createHandlers({inspect: () => Promise.resolve(answer)});
+  const limits = {maxUnreadBytes: 1_000_000};
+  const server = await startServer(lifecycle, {handlers, limits});
+  const socket = await openRaw(lifecycle, server.port);
+  socket.pause();
+  const frameOf = (id: number) =>
+    JSON.stringify({id, method: 'query', params: {path: 'inspect'}});
+  for (let id = 1; id <= 200; id += 1) socket.send(frameOf(id));
+  await waitFor('the end of it', () => server.connections() === 0);
+});
+
 test('a connection without a sign of life is ended', async context => {
   const lifecycle = createLifecycle(context);
   const server = await startServer(lifecycle, {limits: {idleMs: 100}});
--- a/packages/peers/test/calls.test.ts
+++ b/packages/peers/test/calls.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createFailure, FailureCode, JobState} from '@goldcrestpier/protocol';
+import {
+  createFailure,
+  FailureCode,
+  JobState,
+  Ran,
+} from '@goldcrestpier/protocol';
 import {sleep} from '@goldcrestpier/runtime';
 import {
   Direction,
@@ -151,6 +156,28 @@
   assert.equal(next.isOk(), true);
 });
 
+test('an answer that is too large is a typed failure, and the connection stays', async context => {
+  const lifecycle = createLifecycle(context);
+  const handlers = createHandlers({
+    inspect: () =>
+      Promise.resolve({
+        incarnation: 'x'.repeat(10_000),
+        jobs: [],
+        servers: [],
+      }),
+  });
+  const limits = {maxMessageBytes: 10_000};
+  const {link} = await startPair(lifecycle, {handlers, limits}, {limits});
+  const openedAt = link.connectedAt();
+  const failure = (await link.inspect(TIMEOUT_MS)).unwrapErr();
+  assert.equal(failure.kind, PeerFailureKind.Refused);
+  assert.equal(failure.failure.code, FailureCode.BodyTooLarge);
+  assert.equal(failure.failure.ran, Ran.MayHaveRun);
+  const next = await link.readSettings({knownRevision: 1}, TIMEOUT_MS);
+  assert.equal(next.isOk(), true);
+  assert.equal(link.connectedAt(), openedAt);
+});
+
 test('calls past the limit of one connection are refused as not run', async context => {
   const lifecycle = createLifecycle(context);
   const answers: Array<(value: RelayAnswer) => void> = [];
--- /dev/null
+++ b/packages/peers/test/sparse_log.test.ts
@@ -0,0 +1,20 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {silentLogger} from '@goldcrestpier/runtime';
+import {SparseLog} from '../src/index.js';
+
+test('a line that repeats is written once in a while, with what was left out', () => {
+  const lines: unknown[] = [];
+  const warn = (message: string, fields?: object) =>
+    void lines.push([message, fields]);
+  const log = new SparseLog({...silentLogger, warn}, 1_000);
+  for (let now = 0; now < 2_000; now += 100) {
+    log.warn('no connection', 'a', {peer: 'a'}, now);
+  }
+  log.warn('no connection', 'b', {peer: 'b'}, 2_000);
+  assert.deepEqual(lines, [
+    ['no connection', {peer: 'a', repeated: undefined}],
+    ['no connection', {peer: 'a', repeated: 9}],
+    ['no connection', {peer: 'b', repeated: undefined}],
+  ]);
+});
