--- a/packages/placement/bench/fleet.ts
+++ b/packages/placement/bench/fleet.ts
@@ -32,16 +32,21 @@
   readonly policy: PolicyKind;
   /** One way between zones, in whole milliseconds (timers know no less). */
   readonly betweenZonesMs: number;
+  readonly fault?: TrialFault;
+  /** When the faults begin, on the monotonic clock. */
+  readonly faultAt?: number;
   readonly lifecycle: Lifecycle;
   readonly counters: Partial<PlacementCounters>;
   readonly onEnd: (task: PlacedTask, outcome: TaskOutcome) => void;
+  /** In place of runners that take their time. */
+  readonly runners?: RunnerClient;
 }
 
 /** The instances of one trial. */
 export function createFleet(shape: FleetShape): Placement[] {
   const members = Array.from({length: shape.owners}, (_, i) => createMember(i));
   const placements: Placement[] = [];
-  const runners = createFakeRunners(shape.servers);
+  const runners = shape.runners ?? createFakeRunners(shape);
   const servers = shape.servers.map(({server}) => server);
   const settings = {
     ...defaultSettings,
@@ -142,8 +147,26 @@
   beat();
 }
 
+/** What is wrong with one runner in ten. */
+export enum TrialFault {
+  None = 'none',
+  /** It runs five times slower than before. */
+  Slow = 'slow',
+  /** It fails what it starts, at once. */
+  Failing = 'failing',
+  /** It never answers. */
+  Frozen = 'frozen',
+}
+
+const FAULTY_EACH = 10;
+const SLOWED_BY = 5;
+
 /** Runners that take as long as the task's payload and their speed say. */
-function createFakeRunners(servers: readonly SpeedyServer[]): RunnerClient {
+function createFakeRunners({
+  servers,
+  fault,
+  faultAt,
+}: FleetShape): RunnerClient {
   const inUse = new Map<string, number>();
   const byName = new Map(servers.map(each => [each.server.name, each]));
   return {
@@ -153,10 +176,19 @@
       if (speedy === undefined) throw new Error('unknown server');
       if (used >= speedy.server.slots) return {kind: StartKind.Busy};
       inUse.set(address.name, used + 1);
-      const runMs = (task.payload as number) / speedy.speed;
+      const isFaulty =
+        servers.indexOf(speedy) % FAULTY_EACH === 0 &&
+        readClock() >= (faultAt ?? Infinity);
+      let runMs = (task.payload as number) / speedy.speed;
+      if (isFaulty && fault === TrialFault.Slow) runMs *= SLOWED_BY;
+      if (isFaulty && fault === TrialFault.Failing) runMs = 1;
+      if (isFaulty && fault === TrialFault.Frozen) runMs = 1e8;
       await sleep(runMs, signal);
       inUse.set(address.name, (inUse.get(address.name) ?? 1) - 1);
       if (signal.aborted) return {kind: StartKind.Stopped, sent: true};
+      if (isFaulty && fault === TrialFault.Failing) {
+        return {kind: StartKind.Failed, reason: 'out of ink', runMs};
+      }
       return {kind: StartKind.Done, result: 1, runMs};
     },
   };
--- a/packages/placement/src/policies/choose_direct.ts
+++ b/packages/placement/src/policies/choose_direct.ts
@@ -32,7 +32,7 @@
     case PolicyKind.RoundRobin:
       return servers[view.turn % Math.max(servers.length, 1)];
     case PolicyKind.FewestInFlight:
-      return servers.reduce<Server | undefined>(
+      return rotate(servers, view.turn).reduce<Server | undefined>(
         (best, server) =>
           best === undefined || isLess(view, server, best) ? server : best,
         undefined,
@@ -50,6 +50,12 @@
   return view.servers[Math.floor(view.random() * view.servers.length)];
 }
 
+/** Servers that are equal take turns, or all owners would meet at one. */
+function rotate(servers: readonly Server[], turn: number): Server[] {
+  const start = turn % Math.max(servers.length, 1);
+  return [...servers.slice(start), ...servers.slice(0, start)];
+}
+
 function isLess(view: DirectView, a: Server, b: Server): boolean {
   return view.inFlight(a) < view.inFlight(b);
 }
--- a/packages/placement/src/policies/direct_binding.ts
+++ b/packages/placement/src/policies/direct_binding.ts
@@ -11,6 +11,7 @@
 
 const SHORTEST_PAUSE_MS = 5;
 const LONGEST_PAUSE_MS = 15;
+const MOST_SERVERS = 100_000;
 
 /** What a baseline needs. */
 export interface DirectBindingParts {
@@ -26,9 +27,12 @@
 /** Binds tasks by what this owner sees alone. */
 export class DirectBinding implements Binding {
   private readonly inFlight = new Map<string, number>();
-  private turn = 0;
+  /** Starts anywhere, so that owners do not take turns in step. */
+  private turn: number;
 
-  constructor(private readonly parts: DirectBindingParts) {}
+  constructor(private readonly parts: DirectBindingParts) {
+    this.turn = Math.floor(parts.random() * MOST_SERVERS);
+  }
 
   /** Sends what waits. */
   wake(queue: PoolQueue, now: Millis): void {
