--- a/packages/entry/src/callers/handlers.ts
+++ b/packages/entry/src/callers/handlers.ts
@@ -1,5 +1,11 @@
 /** One function for each thing a caller can ask for. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  checkValue,
+  readJson,
+  respondFailure,
+  respondJson,
+} from '@goldcrestpier/http';
 import {
   attemptSchema,
   createFailure,
@@ -8,12 +14,11 @@
   keySchema,
   type Failure,
 } from '@goldcrestpier/protocol';
-import type {Millis} from '@goldcrestpier/runtime';
+import {readClock, type Millis} from '@goldcrestpier/runtime';
 import {Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
 import type {Gateway, JobReply, Wait} from '../gateway/types.js';
-import {checkValue, readJson} from './body.js';
-import {respondFailure, respondJob, respondJson} from './respond.js';
+import {respondJob} from './respond.js';
 
 const STATUS_CREATED = 201;
 const STATUS_NO_CONTENT = 204;
@@ -32,8 +37,8 @@
   readonly query: URLSearchParams;
   readonly gateway: Gateway;
   readonly maxBodyBytes: number;
-  /** When this instance may first have received the request. */
-  readonly receivedAt: Millis;
+  /** When data read at `now` may first have reached this process. */
+  readonly arrivalTime: (now: Millis) => Millis;
   /** Aborts when the caller has gone. */
   readonly signal: AbortSignal;
 }
@@ -64,8 +69,9 @@
   const key = checkValue(rawKey, keySchema);
   const attempt = readAttempt(exchange.query);
   const wait = readWait(exchange);
-  const {request, maxBodyBytes, gateway, receivedAt} = exchange;
+  const {request, maxBodyBytes, gateway} = exchange;
   const job = await readJson(request, jobSchema, maxBodyBytes);
+  const receivedAt = exchange.arrivalTime(readClock());
   if (key.isErr()) return respondFailure(exchange.response, key.error);
   if (attempt.isErr()) return respondFailure(exchange.response, attempt.error);
   if (wait.isErr()) return respondFailure(exchange.response, wait.error);
@@ -103,10 +109,11 @@
 
 /** `POST /v1/jobs` with an `Idempotency-Key` header */
 export async function handleSubmitPlain(exchange: Exchange): Promise<void> {
-  const {request, maxBodyBytes, gateway, receivedAt} = exchange;
+  const {request, maxBodyBytes, gateway} = exchange;
   const key = checkValue(request.headers['idempotency-key'], keySchema);
   const wait = readWait(exchange);
   const job = await readJson(request, jobSchema, maxBodyBytes);
+  const receivedAt = exchange.arrivalTime(readClock());
   if (key.isErr()) {
     return respondFailure(exchange.response, describeMissingKey());
   }
--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -8,16 +8,18 @@
   sleep,
   type Lifecycle,
   type Logger,
+  type Millis,
 } from '@goldcrestpier/runtime';
 import {WebSocket} from 'ws';
 import {noCounts, type MessageCounts} from '../calls.js';
+import {Coalescer} from '../coalesce.js';
 import {watchSilence} from '../silence.js';
 import {SparseLog} from '../sparse_log.js';
 import {chooseBackoff} from './backoff.js';
 import {ClientCalls, type PeerCalls} from './client_calls.js';
 import {PeerConnection} from './connection.js';
 import {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
-import {openSocket} from './open.js';
+import {OpenFailure, openSocket, type OpenedSocket} from './open.js';
 
 /** What a link to one peer needs. */
 export interface PeerLinkOptions {
@@ -37,6 +39,10 @@
   readonly address: string;
   /** Whether there is a connection at present. */
   isConnected(): boolean;
+  /** When opening the present connection began; undefined without one. */
+  connectedAt(): Millis | undefined;
+  /** Whether the host last said that no process listens at the address. */
+  isRefused(): boolean;
   /** Ends the link; calls in flight end as unknown. */
   close(): Promise<void>;
 }
@@ -53,6 +59,8 @@
   private readonly lifecycle: Lifecycle;
   private readonly log: SparseLog;
   private connection: PeerConnection | undefined;
+  private openedAt: Millis = 0;
+  private openFailure: OpenFailure | undefined;
 
   constructor(private readonly options: PeerLinkOptions) {
     super(() => this.connection);
@@ -69,6 +77,14 @@
     return this.connection?.isOpen === true;
   }
 
+  connectedAt(): Millis | undefined {
+    return this.isConnected() ? this.openedAt : undefined;
+  }
+
+  isRefused(): boolean {
+    return !this.isConnected() && this.openFailure === OpenFailure.NotListening;
+  }
+
   async close(): Promise<void> {
     await this.lifecycle.close();
   }
@@ -89,16 +105,19 @@
     const {address, limits} = this;
     let failures = 0;
     while (!signal.aborted) {
+      const triedAt = readClock();
       const opened = await openSocket(this.options, limits, signal);
       if (opened.isOk()) {
-        const openedAt = readClock();
+        this.openedAt = triedAt;
+        this.openFailure = undefined;
         await this.serve(opened.value, signal);
         // One that ends at once counts as a failure, or it would be opened
         // again without end.
-        const lastedMs = readClock() - openedAt;
+        const lastedMs = readClock() - this.openedAt;
         failures = lastedMs >= limits.longestRetryMs ? 0 : failures + 1;
       } else if (!signal.aborted) {
         failures += 1;
+        this.openFailure = opened.error;
         const fields = {address, reason: opened.error};
         this.log.warn('no connection', opened.error, fields, readClock());
       }
@@ -114,11 +133,19 @@
   }
 
   /** Sends calls on one connection until it ends. */
-  private async serve(socket: WebSocket, signal: AbortSignal): Promise<void> {
+  private async serve(
+    {socket, stream}: OpenedSocket,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {counts = noCounts} = this.options;
     if (socket.readyState === WebSocket.CLOSED) return;
     const closed = new Promise(resolve => socket.once('close', resolve));
-    this.connection = new PeerConnection(socket, this.limits, counts);
+    this.connection = new PeerConnection(
+      socket,
+      this.limits,
+      counts,
+      new Coalescer(stream),
+    );
     watchSilence(socket, {silenceMs: this.limits.silenceMs, asks: true});
     const end = () => socket.terminate();
     signal.addEventListener('abort', end, {once: true});
--- a/packages/peers/src/link/open.ts
+++ b/packages/peers/src/link/open.ts
@@ -1,4 +1,5 @@
 /** Opens a connection to a peer's listener. */
+import type {Duplex} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocket} from 'ws';
 import {formatAuthorization, INCARNATION_HEADER} from '../token.js';
@@ -11,6 +12,8 @@
 export enum OpenFailure {
   /** The address is not `host:port`. */
   BadAddress = 'bad_address',
+  /** The host answers that no process listens there. */
+  NotListening = 'not_listening',
   /** Nothing answers there, or not as a peer does. */
   Unreachable = 'unreachable',
   /** The peer does not take this process's token. */
@@ -28,16 +31,26 @@
   readonly self: string;
 }
 
+/** An open connection and the stream below it. */
+export interface OpenedSocket {
+  readonly socket: WebSocket;
+  readonly stream: Duplex;
+}
+
 /** Opens a connection to a peer, or gives up once `signal` aborts. */
 export async function openSocket(
   options: OpenOptions,
   limits: PeerLinkLimits,
   signal: AbortSignal,
-): Promise<Result<WebSocket, OpenFailure>> {
+): Promise<Result<OpenedSocket, OpenFailure>> {
   const socket = createSocket(options, limits);
   if (socket === undefined) return Err(OpenFailure.BadAddress);
   const abort = () => socket.terminate();
   signal.addEventListener('abort', abort, {once: true});
+  let stream: Duplex | undefined;
+  socket.once('upgrade', response => {
+    stream = response.socket;
+  });
   const failure = await new Promise<OpenFailure | undefined>(resolve => {
     socket.once('open', () => resolve(undefined));
     socket.once('close', () => resolve(OpenFailure.Unreachable));
@@ -46,10 +59,16 @@
       request.destroy();
     });
     // Each error ends in a close; this keeps it from ending the process.
-    socket.on('error', () => resolve(OpenFailure.Unreachable));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      const isRefused = error.code === 'ECONNREFUSED';
+      resolve(isRefused ? OpenFailure.NotListening : OpenFailure.Unreachable);
+    });
   });
   signal.removeEventListener('abort', abort);
-  return failure === undefined ? Ok(socket) : Err(failure);
+  if (failure !== undefined || stream === undefined) {
+    return Err(failure ?? OpenFailure.Unreachable);
+  }
+  return Ok({socket, stream});
 }
 
 function createSocket(
