Wire the operators' settings through the one adapter

Cause: the instance's adapter was written against the operators' older calls while those were being fitted to the tree; merged, it no longer compiled. What was shown as in force had the code's keys (retry.maxStarts), so that no key of two words found the node that sets it, and settings without names (quotas) were left out.

What: the instance uses the adapter of the operators' package; the values in force are traced by the keys that operators write. While the platform is out, reading shows the tree that is applied here.

--- /dev/null
+++ b/packages/apidocs/src/openapi/index.ts
@@ -0,0 +1,3 @@
+/** docs/openapi.json. */
+export {createOpenApiDocument, operations} from './document.js';
+export {Listener, type Operation} from './operation.js';
--- /dev/null
+++ b/packages/apidocs/src/openapi/parameters.ts
@@ -0,0 +1,61 @@
+/** The parameters that several calls share. */
+import type {Parameter} from './operation.js';
+
+/** The longest that a read may wait for a job's end, in milliseconds. */
+const MAX_WAIT_MS = 60_000;
+
+/** Names a session in a path. */
+export const sessionParameter: Parameter = {
+  name: 'session',
+  in: 'path',
+  required: true,
+  description: 'The session, as its opening was answered.',
+  schema: {type: 'string'},
+};
+
+/** Names a job of a session in a path. */
+export const keyParameter: Parameter = {
+  name: 'key',
+  in: 'path',
+  required: true,
+  description: "The client's own name for the job within its session.",
+  schema: {type: 'string', pattern: '^[A-Za-z0-9._~-]{1,128}$'},
+};
+
+/** How long an answer may wait for the job's end. */
+export const waitParameter: Parameter = {
+  name: 'wait',
+  in: 'query',
+  required: false,
+  description: "How long the answer may wait for the job's end, in ms.",
+  schema: {type: 'number', minimum: 0, default: 0, maximum: MAX_WAIT_MS},
+};
+
+/** Counts the tries of one key. */
+export const attemptParameter: Parameter = {
+  name: 'attempt',
+  in: 'query',
+  required: false,
+  description:
+    'Counts the tries of this key, from 1. Only a try that was answered with "not_run" is followed by a higher one.',
+  schema: {type: 'integer', minimum: 1, maximum: 1_000_000},
+};
+
+/** Names a job of a plain client. */
+export const idempotencyKeyParameter: Parameter = {
+  name: 'Idempotency-Key',
+  in: 'header',
+  required: true,
+  description: 'Names the job for this and every later submission of it.',
+  schema: {type: 'string', pattern: '^[A-Za-z0-9._~-]{1,128}$'},
+};
+
+/** A parameter of a query that may be left out. */
+export function createQueryParameter(
+  name: string,
+  description: string,
+  schema: Readonly<Record<string, unknown>>,
+  required = false,
+): Parameter {
+  return {name, in: 'query', required, description, schema};
+}
--- a/packages/entry/src/start/index.ts
+++ b/packages/entry/src/start/index.ts
@@ -1,5 +1,6 @@
 /** Puts one entry instance together and starts it. */
 import type {Membership} from '@goldcrestpier/membership';
+import {createSettingsOperations} from '@goldcrestpier/operators';
 import type {Placement} from '@goldcrestpier/placement';
 import {LogPart, readClock} from '@goldcrestpier/runtime';
 import {SettingsStore, type ProcessSettings} from '@goldcrestpier/settings';
@@ -8,7 +9,6 @@
 import {RelayGateway} from '../gateway/relay.js';
 import {createFleetOperations} from '../operators/fleet.js';
 import {inspect} from '../operators/inspect.js';
-import {createSettingsOperations} from '../operators/settings.js';
 import {createPeerHandlers} from '../peers/index.js';
 import {leaveGracefully} from '../stop/index.js';
 import {createClaims} from './claims.js';
@@ -113,7 +113,10 @@
   const logger = logs.forPart(LogPart.Settings);
   const store = new SettingsStore(platform.client, logger);
   await listenForOperators(context, {
-    settings: createSettingsOperations(store, platform.follower),
+    settings: createSettingsOperations({
+      store,
+      readApplied: () => platform.follower.current,
+    }),
     fleet: createFleetOperations({
       membership,
       gateway,
--- a/packages/operators/src/views/settings_operations.ts
+++ b/packages/operators/src/views/settings_operations.ts
@@ -39,8 +39,11 @@
   readApplied,
 }: SettingsSources): SettingsOperations {
   return {
-    read: async node =>
-      (await store.read()).andThen(tree => selectNodes(tree, node)),
+    async read(node) {
+      // While the platform is out, what is applied here is the best there is.
+      const newest = await store.read();
+      return selectNodes(newest.unwrapOr(readApplied()), node);
+    },
     readEffective: node => Promise.resolve(listEffective(readApplied(), node)),
     edit: async request => {
       const edited = await store.edit(request, new Date());
--- a/packages/settings/src/tree/trace.ts
+++ b/packages/settings/src/tree/trace.ts
@@ -1,30 +1,46 @@
 /** Where each value that is in force at a node comes from. */
-import {listValues} from './keys.js';
+import {listValues, toSnakeCase} from './keys.js';
 import {isTable} from './node.js';
 import {findParent} from './path.js';
 import type {SettingsTree} from './tree.js';
 
 /** One value in force. */
 export interface TracedValue {
+  /** As operators write it. */
   readonly key: string;
   readonly value: unknown;
   /** Path of the node that sets it; undefined for a default. */
   readonly from: string | undefined;
 }
 
-/** Every value in force at `path`; undefined when there is no such node. */
+/**
+ * Every value in force at `path`; undefined when there is no such node. A
+ * setting in which nothing is named, such as quotas, is shown as empty.
+ */
 export function traceValues(
   tree: SettingsTree,
   path: string,
 ): readonly TracedValue[] | undefined {
-  const effective: unknown = tree.effective(path);
-  if (!isTable(effective)) return undefined;
+  const effective = tree.effective(path);
+  if (effective === undefined) return undefined;
   const sources = listSources(tree, path);
-  return listValues(effective).map(([key, value]) => ({
-    key,
-    value,
-    from: sources.get(key),
-  }));
+  return Object.entries(effective)
+    .flatMap(([group, settings]) =>
+      Object.entries(settings).flatMap(([name, value]: [string, unknown]) =>
+        listNamed(toSnakeCase(`${group}.${name}`), value),
+      ),
+    )
+    .map(([key, value]) => ({key, value, from: sources.get(key)}));
+}
+
+function listNamed(
+  key: string,
+  value: unknown,
+): ReadonlyArray<readonly [key: string, value: unknown]> {
+  if (!isTable(value) || Object.keys(value).length === 0) {
+    return [[key, value]];
+  }
+  return listValues(value, [key]);
 }
 
 /** The nearest node at or above `path` that sets each key. */
