--- a/packages/settings/src/edits/index.ts
+++ b/packages/settings/src/edits/index.ts
@@ -9,3 +9,4 @@
   type SettingsEdit,
 } from './edit.js';
 export {SettingsStore, type EditAnswer} from './store.js';
+export {HISTORY_KEPT} from './layout.js';
--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -5,8 +5,6 @@
   formatDocument,
   parseDocument,
   parseSettingValue,
-  readDocument,
-  toTables,
   type SettingsDocument,
 } from './document.js';
 export {toSnakeCase} from './keys.js';
@@ -25,5 +23,4 @@
   toNodePath,
 } from './path.js';
 export * from './schema.js';
-export {traceValues, type TracedValue} from './trace.js';
 export {SettingsTree, type SettingsSnapshot} from './tree.js';
