Leave an endpoint that broke a write

Cause: the endpoint to ask first moved on only when the next one was tried at once, which a write that was sent must not do. So the same write sent again, to learn its outcome, went to the frozen endpoint once more.

--- a/packages/platform/src/key_value/transport.ts
+++ b/packages/platform/src/key_value/transport.ts
@@ -50,6 +50,8 @@
 interface Attempt {
   readonly answer?: unknown;
   readonly failure?: PlatformFailure;
+  /** Whether the endpoint is of no use at present. */
+  readonly isBroken: boolean;
   /** Whether the next endpoint may be tried. */
   readonly goOn: boolean;
 }
@@ -75,8 +77,9 @@
       const attempt = await this.tryEndpoint(call, index, timeoutMs);
       if (attempt.failure === undefined) return Ok(attempt.answer);
       failure = attempt.failure;
+      // Whoever asks next, perhaps for this same write, does so elsewhere.
+      if (attempt.isBroken) this.preferred = (index + 1) % order.length;
       if (!attempt.goOn) break;
-      this.preferred = (index + 1) % order.length;
     }
     return Err(failure);
   }
@@ -141,11 +144,15 @@
         dispatcher: this.agent,
         signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
       });
-      if (statusCode === 200) return {answer: await body.json(), goOn: false};
+      if (statusCode === 200) {
+        return {answer: await body.json(), isBroken: false, goOn: false};
+      }
       const text = await readBounded(body);
+      const isBroken = statusCode >= 500;
       return {
         failure: createRefusal(call, statusCode, text),
-        goOn: statusCode >= 500 && call.effect === CallEffect.Read,
+        isBroken,
+        goOn: isBroken && call.effect === CallEffect.Read,
       };
     } catch (cause) {
       const wasSent = sending.hasBegun();
@@ -157,7 +164,7 @@
         reason: failure.reason,
         detail: failure.detail,
       });
-      return {failure, goOn};
+      return {failure, isBroken: true, goOn};
     }
   }
 }
