Give a final answer about owners that nobody present ever heard

An instance that started after an owner had died neither heard it nor saw the list show it, and answered 'ask again' for ever; once a whole generation of instances was replaced, no one could say that its jobs were lost. An owner had started before somebody asked for its session, so a list that goes on without it for 60 s, longer than it lags, has dropped it. That counts only in a list that shows its reader and some instance of the owner's zone.

One test got a new title and kept its assertions: an instance that the list never showed can now be gone, though not by that test's list, which leaves its reader out.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -35,6 +35,7 @@
   pace: defaultPaceSettings,
   liveness: defaultLivenessTiming,
   dropConfirmMs: 5_000,
+  listLagMs: 60_000,
   forgetMs: 60 * 60 * 1000,
 };
 
@@ -71,6 +72,7 @@
     const pace = new Pace(this.timing.pace);
     this.view = new View(this.member, {
       dropConfirmMs: this.timing.dropConfirmMs,
+      listLagMs: this.timing.listLagMs,
       forgetMs: this.timing.forgetMs,
       patience: ({zone}) => pace.patience(zone === self.zone),
     });
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -22,6 +22,8 @@
   readonly liveness: LivenessTiming;
   /** How long the list must go on without an instance, in ms. */
   readonly dropConfirmMs: Millis;
+  /** Within this time of its start the list shows every instance, in ms. */
+  readonly listLagMs: Millis;
   /** How long a silent and unlisted instance is remembered, in ms. */
   readonly forgetMs: Millis;
 }
--- a/packages/membership/src/view/view.ts
+++ b/packages/membership/src/view/view.ts
@@ -18,13 +18,13 @@
   type ViewChange,
 } from './instance.js';
 import {isDropped, noteListing, type ListedInstance} from './listing.js';
-import {UnknownIncarnations} from './unknown.js';
+import {UnknownIncarnations, type UnknownTiming} from './unknown.js';
 
 /** Incarnations remembered as gone for ever. */
 const MAX_GONE = 20_000;
 
 /** Times of the view. */
-export interface ViewTiming {
+export interface ViewTiming extends UnknownTiming {
   /** How long the list must go on without an instance, in ms. */
   readonly dropConfirmMs: Millis;
   /** How long an instance that is silent and unlisted is remembered, in ms. */
@@ -46,7 +46,7 @@
 export class View {
   private readonly records = new Map<string, InstanceRecord>();
   private readonly gone = new BoundedMap<string, Millis>(MAX_GONE);
-  private readonly unknown = new UnknownIncarnations();
+  private readonly unknown: UnknownIncarnations;
   private readonly topic = createTopic<ViewChange>();
   private readonly membersByZone = new Map<string, readonly Member[]>();
   /** When this process was found to have been stopped; silence starts anew. */
@@ -55,7 +55,9 @@
   constructor(
     private self: Member,
     private readonly timing: ViewTiming,
-  ) {}
+  ) {
+    this.unknown = new UnknownIncarnations(timing);
+  }
 
   /** Changes of states, as they are noticed. */
   get changes(): Stream<ViewChange> {
@@ -140,6 +142,7 @@
     for (const record of this.records.values()) {
       noteListing(record, entries, now);
     }
+    this.unknown.noteList(entries, this.self, now);
     this.judge(now);
   }
 
@@ -169,12 +172,15 @@
     if (incarnation === this.self.incarnation) return false;
     if (this.gone.has(incarnation)) return true;
     const record = this.records.get(incarnation);
-    if (record === undefined) {
-      const {dropConfirmMs} = this.timing;
-      const records = this.records.values();
-      return this.unknown.isEnded(incarnation, records, dropConfirmMs, now);
+    const state = record && this.judgeOne(record, now);
+    if (state !== undefined && state !== InstanceState.Suspect) {
+      return state === InstanceState.Gone;
     }
-    return this.judgeOne(record, now) === InstanceState.Gone;
+    // What the list once showed, it has to drop.
+    if (record?.listing.isShown === true) return false;
+    if (this.unknown.isUnlisted(incarnation, now)) return true;
+    if (record !== undefined) return false;
+    return this.unknown.isReplaced(incarnation, this.records.values(), now);
   }
 
   private add(member: Member, now: Millis): InstanceRecord {
--- a/packages/membership/test/view.test.ts
+++ b/packages/membership/test/view.test.ts
@@ -14,6 +14,7 @@
 const SEED = 20_261_203;
 const timing: ViewTiming = {
   dropConfirmMs: 1_000,
+  listLagMs: 10_000,
   forgetMs: 100_000,
   patience: () => 500,
 };
@@ -55,7 +56,7 @@
   assert.equal(view.isGone(a.incarnation, 9_500), true);
 });
 
-test('an instance that the list never showed is not gone however long it is silent', () => {
+test('an instance is not gone by a list without its reader, however long it is silent', () => {
   const view = new View(self, timing);
   view.hear(a, 0);
   for (let now = 0; now < 90_000; now += 1_000) view.readList(list(b), now);
@@ -106,6 +107,8 @@
   };
   view.hear(older, 1_700, evidence);
   assert.equal(view.isGone(later.incarnation, 1_700), false);
+  view.hear(older, 9_000, {...evidence, sentAt: 8_900});
+  assert.equal(view.isGone(later.incarnation, 9_000), false);
 });
 
 test('an instance whose host refuses connections is suspect at once, not gone', () => {
@@ -139,6 +142,61 @@
   assert.notEqual(view.members('east'), members);
 });
 
+const unknown = createMember('u').incarnation;
+
+test('a run that nobody here ever heard is gone when the list goes on without it for longer than it lags', () => {
+  const view = new View(self, timing);
+  const lists = list(self, a);
+  view.readList(lists, 0);
+  assert.equal(view.isGone(unknown, 5_000), false);
+  view.readList(lists, 6_000);
+  view.readList(lists, 15_999);
+  assert.equal(view.isGone(unknown, 90_000), false);
+  view.readList(lists, 16_000);
+  assert.equal(view.isGone(unknown, 16_000), true);
+});
+
+test('a silent instance that the list never showed is gone like an unknown one', () => {
+  const view = new View(self, timing);
+  view.hear(a, 0);
+  assert.equal(view.isGone(a.incarnation, 400), false);
+  view.readList(list(self, b), 5_000);
+  assert.equal(view.isGone(a.incarnation, 5_000), false);
+  view.readList(list(self, b), 6_000);
+  view.readList(list(self, b), 15_000);
+  assert.equal(view.isGone(a.incarnation, 15_000), false);
+  view.readList(list(self, b), 16_000);
+  assert.equal(view.isGone(a.incarnation, 16_000), true);
+  view.hear(a, 17_000);
+  assert.equal(view.isGone(a.incarnation, 17_000), false);
+});
+
+test('a list proves nothing about an unknown run that it shows, or whose zone or reader it leaves out', () => {
+  const inWest = 'west.u.000000000001';
+  for (const [asked, entries] of [
+    [unknown, list(self, a, createMember('u'))],
+    [unknown, list(a, b)],
+    [inWest, list(self, a)],
+  ] as const) {
+    const view = new View(self, timing);
+    assert.equal(view.isGone(asked, 0), false);
+    for (let now = 0; now < 90_000; now += 1_000) {
+      view.readList(entries, now);
+      assert.equal(view.isGone(asked, now), false);
+    }
+  }
+});
+
+test('an unknown run that the list shows again in between is not gone', () => {
+  const view = new View(self, timing);
+  view.isGone(unknown, 0);
+  view.readList(list(self), 0);
+  view.readList(list(self, createMember('u')), 9_000);
+  view.readList(list(self), 12_000);
+  view.readList(list(self), 21_000);
+  assert.equal(view.isGone(unknown, 21_000), false);
+});
+
 test('no sequence of silence and lists without a drop makes an instance gone', () => {
   const step = fc.record({
     waitMs: fc.nat(3_000),
