Connect to host and port only, whatever an address says

An address is another process's word, and the token goes where it leads: one with a path, a user or a fragment in it was taken as a URL. Run: 33 tests of packages/peers pass.

--- a/packages/peers/src/link/open.ts
+++ b/packages/peers/src/link/open.ts
@@ -5,6 +5,9 @@
 import {formatAuthorization, INCARNATION_HEADER} from '../token.js';
 import type {PeerLinkLimits} from './limits.js';
 
+/** `host:port`, and nothing that would lead a URL elsewhere. */
+const ADDRESS_PATTERN =
+  /^(?:\[[0-9a-fA-F:.]+\]|[0-9A-Za-z](?:[0-9A-Za-z.-]*)):[0-9]{1,5}$/;
 /** Status of an answer to a wrong token. */
 const UNAUTHORIZED = 401;
 
@@ -75,6 +78,8 @@
   {address, token, self}: OpenOptions,
   limits: PeerLinkLimits,
 ): WebSocket | undefined {
+  // The token goes to whatever the address names.
+  if (!ADDRESS_PATTERN.test(address)) return undefined;
   try {
     return new WebSocket(`ws://${address}/`, {
       headers: {
--- a/packages/peers/test/faults.test.ts
+++ b/packages/peers/test/faults.test.ts
@@ -44,8 +44,12 @@
 
 test('an address that is none is not sent to, and ends nothing', async context => {
   const lifecycle = createLifecycle(context);
-  for (const address of ['', 'no port', '127.0.0.1:99999', 'a b://c']) {
+  const {port} = await startServer(lifecycle);
+  const addresses = ['', 'no port', '127.0.0.1:99999', 'a b://c'];
+  const elsewhere = [`x@127.0.0.1:${port}`, `127.0.0.1:${port}/x`, `a/#:1`];
+  for (const address of [...addresses, ...elsewhere]) {
     const link = startLink(lifecycle, 0, {address});
+    await sleep(50);
     const failure = (await link.read(query, TIMEOUT_MS)).unwrapErr();
     assert.deepEqual(failure, disconnected.notSent);
   }
