--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -21,6 +21,9 @@
 import {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
 import {OpenFailure, openSocket, type OpenedSocket} from './open.js';
 
+/** How often a link says that it cannot connect, in ms. */
+const FAILURE_LINE_EVERY_MS = 60_000;
+
 /** What a link to one peer needs. */
 export interface PeerLinkOptions {
   /** `host:port` of the peer's listener. */
@@ -66,7 +69,7 @@
     super(() => this.connection);
     this.limits = {...defaultPeerLinkLimits, ...options.limits};
     this.lifecycle = options.lifecycle.createChild(`link ${options.address}`);
-    this.log = new SparseLog(options.logger);
+    this.log = new SparseLog(options.logger, FAILURE_LINE_EVERY_MS);
   }
 
   get address(): string {
