Carry prospects in the heartbeats' spare, and let large needs through

Prospects now ride in fields of spare that are optional, because membership builds the heartbeat and passes spare on: without them an owner knew of other zones only what their last answers said. What a holder said counts no longer after 3 s. A server's own word that it is leaving holds for 30 s, so that one that comes back under its name is used again. Needs that did not fit for 1 s go before all others at their holder, and after 0.5 s are tried at the next one.

--- a/packages/peers/src/messages/membership.ts
+++ b/packages/peers/src/messages/membership.ts
@@ -1,6 +1,5 @@
 /** Heartbeats: who is there, and what rides along. */
 import {z} from 'zod';
-import {prospectSchema} from './placement.js';
 
 /** Addresses in one heartbeat. */
 export const MAX_ADDRESSES = 64;
@@ -50,12 +49,14 @@
     z.object({
       pool: z.string(),
       free: z.number().int().nonnegative(),
-      /** Speed of the fastest free server, 1 being the pool's mean. */
+      /** Expected speed for one more task, 1 being the pool's mean. */
       speed: z.number(),
+      /** How long one more task would wait for a slot, in milliseconds. */
+      waitMs: z.number().nonnegative().optional(),
+      /** Mean time between two slots that come free, in milliseconds. */
+      everyMs: z.number().nonnegative().optional(),
     }),
   ),
-  /** What one more task may expect at the sender, by pool. */
-  prospects: z.array(prospectSchema).optional(),
 });
 
 /** One entry instance as its peers know it. */
--- a/packages/placement/src/holding/held_pool.ts
+++ b/packages/placement/src/holding/held_pool.ts
@@ -10,7 +10,7 @@
   type PlacementCounters,
 } from '../counters.js';
 import {HealthState, PoolEjections} from '../ejection/index.js';
-import type {Resources} from '../fit/index.js';
+import {fits, type Resources} from '../fit/index.js';
 import {chooseServer, isWorthStarting} from './choose_server.js';
 import {DemandBook, type Claim} from './demand_book.js';
 import {HeldServer, type HeldGrant} from './held_server.js';
@@ -23,6 +23,8 @@
 /** Connections of a runner that the entry instances share between them. */
 const RUNNER_CONNECTIONS = 56;
 const LONGEST_WAIT_MS = 60_000;
+/** Needs that do not fit for this long go before all others. */
+const STARVED_MS = 1_000;
 /** To see whether a worker has any room at all. */
 const SMALLEST_NEEDS: Resources = {
   processors: 1,
@@ -77,6 +79,7 @@
       }
       const grant = this.grantTo(claim, now);
       if (grant === undefined) {
+        if (this.isStarved(claim, now)) return granted;
         skipped.add(claim.owner);
         continue;
       }
@@ -126,20 +129,23 @@
 
   /** Where a server stands. */
   stateOf(held: HeldServer, now: Millis): HealthState | ServerState.Leaving {
-    return isLeaving(held) ? ServerState.Leaving : held.health.stateAt(now);
+    if (held.isLeaving(now)) return ServerState.Leaving;
+    return held.health.stateAt(now);
   }
 
   /** Slots that may be granted now. */
-  freeAt(now: Millis): {free: number; speed: number} {
+  freeAt(now: Millis): number {
     let free = 0;
-    let speed = 0;
     for (const held of this.servers.values()) {
-      if (!this.takesNew(held, now)) continue;
-      const room = held.free(now);
-      free += room;
-      if (room > 0) speed = Math.max(speed, held.speed.speed);
+      if (this.takesNew(held, now)) free += held.free(now);
     }
-    return {free: Math.floor(free), speed};
+    return Math.floor(free);
+  }
+
+  /** Whether tasks wait although there is room. */
+  isHoldingBack(now: Millis): boolean {
+    if (this.demand.waiting === 0) return false;
+    return this.chooseFor(undefined, SMALLEST_NEEDS, now) !== undefined;
   }
 
   /** What one more task may expect here. */
@@ -156,6 +162,17 @@
     return {pool, waitMs, everyMs, speed: this.pace.nextSpeed};
   }
 
+  /**
+   * Whether nothing more is granted until this claim fits: large needs would
+   * otherwise wait for ever behind small ones that always do.
+   */
+  private isStarved({needs: [needs], waitedMs}: Claim, now: Millis): boolean {
+    if (needs === undefined || waitedMs < STARVED_MS) return false;
+    return [...this.servers.values()].some(
+      held => this.takesNew(held, now) && fits(needs, held.server),
+    );
+  }
+
   private grantTo(claim: Claim, now: Millis): Grant | undefined {
     if (claim.needs.length === 0) return this.grantFor(claim, undefined, now);
     for (const needs of claim.needs) {
@@ -240,7 +257,7 @@
   }
 
   private takesNew(held: HeldServer, now: Millis): boolean {
-    if (isLeaving(held)) return false;
+    if (held.isLeaving(now)) return false;
     if (held.isFrozen(this.frozenMs, now)) return false;
     switch (held.health.stateAt(now)) {
       case HealthState.Live:
@@ -263,10 +280,7 @@
   private learn(held: HeldServer, report: GrantReport, now: Millis): void {
     const {end, runMs, expectedMs} = report;
     if (end === GrantEnd.Busy) return held.lowerBelief(now);
-    if (end === GrantEnd.Leaving) {
-      held.leaving = true;
-      return;
-    }
+    if (end === GrantEnd.Leaving) return held.noteLeaving(now);
     if (end === GrantEnd.Done || end === GrantEnd.Failed) {
       held.raiseBelief();
       this.pace.recordEnd(runMs, now);
@@ -279,7 +293,3 @@
     return Math.max(FROZEN_RUNS * this.pace.meanRunMs, LEAST_FROZEN_MS);
   }
 }
-
-function isLeaving(held: HeldServer): boolean {
-  return held.leaving || held.server.state === ServerState.Leaving;
-}
--- a/packages/placement/src/holding/held_server.ts
+++ b/packages/placement/src/holding/held_server.ts
@@ -1,5 +1,5 @@
 /** One backend server in the eyes of its holder: what is in use and free. */
-import type {Server} from '@goldcrestpier/platform';
+import {ServerState, type Server} from '@goldcrestpier/platform';
 import {BackendKind} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
 import {ServerHealth} from '../ejection/index.js';
@@ -23,6 +23,8 @@
 /** First time for which a busy answer lowers the belief; it doubles. */
 const BUSY_MS = 100;
 const LONGEST_BUSY_MS = 2_000;
+/** A server's own word holds until the list has surely caught up. */
+const LEAVING_MS = 30_000;
 
 /** A server that this instance holds. */
 export class HeldServer {
@@ -31,11 +33,10 @@
   readonly grants = new Map<string, HeldGrant>();
   /** Peers whose use of the server is not known yet. */
   readonly unheard: Set<string>;
-  /** Set by the server's own answer; the instance list may lag behind it. */
-  leaving = false;
   /** Whether it was frozen when last looked at. */
   wasFrozen = false;
   private lastEndAt: Millis;
+  private leavingUntil: Millis = -Infinity;
   private limit = Infinity;
   private limitUntil: Millis = 0;
   private busyMs: Millis = BUSY_MS;
@@ -101,6 +102,17 @@
     if (this.grants.delete(grant)) this.lastEndAt = now;
   }
 
+  /** The server said that it is leaving; the instance list may lag behind. */
+  noteLeaving(now: Millis): void {
+    this.leavingUntil = now + LEAVING_MS;
+  }
+
+  /** Whether it is leaving, by its own answer or by the list. */
+  isLeaving(now: Millis): boolean {
+    const {state} = this.server;
+    return state === ServerState.Leaving || now < this.leavingUntil;
+  }
+
   /** The server said busy: it has no more room than is in use now. */
   lowerBelief(now: Millis): void {
     this.limit = Math.max(this.grants.size, 1);
--- a/packages/placement/src/holding/holding.ts
+++ b/packages/placement/src/holding/holding.ts
@@ -24,8 +24,6 @@
 const UNLISTED_MS = 1_000;
 /** A new holder does not wait longer than this for its peers' heartbeats. */
 const LONGEST_UNHEARD_MS = 5_000;
-/** How soon demand is looked at again that waits for faster servers. */
-const REVIEW_MS = 10;
 
 /** What holding needs. */
 export interface HoldingParts {
@@ -35,6 +33,8 @@
   readonly logger: Logger;
   /** Takes grants of this holder to the tasks of this same instance. */
   readonly deliver: (grants: Grants, now: Millis) => void;
+  /** Has `review` called soon: demand waits, and time may change the choice. */
+  readonly reviewSoon: () => void;
 }
 
 /** Holds servers and grants their slots. */
@@ -123,29 +123,19 @@
     this.pushFree(now);
   }
 
-  /** When `tick` is worth calling again; undefined when nothing waits. */
-  get reviewMs(): Millis | undefined {
-    for (const pool of this.pools.values()) {
-      if (pool.demand.waiting > 0) return REVIEW_MS;
-    }
-    return undefined;
+  /** Looks again at demand that waits for faster servers. */
+  review(now: Millis): void {
+    this.pushFree(now);
   }
 
-  /** Free capacity by pool, for the heartbeats. */
+  /** Free capacity and prospects by pool, for the heartbeats. */
   spare(now: Millis): Heartbeat['spare'] {
-    return [...this.pools]
-      .filter(([, {servers}]) => servers.size > 0)
-      .map(([name, pool]) => {
-        // What is asked for already is not spare.
-        const {free, speed} = pool.freeAt(now);
-        const left = Math.max(free - pool.demand.waiting, 0);
-        return {pool: name, free: left, speed};
-      });
-  }
-
-  /** What one more task may expect of each held pool, for the heartbeats. */
-  allProspects(now: Millis): Prospect[] {
-    return this.prospects(this.pools.keys(), now);
+    return this.prospects(this.pools.keys(), now).map(prospect => {
+      const held = this.openPool(prospect.pool);
+      // What is asked for already is not spare.
+      const free = Math.max(held.freeAt(now) - held.demand.waiting, 0);
+      return {...prospect, free};
+    });
   }
 
   /** The held servers, for operators. */
@@ -175,8 +165,11 @@
     const answer: Grant[] = [];
     const pushed = new Map<string, Grant[]>();
     for (const name of pools) {
-      const granted = this.pools.get(name)?.allocate(now) ?? new Map();
-      for (const [owner, grants] of granted as Map<string, Grant[]>) {
+      const pool = this.pools.get(name);
+      if (pool === undefined) continue;
+      const granted = pool.allocate(now);
+      if (pool.isHoldingBack(now)) this.parts.reviewSoon();
+      for (const [owner, grants] of granted) {
         if (owner === asking) answer.push(...grants);
         else pushed.set(owner, [...(pushed.get(owner) ?? []), ...grants]);
       }
--- a/packages/placement/src/owner/grant_binding.ts
+++ b/packages/placement/src/owner/grant_binding.ts
@@ -98,9 +98,13 @@
   }
 
   /** What a task may expect at a holder. */
-  hearProspects(holder: string, prospects: readonly Prospect[]): void {
+  hearProspects(
+    holder: string,
+    prospects: readonly Prospect[],
+    now: Millis,
+  ): void {
     for (const prospect of prospects) {
-      this.desks.get(prospect.pool)?.deskOf(holder)?.hear(prospect);
+      this.desks.get(prospect.pool)?.deskOf(holder)?.hear(prospect, now);
     }
   }
 
@@ -224,7 +228,7 @@
 
   /** Takes a holder's answer: its grants, and how long its queues are. */
   private hear(holder: string, answer: Grants, now: Millis): void {
-    this.hearProspects(holder, answer.prospects ?? []);
+    this.hearProspects(holder, answer.prospects ?? [], now);
     this.take(answer, now);
   }
 
--- a/packages/placement/src/owner/holder_desk.ts
+++ b/packages/placement/src/owner/holder_desk.ts
@@ -4,6 +4,8 @@
 
 /** What a holder in another zone has to save, for the way there and back. */
 const TRIP_MS = 5;
+/** What a holder said counts no longer after this. */
+const STALE_MS = 3_000;
 /** A holder that did not answer is asked again after this long. */
 const SILENT_MS = 500;
 
@@ -22,6 +24,7 @@
   private waitMs: Millis = 0;
   private everyMs: Millis = 0;
   private speed = 1;
+  private heardAt: Millis = -Infinity;
   private silentUntil: Millis = 0;
 
   constructor(
@@ -30,16 +33,19 @@
   ) {}
 
   /** What one more task may expect there. */
-  hear({waitMs, everyMs, speed}: Prospect): void {
+  hear({waitMs, everyMs, speed}: Prospect, now: Millis): void {
+    this.heardAt = now;
     this.waitMs = waitMs;
     this.everyMs = everyMs;
     this.speed = speed;
   }
 
   /** When one more task of `runMs` at mean speed would end there. */
-  finishMs(runMs: Millis): Millis {
+  finishMs(runMs: Millis, now: Millis): Millis {
     const tripMs = this.isNear ? 0 : TRIP_MS;
-    return this.waitMs + runMs / this.speed + tripMs;
+    // An old bad word would keep it from ever being asked again.
+    const waitMs = now - this.heardAt > STALE_MS ? 0 : this.waitMs;
+    return waitMs + runMs / this.speed + tripMs;
   }
 
   /** One more task is wanted of it. */
--- a/packages/placement/src/owner/owner.ts
+++ b/packages/placement/src/owner/owner.ts
@@ -167,8 +167,12 @@
   }
 
   /** What a task may expect at a peer, as its heartbeat says. */
-  hearProspects(peer: string, prospects: readonly Prospect[]): void {
-    this.grants.hearProspects(peer, prospects);
+  hearProspects(
+    peer: string,
+    prospects: readonly Prospect[],
+    now: Millis,
+  ): void {
+    this.grants.hearProspects(peer, prospects, now);
   }
 
   /** Takes up what members, servers and settings are now. */
--- a/packages/placement/src/owner/pool_desk.ts
+++ b/packages/placement/src/owner/pool_desk.ts
@@ -13,6 +13,8 @@
 const LEAST_SAVED_MS = 30;
 /** A task that waited this long may be wanted from another holder instead. */
 const REBALANCE_MS = 20;
+/** A task with needs that waited this long is tried at every holder. */
+const STUCK_MS = 500;
 /** A better holder that has not answered for this long is not waited for. */
 const PATIENCE_MS = 20;
 /** Tasks whose needs are told to a holder. */
@@ -97,7 +99,7 @@
     let bestMs = Infinity;
     for (const desk of this.desks.values()) {
       if (!desk.isUp(now) || (desk.asking && isLate)) continue;
-      const finishMs = desk.finishMs(this.queue.meanRunMs);
+      const finishMs = desk.finishMs(this.queue.meanRunMs, now);
       if (finishMs >= bestMs) continue;
       best = desk;
       bestMs = finishMs;
@@ -110,18 +112,38 @@
     if (this.queue.oldestMs(now) < REBALANCE_MS) return;
     if (now - this.rebalancedAt < REBALANCE_MS) return;
     this.rebalancedAt = now;
+    if (this.isStuck(now)) return this.tryElsewhere(now);
     const best = this.soonest(now);
     if (best === undefined || best.asking) return;
-    const bestMs = best.finishMs(this.queue.meanRunMs);
+    const bestMs = best.finishMs(this.queue.meanRunMs, now);
     for (const desk of this.desks.values()) {
       if (desk === best || desk.wanted === 0) continue;
-      const savedMs = desk.finishMs(this.queue.meanRunMs) - bestMs;
+      const savedMs = desk.finishMs(this.queue.meanRunMs, now) - bestMs;
       if (savedMs < LEAST_SAVED_MS) continue;
       desk.wanted -= 1;
       best.want();
     }
   }
 
+  /** Prospects tell of small tasks; large needs may not fit there at all. */
+  private isStuck(now: Millis): boolean {
+    const hasNeeds = this.needsOf(this.queue, 1).length > 0;
+    return hasNeeds && this.queue.oldestMs(now) >= STUCK_MS;
+  }
+
+  /** Moves one task from the holder that most is wanted of to the least. */
+  private tryElsewhere(now: Millis): void {
+    const desks = [...this.desks.values()]
+      .filter(desk => desk.isUp(now) && !desk.asking)
+      .sort((a, b) => a.wanted - b.wanted);
+    const [least] = desks;
+    const most = desks.at(-1);
+    if (least === undefined || most === undefined) return;
+    if (least === most || most.wanted === 0) return;
+    most.wanted -= 1;
+    least.want();
+  }
+
   private takeBack(surplus: number): void {
     let left = surplus;
     for (const desk of this.desks.values()) {
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -4,6 +4,7 @@
   Demand,
   Grants,
   Heartbeat,
+  Prospect,
   ServerSummary,
   Settlement,
 } from '@goldcrestpier/peers';
@@ -22,6 +23,8 @@
 
 /** How often leases of grants are looked through. */
 const TICK_MS = 250;
+/** How soon demand is looked at again that waits for faster servers. */
+const REVIEW_MS = 10;
 
 /** What placement needs. */
 export interface PlacementParts {
@@ -58,7 +61,7 @@
   heartbeatParts(
     peer: string,
     now: Millis,
-  ): Pick<Heartbeat, 'grantsInUse' | 'spare' | 'prospects'>;
+  ): Pick<Heartbeat, 'grantsInUse' | 'spare'>;
   /** A heartbeat arrived, or an answer to one. */
   hearHeartbeat(message: Heartbeat, now: Millis): void;
   /** The servers that this instance holds. */
@@ -69,9 +72,10 @@
 export function createPlacement(parts: PlacementParts): Placement {
   const {view, lifecycle} = parts;
   const self = view.self.incarnation;
-  const holding = new Holding({
+  const holding: Holding = new Holding({
     ...parts,
     deliver: (grants, now) => owner.takeGrants(grants, now),
+    reviewSoon: createReview(lifecycle, now => holding.review(now)),
   });
   const owner: Owner = new Owner({...parts, holding});
   const refresh = (now: Millis) => {
@@ -94,34 +98,51 @@
     heartbeatParts: (peer, now) => ({
       grantsInUse: owner.grantsInUse(peer),
       spare: holding.spare(now),
-      prospects: holding.allProspects(now),
     }),
     hearHeartbeat: (message, now) => {
       const peer = message.from.incarnation;
       holding.learnInUse(peer, message.grantsInUse, now);
-      owner.hearProspects(peer, message.prospects ?? []);
+      owner.hearProspects(peer, toProspects(message.spare), now);
     },
     servers: now => holding.summarize(now),
   };
 }
 
-/** Runs the holder's clock, faster while demand waits. */
+/** The prospects that a heartbeat tells of. */
+function toProspects(spare: Heartbeat['spare']): Prospect[] {
+  return spare.flatMap(({pool, speed, waitMs, everyMs}) =>
+    waitMs === undefined || everyMs === undefined || speed <= 0
+      ? []
+      : [{pool, speed, waitMs, everyMs}],
+  );
+}
+
+/** Makes a call that has `review` run once, a little later. */
+function createReview(
+  lifecycle: Lifecycle,
+  review: (now: Millis) => void,
+): () => void {
+  let timer: NodeJS.Timeout | undefined;
+  lifecycle.own('review of demand', () => clearTimeout(timer));
+  return () => {
+    if (lifecycle.signal.aborted) return;
+    timer ??= setTimeout(() => {
+      timer = undefined;
+      review(readClock());
+    }, REVIEW_MS);
+  };
+}
+
+/** Runs the holder's clock. */
 function keepTicking(
   lifecycle: Lifecycle,
   holding: Holding,
   onTick: (now: Millis) => void,
 ): void {
-  let slowAt = readClock();
-  let timer: NodeJS.Timeout | undefined;
-  const tick = () => {
+  const timer = setInterval(() => {
     const now = readClock();
-    if (now - slowAt >= TICK_MS) {
-      slowAt = now;
-      onTick(now);
-    }
+    onTick(now);
     holding.tick(now);
-    timer = setTimeout(tick, holding.reviewMs ?? TICK_MS);
-  };
-  timer = setTimeout(tick, TICK_MS);
-  lifecycle.own('holding', () => clearTimeout(timer));
+  }, TICK_MS);
+  lifecycle.own('holding', () => clearInterval(timer));
 }
--- a/packages/placement/test/holding.test.ts
+++ b/packages/placement/test/holding.test.ts
@@ -141,3 +141,28 @@
   ).grants;
   assert.equal(first?.server, 'fast');
 });
+
+test('large needs are not passed over for ever by small ones', () => {
+  const size = {processors: 8, memoryMb: 100, accelerators: 0};
+  const fields = {kind: BackendKind.Worker, pool: 'worker', ...size};
+  const scene = openScene([createServer('w', fields)]);
+  hearAll(scene);
+  const {holding, pushed} = scene;
+  const demand = (processors: number, oldestMs: number) => ({
+    pool: 'worker',
+    teams: [{team: 'x', waiting: 1, oldestMs}],
+    needs: [{processors, memoryMb: 1, accelerators: 0}],
+  });
+  const small = {owner: 'a', pools: [demand(1, 0)]};
+  const [running] = holding.demand(small, 0).grants;
+  assert.ok(running);
+  const large = {owner: 'b', pools: [demand(8, 2_000)]};
+  assert.equal(holding.demand(large, 1).grants.length, 0);
+  assert.equal(holding.demand(small, 2).grants.length, 0);
+  const ends = [end(running, GrantEnd.Done, 10)];
+  holding.settle({owner: 'a', ends}, 3);
+  assert.deepEqual(
+    pushed.map(([owner]) => owner),
+    ['b'],
+  );
+});
