Leave no task to a holder that freezes

Cause: a waiting task is wanted from one holder; while a demand to it hung, nothing was moved. Now a holder that owes an answer for 100 ms, or any word on a standing demand for 2 s, is passed over and its tasks are wanted from the next.

--- a/packages/placement/src/owner/grant_binding.ts
+++ b/packages/placement/src/owner/grant_binding.ts
@@ -159,7 +159,7 @@
     const isWithdrawal = holder.wanted === 0;
     const pools = [desk.demandFor(holder, now)];
     const message: Demand = {owner: view.self.incarnation, pools};
-    holder.told = holder.wanted;
+    holder.tell(now);
     if (holder.holder === view.self.incarnation) {
       const grants = this.parts.holding.demand(message, now);
       return this.hear(holder.holder, grants, now);
@@ -172,14 +172,14 @@
     } else {
       holder.vain += 1;
     }
-    holder.asking = true;
+    holder.askedAt = now;
     try {
       const grants = await this.parts.peers.demand(holder.holder, message);
-      holder.asking = false;
+      holder.askedAt = undefined;
       this.hear(holder.holder, grants, readClock());
     } catch {
       counters.wasted(WasteKind.LostMessage, 1);
-      holder.asking = false;
+      holder.askedAt = undefined;
       holder.fail(readClock());
     }
     if (desk.isWaiting) this.wake(desk.queue);
@@ -221,7 +221,7 @@
       if (known === undefined || known.asking) continue;
       if (known.wanted === known.told) continue;
       riding.push(desk.demandFor(known, now));
-      known.told = known.wanted;
+      known.tell(now);
     }
     return riding;
   }
--- a/packages/placement/src/owner/holder_desk.ts
+++ b/packages/placement/src/owner/holder_desk.ts
@@ -4,6 +4,10 @@
 
 /** What a holder in another zone has to save, for the way there and back. */
 const TRIP_MS = 5;
+/** A demand is answered sooner than this, or its holder may be frozen. */
+const ANSWER_MS = 100;
+/** A holder with a standing demand is heard of within this. */
+const WORD_MS = 2_000;
 /** What a holder said counts no longer after this. */
 const STALE_MS = 3_000;
 /** A holder that did not answer is asked again after this long. */
@@ -17,14 +21,15 @@
   told = 0;
   /** Grants that came from it. */
   received = 0;
-  /** Whether a demand to it is under way. */
-  asking = false;
+  /** Since when a demand to it is under way. */
+  askedAt: Millis | undefined;
   /** Demands that brought nothing so far. */
   vain = 0;
   private waitMs: Millis = 0;
   private everyMs: Millis = 0;
   private speed = 1;
   private heardAt: Millis = -Infinity;
+  private toldAt: Millis = -Infinity;
   private silentUntil: Millis = 0;
 
   constructor(
@@ -63,15 +68,29 @@
     this.vain = 0;
   }
 
+  /** Whether a demand to it is under way. */
+  get asking(): boolean {
+    return this.askedAt !== undefined;
+  }
+
+  /** It is told of all that is wanted of it. */
+  tell(now: Millis): void {
+    this.told = this.wanted;
+    this.toldAt = now;
+  }
+
+  /** Whether it is overdue with an answer, or with any word on its demand. */
+  isSilent(now: Millis): boolean {
+    if (now < this.silentUntil) return true;
+    if (this.askedAt !== undefined) return now - this.askedAt > ANSWER_MS;
+    if (this.told === 0) return false;
+    return now - Math.max(this.heardAt, this.toldAt) > WORD_MS;
+  }
+
   /** It did not answer. */
   fail(now: Millis): void {
     this.wanted = 0;
     this.told = 0;
     this.silentUntil = now + SILENT_MS;
   }
-
-  /** Whether it answers, as far as is known. */
-  isUp(now: Millis): boolean {
-    return now >= this.silentUntil;
-  }
 }
--- a/packages/placement/src/owner/pool_desk.ts
+++ b/packages/placement/src/owner/pool_desk.ts
@@ -15,8 +15,6 @@
 const REBALANCE_MS = 20;
 /** A task with needs that waited this long is tried at every holder. */
 const STUCK_MS = 500;
-/** A better holder that has not answered for this long is not waited for. */
-const PATIENCE_MS = 20;
 /** Tasks whose needs are told to a holder. */
 const MOST_NEEDS = 16;
 
@@ -94,11 +92,10 @@
 
   /** The holder where one more task would end first. */
   private soonest(now: Millis): HolderDesk | undefined {
-    const isLate = this.queue.oldestMs(now) >= PATIENCE_MS;
     let best: HolderDesk | undefined;
     let bestMs = Infinity;
     for (const desk of this.desks.values()) {
-      if (!desk.isUp(now) || (desk.asking && isLate)) continue;
+      if (desk.isSilent(now)) continue;
       const finishMs = desk.finishMs(this.queue.meanRunMs, now);
       if (finishMs >= bestMs) continue;
       best = desk;
@@ -118,6 +115,10 @@
     const bestMs = best.finishMs(this.queue.meanRunMs, now);
     for (const desk of this.desks.values()) {
       if (desk === best || desk.wanted === 0) continue;
+      if (desk.isSilent(now)) {
+        moveAll(desk, best);
+        continue;
+      }
       const savedMs = desk.finishMs(this.queue.meanRunMs, now) - bestMs;
       if (savedMs < LEAST_SAVED_MS) continue;
       desk.wanted -= 1;
@@ -134,7 +135,7 @@
   /** Moves one task from the holder that most is wanted of to the least. */
   private tryElsewhere(now: Millis): void {
     const desks = [...this.desks.values()]
-      .filter(desk => desk.isUp(now) && !desk.asking)
+      .filter(desk => !desk.isSilent(now) && !desk.asking)
       .sort((a, b) => a.wanted - b.wanted);
     const [least] = desks;
     const most = desks.at(-1);
@@ -153,3 +154,8 @@
     }
   }
 }
+
+/** A silent holder may be frozen or cut off: nothing is left to it. */
+function moveAll(from: HolderDesk, to: HolderDesk): void {
+  for (; from.wanted > 0; from.wanted -= 1) to.want();
+}
