Keep granting to an instance that is leaving

Cause: placement was told only of live members. A holder that learned of a planned stop forgot the leaving instance's demand, and its grants in use, while the leaving instance took its demand as told. A task that waited at that moment stayed without a slot until its deadline passed: the stop cut it off.

Ruled out: the relays and the cuts (a trial without a stop, and without either, placed everything).

--- a/packages/entry/src/start/placement.ts
+++ b/packages/entry/src/start/placement.ts
@@ -1,7 +1,7 @@
 /** Joins placement to members, servers, settings and metrics. */
 import {createRunnerClient, createWorkerClient} from '@goldcrestpier/backends';
-import type {Membership} from '@goldcrestpier/membership';
-import type {PeerAnswer, PeerLink} from '@goldcrestpier/peers';
+import {InstanceState, type Membership} from '@goldcrestpier/membership';
+import type {Member, PeerAnswer, PeerLink} from '@goldcrestpier/peers';
 import {
   createPlacement,
   type Placement,
@@ -23,6 +23,10 @@
 
 const CALL_TIMEOUT_MS = 2_000;
 const RUNNER_POOL_PREFIX = 'runner/';
+const SEEN_STATES: ReadonlySet<InstanceState> = new Set([
+  InstanceState.Live,
+  InstanceState.Leaving,
+]);
 
 /** What happens to tasks, told to their owner. */
 export interface TaskEvents {
@@ -70,7 +74,7 @@
     get self() {
       return membership.self();
     },
-    members: () => membership.zones().flatMap(zone => membership.members(zone)),
+    members: () => listSeen(membership),
     servers: () => list.current.servers,
     holderOf: server =>
       holders.find(server, settingsOf(server.pool).placement.shards),
@@ -78,6 +82,18 @@
   };
 }
 
+/**
+ * All instances that answer. Those that are leaving, too: they have tasks that
+ * wait, and a holder forgets the demand of an instance that is not seen.
+ */
+function listSeen(membership: Membership): readonly Member[] {
+  const others = membership
+    .instances()
+    .filter(({state}) => SEEN_STATES.has(state))
+    .map(({member}) => member);
+  return [membership.self(), ...others];
+}
+
 function createPeers(membership: Membership): PlacementPeers {
   const ask = async <Answer>(
     peer: string,
