--- a/packages/client/src/client/options.ts
+++ b/packages/client/src/client/options.ts
@@ -2,7 +2,7 @@
 import type {jobSchema} from '@goldcrestpier/protocol';
 import type {z} from 'zod';
 
-const DEFAULT_CONNECTIONS = 8;
+const DEFAULT_CONNECTIONS = 64;
 const DEFAULT_WAIT_MS = 20_000;
 const DEFAULT_CONNECT_TIMEOUT_MS = 3_000;
 const DEFAULT_MAX_TRIES = 10;
@@ -21,7 +21,10 @@
 export interface ClientOptions {
   /** Where the entry instances answer, for example `http://10.0.0.5:8080`. */
   readonly origin: string;
-  /** Kept-alive connections, each with one request at a time. Default 8. */
+  /**
+   * Kept-alive connections, opened when needed. A job holds one while it is
+   * waited for, so they bound the jobs at a time. Default 64.
+   */
   readonly connections?: number;
   /** How long one read may wait for a job's end, in ms. Default 20000. */
   readonly waitMs?: number;
@@ -30,8 +33,8 @@
   /** Tries of one call that end without an answer. Default 10. */
   readonly maxTries?: number;
   /**
-   * Resubmissions that the whole client may send in a burst; one comes back
-   * each second and one with every five submissions. Default 50.
+   * Resubmissions that the whole client may send in a burst. Ten come back each
+   * second and one with every five submissions. Default 50.
    */
   readonly retryReserve?: number;
 }
--- a/packages/client/src/retry/patience.ts
+++ b/packages/client/src/retry/patience.ts
@@ -31,9 +31,13 @@
   ): number | undefined {
     this.tries += 1;
     if (this.tries >= this.maxTries) return undefined;
-    const pauseMs = retryAfterMs ?? this.backOff(random);
-    if (now + pauseMs >= this.endsAt) return undefined;
-    return this.budget.spend(now) ? pauseMs : undefined;
+    const pauseMs = Math.max(
+      retryAfterMs ?? this.backOff(random),
+      this.budget.take(now),
+    );
+    if (now + pauseMs < this.endsAt) return pauseMs;
+    this.budget.giveBack();
+    return undefined;
   }
 
   private backOff(random: number): number {
