Hear an owner's clock before a relay, and keep tRPC's own client

Cause: with the clock of the last heartbeat, up to 2.7 s old between zones at 8 instances, a bound of 5 s on a copy's age refuses fresh submissions as stale; the relay now asks for the clock when it is old.

--- a/packages/entry/src/gateway/directory.ts
+++ b/packages/entry/src/gateway/directory.ts
@@ -27,8 +27,11 @@
   | {
       readonly kind: OwnerPlace.Peer;
       readonly calls: PeerCalls;
-      /** The peer's clock as last heard, in milliseconds. */
-      readonly clock: Millis;
+      /**
+       * The peer's clock as it was heard before what arrived at `arrivedAt`
+       * can have arrived, in milliseconds; undefined when it does not answer.
+       */
+      readonly learnClock: (arrivedAt: Millis) => Promise<Millis | undefined>;
     };
 
 /** Finds owners. */
--- a/packages/entry/src/gateway/member_directory.ts
+++ b/packages/entry/src/gateway/member_directory.ts
@@ -37,9 +37,10 @@
 ): OwnerLocation {
   if (membership.isGone(incarnation, now)) return {kind: OwnerPlace.Gone};
   const calls = membership.findLink(incarnation);
-  const clock = membership.ownerClock(incarnation, now);
-  if (calls === undefined || clock === undefined) {
-    return {kind: OwnerPlace.Unreachable};
-  }
-  return {kind: OwnerPlace.Peer, calls, clock};
+  if (calls === undefined) return {kind: OwnerPlace.Unreachable};
+  return {
+    kind: OwnerPlace.Peer,
+    calls,
+    learnClock: arrivedAt => membership.learnOwnerClock(incarnation, arrivedAt),
+  };
 }
--- a/packages/entry/src/gateway/relay.ts
+++ b/packages/entry/src/gateway/relay.ts
@@ -3,7 +3,6 @@
 import {
   RelayAnswerKind,
   type PeerAnswer,
-  type PeerCalls,
   type RelayAnswer,
 } from '@goldcrestpier/peers';
 import {
@@ -16,7 +15,11 @@
 } from '@goldcrestpier/protocol';
 import {readClock, type Millis} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {OwnerPlace, type OwnerDirectory} from './directory.js';
+import {
+  OwnerPlace,
+  type OwnerDirectory,
+  type OwnerLocation,
+} from './directory.js';
 import {describeLost, describeUnreachable, unwrap} from './peer_answer.js';
 import type {PlainGateway} from './plain.js';
 import type {CallerSubmission, Gateway, JobReply, Wait} from './types.js';
@@ -40,12 +43,13 @@
   readonly here: () => Awaitable<Result<Value, Failure>>;
   readonly adopted: () => Result<Value, Failure>;
   readonly peer: (
-    calls: PeerCalls,
-    clock: Millis,
+    place: PeerPlace,
     owner: Incarnation,
   ) => Promise<Result<Value, Failure>>;
 }
 
+type PeerPlace = Extract<OwnerLocation, {kind: OwnerPlace.Peer}>;
+
 type Awaitable<Value> = Value | Promise<Value>;
 
 /** Serves sessions of this instance and relays those of its peers. */
@@ -64,7 +68,7 @@
     return this.route<void>(id, now, {
       here: () => owner.endSession(id, now),
       adopted: () => Ok(adopted.end(id)),
-      peer: async (calls, _clock, identity) => {
+      peer: async ({calls}, identity) => {
         const call = calls.endSession({session: id}, RELAY_MARGIN_MS);
         const answer = await unwrap(call, identity);
         return answer.map(() => undefined);
@@ -80,8 +84,8 @@
     return this.route(session, now, {
       here: () => this.submitHere(submission, ageMs, now),
       adopted: () => this.options.adopted.submit(session, key, attempt, job),
-      peer: (calls, clock, owner) =>
-        this.submitToPeer(submission, ageMs, calls, clock, owner),
+      peer: (place, owner) =>
+        this.submitToPeer(submission, receivedAt, place, owner),
     });
   }
 
@@ -95,7 +99,7 @@
         return job.isErr() ? job : Ok(await awaitAnswer(job.value, wait));
       },
       adopted: () => adopted.read(session, key),
-      peer: (calls, _clock, identity) => {
+      peer: ({calls}, identity) => {
         const query = {session, key, waitMs: wait.ms};
         const call = calls.read(query, wait.ms + RELAY_MARGIN_MS);
         return toReply(call, identity);
@@ -111,7 +115,7 @@
       here: () =>
         owner.cancel(session, key, now).map(record => record.toAnswer()),
       adopted: () => adopted.read(session, key),
-      peer: (calls, _clock, identity) => {
+      peer: ({calls}, identity) => {
         const query = {session, key, waitMs: 0};
         return toReply(calls.cancel(query, RELAY_MARGIN_MS), identity);
       },
@@ -136,16 +140,16 @@
 
   private async submitToPeer(
     {session, key, attempt, job, wait}: CallerSubmission,
-    ageMs: Millis,
-    calls: PeerCalls,
-    clock: Millis,
+    receivedAt: Millis,
+    {calls, learnClock}: PeerPlace,
     owner: Incarnation,
   ): Promise<JobReply> {
-    if (ageMs > this.options.maxCopyAgeMs) {
+    // Never later than the owner's clock was when the copy was received.
+    const ownerClock = await learnClock(receivedAt);
+    const ageMs = readClock() - receivedAt;
+    if (ownerClock === undefined || ageMs > this.options.maxCopyAgeMs) {
       return Err(describeUnreachable(owner));
     }
-    // Never later than the owner's clock was when the copy was received.
-    const ownerClock = clock - ageMs;
     const message = {session, key, job, ownerClock, waitMs: wait.ms};
     const call = calls.submit(
       attempt === undefined ? message : {...message, attempt},
@@ -171,7 +175,7 @@
       case OwnerPlace.Adopted:
         return adopted();
       case OwnerPlace.Peer:
-        return peer(place.calls, place.clock, owner);
+        return peer(place, owner);
       case OwnerPlace.Gone:
         return Err(describeLost(formatIncarnation(owner)));
       case OwnerPlace.Unreachable:
--- a/packages/entry/src/start/membership.ts
+++ b/packages/entry/src/start/membership.ts
@@ -28,6 +28,7 @@
       instance: settings.instance,
       peerAddress: formatHostPort(advertise ?? listen),
       weight: settings.weight,
+      startedAt: Date.now(),
     },
     seeds: seeds.map(formatHostPort),
     list: list.readings.map(({entries}) => entries.map(toListed)),
--- a/packages/peers/src/link/client_calls.ts
+++ b/packages/peers/src/link/client_calls.ts
@@ -1,12 +1,7 @@
-/**
- * The calls of the protocol, typed by tRPC's router. They are sent as tRPC's
- * messages without its client, which waits for connections, cannot say
- * whether a failed call had left, and takes as long as all the rest.
- */
-import type {inferRouterInputs} from '@trpc/server';
+/** The calls of the protocol over tRPC's typed client. */
+import {TRPCClientError} from '@trpc/client';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
-import type {PeerCall} from '../calls.js';
 import type {PeerHandlers} from '../handlers.js';
 import type {
   Demand,
@@ -29,12 +24,13 @@
   relayAnswerSchema,
   settingsAnswerSchema,
 } from '../messages/index.js';
-import type {PeerRouter} from '../server/router.js';
+import {createPeerClient, within, type PeerClient} from './client.js';
 import type {PeerConnection} from './connection.js';
 import {
   createNotSent,
   createUnknown,
   NotSentReason,
+  PeerCallError,
   UnknownReason,
   type PeerFailure,
 } from './failure.js';
@@ -49,35 +45,44 @@
   ) => PeerAnswer<Awaited<ReturnType<PeerHandlers[Call]>>>;
 };
 
-/** What the router takes as the input of each call. */
-type CallInputs = inferRouterInputs<PeerRouter>;
-
 const nothingSchema = z.unknown().transform((): void => undefined);
 
 /** Sends each call on the connection there is; fails at once without one. */
 export class ClientCalls implements PeerCalls {
+  private readonly client: PeerClient;
+
   constructor(
     private readonly findConnection: () => PeerConnection | undefined,
-  ) {}
+  ) {
+    this.client = createPeerClient(findConnection);
+  }
 
   /** Tells the peer of this instance; answered with the peer's own heartbeat. */
   heartbeat(message: Heartbeat, timeoutMs: number): PeerAnswer<Heartbeat> {
-    return this.call(heartbeatSchema, 'heartbeat', message, timeoutMs);
+    return this.call(heartbeatSchema, () =>
+      this.client.heartbeat.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Relays a submission to the owner of its session. */
   submit(message: Submission, timeoutMs: number): PeerAnswer<RelayAnswer> {
-    return this.call(relayAnswerSchema, 'submit', message, timeoutMs);
+    return this.call(relayAnswerSchema, () =>
+      this.client.submit.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Reads a job at the owner of its session. */
   read(message: JobQuery, timeoutMs: number): PeerAnswer<RelayAnswer> {
-    return this.call(relayAnswerSchema, 'read', message, timeoutMs);
+    return this.call(relayAnswerSchema, () =>
+      this.client.read.query(message, within(timeoutMs)),
+    );
   }
 
   /** Cancels a job at the owner of its session. */
   cancel(message: JobQuery, timeoutMs: number): PeerAnswer<RelayAnswer> {
-    return this.call(relayAnswerSchema, 'cancel', message, timeoutMs);
+    return this.call(relayAnswerSchema, () =>
+      this.client.cancel.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Ends a session at its owner. */
@@ -85,12 +90,16 @@
     message: SessionQuery,
     timeoutMs: number,
   ): PeerAnswer<RelayAnswer> {
-    return this.call(relayAnswerSchema, 'endSession', message, timeoutMs);
+    return this.call(relayAnswerSchema, () =>
+      this.client.endSession.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Passes sessions to the peer before a planned stop. */
   handOver(message: HandOver, timeoutMs: number): PeerAnswer<void> {
-    return this.call(nothingSchema, 'handOver', message, timeoutMs);
+    return this.call(nothingSchema, () =>
+      this.client.handOver.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Asks for settings newer than those known here. */
@@ -98,53 +107,64 @@
     message: SettingsQuery,
     timeoutMs: number,
   ): PeerAnswer<SettingsAnswer> {
-    return this.call(settingsAnswerSchema, 'readSettings', message, timeoutMs);
+    return this.call(settingsAnswerSchema, () =>
+      this.client.readSettings.query(message, within(timeoutMs)),
+    );
   }
 
   /** Tells a holder what this owner wants; answered with grants. */
   demand(message: Demand, timeoutMs: number): PeerAnswer<Grants> {
-    return this.call(grantsSchema, 'demand', message, timeoutMs);
+    return this.call(grantsSchema, () =>
+      this.client.demand.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Tells a holder how grants ended; answered with new grants. */
   settle(message: Settlement, timeoutMs: number): PeerAnswer<Grants> {
-    return this.call(grantsSchema, 'settle', message, timeoutMs);
+    return this.call(grantsSchema, () =>
+      this.client.settle.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Pushes grants to the owner that wants them. */
   offer(message: Grants, timeoutMs: number): PeerAnswer<void> {
-    return this.call(nothingSchema, 'offer', message, timeoutMs);
+    return this.call(nothingSchema, () =>
+      this.client.offer.mutate(message, within(timeoutMs)),
+    );
   }
 
   /** Asks the peer what it works on, for operators. */
   inspect(timeoutMs: number): PeerAnswer<Inspection> {
-    return this.call(inspectionSchema, 'inspect', undefined, timeoutMs);
+    return this.call(inspectionSchema, () =>
+      this.client.inspect.query(undefined, within(timeoutMs)),
+    );
   }
 
   /** Sends one call and checks its answer. */
-  private call<Call extends PeerCall, Answer>(
+  private async call<Answer>(
     schema: z.ZodType<Answer>,
-    call: Call,
-    input: CallInputs[Call],
-    timeoutMs: number,
+    send: () => Promise<unknown>,
   ): PeerAnswer<Answer> {
-    const connection = this.findConnection();
-    if (connection === undefined) {
-      return Promise.resolve(Err(createNotSent(NotSentReason.Disconnected)));
+    if (this.findConnection()?.isOpen !== true) {
+      return Err(createNotSent(NotSentReason.Disconnected));
+    }
+    try {
+      const answer = schema.safeParse(await send());
+      if (answer.success) return Ok(answer.data);
+      return Err(createUnknown(UnknownReason.Malformed));
+    } catch (cause) {
+      return Err(readFailure(cause));
     }
-    return new Promise(resolve => {
-      connection.send({call, input, timeoutMs}, result => {
-        resolve(result.isErr() ? result : checkAnswer(schema, result.value));
-      });
-    });
   }
 }
 
-function checkAnswer<Answer>(
-  schema: z.ZodType<Answer>,
-  answer: unknown,
-): Result<Answer, PeerFailure> {
-  const checked = schema.safeParse(answer);
-  if (checked.success) return Ok(checked.data);
-  return Err(createUnknown(UnknownReason.Malformed));
+function readFailure(cause: unknown): PeerFailure {
+  if (
+    cause instanceof TRPCClientError &&
+    cause.cause instanceof PeerCallError
+  ) {
+    return cause.cause.failure;
+  }
+  // Whatever else went wrong on this side, the call may have left.
+  return createUnknown(UnknownReason.Malformed);
 }
--- a/packages/peers/src/link/failure.ts
+++ b/packages/peers/src/link/failure.ts
@@ -47,3 +47,10 @@
 export function createUnknown(reason: UnknownReason): PeerFailure {
   return {kind: PeerFailureKind.Unknown, reason};
 }
+
+/** Carries a failure through the errors of tRPC's client. */
+export class PeerCallError extends Error {
+  constructor(readonly failure: PeerFailure) {
+    super(failure.kind);
+  }
+}
--- a/packages/runtime/src/lifecycle/index.ts
+++ b/packages/runtime/src/lifecycle/index.ts
@@ -19,7 +19,8 @@
 
 /** Owns resources and running loops, and closes them once, newest first. */
 export class Lifecycle {
-  private readonly owned: OwnedResource[] = [];
+  private readonly owned = new Set<OwnedResource>();
+  private onClosed: () => void = () => undefined;
   private readonly controller = new AbortController();
   private closing: Promise<CloseFailure[]> | undefined;
 
@@ -37,7 +38,7 @@
       void close();
       return;
     }
-    this.owned.push({name, close});
+    this.owned.add({name, close});
   }
 
   /**
@@ -56,9 +57,16 @@
   /** A life cycle inside this one: closed with it, or earlier on its own. */
   createChild(name: string): Lifecycle {
     const child = new Lifecycle(`${this.name}/${name}`);
-    this.own(name, async () => {
-      await child.close();
-    });
+    const resource = {
+      name,
+      close: async () => {
+        await child.close();
+      },
+    };
+    if (this.signal.aborted) void child.close();
+    else this.owned.add(resource);
+    // Children come and go with peers; a closed one must not be kept.
+    child.onClosed = () => this.owned.delete(resource);
     return child;
   }
 
@@ -71,13 +79,14 @@
   private async closeAll(): Promise<CloseFailure[]> {
     this.controller.abort();
     const failures: CloseFailure[] = [];
-    for (const {name, close} of this.owned.reverse()) {
+    for (const {name, close} of [...this.owned].reverse()) {
       try {
         await close();
       } catch (cause) {
         failures.push({resource: `${this.name}/${name}`, cause});
       }
     }
+    this.onClosed();
     return failures;
   }
 }
--- a/packages/runtime/test/lifecycle.test.ts
+++ b/packages/runtime/test/lifecycle.test.ts
@@ -43,3 +43,16 @@
     ['test/bad'],
   );
 });
+
+test('a child that closed on its own is not kept by its parent', async () => {
+  const lifecycle = new Lifecycle('test');
+  let closes = 0;
+  const child = lifecycle.createChild('child');
+  child.own('socket', () => {
+    closes += 1;
+    throw new Error('still busy');
+  });
+  assert.equal((await child.close()).length, 1);
+  assert.deepEqual(await lifecycle.close(), []);
+  assert.equal(closes, 1);
+});
