Let edits count on where the service was set back

A service restored to an earlier state numbers its next edit below what the instances have in force, and none of them would take it. An edit now counts on from the higher of the two, where its instance says what it has in force.

--- a/packages/settings/src/edits/plan.ts
+++ b/packages/settings/src/edits/plan.ts
@@ -8,6 +8,7 @@
 import type {SettingsChange, SettingsRevision} from '@goldcrestpier/protocol';
 import {diffNodes} from '../tree/diff.js';
 import type {SettingsNodes} from '../tree/node.js';
+import type {SettingsTree} from '../tree/tree.js';
 import type {EditRequest} from './edit.js';
 import {
   REVISION_KEY,
@@ -35,13 +36,13 @@
 export function planEdit(
   request: EditRequest,
   stored: StoredTree,
-  after: SettingsNodes,
+  after: SettingsTree,
   forgotten: SettingsRevision | undefined,
   at: Date,
 ): EditPlan {
-  const changes = diffNodes(stored.nodes, after);
+  const changes = diffNodes(stored.nodes, after.nodes);
   const record: SettingsRevision = {
-    revision: stored.revision + 1,
+    revision: after.revision,
     editId: request.editId,
     by: request.by,
     at: at.toISOString(),
@@ -60,7 +61,7 @@
     success: [
       ...writeRecord(record),
       ...forget(forgotten),
-      ...group(writeNodes(stored, after)),
+      ...group(writeNodes(stored, after.nodes)),
     ],
     failure: [
       {kind: StepKind.Get, key: toEditKey(request.editId)},
--- a/packages/settings/src/edits/store.ts
+++ b/packages/settings/src/edits/store.ts
@@ -48,6 +48,12 @@
   constructor(
     private readonly client: KeyValueClient,
     private readonly logger: Logger,
+    /**
+     * The revision in force here. A service that was set back to an earlier
+     * state is behind it; an edit then counts on from here, or else nobody
+     * would take it.
+     */
+    private readonly readApplied: () => number = () => 0,
   ) {}
 
   /** Reads the newest tree. */
@@ -77,14 +83,15 @@
     if (expectedRevision !== stored.revision) {
       return this.refuseConflict(expectedRevision, stored.revision);
     }
+    const revision = Math.max(stored.revision, this.readApplied()) + 1;
     const checked = checkReadable(stored, request)
       .andThen(() => applyEdits(stored.nodes, request.edits))
-      .andThen(after => createTree(stored.revision + 1, after));
+      .andThen(after => createTree(revision, after));
     if (checked.isErr()) return checked;
-    const forgotten = await this.readRecord(stored.revision + 1 - HISTORY_KEPT);
+    const forgotten = await this.readRecord(revision - HISTORY_KEPT);
     if (forgotten.isErr()) return forgotten;
-    const {nodes} = checked.value;
-    const plan = planEdit(request, stored, nodes, forgotten.value, at);
+    const tree = checked.value;
+    const plan = planEdit(request, stored, tree, forgotten.value, at);
     if (plan.changes.length === 0) {
       return Ok({revision: stored.revision, changes: [], repeated: false});
     }
