--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -15,6 +15,13 @@
   type SettingsNode,
   type SettingsNodes,
 } from './node.js';
-export {findName, findParent, isNodePath, ROOT_PATH} from './path.js';
+export {
+  findName,
+  findParent,
+  isNodePath,
+  ROOT_PATH,
+  toNodePath,
+} from './path.js';
 export * from './schema.js';
+export {traceValues, type TracedValue} from './trace.js';
 export {SettingsTree, type SettingsSnapshot} from './tree.js';
