--- a/packages/limits/src/admission/index.ts
+++ b/packages/limits/src/admission/index.ts
@@ -99,10 +99,8 @@
 function checkDeadline(input: AdmissionInput): Result<void, Failure> {
   const {deadlineMs, startsPerSecond: rate} = input;
   if (deadlineMs === undefined || rate === undefined) return Ok(undefined);
-  // What starts at once waits for nobody, whatever the rate.
-  if (countWaiting(input.backlog) === 0 && input.adding === 1) {
-    return Ok(undefined);
-  }
+  // Who finds an empty queue waits for nobody; the rate may be of a bad time.
+  if (countWaiting(input.backlog) === 0) return Ok(undefined);
   const waitMs =
     rate > 0 ? (countAhead(input) * MS_PER_SECOND) / rate : Infinity;
   const estimateMs = waitMs + input.expectedRunMs;
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -167,3 +167,9 @@
   assert.equal(quota.error.code, FailureCode.QuotaExceeded);
   assert.equal(quota.error.retryAfterMs, 50);
 });
+
+test('a job that finds an empty queue is taken in, however slow it was', () => {
+  const slow = {...input, startsPerSecond: 1};
+  assert.ok(checkAdmission(slow).isErr());
+  assert.ok(checkAdmission({...slow, backlog: []}).isOk());
+});
--- a/packages/placement/src/ejection/pool_ejections.ts
+++ b/packages/placement/src/ejection/pool_ejections.ts
@@ -13,7 +13,6 @@
 export interface PoolEjectionsParts {
   readonly healths: () => readonly ServerHealth[];
   readonly rules: () => EjectionRules & {readonly maxShare: number};
-  readonly onEjected: (reason: EjectionReason) => void;
 }
 
 /** Decides on ejections, server by server. */
@@ -22,16 +21,21 @@
 
   constructor(private readonly parts: PoolEjectionsParts) {}
 
-  /** Learns from one end on one server, and may eject it. */
-  record(health: ServerHealth, end: GrantEnd, now: Millis): void {
+  /** Learns from one end on one server; the reason when that ejects it. */
+  record(
+    health: ServerHealth,
+    end: GrantEnd,
+    now: Millis,
+  ): EjectionReason | undefined {
     if (end === GrantEnd.Done || end === GrantEnd.Failed) {
       this.failures.record(end === GrantEnd.Failed);
     }
     const rules = this.parts.rules();
     const reason = health.record(end, rules, now);
-    if (reason === undefined || !this.mayEject(health, reason, now)) return;
+    if (reason === undefined) return undefined;
+    if (!this.mayEject(health, reason, now)) return undefined;
     health.eject(rules, now);
-    this.parts.onEjected(reason);
+    return reason;
   }
 
   private mayEject(
--- a/packages/placement/src/holding/held_pool.ts
+++ b/packages/placement/src/holding/held_pool.ts
@@ -4,17 +4,14 @@
 import {BackendKind} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {EffectiveSettings} from '@goldcrestpier/settings';
-import {
-  EjectionReason,
-  WasteKind,
-  type PlacementCounters,
-} from '../counters.js';
+import {EjectionReason, WasteKind} from '../counters.js';
 import {HealthState, PoolEjections} from '../ejection/index.js';
 import {fits, type Resources} from '../fit/index.js';
 import {chooseServer, isWorthStarting} from './choose_server.js';
 import {DemandBook, type Claim} from './demand_book.js';
 import {HeldServer, type HeldGrant} from './held_server.js';
 import {PoolPace} from './pool_pace.js';
+import type {GrantReport, HeldPoolParts} from './types.js';
 
 /** A server is taken for frozen after this many mean run times... */
 const FROZEN_RUNS = 8;
@@ -32,26 +29,6 @@
   accelerators: 0,
 };
 
-/** What a pool of held servers needs from its surroundings. */
-export interface HeldPoolParts {
-  readonly pool: string;
-  readonly holder: string;
-  readonly counters: PlacementCounters;
-  readonly settings: () => EffectiveSettings;
-  /** Instances seen, this one with them. */
-  readonly memberCount: () => number;
-  readonly createGrantId: () => string;
-}
-
-/** How one grant ended, as its owner tells it. */
-export interface GrantReport {
-  readonly grant: string;
-  readonly server: string;
-  readonly end: GrantEnd;
-  readonly runMs: Millis | undefined;
-  readonly expectedMs: Millis | undefined;
-}
-
 /** The holder's side of one pool. */
 export class HeldPool {
   readonly servers = new Map<string, HeldServer>();
@@ -63,7 +40,6 @@
     this.ejections = new PoolEjections({
       healths: () => [...this.servers.values()].map(({health}) => health),
       rules: () => parts.settings().ejection,
-      onEjected: reason => parts.counters.ejected(reason, parts.pool),
     });
   }
 
@@ -95,7 +71,8 @@
     if (held === undefined) return;
     held.end(report.grant, now);
     this.learn(held, report, now);
-    this.ejections.record(held.health, report.end, now);
+    const reason = this.ejections.record(held.health, report.end, now);
+    if (reason !== undefined) this.noteEjection(held, reason);
   }
 
   /** Takes over a server, or its newer description. */
@@ -272,11 +249,18 @@
   private countFrozen(held: HeldServer, now: Millis): void {
     const isFrozen = held.isFrozen(this.frozenMs, now);
     if (isFrozen && !held.wasFrozen) {
-      this.parts.counters.ejected(EjectionReason.Frozen, this.parts.pool);
+      this.noteEjection(held, EjectionReason.Frozen);
     }
     held.wasFrozen = isFrozen;
   }
 
+  private noteEjection(held: HeldServer, reason: EjectionReason): void {
+    const {counters, logger, pool} = this.parts;
+    counters.ejected(reason, pool);
+    const {name: server} = held.server;
+    logger.warn('a server gets nothing new for now', {server, pool, reason});
+  }
+
   private learn(held: HeldServer, report: GrantReport, now: Millis): void {
     const {end, runMs, expectedMs} = report;
     if (end === GrantEnd.Busy) return held.lowerBelief(now);
--- a/packages/placement/src/holding/holding.ts
+++ b/packages/placement/src/holding/holding.ts
@@ -264,11 +264,12 @@
   private openPool(name: string): HeldPool {
     const known = this.pools.get(name);
     if (known !== undefined) return known;
-    const {view, counters} = this.parts;
+    const {view, counters, logger} = this.parts;
     const pool = new HeldPool({
       pool: name,
       holder: view.self.incarnation,
       counters,
+      logger,
       settings: () => view.settingsOf(name),
       memberCount: () => view.members().length,
       createGrantId: () => `${view.self.incarnation}/${(this.lastGrant += 1)}`,
--- a/packages/placement/test/measures.test.ts
+++ b/packages/placement/test/measures.test.ts
@@ -22,37 +22,37 @@
   const ejections = new PoolEjections({
     healths: () => healths,
     rules: () => rules,
-    onEjected: reason => reasons.push(reason),
   });
-  const fail = (at: number, times: number, now: number) => {
+  const end = (at: number, how: GrantEnd, now = 0) => {
     const health = healths[at];
     assert.ok(health);
-    for (let i = 0; i < times; i += 1) {
-      ejections.record(health, GrantEnd.Failed, now);
-    }
+    const reason = ejections.record(health, how, now);
+    if (reason !== undefined) reasons.push(reason);
     return health;
   };
-  return {healths, reasons, ejections, fail};
+  const fail = (at: number, times: number, now: number) => {
+    for (let i = 1; i < times; i += 1) end(at, GrantEnd.Failed, now);
+    return end(at, GrantEnd.Failed, now);
+  };
+  return {healths, reasons, end, fail};
 }
 
 test('a server is ejected for longer each time, and back after a good probe', () => {
-  const {ejections, fail} = createEjections(3);
+  const {end, fail} = createEjections(3);
   const health = fail(0, 3, 0);
   assert.equal(health.stateAt(99), HealthState.Ejected);
   assert.equal(health.stateAt(100), HealthState.Probing);
   fail(0, 1, 100);
   assert.equal(health.stateAt(299), HealthState.Ejected);
   assert.equal(health.stateAt(300), HealthState.Probing);
-  ejections.record(health, GrantEnd.Done, 300);
+  end(0, GrantEnd.Done, 300);
   assert.equal(health.stateAt(300), HealthState.Live);
 });
 
 test('lost answers eject sooner than failed tasks', () => {
-  const {healths, reasons, ejections} = createEjections(3);
-  const [health] = healths;
-  assert.ok(health);
-  ejections.record(health, GrantEnd.Unknown, 0);
-  ejections.record(health, GrantEnd.Unknown, 0);
+  const {reasons, end} = createEjections(3);
+  end(0, GrantEnd.Unknown);
+  end(0, GrantEnd.Unknown);
   assert.deepEqual(reasons, [EjectionReason.Unknown]);
 });
 
@@ -66,12 +66,7 @@
 });
 
 test('where most tasks fail on all servers, none is ejected for it', () => {
-  const {healths, ejections, reasons} = createEjections(6);
-  const end = (at: number, how: GrantEnd) => {
-    const health = healths[at];
-    assert.ok(health);
-    ejections.record(health, how, 0);
-  };
+  const {reasons, end} = createEjections(6);
   // Two failures between successes, so that nobody fails three in a row yet.
   for (let round = 0; round < 10; round += 1) {
     for (let at = 0; at < 6; at += 1) {
