--- a/packages/entry/src/start/index.ts
+++ b/packages/entry/src/start/index.ts
@@ -20,6 +20,7 @@
   listenForOperators,
   listenForPeers,
 } from './listeners.js';
+import {keepJournal} from './journal.js';
 import {openMembership} from './membership.js';
 import {openPlacement} from './placement.js';
 import {openPlatform, type Platform} from './platform.js';
@@ -85,7 +86,10 @@
   const gateway = new RelayGateway({
     ...sessions,
     directory: createMemberDirectory(self, membership),
-    plain: new PlainGateway(sessions.owner, createClaims(context, platform)),
+    plain: new PlainGateway(
+      sessions.owner,
+      createClaims(context, platform, membership),
+    ),
     maxCopyAgeMs: MAX_COPY_AGE_MS,
   });
   return {
@@ -108,6 +112,7 @@
   await listenForPeers(context, createPeerHandlers({...parts, inspectSelf}));
   follow(parts);
   watchFigures(parts);
+  keepJournal(parts);
   platform.list.start();
   platform.follower.start();
   const logger = logs.forPart(LogPart.Settings);
