--- a/packages/proofs/src/audit/index.ts
+++ b/packages/proofs/src/audit/index.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {
   JobState,
+  Ran,
   TaskState,
   type Failure,
   type JobAnswer,
@@ -52,3 +53,22 @@
   const starts = await cluster.readStarts();
   return starts.filter(({job}) => job === `${session}/${key}`).length;
 }
+
+/**
+ * What an answer says of each task agrees with the servers' records: one that
+ * is done started, one that did not run did not, and none started twice.
+ */
+export async function assertTrueAnswer(
+  cluster: Cluster,
+  answer: JobAnswer,
+): Promise<void> {
+  const starts = await cluster.readStarts();
+  for (const {index, state, failure} of answer.tasks) {
+    const name = `${answer.session}/${answer.key}#${index}`;
+    const count = starts.filter(({task}) => task === name).length;
+    if (state === TaskState.Done) assert.equal(count, 1, name);
+    if (failure?.ran === Ran.Ran) assert.equal(count, 1, name);
+    if (failure?.ran === Ran.NotRun) assert.equal(count, 0, name);
+    assert.ok(count <= 1, name);
+  }
+}
--- a/packages/proofs/src/caller/index.ts
+++ b/packages/proofs/src/caller/index.ts
@@ -8,6 +8,8 @@
 } from '@goldcrestpier/protocol';
 import {Agent, request, type Dispatcher} from 'undici';
 
+export * from './patient.js';
+
 const LONGEST_CALL_MS = 90_000;
 
 /** How a call ended, as its caller saw it. */
--- a/packages/proofs/src/stage/index.ts
+++ b/packages/proofs/src/stage/index.ts
@@ -29,8 +29,14 @@
 
   private constructor(readonly cluster: Cluster) {}
 
-  /** Launches three zones of two entry instances and some servers. */
-  static async open(plan: Partial<ClusterPlan> = {}): Promise<Stage> {
+  /**
+   * Launches three zones of two entry instances and some servers. `running` is
+   * how many instances start with it; all where it is absent.
+   */
+  static async open(
+    plan: Partial<ClusterPlan> = {},
+    running?: number,
+  ): Promise<Stage> {
     const owner = new Lifecycle('launch');
     const cluster = await launchCluster({zones: planSmall(), ...plan}, owner);
     const stage = new Stage(cluster);
@@ -38,7 +44,7 @@
       await owner.close();
     });
     stage.lifecycle.own('connections', () => stage.connections.destroy());
-    await stage.waitForMembers(cluster.entries.length);
+    await stage.waitForMembers(running ?? cluster.entries.length);
     return stage;
   }
 
