--- /dev/null
+++ b/packages/measure/src/modes/index.ts
@@ -0,0 +1,6 @@
+/** What the tool can measure. */
+export {measureIdle} from './idle.js';
+export {readOptions, type MeasureOptions} from './options.js';
+export {measureOverload} from './overload.js';
+export {measureResponses} from './response.js';
+export {measureStarts} from './starts.js';
--- /dev/null
+++ b/packages/measure/src/round/index.ts
@@ -0,0 +1,2 @@
+/** Rounds of load over a running cluster. */
+export {isGood, runRound, type Round, type RoundOptions} from './round.js';
