--- a/packages/entry/src/bin/goldcrestpier.ts
+++ b/packages/entry/src/bin/goldcrestpier.ts
@@ -27,7 +27,8 @@
   const stop = () => {
     void entry.stop().then(() => process.exit(ExitCode.Stopped));
   };
-  process.once('SIGTERM', stop);
+  // The platform may repeat its order; only a person may cut the stop short.
+  process.on('SIGTERM', stop);
   process.once('SIGINT', stop);
 }
 
--- a/packages/entry/src/callers/index.ts
+++ b/packages/entry/src/callers/index.ts
@@ -25,6 +25,8 @@
 const MAX_HEADER_BYTES = 16 * 1024;
 const REQUEST_TIMEOUT_MS = 30_000;
 const HEADERS_TIMEOUT_MS = 10_000;
+/** Longer than the longest poll; ends connections of readers that stopped. */
+const SILENCE_TIMEOUT_MS = 120_000;
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -66,6 +68,7 @@
       });
     },
   );
+  server.timeout = SILENCE_TIMEOUT_MS;
   server.maxHeadersCount = MAX_HEADERS;
   server.maxConnections = options.limits.maxConnections;
   return server;
--- a/packages/entry/src/stop/index.ts
+++ b/packages/entry/src/stop/index.ts
@@ -15,8 +15,9 @@
 const REPORT_MS = 5_000;
 const HAND_OVER_TIMEOUT_MS = 5_000;
 const MAX_HEIR_TRIES = 3;
-/** Sessions in one message; each may carry whole answers. */
+/** Sessions in one message, and about how large it may become. */
 const SESSIONS_PER_PART = 50;
+const BYTES_PER_PART = 1024 * 1024;
 
 /** A peer that can answer for the sessions of this instance. */
 export interface HeirPeer {
@@ -102,8 +103,7 @@
   sessions: readonly HandedSession[],
   heir: HeirPeer,
 ): Promise<boolean> {
-  for (let at = 0; at < sessions.length; at += SESSIONS_PER_PART) {
-    const part = sessions.slice(at, at + SESSIONS_PER_PART);
+  for (const part of splitIntoParts(sessions)) {
     const sent = await heir.calls.handOver(
       {from: self, sessions: part},
       HAND_OVER_TIMEOUT_MS,
@@ -112,3 +112,34 @@
   }
   return true;
 }
+
+/** Parts that peers take in one message each; a session may stand in several. */
+function* splitIntoParts(
+  sessions: readonly HandedSession[],
+): Generator<HandedSession[]> {
+  let part: HandedSession[] = [];
+  let bytes = 0;
+  for (const session of sessions.flatMap(splitSession)) {
+    const size = JSON.stringify(session).length;
+    const isFull = part.length === SESSIONS_PER_PART;
+    if (part.length > 0 && (isFull || bytes + size > BYTES_PER_PART)) {
+      yield part;
+      part = [];
+      bytes = 0;
+    }
+    part.push(session);
+    bytes += size;
+  }
+  if (part.length > 0) yield part;
+}
+
+/** One piece for each large answer, so that no message holds two of them. */
+function splitSession(session: HandedSession): HandedSession[] {
+  if (JSON.stringify(session).length <= BYTES_PER_PART) return [session];
+  const pieces = session.answers.map(answer => ({
+    session: session.session,
+    answers: [answer],
+    closed: [],
+  }));
+  return [{...session, answers: []}, ...pieces];
+}
--- a/packages/jobs/src/handover/index.ts
+++ b/packages/jobs/src/handover/index.ts
@@ -73,9 +73,17 @@
   /** Takes over sessions of an instance that leaves. */
   adopt(sessions: readonly HandedSession[], now: Millis): void {
     for (const {session, answers, closed} of sessions) {
+      // A large session comes in several pieces.
+      const known = this.sessions.get(session);
       this.sessions.set(session, {
-        answers: new Map(answers.map(each => [each.answer.key, each])),
-        closed: new Map(closed.map(({key, attempt}) => [key, attempt])),
+        answers: new Map([
+          ...(known?.answers ?? []),
+          ...answers.map(each => [each.answer.key, each] as const),
+        ]),
+        closed: new Map([
+          ...(known?.closed ?? []),
+          ...closed.map(({key, attempt}) => [key, attempt] as const),
+        ]),
         keptUntil: now + this.keptMs,
       });
     }
--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -5,7 +5,7 @@
 import {
   createFailure,
   FailureCode,
-  formatSession,
+  formatJob,
   Ran,
   type Failure,
   type SessionAnswer,
@@ -15,7 +15,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {digestJob} from '../digest/index.js';
 import {JobRecord} from '../record/index.js';
-import {KeyKind, Session, type KeyEntry} from '../sessions/index.js';
+import {KeyKind, type KeyEntry, type Session} from '../sessions/index.js';
 import {
   closeAttempt,
   judgeAttempt,
@@ -23,20 +23,21 @@
   readClosedUpTo,
 } from './attempts.js';
 import {listOpenTaskIds, OpenWork} from './open_work.js';
-import {describeMissing} from './missing_session.js';
 import {createPlacedTasks} from './placed_tasks.js';
+import {SessionBook} from './session_book.js';
 import type {ArrivedSubmission, JobOwnerOptions} from './types.js';
 
 export * from './types.js';
 
 /** Keeps this incarnation's sessions and their jobs. */
 export class JobOwner {
-  private readonly sessions = new Map<string, Session>();
+  private readonly sessions: SessionBook;
   private readonly open = new OpenWork();
-  private lastSequence = 0;
   private leaving = false;
 
-  constructor(private readonly options: JobOwnerOptions) {}
+  constructor(private readonly options: JobOwnerOptions) {
+    this.sessions = new SessionBook(options.self, options.limits);
+  }
 
   /** How many jobs have not ended. */
   get openJobCount(): number {
@@ -50,7 +51,7 @@
 
   /** The sessions that can be used. */
   listSessions(): Iterable<Session> {
-    return this.sessions.values();
+    return this.sessions.list();
   }
 
   /** From now on new sessions and jobs are refused; the rest goes on. */
@@ -60,35 +61,26 @@
 
   /** Opens a session. Starts nothing, so a lost answer does no harm. */
   openSession(now: Millis): Result<SessionAnswer, Failure> {
-    const {limits, self} = this.options;
     if (this.leaving) return Err(this.refuse(this.describeLeaving()));
-    if (this.sessions.size >= limits.maxSessions) {
-      const limit = {limit: limits.maxSessions};
-      const retryAfterMs = limits.maxCopyAgeMs;
-      return Err(
-        this.refuse(
-          createFailure(FailureCode.TooManySessions, limit, {retryAfterMs}),
-        ),
-      );
-    }
-    this.lastSequence += 1;
-    const id = formatSession({owner: self, sequence: this.lastSequence});
-    this.sessions.set(id, new Session(id, now));
-    return Ok({session: id, idleMs: limits.sessionIdleMs});
+    const {sessionIdleMs} = this.options.limits;
+    return this.sessions
+      .open(now)
+      .map(({id}) => ({session: id, idleMs: sessionIdleMs}))
+      .mapErr(failure => this.refuse(failure));
   }
 
   /** Whether a session can be used and takes new keys. */
   isOpen(id: string, now: Millis): boolean {
-    const found = this.findSession(id, now);
+    const found = this.sessions.find(id, now);
     return found.isOk() && !this.isFull(found.value);
   }
 
   /** Ends a session; every later use of it is refused. */
   endSession(id: string, now: Millis): Result<void, Failure> {
-    const found = this.findSession(id, now);
+    const found = this.sessions.find(id, now);
     if (found.isErr()) return found;
     for (const job of found.value.jobs()) this.cancelJob(job, now);
-    this.sessions.delete(id);
+    this.sessions.end(id);
     return Ok(undefined);
   }
 
@@ -97,7 +89,7 @@
     submission: ArrivedSubmission,
     now: Millis,
   ): Result<JobRecord, Failure> {
-    const found = this.findSession(submission.session, now);
+    const found = this.sessions.find(submission.session, now);
     if (found.isErr()) return found;
     const session = found.value;
     const entry = session.find(submission.key);
@@ -117,7 +109,7 @@
 
   /** Finds a job by its session and key. */
   read(id: string, key: string, now: Millis): Result<JobRecord, Failure> {
-    const found = this.findSession(id, now);
+    const found = this.sessions.find(id, now);
     if (found.isErr()) return found;
     const entry = found.value.find(key);
     if (entry === undefined) {
@@ -146,27 +138,7 @@
 
   /** Ends idle sessions and drops answers that were kept long enough. */
   sweep(now: Millis): void {
-    const {sessionIdleMs, answersKeptMs} = this.options.limits;
-    for (const [id, session] of this.sessions) {
-      if (session.isIdle(sessionIdleMs, now)) {
-        this.sessions.delete(id);
-        continue;
-      }
-      for (const job of session.jobs()) {
-        const {endedAt} = job;
-        if (endedAt === undefined || job.answerExpired) continue;
-        if (now - endedAt >= answersKeptMs) job.expireAnswer();
-      }
-    }
-  }
-
-  private findSession(id: string, now: Millis): Result<Session, Failure> {
-    const session = this.sessions.get(id);
-    if (session !== undefined) {
-      session.touch(now);
-      return Ok(session);
-    }
-    return Err(describeMissing(id, this.options.self, this.lastSequence));
+    this.sessions.sweep(now);
   }
 
   private recognise(
@@ -204,6 +176,11 @@
     );
     const accepted = this.accept(submission, job, now);
     if (accepted.isErr()) {
+      this.options.logger.info('submission refused', {
+        job: formatJob(submission.session, submission.key),
+        attempt,
+        code: accepted.error.code,
+      });
       const failure = this.close(
         session,
         submission,
@@ -266,7 +243,15 @@
 
   private noteJobEnd(job: JobRecord | undefined, now: Millis): void {
     if (job === undefined) return;
-    this.options.counters.countJob(job.state, now - job.header.acceptedAt);
+    const ms = Math.round(now - job.header.acceptedAt);
+    this.options.counters.countJob(job.state, ms);
+    const fields = {job: formatJob(job.header.session, job.header.key), ms};
+    if (job.failureCode === undefined) {
+      this.options.logger.debug('job is complete', fields);
+      return;
+    }
+    const code = job.failureCode;
+    this.options.logger.info('job failed', {...fields, code});
   }
 
   private isFull(session: Session): boolean {
--- a/packages/jobs/src/sessions/index.ts
+++ b/packages/jobs/src/sessions/index.ts
@@ -81,4 +81,12 @@
     }
     return true;
   }
+
+  /** Drops the answers of jobs that ended `keptMs` ago or earlier. */
+  dropOldAnswers(keptMs: Millis, now: Millis): void {
+    for (const job of this.jobs()) {
+      if (job.endedAt === undefined || job.answerExpired) continue;
+      if (now - job.endedAt >= keptMs) job.expireAnswer();
+    }
+  }
 }
