--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -23,4 +23,5 @@
   toNodePath,
 } from './path.js';
 export * from './schema.js';
+export {traceValues, type TracedValue} from './trace.js';
 export {SettingsTree, type SettingsSnapshot} from './tree.js';
