--- a/packages/placement/src/holding/held_pool.ts
+++ b/packages/placement/src/holding/held_pool.ts
@@ -3,7 +3,6 @@
 import {ServerState, type Server} from '@goldcrestpier/platform';
 import {BackendKind} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
-import type {EffectiveSettings} from '@goldcrestpier/settings';
 import {EjectionReason, WasteKind} from '../counters.js';
 import {HealthState, PoolEjections} from '../ejection/index.js';
 import {fits, type Resources} from '../fit/index.js';
