--- a/packages/apidocs/test/callers_listener.test.ts
+++ b/packages/apidocs/test/callers_listener.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -17,6 +17,8 @@
 import {callAsDescribed, checkMethods} from './described_calls.js';
 
 const TOKEN = 'a-token-for-this-test-only';
+const METRIC = /^# TYPE (goldcrestpier_\w+)/gm;
+const LISTED_METRIC = /^\| `(goldcrestpier_\w+)`/gm;
 const READY_TRIES = 500;
 const READY_PAUSE_MS = 20;
 const BINARY = fileURLToPath(
@@ -88,6 +90,10 @@
   throw new Error('the entry instance did not start');
 }
 
+function sortNames(matches: readonly RegExpMatchArray[]): string[] {
+  return [...new Set(matches.map(([, name = '']) => name))].sort();
+}
+
 async function openSession(): Promise<string> {
   const {status, body} = await callAsDescribed(origin, 'openSession');
   assert.equal(status, 201);
@@ -103,6 +109,17 @@
   assert.equal((await callAsDescribed(origin, 'readMetrics')).status, 200);
 });
 
+test("the operators' page lists the metrics that are there, and no others", async () => {
+  const page = readFileSync(
+    new URL('../../../../docs/operators.md', import.meta.url),
+    'utf8',
+  );
+  const response = await fetch(`${origin}/metrics`);
+  const shown = [...(await response.text()).matchAll(METRIC)];
+  const listed = [...page.matchAll(LISTED_METRIC)];
+  assert.deepEqual(sortNames(listed), sortNames(shown));
+});
+
 test('a session opens and ends, and a job of it answers as described', async () => {
   const session = await openSession();
   const task = {service: 'nobody-serves-this', payload: {}};
