--- a/packages/settings/src/tree/document.ts
+++ b/packages/settings/src/tree/document.ts
@@ -34,14 +34,13 @@
 
 /** Writes a tree as TOML, with its revision. */
 export function formatDocument(tree: SettingsTree): string {
-  return stringify({[REVISION_KEY]: tree.revision, ...toTables(tree.nodes)});
-}
-
-/** The nodes as a document has them: for each its kind and its values. */
-export function toTables(nodes: SettingsNodes): Record<string, NodeValues> {
-  return Object.fromEntries(
-    [...nodes].map(([path, {kind, values}]) => [path, {kind, ...values}]),
+  const tables = [...tree.nodes].map(
+    ([path, {kind, values}]) => [path, {kind, ...values}] as const,
   );
+  return stringify({
+    [REVISION_KEY]: tree.revision,
+    ...Object.fromEntries(tables),
+  });
 }
 
 /** Reads a TOML document. */
@@ -50,10 +49,7 @@
   return toml.isErr() ? refuse([toml.error]) : readDocument(toml.value);
 }
 
-/** Reads a document that was parsed already. */
-export function readDocument(
-  document: NodeValues,
-): Result<SettingsDocument, Failure> {
+function readDocument(document: NodeValues): Result<SettingsDocument, Failure> {
   const {[REVISION_KEY]: revision, ...tables} = document;
   const problems: Problem[] = [];
   const nodes = new Map<string, SettingsNode>();
