Tell a file that holds no token from a wrong token

Cause: a token file of several lines ended as "the connection failed".

Run: node scripts/run_tests.mjs packages/ctl/dist/test/ctl - 44 passed (a suite with them), 0 failed.

--- a/packages/ctl/src/calls/target.ts
+++ b/packages/ctl/src/calls/target.ts
@@ -5,6 +5,8 @@
 
 const INSTANCE_VARIABLE = 'GOLDCRESTPIER_INSTANCE';
 const TOKEN_FILE_VARIABLE = 'GOLDCRESTPIER_TOKEN_FILE';
+/** What a header can carry. */
+const TOKEN_TEXT = /^[\x20-\x7e]+$/;
 
 /** Which instance is asked, and the token it is shown. */
 export interface Target {
@@ -53,8 +55,9 @@
   }
   try {
     const token = readFileSync(file, 'utf8').trim();
-    if (token !== '') return Ok(token);
-    const found = `the empty file ${file}`;
+    if (TOKEN_TEXT.test(token)) return Ok(token);
+    const found =
+      token === '' ? `the empty file ${file}` : `other text in ${file}`;
     return Err(createUsageProblem('--token-file', found, expected, hint));
   } catch (cause) {
     const {code} = cause as NodeJS.ErrnoException;
--- a/packages/ctl/test/ctl.test.ts
+++ b/packages/ctl/test/ctl.test.ts
@@ -111,6 +111,13 @@
   });
 }
 
+test('a file that holds no token is told apart from a wrong token', async () => {
+  const file = writeFile('lines', 'one\ntwo');
+  const ended = await ctl(`servers --token-file ${file}`);
+  assert.equal(ended.exitCode, ExitCode.Usage);
+  match('no token in the file', ended);
+});
+
 test('a wrong token is refused', async () => {
   const file = writeFile('wrong', 'another token');
   const ended = await ctl(`servers --token-file ${file}`);
