Prove that every reachable "not run" is true, then and 4 s later

Each refusal that a caller can reach is compared with the servers' records of starts. Without the platform a plain submission says may_have_run, since a copy at another instance may have been claimed before.

--- /dev/null
+++ b/packages/proofs/test/not_run_is_true.test.ts
@@ -0,0 +1,217 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {FailureCode, Ran, type Failure} from '@goldcrestpier/protocol';
+import {planZones} from '@goldcrestpier/standins';
+import {
+  countStarts,
+  createJob,
+  expectAnswer,
+  expectFailure,
+  ReplyKind,
+  setKey,
+  Stage,
+  waitUntil,
+  type JobBody,
+} from '../src/index.js';
+
+const LATER_MS = 4_000;
+const ENTRY = 'e1-1';
+
+interface Refused {
+  readonly session: string;
+  readonly key: string;
+  readonly failure: Failure;
+}
+
+let stage: Stage;
+const refused: Refused[] = [];
+
+before(async () => {
+  const zones = planZones({
+    zones: ['batangas-1', 'batangas-2', 'batangas-3'],
+    entriesPerZone: 2,
+    runnersPerZone: 1,
+    workersPerZone: 1,
+    worker: {processors: 8, memoryMb: 16_384, accelerators: 1},
+  });
+  stage = await Stage.open({zones});
+});
+
+after(() => stage.close());
+
+/** Submits a job and keeps its refusal for the look afterwards. */
+async function submitRefused(
+  session: string,
+  key: string,
+  job: JobBody,
+  code: FailureCode,
+): Promise<void> {
+  const caller = stage.callerOf(ENTRY);
+  const reply = await caller.submit(session, key, job, {attempt: 1});
+  const failure = expectFailure(reply);
+  assert.equal(failure.code, code, failure.message);
+  assert.equal(failure.ran, Ran.NotRun);
+  assert.equal(await countStarts(stage.cluster, session, key), 0);
+  refused.push({session, key, failure});
+}
+
+/** Sends a body as it is. */
+async function sendBody(session: string, key: string, body: string) {
+  const {url} = stage.cluster.entry(ENTRY);
+  const path = `/v1/sessions/${session}/jobs/${key}?attempt=1`;
+  const reply = await fetch(`${url}${path}`, {method: 'PUT', body});
+  return (await reply.json()) as Failure;
+}
+
+test('a submission that cannot be read is refused and runs nothing', async () => {
+  const session = await stage.callerOf(ENTRY).openSession();
+  const task = {service: 'invoicing', payload: {runMs: 1}};
+  const tasks = Array.from({length: 10_000}, () => task);
+  const bodies: Array<[string, string, FailureCode]> = [
+    ['cut', '{"tasks": [', FailureCode.InvalidJson],
+    ['no-tasks', '{"tasks": []}', FailureCode.InvalidRequest],
+    ['ten-thousand', JSON.stringify({tasks}), FailureCode.InvalidRequest],
+    [
+      'one-bad-of-many',
+      JSON.stringify({tasks: [task, {service: 7}]}),
+      FailureCode.InvalidRequest,
+    ],
+    [
+      'too-large',
+      JSON.stringify({tasks: [{...task, payload: 'x'.repeat(64 << 20)}]}),
+      FailureCode.BodyTooLarge,
+    ],
+  ];
+  for (const [key, body, code] of bodies) {
+    const failure = await sendBody(session, key, body);
+    assert.equal(failure.code, code, key);
+    assert.equal(failure.ran, Ran.NotRun);
+    refused.push({session, key, failure});
+  }
+});
+
+test('work that no server can ever take is refused at once', async () => {
+  const session = await stage.callerOf(ENTRY).openSession();
+  await submitRefused(
+    session,
+    'nobody',
+    createJob(3, 10, 'nobody'),
+    FailureCode.UnknownService,
+  );
+  const worker = {processors: 9_000, memoryMb: 1, accelerators: 0};
+  await submitRefused(
+    session,
+    'giant',
+    {tasks: [{worker, payload: {runMs: 1}}]},
+    FailureCode.ImpossibleNeeds,
+  );
+  const mixed = [...createJob(2, 10).tasks, {worker, payload: {runMs: 1}}];
+  await submitRefused(
+    session,
+    'mixed',
+    {tasks: mixed},
+    FailureCode.ImpossibleNeeds,
+  );
+});
+
+test('work beyond a quota, a queue or a deadline is refused, and so is each copy', async () => {
+  const revision = await stage.edit(ENTRY, [
+    setKey('/', 'fairness.quotas', {small: 4}),
+    setKey('/', 'queue.max_waiting', 100),
+  ]);
+  await stage.waitForRevision(revision);
+  const caller = stage.callerOf(ENTRY);
+  const session = await caller.openSession();
+  const small = {...createJob(9, 50), team: 'small'};
+  await submitRefused(session, 'quota', small, FailureCode.QuotaExceeded);
+  await submitRefused(
+    session,
+    'queue',
+    createJob(900, 50),
+    FailureCode.QueueFull,
+  );
+  // The estimate needs a measured rate.
+  expectAnswer(await caller.submit(session, 'warm', createJob(60, 50)));
+  const load = caller.submit(session, 'load', createJob(90, 600), {attempt: 1});
+  await pause(200);
+  const hurried = {...createJob(20, 600), deadlineMs: 50};
+  await submitRefused(session, 'hurried', hurried, FailureCode.WaitTooLong);
+  await submitRefused(session, 'hurried', hurried, FailureCode.AttemptClosed);
+  for (const {name} of stage.entries) {
+    const copy = await stage
+      .callerOf(name)
+      .submit(session, 'quota', small, {attempt: 1});
+    assert.equal(expectFailure(copy).code, FailureCode.AttemptClosed);
+  }
+  expectAnswer(await load);
+});
+
+test('other content under a used key is refused and starts nothing more', async () => {
+  const caller = stage.callerOf(ENTRY);
+  const session = await caller.openSession();
+  expectAnswer(await caller.submit(session, 'used', createJob(2, 5)));
+  const reply = await caller.submit(session, 'used', createJob(5, 5));
+  assert.equal(expectFailure(reply).code, FailureCode.ContentConflict);
+  assert.equal(await countStarts(stage.cluster, session, 'used'), 2);
+});
+
+test('without the platform a plain submission is refused and runs nothing', async () => {
+  const startsBefore = await stage.cluster.readStarts();
+  await stage.cluster.setPlatformOut(true);
+  const caller = stage.callerOf(ENTRY);
+  const reply = await caller.submitPlain('plain-out', createJob(3, 5));
+  const failure = expectFailure(reply);
+  assert.equal(failure.code, FailureCode.PlatformUnavailable);
+  // A copy elsewhere may have been claimed before, so it cannot say "not run".
+  assert.equal(failure.ran, Ran.MayHaveRun);
+  assert.notEqual(failure.retryAfterMs, undefined);
+  await stage.cluster.setPlatformOut(false);
+  assert.deepEqual(await stage.cluster.readStarts(), startsBefore);
+});
+
+test('an instance that leaves refuses new jobs and runs none of them', async () => {
+  const leaving = stage.cluster.entry('e2-1');
+  const caller = stage.caller(leaving);
+  const session = await caller.openSession();
+  const load = caller.submit(session, 'load', createJob(8, 1_500));
+  await pause(100);
+  const stopped = leaving.stop();
+  await waitUntil('it to leave', async () => !(await leaving.isReady()));
+  const reply = await caller.submit(session, 'late', createJob(3, 5));
+  const failure = expectFailure(reply);
+  assert.equal(failure.code, FailureCode.Leaving);
+  assert.equal(failure.ran, Ran.NotRun);
+  refused.push({session, key: 'late', failure});
+  expectAnswer(await load);
+  assert.equal((await stopped).code, 0);
+});
+
+test('when no server answers, what is said not to have run never runs', async () => {
+  const caller = stage.callerOf(ENTRY);
+  const session = await caller.openSession();
+  await stage.cluster.setFaults({refuseConnections: true});
+  const job = {...createJob(6, 5), deadlineMs: 1_500};
+  const reply = await caller.submit(session, 'nowhere', job, {attempt: 1});
+  await stage.cluster.setFaults({});
+  assert.notEqual(reply.kind, ReplyKind.Lost);
+  if (reply.kind === ReplyKind.Failure) {
+    assert.equal(reply.failure.ran, Ran.NotRun);
+    refused.push({session, key: 'nowhere', failure: reply.failure});
+    return;
+  }
+  for (const {failure} of expectAnswer(reply).tasks) {
+    assert.equal(failure?.ran, Ran.NotRun);
+  }
+  assert.equal(await countStarts(stage.cluster, session, 'nowhere'), 0);
+});
+
+test('some seconds later still nothing of what was refused has started', async () => {
+  await pause(LATER_MS);
+  const starts = await stage.cluster.readStarts();
+  const jobs = new Set(starts.map(({job}) => job));
+  for (const {session, key, failure} of refused) {
+    assert.equal(jobs.has(`${session}/${key}`), false, failure.code);
+  }
+  assert.ok(refused.length >= 11);
+});
