--- a/packages/measure/src/ideal/index.ts
+++ b/packages/measure/src/ideal/index.ts
@@ -9,6 +9,8 @@
   readonly job: LoadJob;
   /** In the order of its tasks; undefined for one that was cancelled. */
   readonly tasksMs: ReadonlyArray<number | undefined>;
+  /** How long each task that was started had waited. */
+  readonly waitsMs: readonly number[];
 }
 
 /** Each task at once on a server of the highest speed. */
@@ -20,6 +22,7 @@
   return jobs.map(job => ({
     job,
     tasksMs: job.tasks.map(({workMs}) => workMs / fastest),
+    waitsMs: job.tasks.map(() => 0),
   }));
 }
 
@@ -30,16 +33,18 @@
 ): IdealJob[] {
   const slots = speeds.map(speed => ({speed, freeAtMs: 0}));
   // Jobs come in order of time, so that the next free slot is the next task's.
-  return jobs.map(job => ({
-    job,
-    tasksMs: job.tasks.map(({workMs}) => {
+  return jobs.map(job => {
+    const waitsMs: number[] = [];
+    const tasksMs = job.tasks.map(({workMs}) => {
       const slot = pickSlot(slots, job.atMs);
       const startMs = Math.max(slot.freeAtMs, job.atMs);
       if (startMs >= (job.cancelAtMs ?? Infinity)) return undefined;
       slot.freeAtMs = startMs + workMs / slot.speed;
+      waitsMs.push(startMs - job.atMs);
       return slot.freeAtMs - job.atMs;
-    }),
-  }));
+    });
+    return {job, tasksMs, waitsMs};
+  });
 }
 
 interface Slot {
--- a/packages/measure/src/report/print.ts
+++ b/packages/measure/src/report/print.ts
@@ -8,6 +8,11 @@
   console.log(`  jobs ${format(report.jobs)}; tasks ended ${report.tasks}`);
   console.log(`  starts of a task beyond its first: ${report.doubledStarts}`);
   printResponses('task', report.taskResponse);
+  const {found, centralQueue} = report.meanWaitMs;
+  console.log(
+    `  task mean before its start: ${found.toFixed(1)} ms, ` +
+      `central queue ${centralQueue.toFixed(1)} ms`,
+  );
   printResponses('job', report.jobResponse);
   console.log(
     `  messages per answer ${report.messagesPerAnswer.toFixed(2)}: ` +
--- a/packages/measure/src/report/report.ts
+++ b/packages/measure/src/report/report.ts
@@ -36,6 +36,8 @@
   /** Tasks that were started more than once at the servers. */
   readonly doubledStarts: number;
   readonly taskResponse: Responses;
+  /** Mean time of a task before its start, found and in the central queue. */
+  readonly meanWaitMs: {readonly found: number; readonly centralQueue: number};
   readonly jobResponse: Responses;
   readonly messages: Readonly<Record<string, number>>;
   readonly messagesPerAnswer: number;
@@ -80,6 +82,14 @@
       pickTasks(central, keep),
       pickTasks(fastest, keep),
     ),
+    meanWaitMs: {
+      found: summarize(counted.flatMap(({waitsMs}) => waitsMs)).mean,
+      centralQueue: summarize(
+        central
+          .filter(({job}) => keep.has(job.key))
+          .flatMap(({waitsMs}) => waitsMs),
+      ).mean,
+    },
     jobResponse: compareAll(
       counted.map(({jobMs}) => jobMs),
       pickJobs(central, keep),
@@ -100,6 +110,7 @@
   readonly key: string;
   readonly jobMs: number;
   readonly tasksMs: readonly number[];
+  readonly waitsMs: readonly number[];
 }
 
 /** The jobs that were answered whole and were not cancelled. */
@@ -110,7 +121,8 @@
     if (job.cancelAtMs !== undefined) return [];
     const timed = starts.get(job.key) ?? [];
     const tasksMs = timed.map(({responseMs}) => responseMs);
-    return [{key: job.key, jobMs: end.responseMs, tasksMs}];
+    const waitsMs = timed.map(({waitMs}) => waitMs);
+    return [{key: job.key, jobMs: end.responseMs, tasksMs, waitsMs}];
   });
 }
 
--- a/packages/measure/src/round/round.ts
+++ b/packages/measure/src/round/round.ts
@@ -40,6 +40,8 @@
   readonly index: number;
   /** From the time of its job in the load, in milliseconds. */
   readonly responseMs: number;
+  /** From the same time to its start, in milliseconds. */
+  readonly waitMs: number;
 }
 
 /** Sends `jobs` at their times and waits until all have ended. */
@@ -147,8 +149,9 @@
     const work = job?.tasks[index];
     if (job === undefined || work === undefined) continue;
     const runMs = work.workMs / (speeds.get(server) ?? 1);
-    const responseMs = at + runMs - startDate - job.atMs;
-    timed.set(key, [...(timed.get(key) ?? []), {index, responseMs}]);
+    const waitMs = at - startDate - job.atMs;
+    const start = {index, responseMs: waitMs + runMs, waitMs};
+    timed.set(key, [...(timed.get(key) ?? []), start]);
   }
   return timed;
 }
