Model keys without attempts, claims, the settings tree and grants

The models show four ways in which the code says "not run" too freely: a refusal within the closed time does not close the key again, a copy exactly as old as the limit is taken, an instance without room for a session says "not run" of an idempotency key, and so does a full peer connection.

--- a/scripts/run_spec.mjs
+++ b/scripts/run_spec.mjs
@@ -26,6 +26,38 @@
       'NOTHING_IS_HANDED_OVER',
     ],
   },
+  {
+    file: 'no_attempt.pml',
+    variants: [
+      'COPIES_HAVE_NO_AGE',
+      'RETRY_AFTER_IS_SHORT',
+      'STOPPED_RELAY_COUNTS_FROM_READING',
+      'REFUSAL_WHILE_CLOSED_IS_FREE',
+      'COPIES_ARE_RECEIVED_AFTER_THE_ANSWER',
+    ],
+  },
+  {
+    file: 'claims.pml',
+    variants: [
+      'OWN_SESSION_WITHOUT_CLAIM',
+      'LOST_ANSWER_IS_NOT_CLAIMED',
+      'CLAIM_OF_A_LOST_OWNER_IS_TAKEN_OVER',
+      'UNCLAIMED_IS_NOT_RUN',
+      'LEAVING_IS_NOT_RUN',
+    ],
+  },
+  {
+    file: 'settings.pml',
+    variants: [
+      'NOTHING_IS_COMPARED',
+      'RETRY_WITHOUT_EDIT_ID',
+      'WHATEVER_COMES_IS_APPLIED',
+    ],
+  },
+  {
+    file: 'grants.pml',
+    variants: ['UNKNOWN_IS_PLACED_AGAIN', 'BUSY_IS_QUEUED'],
+  },
 ];
 
 function runProgram(program, words, folder) {
