--- a/packages/entry/src/start/index.ts
+++ b/packages/entry/src/start/index.ts
@@ -116,7 +116,11 @@
   platform.list.start();
   platform.follower.start();
   const logger = logs.forPart(LogPart.Settings);
-  const store = new SettingsStore(platform.client, logger);
+  const store = new SettingsStore(
+    platform.client,
+    logger,
+    () => platform.follower.current.revision,
+  );
   await listenForOperators(context, {
     settings: createSettingsOperations({
       store,
--- a/packages/operators/src/views/settings_operations.ts
+++ b/packages/operators/src/views/settings_operations.ts
@@ -5,10 +5,11 @@
   type Failure,
   type SettingsRevision,
 } from '@goldcrestpier/protocol';
-import type {
-  EditAnswer,
-  EditRequest,
-  SettingsTree,
+import {
+  HISTORY_KEPT,
+  type EditAnswer,
+  type EditRequest,
+  type SettingsTree,
 } from '@goldcrestpier/settings';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {SettingsView} from '../messages/index.js';
@@ -16,9 +17,6 @@
 import {sumUpRevisions} from './diff.js';
 import {listEffective} from './effective.js';
 
-/** As far back as the store keeps its history. */
-const WHOLE_HISTORY = 500;
-
 /** The part of the settings' store that operators use. */
 export interface EditableSettings {
   read(): Promise<Result<SettingsTree, Failure>>;
@@ -52,7 +50,7 @@
     readHistory: async limit =>
       (await store.history(limit)).map(edits => ({edits: [...edits]})),
     diff: async (from, to) =>
-      (await store.history(WHOLE_HISTORY)).andThen(history =>
+      (await store.history(HISTORY_KEPT)).andThen(history =>
         sumUpRevisions(history, from, to),
       ),
   };
--- a/packages/runtime/src/lifecycle/index.ts
+++ b/packages/runtime/src/lifecycle/index.ts
@@ -3,6 +3,8 @@
  * closes everything in reverse order, children before what they rest on.
  */
 
+import {setMaxListeners} from 'node:events';
+
 /** Closes one resource. Must not reject; a rejection is reported and passed. */
 export type Close = () => void | Promise<void>;
 
@@ -24,7 +26,10 @@
   private readonly controller = new AbortController();
   private closing: Promise<CloseFailure[]> | undefined;
 
-  constructor(readonly name: string) {}
+  constructor(readonly name: string) {
+    // Every loop and call of a part may listen; Node would warn of the 11th.
+    setMaxListeners(0, this.controller.signal);
+  }
 
   /** Aborts when closing begins; loops end on it. */
   get signal(): AbortSignal {
