--- a/packages/entry/src/callers/routes.ts
+++ b/packages/entry/src/callers/routes.ts
@@ -1,10 +1,7 @@
 /** The callers' paths. */
-import {
-  createFailure,
-  FailureCode,
-  type Failure,
-} from '@goldcrestpier/protocol';
-import {Err, Ok, type Result} from 'ts-results-es';
+import {selectRoute, type Methods} from '@goldcrestpier/http';
+import type {Failure} from '@goldcrestpier/protocol';
+import type {Result} from 'ts-results-es';
 
 /** Everything a caller or the balancer can ask for. */
 export enum RouteKind {
@@ -36,24 +33,16 @@
       readonly key: string;
     };
 
-type Methods = ReadonlyMap<string, Route>;
-
 /** Finds what a method and path ask for. */
 export function matchRoute(
   method: string,
   path: string,
 ): Result<Route, Failure> {
   const methods = matchPath(path);
-  if (methods === undefined) {
-    return Err(createFailure(FailureCode.NotFound, {what: 'such path'}));
-  }
-  const route = methods.get(method);
-  if (route !== undefined) return Ok(route);
-  const allowed = [...methods.keys()];
-  return Err(createFailure(FailureCode.MethodNotAllowed, {allowed}));
+  return selectRoute(methods, method);
 }
 
-function matchPath(path: string): Methods | undefined {
+function matchPath(path: string): Methods<Route> | undefined {
   const fixed = FIXED_PATHS.get(path);
   if (fixed !== undefined) return fixed;
   const [, version, sessions, session, jobs, key, ...rest] = path.split('/');
@@ -72,7 +61,7 @@
   ]);
 }
 
-const FIXED_PATHS = new Map<string, Methods>([
+const FIXED_PATHS = new Map<string, Methods<Route>>([
   ['/v1/sessions', new Map([['POST', {kind: RouteKind.OpenSession}]])],
   ['/v1/jobs', new Map([['POST', {kind: RouteKind.SubmitPlain}]])],
   ['/healthz', new Map([['GET', {kind: RouteKind.Health}]])],
--- a/packages/membership/test/faults.test.ts
+++ b/packages/membership/test/faults.test.ts
@@ -14,7 +14,7 @@
   type RunningInstance,
 } from './fixtures.js';
 import type {StoppedAnswer} from './stopped_instance.js';
-import {startRelay, type TcpRelay} from './tcp_relay.js';
+import {startRelay, type TcpRelay} from '@goldcrestpier/testing';
 
 interface CutPair {
   readonly a: RunningInstance;
--- a/packages/operators/src/routes/index.ts
+++ b/packages/operators/src/routes/index.ts
@@ -1,10 +1,7 @@
 /** The operators' paths. */
-import {
-  createFailure,
-  FailureCode,
-  type Failure,
-} from '@goldcrestpier/protocol';
-import {Err, Ok, type Result} from 'ts-results-es';
+import {selectRoute, type Methods} from '@goldcrestpier/http';
+import type {Failure} from '@goldcrestpier/protocol';
+import type {Result} from 'ts-results-es';
 
 const PREFIX = '/operators/v1/';
 
@@ -37,9 +34,10 @@
       readonly key: string;
     };
 
-type Methods = ReadonlyMap<string, Route>;
-
-const FIXED_PATHS: ReadonlyMap<string, Methods> = new Map<string, Methods>([
+const FIXED_PATHS: ReadonlyMap<string, Methods<Route>> = new Map<
+  string,
+  Methods<Route>
+>([
   ['settings', new Map([['GET', {kind: RouteKind.ReadSettings}]])],
   ['settings/effective', new Map([['GET', {kind: RouteKind.ReadEffective}]])],
   ['settings/edits', new Map([['POST', {kind: RouteKind.EditSettings}]])],
@@ -59,16 +57,10 @@
   const methods = path.startsWith(PREFIX)
     ? matchPath(path.slice(PREFIX.length))
     : undefined;
-  if (methods === undefined) {
-    return Err(createFailure(FailureCode.NotFound, {what: 'such path'}));
-  }
-  const route = methods.get(method);
-  if (route !== undefined) return Ok(route);
-  const allowed = [...methods.keys()];
-  return Err(createFailure(FailureCode.MethodNotAllowed, {allowed}));
+  return selectRoute(methods, method);
 }
 
-function matchPath(path: string): Methods | undefined {
+function matchPath(path: string): Methods<Route> | undefined {
   const fixed = FIXED_PATHS.get(path);
   if (fixed !== undefined) return fixed;
   const [jobs, session, key, ...rest] = path.split('/');
--- a/packages/peers/src/link/open.ts
+++ b/packages/peers/src/link/open.ts
@@ -1,8 +1,9 @@
 /** Opens a connection to a peer's listener. */
 import type {Duplex} from 'node:stream';
+import {formatAuthorization} from '@goldcrestpier/http';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocket} from 'ws';
-import {formatAuthorization, INCARNATION_HEADER} from '../token.js';
+import {INCARNATION_HEADER} from '../incarnation_header.js';
 import type {PeerLinkLimits} from './limits.js';
 
 /** `host:port`, and nothing that would lead a URL elsewhere. */
--- a/packages/peers/src/server/server.ts
+++ b/packages/peers/src/server/server.ts
@@ -17,7 +17,7 @@
 import {Coalescer} from '../coalesce.js';
 import {watchSilence} from '../silence.js';
 import {SparseLog} from '../sparse_log.js';
-import {INCARNATION_HEADER} from '../token.js';
+import {INCARNATION_HEADER} from '../incarnation_header.js';
 import {PeerConnection} from './connection.js';
 import {defaultPeerServerLimits, type PeerServerLimits} from './limits.js';
 import {createPeerRouter} from './router.js';
--- a/packages/peers/src/server/upgrade.ts
+++ b/packages/peers/src/server/upgrade.ts
@@ -1,6 +1,7 @@
 /** Decides which connections become peers' connections. */
 import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
+import {isAuthorized} from '@goldcrestpier/http';
 import {createServer} from 'node:http';
 import {
   createFailure,
@@ -8,7 +9,6 @@
   type Failure,
 } from '@goldcrestpier/protocol';
 import type {PeerServerLimits} from './limits.js';
-import {isAuthorized} from '../token.js';
 
 /** How long a new connection may take to send its request, in ms. */
 const HANDSHAKE_MS = 5_000;
--- a/packages/peers/test/faults.test.ts
+++ b/packages/peers/test/faults.test.ts
@@ -24,7 +24,7 @@
   TOKEN,
   waitFor,
 } from './fixtures.js';
-import {startRelay} from './tcp_relay.js';
+import {startRelay} from '@goldcrestpier/testing';
 
 const disconnected = {
   notSent: {
@@ -87,7 +87,7 @@
     handlers,
     limits: {drainMs: 20},
   });
-  const relay = await startRelay(server.port, lifecycle);
+  const relay = await startRelay(lifecycle, server.port);
   const link = startLink(lifecycle, relay.port);
   await waitFor('a connection', () => link.isConnected());
   const reading = link.read(query, TIMEOUT_MS);
@@ -102,7 +102,7 @@
 test('a connection that swallows everything is noticed and given up', async context => {
   const lifecycle = createLifecycle(context);
   const server = await startServer(lifecycle, {limits: {idleMs: 500}});
-  const relay = await startRelay(server.port, lifecycle);
+  const relay = await startRelay(lifecycle, server.port);
   const limits = {silenceMs: 400, connectMs: 400};
   const link = startLink(lifecycle, relay.port, {limits});
   await waitFor('a connection', () => link.isConnected());
--- a/packages/membership/test/tcp_relay.ts
+++ b/packages/testing/src/tcp_relay.ts
@@ -5,6 +5,7 @@
 /** A running relay. */
 export interface TcpRelay {
   readonly address: string;
+  readonly port: number;
   /** Where connections are taken on to. */
   targetPort: number;
   /** While true, bytes vanish and nobody is told. */
@@ -13,8 +14,11 @@
   cut(): void;
 }
 
-/** Starts a relay whose target is set before it is used. */
-export async function startRelay(lifecycle: Lifecycle): Promise<TcpRelay> {
+/** Starts a relay; its target may also be set before it is used. */
+export async function startRelay(
+  lifecycle: Lifecycle,
+  targetPort = 0,
+): Promise<TcpRelay> {
   const sockets = new Set<Socket>();
   const join = (from: Socket, to: Socket) => {
     sockets.add(from);
@@ -45,6 +49,6 @@
   });
   const {port} = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
-  const relay: TcpRelay = {address, targetPort: 0, swallow: false, cut};
+  const relay: TcpRelay = {address, port, targetPort, swallow: false, cut};
   return relay;
 }
