Tell holders the needs of tasks beyond the first sixteen

Cause, seen by the new test of guarded workers that waited 20 s in vain: a demand names the needs of 16 tasks, and an owner whose 16 were granted never told the next ones; and a holder that is the owner itself dropped the needs of a whole job with the first grant, because its tasks share one object.

--- a/packages/placement/src/holding/demand_book.ts
+++ b/packages/placement/src/holding/demand_book.ts
@@ -110,7 +110,7 @@
     const demand = this.touch(claim.owner);
     demand.sent += 1;
     demand.unseen.push(claim.team);
-    demand.needs = demand.needs.filter(each => each !== needs);
+    demand.needs = withoutFirst(demand.needs, needs);
     this.takeOne(demand, claim.team);
     const start = this.timeOf(claim.team);
     const weight = weights[claim.team] ?? DEFAULT_WEIGHT;
@@ -163,3 +163,12 @@
 function lastOf(list: string[], count: number): string[] {
   return count > 0 ? list.slice(-count) : [];
 }
+
+/** Tasks may share one object, and only one of them was granted. */
+function withoutFirst(
+  list: readonly Resources[],
+  needs: Resources | undefined,
+): readonly Resources[] {
+  const at = needs === undefined ? -1 : list.indexOf(needs);
+  return at < 0 ? list : [...list.slice(0, at), ...list.slice(at + 1)];
+}
--- a/packages/placement/src/owner/grant_binding.ts
+++ b/packages/placement/src/owner/grant_binding.ts
@@ -120,6 +120,7 @@
   }
 
   private flushSoon(): void {
+    if (this.parts.lifecycle.signal.aborted) return;
     this.flushing ??= setImmediate(() => {
       this.flushing = undefined;
       this.flush(readClock());
--- a/packages/placement/src/owner/holder_desk.ts
+++ b/packages/placement/src/owner/holder_desk.ts
@@ -19,6 +19,8 @@
   wanted = 0;
   /** Waiting tasks that it was told of and has not granted. */
   told = 0;
+  /** Waiting tasks whose needs it was told and has not granted. */
+  toldNeeds = 0;
   /** Grants that came from it. */
   received = 0;
   /** Since when a demand to it is under way. */
@@ -65,6 +67,7 @@
     this.received += 1;
     this.wanted = Math.max(this.wanted - 1, 0);
     this.told = Math.max(this.told - 1, 0);
+    this.toldNeeds = Math.max(this.toldNeeds - 1, 0);
     this.vain = 0;
   }
 
--- a/packages/placement/src/owner/owner.ts
+++ b/packages/placement/src/owner/owner.ts
@@ -197,18 +197,27 @@
   private use(grant: Grant, now: Millis): boolean {
     const queue = this.queueOf(grant.pool);
     const {weights} = this.parts.view.settingsOf(grant.pool).fairness;
-    let record: TaskRecord | undefined;
-    if (grant.needs === undefined) {
-      record = queue.take(weights, grant.team, now);
-    } else {
-      record = this.needs.findFor(queue, grant);
-      if (record !== undefined) queue.takeRecord(record, weights, now);
-    }
+    const record =
+      grant.needs === undefined
+        ? queue.take(weights, grant.team, now)
+        : this.takeSuited(queue, grant, now);
     if (record === undefined) return false;
     this.starts.start(queue, record, grant, now);
     return true;
   }
 
+  /** Takes a waiting task that fits what was granted of a worker. */
+  private takeSuited(
+    queue: PoolQueue,
+    grant: Grant,
+    now: Millis,
+  ): TaskRecord | undefined {
+    const {weights} = this.parts.view.settingsOf(grant.pool).fairness;
+    const record = this.needs.findFor(queue, grant);
+    if (record === undefined) return undefined;
+    return queue.takeRecord(record, weights, now) ? record : undefined;
+  }
+
   private end(record: TaskRecord, outcome: TaskOutcome, now: Millis): void {
     if (record.state === RecordState.Ended) return;
     const queue = this.queueOf(record.pool);
--- a/packages/placement/src/owner/pool_desk.ts
+++ b/packages/placement/src/owner/pool_desk.ts
@@ -56,8 +56,11 @@
 
   /** Holders that should be told, each of which is open to a message. */
   toTell(): HolderDesk[] {
+    const hasNeeds = this.hasNeeds;
     return [...this.desks.values()].filter(
-      desk => !desk.asking && desk.wanted > desk.told,
+      desk =>
+        !desk.asking &&
+        (desk.wanted > desk.told || (hasNeeds && lacksNeeds(desk))),
     );
   }
 
@@ -82,10 +85,12 @@
       const oldestMs = this.queue.oldestOf(team, now);
       teams.push({team, waiting, oldestMs});
     }
+    const needs = this.needsOf(this.queue, Math.min(desk.wanted, MOST_NEEDS));
+    desk.toldNeeds = needs.length;
     return {
       pool: this.queue.pool,
       teams,
-      needs: this.needsOf(this.queue, Math.min(desk.wanted, MOST_NEEDS)),
+      needs,
       received: desk.received,
     };
   }
@@ -126,10 +131,14 @@
     }
   }
 
+  /** Whether the tasks are for workers. */
+  private get hasNeeds(): boolean {
+    return this.needsOf(this.queue, 1).length > 0;
+  }
+
   /** Prospects tell of small tasks; large needs may not fit there at all. */
   private isStuck(now: Millis): boolean {
-    const hasNeeds = this.needsOf(this.queue, 1).length > 0;
-    return hasNeeds && this.queue.oldestMs(now) >= STUCK_MS;
+    return this.hasNeeds && this.queue.oldestMs(now) >= STUCK_MS;
   }
 
   /** Moves one task from the holder that most is wanted of to the least. */
@@ -159,3 +168,8 @@
 function moveAll(from: HolderDesk, to: HolderDesk): void {
   for (; from.wanted > 0; from.wanted -= 1) to.want();
 }
+
+/** All the needs it was told of are granted, and more tasks wait. */
+function lacksNeeds(desk: HolderDesk): boolean {
+  return desk.wanted > 0 && desk.toldNeeds === 0;
+}
