Close a key anew with each "not run" that is said of it

Cause: without an attempt, a copy that found its key closed was told "not run" while the key went on to open at the time of the first refusal. A copy received just before the second refusal was then young enough to run. And a copy exactly as old as the limit was taken at the moment at which its key opened.

Weighed: saying may_have_run inside the closed time instead; that would leave clients who come back early without any true answer.

--- a/packages/jobs/src/owner/attempts.ts
+++ b/packages/jobs/src/owner/attempts.ts
@@ -13,7 +13,9 @@
   KeyKind,
   type ClosedAttempts,
   type KeyEntry,
+  type Session,
 } from '../sessions/index.js';
+import type {ArrivedSubmission} from './types.js';
 
 /** The attempt that a submission stands for, or why it is refused. */
 export type AttemptVerdict =
@@ -35,6 +37,24 @@
   return {open: false, failure};
 }
 
+/**
+ * Closes a key anew that a copy without an attempt finds closed at `now`. Else
+ * another copy, received before this "not run", would still be young enough to
+ * run when the earlier closing ends.
+ */
+export function keepClosed(
+  session: Session,
+  {key, attempt}: ArrivedSubmission,
+  now: Millis,
+  maxCopyAgeMs: Millis,
+): void {
+  const entry = session.find(key);
+  if (attempt !== undefined || entry?.kind !== KeyKind.Closed) return;
+  if (now >= entry.until) return;
+  const until = Math.max(entry.until, now + maxCopyAgeMs);
+  session.set(key, {...entry, until});
+}
+
 /** The highest attempt of a key that was refused as "not run"; 0 for none. */
 export function readClosedUpTo(entry: KeyEntry | undefined): number {
   if (entry === undefined) return 0;
--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -19,6 +19,7 @@
 import {
   closeAttempt,
   judgeAttempt,
+  keepClosed,
   mayTryAnew,
   readClosedUpTo,
 } from './attempts.js';
@@ -100,6 +101,7 @@
     const found = this.findSession(submission.session, now);
     if (found.isErr()) return found;
     const session = found.value;
+    keepClosed(session, submission, now, this.options.limits.maxCopyAgeMs);
     const entry = session.find(submission.key);
     const digest = digestJob(submission.job);
     const known = this.recognise(entry, digest, submission);
@@ -223,7 +225,7 @@
     now: Millis,
   ): Result<void, Failure> {
     const {limits, checkJob, sink} = this.options;
-    if (submission.ageMs > limits.maxCopyAgeMs) {
+    if (submission.ageMs >= limits.maxCopyAgeMs) {
       const limit = {limitMs: limits.maxCopyAgeMs};
       return Err(
         createFailure(FailureCode.StaleSubmission, limit, {retryAfterMs: 0}),
