Say "not run" of a relayed or plain submission only when its owner did

Cause: an instance that leaves or has no room for a session answered an idempotency key with "not run" though a copy elsewhere may be claimed and run (spec/claims.pml, LEAVING_IS_NOT_RUN, 11 steps). In the same way a refusal by the peers' listener of a full connection was passed on as the owner's "not run", which closed no attempt. Both now say may_have_run with Retry-After.

--- a/packages/entry/src/gateway/peer_answer.ts
+++ b/packages/entry/src/gateway/peer_answer.ts
@@ -4,6 +4,7 @@
   createFailure,
   FailureCode,
   formatIncarnation,
+  Ran,
   type Failure,
   type Incarnation,
 } from '@goldcrestpier/protocol';
@@ -21,7 +22,12 @@
   const {error} = result;
   switch (error.kind) {
     case PeerFailureKind.Refused:
-      return Err(error.failure);
+      // The listener refused, not the owner: no attempt was closed by it.
+      return Err(
+        error.failure.ran === Ran.NotRun
+          ? describeUnreachable(owner)
+          : error.failure,
+      );
     case PeerFailureKind.NotSent:
     case PeerFailureKind.Unknown:
       return Err(describeUnreachable(owner));
--- a/packages/entry/src/gateway/plain.ts
+++ b/packages/entry/src/gateway/plain.ts
@@ -4,13 +4,7 @@
  */
 import {createHash} from 'node:crypto';
 import type {JobOwner} from '@goldcrestpier/jobs';
-import {
-  createFailure,
-  FailureCode,
-  Ran,
-  type Failure,
-  type SubmittedJob,
-} from '@goldcrestpier/protocol';
+import {Ran, type Failure, type SubmittedJob} from '@goldcrestpier/protocol';
 import {readClock, type Millis} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {Gateway, JobReply, Wait} from './types.js';
@@ -50,7 +44,7 @@
     receivedAt: Millis,
   ): Promise<JobReply> {
     const session = this.findSession(readClock());
-    if (session.isErr()) return session;
+    if (session.isErr()) return Err(doubt(session.error));
     const key = createHash('sha256').update(idempotencyKey).digest('base64url');
     const proposed = {session: session.value, key};
     const claimed = await this.claims.claim(idempotencyKey, proposed);
@@ -72,15 +66,11 @@
 }
 
 /**
- * A copy at another instance may have been claimed and run meanwhile, so
- * without the platform nobody here can say "not run" of the key.
+ * A copy at another instance may have been claimed and run meanwhile, so an
+ * instance that did not claim the key cannot say "not run" of it.
  */
 function doubt(failure: Failure): Failure {
-  if (failure.code !== FailureCode.PlatformUnavailable) return failure;
-  const {message: reason} = failure;
-  return createFailure(
-    FailureCode.PlatformUnavailable,
-    {reason},
-    {ran: Ran.MayHaveRun, retryAfterMs: failure.retryAfterMs ?? ASK_AGAIN_MS},
-  );
+  if (failure.ran !== Ran.NotRun) return failure;
+  const {retryAfterMs = ASK_AGAIN_MS} = failure;
+  return {...failure, ran: Ran.MayHaveRun, retryAfterMs};
 }
