--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -2,3 +2,4 @@
 export * from './audit/index.js';
 export * from './caller/index.js';
 export * from './stage/index.js';
+export * from './soak/index.js';
--- a/packages/proofs/src/stage/index.ts
+++ b/packages/proofs/src/stage/index.ts
@@ -7,6 +7,7 @@
 } from '@goldcrestpier/settings';
 import {Lifecycle} from '@goldcrestpier/runtime';
 import {
+  describeEntry,
   launchCluster,
   planZones,
   type Cluster,
@@ -58,6 +59,11 @@
     return new Caller(entry.url, this.connections);
   }
 
+  /** How the instance list shows an entry instance. */
+  describe(entry: EntryProcess) {
+    return describeEntry(entry);
+  }
+
   /** A caller of the entry instance called `name`. */
   callerOf(name: string): Caller {
     return this.caller(this.cluster.entry(name));
--- a/packages/standins/src/cluster/index.ts
+++ b/packages/standins/src/cluster/index.ts
@@ -25,3 +25,4 @@
   type ZoneShape,
 } from './plan.js';
 export {launchStandins, type StandinProcess} from './standin_processes.js';
+export {describeEntry} from './targets.js';
