--- a/packages/measure/src/report/print.ts
+++ b/packages/measure/src/report/print.ts
@@ -31,6 +31,10 @@
         `${(use.peerBytesPerSecond / 1_024).toFixed(1)} KB/s with peers`,
     );
   }
+  console.log(
+    `  for one task ${report.processorMsPerTask.toFixed(2)} ms of processor ` +
+      `time, ${report.peerBytesPerTask.toFixed(0)} bytes with peers`,
+  );
   console.log(`  load of the machine: ${report.machineLoad.toFixed(1)}`);
 }
 
--- a/packages/measure/src/report/report.ts
+++ b/packages/measure/src/report/report.ts
@@ -46,6 +46,10 @@
   readonly refusals: Readonly<Record<string, number>>;
   readonly retries: Readonly<Record<string, number>>;
   readonly instances: readonly InstanceUse[];
+  /** Processor time of all instances for one task, in milliseconds. */
+  readonly processorMsPerTask: number;
+  /** Bytes that all instances exchange with peers for one task. */
+  readonly peerBytesPerTask: number;
   /** Load of the machine in the last minute. */
   readonly machineLoad: number;
 }
@@ -102,6 +106,10 @@
     refusals: groupByLabel(figures, 'goldcrestpier_refusals_total', 'reason'),
     retries: groupByLabel(figures, 'goldcrestpier_retries_total', 'reason'),
     instances: describeInstances(rounds),
+    processorMsPerTask:
+      (sumOf(figures, 'process_cpu_seconds_total') * 1_000) / answers,
+    peerBytesPerTask:
+      sumOf(figures, 'goldcrestpier_peer_bytes_total') / answers,
     machineLoad: loadavg()[0] ?? 0,
   };
 }
