Never say "not run" to a read of a refused key

A read carries no attempt and closes none, so it now gives the refusal with may_have_run, as job_unknown does for the same reason.

--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -125,7 +125,10 @@
     if (entry === undefined) {
       return Err(createFailure(FailureCode.JobUnknown, {key}));
     }
-    if (entry.kind === KeyKind.Closed) return Err(entry.failure);
+    if (entry.kind === KeyKind.Closed) {
+      // A read closes nothing, and a copy of a new try may be under way.
+      return Err({...entry.failure, ran: Ran.MayHaveRun});
+    }
     return readAnswer(entry.job, key);
   }
 
--- a/packages/jobs/test/closed_keys.test.ts
+++ b/packages/jobs/test/closed_keys.test.ts
@@ -37,7 +37,8 @@
   const {session} = owner.openSession(0).unwrap();
   const submit = (now: number, ageMs: number, attempt?: number) =>
     owner.submit({session, key: 'quote', attempt, job, ageMs}, now);
-  return {queue, submit};
+  const read = (now: number) => owner.read(session, 'quote', now);
+  return {queue, submit, read};
 }
 
 function refuseFull(): Result<void, Failure> {
@@ -86,3 +87,12 @@
   assert.equal(queue.taken, 0);
   assert.equal(submit(100_001, 0, 2).isOk(), true);
 });
+
+test('a read never says "not run" of a key, as a new try may be under way', () => {
+  const {queue, submit, read} = openOwner();
+  expectNotRun(submit(0, 0, 1));
+  queue.isFull = false;
+  assert.equal(read(10).unwrapErr().ran, Ran.MayHaveRun);
+  assert.equal(submit(11, 5, 2).isOk(), true);
+  assert.equal(queue.taken, 1);
+});
