--- a/packages/proofs/src/soak/index.ts
+++ b/packages/proofs/src/soak/index.ts
@@ -5,6 +5,8 @@
 import {drawFault, runFault, type Fault} from './faults.js';
 import {findFaults, runLoad} from './load.js';
 
+export {findFaults, type LoadedJob} from './load.js';
+
 const ROUND_MS = 8_000;
 const MOST_FAULTS = 5;
 const CALLERS = 12;
