--- a/packages/peers/src/link/open.ts
+++ b/packages/peers/src/link/open.ts
@@ -1,10 +1,14 @@
 /** Opens a connection to a peer's listener. */
 import type {Duplex} from 'node:stream';
+import {formatAuthorization} from '@goldcrestpier/http';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocket} from 'ws';
-import {formatAuthorization, INCARNATION_HEADER} from '../token.js';
+import {INCARNATION_HEADER} from '../incarnation_header.js';
 import type {PeerLinkLimits} from './limits.js';
 
+/** `host:port`, and nothing that would lead a URL elsewhere. */
+const ADDRESS_PATTERN =
+  /^(?:\[[0-9a-fA-F:.]+\]|[0-9A-Za-z](?:[0-9A-Za-z.-]*)):[0-9]{1,5}$/;
 /** Status of an answer to a wrong token. */
 const UNAUTHORIZED = 401;
 
@@ -75,6 +79,8 @@
   {address, token, self}: OpenOptions,
   limits: PeerLinkLimits,
 ): WebSocket | undefined {
+  // The token goes to whatever the address names.
+  if (!ADDRESS_PATTERN.test(address)) return undefined;
   try {
     return new WebSocket(`ws://${address}/`, {
       headers: {
--- a/packages/placement/src/owner/pool_desk.ts
+++ b/packages/placement/src/owner/pool_desk.ts
@@ -13,8 +13,8 @@
 const LEAST_SAVED_MS = 30;
 /** A task that waited this long may be wanted from another holder instead. */
 const REBALANCE_MS = 20;
-/** A better holder that has not answered for this long is not waited for. */
-const PATIENCE_MS = 20;
+/** A task with needs that waited this long is tried at every holder. */
+const STUCK_MS = 500;
 /** Tasks whose needs are told to a holder. */
 const MOST_NEEDS = 16;
 
@@ -56,8 +56,11 @@
 
   /** Holders that should be told, each of which is open to a message. */
   toTell(): HolderDesk[] {
+    const hasNeeds = this.hasNeeds;
     return [...this.desks.values()].filter(
-      desk => !desk.asking && desk.wanted > desk.told,
+      desk =>
+        !desk.asking &&
+        (desk.wanted > desk.told || (hasNeeds && lacksNeeds(desk))),
     );
   }
 
@@ -82,22 +85,23 @@
       const oldestMs = this.queue.oldestOf(team, now);
       teams.push({team, waiting, oldestMs});
     }
+    const needs = this.needsOf(this.queue, Math.min(desk.wanted, MOST_NEEDS));
+    desk.toldNeeds = needs.length;
     return {
       pool: this.queue.pool,
       teams,
-      needs: this.needsOf(this.queue, Math.min(desk.wanted, MOST_NEEDS)),
+      needs,
       received: desk.received,
     };
   }
 
   /** The holder where one more task would end first. */
   private soonest(now: Millis): HolderDesk | undefined {
-    const isLate = this.queue.oldestMs(now) >= PATIENCE_MS;
     let best: HolderDesk | undefined;
     let bestMs = Infinity;
     for (const desk of this.desks.values()) {
-      if (!desk.isUp(now) || (desk.asking && isLate)) continue;
-      const finishMs = desk.finishMs(this.queue.meanRunMs);
+      if (desk.isSilent(now)) continue;
+      const finishMs = desk.finishMs(this.queue.meanRunMs, now);
       if (finishMs >= bestMs) continue;
       best = desk;
       bestMs = finishMs;
@@ -110,18 +114,46 @@
     if (this.queue.oldestMs(now) < REBALANCE_MS) return;
     if (now - this.rebalancedAt < REBALANCE_MS) return;
     this.rebalancedAt = now;
+    if (this.isStuck(now)) return this.tryElsewhere(now);
     const best = this.soonest(now);
     if (best === undefined || best.asking) return;
-    const bestMs = best.finishMs(this.queue.meanRunMs);
+    const bestMs = best.finishMs(this.queue.meanRunMs, now);
     for (const desk of this.desks.values()) {
       if (desk === best || desk.wanted === 0) continue;
-      const savedMs = desk.finishMs(this.queue.meanRunMs) - bestMs;
+      if (desk.isSilent(now)) {
+        moveAll(desk, best);
+        continue;
+      }
+      const savedMs = desk.finishMs(this.queue.meanRunMs, now) - bestMs;
       if (savedMs < LEAST_SAVED_MS) continue;
       desk.wanted -= 1;
       best.want();
     }
   }
 
+  /** Whether the tasks are for workers. */
+  private get hasNeeds(): boolean {
+    return this.needsOf(this.queue, 1).length > 0;
+  }
+
+  /** Prospects tell of small tasks; large needs may not fit there at all. */
+  private isStuck(now: Millis): boolean {
+    return this.hasNeeds && this.queue.oldestMs(now) >= STUCK_MS;
+  }
+
+  /** Moves one task from the holder that most is wanted of to the least. */
+  private tryElsewhere(now: Millis): void {
+    const desks = [...this.desks.values()]
+      .filter(desk => !desk.isSilent(now) && !desk.asking)
+      .sort((a, b) => a.wanted - b.wanted);
+    const [least] = desks;
+    const most = desks.at(-1);
+    if (least === undefined || most === undefined) return;
+    if (least === most || most.wanted === 0) return;
+    most.wanted -= 1;
+    least.want();
+  }
+
   private takeBack(surplus: number): void {
     let left = surplus;
     for (const desk of this.desks.values()) {
@@ -131,3 +163,13 @@
     }
   }
 }
+
+/** A silent holder may be frozen or cut off: nothing is left to it. */
+function moveAll(from: HolderDesk, to: HolderDesk): void {
+  for (; from.wanted > 0; from.wanted -= 1) to.want();
+}
+
+/** All the needs it was told of are granted, and more tasks wait. */
+function lacksNeeds(desk: HolderDesk): boolean {
+  return desk.wanted > 0 && desk.toldNeeds === 0;
+}
