--- a/packages/peers/test/faults.test.ts
+++ b/packages/peers/test/faults.test.ts
@@ -24,7 +24,7 @@
   TOKEN,
   waitFor,
 } from './fixtures.js';
-import {startRelay} from './tcp_relay.js';
+import {startRelay} from '@goldcrestpier/testing';
 
 const disconnected = {
   notSent: {
@@ -44,8 +44,12 @@
 
 test('an address that is none is not sent to, and ends nothing', async context => {
   const lifecycle = createLifecycle(context);
-  for (const address of ['', 'no port', '127.0.0.1:99999', 'a b://c']) {
+  const {port} = await startServer(lifecycle);
+  const addresses = ['', 'no port', '127.0.0.1:99999', 'a b://c'];
+  const elsewhere = [`x@127.0.0.1:${port}`, `127.0.0.1:${port}/x`, `a/#:1`];
+  for (const address of [...addresses, ...elsewhere]) {
     const link = startLink(lifecycle, 0, {address});
+    await sleep(50);
     const failure = (await link.read(query, TIMEOUT_MS)).unwrapErr();
     assert.deepEqual(failure, disconnected.notSent);
   }
@@ -83,7 +87,7 @@
     handlers,
     limits: {drainMs: 20},
   });
-  const relay = await startRelay(server.port, lifecycle);
+  const relay = await startRelay(lifecycle, server.port);
   const link = startLink(lifecycle, relay.port);
   await waitFor('a connection', () => link.isConnected());
   const reading = link.read(query, TIMEOUT_MS);
@@ -98,7 +102,7 @@
 test('a connection that swallows everything is noticed and given up', async context => {
   const lifecycle = createLifecycle(context);
   const server = await startServer(lifecycle, {limits: {idleMs: 500}});
-  const relay = await startRelay(server.port, lifecycle);
+  const relay = await startRelay(lifecycle, server.port);
   const limits = {silenceMs: 400, connectMs: 400};
   const link = startLink(lifecycle, relay.port, {limits});
   await waitFor('a connection', () => link.isConnected());
--- a/packages/placement/src/holding/held_pool.ts
+++ b/packages/placement/src/holding/held_pool.ts
@@ -3,18 +3,14 @@
 import {ServerState, type Server} from '@goldcrestpier/platform';
 import {BackendKind} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
-import type {EffectiveSettings} from '@goldcrestpier/settings';
-import {
-  EjectionReason,
-  WasteKind,
-  type PlacementCounters,
-} from '../counters.js';
+import {EjectionReason, WasteKind} from '../counters.js';
 import {HealthState, PoolEjections} from '../ejection/index.js';
-import type {Resources} from '../fit/index.js';
+import {fits, type Resources} from '../fit/index.js';
 import {chooseServer, isWorthStarting} from './choose_server.js';
 import {DemandBook, type Claim} from './demand_book.js';
 import {HeldServer, type HeldGrant} from './held_server.js';
 import {PoolPace} from './pool_pace.js';
+import type {GrantReport, HeldPoolParts} from './types.js';
 
 /** A server is taken for frozen after this many mean run times... */
 const FROZEN_RUNS = 8;
@@ -23,6 +19,8 @@
 /** Connections of a runner that the entry instances share between them. */
 const RUNNER_CONNECTIONS = 56;
 const LONGEST_WAIT_MS = 60_000;
+/** Needs that do not fit for this long go before all others. */
+const STARVED_MS = 1_000;
 /** To see whether a worker has any room at all. */
 const SMALLEST_NEEDS: Resources = {
   processors: 1,
@@ -30,26 +28,6 @@
   accelerators: 0,
 };
 
-/** What a pool of held servers needs from its surroundings. */
-export interface HeldPoolParts {
-  readonly pool: string;
-  readonly holder: string;
-  readonly counters: PlacementCounters;
-  readonly settings: () => EffectiveSettings;
-  /** Instances seen, this one with them. */
-  readonly memberCount: () => number;
-  readonly createGrantId: () => string;
-}
-
-/** How one grant ended, as its owner tells it. */
-export interface GrantReport {
-  readonly grant: string;
-  readonly server: string;
-  readonly end: GrantEnd;
-  readonly runMs: Millis | undefined;
-  readonly expectedMs: Millis | undefined;
-}
-
 /** The holder's side of one pool. */
 export class HeldPool {
   readonly servers = new Map<string, HeldServer>();
@@ -61,7 +39,6 @@
     this.ejections = new PoolEjections({
       healths: () => [...this.servers.values()].map(({health}) => health),
       rules: () => parts.settings().ejection,
-      onEjected: reason => parts.counters.ejected(reason, parts.pool),
     });
   }
 
@@ -77,6 +54,7 @@
       }
       const grant = this.grantTo(claim, now);
       if (grant === undefined) {
+        if (this.isStarved(claim, now)) return granted;
         skipped.add(claim.owner);
         continue;
       }
@@ -92,7 +70,8 @@
     if (held === undefined) return;
     held.end(report.grant, now);
     this.learn(held, report, now);
-    this.ejections.record(held.health, report.end, now);
+    const reason = this.ejections.record(held.health, report.end, now);
+    if (reason !== undefined) this.noteEjection(held, reason);
   }
 
   /** Takes over a server, or its newer description. */
@@ -126,20 +105,23 @@
 
   /** Where a server stands. */
   stateOf(held: HeldServer, now: Millis): HealthState | ServerState.Leaving {
-    return isLeaving(held) ? ServerState.Leaving : held.health.stateAt(now);
+    if (held.isLeaving(now)) return ServerState.Leaving;
+    return held.health.stateAt(now);
   }
 
   /** Slots that may be granted now. */
-  freeAt(now: Millis): {free: number; speed: number} {
+  freeAt(now: Millis): number {
     let free = 0;
-    let speed = 0;
     for (const held of this.servers.values()) {
-      if (!this.takesNew(held, now)) continue;
-      const room = held.free(now);
-      free += room;
-      if (room > 0) speed = Math.max(speed, held.speed.speed);
+      if (this.takesNew(held, now)) free += held.free(now);
     }
-    return {free: Math.floor(free), speed};
+    return Math.floor(free);
+  }
+
+  /** Whether tasks wait although there is room. */
+  isHoldingBack(now: Millis): boolean {
+    if (this.demand.waiting === 0) return false;
+    return this.chooseFor(undefined, SMALLEST_NEEDS, now) !== undefined;
   }
 
   /** What one more task may expect here. */
@@ -156,6 +138,17 @@
     return {pool, waitMs, everyMs, speed: this.pace.nextSpeed};
   }
 
+  /**
+   * Whether nothing more is granted until this claim fits: large needs would
+   * otherwise wait for ever behind small ones that always do.
+   */
+  private isStarved({needs: [needs], waitedMs}: Claim, now: Millis): boolean {
+    if (needs === undefined || waitedMs < STARVED_MS) return false;
+    return [...this.servers.values()].some(
+      held => this.takesNew(held, now) && fits(needs, held.server),
+    );
+  }
+
   private grantTo(claim: Claim, now: Millis): Grant | undefined {
     if (claim.needs.length === 0) return this.grantFor(claim, undefined, now);
     for (const needs of claim.needs) {
@@ -240,7 +233,7 @@
   }
 
   private takesNew(held: HeldServer, now: Millis): boolean {
-    if (isLeaving(held)) return false;
+    if (held.isLeaving(now)) return false;
     if (held.isFrozen(this.frozenMs, now)) return false;
     switch (held.health.stateAt(now)) {
       case HealthState.Live:
@@ -255,18 +248,22 @@
   private countFrozen(held: HeldServer, now: Millis): void {
     const isFrozen = held.isFrozen(this.frozenMs, now);
     if (isFrozen && !held.wasFrozen) {
-      this.parts.counters.ejected(EjectionReason.Frozen, this.parts.pool);
+      this.noteEjection(held, EjectionReason.Frozen);
     }
     held.wasFrozen = isFrozen;
   }
 
+  private noteEjection(held: HeldServer, reason: EjectionReason): void {
+    const {counters, logger, pool} = this.parts;
+    counters.ejected(reason, pool);
+    const {name: server} = held.server;
+    logger.warn('a server gets nothing new for now', {server, pool, reason});
+  }
+
   private learn(held: HeldServer, report: GrantReport, now: Millis): void {
     const {end, runMs, expectedMs} = report;
     if (end === GrantEnd.Busy) return held.lowerBelief(now);
-    if (end === GrantEnd.Leaving) {
-      held.leaving = true;
-      return;
-    }
+    if (end === GrantEnd.Leaving) return held.noteLeaving(now);
     if (end === GrantEnd.Done || end === GrantEnd.Failed) {
       held.raiseBelief();
       this.pace.recordEnd(runMs, now);
@@ -279,7 +276,3 @@
     return Math.max(FROZEN_RUNS * this.pace.meanRunMs, LEAST_FROZEN_MS);
   }
 }
-
-function isLeaving(held: HeldServer): boolean {
-  return held.leaving || held.server.state === ServerState.Leaving;
-}
--- a/packages/settings/src/tree/index.ts
+++ b/packages/settings/src/tree/index.ts
@@ -5,8 +5,6 @@
   formatDocument,
   parseDocument,
   parseSettingValue,
-  readDocument,
-  toTables,
   type SettingsDocument,
 } from './document.js';
 export {toSnakeCase} from './keys.js';
