Take a caller that leaves amid its body for what it is

It was logged as an unforeseen fault. The test writes half a body and closes the socket; the listener goes on.

--- a/packages/entry/src/callers/index.ts
+++ b/packages/entry/src/callers/index.ts
@@ -58,6 +58,8 @@
     },
     (request, response) => {
       serve(options, request, response).catch((cause: unknown) => {
+        // The caller went away amid its body; nobody is left to be answered.
+        if (request.destroyed && !request.complete) return;
         options.logger.error('request failed unforeseen', {
           cause: String(cause),
         });
--- a/packages/entry/test/bad_input.test.ts
+++ b/packages/entry/test/bad_input.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import {after, before, test} from 'node:test';
 import {
   failureSchema,
@@ -19,6 +19,7 @@
 const MAX_BODY_BYTES = 4_096;
 const SEED = 20;
 
+const errors: string[] = [];
 let accepted = 0;
 const accept: Gateway['submit'] = ({session, key, job}) => {
   accepted += 1;
@@ -41,7 +42,12 @@
   readMetrics: () => Promise.resolve(''),
   arrivalTime: now => now,
   countRequest: () => undefined,
-  logger: silentLogger,
+  logger: {
+    ...silentLogger,
+    error: message => {
+      errors.push(message);
+    },
+  },
 });
 let url = '';
 
@@ -122,6 +128,21 @@
   assert.equal(accepted, 0);
 });
 
+test('a caller that goes away amid its body is no fault, and the listener goes on', async () => {
+  const faults = errors.length;
+  const socket = connect(Number(new URL(url).port), '127.0.0.1');
+  await once(socket, 'connect');
+  const path = '/v1/sessions/a.b.0123456789ab.1/jobs/key';
+  socket.write(
+    `PUT ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n{`,
+  );
+  await new Promise(resolve => setTimeout(resolve, 50));
+  socket.destroy();
+  await once(socket, 'close');
+  assert.equal(await send('{}'), 400);
+  assert.equal(errors.length, faults);
+});
+
 test('any method and path get a typed answer', async () => {
   const method = fc.constantFrom('GET', 'POST', 'PUT', 'DELETE', 'PATCH');
   const part = fc.oneof(
