--- a/packages/proofs/test/at_most_once.test.ts
+++ b/packages/proofs/test/at_most_once.test.ts
@@ -19,6 +19,8 @@
     setKey('/', 'hedge.percentile', 0.5),
     setKey('/', 'hedge.budget_share', 1),
     setKey('/', 'retry.budget_share', 1),
+    // Replies are lost by turns at each server: three losses in a row occur.
+    setKey('/', 'retry.max_starts', 8),
   ]);
   await stage.waitForRevision(revision);
 });
