Share a burst between holders whose prospects are old or unheard

Cause: a holder that was not heard of for 3 s counted as without a wait, and each task wanted of it added nothing, so a burst was left whole to the nearest holder; rebalancing then moved 50 tasks a second. Ruled out: the near holder's advantage alone, which is one trip of 5 ms.

--- a/packages/placement/src/owner/holder_desk.ts
+++ b/packages/placement/src/owner/holder_desk.ts
@@ -10,6 +10,8 @@
 const WORD_MS = 2_000;
 /** What a holder said counts no longer after this. */
 const STALE_MS = 3_000;
+/** What each task costs the next one at a holder that was never heard. */
+const UNHEARD_EVERY_MS = 10;
 /** A holder that did not answer is asked again after this long. */
 const SILENT_MS = 500;
 
@@ -28,7 +30,7 @@
   /** Demands that brought nothing so far. */
   vain = 0;
   private waitMs: Millis = 0;
-  private everyMs: Millis = 0;
+  private everyMs: Millis = UNHEARD_EVERY_MS;
   private speed = 1;
   private heardAt: Millis = -Infinity;
   private toldAt: Millis = -Infinity;
@@ -50,8 +52,10 @@
   /** When one more task of `runMs` at mean speed would end there. */
   finishMs(runMs: Millis, now: Millis): Millis {
     const tripMs = this.isNear ? 0 : TRIP_MS;
-    // An old bad word would keep it from ever being asked again.
-    const waitMs = now - this.heardAt > STALE_MS ? 0 : this.waitMs;
+    // An old bad word would keep it from ever being asked again; but what is
+    // wanted of it counts, or a burst would all be left to the nearest one.
+    const isStale = now - this.heardAt > STALE_MS;
+    const waitMs = isStale ? this.wanted * this.everyMs : this.waitMs;
     return waitMs + runMs / this.speed + tripMs;
   }
 
