Call the instance that answers for one that left its successor

"Heir" was a word of our own; the field says successor. Names, messages, models and pages changed alike, nothing else did.

--- a/packages/entry/src/gateway/member_directory.ts
+++ b/packages/entry/src/gateway/member_directory.ts
@@ -22,9 +22,10 @@
     locate(owner, now) {
       if (isSameIncarnation(owner, self)) return {kind: OwnerPlace.Here};
       const name = formatIncarnation(owner);
-      const heir = membership.heirOf(name, now);
-      if (heir === here) return {kind: OwnerPlace.Adopted};
-      if (heir !== undefined) return locatePeer(membership, heir, now);
+      const successor = membership.successorOf(name, now);
+      if (successor === here) return {kind: OwnerPlace.Adopted};
+      if (successor !== undefined)
+        return locatePeer(membership, successor, now);
       return locatePeer(membership, name, now);
     },
   };
--- a/packages/entry/src/peers/relayed.ts
+++ b/packages/entry/src/peers/relayed.ts
@@ -1,4 +1,4 @@
-/** Answers what peers relay to this instance as the owner, or as an heir. */
+/** Answers what peers relay to this instance as the owner, or as a successor. */
 import type {AdoptedSessions, JobOwner} from '@goldcrestpier/jobs';
 import {
   RelayAnswerKind,
--- a/packages/entry/src/start/stop_options.ts
+++ b/packages/entry/src/start/stop_options.ts
@@ -1,12 +1,12 @@
 /** What a planned stop needs of the parts of one instance. */
 import {LogPart, readClock} from '@goldcrestpier/runtime';
-import type {HeirPeer, PlannedStopOptions} from '../stop/index.js';
+import type {SuccessorPeer, PlannedStopOptions} from '../stop/index.js';
 import type {Parts} from './index.js';
 
 /** Joins the planned stop to membership and sessions. */
 export function createStopOptions(parts: Parts): PlannedStopOptions {
   const {context, membership, sessions, readiness} = parts;
-  const findPeer = (incarnation: string): HeirPeer | undefined => {
+  const findPeer = (incarnation: string): SuccessorPeer | undefined => {
     const calls = membership.findLink(incarnation);
     return calls === undefined ? undefined : {incarnation, calls};
   };
@@ -17,8 +17,8 @@
       readiness.leave();
       return membership.leave(readClock());
     },
-    chooseHeir: (tried, now) => {
-      const first = membership.chooseHeir(now)?.incarnation;
+    chooseSuccessor: (tried, now) => {
+      const first = membership.chooseSuccessor(now)?.incarnation;
       const others = membership
         .linkedMembers()
         .map(({member}) => member.incarnation);
@@ -26,7 +26,8 @@
       const next = candidates.find(each => !tried.has(each));
       return next === undefined ? undefined : findPeer(next);
     },
-    announceHeir: heir => membership.announceHeir(heir, readClock()),
+    announceSuccessor: successor =>
+      membership.announceSuccessor(successor, readClock()),
     countOpenRequests: () => readiness.openRequests,
     logger: context.logs.forPart(LogPart.Entry),
   };
--- a/packages/entry/src/stop/index.ts
+++ b/packages/entry/src/stop/index.ts
@@ -14,13 +14,13 @@
 const LOOK_MS = 20;
 const REPORT_MS = 5_000;
 const HAND_OVER_TIMEOUT_MS = 5_000;
-const MAX_HEIR_TRIES = 3;
+const MAX_SUCCESSOR_TRIES = 3;
 /** Sessions in one message, and about how large it may become. */
 const SESSIONS_PER_PART = 50;
 const BYTES_PER_PART = 1024 * 1024;
 
 /** A peer that can answer for the sessions of this instance. */
-export interface HeirPeer {
+export interface SuccessorPeer {
   readonly incarnation: string;
   readonly calls: Pick<PeerCalls, 'handOver'>;
 }
@@ -32,12 +32,12 @@
   /** Tells peers and the balancer that this instance takes no new work. */
   readonly announceLeaving: () => Promise<void>;
   /** Picks a live peer that is not among `tried`. */
-  readonly chooseHeir: (
+  readonly chooseSuccessor: (
     tried: ReadonlySet<string>,
     now: Millis,
-  ) => HeirPeer | undefined;
+  ) => SuccessorPeer | undefined;
   /** Tells all peers who answers for this instance's sessions. */
-  readonly announceHeir: (heir: string) => Promise<void>;
+  readonly announceSuccessor: (successor: string) => Promise<void>;
   /** Requests of callers and peers that have not been answered. */
   readonly countOpenRequests: () => number;
   readonly logger: Logger;
@@ -82,15 +82,15 @@
     .filter(({answers, closed}) => answers.length + closed.length > 0);
   if (sessions.length === 0) return;
   const tried = new Set<string>();
-  while (tried.size < MAX_HEIR_TRIES) {
-    const heir = options.chooseHeir(tried, readClock());
-    if (heir === undefined) break;
-    tried.add(heir.incarnation);
-    if (await sendSessions(options.self, sessions, heir)) {
-      await options.announceHeir(heir.incarnation);
+  while (tried.size < MAX_SUCCESSOR_TRIES) {
+    const successor = options.chooseSuccessor(tried, readClock());
+    if (successor === undefined) break;
+    tried.add(successor.incarnation);
+    if (await sendSessions(options.self, sessions, successor)) {
+      await options.announceSuccessor(successor.incarnation);
       logger.info('handed over', {
         sessions: sessions.length,
-        heir: heir.incarnation,
+        successor: successor.incarnation,
       });
       return;
     }
@@ -101,10 +101,10 @@
 async function sendSessions(
   self: string,
   sessions: readonly HandedSession[],
-  heir: HeirPeer,
+  successor: SuccessorPeer,
 ): Promise<boolean> {
   for (const part of splitIntoParts(sessions)) {
-    const sent = await heir.calls.handOver(
+    const sent = await successor.calls.handOver(
       {from: self, sessions: part},
       HAND_OVER_TIMEOUT_MS,
     );
--- a/packages/jobs/src/handover/index.ts
+++ b/packages/jobs/src/handover/index.ts
@@ -1,5 +1,5 @@
 /**
- * What a planned stop passes on, and what its heir answers with. An heir never
+ * What a planned stop passes on, and what its successor answers with. A successor never
  * starts anything: it gives answers that were already whole, and repeats "not
  * run" for attempts that were closed.
  */
--- a/packages/jobs/test/job_owner.test.ts
+++ b/packages/jobs/test/job_owner.test.ts
@@ -171,7 +171,7 @@
   assert.equal(ended.code, FailureCode.SessionEnded);
 });
 
-test('an heir gives the same answer, repeats "not run" and starts nothing', () => {
+test('a successor gives the same answer, repeats "not run" and starts nothing', () => {
   const {owner, sink, session, submit} = createOwner();
   submit(1, 0).unwrap();
   end(owner, sink.queued[0]?.id ?? '', 1);
@@ -179,17 +179,17 @@
   owner.leave();
   const late = {...createCopy(session, 1), key: 'late', attempt: 1, ageMs: 0};
   assert.equal(owner.submit(late, 3).unwrapErr().code, FailureCode.Leaving);
-  const heir = new AdoptedSessions(10_000);
+  const successor = new AdoptedSessions(10_000);
   const handed = [...owner.listSessions()].map(exportSession);
-  heir.adopt(handed, 0);
+  successor.adopt(handed, 0);
   const {job} = createCopy(session, 1);
-  assert.deepEqual(heir.submit(session, 'key', 1, job).unwrap(), whole);
-  const closed = heir.submit(session, 'late', 1, job).unwrapErr();
+  assert.deepEqual(successor.submit(session, 'key', 1, job).unwrap(), whole);
+  const closed = successor.submit(session, 'late', 1, job).unwrapErr();
   assert.equal(closed.ran, Ran.NotRun);
-  const newer = heir.submit(session, 'late', 2, job).unwrapErr();
+  const newer = successor.submit(session, 'late', 2, job).unwrapErr();
   assert.equal(newer.code, FailureCode.SessionEnded);
-  heir.sweep(10_000);
-  assert.equal(heir.has(session), false);
+  successor.sweep(10_000);
+  assert.equal(successor.has(session), false);
 });
 
 test('no sequence of copies, refusals and ends queues a task twice or belies "not run"', () => {
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -10,7 +10,7 @@
   type Peers,
 } from './heartbeat/index.js';
 import type {HeardHeartbeat, HeartbeatLoad} from './options.js';
-import type {Heirs} from './roles/index.js';
+import type {Successors} from './roles/index.js';
 import type {Targets} from './targets.js';
 import {InstanceState, type AnswerEvidence, type View} from './view/index.js';
 
@@ -25,7 +25,7 @@
   readonly targets: Targets;
   readonly pace: Pace;
   readonly clocks: OwnerClocks;
-  readonly heirs: Heirs;
+  readonly successors: Successors;
   readonly load: HeartbeatLoad;
   readonly heartbeats: Topic<HeardHeartbeat>;
   readonly clock: () => Millis;
@@ -146,9 +146,9 @@
   }
 
   private takeRiders(message: Heartbeat, now: Millis): void {
-    const {clocks, heirs, heartbeats, targets} = this.parts;
+    const {clocks, successors, heartbeats, targets} = this.parts;
     clocks.note(message.from.incarnation, message.sentAt, now);
-    heirs.note(message.heirs, now);
+    successors.note(message.successors, now);
     const {addresses = []} = message;
     for (const address of addresses) targets.noteClaim(address, now);
     if (addresses.length > 0) this.keepPeers(now);
@@ -160,12 +160,12 @@
     isNewcomer: boolean,
     now: Millis,
   ): Heartbeat {
-    const {self, load, heirs} = this.parts;
+    const {self, load, successors} = this.parts;
     return {
       from: self(),
       sentAt: now,
       settingsRevision: load.settingsRevision(),
-      heirs: heirs.list(isNewcomer, now),
+      successors: successors.list(isNewcomer, now),
       ...(isNewcomer ? {addresses: this.listAddresses()} : {}),
       grantsInUse: to === undefined ? [] : load.grantsInUse(to, now),
       spare: load.spare(now),
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -19,7 +19,7 @@
   MembershipOptions,
   MembershipTiming,
 } from './options.js';
-export {chooseWatchers, Heirs, type Watchers} from './roles/index.js';
+export {chooseWatchers, Successors, type Watchers} from './roles/index.js';
 export {
   InstanceState,
   ListedState,
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -17,7 +17,7 @@
   MembershipOptions,
   MembershipTiming,
 } from './options.js';
-import {chooseHeir, chooseWatchers, Heirs} from './roles/index.js';
+import {chooseSuccessor, chooseWatchers, Successors} from './roles/index.js';
 import {Targets} from './targets.js';
 import {InstanceState, View, type ListedInstance} from './view/index.js';
 
@@ -49,7 +49,7 @@
 class RunningMembership implements Membership {
   private readonly timing: MembershipTiming;
   private readonly topic = createTopic<HeardHeartbeat>();
-  private readonly heirs = new Heirs();
+  private readonly successors = new Successors();
   private readonly clocks = new OwnerClocks();
   private readonly liveness: Liveness;
   private readonly view: View;
@@ -83,7 +83,7 @@
       targets: this.targets,
       pace,
       clocks: this.clocks,
-      heirs: this.heirs,
+      successors: this.successors,
       load,
       heartbeats: this.topic,
       clock,
@@ -194,23 +194,23 @@
     return watcher?.incarnation === this.member.incarnation;
   }
 
-  chooseHeir(now: Millis): Member | undefined {
+  chooseSuccessor(now: Millis): Member | undefined {
     this.notice(now);
     this.view.judge(now);
     const {zone} = this.member;
     const elsewhere = this.zones()
       .filter(each => each !== zone)
       .flatMap(each => this.view.members(each));
-    return chooseHeir(this.member, this.view.members(zone), elsewhere);
+    return chooseSuccessor(this.member, this.view.members(zone), elsewhere);
   }
 
-  heirOf(incarnation: string, now: Millis): string | undefined {
-    return this.heirs.find(incarnation, now);
+  successorOf(incarnation: string, now: Millis): string | undefined {
+    return this.successors.find(incarnation, now);
   }
 
-  async announceHeir(heir: string, now: Millis): Promise<void> {
+  async announceSuccessor(successor: string, now: Millis): Promise<void> {
     const {incarnation} = this.member;
-    this.heirs.note([{incarnation, heir}], now);
+    this.successors.note([{incarnation, successor}], now);
     await this.announce(now);
   }
 
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -98,11 +98,11 @@
   /** Whether this instance is the zone's watcher. */
   isWatcher(zone: string, now: Millis): boolean;
   /** The peer that should answer for this instance's sessions. */
-  chooseHeir(now: Millis): Member | undefined;
+  chooseSuccessor(now: Millis): Member | undefined;
   /** Who answers for the sessions of an incarnation that left. */
-  heirOf(incarnation: string, now: Millis): string | undefined;
-  /** Makes an heir of this instance known to all peers. */
-  announceHeir(heir: string, now: Millis): Promise<void>;
+  successorOf(incarnation: string, now: Millis): string | undefined;
+  /** Makes a successor of this instance known to all peers. */
+  announceSuccessor(successor: string, now: Millis): Promise<void>;
   /** Tells all peers that this instance leaves; resolves when they know. */
   leave(now: Millis): Promise<void>;
 }
--- a/packages/membership/src/roles/index.ts
+++ b/packages/membership/src/roles/index.ts
@@ -1,3 +1,3 @@
 /** Roles that one instance has for others. */
-export {Heirs} from './heirs.js';
-export {chooseHeir, chooseWatchers, type Watchers} from './watcher.js';
+export {Successors} from './successors.js';
+export {chooseSuccessor, chooseWatchers, type Watchers} from './watcher.js';
--- a/packages/membership/src/roles/watcher.ts
+++ b/packages/membership/src/roles/watcher.ts
@@ -18,10 +18,10 @@
 }
 
 /**
- * The heir of an instance that leaves: of its own zone when that has another
+ * The successor of an instance that leaves: of its own zone when that has another
  * live member. `elsewhere` are the live members of the other zones.
  */
-export function chooseHeir(
+export function chooseSuccessor(
   leaving: Member,
   sameZone: readonly Member[],
   elsewhere: readonly Member[],
@@ -30,7 +30,7 @@
     incarnation !== leaving.incarnation;
   const near = sameZone.filter(isOther);
   const candidates = near.length > 0 ? near : elsewhere.filter(isOther);
-  return rank(`heir/${leaving.incarnation}`, candidates)[0];
+  return rank(`successor/${leaving.incarnation}`, candidates)[0];
 }
 
 /** A role takes little, so a larger instance need not have it more often. */
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -112,7 +112,7 @@
   assert.equal(a.membership.isGone(b.incarnation, readClock()), false);
 });
 
-test('a leaving instance gets no new work, and its heir is known to all', async context => {
+test('a leaving instance gets no new work, and its successor is known to all', async context => {
   const lifecycle = createLifecycle(context);
   const a = await startInstance({lifecycle, name: 'a'});
   const seeds = [a.address];
@@ -127,17 +127,19 @@
     assert.equal(stateSeenBy(each, b.incarnation), InstanceState.Leaving);
     assert.equal(namesSeenBy(each), 'east/a west/c');
   }
-  const heir = b.membership.chooseHeir(readClock());
-  assert.equal(heir?.incarnation, a.incarnation);
-  await b.membership.announceHeir(a.incarnation, readClock());
+  const successor = b.membership.chooseSuccessor(readClock());
+  assert.equal(successor?.incarnation, a.incarnation);
+  await b.membership.announceSuccessor(a.incarnation, readClock());
   for (const each of [a, c]) {
-    const known = each.membership.heirOf(b.incarnation, readClock());
+    const known = each.membership.successorOf(b.incarnation, readClock());
     assert.equal(known, a.incarnation);
   }
   await b.stop();
   const d = await startInstance({lifecycle, name: 'd', seeds});
-  await waitFor('a newcomer that knows the heir', () => {
-    return d.membership.heirOf(b.incarnation, readClock()) === a.incarnation;
+  await waitFor('a newcomer that knows the successor', () => {
+    return (
+      d.membership.successorOf(b.incarnation, readClock()) === a.incarnation
+    );
   });
 });
 
--- a/packages/membership/test/view.test.ts
+++ b/packages/membership/test/view.test.ts
@@ -3,7 +3,7 @@
 import {MemberState, type Member} from '@goldcrestpier/peers';
 import fc from 'fast-check';
 import {
-  Heirs,
+  Successors,
   InstanceState,
   ListedState,
   View,
@@ -221,33 +221,33 @@
   );
 });
 
-test('heirs are followed through several departures, and forgotten in time', () => {
-  const heirs = new Heirs();
-  heirs.note(
+test('successors are followed through several departures, and forgotten in time', () => {
+  const successors = new Successors();
+  successors.note(
     [
-      {incarnation: 'a', heir: 'b'},
-      {incarnation: 'b', heir: 'c', ageMs: 5},
+      {incarnation: 'a', successor: 'b'},
+      {incarnation: 'b', successor: 'c', ageMs: 5},
     ],
     1_000,
   );
-  heirs.note([{incarnation: 'a', heir: 'x'}], 1_001);
-  assert.equal(heirs.find('a', 2_000), 'c');
-  assert.equal(heirs.find('c', 2_000), undefined);
-  assert.deepEqual(heirs.list(false, 2_000), [
-    {incarnation: 'b', heir: 'c', ageMs: 1_005},
-    {incarnation: 'a', heir: 'b', ageMs: 1_000},
+  successors.note([{incarnation: 'a', successor: 'x'}], 1_001);
+  assert.equal(successors.find('a', 2_000), 'c');
+  assert.equal(successors.find('c', 2_000), undefined);
+  assert.deepEqual(successors.list(false, 2_000), [
+    {incarnation: 'b', successor: 'c', ageMs: 1_005},
+    {incarnation: 'a', successor: 'b', ageMs: 1_000},
   ]);
-  assert.deepEqual(heirs.list(false, 100_000), []);
-  assert.equal(heirs.list(true, 100_000).length, 2);
-  assert.equal(heirs.find('a', 1_000_000_000), undefined);
+  assert.deepEqual(successors.list(false, 100_000), []);
+  assert.equal(successors.list(true, 100_000).length, 2);
+  assert.equal(successors.find('a', 1_000_000_000), undefined);
 });
 
-test('a ring of heirs ends', () => {
-  const heirs = new Heirs();
+test('a ring of successors ends', () => {
+  const successors = new Successors();
   const ring = ['a', 'b', 'c'].map((incarnation, index, all) => ({
     incarnation,
-    heir: all[(index + 1) % all.length] ?? '',
+    successor: all[(index + 1) % all.length] ?? '',
   }));
-  heirs.note(ring, 0);
-  assert.notEqual(heirs.find('a', 1), undefined);
+  successors.note(ring, 0);
+  assert.notEqual(successors.find('a', 1), undefined);
 });
--- a/packages/peers/src/messages/membership.ts
+++ b/packages/peers/src/messages/membership.ts
@@ -26,9 +26,9 @@
 });
 
 /** Which instance answers for the sessions of one that left. */
-export const heirSchema = z.object({
+export const successorSchema = z.object({
   incarnation: z.string(),
-  heir: z.string(),
+  successor: z.string(),
   /** How long ago the instance left, in ms. */
   ageMs: z.number().nonnegative().optional(),
 });
@@ -39,7 +39,7 @@
   /** The sender's monotonic clock, in milliseconds. */
   sentAt: z.number(),
   settingsRevision: z.number().int().nonnegative(),
-  heirs: z.array(heirSchema),
+  successors: z.array(successorSchema),
   /** Peers' listeners that a newcomer may not know. */
   addresses: z.array(z.string()).max(MAX_ADDRESSES).optional(),
   /** Grants the sender uses of servers that it believes the receiver holds. */
@@ -62,6 +62,6 @@
 /** One entry instance as its peers know it. */
 export type Member = Readonly<z.infer<typeof memberSchema>>;
 /** Which instance answers for the sessions of one that left. */
-export type Heir = Readonly<z.infer<typeof heirSchema>>;
+export type Successor = Readonly<z.infer<typeof successorSchema>>;
 /** What each instance tells each peer at an interval. */
 export type Heartbeat = Readonly<z.infer<typeof heartbeatSchema>>;
--- a/packages/peers/test/fixtures.ts
+++ b/packages/peers/test/fixtures.ts
@@ -44,7 +44,7 @@
     },
     sentAt,
     settingsRevision: 0,
-    heirs: [],
+    successors: [],
     grantsInUse: [],
     spare: [],
   };
--- a/packages/placement/bench/fleet.ts
+++ b/packages/placement/bench/fleet.ts
@@ -136,7 +136,7 @@
         const parts = placements[i]?.heartbeatParts(incarnation, now);
         if (parts === undefined) return;
         placements[j]?.hearHeartbeat(
-          {from, sentAt: now, settingsRevision: 0, heirs: [], ...parts},
+          {from, sentAt: now, settingsRevision: 0, successors: [], ...parts},
           now,
         );
       });
--- a/packages/proofs/test/counterexamples.test.ts
+++ b/packages/proofs/test/counterexamples.test.ts
@@ -201,8 +201,8 @@
   const reply = await caller.submitPlain('tag-0816', job);
   assert.equal(expectFailure(reply).ran, Ran.MayHaveRun);
   assert.equal((await stopped).code, 0);
-  const heir = await stage.callerOf('e1-1').read(session, 'long');
-  assertWhole(expectAnswer(heir), long);
+  const successor = await stage.callerOf('e1-1').read(session, 'long');
+  assertWhole(expectAnswer(successor), long);
 });
 
 test('nothing in these replays started twice', async () => {
--- a/spec/submission.pml
+++ b/spec/submission.pml
@@ -1,6 +1,6 @@
 /*
  * One submission of TASKS tasks: attempts, copies, refusals, starts, replies,
- * cancellation, death of the owner, and a planned stop with its heir.
+ * cancellation, death of the owner, and a planned stop with its successor.
  * Invariants are assertions, named after the promises of the brief. Each
  * mechanism can be taken out by a flag; then an assertion must fail.
  */
@@ -30,11 +30,11 @@
 bool owner_alive = true;
 bool owner_leaving;
 bool owner_left;
-/* What the heir was handed. */
-bool heir_has_answer;
-mtype heir_answer;
-byte heir_closed;
-byte heir_attempt;
+/* What the successor was handed. */
+bool successor_has_answer;
+mtype successor_answer;
+byte successor_closed;
+byte successor_attempt;
 
 /* The server, and what its holders know of it. */
 bool server_leaving;
@@ -121,8 +121,8 @@
 /* An instance that is not the owner, once the owner cannot be reached. */
 inline submit_elsewhere(attempt) {
   if
-  :: owner_left && heir_has_answer -> answer(heir_answer, heir_attempt)
-  :: owner_left && !heir_has_answer && attempt <= heir_closed ->
+  :: owner_left && successor_has_answer -> answer(successor_answer, successor_attempt)
+  :: owner_left && !successor_has_answer && attempt <= successor_closed ->
      say_not_run(attempt)
   :: else ->
 #ifdef OTHERS_TAKE_OVER
@@ -257,21 +257,21 @@
   :: atomic { owner_alive && owner_leaving && may_stop ->
      /* P7: a planned stop cuts off no request in flight. */
      assert(!open_job);
-     heir_closed = closed;
+     successor_closed = closed;
 #ifndef NOTHING_IS_HANDED_OVER
      if
      :: accepted != 0 ->
-        heir_has_answer = true;
-        heir_attempt = accepted;
+        successor_has_answer = true;
+        successor_attempt = accepted;
         if
-        :: all_done -> heir_answer = COMPLETE
-        :: else -> heir_answer = FAILED
+        :: all_done -> successor_answer = COMPLETE
+        :: else -> successor_answer = FAILED
         fi
      :: else
      fi;
 #endif
      /* P3: each caller receives its own whole answer, also after a stop. */
-     assert(accepted == 0 || heir_has_answer);
+     assert(accepted == 0 || successor_has_answer);
      owner_left = true;
      owner_alive = false }
   :: atomic { owner_alive -> owner_alive = false } /* dies */
