Say truly when to come back after a submission was too old

Cause: the refusal said Retry-After 0, while for a second after a stop of the process every copy counts as too old: the caller came back at once and was refused again, each time with a higher attempt.

--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -30,6 +30,12 @@
 
 export * from './types.js';
 
+/**
+ * After a stop of this process nothing tells for about so long how old a copy
+ * is, so that coming back sooner would be in vain.
+ */
+const STALE_RETRY_MS = 1_000;
+
 /** Keeps this incarnation's sessions and their jobs. */
 export class JobOwner {
   private readonly sessions: SessionBook;
@@ -208,7 +214,9 @@
     if (submission.ageMs >= limits.maxCopyAgeMs) {
       const limit = {limitMs: limits.maxCopyAgeMs};
       return Err(
-        createFailure(FailureCode.StaleSubmission, limit, {retryAfterMs: 0}),
+        createFailure(FailureCode.StaleSubmission, limit, {
+          retryAfterMs: STALE_RETRY_MS,
+        }),
       );
     }
     if (this.leaving) return Err(this.describeLeaving());
