Freeze a worker that has a task of the test's job

Cause of a red run of the whole check: the test froze a fixed worker and took for granted that one of 12 tasks was there. Since bursts are shared out by pace, it may get none; the job then truly completed. The test now waits for all starts and freezes a server that the records name, and asks for the same as before.

--- a/packages/proofs/test/plain_clients.test.ts
+++ b/packages/proofs/test/plain_clients.test.ts
@@ -139,8 +139,13 @@
   const session = await caller.openSession();
   const job = {...createWorkerJob(12, 1_500), deadlineMs: 8_000};
   const reply = caller.submit(session, 'frozen', job, {attempt: 1});
-  await pause(300);
-  await stage.cluster.server('w3-1').admin.setFaults({frozen: true});
+  await waitUntil('all tasks to be started', async () => {
+    return (await countStarts(stage.cluster, session, 'frozen')) === 12;
+  });
+  const starts = await stage.cluster.readStarts();
+  const started = starts.find(each => each.job === `${session}/frozen`);
+  const frozen = stage.cluster.server(started?.server ?? '');
+  await frozen.admin.setFaults({frozen: true});
   const answer = expectAnswer(await reply);
   await stage.cluster.setFaults({});
   assert.equal(answer.state, JobState.Failed);
