--- a/packages/entry/src/operators/inspect.ts
+++ b/packages/entry/src/operators/inspect.ts
@@ -2,7 +2,6 @@
 import type {JobOwner, JobRecord} from '@goldcrestpier/jobs';
 import type {Inspection, JobSummary} from '@goldcrestpier/peers';
 import type {Placement} from '@goldcrestpier/placement';
-import {TaskState} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
 
 const MAX_ENDED_JOBS = 200;
@@ -14,7 +13,7 @@
   placement: Placement,
   now: Millis,
 ): Inspection {
-  const jobs = [...owner.listSessions()].flatMap(each => [...each.jobs()]);
+  const jobs = owner.listJobs();
   const open = jobs.filter(job => job.endedAt === undefined);
   const ended = jobs
     .filter(job => job.endedAt !== undefined && !job.answerExpired)
@@ -27,15 +26,5 @@
 }
 
 function summarize(job: JobRecord, now: Millis): JobSummary {
-  const {session, key, team, acceptedAt} = job.header;
-  return {
-    session,
-    key,
-    team,
-    state: job.state,
-    tasks: job.taskCount,
-    done: job.countTasks(TaskState.Done),
-    failed: job.countTasks(TaskState.Failed),
-    ageMs: now - acceptedAt,
-  };
+  return {...job.summarize(), ageMs: now - job.header.acceptedAt};
 }
--- a/packages/entry/src/start/journal.ts
+++ b/packages/entry/src/start/journal.ts
@@ -5,7 +5,7 @@
   type JournalContent,
   type JournalEntry,
 } from '@goldcrestpier/platform';
-import {JobState, TaskState} from '@goldcrestpier/protocol';
+import {JobState} from '@goldcrestpier/protocol';
 import {LogPart} from '@goldcrestpier/runtime';
 import type {Parts} from './index.js';
 
@@ -29,7 +29,7 @@
 }
 
 function describeJobs(owner: JobOwner): JournalContent {
-  const jobs = [...owner.listSessions()].flatMap(each => [...each.jobs()]);
+  const jobs = owner.listJobs();
   const pick = (state: JobState) =>
     jobs.filter(job => job.state === state).map(describeJob);
   return {
@@ -39,16 +39,7 @@
 }
 
 function describeJob(job: JobRecord): JournalEntry {
-  const {session, key, team} = job.header;
-  const entry = {
-    session,
-    key,
-    team,
-    state: job.state,
-    tasks: job.taskCount,
-    done: job.countTasks(TaskState.Done),
-    failed: job.countTasks(TaskState.Failed),
-  };
   const code = job.failureCode;
-  return code === undefined ? entry : {...entry, failure: code};
+  const figures = job.summarize();
+  return code === undefined ? figures : {...figures, failure: code};
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,6 +1,6 @@
 /** Sessions, jobs, attempts and answers, as their owner keeps them. */
 export * from './owner/index.js';
-export {JobRecord, type JobHeader} from './record/index.js';
+export {JobRecord, type JobFigures, type JobHeader} from './record/index.js';
 export {
   AdoptedSessions,
   exportSession,
--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -61,6 +61,11 @@
     return this.sessions.list();
   }
 
+  /** The jobs of all these sessions. */
+  listJobs(): JobRecord[] {
+    return [...this.sessions.list()].flatMap(each => [...each.jobs()]);
+  }
+
   /** From now on new sessions and jobs are refused; the rest goes on. */
   leave(): void {
     this.leaving = true;
--- a/packages/jobs/src/owner/open_work.ts
+++ b/packages/jobs/src/owner/open_work.ts
@@ -23,11 +23,6 @@
     return this.jobs.size;
   }
 
-  /** The jobs that have not ended. */
-  listJobs(): Iterable<JobRecord> {
-    return this.jobs;
-  }
-
   /** Takes up a job with its tasks. */
   remember(job: JobRecord, tasks: readonly PlacedTask[]): void {
     this.jobs.add(job);
--- a/packages/jobs/src/record/index.ts
+++ b/packages/jobs/src/record/index.ts
@@ -23,6 +23,17 @@
   readonly acceptedAt: Millis;
 }
 
+/** A job in figures, without payloads or results. */
+export interface JobFigures {
+  readonly session: string;
+  readonly key: string;
+  readonly team: string;
+  readonly state: JobState;
+  readonly tasks: number;
+  readonly done: number;
+  readonly failed: number;
+}
+
 /** A job that its owner keeps until the session ends. */
 export class JobRecord {
   private tasks: TaskAnswer[];
@@ -70,6 +81,20 @@
     return this.tasks.filter(task => task.state === state).length;
   }
 
+  /** The job in figures, without payloads or results. */
+  summarize(): JobFigures {
+    const {session, key, team} = this.header;
+    return {
+      session,
+      key,
+      team,
+      state: this.state,
+      tasks: this.taskCount,
+      done: this.countTasks(TaskState.Done),
+      failed: this.countTasks(TaskState.Failed),
+    };
+  }
+
   /** Indexes of the tasks that have not ended. */
   listOpenTasks(): number[] {
     return this.tasks.filter(isOpen).map(task => task.index);
