--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,14 +7,21 @@
 const LONGEST_FUNCTION_LINES = 60;
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'measurements/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'measurements/**',
+      'target/**',
+    ],
+  },
   js.configs.recommended,
   {
     files: ['**/*.mjs'],
     languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
   },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.recommendedTypeChecked],
     plugins: {jsdoc},
     languageOptions: {
@@ -58,7 +65,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     rules: {
       'max-lines-per-function': ['error', {max: LONGEST_FUNCTION_LINES}],
       'jsdoc/require-jsdoc': [
@@ -81,7 +88,7 @@
     },
   },
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: {'@typescript-eslint/no-floating-promises': 'off'},
   },
   prettier,
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -0,0 +1,217 @@
+/**
+ * Jobs, workers and runs of one holder, and the steps that change them. What
+ * is decided when stands in the dispatcher; here a run begins or ends.
+ */
+import type {Millis} from '@goldcrestpier/runtime';
+import {Durations} from '../speeds/index.js';
+import {
+  AbandonReason,
+  parseTaskName,
+  type Job,
+  type Outcome,
+} from '../work/index.js';
+import {
+  RunEnd,
+  RunPhase,
+  type Run,
+  type WorkerRecord,
+} from '../workers/index.js';
+import {addGoodEnd, addStrike, StrikeReason} from './health.js';
+import {JobRecord, type TaskRecord} from './job_record.js';
+
+/** How long run numbers of an ended job are remembered, in ms. */
+const REMEMBER_RUNS_MS = 20_000;
+
+/** A job that has ended, to be told to whoever handed it in. */
+export interface EndedJob {
+  readonly id: string;
+  readonly queue: string;
+  readonly outcome: Outcome;
+  readonly hasStarted: boolean;
+}
+
+/** Told of what changes, for logs and counters. */
+export interface DispatchObserver {
+  runEnded(run: Run, end: RunEnd | 'lost' | 'refused', tookMs: Millis): void;
+  workerStruck(workerId: string, reason: StrikeReason, ejected: boolean): void;
+}
+
+interface RememberedRun {
+  readonly lastRun: number;
+  readonly until: Millis;
+}
+
+/** The present state of one holder's work. */
+export class Board {
+  readonly jobs = new Map<string, JobRecord>();
+  readonly workers = new Map<string, WorkerRecord>();
+  readonly durations = new Durations();
+  private ended: EndedJob[] = [];
+  private readonly remembered = new Map<string, RememberedRun>();
+  private readonly lastStruckJob = new Map<string, string>();
+
+  constructor(private readonly observer: DispatchObserver) {}
+
+  /** Takes up a job; its run numbers go on where an earlier life ended. */
+  addJob(job: Job): JobRecord {
+    const expectedMs = this.expectJob(job);
+    const lastRun = this.remembered.get(job.id)?.lastRun ?? 0;
+    const record = new JobRecord(job, expectedMs, lastRun);
+    this.jobs.set(job.id, record);
+    return record;
+  }
+
+  /** The longest chain of steps on ordinary workers. */
+  expectJob(job: Job): Millis {
+    const ends: Millis[] = [];
+    for (const {after, estimateMs} of job.steps) {
+      const before = after.map(index => ends[index] ?? 0);
+      const start = Math.max(0, ...before);
+      ends.push(start + this.durations.expect(job.queue, estimateMs));
+    }
+    return Math.max(0, ...ends);
+  }
+
+  /** Puts a run on a worker. */
+  beginRun(record: JobRecord, task: TaskRecord, run: Run): void {
+    task.state = {kind: 'running', run};
+    task.lastRun = Math.max(task.lastRun, run.run);
+    record.hasStarted = true;
+    this.workers.get(run.workerId)?.runs.set(run.key, run);
+  }
+
+  /** A run has ended, or is proved never to start again. */
+  endRun(run: Run, end: RunEnd | 'lost' | 'refused', now: Millis): void {
+    const worker = this.workers.get(run.workerId);
+    if (worker?.runs.get(run.key) === run) worker.runs.delete(run.key);
+    const tookMs = now - run.startedAt;
+    this.observer.runEnded(run, end, tookMs);
+    const record = this.jobs.get(run.task.jobId);
+    const task = record?.tasks.find(({key}) => key === run.key);
+    if (record === undefined || task === undefined) return;
+    if (task.state.kind !== 'running' || task.state.run !== run) return;
+    task.state = {kind: 'waiting'};
+    if (end === RunEnd.Done) this.noteDone(record, task, run, tookMs);
+    if (end === RunEnd.Failed) this.noteFailed(record, task, run, now);
+    this.settle(record, now);
+  }
+
+  /** Ends a job with `outcome` as soon as nothing of it runs. */
+  endJob(record: JobRecord, outcome: Outcome, now: Millis): void {
+    record.ending ??= outcome;
+    for (const run of record.runs()) {
+      if (run.phase === RunPhase.Stopping) continue;
+      if (run.phase === RunPhase.StopTaken) continue;
+      run.phase = RunPhase.Stopping;
+    }
+    this.settle(record, now);
+  }
+
+  /** Gives a worker a strike, once for each job in a row. */
+  strike(run: Run, reason: StrikeReason, now: Millis): void {
+    const worker = this.workers.get(run.workerId);
+    if (worker === undefined) return;
+    // The tasks of one job that can never be done fail together.
+    if (this.lastStruckJob.get(run.workerId) === run.task.jobId) return;
+    this.lastStruckJob.set(run.workerId, run.task.jobId);
+    const isEjected = addStrike(worker, this.workers, now);
+    this.observer.workerStruck(run.workerId, reason, isEjected);
+  }
+
+  /** Jobs that have ended since the last call. */
+  takeEnded(): EndedJob[] {
+    const {ended} = this;
+    this.ended = [];
+    return ended;
+  }
+
+  /** Forgets run numbers whose time is over. */
+  forgetOld(now: Millis): void {
+    for (const [id, {until}] of this.remembered) {
+      if (until > now) return;
+      this.remembered.delete(id);
+    }
+  }
+
+  /** Takes over what an earlier holder started, once its job is known. */
+  adopt(worker: WorkerRecord, key: string, run: number, now: Millis): boolean {
+    const name = parseTaskName(key);
+    const record = name && this.jobs.get(name.jobId);
+    const task = record?.tasks.find(candidate => candidate.key === key);
+    if (name === undefined || record === undefined || task === undefined) {
+      return false;
+    }
+    if (record.ending !== undefined || task.state.kind !== 'waiting') {
+      return false;
+    }
+    this.beginRun(record, task, {
+      task: name,
+      key,
+      run,
+      workerId: worker.info.id,
+      need: task.step.need,
+      startedAt: now,
+      expectedMs: this.durations.expectOn(
+        worker.info.id,
+        record.job.queue,
+        task.step.estimateMs,
+      ),
+      phase: RunPhase.Running,
+      confirmedAt: now,
+      stopSentAt: -Infinity,
+      overAt: Infinity,
+    });
+    return true;
+  }
+
+  private noteDone(
+    {job}: JobRecord,
+    task: TaskRecord,
+    run: Run,
+    tookMs: Millis,
+  ): void {
+    task.state = {kind: 'done'};
+    const {estimateMs} = task.step;
+    this.durations.learn(run.workerId, job.queue, estimateMs, tookMs);
+    const worker = this.workers.get(run.workerId);
+    if (worker !== undefined) addGoodEnd(worker);
+  }
+
+  private noteFailed(
+    record: JobRecord,
+    task: TaskRecord,
+    run: Run,
+    now: Millis,
+  ): void {
+    task.failures += 1;
+    this.strike(run, StrikeReason.TaskFailed, now);
+    if (task.failures < record.job.maxAttempts) return;
+    this.endJob(record, {kind: 'failed'}, now);
+  }
+
+  private settle(record: JobRecord, now: Millis): void {
+    if (record.isDone) record.ending = {kind: 'completed'};
+    if (record.ending === undefined) return;
+    for (const _run of record.runs()) return;
+    const {id, queue} = record.job;
+    if (this.jobs.get(id) !== record) return;
+    this.jobs.delete(id);
+    this.remember(record, now);
+    const {ending: outcome, hasStarted} = record;
+    this.ended.push({id, queue, outcome, hasStarted});
+  }
+
+  private remember(record: JobRecord, now: Millis): void {
+    let lastRun = 0;
+    for (const task of record.tasks) lastRun = Math.max(lastRun, task.lastRun);
+    const {id} = record.job;
+    this.remembered.delete(id);
+    if (lastRun === 0) return;
+    this.remembered.set(id, {lastRun, until: now + REMEMBER_RUNS_MS});
+  }
+}
+
+/** The outcome of a job that was given up. */
+export function abandoned(reason: AbandonReason): Outcome {
+  return {kind: 'abandoned', reason};
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -0,0 +1,113 @@
+/** A job that the dispatcher works on, and the state of each of its tasks. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {
+  formatTaskName,
+  type Job,
+  type Outcome,
+  type Step,
+  type TaskName,
+} from '../work/index.js';
+import type {Run} from '../workers/index.js';
+
+/** Up to this multiple of its objective an answer is of use, if late. */
+const USEFUL_OBJECTIVES = 3;
+
+/** What is known of one task. */
+export type TaskState =
+  | {readonly kind: 'waiting'}
+  | {readonly kind: 'running'; readonly run: Run}
+  | {readonly kind: 'done'};
+
+/** One task of a job. */
+export interface TaskRecord {
+  readonly name: TaskName;
+  readonly key: string;
+  readonly step: Step;
+  state: TaskState;
+  /** Highest run number used so far. */
+  lastRun: number;
+  /** Runs that ended as failed. */
+  failures: number;
+}
+
+/** A job with its tasks. */
+export class JobRecord {
+  readonly tasks: readonly TaskRecord[];
+  /** By when the job should end. */
+  readonly dueAt: Millis;
+  /** After this an answer is of no use. */
+  readonly usefulUntil: Millis;
+  /** Whether an order to start any of its tasks was ever sent. */
+  hasStarted = false;
+  /** How it ends once nothing of it runs any more. */
+  ending: Outcome | undefined;
+  /** No task is placed before; runs of an earlier holder may still go on. */
+  notBefore: Millis = 0;
+
+  /** `expectedMs` is the ideal run time of the whole job. */
+  constructor(
+    readonly job: Job,
+    readonly expectedMs: Millis,
+    lastRun: number,
+  ) {
+    this.tasks = createTasks(job, lastRun);
+    const objectiveMs = job.stretch * expectedMs + job.targetMs;
+    this.dueAt = Math.min(job.arrivedAt + objectiveMs, job.deadlineAt);
+    const usefulMs = USEFUL_OBJECTIVES * objectiveMs;
+    this.usefulUntil = Math.min(job.arrivedAt + usefulMs, job.deadlineAt);
+  }
+
+  /** The latest time at which it can start and still end when due. */
+  get startBy(): Millis {
+    return this.dueAt - this.expectedMs;
+  }
+
+  /** Whether all tasks are done. */
+  get isDone(): boolean {
+    return this.tasks.every(({state}) => state.kind === 'done');
+  }
+
+  /** Runs that may still go on. */
+  *runs(): Iterable<Run> {
+    for (const {state} of this.tasks) {
+      if (state.kind === 'running') yield state.run;
+    }
+  }
+
+  /** Tasks that wait and whose earlier steps are done. */
+  *ready(): Iterable<TaskRecord> {
+    for (const task of this.tasks) {
+      if (task.state.kind === 'waiting' && this.isTurnOf(task)) yield task;
+    }
+  }
+
+  /** Tasks of the same step on one worker. */
+  countOn(workerId: string, step: number): number {
+    let count = 0;
+    for (const run of this.runs()) {
+      if (run.workerId === workerId && run.task.step === step) count += 1;
+    }
+    return count;
+  }
+
+  private isTurnOf({step}: TaskRecord): boolean {
+    return step.after.every(index =>
+      this.tasks.every(
+        ({name, state}) => name.step !== index || state.kind === 'done',
+      ),
+    );
+  }
+}
+
+function createTasks(job: Job, lastRun: number): TaskRecord[] {
+  const tasks: TaskRecord[] = [];
+  for (const [stepIndex, step] of job.steps.entries()) {
+    for (let index = 0; index < step.tasks; index += 1) {
+      const name = {jobId: job.id, step: stepIndex, index};
+      const key = formatTaskName(name);
+      const state = {kind: 'waiting'} as const;
+      tasks.push({name, key, step, state, lastRun, failures: 0});
+    }
+  }
+  return tasks;
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -0,0 +1,120 @@
+/** Takes in what a worker says about everything that it runs. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {
+  RunPhase,
+  type Look,
+  type Run,
+  type RunningEntry,
+  type WorkerRecord,
+} from '../workers/index.js';
+import type {Board} from './board.js';
+import {StrikeReason} from './health.js';
+
+/** Most ends that a worker lists in one answer. */
+const MOST_ENDS = 500;
+/** A run is looked at more closely after this multiple of its expected time. */
+const OVERDUE_FACTOR = 2;
+/** Added to the expected time before a run counts as overdue, in ms. */
+const OVERDUE_MS = 60;
+/** An overdue run is stopped when it would take this multiple in all. */
+const STALLED_FACTOR = 4;
+
+/** Notes a look that was asked for at `sentAt`. */
+export function takeLook(
+  board: Board,
+  worker: WorkerRecord,
+  look: Look,
+  sentAt: Millis,
+  now: Millis,
+): void {
+  if (look.bornAt !== worker.info.bornAt) beginLife(board, worker, look, now);
+  worker.readClock(look.clockMs, now);
+  worker.isHeld = true;
+  worker.isSilent = false;
+  for (const {sequence, task, run, end} of look.ended) {
+    worker.lastSeen = Math.max(worker.lastSeen, sequence);
+    const known = worker.runs.get(task);
+    if (known !== undefined && known.run === run) board.endRun(known, end, now);
+  }
+  takeRunning(board, worker, look, sentAt, now);
+}
+
+/** When the worker should be looked at again because a run is overdue then. */
+export function nextOverdueAt(worker: WorkerRecord): Millis {
+  let next = Infinity;
+  for (const run of worker.runs.values()) {
+    next = Math.min(next, overdueAt(run));
+  }
+  return next;
+}
+
+function overdueAt({startedAt, expectedMs}: Run): Millis {
+  return startedAt + OVERDUE_FACTOR * expectedMs + OVERDUE_MS;
+}
+
+/** The worker started anew: nothing of its last life runs any more. */
+function beginLife(
+  board: Board,
+  worker: WorkerRecord,
+  look: Look,
+  now: Millis,
+): void {
+  const lost = [...worker.runs.values()];
+  worker.forgetLife();
+  worker.info = {...worker.info, bornAt: look.bornAt};
+  for (const run of lost) board.endRun(run, 'lost', now);
+}
+
+function takeRunning(
+  board: Board,
+  worker: WorkerRecord,
+  {running, ended}: Look,
+  sentAt: Millis,
+  now: Millis,
+): void {
+  const listed = new Set<string>();
+  const orphans = new Map<string, number>();
+  for (const entry of running) {
+    listed.add(entry.task);
+    const known = worker.runs.get(entry.task);
+    if (known?.run === entry.run) noteRunning(board, known, entry, now);
+    else if (!board.adopt(worker, entry.task, entry.run, now)) {
+      orphans.set(entry.task, entry.run);
+    }
+  }
+  replaceAll(worker.orphans, orphans);
+  if (ended.length >= MOST_ENDS) return;
+  for (const run of [...worker.runs.values()]) {
+    // Answers overtake each other: only a look that was asked for after the
+    // worker had confirmed the run must list it.
+    const mustBeListed =
+      run.phase !== RunPhase.Starting && run.confirmedAt < sentAt;
+    if (mustBeListed && !listed.has(run.key)) board.endRun(run, 'lost', now);
+  }
+}
+
+function noteRunning(
+  board: Board,
+  run: Run,
+  {percent}: RunningEntry,
+  now: Millis,
+): void {
+  if (run.phase === RunPhase.Starting) {
+    run.phase = RunPhase.Running;
+    run.confirmedAt = now;
+  }
+  if (run.phase !== RunPhase.Running || now < overdueAt(run)) return;
+  const elapsedMs = now - run.startedAt;
+  const wholeMs = (elapsedMs * 100) / Math.max(percent, 1);
+  if (wholeMs < STALLED_FACTOR * run.expectedMs) return;
+  run.phase = RunPhase.Stopping;
+  board.strike(run, StrikeReason.TaskStalled, now);
+}
+
+function replaceAll(
+  target: Map<string, number>,
+  source: ReadonlyMap<string, number>,
+): void {
+  target.clear();
+  for (const [key, run] of source) target.set(key, run);
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,5 @@
+/** Decisions of the holder of a zone's workers. No network, no clock. */
+export * from './dispatcher/index.js';
+export * from './speeds/index.js';
+export * from './work/index.js';
+export * from './workers/index.js';
--- /dev/null
+++ b/packages/dispatch/src/placement/index.ts
@@ -0,0 +1,2 @@
+/** Which worker runs a task. */
+export * from './choose_worker.js';
--- /dev/null
+++ b/packages/dispatch/src/speeds/index.ts
@@ -0,0 +1,2 @@
+/** Learned run times and speeds. */
+export * from './durations.js';
--- /dev/null
+++ b/packages/dispatch/src/work/index.ts
@@ -0,0 +1,3 @@
+/** Jobs, their tasks and how they end. */
+export * from './job.js';
+export * from './outcome.js';
--- /dev/null
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -0,0 +1,92 @@
+/** What the holder knows of one worker. */
+import type {Millis} from '@goldcrestpier/runtime';
+import type {Need} from '../work/index.js';
+import type {Run} from './run.js';
+import type {Worker} from './worker.js';
+
+/** The worker's clock as last told. */
+interface ClockReading {
+  readonly workerMs: Millis;
+  readonly readAt: Millis;
+}
+
+/** Whether a worker may be given tasks, as far as its answers tell. */
+export enum Health {
+  Good = 'good',
+  /** Left alone until a time, then tried with one task. */
+  Ejected = 'ejected',
+  /** One task tells whether it is good again. */
+  OnTrial = 'on_trial',
+}
+
+/** A worker, what runs there and how it has behaved. */
+export class WorkerRecord {
+  /** What runs or may run there, by the task's name. */
+  readonly runs = new Map<string, Run>();
+  /** Runs that this holder knows nothing of, by the task's name. */
+  readonly orphans = new Map<string, number>();
+  /** Last acknowledged end of the present life. */
+  lastSeen = 0;
+  /** Whether this holder's token has been shown there. */
+  isHeld = false;
+  /** Whether the last look went unanswered. */
+  isSilent = false;
+  /** When every lease that this holder gave there has surely ended. */
+  leasesOverAt: Millis = 0;
+  health = Health.Good;
+  ejectedUntil: Millis = 0;
+  /** Ejections in a row; the time grows with them. */
+  ejections = 0;
+  /** Failed tasks, unanswered or refused orders since the last good end. */
+  strikes = 0;
+  /** Until when nothing is offered because the worker said it is full. */
+  fullUntil: Millis = 0;
+  private clock: ClockReading | undefined;
+
+  constructor(public info: Worker) {}
+
+  /** Whether the worker can be given a task now. */
+  isUsable(now: Millis): boolean {
+    if (!this.isHeld || this.isSilent || this.info.isDraining) return false;
+    if (now < this.fullUntil) return false;
+    switch (this.health) {
+      case Health.Good:
+        return true;
+      case Health.Ejected:
+        return now >= this.ejectedUntil;
+      case Health.OnTrial:
+        return this.runs.size === 0;
+    }
+  }
+
+  /** Free processors, memory and accelerators. */
+  free(): Need {
+    let {cpuMillis, memoryMb, accelerators} = this.info.capacity;
+    for (const {need} of this.runs.values()) {
+      cpuMillis -= need.cpuMillis;
+      memoryMb -= need.memoryMb;
+      accelerators -= need.accelerators;
+    }
+    return {cpuMillis, memoryMb, accelerators};
+  }
+
+  /** Notes the clock that came with an answer. */
+  readClock(workerMs: Millis, now: Millis): void {
+    this.clock = {workerMs, readAt: now};
+  }
+
+  /** The worker's clock now, never ahead of it; undefined before any answer. */
+  clockAt(now: Millis): Millis | undefined {
+    if (this.clock === undefined) return undefined;
+    return this.clock.workerMs + (now - this.clock.readAt);
+  }
+
+  /** Begins a new life: nothing of the old one is left. */
+  forgetLife(): void {
+    this.runs.clear();
+    this.orphans.clear();
+    this.lastSeen = 0;
+    this.clock = undefined;
+    this.isHeld = false;
+  }
+}
--- a/packages/peers/src/calls.ts
+++ b/packages/peers/src/calls.ts
@@ -7,7 +7,10 @@
 /** The two kinds of tRPC's calls that the protocol uses. */
 export type CallMethod = 'query' | 'mutation';
 
-/** How tRPC's router takes each call. */
+/** How tRPC's router takes each call of a protocol, by the call's name. */
+export type CallMethods = Readonly<Record<string, CallMethod>>;
+
+/** How tRPC's router takes each call of the peers' protocol. */
 export const callMethods: Readonly<Record<PeerCall, CallMethod>> = {
   heartbeat: 'mutation',
   submit: 'mutation',
@@ -23,8 +26,8 @@
 };
 
 /** Whether `path` names a call of the protocol. */
-export function isPeerCall(path: unknown): path is PeerCall {
-  return typeof path === 'string' && Object.hasOwn(callMethods, path);
+export function isCallOf(methods: CallMethods, path: unknown): path is string {
+  return typeof path === 'string' && Object.hasOwn(methods, path);
 }
 
 /** Which way a message went. */
@@ -36,7 +39,7 @@
 /** Told of each message with its size. Pings of the transport are left out. */
 export interface MessageCounts {
   /** `bytes` is the size of the message's text, without framing. */
-  count(direction: Direction, call: PeerCall, bytes: number): void;
+  count(direction: Direction, call: string, bytes: number): void;
 }
 
 /** Counts nothing. */
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -2,6 +2,7 @@
 export {
   Direction,
   noCounts,
+  type CallMethods,
   type MessageCounts,
   type PeerCall,
 } from './calls.js';
--- a/packages/peers/src/link/client.ts
+++ b/packages/peers/src/link/client.ts
@@ -1,7 +1,7 @@
 /** tRPC's typed client over a link's present connection. */
 import {createTRPCClient, TRPCClientError, type TRPCLink} from '@trpc/client';
 import {observable} from '@trpc/server/observable';
-import {isPeerCall} from '../calls.js';
+import {callMethods, isCallOf} from '../calls.js';
 import type {PeerRouter} from '../server/router.js';
 import type {PeerConnection} from './connection.js';
 import {createNotSent, NotSentReason, PeerCallError} from './failure.js';
@@ -54,7 +54,8 @@
         }
         const {timeoutMs} = op.context as CallContext;
         const {path, input} = op;
-        if (!isPeerCall(path)) throw new TypeError(`no such call: ${path}`);
+        if (!isCallOf(callMethods, path))
+          throw new TypeError(`no such call: ${path}`);
         connection.send({call: path, input, timeoutMs}, result => {
           if (result.isErr()) return fail(new PeerCallError(result.error));
           observer.next({result: {type: 'data', data: result.value}});
--- a/packages/peers/src/link/connection.ts
+++ b/packages/peers/src/link/connection.ts
@@ -3,12 +3,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocket, type RawData} from 'ws';
 import {z} from 'zod';
-import {
-  callMethods,
-  Direction,
-  type MessageCounts,
-  type PeerCall,
-} from '../calls.js';
+import {Direction, type CallMethods, type MessageCounts} from '../calls.js';
 import type {Coalescer} from '../coalesce.js';
 import {
   createNotSent,
@@ -22,7 +17,7 @@
 
 /** One call on its way to the peer. */
 export interface OutgoingCall {
-  readonly call: PeerCall;
+  readonly call: string;
   readonly input: unknown;
   /** How long to wait for the answer, in ms. */
   readonly timeoutMs: number;
@@ -32,7 +27,7 @@
 export type Settle = (result: Result<unknown, PeerFailure>) => void;
 
 interface WaitingCall {
-  readonly call: PeerCall;
+  readonly call: string;
   readonly timer: NodeJS.Timeout;
   readonly settle: Settle;
 }
@@ -52,6 +47,7 @@
     private readonly socket: WebSocket,
     private readonly limits: PeerLinkLimits,
     private readonly counts: MessageCounts,
+    private readonly methods: CallMethods,
     private readonly coalescer?: Coalescer,
   ) {
     socket.on('message', data => this.takeAnswer(data));
@@ -67,7 +63,7 @@
   send(outgoing: OutgoingCall, settle: Settle): void {
     const {call, input, timeoutMs} = outgoing;
     const id = (this.lastId += 1);
-    const method = callMethods[call];
+    const method = this.methods[call];
     const frame = encode({id, method, params: {path: call, input}});
     const refusal = this.findRefusal(frame);
     if (frame === undefined || refusal !== undefined) {
--- a/packages/peers/src/link/index.ts
+++ b/packages/peers/src/link/index.ts
@@ -8,4 +8,10 @@
 } from './failure.js';
 export {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
 export type {PeerAnswer, PeerCalls} from './client_calls.js';
-export {createPeerLink, type PeerLink, type PeerLinkOptions} from './link.js';
+export {
+  createCallLink,
+  createPeerLink,
+  type CallLink,
+  type PeerLink,
+  type PeerLinkOptions,
+} from './link.js';
--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -10,14 +10,21 @@
   type Logger,
   type Millis,
 } from '@goldcrestpier/runtime';
+import {Err, type Result} from 'ts-results-es';
 import {WebSocket} from 'ws';
-import {noCounts, type MessageCounts} from '../calls.js';
+import {
+  callMethods,
+  noCounts,
+  type CallMethods,
+  type MessageCounts,
+} from '../calls.js';
 import {Coalescer} from '../coalesce.js';
 import {watchSilence} from '../silence.js';
 import {SparseLog} from '../sparse_log.js';
 import {chooseBackoff} from './backoff.js';
 import {ClientCalls, type PeerCalls} from './client_calls.js';
 import {PeerConnection} from './connection.js';
+import {createNotSent, NotSentReason, type PeerFailure} from './failure.js';
 import {defaultPeerLinkLimits, type PeerLinkLimits} from './limits.js';
 import {OpenFailure, openSocket, type OpenedSocket} from './open.js';
 
@@ -37,9 +44,15 @@
   readonly counts?: MessageCounts;
 }
 
-/** A link to one peer. */
-export interface PeerLink extends PeerCalls {
+/** A connection to one peer that is opened again whenever it is cut. */
+export interface CallLink {
   readonly address: string;
+  /** Sends one call; its answer is still to be checked. */
+  call(
+    name: string,
+    input: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, PeerFailure>>;
   /** Whether there is a connection at present. */
   isConnected(): boolean;
   /** When opening the present connection began; undefined without one. */
@@ -50,23 +63,65 @@
   close(): Promise<void>;
 }
 
+/** A link to one peer with the calls of the peers' protocol. */
+export interface PeerLink extends PeerCalls, Omit<CallLink, 'call'> {}
+
 /** Starts a link; it connects on its own and again whenever it is cut. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-  const link = new Link(options);
+  const link = new Link(options, callMethods);
+  link.start();
+  return new TypedLink(link);
+}
+
+/** Starts a link that speaks the protocol whose calls `methods` names. */
+export function createCallLink(
+  options: PeerLinkOptions,
+  methods: CallMethods,
+): CallLink {
+  const link = new Link(options, methods);
   link.start();
   return link;
 }
 
-class Link extends ClientCalls implements PeerLink {
+class TypedLink extends ClientCalls implements PeerLink {
+  constructor(private readonly link: Link) {
+    super(() => link.current);
+  }
+
+  get address(): string {
+    return this.link.address;
+  }
+
+  isConnected(): boolean {
+    return this.link.isConnected();
+  }
+
+  connectedAt(): Millis | undefined {
+    return this.link.connectedAt();
+  }
+
+  isRefused(): boolean {
+    return this.link.isRefused();
+  }
+
+  close(): Promise<void> {
+    return this.link.close();
+  }
+}
+
+class Link implements CallLink {
   private readonly limits: PeerLinkLimits;
   private readonly lifecycle: Lifecycle;
   private readonly log: SparseLog;
-  private connection: PeerConnection | undefined;
+  /** The open connection, if there is one. */
+  current: PeerConnection | undefined;
   private openedAt: Millis = 0;
   private openFailure: OpenFailure | undefined;
 
-  constructor(private readonly options: PeerLinkOptions) {
-    super(() => this.connection);
+  constructor(
+    private readonly options: PeerLinkOptions,
+    private readonly methods: CallMethods,
+  ) {
     this.limits = {...defaultPeerLinkLimits, ...options.limits};
     this.lifecycle = options.lifecycle.createChild(`link ${options.address}`);
     this.log = new SparseLog(options.logger, FAILURE_LINE_EVERY_MS);
@@ -76,8 +131,23 @@
     return this.options.address;
   }
 
+  call(
+    name: string,
+    input: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, PeerFailure>> {
+    const {current} = this;
+    if (current === undefined) {
+      const failure = createNotSent(NotSentReason.Disconnected);
+      return Promise.resolve(Err(failure));
+    }
+    return new Promise(resolve => {
+      current.send({call: name, input, timeoutMs}, resolve);
+    });
+  }
+
   isConnected(): boolean {
-    return this.connection?.isOpen === true;
+    return this.current?.isOpen === true;
   }
 
   connectedAt(): Millis | undefined {
@@ -143,10 +213,11 @@
     const {counts = noCounts} = this.options;
     if (socket.readyState === WebSocket.CLOSED) return;
     const closed = new Promise(resolve => socket.once('close', resolve));
-    this.connection = new PeerConnection(
+    this.current = new PeerConnection(
       socket,
       this.limits,
       counts,
+      this.methods,
       new Coalescer(stream),
     );
     watchSilence(socket, {silenceMs: this.limits.silenceMs, asks: true});
@@ -155,6 +226,6 @@
     if (signal.aborted) end();
     await closed;
     signal.removeEventListener('abort', end);
-    this.connection = undefined;
+    this.current = undefined;
   }
 }
--- a/packages/peers/src/server/connection.ts
+++ b/packages/peers/src/server/connection.ts
@@ -4,9 +4,9 @@
 import {z} from 'zod';
 import {
   Direction,
-  isPeerCall,
+  isCallOf,
+  type CallMethods,
   type MessageCounts,
-  type PeerCall,
 } from '../calls.js';
 import type {Coalescer} from '../coalesce.js';
 import {RefusedCallError} from './failure.js';
@@ -29,13 +29,14 @@
  */
 export class PeerConnection {
   /** Calls whose answers are still to come, by their ids. */
-  private readonly waiting = new Map<number, PeerCall>();
+  private readonly waiting = new Map<number, string>();
 
   constructor(
     private readonly socket: WebSocket,
     private readonly limits: PeerServerLimits,
     private readonly counts: MessageCounts,
     private readonly coalescer: Coalescer,
+    private readonly methods: CallMethods,
   ) {}
 
   /** Calls that wait for their answers. */
@@ -54,7 +55,7 @@
     const request = requestSchema.parse(JSON.parse(frame));
     this.checkId(request.id);
     const {path} = request.params;
-    if (isPeerCall(path)) {
+    if (isCallOf(this.methods, path)) {
       this.waiting.set(request.id, path);
       this.counts.count(Direction.Received, path, Buffer.byteLength(frame));
     }
--- a/packages/peers/src/server/index.ts
+++ b/packages/peers/src/server/index.ts
@@ -1,7 +1,10 @@
 /** The peers' listener. */
+export {call, createRouter, take, type PeerContext} from './router.js';
 export {defaultPeerServerLimits, type PeerServerLimits} from './limits.js';
 export {
+  startCallServer,
   startPeerServer,
+  type CallServerOptions,
   type ListenAddress,
   type ListenFailure,
   type PeerServer,
--- a/packages/peers/src/server/router.ts
+++ b/packages/peers/src/server/router.ts
@@ -38,7 +38,11 @@
   }),
 });
 
-const call = trpc.procedure;
+/** Builds routers of this project: their errors carry typed failures. */
+export const createRouter = trpc.router;
+
+/** One call of a router; its input is still to be checked. */
+export const call = trpc.procedure;
 
 /**
  * Refuses a call when too many of its connection wait. A plain function, as
@@ -59,7 +63,7 @@
 }
 
 /** A resolver that refuses a call when too many wait. */
-function take<Input, Answer>(handle: (input: Input) => Promise<Answer>) {
+export function take<Input, Answer>(handle: (input: Input) => Promise<Answer>) {
   return ({ctx, input}: {ctx: PeerContext; input: Input}): Promise<Answer> => {
     admit(ctx);
     return handle(input);
--- a/packages/peers/src/server/server.ts
+++ b/packages/peers/src/server/server.ts
@@ -9,10 +9,16 @@
   type Lifecycle,
   type Logger,
 } from '@goldcrestpier/runtime';
+import type {AnyTRPCRouter} from '@trpc/server';
 import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocketServer, type WebSocket} from 'ws';
-import {noCounts, type MessageCounts} from '../calls.js';
+import {
+  callMethods,
+  noCounts,
+  type CallMethods,
+  type MessageCounts,
+} from '../calls.js';
 import type {PeerHandlers} from '../handlers.js';
 import {Coalescer} from '../coalesce.js';
 import {watchSilence} from '../silence.js';
@@ -20,7 +26,7 @@
 import {INCARNATION_HEADER} from '../incarnation_header.js';
 import {PeerConnection} from './connection.js';
 import {defaultPeerServerLimits, type PeerServerLimits} from './limits.js';
-import {createPeerRouter} from './router.js';
+import {createPeerRouter, type PeerContext} from './router.js';
 import {createUpgradeServer, refuseUpgrade, sendRefusal} from './upgrade.js';
 
 /** Close code of a server that goes away, from the WebSocket standard. */
@@ -36,17 +42,27 @@
   readonly port: number;
 }
 
-/** What the peers' listener needs. */
-export interface PeerServerOptions {
+/** What a listener needs, whichever protocol it speaks. */
+export interface CallServerOptions {
   readonly listen: ListenAddress;
   readonly token: string;
-  readonly handlers: PeerHandlers;
+  /** A router whose context is a `PeerContext`. */
+  readonly router: AnyTRPCRouter;
+  readonly methods: CallMethods;
   readonly logger: Logger;
   readonly lifecycle: Lifecycle;
   readonly limits?: Partial<PeerServerLimits>;
   readonly counts?: MessageCounts;
 }
 
+/** What the peers' listener needs. */
+export interface PeerServerOptions extends Omit<
+  CallServerOptions,
+  'router' | 'methods'
+> {
+  readonly handlers: PeerHandlers;
+}
+
 /** A running listener; its life cycle closes it. */
 export interface PeerServer {
   readonly host: string;
@@ -64,8 +80,17 @@
 }
 
 /** Starts to listen for peers. */
-export async function startPeerServer(
-  options: PeerServerOptions,
+export function startPeerServer({
+  handlers,
+  ...options
+}: PeerServerOptions): Promise<Result<PeerServer, ListenFailure>> {
+  const router = createPeerRouter(handlers);
+  return startCallServer({...options, router, methods: callMethods});
+}
+
+/** Starts to listen for the calls of any protocol of this project. */
+export async function startCallServer(
+  options: CallServerOptions,
 ): Promise<Result<PeerServer, ListenFailure>> {
   const limits = {...defaultPeerServerLimits, ...options.limits};
   const acceptor = new Acceptor(options, limits);
@@ -89,14 +114,12 @@
 class Acceptor {
   readonly sockets: WebSocketServer;
   private readonly connections = new Set<PeerConnection>();
-  private readonly router;
   private readonly log: SparseLog;
 
   constructor(
-    private readonly options: PeerServerOptions,
+    private readonly options: CallServerOptions,
     readonly limits: PeerServerLimits,
   ) {
-    this.router = createPeerRouter(options.handlers);
     this.log = new SparseLog(options.logger);
     this.sockets = new WebSocketServer({
       noServer: true,
@@ -140,14 +163,15 @@
       this.limits,
       counts,
       new Coalescer(request.socket),
+      this.options.methods,
     );
     this.connections.add(connection);
     socket.once('close', () => this.connections.delete(connection));
     watchSilence(socket, {silenceMs: this.limits.idleMs, asks: false});
     const handle = getWSConnectionHandler({
       wss: this.sockets,
-      router: this.router,
-      createContext: () => ({connection}),
+      router: this.options.router,
+      createContext: (): PeerContext => ({connection}),
       // One encoder for each connection: it counts calls and their sizes.
       experimental_encoder: connection,
       onError: ({path, error}) => {
--- /dev/null
+++ b/packages/zone/src/election/election.ts
@@ -0,0 +1,152 @@
+/**
+ * Decides which instance holds its zone's workers. Instances agree by
+ * heartbeats alone, so that an outage of the platform's store changes nothing;
+ * where two believe to be the holder, the workers follow the higher token.
+ */
+import type {Millis} from '@goldcrestpier/runtime';
+import type {Claim} from '../protocol/index.js';
+
+/** Silence after which an instance counts as gone, in ms. */
+export const SILENCE_MS: Millis = 600;
+/** How long a new instance listens before it claims anything, in ms. */
+const LISTEN_MS = 700;
+/** Silence of all others after which a cut-off instance takes over, in ms. */
+const ALONE_MS = 3_000;
+/** How long an instance stays away after workers turned its token away, in ms. */
+const FENCED_ALONE_MS = 10_000;
+/** The same while other instances can be heard, in ms. */
+const FENCED_MS = 300;
+/** Added to a token that was turned away although no higher one is known. */
+const TOKEN_SKIP = 120;
+
+/** Another instance of the zone, as heard. */
+export interface Member {
+  readonly id: string;
+  readonly isLeaving: boolean;
+  /** When it was last heard from; undefined before the first time. */
+  readonly heardAt: Millis | undefined;
+  /** Its host says that no process listens there any more. */
+  readonly isRefused: boolean;
+  /** When it last heard the holder that it follows, and which that is. */
+  readonly holderId: string | undefined;
+  readonly holderHeardAt: Millis | undefined;
+}
+
+/** What an instance should do. */
+export type Role =
+  | {readonly kind: 'hold'}
+  | {readonly kind: 'claim'; readonly skip: number}
+  | {readonly kind: 'follow'; readonly holderId: string}
+  /** Nobody can be followed yet. */
+  | {readonly kind: 'wait'};
+
+/** Keeps the highest claim and chooses this instance's role. */
+export class Election {
+  private highest: Claim | undefined;
+  private fencedAt: Millis | undefined;
+  private skip = 0;
+
+  constructor(
+    private readonly selfId: string,
+    private readonly startedAt: Millis,
+  ) {}
+
+  /** The highest claim known. */
+  get claim(): Claim | undefined {
+    return this.highest;
+  }
+
+  /** Notes a claim; true when it is the highest so far. */
+  noteClaim(claim: Claim): boolean {
+    if (this.highest !== undefined && claim.token <= this.highest.token) {
+      return false;
+    }
+    this.highest = claim;
+    if (claim.holderId !== this.selfId) this.skip = 0;
+    return true;
+  }
+
+  /** Notes that workers turned this instance's token away. */
+  noteFenced(now: Millis): void {
+    this.fencedAt = now;
+    if (this.highest?.holderId !== this.selfId) return;
+    this.highest = {holderId: '', token: this.highest.token};
+    this.skip += TOKEN_SKIP;
+  }
+
+  /** Chooses the role by what is known now. `isLeaving`: a planned stop. */
+  chooseRole(
+    members: readonly Member[],
+    isLeaving: boolean,
+    now: Millis,
+  ): Role {
+    const holderId = this.highest?.holderId ?? '';
+    const successor = findSuccessor(members, now);
+    // A leaving holder goes on until its successor's claim is heard.
+    if (holderId === this.selfId) return {kind: 'hold'};
+    if (this.isHolderAlive(holderId, members, now)) {
+      return {kind: 'follow', holderId};
+    }
+    if (isLeaving && successor !== undefined) return {kind: 'wait'};
+    if (successor !== undefined && successor < this.selfId) {
+      return {kind: 'wait'};
+    }
+    if (!this.mayClaim(members, now)) return {kind: 'wait'};
+    return {kind: 'claim', skip: this.skip};
+  }
+
+  private isHolderAlive(
+    holderId: string,
+    members: readonly Member[],
+    now: Millis,
+  ): boolean {
+    const holder = members.find(({id}) => id === holderId);
+    if (holder === undefined) {
+      return members.some(member => hearsHolder(member, holderId, now));
+    }
+    if (holder.isLeaving) return findSuccessor(members, now) === undefined;
+    if (isHeard(holder, now)) return true;
+    if (holder.isRefused) return false;
+    return members.some(member => hearsHolder(member, holderId, now));
+  }
+
+  private mayClaim(members: readonly Member[], now: Millis): boolean {
+    const heard = members.filter(member => isHeard(member, now));
+    if (this.fencedAt !== undefined) {
+      const wait = heard.length > 0 ? FENCED_MS : FENCED_ALONE_MS;
+      if (now - this.fencedAt < wait) return false;
+    }
+    const missing = members.filter(
+      member => !isHeard(member, now) && !member.isRefused,
+    );
+    if (now - this.startedAt < LISTEN_MS) return false;
+    // A majority decides at once; the rest only when all others stay silent.
+    if (heard.length + 1 > missing.length) return true;
+    const lastHeard = Math.max(
+      this.startedAt,
+      ...missing.map(({heardAt}) => heardAt ?? this.startedAt),
+    );
+    return now - lastHeard >= ALONE_MS;
+  }
+}
+
+function isHeard({heardAt}: Member, now: Millis): boolean {
+  return heardAt !== undefined && now - heardAt < SILENCE_MS;
+}
+
+function hearsHolder(member: Member, holderId: string, now: Millis): boolean {
+  if (!isHeard(member, now) || member.holderId !== holderId) return false;
+  const {holderHeardAt} = member;
+  return holderHeardAt !== undefined && now - holderHeardAt < SILENCE_MS;
+}
+
+/** The other instance that would take over: the first one by id. */
+function findSuccessor(
+  members: readonly Member[],
+  now: Millis,
+): string | undefined {
+  const able = members
+    .filter(member => !member.isLeaving && isHeard(member, now))
+    .map(({id}) => id);
+  return able.sort()[0];
+}
--- /dev/null
+++ b/packages/zone/src/election/index.ts
@@ -0,0 +1,3 @@
+/** Who holds the workers of a zone. */
+export * from './election.js';
+export * from './token.js';
--- /dev/null
+++ b/packages/zone/src/holder/holder.ts
@@ -0,0 +1,298 @@
+/**
+ * Holds the workers of a zone: carries out what the dispatcher decides and
+ * tells the owners of jobs how these ended.
+ */
+import {
+  AbandonReason,
+  Dispatcher,
+  StartAnswer,
+  type DispatcherOptions,
+  type EndedJob,
+  type Order,
+  type Worker,
+} from '@goldcrestpier/dispatch';
+import {readClock, type Lifecycle, type Logger} from '@goldcrestpier/runtime';
+import type {ZoneMetrics} from '../metrics/index.js';
+import type {WorkerPort} from '../ports/index.js';
+import type {JobAnswer, JobSubmission} from '../protocol/index.js';
+import {createObserver, logPlacements} from './observer.js';
+import {toJob} from './to_job.js';
+import {WorkerWatch} from './worker_watch.js';
+
+/** How often the dispatcher looks at its times, in ms. */
+const TICK_MS = 25;
+
+/** What a holder needs. */
+export interface HolderOptions {
+  readonly token: number;
+  readonly bounds: DispatcherOptions;
+  readonly port: WorkerPort;
+  readonly logger: Logger;
+  readonly metrics: ZoneMetrics;
+  readonly lifecycle: Lifecycle;
+  /** Called once when a worker follows a higher token. */
+  readonly onFenced: () => void;
+}
+
+interface Waiter {
+  readonly ownerId: string;
+  readonly answer: (answer: JobAnswer) => void;
+}
+
+/** The holder of a zone's workers, for as long as its token is the highest. */
+export class Holder {
+  private readonly dispatcher: Dispatcher;
+  private readonly watches = new Map<string, WorkerWatch>();
+  private readonly waiters = new Map<string, Waiter[]>();
+  /** Submissions of jobs whose earlier life is still being stopped. */
+  private readonly postponed = new Map<string, JobSubmission>();
+  private isPumpDue = false;
+  private isClosed = false;
+
+  constructor(private readonly options: HolderOptions) {
+    const {bounds, logger, metrics, lifecycle} = options;
+    const observer = createObserver(logger, metrics);
+    this.dispatcher = new Dispatcher(bounds, readClock(), observer);
+    const timer = setInterval(() => this.pump(), TICK_MS);
+    lifecycle.own('holder', () => {
+      clearInterval(timer);
+      this.close();
+    });
+  }
+
+  /** The token under which the workers are held. */
+  get token(): number {
+    return this.options.token;
+  }
+
+  /** Takes the present list of workers. */
+  setWorkers(workers: readonly Worker[]): void {
+    if (this.isClosed) return;
+    this.dispatcher.setWorkers(workers, readClock());
+    for (const id of this.dispatcher.workers.keys()) this.watch(id);
+    this.pumpSoon();
+  }
+
+  /** Free processors of the workers in use, in thousandths. */
+  freeMillis(): number {
+    let free = 0;
+    const now = readClock();
+    for (const worker of this.dispatcher.workers.values()) {
+      if (worker.isUsable(now)) free += worker.free().cpuMillis;
+    }
+    return free;
+  }
+
+  /** Takes a job; answers when it has ended. */
+  submit(message: JobSubmission): Promise<JobAnswer> {
+    if (this.isClosed) {
+      return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
+    }
+    const now = readClock();
+    const {id, ownerId, isResumed} = message;
+    return new Promise(answer => {
+      const waiters = this.waiters.get(id) ?? [];
+      waiters.push({ownerId, answer});
+      this.waiters.set(id, waiters);
+      const known = this.dispatcher.jobs.get(id);
+      if (known?.ending !== undefined) this.postponed.set(id, message);
+      else this.dispatcher.submit(toJob(message, now), isResumed, now);
+      this.logSubmission(message, known !== undefined);
+      this.pumpSoon();
+    });
+  }
+
+  /** One owner gives a job up; it is stopped when no other waits for it. */
+  cancel(ownerId: string, jobId: string, reason: AbandonReason): void {
+    const waiters = this.waiters.get(jobId);
+    if (waiters === undefined) return;
+    const left: Waiter[] = [];
+    for (const waiter of waiters) {
+      if (waiter.ownerId !== ownerId) left.push(waiter);
+      else waiter.answer({kind: 'abandoned', reason});
+    }
+    this.waiters.set(jobId, left);
+    if (left.length > 0) return;
+    this.postponed.delete(jobId);
+    this.options.logger.info('job given up', {job: jobId, reason, ownerId});
+    this.dispatcher.cancel(jobId, reason, readClock());
+    this.pumpSoon();
+  }
+
+  /** Gives up the jobs of every owner for whom `isAlive` is false. */
+  dropOwners(isAlive: (ownerId: string) => boolean): void {
+    for (const [jobId, waiters] of [...this.waiters]) {
+      for (const {ownerId} of [...waiters]) {
+        if (isAlive(ownerId)) continue;
+        this.cancel(ownerId, jobId, AbandonReason.OwnerLost);
+      }
+    }
+  }
+
+  /** Jobs that no task of has started yet. */
+  countWaiting(queue: string): number {
+    let count = 0;
+    for (const {job, hasStarted} of this.dispatcher.jobs.values()) {
+      if (job.queue === queue && !hasStarted) count += 1;
+    }
+    return count;
+  }
+
+  /** Tells all owners that this instance holds the workers no more. */
+  private close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    for (const [jobId, waiters] of this.waiters) {
+      const job = this.dispatcher.jobs.get(jobId);
+      const mayHaveStarted = job?.hasStarted ?? false;
+      for (const {answer} of waiters) {
+        answer({kind: 'not_holder', mayHaveStarted});
+      }
+    }
+    this.waiters.clear();
+  }
+
+  private watch(workerId: string): void {
+    if (this.watches.has(workerId)) return;
+    const {token, bounds, port, lifecycle, logger, metrics} = this.options;
+    const watch = new WorkerWatch({
+      workerId,
+      token,
+      leaseMs: bounds.leaseMs,
+      dispatcher: this.dispatcher,
+      port,
+      onChange: () => this.pumpSoon(),
+      onFenced: () => this.fence(workerId),
+      onLookFailed: (worker, failure) => {
+        metrics.looksFailed.inc({reason: failure});
+        logger.warn('look at worker failed', {worker, failure});
+      },
+    });
+    this.watches.set(workerId, watch);
+    const loop = async (signal: AbortSignal) => {
+      await watch.run(signal);
+      this.watches.delete(workerId);
+    };
+    lifecycle.run(`watch ${workerId}`, loop, cause => {
+      this.watches.delete(workerId);
+      logger.error('watch of a worker ended by a fault', {
+        worker: workerId,
+        cause: String(cause),
+      });
+    });
+  }
+
+  private fence(workerId: string): void {
+    if (this.isClosed) return;
+    const {logger, token, onFenced} = this.options;
+    logger.warn('a worker follows a higher token', {worker: workerId, token});
+    this.close();
+    onFenced();
+  }
+
+  /** Decides again once in this turn of the event loop. */
+  private pumpSoon(): void {
+    if (this.isPumpDue) return;
+    this.isPumpDue = true;
+    setImmediate(() => {
+      this.isPumpDue = false;
+      this.pump();
+    });
+  }
+
+  private pump(): void {
+    if (this.isClosed) return;
+    const orders = this.dispatcher.tick(readClock());
+    logPlacements(orders, this.options.logger);
+    for (const order of orders) void this.carryOut(order);
+    for (const ended of this.dispatcher.takeEnded()) this.tellEnd(ended);
+  }
+
+  private tellEnd({id, outcome}: EndedJob): void {
+    const postponed = this.postponed.get(id);
+    if (postponed !== undefined) {
+      this.postponed.delete(id);
+      const now = readClock();
+      this.dispatcher.submit(toJob(postponed, now), false, now);
+      this.pumpSoon();
+      return;
+    }
+    const waiters = this.waiters.get(id) ?? [];
+    this.waiters.delete(id);
+    this.options.metrics.countOutcome(outcome);
+    for (const {answer} of waiters) answer(outcome);
+  }
+
+  private async carryOut(order: Order): Promise<void> {
+    switch (order.kind) {
+      case 'start':
+        return this.start(order);
+      case 'stop':
+        return this.stop(order);
+    }
+  }
+
+  private async start({
+    run,
+    payload,
+  }: Extract<Order, {kind: 'start'}>): Promise<void> {
+    const {bounds, port, token} = this.options;
+    const record = this.dispatcher.workers.get(run.workerId);
+    const sentAt = readClock();
+    const clock = record?.clockAt(sentAt);
+    if (record === undefined || clock === undefined) {
+      this.dispatcher.startAnswered(run, StartAnswer.Rejected, sentAt);
+      return;
+    }
+    this.dispatcher.noteLease(run.workerId, sentAt);
+    const leaseUntil = Math.floor(clock + bounds.leaseMs);
+    const worker = record.info;
+    this.watches.get(run.workerId)?.wake();
+    const reply = await port.start({worker, run, payload, token, leaseUntil});
+    const now = readClock();
+    if (reply.clockMs !== undefined) record.readClock(reply.clockMs, now);
+    this.noteStart(run.workerId, run.key, reply.answer);
+    this.dispatcher.startAnswered(run, reply.answer, now);
+    this.pumpSoon();
+  }
+
+  private noteStart(worker: string, task: string, answer: StartAnswer): void {
+    const {logger, metrics} = this.options;
+    metrics.starts.inc({answer});
+    if (answer === StartAnswer.Started) return;
+    logger.warn('start not taken', {worker, task, answer});
+    if (answer === StartAnswer.Fenced) this.fence(worker);
+  }
+
+  private async stop(order: Extract<Order, {kind: 'stop'}>): Promise<void> {
+    const {port, token, logger} = this.options;
+    const {workerId, key: task, runNumber, run} = order;
+    const record = this.dispatcher.workers.get(workerId);
+    if (record === undefined) return;
+    const worker = record.info;
+    const result = await port.stop({worker, task, run: runNumber, token});
+    const outcome = result.isOk() ? 'taken' : result.error;
+    logger.info('run stopped', {
+      worker: workerId,
+      task,
+      run: runNumber,
+      outcome,
+    });
+    if (run === undefined) return;
+    if (result.isOk()) this.dispatcher.stopTaken(run, readClock());
+    this.pumpSoon();
+  }
+
+  private logSubmission(message: JobSubmission, isKnown: boolean): void {
+    const {id, queue, ownerId, isResumed, ageMs, remainingMs, hops} = message;
+    const fields = {job: id, queue, ownerId, isResumed, isKnown, hops};
+    const {dispatcher} = this;
+    this.options.logger.info('job taken', {
+      ...fields,
+      ageMs: Math.round(ageMs),
+      remainingMs: Math.round(remainingMs),
+      jobs: dispatcher.jobs.size,
+      free: this.freeMillis(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/zone/src/holder/observer.ts
@@ -0,0 +1,54 @@
+/** Writes what the dispatcher changes to the log and the counters. */
+import {
+  RunEnd,
+  type DispatchObserver,
+  type Order,
+} from '@goldcrestpier/dispatch';
+import type {Logger} from '@goldcrestpier/runtime';
+import type {ZoneMetrics} from '../metrics/index.js';
+
+/** Observes one dispatcher. */
+export function createObserver(
+  logger: Logger,
+  metrics: ZoneMetrics,
+): DispatchObserver {
+  return {
+    runEnded({key: task, run, workerId: worker, expectedMs}, end, tookMs) {
+      metrics.runs.inc({end});
+      const fields = {
+        task,
+        run,
+        worker,
+        end,
+        tookMs: Math.round(tookMs),
+        expectedMs: Math.round(expectedMs),
+      };
+      if (end === RunEnd.Done) logger.debug('run ended', fields);
+      else logger.info('run ended', fields);
+    },
+    workerStruck(worker, reason, ejected) {
+      metrics.strikes.inc({reason});
+      if (ejected) metrics.ejections.inc({reason});
+      logger.info('worker struck', {worker, reason, ejected});
+    },
+  };
+}
+
+/** Writes one line for each job of which tasks were placed. */
+export function logPlacements(
+  orders: readonly Order[],
+  logger: Logger,
+): void {
+  const placed = new Map<string, string[]>();
+  for (const order of orders) {
+    if (order.kind !== 'start') continue;
+    const {task, run, workerId, expectedMs} = order.run;
+    const texts = placed.get(task.jobId) ?? [];
+    const place = `${task.step}.${task.index}/${run}@${workerId}`;
+    texts.push(`${place}~${Math.round(expectedMs)}ms`);
+    placed.set(task.jobId, texts);
+  }
+  for (const [job, texts] of placed) {
+    logger.info('tasks placed', {job, tasks: texts.join(' ')});
+  }
+}
--- /dev/null
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -0,0 +1,118 @@
+/**
+ * Watches one worker for its holder: shows it the holder's token, keeps what
+ * runs there under a lease, and takes in what has ended. A worker where nothing
+ * runs is left in peace.
+ */
+import type {Dispatcher} from '@goldcrestpier/dispatch';
+import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
+import {OrderFailure, type WorkerPort} from '../ports/index.js';
+
+/** Longest time that a worker may wait for an end before it answers, in ms. */
+const LONGEST_WAIT_MS = 400;
+/** Shortest such time, in ms. */
+const SHORTEST_WAIT_MS = 20;
+/** First and longest pause before a silent worker is looked at again, in ms. */
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 1_000;
+
+/** What a watch needs. */
+export interface WorkerWatchOptions {
+  readonly workerId: string;
+  readonly token: number;
+  readonly leaseMs: Millis;
+  readonly dispatcher: Dispatcher;
+  readonly port: WorkerPort;
+  /** Called when something is known that decisions depend on. */
+  readonly onChange: () => void;
+  readonly onFenced: () => void;
+  readonly onLookFailed: (workerId: string, failure: OrderFailure) => void;
+}
+
+/** One task for one worker. */
+export class WorkerWatch {
+  private readonly wakeup = new Wakeup();
+  private failures = 0;
+
+  constructor(private readonly options: WorkerWatchOptions) {}
+
+  /** To be called when the worker has been given something. */
+  wake(): void {
+    this.wakeup.tell();
+  }
+
+  /** Watches until `signal` aborts or the dispatcher drops the worker. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {workerId, dispatcher} = this.options;
+    while (!signal.aborted) {
+      const record = dispatcher.workers.get(workerId);
+      if (record === undefined) return;
+      const isQuiet = record.runs.size === 0 && record.orphans.size === 0;
+      if (record.isHeld && !record.isSilent && isQuiet) {
+        await this.wakeup.wait(signal);
+        continue;
+      }
+      await this.look(signal);
+    }
+  }
+
+  private async look(signal: AbortSignal): Promise<void> {
+    const {workerId, dispatcher, port, token, onChange} = this.options;
+    const record = dispatcher.workers.get(workerId);
+    if (record === undefined) return;
+    const sentAt = readClock();
+    const leaseUntil = this.chooseLease(sentAt);
+    const waitMs = leaseUntil === undefined ? 0 : this.chooseWait(sentAt);
+    const {info: worker, lastSeen} = record;
+    const order = {worker, token, lastSeen, leaseUntil, waitMs};
+    const result = await port.look(order, signal);
+    const now = readClock();
+    if (signal.aborted) return;
+    if (result.isOk()) {
+      this.failures = 0;
+      dispatcher.looked(workerId, result.value, sentAt, now);
+      onChange();
+      return;
+    }
+    await this.takeFailure(result.error, signal);
+  }
+
+  /** A worker that did not answer gets no new lease, so that runs can lapse. */
+  private chooseLease(now: Millis): Millis | undefined {
+    const {workerId, dispatcher, leaseMs} = this.options;
+    const record = dispatcher.workers.get(workerId);
+    if (record === undefined || record.isSilent || !record.isHeld) {
+      return undefined;
+    }
+    const clock = record.clockAt(now);
+    if (clock === undefined) return undefined;
+    dispatcher.noteLease(workerId, now);
+    return Math.floor(clock + leaseMs);
+  }
+
+  private chooseWait(now: Millis): Millis {
+    const {workerId, dispatcher} = this.options;
+    const untilOverdue = dispatcher.overdueAt(workerId) - now;
+    const wait = Math.min(
+      Math.max(untilOverdue, SHORTEST_WAIT_MS),
+      LONGEST_WAIT_MS,
+    );
+    return Math.ceil(wait);
+  }
+
+  private async takeFailure(
+    failure: OrderFailure,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {workerId, dispatcher, onFenced, onLookFailed} = this.options;
+    if (failure === OrderFailure.Fenced) {
+      onFenced();
+      return;
+    }
+    dispatcher.lookFailed(workerId);
+    onLookFailed(workerId, failure);
+    this.options.onChange();
+    const pause = FIRST_PAUSE_MS * 2 ** this.failures;
+    this.failures += 1;
+    await sleep(Math.min(pause, LONGEST_PAUSE_MS), signal);
+  }
+}
--- /dev/null
+++ b/packages/zone/src/index.ts
@@ -0,0 +1,11 @@
+/** Instances of a zone that share the holding of its workers. */
+export {
+  Instance,
+  startInstance,
+  type InstanceFailure,
+  type InstanceOptions,
+} from './instance/instance.js';
+export {ZoneMetrics} from './metrics/index.js';
+export * from './owner/index.js';
+export * from './ports/index.js';
+export {drawNonce} from './election/index.js';
--- /dev/null
+++ b/packages/zone/src/instance/instance.ts
@@ -0,0 +1,350 @@
+/**
+ * One instance of a zone: it answers for the jobs that callers hand to it, and
+ * holds the zone's workers when it is its turn.
+ */
+import {
+  AbandonReason,
+  type DispatcherOptions,
+  type Job,
+} from '@goldcrestpier/dispatch';
+import {startCallServer} from '@goldcrestpier/peers';
+import {
+  LogPart,
+  readClock,
+  type Lifecycle,
+  type Logger,
+  type Logs,
+  type Millis,
+} from '@goldcrestpier/runtime';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {createToken, Election, type Role} from '../election/index.js';
+import {Holder} from '../holder/index.js';
+import type {ZoneMetrics} from '../metrics/index.js';
+import {Owner, type HolderTarget, type OwnerAnswer} from '../owner/index.js';
+import type {Configuration, Directory, WorkerPort} from '../ports/index.js';
+import {
+  createZoneRouter,
+  zoneMethods,
+  type Claim,
+  type JobAnswer,
+  type JobCancellation,
+  type JobSubmission,
+  type ZoneHandlers,
+  type ZoneHeartbeat,
+} from '../protocol/index.js';
+import {HolderChange} from './holder_change.js';
+import {Links} from './links.js';
+import {ZoneView} from './zone_view.js';
+
+/** How often an instance considers its role, in ms. */
+const STEP_MS = 50;
+/** How long an instance may be without a holder and still call itself ready. */
+const READY_WITHOUT_HOLDER_MS = 2_000;
+/** How long a question to a peer waits for its answer, in ms. */
+const ASK_TIMEOUT_MS = 1_000;
+/** No secret: the platform's network keeps others away from the listener. */
+const PEER_TOKEN = 'zone';
+
+/** Where an instance's listener for peers stands. */
+export interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What an instance needs. */
+export interface InstanceOptions {
+  /** Differs for each start of a process. */
+  readonly id: string;
+  readonly zone: string;
+  readonly listen: PeerAddress;
+  /** The part of its tokens that is this process's own. */
+  readonly nonce: number;
+  readonly bounds: DispatcherOptions;
+  readonly directory: Directory;
+  readonly port: WorkerPort;
+  /** Addresses of peers that are worth a try without the platform's list. */
+  readonly seeds: readonly string[];
+  readonly logs: Logs;
+  readonly metrics: ZoneMetrics;
+  readonly lifecycle: Lifecycle;
+}
+
+/** The listener for peers could not be opened. */
+export interface InstanceFailure {
+  readonly address: string;
+  /** The system's error code. */
+  readonly code: string;
+}
+
+/** Starts an instance. */
+export async function startInstance(
+  options: InstanceOptions,
+): Promise<Result<Instance, InstanceFailure>> {
+  const instance = new Instance(options);
+  const started = await startCallServer({
+    listen: options.listen,
+    token: PEER_TOKEN,
+    router: createZoneRouter(instance),
+    methods: zoneMethods,
+    logger: options.logs.forPart(LogPart.Peers),
+    lifecycle: options.lifecycle,
+  });
+  if (started.isErr()) {
+    const {host, port, code} = started.error;
+    return Err({address: `${host}:${port}`, code});
+  }
+  instance.start();
+  return Ok(instance);
+}
+
+/** A running instance. */
+export class Instance implements ZoneHandlers {
+  private readonly log: Logger;
+  private readonly address: string;
+  private readonly view: ZoneView;
+  private readonly election: Election;
+  private readonly links: Links;
+  private readonly owner: Owner;
+  private readonly change = new HolderChange();
+  private holder: Holder | undefined;
+  private holderLifecycle: Lifecycle | undefined;
+  private role: Role = {kind: 'wait'};
+  private hadHolderAt: Millis = -Infinity;
+  private isLeaving = false;
+  private isReadingConfiguration = false;
+
+  constructor(private readonly options: InstanceOptions) {
+    const {id, zone, listen, logs, metrics, lifecycle, seeds} = options;
+    this.log = logs.forPart(LogPart.Membership);
+    this.address = `${listen.host}:${listen.port}`;
+    this.view = new ZoneView(zone, this.address);
+    for (const seed of seeds) this.view.addAddress(seed);
+    this.election = new Election(id, readClock());
+    this.links = new Links({
+      selfId: id,
+      logger: logs.forPart(LogPart.Peers),
+      lifecycle,
+      createHeartbeat: () => this.createHeartbeat(readClock()),
+      onHeartbeat: (message, now) => this.hear(message, now),
+      onRefused: address => this.view.noteRefused(address),
+    });
+    this.owner = new Owner({
+      selfId: id,
+      findHolder: () => this.findHolder(),
+      waitForChange: (from, signal) => this.change.wait(from, signal),
+      logger: logs.forPart(LogPart.Jobs),
+      metrics,
+    });
+  }
+
+  /** Begins to consider its role. */
+  start(): void {
+    const timer = setInterval(() => this.step(readClock()), STEP_MS);
+    this.options.lifecycle.own('role', () => clearInterval(timer));
+  }
+
+  /** Answers a caller's job. Aborting `signal` gives it up. */
+  run(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
+    return this.owner.run(job, signal);
+  }
+
+  /** Whether this instance should be given new connections. */
+  isReady(now: Millis): boolean {
+    if (this.isLeaving) return false;
+    if (this.options.directory.configuration() === undefined) return false;
+    return now - this.hadHolderAt < READY_WITHOUT_HOLDER_MS;
+  }
+
+  /** Begins a planned stop: another instance takes over. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  /** Jobs of a queue that have not started, as far as is known here. */
+  countWaiting(queue: string): number {
+    return this.holder?.countWaiting(queue) ?? 0;
+  }
+
+  /** Takes a neighbour's heartbeat. */
+  heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat> {
+    const now = readClock();
+    this.hear(message, now);
+    return Promise.resolve(this.createHeartbeat(now));
+  }
+
+  /** Takes a job for the workers that this instance holds. */
+  submit(message: JobSubmission): Promise<JobAnswer> {
+    if (this.holder !== undefined) return this.holder.submit(message);
+    return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
+  }
+
+  /** Gives up a job that a peer handed in. */
+  cancel({ownerId, jobId}: JobCancellation): Promise<void> {
+    this.holder?.cancel(ownerId, jobId, AbandonReason.Cancelled);
+    return Promise.resolve();
+  }
+
+  /** The configuration known here. */
+  readConfiguration(): Promise<Configuration | null> {
+    return Promise.resolve(this.options.directory.configuration() ?? null);
+  }
+
+  private step(now: Millis): void {
+    const {directory} = this.options;
+    this.view.setRegistrations(directory.registrations(), now);
+    this.links.setAddresses(this.view.addresses);
+    this.takeRole(
+      this.election.chooseRole(this.view.members(), this.isLeaving, now),
+      now,
+    );
+    const {holder} = this;
+    if (holder === undefined) return;
+    const {zone, id} = this.options;
+    holder.setWorkers(directory.workers().filter(w => w.zone === zone));
+    holder.dropOwners(
+      ownerId => ownerId === id || this.view.isAlive(ownerId, now),
+    );
+  }
+
+  private takeRole(role: Role, now: Millis): void {
+    const before = this.role;
+    this.role = role;
+    if (role.kind !== 'hold' && role.kind !== 'claim') this.endHolding();
+    if (role.kind === 'claim') this.claim(role.skip, now);
+    const holderId = this.holderId();
+    if (holderId !== undefined) this.hadHolderAt = now;
+    if (before.kind !== role.kind) {
+      this.options.metrics.roles.inc({role: role.kind});
+      this.log.info('role changed', {
+        from: before.kind,
+        to: role.kind,
+        holder: holderId,
+        token: this.election.claim?.token,
+      });
+    }
+    if (holderId !== undefined) this.change.tell(holderId);
+  }
+
+  private claim(skip: number, now: Millis): void {
+    const {id, nonce} = this.options;
+    const highest = this.election.claim?.token ?? 0;
+    // Only the token's height depends on the time of day, not its safety.
+    const token = createToken(highest, nonce, Date.now(), skip);
+    this.endHolding();
+    this.election.noteClaim({holderId: id, token});
+    this.log.info('claiming the workers of the zone', {token, highest});
+    const {bounds, port, logs, metrics, lifecycle, zone, directory} =
+      this.options;
+    const child = lifecycle.createChild(`holder ${token}`);
+    this.holderLifecycle = child;
+    this.holder = new Holder({
+      token,
+      bounds,
+      port,
+      logger: logs.forPart(LogPart.Holding),
+      metrics,
+      lifecycle: child,
+      onFenced: () => this.noteFenced(readClock()),
+    });
+    this.holder.setWorkers(directory.workers().filter(w => w.zone === zone));
+    this.hadHolderAt = now;
+  }
+
+  private noteFenced(now: Millis): void {
+    this.election.noteFenced(now);
+    this.step(now);
+  }
+
+  private endHolding(): void {
+    if (this.holderLifecycle === undefined) return;
+    void this.holderLifecycle.close();
+    this.holderLifecycle = undefined;
+    this.holder = undefined;
+  }
+
+  private hear(message: ZoneHeartbeat, now: Millis): void {
+    this.view.hear(message, now);
+    if (message.zone !== this.options.zone) return;
+    if (message.claim !== undefined) this.noteClaim(message.claim, now);
+    const own = this.options.directory.configuration()?.version ?? 0;
+    if (message.configurationVersion > own) {
+      void this.fetchConfiguration(message.address);
+    }
+  }
+
+  private noteClaim(claim: Claim, now: Millis): void {
+    if (!this.election.noteClaim(claim)) return;
+    const {holderId, token} = claim;
+    this.log.info('heard a higher claim', {holder: holderId, token});
+    // Acting at once shortens the time in which two instances hold.
+    this.step(now);
+  }
+
+  private async fetchConfiguration(address: string): Promise<void> {
+    const calls = this.links.find(address);
+    if (calls === undefined || this.isReadingConfiguration) return;
+    this.isReadingConfiguration = true;
+    const result = await calls.readConfiguration(ASK_TIMEOUT_MS);
+    this.isReadingConfiguration = false;
+    if (result.isErr() || result.value === null) return;
+    this.options.directory.offer(result.value);
+  }
+
+  private createHeartbeat(now: Millis): ZoneHeartbeat {
+    const {id, zone, directory} = this.options;
+    const {claim} = this.election;
+    return {
+      id,
+      zone,
+      address: this.address,
+      isLeaving: this.isLeaving,
+      configurationVersion: directory.configuration()?.version ?? 0,
+      ...(claim === undefined
+        ? {}
+        : {claim, holderHeardMs: this.holderHeardMs(claim.holderId, now)}),
+      ...(this.holder === undefined
+        ? {}
+        : {freeMillis: this.holder.freeMillis()}),
+    };
+  }
+
+  private holderHeardMs(holderId: string, now: Millis): Millis | undefined {
+    if (holderId === this.options.id) return 0;
+    const heardAt = this.view.heardAt(holderId);
+    return heardAt === undefined ? undefined : now - heardAt;
+  }
+
+  private holderId(): string | undefined {
+    switch (this.role.kind) {
+      case 'hold':
+      case 'claim':
+        return this.options.id;
+      case 'follow':
+        return this.role.holderId;
+      case 'wait':
+        return undefined;
+    }
+  }
+
+  private findHolder(): HolderTarget | undefined {
+    const {holder, options} = this;
+    const {id: selfId} = options;
+    if (holder !== undefined) {
+      return {
+        id: selfId,
+        submit: async message => Ok(await holder.submit(message)),
+        cancel: jobId => holder.cancel(selfId, jobId, AbandonReason.Cancelled),
+      };
+    }
+    const id = this.holderId();
+    const address = id === undefined ? undefined : this.view.addressOf(id);
+    const calls = address === undefined ? undefined : this.links.find(address);
+    if (id === undefined || calls === undefined) return undefined;
+    return {
+      id,
+      submit: (message, timeoutMs) => calls.submit(message, timeoutMs),
+      cancel: jobId =>
+        void calls.cancel({ownerId: selfId, jobId}, ASK_TIMEOUT_MS),
+    };
+  }
+}
--- /dev/null
+++ b/packages/zone/src/instance/links.ts
@@ -0,0 +1,107 @@
+/** One link to each neighbour, with a heartbeat on each. */
+import {createCallLink, type CallLink} from '@goldcrestpier/peers';
+import {
+  readClock,
+  sleep,
+  type Lifecycle,
+  type Logger,
+  type Millis,
+} from '@goldcrestpier/runtime';
+import {ZoneCalls, zoneMethods, type ZoneHeartbeat} from '../protocol/index.js';
+
+/** Pause between two heartbeats to one neighbour, in ms. */
+const HEARTBEAT_MS = 150;
+/** How long a heartbeat waits for its answer, in ms. */
+const HEARTBEAT_TIMEOUT_MS = 450;
+/** No secret: the platform's network keeps others away from the listener. */
+const PEER_TOKEN = 'zone';
+
+const linkLimits = {
+  connectMs: 400,
+  silenceMs: 900,
+  firstRetryMs: 50,
+  longestRetryMs: 400,
+};
+
+/** What links need. */
+export interface LinksOptions {
+  readonly selfId: string;
+  readonly logger: Logger;
+  readonly lifecycle: Lifecycle;
+  /** The heartbeat to send now. */
+  readonly createHeartbeat: () => ZoneHeartbeat;
+  readonly onHeartbeat: (message: ZoneHeartbeat, now: Millis) => void;
+  readonly onRefused: (address: string) => void;
+}
+
+interface Neighbour {
+  readonly link: CallLink;
+  readonly calls: ZoneCalls;
+  readonly lifecycle: Lifecycle;
+}
+
+/** Keeps the links that are wanted. */
+export class Links {
+  private readonly neighbours = new Map<string, Neighbour>();
+
+  constructor(private readonly options: LinksOptions) {}
+
+  /** Opens links to new addresses and closes those that are gone. */
+  setAddresses(addresses: readonly string[]): void {
+    const wanted = new Set(addresses);
+    for (const address of wanted) {
+      if (!this.neighbours.has(address)) this.open(address);
+    }
+    for (const [address, {lifecycle}] of this.neighbours) {
+      if (wanted.has(address)) continue;
+      this.neighbours.delete(address);
+      void lifecycle.close();
+    }
+  }
+
+  /** The calls of a neighbour with whom there is a connection. */
+  find(address: string): ZoneCalls | undefined {
+    const neighbour = this.neighbours.get(address);
+    return neighbour?.link.isConnected() ? neighbour.calls : undefined;
+  }
+
+  private open(address: string): void {
+    const {selfId, logger} = this.options;
+    const lifecycle = this.options.lifecycle.createChild(`to ${address}`);
+    const options = {
+      address,
+      token: PEER_TOKEN,
+      self: selfId,
+      logger,
+      lifecycle,
+    };
+    const link = createCallLink({...options, limits: linkLimits}, zoneMethods);
+    const calls = new ZoneCalls(link);
+    this.neighbours.set(address, {link, calls, lifecycle});
+    const loop = (signal: AbortSignal) => this.beat(link, calls, signal);
+    lifecycle.run('heartbeats', loop, cause => {
+      logger.error('heartbeats ended by a fault', {
+        address,
+        cause: String(cause),
+      });
+    });
+  }
+
+  private async beat(
+    link: CallLink,
+    calls: ZoneCalls,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {createHeartbeat, onHeartbeat, onRefused} = this.options;
+    while (!signal.aborted) {
+      if (link.isConnected()) {
+        const message = createHeartbeat();
+        const result = await calls.heartbeat(message, HEARTBEAT_TIMEOUT_MS);
+        if (result.isOk()) onHeartbeat(result.value, readClock());
+      } else if (link.isRefused()) {
+        onRefused(link.address);
+      }
+      await sleep(HEARTBEAT_MS, signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/zone/src/instance/zone_view.ts
@@ -0,0 +1,137 @@
+/** The other instances of the zone, as registered and as heard. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {SILENCE_MS, type Member} from '../election/index.js';
+import type {Registration} from '../ports/index.js';
+import type {ZoneHeartbeat} from '../protocol/index.js';
+
+/** How long an instance that is neither registered nor heard is kept, in ms. */
+const FORGET_MS = 10_000;
+
+interface Neighbour {
+  readonly address: string;
+  id: string;
+  isRegistered: boolean;
+  last: ZoneHeartbeat | undefined;
+  heardAt: Millis | undefined;
+  isRefused: boolean;
+}
+
+/** Keeps one record for each address of the zone. */
+export class ZoneView {
+  private readonly neighbours = new Map<string, Neighbour>();
+
+  constructor(
+    private readonly zone: string,
+    private readonly selfAddress: string,
+  ) {}
+
+  /** Addresses to keep links to. */
+  get addresses(): readonly string[] {
+    return [...this.neighbours.keys()];
+  }
+
+  /** Takes the platform's list, which may be old. */
+  setRegistrations(list: readonly Registration[], now: Millis): void {
+    for (const neighbour of this.neighbours.values()) {
+      neighbour.isRegistered = false;
+    }
+    for (const {id, zone, address} of list) {
+      if (zone !== this.zone || address === this.selfAddress) continue;
+      const known = this.find(address, id);
+      known.isRegistered = true;
+      if (!isHeardAt(known.heardAt, now)) known.id = id;
+    }
+    for (const [address, {isRegistered, heardAt}] of this.neighbours) {
+      const isOld = now - (heardAt ?? 0) > FORGET_MS;
+      if (!isRegistered && isOld) this.neighbours.delete(address);
+    }
+  }
+
+  /** Adds an address that is worth a try, without knowing who is there. */
+  addAddress(address: string): void {
+    if (address !== this.selfAddress) this.find(address, '');
+  }
+
+  /** Notes a heartbeat that came or that answered ours. */
+  hear(message: ZoneHeartbeat, now: Millis): void {
+    if (message.zone !== this.zone || message.address === this.selfAddress) {
+      this.neighbours.delete(message.address);
+      return;
+    }
+    const known = this.find(message.address, message.id);
+    known.id = message.id;
+    known.last = message;
+    known.heardAt = now;
+    known.isRefused = false;
+  }
+
+  /** Notes that the host says that no process listens at the address. */
+  noteRefused(address: string): void {
+    const known = this.neighbours.get(address);
+    if (known !== undefined) known.isRefused = true;
+  }
+
+  /** Whether this instance was heard a moment ago. */
+  isAlive(id: string, now: Millis): boolean {
+    for (const neighbour of this.neighbours.values()) {
+      if (neighbour.id === id) return isHeardAt(neighbour.heardAt, now);
+    }
+    return false;
+  }
+
+  /** The address of an instance; undefined when it is not known. */
+  addressOf(id: string): string | undefined {
+    for (const neighbour of this.neighbours.values()) {
+      if (neighbour.id === id) return neighbour.address;
+    }
+    return undefined;
+  }
+
+  /** When the instance was last heard from. */
+  heardAt(id: string): Millis | undefined {
+    for (const neighbour of this.neighbours.values()) {
+      if (neighbour.id === id) return neighbour.heardAt;
+    }
+    return undefined;
+  }
+
+  /** The members as the election takes them. */
+  members(): Member[] {
+    const members: Member[] = [];
+    for (const {id, last, heardAt, isRefused} of this.neighbours.values()) {
+      if (id === '') continue;
+      const holderHeardMs = last?.holderHeardMs;
+      members.push({
+        id,
+        isLeaving: last?.isLeaving ?? false,
+        heardAt,
+        isRefused,
+        holderId: last?.claim?.holderId,
+        holderHeardAt:
+          heardAt === undefined || holderHeardMs === undefined
+            ? undefined
+            : heardAt - holderHeardMs,
+      });
+    }
+    return members;
+  }
+
+  private find(address: string, id: string): Neighbour {
+    const known = this.neighbours.get(address);
+    if (known !== undefined) return known;
+    const added: Neighbour = {
+      address,
+      id,
+      isRegistered: false,
+      last: undefined,
+      heardAt: undefined,
+      isRefused: false,
+    };
+    this.neighbours.set(address, added);
+    return added;
+  }
+}
+
+function isHeardAt(heardAt: Millis | undefined, now: Millis): boolean {
+  return heardAt !== undefined && now - heardAt < SILENCE_MS;
+}
--- /dev/null
+++ b/packages/zone/src/metrics/index.ts
@@ -0,0 +1,105 @@
+/** Counters and histograms of one instance, in the form of Prometheus. */
+import type {Outcome} from '@goldcrestpier/dispatch';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+const JOB_SECONDS_BUCKETS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+/** What an instance counts. */
+export class ZoneMetrics {
+  private readonly registry = new Registry();
+  /** Callers' requests, by queue and status. */
+  readonly requests = this.createCounter(
+    'goldcrestpier_requests_total',
+    'Requests answered on the callers listener.',
+    ['method', 'status'],
+  );
+  readonly refusals = this.createCounter(
+    'goldcrestpier_refusals_total',
+    'Jobs refused, by reason.',
+    ['reason'],
+  );
+  readonly abandoned = this.createCounter(
+    'goldcrestpier_abandoned_total',
+    'Jobs given up after a start, by reason.',
+    ['reason'],
+  );
+  readonly jobs = this.createCounter(
+    'goldcrestpier_jobs_ended_total',
+    'Jobs ended at the holder, by outcome.',
+    ['outcome'],
+  );
+  readonly starts = this.createCounter(
+    'goldcrestpier_starts_total',
+    'Orders to start a task, by answer.',
+    ['answer'],
+  );
+  readonly runs = this.createCounter(
+    'goldcrestpier_runs_ended_total',
+    'Runs of tasks, by how they ended; all but done are tried again.',
+    ['end'],
+  );
+  readonly strikes = this.createCounter(
+    'goldcrestpier_worker_strikes_total',
+    'Faults seen at workers, by reason.',
+    ['reason'],
+  );
+  readonly ejections = this.createCounter(
+    'goldcrestpier_worker_ejections_total',
+    'Workers left alone for a while, by the reason of the last strike.',
+    ['reason'],
+  );
+  readonly looksFailed = this.createCounter(
+    'goldcrestpier_looks_failed_total',
+    'Looks at workers that brought nothing, by reason.',
+    ['reason'],
+  );
+  readonly resubmissions = this.createCounter(
+    'goldcrestpier_resubmissions_total',
+    'Jobs handed in again to a holder, by reason.',
+    ['reason'],
+  );
+  readonly roles = this.createCounter(
+    'goldcrestpier_role_changes_total',
+    "Changes of this instance's role, by the new role.",
+    ['role'],
+  );
+  readonly storeCalls = this.createCounter(
+    'goldcrestpier_store_calls_total',
+    'Calls to the platform store, by call and result.',
+    ['call', 'result'],
+  );
+  readonly isReady = new Gauge({
+    name: 'goldcrestpier_ready',
+    help: '1 while this instance takes new connections.',
+    registers: [this.registry],
+  });
+  readonly jobSeconds = new Histogram({
+    name: 'goldcrestpier_job_seconds',
+    help: "Time from a job's arrival to its answer, by outcome.",
+    labelNames: ['outcome'],
+    buckets: JOB_SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  /** Counts how a job ended, with its reason. */
+  countOutcome(outcome: Outcome): void {
+    this.jobs.inc({outcome: outcome.kind});
+    if (outcome.kind === 'refused') this.refusals.inc({reason: outcome.reason});
+    if (outcome.kind === 'abandoned') {
+      this.abandoned.inc({reason: outcome.reason});
+    }
+  }
+
+  /** All figures as text. */
+  format(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private createCounter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[],
+  ): Counter<Label> {
+    return new Counter({name, help, labelNames, registers: [this.registry]});
+  }
+}
--- /dev/null
+++ b/packages/zone/src/owner/index.ts
@@ -0,0 +1,2 @@
+/** Answering for callers' jobs. */
+export * from './owner.js';
--- /dev/null
+++ b/packages/zone/src/ports/directory.ts
@@ -0,0 +1,50 @@
+/** What an instance learns from the platform; its adapter provides it. */
+import type {Worker} from '@goldcrestpier/dispatch';
+import type {Millis} from '@goldcrestpier/runtime';
+
+/** One queue: the callers' host and path prefix, and how its jobs are served. */
+export interface Queue {
+  readonly name: string;
+  readonly host: string;
+  readonly prefix: string;
+  readonly service: string;
+  readonly priority: number;
+  readonly maxAttempts: number;
+  readonly stretch: number;
+  readonly targetMs: Millis;
+  readonly timeoutMs: Millis;
+}
+
+/** Bounds of what callers may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: Millis;
+  readonly idleTimeoutMs: Millis;
+}
+
+/** The operators' configuration as a whole. Versions only rise. */
+export interface Configuration {
+  readonly version: number;
+  readonly queues: readonly Queue[];
+  readonly limits: CallerLimits;
+}
+
+/** An instance that is registered with the platform. */
+export interface Registration {
+  readonly id: string;
+  readonly zone: string;
+  /** `host:port` of its listener for peers. */
+  readonly address: string;
+}
+
+/** The newest that is known; each part is undefined until first read. */
+export interface Directory {
+  configuration(): Configuration | undefined;
+  workers(): readonly Worker[];
+  registrations(): readonly Registration[];
+  /** When the platform's store last answered. */
+  heardAt(): Millis | undefined;
+  /** Takes a configuration that a peer has; only a newer one changes anything. */
+  offer(configuration: Configuration): void;
+}
--- /dev/null
+++ b/packages/zone/src/protocol/index.ts
@@ -0,0 +1,3 @@
+/** The protocol between instances. */
+export * from './messages.js';
+export * from './router.js';
--- /dev/null
+++ b/packages/zone/src/protocol/router.ts
@@ -0,0 +1,112 @@
+/** The calls between instances, as a tRPC router and as a typed client. */
+import {
+  call,
+  createRouter,
+  take,
+  type CallLink,
+  type CallMethods,
+  type PeerFailure,
+} from '@goldcrestpier/peers';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {z} from 'zod';
+import type {Configuration} from '../ports/index.js';
+import {
+  configurationSchema,
+  heartbeatSchema,
+  jobAnswerSchema,
+  jobCancellationSchema,
+  jobSubmissionSchema,
+  type JobAnswer,
+  type JobCancellation,
+  type JobSubmission,
+  type ZoneHeartbeat,
+} from './messages.js';
+
+/** What an instance does with what its peers send. */
+export interface ZoneHandlers {
+  heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat>;
+  submit(message: JobSubmission): Promise<JobAnswer>;
+  cancel(message: JobCancellation): Promise<void>;
+  readConfiguration(): Promise<Configuration | null>;
+}
+
+/** How tRPC takes each call. */
+export const zoneMethods: CallMethods = {
+  heartbeat: 'mutation',
+  submit: 'mutation',
+  cancel: 'mutation',
+  readConfiguration: 'query',
+};
+
+/** Builds the router; every input is checked before its handler sees it. */
+export function createZoneRouter(handlers: ZoneHandlers) {
+  return createRouter({
+    heartbeat: call
+      .input(heartbeatSchema)
+      .mutation(take(input => handlers.heartbeat(input))),
+    submit: call
+      .input(jobSubmissionSchema)
+      .mutation(take(input => handlers.submit(input))),
+    cancel: call
+      .input(jobCancellationSchema)
+      .mutation(take(input => handlers.cancel(input))),
+    readConfiguration: call.query(take(() => handlers.readConfiguration())),
+  });
+}
+
+/** The answer did not have the shape of the call. */
+export interface MalformedAnswer {
+  readonly kind: 'malformed';
+}
+
+/** Why a call brought nothing. */
+export type ZoneCallFailure = PeerFailure | MalformedAnswer;
+
+/** The calls of a peer over its link. */
+export class ZoneCalls {
+  constructor(private readonly link: CallLink) {}
+
+  /** Tells the peer of this instance; answered with the peer's own state. */
+  heartbeat(
+    message: ZoneHeartbeat,
+    timeoutMs: number,
+  ): Promise<Result<ZoneHeartbeat, ZoneCallFailure>> {
+    return this.ask(heartbeatSchema, 'heartbeat', message, timeoutMs);
+  }
+
+  /** Hands a job to the peer, the holder; answered when the job has ended. */
+  submit(
+    message: JobSubmission,
+    timeoutMs: number,
+  ): Promise<Result<JobAnswer, ZoneCallFailure>> {
+    return this.ask(jobAnswerSchema, 'submit', message, timeoutMs);
+  }
+
+  /** Gives a job up. */
+  cancel(
+    message: JobCancellation,
+    timeoutMs: number,
+  ): Promise<Result<unknown, ZoneCallFailure>> {
+    return this.ask(z.unknown(), 'cancel', message, timeoutMs);
+  }
+
+  /** Reads the configuration that the peer has; null when it has none. */
+  readConfiguration(
+    timeoutMs: number,
+  ): Promise<Result<Configuration | null, ZoneCallFailure>> {
+    const schema = configurationSchema.nullable();
+    return this.ask(schema, 'readConfiguration', undefined, timeoutMs);
+  }
+
+  private async ask<Answer>(
+    schema: z.ZodType<Answer>,
+    name: string,
+    input: unknown,
+    timeoutMs: number,
+  ): Promise<Result<Answer, ZoneCallFailure>> {
+    const result = await this.link.call(name, input, timeoutMs);
+    if (result.isErr()) return result;
+    const answer = schema.safeParse(result.value);
+    return answer.success ? Ok(answer.data) : Err({kind: 'malformed'});
+  }
+}
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -23,8 +23,9 @@
 }
 
 const only = process.argv.slice(2);
-const files = readdirSync('packages')
-  .flatMap(name => findTests(join('packages', name, 'dist', 'test')))
+const projects = readdirSync('packages').map(name => join('packages', name));
+const files = [...projects, 'platform']
+  .flatMap(project => findTests(join(project, 'dist', 'test')))
   .filter(file => only.length === 0 || only.some(part => file.includes(part)))
   .sort();
 
