--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -10,7 +10,7 @@
   estimateWait,
   sumCapacity,
 } from '../admission/index.js';
-import {canEverRun, chooseWorker} from '../placement/index.js';
+import {canEverRun, chooseWorker, expectWorth, Prospects} from '../placement/index.js';
 import {AbandonReason, RefusalReason, type Job} from '../work/index.js';
 import {
   RunPhase,
@@ -27,7 +27,7 @@
   type EndedJob,
 } from './board.js';
 import {beginTrial, StrikeReason} from './health.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import {findDue, type JobRecord, type TaskRecord} from './job_record.js';
 import {nextOverdueAt, takeLook} from './looks.js';
 import {orderJobs} from './order.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
@@ -38,6 +38,8 @@
 const STOP_AGAIN_MS = 200;
 /** How long runs of an earlier holder wait for their jobs, in ms. */
 const ADOPTION_MS = 500;
+/** A job is refused when the wait leaves less than this of its worth. */
+const REFUSE_SHARE = 0.15;
 /** Run numbers left out after a worker called one old. */
 const RUN_STEP = 8;
 
@@ -237,16 +239,14 @@
     );
     if (!isPossible) return {reason: RefusalReason.NoFit, waitMs: 0};
     const expectedMs = this.board.expectJob(job);
-    const objectiveMs = job.stretch * expectedMs + job.targetMs;
-    const startBy = job.arrivedAt + objectiveMs - expectedMs;
-    const ahead = this.sumWorkAhead(startBy, now);
-    const capacity = sumCapacity(own, job.service);
-    const waitMs = estimateWait(ahead, capacity);
-    const usefulUntil = Math.min(
-      job.arrivedAt + USEFUL_OBJECTIVES * objectiveMs,
-      job.deadlineAt,
-    );
-    if (now + waitMs + expectedMs <= usefulUntil) return undefined;
+    const due = findDue(job, expectedMs);
+    const ahead = this.sumWorkAhead(due.dueAt - expectedMs, now);
+    const waitMs = estimateWait(ahead, sumCapacity(own, job.service));
+    const worthNow = expectWorth(due, expectedMs, now);
+    const worthThen = expectWorth(due, expectedMs, now + waitMs);
+    // What is long by itself is tried; only the wait is a reason to refuse.
+    const isUseless = worthThen < REFUSE_SHARE * worthNow;
+    if (!isUseless) return undefined;
     return {reason: RefusalReason.Overloaded, waitMs};
   }
 
@@ -310,7 +310,7 @@
         this.giveUp(record, AbandonReason.Deadline, now);
       } else if (
         !record.hasStarted &&
-        now + record.expectedMs > record.usefulUntil
+        now >= record.usefulUntil
       ) {
         this.refuseLate(record, now);
       }
@@ -321,11 +321,11 @@
     const waiting = [...this.board.jobs.values()].filter(
       record => record.ending === undefined && this.isPlaceable(record, now),
     );
+    const prospects = new Prospects(now);
     for (const record of orderJobs(waiting, now)) {
       for (const task of record.ready()) {
-        const run = this.placeTask(record, task, now);
-        // Tasks of a step are alike: where one has no room, none has.
-        if (run === undefined) break;
+        const run = this.placeTask(record, task, prospects, now);
+        if (run === undefined) continue;
         const {payload} = record.job;
         orders.push({kind: 'start', run, payload});
       }
@@ -344,20 +344,22 @@
   private placeTask(
     record: JobRecord,
     task: TaskRecord,
+    prospects: Prospects,
     now: Millis,
   ): Run | undefined {
-    const {job, dueAt} = record;
+    const {job} = record;
     const {queue, service} = job;
     const {step, name} = task;
     const worker = chooseWorker(
       {
         queue,
         step,
-        dueAt,
+        due: record,
         countOn: workerId => record.countOn(workerId, name.step),
       },
       this.workersOf(service),
       this.board.durations,
+      prospects,
       now,
     );
     if (worker === undefined) return undefined;
@@ -425,6 +427,3 @@
     if (task !== undefined) task.lastRun += RUN_STEP;
   }
 }
-
-/** Up to this multiple of its objective an answer is of use, if late. */
-const USEFUL_OBJECTIVES = 3;
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -7,6 +7,7 @@
   type Step,
   type TaskName,
 } from '../work/index.js';
+import type {Due} from '../placement/index.js';
 import type {Run} from '../workers/index.js';
 
 /** Up to this multiple of its objective an answer is of use, if late. */
@@ -51,10 +52,9 @@
     lastRun: number,
   ) {
     this.tasks = createTasks(job, lastRun);
-    const objectiveMs = job.stretch * expectedMs + job.targetMs;
-    this.dueAt = Math.min(job.arrivedAt + objectiveMs, job.deadlineAt);
-    const usefulMs = USEFUL_OBJECTIVES * objectiveMs;
-    this.usefulUntil = Math.min(job.arrivedAt + usefulMs, job.deadlineAt);
+    const {dueAt, usefulUntil} = findDue(job, expectedMs);
+    this.dueAt = dueAt;
+    this.usefulUntil = usefulUntil;
   }
 
   /** The latest time at which it can start and still end when due. */
@@ -99,6 +99,16 @@
   }
 }
 
+/** When a job with this ideal run time should end. */
+export function findDue(job: Job, expectedMs: Millis): Due {
+  const objectiveMs = job.stretch * expectedMs + job.targetMs;
+  const usefulMs = USEFUL_OBJECTIVES * objectiveMs;
+  return {
+    dueAt: Math.min(job.arrivedAt + objectiveMs, job.deadlineAt),
+    usefulUntil: Math.min(job.arrivedAt + usefulMs, job.deadlineAt),
+  };
+}
+
 function createTasks(job: Job, lastRun: number): TaskRecord[] {
   const tasks: TaskRecord[] = [];
   for (const [stepIndex, step] of job.steps.entries()) {
--- a/packages/dispatch/src/placement/choose_worker.ts
+++ b/packages/dispatch/src/placement/choose_worker.ts
@@ -1,34 +1,38 @@
 /**
  * Chooses the worker for one task. Answers the load of many short jobs over
- * workers of uneven speed: a task goes to the slowest worker that still ends
- * it in time, which keeps fast ones for tasks that need them, and among equals
- * to the one with the least room left, which keeps room for large tasks.
+ * workers of uneven speed: a task goes to the slowest worker on which it is
+ * almost as likely to end in time as on the best free one, which keeps fast
+ * workers for tasks that need them, and among equals to the one with the least
+ * room left, which keeps room for large tasks. A task that would hardly end in
+ * time on any free worker waits for a faster one.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Durations} from '../speeds/index.js';
 import type {Need, Step} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
+import {expectWorth, type Due} from './chance.js';
+import type {Prospects} from './prospects.js';
 
-/** Spare share of the expected run time when asking whether it ends in time. */
-const TIME_MARGIN = 1.2;
-/** Workers whose expected run times differ by less are equally fast. */
-const SPEED_STEP = 1.15;
+/** Workers count as equally good when their worth differs by less. */
+const WORTH_STEP = 0.05;
+/** A vacancy to come must be better by this, as others may take it. */
+const WAIT_GAIN = 0.1;
+/** How many times as long a task takes away from its data. */
+const FAR_FACTOR = 2;
 
 /** The task to place. */
 export interface Candidate {
   readonly queue: string;
   readonly step: Step;
-  /** By when the task should end. */
-  readonly dueAt: Millis;
+  readonly due: Due;
   /** Tasks of the step on a worker, where the step limits them. */
   readonly countOn: (workerId: string) => number;
 }
 
 interface Choice {
   readonly worker: WorkerRecord;
-  readonly isInTime: boolean;
-  /** Steps on a logarithmic scale of expected run time. */
-  readonly slowness: number;
+  readonly worth: number;
+  readonly expectedMs: Millis;
   readonly leftMillis: number;
 }
 
@@ -51,52 +55,68 @@
   return fits(need, capacity);
 }
 
-/** The best worker that has room now; undefined when none has. */
+/** The worker to start a task on now; undefined when it should wait. */
 export function chooseWorker(
   candidate: Candidate,
   workers: Iterable<WorkerRecord>,
   durations: Durations,
+  prospects: Prospects,
   now: Millis,
 ): WorkerRecord | undefined {
-  let best: Choice | undefined;
+  const free: Choice[] = [];
+  let later: Choice | undefined;
   for (const worker of workers) {
-    const choice = weigh(candidate, worker, durations, now);
-    if (choice === undefined) continue;
-    if (best === undefined || isBetter(choice, best)) best = choice;
+    if (!worker.isUsable(now) || !canEverRun(candidate.step, worker)) continue;
+    if (hasRoom(candidate, worker)) {
+      free.push(weigh(candidate, worker, durations, now));
+      continue;
+    }
+    const vacantAt = prospects.nextVacancy(worker);
+    const choice = weigh(candidate, worker, durations, vacantAt);
+    if (later === undefined || choice.worth > later.worth) later = choice;
   }
-  return best?.worker;
+  const best = Math.max(0, ...free.map(({worth}) => worth));
+  if (later !== undefined && later.worth > best + WAIT_GAIN) {
+    prospects.take(later.worker);
+    return undefined;
+  }
+  const good = free.filter(({worth}) => worth >= best - WORTH_STEP);
+  return good.sort(compareChoices)[0]?.worker;
 }
 
 function weigh(
-  {queue, step, dueAt, countOn}: Candidate,
+  {queue, step, due}: Candidate,
   worker: WorkerRecord,
   durations: Durations,
-  now: Millis,
-): Choice | undefined {
-  if (!worker.isUsable(now) || !canEverRun(step, worker)) return undefined;
+  startAt: Millis,
+): Choice {
   const {id, labels} = worker.info;
-  const most = step.maxPerWorker;
-  if (most !== undefined && countOn(id) >= most) return undefined;
-  const free = worker.free();
-  if (!fits(step.need, free)) return undefined;
   const isFar = step.dataRack !== undefined && !labels.includes(step.dataRack);
-  const distance = isFar ? FAR_FACTOR : 1;
-  const expectedMs = durations.expectOn(id, queue, step.estimateMs) * distance;
+  const expectedMs =
+    durations.expectOn(id, queue, step.estimateMs) * (isFar ? FAR_FACTOR : 1);
   return {
     worker,
-    isInTime: now + expectedMs * TIME_MARGIN <= dueAt,
-    slowness: Math.round(Math.log(expectedMs) / Math.log(SPEED_STEP)),
-    leftMillis: free.cpuMillis - step.need.cpuMillis,
+    worth: expectWorth(due, expectedMs, startAt),
+    expectedMs,
+    leftMillis: worker.free().cpuMillis - step.need.cpuMillis,
   };
 }
 
-/** How many times as long a task takes away from its data. */
-const FAR_FACTOR = 2;
+function hasRoom({step, countOn}: Candidate, worker: WorkerRecord): boolean {
+  const most = step.maxPerWorker;
+  if (most !== undefined && countOn(worker.info.id) >= most) return false;
+  return fits(step.need, worker.free());
+}
 
-function isBetter(a: Choice, b: Choice): boolean {
-  if (a.isInTime !== b.isInTime) return a.isInTime;
-  if (a.slowness !== b.slowness) {
-    return a.isInTime ? a.slowness > b.slowness : a.slowness < b.slowness;
-  }
-  return a.leftMillis < b.leftMillis;
+/** Slower first, in steps of a tenth; then the one with less room left. */
+function compareChoices(a: Choice, b: Choice): number {
+  const slower = toSpeedStep(b) - toSpeedStep(a);
+  return slower !== 0 ? slower : a.leftMillis - b.leftMillis;
 }
+
+function toSpeedStep({expectedMs}: Choice): number {
+  return Math.round(Math.log(Math.max(expectedMs, 1)) * SPEED_STEPS);
+}
+
+/** Steps on the logarithmic scale of expected run times. */
+const SPEED_STEPS = 7;
