Lend single tasks to the holders of other zones

Cause: jobs of 8 to 16 tasks find too few fast workers in one zone of eleven. Holders now tell each other the free room of their workers; a task that would do better in another zone is lent, started there at once or turned away, never queued. A new holder asks the others what they run for its zone. Weighed: one holder for all zones (a cut or a kill then costs all), whole jobs to one other zone (the widest still do not fit).

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -17,6 +17,7 @@
   type WorkerRecord,
 } from '../workers/index.js';
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
+import {createRun} from './create_run.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
 
 /** How long run numbers of an ended job are remembered, in ms. */
@@ -36,6 +37,18 @@
   workerStruck(workerId: string, reason: StrikeReason, ejected: boolean): void;
 }
 
+/** A task that another zone runs for this one. */
+export interface LentEntry {
+  /** The task's name as text. */
+  readonly key: string;
+  readonly run: number;
+}
+
+interface LentOrphan {
+  readonly zone: string;
+  readonly run: number;
+}
+
 interface RememberedRun {
   readonly lastRun: number;
   readonly until: Millis;
@@ -48,6 +61,8 @@
   readonly durations = new Durations();
   private ended: EndedJob[] = [];
   private readonly remembered = new Map<string, RememberedRun>();
+  private readonly unsurveyedZones = new Set<string>();
+  private readonly lentOrphans = new Map<string, LentOrphan>();
   private readonly lastStruckJob = new Map<string, string>();
 
   constructor(private readonly observer: DispatchObserver) {}
@@ -86,13 +101,15 @@
     if (worker?.runs.get(run.key) === run) worker.runs.delete(run.key);
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
-    const record = this.jobs.get(run.task.jobId);
-    const task = record?.tasks.find(({key}) => key === run.key);
+    const record = this.jobs.get(run.recordId);
+    const task = record?.findTask(run.key);
     if (record === undefined || task === undefined) return;
     if (task.state.kind !== 'running' || task.state.run !== run) return;
     task.state = {kind: 'waiting'};
     if (end === RunEnd.Done) this.noteDone(record, task, run, tookMs);
-    if (end === RunEnd.Failed) this.noteFailed(record, task, run, now);
+    else if (end === RunEnd.Failed) this.noteFailed(record, task, run, now);
+    else if (record.isForeign)
+      record.ending ??= abandoned(AbandonReason.RunLost);
     this.settle(record, now);
   }
 
@@ -112,8 +129,8 @@
     const worker = this.workers.get(run.workerId);
     if (worker === undefined) return;
     // The tasks of one job that can never be done fail together.
-    if (this.lastStruckJob.get(run.workerId) === run.task.jobId) return;
-    this.lastStruckJob.set(run.workerId, run.task.jobId);
+    if (this.lastStruckJob.get(run.workerId) === run.recordId) return;
+    this.lastStruckJob.set(run.workerId, run.recordId);
     const isEjected = addStrike(worker, this.workers, now);
     this.observer.workerStruck(run.workerId, reason, isEjected);
   }
@@ -137,33 +154,94 @@
   adopt(worker: WorkerRecord, key: string, run: number, now: Millis): boolean {
     const name = parseTaskName(key);
     const record = name && this.jobs.get(name.jobId);
-    const task = record?.tasks.find(candidate => candidate.key === key);
-    if (name === undefined || record === undefined || task === undefined) {
-      return false;
-    }
+    const task = record?.findTask(key);
+    if (record === undefined || task === undefined) return false;
     if (record.ending !== undefined || task.state.kind !== 'waiting') {
       return false;
     }
-    this.beginRun(record, task, {
-      task: name,
-      key,
-      run,
-      workerId: worker.info.id,
-      need: task.step.need,
-      startedAt: now,
-      expectedMs: this.durations.expectOn(
-        worker.info.id,
-        record.job.queue,
-        task.step.estimateMs,
-      ),
-      phase: RunPhase.Running,
-      confirmedAt: now,
-      stopSentAt: -Infinity,
-      overAt: Infinity,
-    });
+    const workerId = worker.info.id;
+    const {estimateMs} = task.step;
+    const {queue} = record.job;
+    const expectedMs = this.durations.expectOn(workerId, queue, estimateMs);
+    const adopted = createRun(record, task, workerId, expectedMs, now, run);
+    adopted.phase = RunPhase.Running;
+    adopted.confirmedAt = now;
+    this.beginRun(record, task, adopted);
+    return true;
+  }
+
+  /** Waits until other zones have told which tasks they run for this one. */
+  expectLent(zones: readonly string[]): void {
+    for (const zone of zones) this.unsurveyedZones.add(zone);
+  }
+
+  /** Takes what another zone runs for this one since an earlier holder. */
+  noteLent(zone: string, entries: readonly LentEntry[]): void {
+    this.unsurveyedZones.delete(zone);
+    for (const {key, run} of entries) this.lentOrphans.set(key, {zone, run});
+  }
+
+  /** Takes over what an earlier holder lent of a job. */
+  adoptLent(record: JobRecord, now: Millis): Run[] {
+    const adopted: Run[] = [];
+    for (const task of record.tasks) {
+      const orphan = this.lentOrphans.get(task.key);
+      if (orphan === undefined || task.state.kind !== 'waiting') continue;
+      this.lentOrphans.delete(task.key);
+      const {zone, run: number} = orphan;
+      const expectedMs = this.expectTask(record, task);
+      const run = createRun(record, task, zone, expectedMs, now, number);
+      run.lentTo = zone;
+      this.beginRun(record, task, run);
+      adopted.push(run);
+    }
+    return adopted;
+  }
+
+  /** Expected run time of a task on a worker of ordinary speed. */
+  expectTask({job}: JobRecord, {step}: TaskRecord): Millis {
+    return this.durations.expect(job.queue, step.estimateMs);
+  }
+
+  /** Takes over what an earlier holder started of a job. */
+  adoptOrphans(record: JobRecord, now: Millis): void {
+    const prefix = `${record.job.id}.`;
+    for (const worker of this.workers.values()) {
+      for (const [key, run] of [...worker.orphans]) {
+        if (!key.startsWith(prefix)) continue;
+        if (this.adopt(worker, key, run, now)) worker.orphans.delete(key);
+      }
+    }
+  }
+
+  /** Leaves out run numbers after a worker called one old. */
+  skipRuns(run: Run, count: number): void {
+    const task = this.jobs.get(run.recordId)?.findTask(run.key);
+    if (task !== undefined) task.lastRun += count;
+  }
+
+  /** Workers of one service. */
+  *workersOf(service: string): Iterable<WorkerRecord> {
+    for (const worker of this.workers.values()) {
+      if (worker.info.service === service) yield worker;
+    }
+  }
+
+  /** Whether every worker and every other zone has told what runs there. */
+  get isSurveyed(): boolean {
+    if (this.unsurveyedZones.size > 0) return false;
+    for (const {isHeld, isSilent} of this.workers.values()) {
+      if (!isHeld || isSilent) return false;
+    }
     return true;
   }
 
+  /** Forgets a worker that is gone. */
+  dropWorker(id: string): void {
+    this.workers.delete(id);
+    this.durations.forget(id);
+  }
+
   private noteDone(
     {job}: JobRecord,
     task: TaskRecord,
@@ -172,6 +250,8 @@
   ): void {
     task.state = {kind: 'done'};
     const {estimateMs} = task.step;
+    // The way to another zone says nothing of the speed there.
+    if (run.lentTo !== undefined) return;
     this.durations.learn(run.workerId, job.queue, estimateMs, tookMs);
     const worker = this.workers.get(run.workerId);
     if (worker !== undefined) addGoodEnd(worker);
@@ -193,7 +273,8 @@
     if (record.isDone) record.ending = {kind: 'completed'};
     if (record.ending === undefined) return;
     for (const _run of record.runs()) return;
-    const {id, queue} = record.job;
+    const {id, job} = record;
+    const {queue} = job;
     if (this.jobs.get(id) !== record) return;
     this.jobs.delete(id);
     this.remember(record, now);
@@ -204,7 +285,7 @@
   private remember(record: JobRecord, now: Millis): void {
     let lastRun = 0;
     for (const task of record.tasks) lastRun = Math.max(lastRun, task.lastRun);
-    const {id} = record.job;
+    const {id} = record;
     this.remembered.delete(id);
     if (lastRun === 0) return;
     this.remembered.set(id, {lastRun, until: now + REMEMBER_RUNS_MS});
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/create_run.ts
@@ -0,0 +1,29 @@
+/** Makes the record of a run that is about to start or has been found. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {RunPhase, type Run} from '../workers/index.js';
+import type {JobRecord, TaskRecord} from './job_record.js';
+
+/** A run of a task, with the next number unless one is given. */
+export function createRun(
+  record: JobRecord,
+  task: TaskRecord,
+  workerId: string,
+  expectedMs: Millis,
+  now: Millis,
+  number = task.lastRun + 1,
+): Run {
+  return {
+    recordId: record.id,
+    key: task.key,
+    run: number,
+    workerId,
+    need: task.step.need,
+    startedAt: now,
+    expectedMs,
+    phase: RunPhase.Starting,
+    lentTo: undefined,
+    confirmedAt: Infinity,
+    stopSentAt: -Infinity,
+    overAt: Infinity,
+  };
+}
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -3,6 +3,7 @@
 import {
   formatTaskName,
   type Job,
+  type LentTask,
   type Outcome,
   type Step,
   type TaskName,
@@ -57,6 +58,21 @@
     this.usefulUntil = usefulUntil;
   }
 
+  /** Tells the record apart from all others of its holder. */
+  get id(): string {
+    return this.job.id;
+  }
+
+  /** Whether it is a single task that another zone lends. */
+  get isForeign(): boolean {
+    return this.job.lent !== undefined;
+  }
+
+  /** The task of that name. */
+  findTask(key: string): TaskRecord | undefined {
+    return this.tasks.find(task => task.key === key);
+  }
+
   /** The latest time at which it can start and still end when due. */
   get startBy(): Millis {
     return this.dueAt - this.expectedMs;
@@ -84,8 +100,9 @@
   /** Tasks of the same step on one worker. */
   countOn(workerId: string, step: number): number {
     let count = 0;
-    for (const run of this.runs()) {
-      if (run.workerId === workerId && run.task.step === step) count += 1;
+    for (const {name, state} of this.tasks) {
+      if (state.kind !== 'running' || name.step !== step) continue;
+      if (state.run.workerId === workerId) count += 1;
     }
     return count;
   }
@@ -110,6 +127,8 @@
 }
 
 function createTasks(job: Job, lastRun: number): TaskRecord[] {
+  const {lent} = job;
+  if (lent !== undefined) return createLentTask(job, lent);
   const tasks: TaskRecord[] = [];
   for (const [stepIndex, step] of job.steps.entries()) {
     for (let index = 0; index < step.tasks; index += 1) {
@@ -121,3 +140,11 @@
   }
   return tasks;
 }
+
+function createLentTask(job: Job, {name, run}: LentTask): TaskRecord[] {
+  const [step] = job.steps;
+  if (step === undefined) return [];
+  const key = formatTaskName(name);
+  const state = {kind: 'waiting'} as const;
+  return [{name, key, step, state, lastRun: run - 1, failures: 0}];
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -0,0 +1,71 @@
+/** Decides which orders to stop are due. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {RunPhase, type WorkerRecord} from '../workers/index.js';
+import type {Board} from './board.js';
+import type {Order} from './orders.js';
+
+/** How long after a stop order went out it is sent again, in ms. */
+const STOP_AGAIN_MS = 200;
+/** How long runs of an earlier holder wait for their jobs, in ms. */
+const ADOPTION_MS = 500;
+
+/** Stops what is not wanted any more. */
+export class Stopper {
+  private readonly orphanStops = new Map<string, Millis>();
+
+  /** `heldSince` is when this instance became the holder. */
+  constructor(
+    private readonly board: Board,
+    private readonly heldSince: Millis,
+  ) {}
+
+  /** Orders to stop that are due. */
+  stop(now: Millis): Order[] {
+    const orders: Order[] = [];
+    for (const worker of this.board.workers.values()) {
+      this.stopRuns(orders, worker, now);
+      if (now < this.heldSince + ADOPTION_MS) continue;
+      this.stopOrphans(orders, worker, now);
+    }
+    this.recall(orders, now);
+    return orders;
+  }
+
+  private stopRuns(orders: Order[], worker: WorkerRecord, now: Millis): void {
+    const workerId = worker.info.id;
+    for (const run of worker.runs.values()) {
+      const isDue = now - run.stopSentAt >= STOP_AGAIN_MS;
+      if (run.phase !== RunPhase.Stopping || !isDue) continue;
+      run.stopSentAt = now;
+      const {key, run: runNumber} = run;
+      orders.push({kind: 'stop', workerId, key, runNumber, run});
+    }
+  }
+
+  private stopOrphans(
+    orders: Order[],
+    worker: WorkerRecord,
+    now: Millis,
+  ): void {
+    const workerId = worker.info.id;
+    for (const [key, runNumber] of worker.orphans) {
+      const sentAt = this.orphanStops.get(key) ?? -Infinity;
+      if (now - sentAt < STOP_AGAIN_MS) continue;
+      this.orphanStops.set(key, now);
+      orders.push({kind: 'stop', workerId, key, runNumber, run: undefined});
+    }
+  }
+
+  private recall(orders: Order[], now: Millis): void {
+    for (const record of this.board.jobs.values()) {
+      if (record.ending === undefined) continue;
+      for (const run of record.runs()) {
+        const {lentTo: zone} = run;
+        if (zone === undefined || run.phase !== RunPhase.Stopping) continue;
+        if (now - run.stopSentAt < STOP_AGAIN_MS) continue;
+        run.stopSentAt = now;
+        orders.push({kind: 'recall', zone, run});
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/neighbours/index.ts
@@ -0,0 +1,2 @@
+/** Room in other zones. */
+export * from './neighbours.js';
--- a/packages/dispatch/src/placement/choose_worker.ts
+++ b/packages/dispatch/src/placement/choose_worker.ts
@@ -55,14 +55,29 @@
   return fits(need, capacity);
 }
 
-/** The worker to start a task on now; undefined when it should wait. */
+/** Where a task should go, and the worth to expect of it there. */
+export type LocalPlace =
+  | {
+      readonly kind: 'now';
+      readonly worker: WorkerRecord;
+      readonly worth: number;
+    }
+  /** It should wait for this worker's next vacancy. */
+  | {
+      readonly kind: 'later';
+      readonly worker: WorkerRecord;
+      readonly worth: number;
+    }
+  | {readonly kind: 'none'; readonly worth: 0};
+
+/** The worker to start a task on, now or soon. */
 export function chooseWorker(
   candidate: Candidate,
   workers: Iterable<WorkerRecord>,
   durations: Durations,
   prospects: Prospects,
   now: Millis,
-): WorkerRecord | undefined {
+): LocalPlace {
   const free: Choice[] = [];
   let later: Choice | undefined;
   for (const worker of workers) {
@@ -77,11 +92,12 @@
   }
   const best = Math.max(0, ...free.map(({worth}) => worth));
   if (later !== undefined && later.worth > best + WAIT_GAIN) {
-    prospects.take(later.worker);
-    return undefined;
+    return {kind: 'later', worker: later.worker, worth: later.worth};
   }
   const good = free.filter(({worth}) => worth >= best - WORTH_STEP);
-  return good.sort(compareChoices)[0]?.worker;
+  const [choice] = good.sort(compareChoices);
+  if (choice === undefined) return {kind: 'none', worth: 0};
+  return {kind: 'now', worker: choice.worker, worth: choice.worth};
 }
 
 function weigh(
--- a/packages/dispatch/src/work/job.ts
+++ b/packages/dispatch/src/work/job.ts
@@ -46,6 +46,17 @@
   readonly arrivedAt: Millis;
   /** When the caller stops waiting. */
   readonly deadlineAt: Millis;
+  /** Set where it is a single task that the holder of another zone lends. */
+  readonly lent?: LentTask | undefined;
+  /** The zone that lends it. */
+  readonly lentBy?: string | undefined;
+}
+
+/** One task that another zone's holder lends. */
+export interface LentTask {
+  readonly name: TaskName;
+  /** The number of the run. */
+  readonly run: number;
 }
 
 /** Names one task: the job, the step and its index within the step. */
--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -19,6 +19,8 @@
   Deadline = 'deadline',
   /** The caller left or cancelled. */
   Cancelled = 'cancelled',
+  /** A lent task's run was lost; nothing of it runs any more. */
+  RunLost = 'run_lost',
   /** The instance that handed the job in is gone. */
   OwnerLost = 'owner_lost',
 }
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -1,6 +1,6 @@
 /** One run of one task on one worker. */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {Need, TaskName} from '../work/index.js';
+import type {Need} from '../work/index.js';
 
 /** What is known of a run. */
 export enum RunPhase {
@@ -16,7 +16,9 @@
 
 /** A run that may take up room on a worker. */
 export interface Run {
-  readonly task: TaskName;
+  /** The record of the job that the run belongs to. */
+  readonly recordId: string;
+  /** The task's name as text. */
   readonly key: string;
   readonly run: number;
   readonly workerId: string;
@@ -25,6 +27,8 @@
   /** Expected run time on this worker. */
   readonly expectedMs: Millis;
   phase: RunPhase;
+  /** The zone whose holder runs it, where it was lent. */
+  lentTo: string | undefined;
   /** When the worker's answer to the order came; later looks must list it. */
   confirmedAt: Millis;
   /** When a stop order last went out. */
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -9,14 +9,24 @@
   type DispatcherOptions,
   type EndedJob,
   type Order,
+  type StartCommand,
+  type StopCommand,
   type Worker,
+  type ZoneRoom,
 } from '@goldcrestpier/dispatch';
 import {readClock, type Lifecycle, type Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
-import type {JobAnswer, JobSubmission} from '../protocol/index.js';
+import type {
+  JobAnswer,
+  JobSubmission,
+  Lending,
+  LentList,
+  ZoneHeartbeat,
+} from '../protocol/index.js';
+import {Lender, type FindZone} from './lender.js';
 import {createObserver, logPlacements} from './observer.js';
-import {toJob} from './to_job.js';
+import {formatLent, toJob, toLentJob} from './to_job.js';
 import {WorkerWatch} from './worker_watch.js';
 
 /** How often the dispatcher looks at its times, in ms. */
@@ -24,6 +34,9 @@
 
 /** What a holder needs. */
 export interface HolderOptions {
+  readonly zone: string;
+  /** Finds the holder of another zone. */
+  readonly findZone: FindZone;
   readonly token: number;
   readonly bounds: DispatcherOptions;
   readonly port: WorkerPort;
@@ -42,6 +55,7 @@
 /** The holder of a zone's workers, for as long as its token is the highest. */
 export class Holder {
   private readonly dispatcher: Dispatcher;
+  private readonly lender: Lender;
   private readonly watches = new Map<string, WorkerWatch>();
   private readonly waiters = new Map<string, Waiter[]>();
   /** Submissions of jobs whose earlier life is still being stopped. */
@@ -53,6 +67,14 @@
     const {bounds, logger, metrics, lifecycle} = options;
     const observer = createObserver(logger, metrics);
     this.dispatcher = new Dispatcher(bounds, readClock(), observer);
+    this.lender = new Lender({
+      zone: options.zone,
+      dispatcher: this.dispatcher,
+      findZone: options.findZone,
+      logger,
+      metrics,
+      onChange: () => this.pumpSoon(),
+    });
     const timer = setInterval(() => this.pump(), TICK_MS);
     lifecycle.own('holder', () => {
       clearInterval(timer);
@@ -122,6 +144,7 @@
   /** Gives up the jobs of every owner for whom `isAlive` is false. */
   dropOwners(isAlive: (ownerId: string) => boolean): void {
     for (const [jobId, waiters] of [...this.waiters]) {
+      if (this.dispatcher.jobs.get(jobId)?.isForeign === true) continue;
       for (const {ownerId} of [...waiters]) {
         if (isAlive(ownerId)) continue;
         this.cancel(ownerId, jobId, AbandonReason.OwnerLost);
@@ -129,6 +152,82 @@
     }
   }
 
+  /** Asks other zones which tasks they run for this one. */
+  surveyZones(zones: readonly string[]): void {
+    void this.lender.survey(zones);
+  }
+
+  /** Takes what the holder of another zone tells of its free workers. */
+  tellRoom(room: ZoneRoom): void {
+    this.dispatcher.tellRoom(room, readClock());
+  }
+
+  /** Free room of all services, as other zones are told. */
+  findRooms(): ZoneHeartbeat['rooms'] {
+    const services = new Set<string>();
+    for (const {info} of this.dispatcher.workers.values()) {
+      services.add(info.service);
+    }
+    const now = readClock();
+    return [...services].map(service => ({
+      service,
+      vacancies: this.dispatcher
+        .findVacancies(service, now)
+        .map(({slowness, cpuMillis, memoryMb}) => [
+          Math.round(slowness * 100) / 100,
+          cpuMillis,
+          memoryMb,
+        ]),
+    }));
+  }
+
+  /** Runs one task for another zone, now or not at all. */
+  takeLent(message: Lending): Promise<JobAnswer> {
+    if (this.isClosed) {
+      return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
+    }
+    const now = readClock();
+    const job = toLentJob(message, now);
+    const isKnown = this.dispatcher.jobs.has(job.id);
+    if (!isKnown && message.isJoin) {
+      const reason = AbandonReason.RunLost;
+      return Promise.resolve({kind: 'abandoned', reason});
+    }
+    return new Promise(answer => {
+      const waiters = this.waiters.get(job.id) ?? [];
+      waiters.push({ownerId: message.homeZone, answer});
+      this.waiters.set(job.id, waiters);
+      if (!isKnown) this.carryOutAll(this.dispatcher.takeLent(job, now));
+      this.pumpSoon();
+    });
+  }
+
+  /** Stops a task that another zone takes back. */
+  recall(homeZone: string, task: string): void {
+    const id = formatLent(homeZone, task);
+    this.dispatcher.cancel(id, AbandonReason.Cancelled, readClock());
+    this.pumpSoon();
+  }
+
+  /** The tasks that run here for another zone. */
+  listLent(homeZone: string): LentList {
+    const list: LentList = [];
+    for (const record of this.dispatcher.jobs.values()) {
+      if (record.job.lentBy !== homeZone) continue;
+      for (const {key, run} of record.runs()) list.push({key, run});
+    }
+    return list;
+  }
+
+  /** Stops what runs for zones for which `isAlive` is false. */
+  dropZones(isAlive: (zone: string) => boolean): void {
+    for (const {id, job} of [...this.dispatcher.jobs.values()]) {
+      if (job.lentBy === undefined || isAlive(job.lentBy)) continue;
+      this.dispatcher.cancel(id, AbandonReason.OwnerLost, readClock());
+      this.pumpSoon();
+    }
+  }
+
   /** Jobs that no task of has started yet. */
   countWaiting(queue: string): number {
     let count = 0;
@@ -202,10 +301,13 @@
 
   private pump(): void {
     if (this.isClosed) return;
-    const orders = this.dispatcher.tick(readClock());
+    this.carryOutAll(this.dispatcher.tick(readClock()));
+    for (const ended of this.dispatcher.takeEnded()) this.tellEnd(ended);
+  }
+
+  private carryOutAll(orders: readonly Order[]): void {
     logPlacements(orders, this.options.logger);
     for (const order of orders) void this.carryOut(order);
-    for (const ended of this.dispatcher.takeEnded()) this.tellEnd(ended);
   }
 
   private tellEnd({id, outcome}: EndedJob): void {
@@ -229,13 +331,14 @@
         return this.start(order);
       case 'stop':
         return this.stop(order);
+      case 'lend':
+        return this.lender.lend(order);
+      case 'recall':
+        return this.lender.recall(order);
     }
   }
 
-  private async start({
-    run,
-    payload,
-  }: Extract<Order, {kind: 'start'}>): Promise<void> {
+  private async start({run, payload}: StartCommand): Promise<void> {
     const {bounds, port, token} = this.options;
     const record = this.dispatcher.workers.get(run.workerId);
     const sentAt = readClock();
@@ -264,7 +367,7 @@
     if (answer === StartAnswer.Fenced) this.fence(worker);
   }
 
-  private async stop(order: Extract<Order, {kind: 'stop'}>): Promise<void> {
+  private async stop(order: StopCommand): Promise<void> {
     const {port, token, logger} = this.options;
     const {workerId, key: task, runNumber, run} = order;
     const record = this.dispatcher.workers.get(workerId);
@@ -284,8 +387,8 @@
   }
 
   private logSubmission(message: JobSubmission, isKnown: boolean): void {
-    const {id, queue, ownerId, isResumed, ageMs, remainingMs, hops} = message;
-    const fields = {job: id, queue, ownerId, isResumed, isKnown, hops};
+    const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
+    const fields = {job: id, queue, ownerId, isResumed, isKnown};
     const {dispatcher} = this;
     this.options.logger.info('job taken', {
       ...fields,
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -35,18 +35,15 @@
 }
 
 /** Writes one line for each job of which tasks were placed. */
-export function logPlacements(
-  orders: readonly Order[],
-  logger: Logger,
-): void {
+export function logPlacements(orders: readonly Order[], logger: Logger): void {
   const placed = new Map<string, string[]>();
   for (const order of orders) {
-    if (order.kind !== 'start') continue;
-    const {task, run, workerId, expectedMs} = order.run;
-    const texts = placed.get(task.jobId) ?? [];
-    const place = `${task.step}.${task.index}/${run}@${workerId}`;
+    if (order.kind !== 'start' && order.kind !== 'lend') continue;
+    const {key, recordId, run, workerId, expectedMs} = order.run;
+    const texts = placed.get(recordId) ?? [];
+    const place = `${key.slice(key.indexOf('.') + 1)}/${run}@${workerId}`;
     texts.push(`${place}~${Math.round(expectedMs)}ms`);
-    placed.set(task.jobId, texts);
+    placed.set(recordId, texts);
   }
   for (const [job, texts] of placed) {
     logger.info('tasks placed', {job, tasks: texts.join(' ')});
--- a/packages/zone/src/holder/to_job.ts
+++ b/packages/zone/src/holder/to_job.ts
@@ -1,7 +1,24 @@
 /** Turns the durations of a message into times of this process. */
-import type {Job} from '@goldcrestpier/dispatch';
+import {formatTaskName, type Job} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
-import type {JobSubmission} from '../protocol/index.js';
+import type {JobSubmission, Lending} from '../protocol/index.js';
+
+/** A job as it goes to another process: durations in place of times. */
+export function toSubmission(
+  {arrivedAt, deadlineAt, steps, lent: _lent, lentBy: _by, ...rest}: Job,
+  ownerId: string,
+  isResumed: boolean,
+  now: Millis,
+): JobSubmission {
+  return {
+    ...rest,
+    steps: steps.map(step => ({...step, after: [...step.after]})),
+    ownerId,
+    isResumed,
+    ageMs: now - arrivedAt,
+    remainingMs: deadlineAt - now,
+  };
+}
 
 /** The job of a submission that has just come. */
 export function toJob(message: JobSubmission, now: Millis): Job {
@@ -20,3 +37,23 @@
     deadlineAt: now + remainingMs,
   };
 }
+
+/** The record's id of a task that another zone lends. */
+export function formatLent(homeZone: string, task: string): string {
+  return `${task}@${homeZone}`;
+}
+
+/** A lent task as a job of its own, which fails or is lost with its one run. */
+export function toLentJob(message: Lending, now: Millis): Job {
+  const {homeZone, step, index, run} = message;
+  const whole = toJob(message.job, now);
+  const name = {jobId: whole.id, step, index};
+  const id = formatLent(homeZone, formatTaskName(name));
+  return {
+    ...whole,
+    id,
+    maxAttempts: 1,
+    lent: {name, run},
+    lentBy: homeZone,
+  };
+}
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -29,11 +29,16 @@
   type JobAnswer,
   type JobCancellation,
   type JobSubmission,
+  type Lending,
+  type LentList,
+  type Recall,
+  type ZoneCalls,
   type ZoneHandlers,
   type ZoneHeartbeat,
 } from '../protocol/index.js';
 import {HolderChange} from './holder_change.js';
 import {Links} from './links.js';
+import {NeighbourZones} from './neighbour_zones.js';
 import {ZoneView} from './zone_view.js';
 
 /** How often an instance considers its role, in ms. */
@@ -102,6 +107,7 @@
   private readonly log: Logger;
   private readonly address: string;
   private readonly view: ZoneView;
+  private readonly zones: NeighbourZones;
   private readonly election: Election;
   private readonly links: Links;
   private readonly owner: Owner;
@@ -118,13 +124,14 @@
     this.log = logs.forPart(LogPart.Membership);
     this.address = `${listen.host}:${listen.port}`;
     this.view = new ZoneView(zone, this.address);
+    this.zones = new NeighbourZones(zone);
     for (const seed of seeds) this.view.addAddress(seed);
     this.election = new Election(id, readClock());
     this.links = new Links({
       selfId: id,
       logger: logs.forPart(LogPart.Peers),
       lifecycle,
-      createHeartbeat: () => this.createHeartbeat(readClock()),
+      createHeartbeat: () => this.createHeartbeat(readClock(), true),
       onHeartbeat: (message, now) => this.hear(message, now),
       onRefused: address => this.view.noteRefused(address),
     });
@@ -174,7 +181,8 @@
   heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat> {
     const now = readClock();
     this.hear(message, now);
-    return Promise.resolve(this.createHeartbeat(now));
+    const isForeign = message.zone !== this.options.zone;
+    return Promise.resolve(this.createHeartbeat(now, isForeign));
   }
 
   /** Takes a job for the workers that this instance holds. */
@@ -194,10 +202,30 @@
     return Promise.resolve(this.options.directory.configuration() ?? null);
   }
 
+  /** Runs a task that the holder of another zone lends. */
+  lend(message: Lending): Promise<JobAnswer> {
+    if (this.holder !== undefined) return this.holder.takeLent(message);
+    return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
+  }
+
+  /** Stops a task that another zone takes back. */
+  recall({homeZone, task}: Recall): Promise<void> {
+    this.holder?.recall(homeZone, task);
+    return Promise.resolve();
+  }
+
+  /** The tasks that run here for another zone. */
+  listLent(homeZone: string): Promise<LentList> {
+    return Promise.resolve(this.holder?.listLent(homeZone) ?? []);
+  }
+
   private step(now: Millis): void {
     const {directory} = this.options;
-    this.view.setRegistrations(directory.registrations(), now);
-    this.links.setAddresses(this.view.addresses);
+    const registrations = directory.registrations();
+    this.view.setRegistrations(registrations, now);
+    this.zones.setRegistrations(registrations);
+    const foreign = this.holder === undefined ? [] : this.zones.addresses;
+    this.links.setAddresses([...this.view.addresses, ...foreign]);
     this.takeRole(
       this.election.chooseRole(this.view.members(), this.isLeaving, now),
       now,
@@ -209,6 +237,7 @@
     holder.dropOwners(
       ownerId => ownerId === id || this.view.isAlive(ownerId, now),
     );
+    holder.dropZones(other => this.zones.isAlive(other, now));
   }
 
   private takeRole(role: Role, now: Millis): void {
@@ -243,6 +272,8 @@
     const child = lifecycle.createChild(`holder ${token}`);
     this.holderLifecycle = child;
     this.holder = new Holder({
+      zone,
+      findZone: other => this.findZone(other),
       token,
       bounds,
       port,
@@ -252,9 +283,18 @@
       onFenced: () => this.noteFenced(readClock()),
     });
     this.holder.setWorkers(directory.workers().filter(w => w.zone === zone));
+    this.holder.surveyZones(
+      this.zones.zones.filter(other => this.zones.isAlive(other, now)),
+    );
+    directory.announce(token);
     this.hadHolderAt = now;
   }
 
+  private findZone(zone: string): ZoneCalls | undefined {
+    const address = this.zones.addressOf(zone);
+    return address === undefined ? undefined : this.links.find(address);
+  }
+
   private noteFenced(now: Millis): void {
     this.election.noteFenced(now);
     this.step(now);
@@ -265,18 +305,35 @@
     void this.holderLifecycle.close();
     this.holderLifecycle = undefined;
     this.holder = undefined;
+    this.options.directory.announce(undefined);
   }
 
   private hear(message: ZoneHeartbeat, now: Millis): void {
     this.view.hear(message, now);
-    if (message.zone !== this.options.zone) return;
-    if (message.claim !== undefined) this.noteClaim(message.claim, now);
+    if (message.zone !== this.options.zone) this.hearZone(message, now);
+    else if (message.claim !== undefined) this.noteClaim(message.claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
     if (message.configurationVersion > own) {
       void this.fetchConfiguration(message.address);
     }
   }
 
+  private hearZone(message: ZoneHeartbeat, now: Millis): void {
+    this.zones.hear(message, now);
+    const {zone, rooms = []} = message;
+    for (const {service, vacancies} of rooms) {
+      this.holder?.tellRoom({
+        zone,
+        service,
+        vacancies: vacancies.map(([slowness, cpuMillis, memoryMb]) => ({
+          slowness,
+          cpuMillis,
+          memoryMb,
+        })),
+      });
+    }
+  }
+
   private noteClaim(claim: Claim, now: Millis): void {
     if (!this.election.noteClaim(claim)) return;
     const {holderId, token} = claim;
@@ -295,7 +352,7 @@
     this.options.directory.offer(result.value);
   }
 
-  private createHeartbeat(now: Millis): ZoneHeartbeat {
+  private createHeartbeat(now: Millis, withRooms: boolean): ZoneHeartbeat {
     const {id, zone, directory} = this.options;
     const {claim} = this.election;
     return {
@@ -307,9 +364,9 @@
       ...(claim === undefined
         ? {}
         : {claim, holderHeardMs: this.holderHeardMs(claim.holderId, now)}),
-      ...(this.holder === undefined
-        ? {}
-        : {freeMillis: this.holder.freeMillis()}),
+      ...(this.holder !== undefined && withRooms
+        ? {rooms: this.holder.findRooms()}
+        : {}),
     };
   }
 
--- /dev/null
+++ b/packages/zone/src/instance/neighbour_zones.ts
@@ -0,0 +1,64 @@
+/** The holders of other zones, as registered and as heard. */
+import type {Millis} from '@goldcrestpier/runtime';
+import type {Registration} from '../ports/index.js';
+import type {ZoneHeartbeat} from '../protocol/index.js';
+
+/** Silence after which a zone's tasks are no longer worked on, in ms. */
+const ZONE_SILENCE_MS = 1_000;
+
+interface ForeignHolder {
+  readonly address: string;
+  readonly token: number;
+  heardAt: Millis;
+}
+
+/** Keeps the newest holder of each other zone. */
+export class NeighbourZones {
+  private readonly holders = new Map<string, ForeignHolder>();
+
+  constructor(private readonly zone: string) {}
+
+  /** Addresses to keep links to. */
+  get addresses(): readonly string[] {
+    return [...this.holders.values()].map(({address}) => address);
+  }
+
+  /** The zones that have a holder, as far as is known. */
+  get zones(): readonly string[] {
+    return [...this.holders.keys()];
+  }
+
+  /** Takes the platform's list, which may be old. */
+  setRegistrations(list: readonly Registration[]): void {
+    for (const {zone, address, holderToken} of list) {
+      if (zone === this.zone || holderToken === undefined) continue;
+      this.note(zone, address, holderToken);
+    }
+  }
+
+  /** Notes a heartbeat from an instance of another zone. */
+  hear({id, zone, address, claim}: ZoneHeartbeat, now: Millis): void {
+    if (zone === this.zone || claim?.holderId !== id) return;
+    this.note(zone, address, claim.token);
+    const holder = this.holders.get(zone);
+    if (holder?.address === address) holder.heardAt = now;
+  }
+
+  /** The address of a zone's holder. */
+  addressOf(zone: string): string | undefined {
+    return this.holders.get(zone)?.address;
+  }
+
+  /** Whether the zone's holder was heard a moment ago. */
+  isAlive(zone: string, now: Millis): boolean {
+    const holder = this.holders.get(zone);
+    return holder !== undefined && now - holder.heardAt < ZONE_SILENCE_MS;
+  }
+
+  private note(zone: string, address: string, token: number): void {
+    const known = this.holders.get(zone);
+    if (known !== undefined && known.token >= token) return;
+    const heardAt = known?.heardAt ?? -Infinity;
+    this.holders.set(zone, {address, token, heardAt});
+  }
+}
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -58,6 +58,11 @@
     'Jobs handed in again to a holder, by reason.',
     ['reason'],
   );
+  readonly lent = this.createCounter(
+    'goldcrestpier_lent_total',
+    'Tasks lent to other zones, by how that ended.',
+    ['outcome'],
+  );
   readonly roles = this.createCounter(
     'goldcrestpier_role_changes_total',
     "Changes of this instance's role, by the new role.",
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -11,6 +11,7 @@
   type Millis,
 } from '@goldcrestpier/runtime';
 import type {Result} from 'ts-results-es';
+import {toSubmission} from '../holder/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {
   JobAnswer,
@@ -97,7 +98,8 @@
     signal: AbortSignal,
   ): Promise<{answer?: OwnerAnswer; mayHaveStarted: boolean}> {
     const now = readClock();
-    const message = this.createMessage(job, isResumed, now);
+    const {selfId} = this.options;
+    const message = toSubmission(job, selfId, isResumed, now);
     const timeoutMs = message.remainingMs + ANSWER_MARGIN_MS;
     const cancel = () => holder.cancel(job.id);
     signal.addEventListener('abort', cancel, {once: true});
@@ -152,21 +154,4 @@
       retryAfterMs: NO_HOLDER_RETRY_MS,
     };
   }
-
-  private createMessage(
-    job: Job,
-    isResumed: boolean,
-    now: Millis,
-  ): JobSubmission {
-    const {arrivedAt, deadlineAt, steps, ...rest} = job;
-    return {
-      ...rest,
-      steps: steps.map(step => ({...step, after: [...step.after]})),
-      ownerId: this.options.selfId,
-      isResumed,
-      ageMs: now - arrivedAt,
-      remainingMs: deadlineAt - now,
-      hops: 0,
-    };
-  }
 }
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -36,6 +36,8 @@
   readonly zone: string;
   /** `host:port` of its listener for peers. */
   readonly address: string;
+  /** Its token, where it holds its zone's workers. */
+  readonly holderToken?: number | undefined;
 }
 
 /** The newest that is known; each part is undefined until first read. */
@@ -43,6 +45,8 @@
   configuration(): Configuration | undefined;
   workers(): readonly Worker[];
   registrations(): readonly Registration[];
+  /** Lets other zones know that this instance is the holder, or is not. */
+  announce(holderToken: number | undefined): void;
   /** When the platform's store last answered. */
   heardAt(): Millis | undefined;
   /** Takes a configuration that a peer has; only a newer one changes anything. */
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -8,6 +8,14 @@
   token: z.number(),
 });
 
+/** Free room on one worker: slowness, processors in thousandths, memory in MB. */
+const vacancySchema = z.tuple([z.number(), z.number(), z.number()]);
+
+const roomSchema = z.object({
+  service: z.string(),
+  vacancies: z.array(vacancySchema),
+});
+
 /** Sent to each peer several times a second, and answered with the same. */
 export const heartbeatSchema = z.object({
   id: z.string(),
@@ -19,8 +27,8 @@
   /** How long ago the sender heard from that holder, in ms. */
   holderHeardMs: z.number().optional(),
   configurationVersion: z.number(),
-  /** Free processors of the sender's workers, in thousandths; holders only. */
-  freeMillis: z.number().optional(),
+  /** Free room of the sender's workers; holders tell other zones. */
+  rooms: z.array(roomSchema).optional(),
 });
 
 const needSchema = z.object({
@@ -58,10 +66,32 @@
   ageMs: z.number(),
   /** How long its caller still waits, in ms. */
   remainingMs: z.number(),
-  /** Instances that have passed the job on so far. */
-  hops: z.number().int().nonnegative(),
 });
 
+/** Lends one task; answered when its run has ended. */
+export const lendingSchema = z.object({
+  /** The zone that lends it. */
+  homeZone: z.string(),
+  job: jobSubmissionSchema,
+  step: z.number().int().nonnegative(),
+  index: z.number().int().nonnegative(),
+  run: z.number().int().positive(),
+  /** Only asks how a run ended that another holder of the zone has lent. */
+  isJoin: z.boolean(),
+});
+
+/** Takes a lent task back. */
+export const recallSchema = z.object({
+  homeZone: z.string(),
+  /** The task's name as text. */
+  task: z.string(),
+});
+
+/** Tasks that the peer runs for a zone. */
+export const lentListSchema = z.array(
+  z.object({key: z.string(), run: z.number()}),
+);
+
 /** How a job ended, or that this instance holds the workers no more. */
 export const jobAnswerSchema = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('completed')}),
@@ -112,6 +142,12 @@
 export type ZoneHeartbeat = z.infer<typeof heartbeatSchema>;
 /** Hands a job to the holder. */
 export type JobSubmission = z.infer<typeof jobSubmissionSchema>;
+/** Lends one task. */
+export type Lending = z.infer<typeof lendingSchema>;
+/** Takes a lent task back. */
+export type Recall = z.infer<typeof recallSchema>;
+/** Tasks that the peer runs for a zone. */
+export type LentList = z.infer<typeof lentListSchema>;
 /** How a submission ended. */
 export type JobAnswer = z.infer<typeof jobAnswerSchema>;
 /** Gives a job up. */
--- a/packages/zone/src/protocol/router.ts
+++ b/packages/zone/src/protocol/router.ts
@@ -16,9 +16,15 @@
   jobAnswerSchema,
   jobCancellationSchema,
   jobSubmissionSchema,
+  lendingSchema,
+  lentListSchema,
+  recallSchema,
   type JobAnswer,
   type JobCancellation,
   type JobSubmission,
+  type Lending,
+  type LentList,
+  type Recall,
   type ZoneHeartbeat,
 } from './messages.js';
 
@@ -28,6 +34,9 @@
   submit(message: JobSubmission): Promise<JobAnswer>;
   cancel(message: JobCancellation): Promise<void>;
   readConfiguration(): Promise<Configuration | null>;
+  lend(message: Lending): Promise<JobAnswer>;
+  recall(message: Recall): Promise<void>;
+  listLent(homeZone: string): Promise<LentList>;
 }
 
 /** How tRPC takes each call. */
@@ -36,6 +45,9 @@
   submit: 'mutation',
   cancel: 'mutation',
   readConfiguration: 'query',
+  lend: 'mutation',
+  recall: 'mutation',
+  listLent: 'query',
 };
 
 /** Builds the router; every input is checked before its handler sees it. */
@@ -51,6 +63,15 @@
       .input(jobCancellationSchema)
       .mutation(take(input => handlers.cancel(input))),
     readConfiguration: call.query(take(() => handlers.readConfiguration())),
+    lend: call
+      .input(lendingSchema)
+      .mutation(take(input => handlers.lend(input))),
+    recall: call
+      .input(recallSchema)
+      .mutation(take(input => handlers.recall(input))),
+    listLent: call
+      .input(z.string())
+      .query(take(input => handlers.listLent(input))),
   });
 }
 
@@ -98,6 +119,30 @@
     return this.ask(schema, 'readConfiguration', undefined, timeoutMs);
   }
 
+  /** Lends a task; answered when its run has ended. */
+  lend(
+    message: Lending,
+    timeoutMs: number,
+  ): Promise<Result<JobAnswer, ZoneCallFailure>> {
+    return this.ask(jobAnswerSchema, 'lend', message, timeoutMs);
+  }
+
+  /** Takes a lent task back. */
+  recall(
+    message: Recall,
+    timeoutMs: number,
+  ): Promise<Result<unknown, ZoneCallFailure>> {
+    return this.ask(z.unknown(), 'recall', message, timeoutMs);
+  }
+
+  /** Asks which tasks the peer runs for a zone. */
+  listLent(
+    homeZone: string,
+    timeoutMs: number,
+  ): Promise<Result<LentList, ZoneCallFailure>> {
+    return this.ask(lentListSchema, 'listLent', homeZone, timeoutMs);
+  }
+
   private async ask<Answer>(
     schema: z.ZodType<Answer>,
     name: string,
