--- a/packages/dispatch/src/placement/choose_worker.ts
+++ b/packages/dispatch/src/placement/choose_worker.ts
@@ -13,8 +13,8 @@
 import {expectWorth, type Due} from './chance.js';
 import type {Prospects} from './prospects.js';
 
-/** Workers count as equally good when their worth differs by less. */
-const WORTH_STEP = 0.05;
+/** Workers count as equally good that bring this share of the best worth. */
+const GOOD_SHARE = 0.95;
 /** A vacancy to come must be better by this, as others may take it. */
 const WAIT_GAIN = 0.1;
 /** How many times as long a task takes away from its data. */
@@ -94,7 +94,7 @@
   if (later !== undefined && later.worth > best + WAIT_GAIN) {
     return {kind: 'later', worker: later.worker, worth: later.worth};
   }
-  const good = free.filter(({worth}) => worth >= best - WORTH_STEP);
+  const good = free.filter(({worth}) => worth >= best * GOOD_SHARE);
   const [choice] = good.sort(compareChoices);
   if (choice === undefined) return {kind: 'none', worth: 0};
   return {kind: 'now', worker: choice.worker, worth: choice.worth};
