Recover sooner after a loss of all instances

Cause: after all power was lost, 0.7 s went by before an instance claimed the workers, and each start compiled 2.7 MB of scripts (0.14 s of processor time). An instance that knows the platform's list now listens 0.25 s; one that does not waits 3 s. Ruled out: the lease of the registration (others register within 0.1 s).

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -9,7 +9,7 @@
 /** Silence after which an instance counts as gone, in ms. */
 export const SILENCE_MS: Millis = 600;
 /** How long a new instance listens before it claims anything, in ms. */
-const LISTEN_MS = 700;
+const LISTEN_MS = 250;
 /** Silence of all others after which a cut-off instance takes over, in ms. */
 const ALONE_MS = 3_000;
 /** How long an instance stays away after workers turned its token away, in ms. */
@@ -32,6 +32,14 @@
   readonly holderHeardAt: Millis | undefined;
 }
 
+/** What an instance knows of itself. */
+export interface SelfState {
+  /** A planned stop has begun. */
+  readonly isLeaving: boolean;
+  /** It has read the platform's list of instances since it started. */
+  readonly isInformed: boolean;
+}
+
 /** What an instance should do. */
 export type Role =
   | {readonly kind: 'hold'}
@@ -74,10 +82,10 @@
     this.skip += TOKEN_SKIP;
   }
 
-  /** Chooses the role by what is known now. `isLeaving`: a planned stop. */
+  /** Chooses the role by what is known now. */
   chooseRole(
     members: readonly Member[],
-    isLeaving: boolean,
+    {isLeaving, isInformed}: SelfState,
     now: Millis,
   ): Role {
     const holderId = this.highest?.holderId ?? '';
@@ -91,7 +99,7 @@
     if (successor !== undefined && successor < this.selfId) {
       return {kind: 'wait'};
     }
-    if (!this.mayClaim(members, now)) return {kind: 'wait'};
+    if (!this.mayClaim(members, isInformed, now)) return {kind: 'wait'};
     return {kind: 'claim', skip: this.skip};
   }
 
@@ -110,7 +118,11 @@
     return members.some(member => hearsHolder(member, holderId, now));
   }
 
-  private mayClaim(members: readonly Member[], now: Millis): boolean {
+  private mayClaim(
+    members: readonly Member[],
+    isInformed: boolean,
+    now: Millis,
+  ): boolean {
     const heard = members.filter(member => isHeard(member, now));
     if (this.fencedAt !== undefined) {
       const wait = heard.length > 0 ? FENCED_MS : FENCED_ALONE_MS;
@@ -119,7 +131,10 @@
     const missing = members.filter(
       member => !isHeard(member, now) && !member.isRefused,
     );
-    if (now - this.startedAt < LISTEN_MS) return false;
+    // Whoever knows of no others may just not have heard of them.
+    const knowsOthers = isInformed || heard.length > 0;
+    const listenMs = knowsOthers ? LISTEN_MS : ALONE_MS;
+    if (now - this.startedAt < listenMs) return false;
     // A majority decides at once; the rest only when all others stay silent.
     if (heard.length + 1 > missing.length) return true;
     const lastHeard = Math.max(
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -17,7 +17,12 @@
   type Millis,
 } from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {createToken, Election, type Role} from '../election/index.js';
+import {
+  createToken,
+  Election,
+  type Role,
+  type SelfState,
+} from '../election/index.js';
 import {Holder} from '../holder/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
 import {Owner, type HolderTarget, type OwnerAnswer} from '../owner/index.js';
@@ -227,7 +232,7 @@
     const foreign = this.holder === undefined ? [] : this.zones.addresses;
     this.links.setAddresses([...this.view.addresses, ...foreign]);
     this.takeRole(
-      this.election.chooseRole(this.view.members(), this.isLeaving, now),
+      this.election.chooseRole(this.view.members(), this.selfState(), now),
       now,
     );
     const {holder} = this;
@@ -370,6 +375,11 @@
     };
   }
 
+  private selfState(): SelfState {
+    const isInformed = this.options.directory.heardAt() !== undefined;
+    return {isLeaving: this.isLeaving, isInformed};
+  }
+
   private holderHeardMs(holderId: string, now: Millis): Millis | undefined {
     if (holderId === this.options.id) return 0;
     const heardAt = this.view.heardAt(holderId);
--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -1,5 +1,6 @@
 // Bundles the program that runs on the users' platform into target/, straight
 // from the sources, so that the build writes nowhere else and starts fast.
+import {copyFileSync} from 'node:fs';
 import {build} from 'esbuild';
 
 await build({
@@ -20,3 +21,4 @@
   legalComments: 'none',
   logLevel: 'warning',
 });
+copyFileSync('scripts/start_target.cjs', 'target/start.cjs');
