--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -92,13 +92,13 @@
     task.state = {kind: 'running', run};
     task.lastRun = Math.max(task.lastRun, run.run);
     record.hasStarted = true;
-    this.workers.get(run.workerId)?.runs.set(run.key, run);
+    this.workers.get(run.workerId)?.addRun(run);
   }
 
   /** A run has ended, or is proved never to start again. */
   endRun(run: Run, end: RunEnd | 'lost' | 'refused', now: Millis): void {
     const worker = this.workers.get(run.workerId);
-    if (worker?.runs.get(run.key) === run) worker.runs.delete(run.key);
+    if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
     const record = this.jobs.get(run.recordId);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -1,7 +1,14 @@
 /** Decides which waiting tasks start now, and where. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Neighbours, RemotePlace} from '../neighbours/index.js';
-import {chooseWorker, Prospects, type Candidate} from '../placement/index.js';
+import {
+  chooseFree,
+  chooseLater,
+  isWorthWaiting,
+  Prospects,
+  type Candidate,
+} from '../placement/index.js';
+import type {WorkerRecord} from '../workers/index.js';
 import type {Board} from './board.js';
 import {createRun} from './create_run.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
@@ -11,6 +18,40 @@
 /** A place in another zone must be better than the best here by this. */
 const LEND_GAIN = 0.05;
 
+/** A place of this worth is taken without looking for a better one. */
+const SURE_WORTH = 0.95;
+
+/** What stays the same while one round of tasks is placed. */
+class Scene {
+  readonly prospects: Prospects;
+  private readonly byService = new Map<string, readonly WorkerRecord[]>();
+
+  constructor(
+    private readonly board: Board,
+    private readonly now: Millis,
+  ) {
+    this.prospects = new Prospects(now);
+  }
+
+  /** Workers of a service that may be given tasks. */
+  usable(service: string): readonly WorkerRecord[] {
+    const known = this.byService.get(service);
+    if (known !== undefined) return known;
+    const usable = [...this.board.workersOf(service)].filter(worker =>
+      worker.isUsable(this.now),
+    );
+    this.byService.set(service, usable);
+    return usable;
+  }
+}
+
+/** What became of one waiting task. */
+type Placement =
+  | {readonly kind: 'placed'; readonly order: Order}
+  /** A worker that is about to have room is better than what is free. */
+  | {readonly kind: 'waits'}
+  | {readonly kind: 'no_room'};
+
 /** Places the tasks of one board. */
 export class Placer {
   constructor(
@@ -24,11 +65,14 @@
     const waiting = [...this.board.jobs.values()].filter(record =>
       this.isPlaceable(record, now),
     );
-    const prospects = new Prospects(now);
+    if (waiting.length === 0) return orders;
+    const scene = new Scene(this.board, now);
     for (const record of orderJobs(waiting, now)) {
       for (const task of record.ready()) {
-        const order = this.placeTask(record, task, prospects, now);
-        if (order !== undefined) orders.push(order);
+        const placement = this.placeTask(record, task, scene, now);
+        // The tasks of a step are alike: where one has no room, none has.
+        if (placement.kind === 'no_room') break;
+        if (placement.kind === 'placed') orders.push(placement.order);
       }
     }
     return orders;
@@ -43,31 +87,48 @@
   private placeTask(
     record: JobRecord,
     task: TaskRecord,
-    prospects: Prospects,
+    scene: Scene,
     now: Millis,
-  ): Order | undefined {
-    const {job} = record;
-    const {queue, service, payload} = job;
+  ): Placement {
+    const {queue, service, payload} = record.job;
     const {step, name} = task;
     const countOn = (workerId: string) => record.countOn(workerId, name.step);
     const candidate: Candidate = {queue, step, due: record, countOn};
     const {durations} = this.board;
-    const workers = this.board.workersOf(service);
-    const local = chooseWorker(candidate, workers, durations, prospects, now);
-    const remote = record.isForeign
-      ? undefined
-      : this.neighbours.find(service, queue, step, record, durations, now);
-    if (remote !== undefined && remote.worth > local.worth + LEND_GAIN) {
-      return this.lend(record, task, remote, now);
+    const workers = scene.usable(service);
+    const free = chooseFree(candidate, workers, durations, now);
+    const freeWorth = free?.worth ?? 0;
+    const remote = this.findRemote(record, task, freeWorth, now);
+    if (free === undefined && remote === undefined) return {kind: 'no_room'};
+    const later =
+      freeWorth < SURE_WORTH
+        ? chooseLater(candidate, workers, durations, scene.prospects)
+        : undefined;
+    const localWorth = Math.max(freeWorth, later?.worth ?? 0);
+    if (remote !== undefined && remote.worth > localWorth + LEND_GAIN) {
+      return {kind: 'placed', order: this.lend(record, task, remote, now)};
     }
-    if (local.kind === 'later') prospects.take(local.worker);
-    if (local.kind !== 'now') return undefined;
-    const workerId = local.worker.info.id;
-    const {estimateMs} = step;
-    const expectedMs = durations.expectOn(workerId, queue, estimateMs);
-    const run = createRun(record, task, workerId, expectedMs, now);
+    if (later !== undefined && isWorthWaiting(later.worth, freeWorth)) {
+      scene.prospects.take(later.worker);
+      return {kind: 'waits'};
+    }
+    if (free === undefined) return {kind: 'no_room'};
+    const workerId = free.worker.info.id;
+    const run = createRun(record, task, workerId, free.expectedMs, now);
     this.board.beginRun(record, task, run);
-    return {kind: 'start', run, payload};
+    return {kind: 'placed', order: {kind: 'start', run, payload}};
+  }
+
+  private findRemote(
+    record: JobRecord,
+    {step}: TaskRecord,
+    freeWorth: number,
+    now: Millis,
+  ): RemotePlace | undefined {
+    if (record.isForeign || freeWorth >= SURE_WORTH) return undefined;
+    const {queue, service} = record.job;
+    const {durations} = this.board;
+    return this.neighbours.find(service, queue, step, record, durations, now);
   }
 
   private lend(
--- a/packages/dispatch/src/placement/choose_worker.ts
+++ b/packages/dispatch/src/placement/choose_worker.ts
@@ -14,7 +14,7 @@
 import type {Prospects} from './prospects.js';
 
 /** Workers count as equally good that bring this share of the best worth. */
-const GOOD_SHARE = 0.95;
+const GOOD_SHARE = 0.98;
 /** A vacancy to come must be better by this, as others may take it. */
 const WAIT_GAIN = 0.1;
 /** How many times as long a task takes away from its data. */
@@ -29,10 +29,7 @@
   readonly countOn: (workerId: string) => number;
 }
 
-interface Choice {
-  readonly worker: WorkerRecord;
-  readonly worth: number;
-  readonly expectedMs: Millis;
+interface Choice extends WorkerChoice {
   readonly leftMillis: number;
 }
 
@@ -55,49 +52,54 @@
   return fits(need, capacity);
 }
 
-/** Where a task should go, and the worth to expect of it there. */
-export type LocalPlace =
-  | {
-      readonly kind: 'now';
-      readonly worker: WorkerRecord;
-      readonly worth: number;
-    }
-  /** It should wait for this worker's next vacancy. */
-  | {
-      readonly kind: 'later';
-      readonly worker: WorkerRecord;
-      readonly worth: number;
-    }
-  | {readonly kind: 'none'; readonly worth: 0};
+/** A worker for a task, and the worth to expect of it there. */
+export interface WorkerChoice {
+  readonly worker: WorkerRecord;
+  readonly worth: number;
+  readonly expectedMs: Millis;
+}
 
-/** The worker to start a task on, now or soon. */
-export function chooseWorker(
+/** The best of the workers that have room now. */
+export function chooseFree(
   candidate: Candidate,
-  workers: Iterable<WorkerRecord>,
+  workers: readonly WorkerRecord[],
   durations: Durations,
-  prospects: Prospects,
   now: Millis,
-): LocalPlace {
+): WorkerChoice | undefined {
   const free: Choice[] = [];
+  let best = 0;
+  for (const worker of workers) {
+    if (!hasRoom(candidate, worker)) continue;
+    const choice = weigh(candidate, worker, durations, now);
+    best = Math.max(best, choice.worth);
+    free.push(choice);
+  }
+  const good = free.filter(({worth}) => worth >= best * GOOD_SHARE);
+  return good.sort(compareChoices)[0];
+}
+
+/** The best of the vacancies to come on busy workers. */
+export function chooseLater(
+  candidate: Candidate,
+  workers: readonly WorkerRecord[],
+  durations: Durations,
+  prospects: Prospects,
+): WorkerChoice | undefined {
   let later: Choice | undefined;
   for (const worker of workers) {
-    if (!worker.isUsable(now) || !canEverRun(candidate.step, worker)) continue;
-    if (hasRoom(candidate, worker)) {
-      free.push(weigh(candidate, worker, durations, now));
-      continue;
-    }
+    if (!canEverRun(candidate.step, worker)) continue;
+    if (hasRoom(candidate, worker)) continue;
     const vacantAt = prospects.nextVacancy(worker);
+    if (vacantAt >= candidate.due.usefulUntil) continue;
     const choice = weigh(candidate, worker, durations, vacantAt);
     if (later === undefined || choice.worth > later.worth) later = choice;
   }
-  const best = Math.max(0, ...free.map(({worth}) => worth));
-  if (later !== undefined && later.worth > best + WAIT_GAIN) {
-    return {kind: 'later', worker: later.worker, worth: later.worth};
-  }
-  const good = free.filter(({worth}) => worth >= best * GOOD_SHARE);
-  const [choice] = good.sort(compareChoices);
-  if (choice === undefined) return {kind: 'none', worth: 0};
-  return {kind: 'now', worker: choice.worker, worth: choice.worth};
+  return later;
+}
+
+/** Whether a vacancy to come is worth waiting for, as others may take it. */
+export function isWorthWaiting(later: number, free: number): boolean {
+  return later > free + WAIT_GAIN;
 }
 
 function weigh(
@@ -119,6 +121,7 @@
 }
 
 function hasRoom({step, countOn}: Candidate, worker: WorkerRecord): boolean {
+  if (!canEverRun(step, worker)) return false;
   const most = step.maxPerWorker;
   if (most !== undefined && countOn(worker.info.id) >= most) return false;
   return fits(step.need, worker.free());
--- a/packages/dispatch/src/placement/prospects.ts
+++ b/packages/dispatch/src/placement/prospects.ts
@@ -10,24 +10,29 @@
 
 /** Vacancies that are expected, and how many are spoken for. */
 export class Prospects {
-  private readonly taken = new Map<string, number>();
+  private readonly ends = new Map<WorkerRecord, Millis[]>();
 
   constructor(private readonly now: Millis) {}
 
   /** When the next vacancy that is not spoken for comes up. */
   nextVacancy(worker: WorkerRecord): Millis {
+    return this.endsOn(worker)[0] ?? Infinity;
+  }
+
+  /** Speaks for the worker's next vacancy. */
+  take(worker: WorkerRecord): void {
+    this.endsOn(worker).shift();
+  }
+
+  private endsOn(worker: WorkerRecord): Millis[] {
+    const known = this.ends.get(worker);
+    if (known !== undefined) return known;
     const ends: Millis[] = [];
     for (const {startedAt, expectedMs} of worker.runs.values()) {
       ends.push(Math.max(startedAt + expectedMs, this.now + OVERDUE_MS));
     }
     ends.sort((a, b) => a - b);
-    const index = this.taken.get(worker.info.id) ?? 0;
-    return ends[index] ?? Infinity;
-  }
-
-  /** Speaks for the worker's next vacancy. */
-  take(worker: WorkerRecord): void {
-    const {id} = worker.info;
-    this.taken.set(id, (this.taken.get(id) ?? 0) + 1);
+    this.ends.set(worker, ends);
+    return ends;
   }
 }
--- a/packages/dispatch/src/speeds/durations.ts
+++ b/packages/dispatch/src/speeds/durations.ts
@@ -16,18 +16,27 @@
 
 interface WorkerSpeed {
   /** Natural logarithm of run time over expected run time. */
+  logSlowness: number;
+  /** The same as a factor. */
   slowness: number;
   runs: number;
 }
 
+interface QueueFactor {
+  /** Natural logarithm of run time over declared run time. */
+  logFactor: number;
+  /** The same as a factor. */
+  factor: number;
+}
+
 /** Learns run times from finished runs. */
 export class Durations {
-  private readonly queues = new Map<string, number>();
+  private readonly queues = new Map<string, QueueFactor>();
   private readonly workers = new Map<string, WorkerSpeed>();
 
   /** Expected run time of a task on a worker of ordinary speed. */
   expect(queue: string, estimateMs: Millis): Millis {
-    return estimateMs * Math.exp(this.queues.get(queue) ?? 0);
+    return estimateMs * (this.queues.get(queue)?.factor ?? 1);
   }
 
   /** Expected run time on this worker. */
@@ -37,7 +46,7 @@
 
   /** How many times as long as usual tasks take there; 1 while unknown. */
   slownessOf(workerId: string): number {
-    return Math.exp(this.workers.get(workerId)?.slowness ?? 0);
+    return this.workers.get(workerId)?.slowness ?? 1;
   }
 
   /** Learns from a run that ended well. */
@@ -50,19 +59,19 @@
     const ratio = tookMs / Math.max(estimateMs, 1);
     const bounded = Math.min(Math.max(ratio, SMALLEST_RATIO), LARGEST_RATIO);
     const seen = Math.log(bounded);
-    const factor = this.queues.get(queue) ?? 0;
-    const worker = this.workers.get(workerId) ?? {slowness: 0, runs: 0};
+    const queueLog = this.queues.get(queue)?.logFactor ?? 0;
+    const worker = this.workers.get(workerId);
+    const workerLog = worker?.logSlowness ?? 0;
+    const runs = worker?.runs ?? 0;
     const weight = Math.max(
-      FIRST_WORKER_WEIGHT / (worker.runs + 1),
+      FIRST_WORKER_WEIGHT / (runs + 1),
       LATER_WORKER_WEIGHT,
     );
-    this.queues.set(
-      queue,
-      factor + QUEUE_WEIGHT * (seen - worker.slowness - factor),
-    );
-    worker.slowness += weight * (seen - factor - worker.slowness);
-    worker.runs += 1;
-    this.workers.set(workerId, worker);
+    const logFactor = queueLog + QUEUE_WEIGHT * (seen - workerLog - queueLog);
+    const logSlowness = workerLog + weight * (seen - queueLog - workerLog);
+    this.queues.set(queue, {logFactor, factor: Math.exp(logFactor)});
+    const slowness = Math.exp(logSlowness);
+    this.workers.set(workerId, {logSlowness, slowness, runs: runs + 1});
   }
 
   /** Forgets a worker that is gone. */
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -19,10 +19,10 @@
   OnTrial = 'on_trial',
 }
 
+const NO_NEED: Need = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+
 /** A worker, what runs there and how it has behaved. */
 export class WorkerRecord {
-  /** What runs or may run there, by the task's name. */
-  readonly runs = new Map<string, Run>();
   /** Runs that this holder knows nothing of, by the task's name. */
   readonly orphans = new Map<string, number>();
   /** Last acknowledged end of the present life. */
@@ -42,9 +42,16 @@
   /** Until when nothing is offered because the worker said it is full. */
   fullUntil: Millis = 0;
   private clock: ClockReading | undefined;
+  private readonly running = new Map<string, Run>();
+  private used = NO_NEED;
 
   constructor(public info: Worker) {}
 
+  /** What runs or may run there, by the task's name. */
+  get runs(): ReadonlyMap<string, Run> {
+    return this.running;
+  }
+
   /** Whether the worker can be given a task now. */
   isUsable(now: Millis): boolean {
     if (!this.isHeld || this.isSilent || this.info.isDraining) return false;
@@ -61,13 +68,28 @@
 
   /** Free processors, memory and accelerators. */
   free(): Need {
-    let {cpuMillis, memoryMb, accelerators} = this.info.capacity;
-    for (const {need} of this.runs.values()) {
-      cpuMillis -= need.cpuMillis;
-      memoryMb -= need.memoryMb;
-      accelerators -= need.accelerators;
-    }
-    return {cpuMillis, memoryMb, accelerators};
+    const {capacity} = this.info;
+    const {used} = this;
+    return {
+      cpuMillis: capacity.cpuMillis - used.cpuMillis,
+      memoryMb: capacity.memoryMb - used.memoryMb,
+      accelerators: capacity.accelerators - used.accelerators,
+    };
+  }
+
+  /** Puts a run on the worker. */
+  addRun(run: Run): void {
+    this.removeRun(run.key);
+    this.running.set(run.key, run);
+    this.used = sumNeeds(this.used, run.need, 1);
+  }
+
+  /** Takes a run off the worker. */
+  removeRun(key: string): void {
+    const run = this.running.get(key);
+    if (run === undefined) return;
+    this.running.delete(key);
+    this.used = sumNeeds(this.used, run.need, -1);
   }
 
   /** Notes the clock that came with an answer. */
@@ -83,10 +105,19 @@
 
   /** Begins a new life: nothing of the old one is left. */
   forgetLife(): void {
-    this.runs.clear();
+    this.running.clear();
+    this.used = NO_NEED;
     this.orphans.clear();
     this.lastSeen = 0;
     this.clock = undefined;
     this.isHeld = false;
   }
 }
+
+function sumNeeds(base: Need, need: Need, sign: 1 | -1): Need {
+  return {
+    cpuMillis: base.cpuMillis + sign * need.cpuMillis,
+    memoryMb: base.memoryMb + sign * need.memoryMb,
+    accelerators: base.accelerators + sign * need.accelerators,
+  };
+}
