Order by the earliest start again; adopt what runs of a job sent again

Found by tests: jobs that reached a new holder before its first looks were refused as overloaded; in a zone of two a leaving holder had no successor until it was gone.

The instance, its role, the holder and its orders stand in files of their own.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,6 +20,19 @@
     files: ['**/*.mjs'],
     languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: {
+        __dirname: 'readonly',
+        exports: 'readonly',
+        module: 'readonly',
+        process: 'readonly',
+        require: 'readonly',
+      },
+    },
+  },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.recommendedTypeChecked],
--- a/packages/dispatch/src/admission/estimate.ts
+++ b/packages/dispatch/src/admission/estimate.ts
@@ -20,8 +20,9 @@
   service: string,
 ): number {
   let capacity = 0;
-  for (const {info, isSilent, isHeld} of workers) {
-    const isOut = info.isDraining || isSilent || !isHeld;
+  for (const {info, isSilent} of workers) {
+    // One that this holder has not looked at yet will be held in a moment.
+    const isOut = info.isDraining || isSilent;
     if (info.service === service && !isOut) capacity += info.capacity.cpuMillis;
   }
   return capacity;
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -14,9 +14,6 @@
 /** Up to this multiple of its objective an answer is of use, if late. */
 const USEFUL_OBJECTIVES = 3;
 
-/** Run times are uncertain: a job should start this many of them early. */
-const START_MARGIN = 1.5;
-
 /** What is known of one task. */
 export type TaskState =
   | {readonly kind: 'waiting'}
@@ -78,7 +75,7 @@
 
   /** The latest time at which it can start and still end when due. */
   get startBy(): Millis {
-    return this.dueAt - START_MARGIN * this.expectedMs;
+    return this.dueAt - this.expectedMs;
   }
 
   /** Whether all tasks are done. */
@@ -86,12 +83,6 @@
     return this.tasks.every(({state}) => state.kind === 'done');
   }
 
-  /** Share of the time to wait that is left, negative when it is over. */
-  slackShare(now: Millis): number {
-    const wholeMs = Math.max(this.dueAt - this.job.arrivedAt, 1);
-    return (this.startBy - now) / wholeMs;
-  }
-
   /** Runs that may still go on. */
   *runs(): Iterable<Run> {
     for (const {state} of this.tasks) {
--- a/packages/dispatch/src/dispatcher/order.ts
+++ b/packages/dispatch/src/dispatcher/order.ts
@@ -1,47 +1,26 @@
 /**
  * In which order waiting jobs get room. Answers more load than the workers can
- * serve in time. A job that has begun goes first, so that little is done in
- * vain. Then comes the job with the largest share of its time left: under too
- * much load, serving those that are about to be late makes all of them late.
- * Jobs that can hardly end in time any more take what room is left.
+ * serve in time: the job goes first that has to start earliest to end when due.
+ * Jobs that can hardly end in time any more take what room is left, but for
+ * those that have begun, so that little is done in vain.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {JobRecord} from './job_record.js';
 
-/** Groups of jobs, served one after the other. */
-enum Urgency {
-  Begun,
-  InTime,
-  Late,
-}
-
-interface RankedJob {
-  readonly record: JobRecord;
-  readonly urgency: Urgency;
-  readonly slackShare: number;
-}
-
 /** The jobs with the one to serve first in front. */
 export function orderJobs(
   jobs: readonly JobRecord[],
   now: Millis,
 ): JobRecord[] {
-  const ranked = jobs.map(record => rank(record, now));
-  ranked.sort(compareRanks);
-  return ranked.map(({record}) => record);
-}
-
-function rank(record: JobRecord, now: Millis): RankedJob {
-  const slackShare = record.slackShare(now);
-  return {record, slackShare, urgency: chooseUrgency(record, slackShare)};
+  return [...jobs].sort((a, b) => compareJobs(a, b, now));
 }
 
-function chooseUrgency(record: JobRecord, slackShare: number): Urgency {
-  if (record.hasStarted) return Urgency.Begun;
-  return slackShare >= 0 ? Urgency.InTime : Urgency.Late;
+function compareJobs(a: JobRecord, b: JobRecord, now: Millis): number {
+  const isLateA = isLate(a, now);
+  if (isLateA !== isLate(b, now)) return isLateA ? 1 : -1;
+  return a.startBy - b.startBy;
 }
 
-function compareRanks(a: RankedJob, b: RankedJob): number {
-  if (a.urgency !== b.urgency) return a.urgency - b.urgency;
-  return b.slackShare - a.slackShare;
+function isLate({startBy, hasStarted}: JobRecord, now: Millis): boolean {
+  return now > startBy && !hasStarted;
 }
--- a/packages/dispatch/src/placement/choose_worker.ts
+++ b/packages/dispatch/src/placement/choose_worker.ts
@@ -14,7 +14,7 @@
 import type {Prospects} from './prospects.js';
 
 /** Workers count as equally good that bring this share of the best worth. */
-const GOOD_SHARE = 0.98;
+const GOOD_SHARE = 0.95;
 /** A vacancy to come must be better by this, as others may take it. */
 const WAIT_GAIN = 0.1;
 /** How many times as long a task takes away from its data. */
--- /dev/null
+++ b/packages/dispatch/test/placement.test.ts
@@ -0,0 +1,101 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {openSnapshots} from '@goldcrestpier/testing';
+import {
+  PlayedFault,
+  playLoad,
+  type PlayedLoad,
+  type QueueResult,
+  type PlayedWorker,
+} from './fixtures/played_load.js';
+
+const snapshots = openSnapshots(import.meta.url);
+
+function createWorkers(count: number, faulty: PlayedFault): PlayedWorker[] {
+  const speeds = [0.55, 1.2, 1.2, 1.2];
+  return Array.from({length: count}, (_, index) => ({
+    cpuMillis: index % 3 === 2 ? 96_000 : 64_000,
+    speed: speeds[index % speeds.length] ?? 1,
+    fault: index === 1 ? faulty : PlayedFault.None,
+  }));
+}
+
+function createLoad(
+  factor: number,
+  faulty: PlayedFault = PlayedFault.None,
+): PlayedLoad {
+  return {
+    seed: 7,
+    lengthMs: 10_000,
+    deadlineMs: 1_500,
+    workers: createWorkers(11, faulty),
+    queues: [
+      {
+        name: 'checks',
+        priority: 0,
+        jobsPerS: 8 * factor,
+        tasks: 8,
+        taskMs: 60,
+        targetMs: 60,
+      },
+      {
+        name: 'runs',
+        priority: 2,
+        jobsPerS: 1.5 * factor,
+        tasks: 4,
+        taskMs: 900,
+        targetMs: 60,
+      },
+      {
+        name: 'quotes',
+        priority: 1,
+        jobsPerS: 23 * factor,
+        tasks: 2,
+        taskMs: 200,
+        targetMs: 60,
+      },
+    ],
+  };
+}
+
+test('at half of the load jobs end in time nearly as often as alone', () => {
+  const alone = playLoad({...createLoad(0.02), lengthMs: 400_000});
+  const results = playLoad(createLoad(0.5));
+  for (const name of ['checks', 'quotes']) {
+    const ideal = shareInTime(alone.get(name));
+    const share = shareInTime(results.get(name));
+    assert.ok(share > 0.8 * ideal, `${name}: ${share} beside ${ideal}`);
+  }
+  snapshots.match('half load', Object.fromEntries(results));
+});
+
+test('under twice the load, more is refused than is lost after a start', () => {
+  const results = playLoad(createLoad(2));
+  const quotes = results.get('quotes');
+  assert.ok(quotes !== undefined);
+  assert.ok(quotes.refused > quotes.lost);
+  snapshots.match('double load', Object.fromEntries(results));
+});
+
+test('a worker that fails all tasks costs few jobs', () => {
+  const sound = playLoad(createLoad(0.5));
+  const faulty = playLoad(createLoad(0.5, PlayedFault.Fails));
+  const served = (results: typeof sound) => {
+    const {jobs, inTime, late} = results.get('quotes') ?? NOTHING;
+    return (inTime + late) / jobs;
+  };
+  assert.ok(served(faulty) > served(sound) - 0.05);
+});
+
+test('a worker on which tasks stand still costs few jobs', () => {
+  const results = playLoad(createLoad(0.5, PlayedFault.Hangs));
+  const {jobs, inTime, late} = results.get('quotes') ?? NOTHING;
+  assert.ok((inTime + late) / jobs > 0.9);
+});
+
+function shareInTime(result: QueueResult | undefined): number {
+  const {jobs, inTime} = result ?? NOTHING;
+  return inTime / jobs;
+}
+
+const NOTHING = {jobs: 1, inTime: 0, late: 0};
--- /dev/null
+++ b/packages/dispatch/test/takeover.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {RunEnd, StartAnswer} from '../src/index.js';
+import {
+  createJob,
+  createLook,
+  createScene,
+  createWorker,
+  formatOrders,
+  lookAtAll,
+} from './fixtures/scene.js';
+
+const running = (index: number) => ({
+  task: `a.0.0.${index}`,
+  run: 3,
+  percent: 40,
+});
+
+test('a new holder adopts what runs of a job that its owner still wants', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.submit(createJob('a', 2), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start a.0.0.1/1 on w1']);
+  assert.equal(dispatcher.workers.get('w1')?.runs.size, 2);
+});
+
+test('a job that its client sends again adopts what still runs of it', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.submit(createJob('a', 1), false, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+  assert.equal(dispatcher.workers.get('w1')?.runs.get('a.0.0.0')?.run, 3);
+});
+
+test('a run whose owner never comes is stopped', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  assert.deepEqual(formatOrders(dispatcher.tick(400)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(510)), [
+    'stop a.0.0.0/3 on w1',
+  ]);
+});
+
+test('a resumed job waits while a worker may still run a task of it', () => {
+  const workers = [createWorker('w1'), createWorker('w2')];
+  const dispatcher = createScene(workers, 0);
+  dispatcher.looked('w1', createLook(), 1, 2);
+  dispatcher.lookFailed('w2');
+  const job = createJob('a', 1, {targetMs: 3_000, deadlineAt: 5_000});
+  dispatcher.submit(job, true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_000)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_060)), [
+    'start a.0.0.0/1 on w1',
+  ]);
+});
+
+test('a resumed job waits until other zones told what they run for it', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.expectLent(['east']);
+  lookAtAll(dispatcher, 2);
+  dispatcher.submit(createJob('a', 2), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+  dispatcher.noteLent('east', [{key: 'a.0.0.1', run: 4}]);
+  assert.deepEqual(formatOrders(dispatcher.tick(8)), [
+    'start a.0.0.0/1 on w1',
+    'start a.0.0.1/1 on w1',
+  ]);
+});
+
+test('a task is lent when another zone has room and this one has none', () => {
+  const dispatcher = createScene([createWorker('w1')]);
+  lookAtAll(dispatcher, 0);
+  const vacancy = {slowness: 1, cpuMillis: 64_000, memoryMb: 1_000};
+  const room = {zone: 'east', service: 'pricing', vacancies: [vacancy]};
+  dispatcher.tellRoom(room, 0);
+  dispatcher.submit(createJob('a', 4), false, 0);
+  const orders = dispatcher.tick(0);
+  assert.deepEqual(formatOrders(orders), [
+    'start a.0.0.0/1 on w1',
+    'start a.0.0.1/1 on w1',
+    'lend a.0.0.2/1 to east',
+    'lend a.0.0.3/1 to east',
+  ]);
+  const [, , lent] = orders;
+  assert.ok(lent?.kind === 'lend');
+  dispatcher.lentEnded(lent.run, 'refused', 3);
+  assert.deepEqual(formatOrders(dispatcher.tick(3)), []);
+});
+
+test('a lent task whose holder is lost starts again when it is surely over', () => {
+  const dispatcher = createScene([createWorker('w1')]);
+  lookAtAll(dispatcher, 0);
+  const vacancy = {slowness: 0.2, cpuMillis: 64_000, memoryMb: 1_000};
+  const room = {zone: 'east', service: 'pricing', vacancies: [vacancy]};
+  const long = {targetMs: 20_000, deadlineAt: 20_000};
+  dispatcher.submit(createJob('b', 2, long), false, 0);
+  for (const order of dispatcher.tick(0)) {
+    if (order.kind !== 'start') continue;
+    dispatcher.startAnswered(order.run, StartAnswer.Started, 1);
+  }
+  dispatcher.tellRoom(room, 0);
+  dispatcher.submit(createJob('a', 1, {deadlineAt: 20_000}), false, 0);
+  const [lent] = dispatcher.tick(0);
+  assert.ok(lent?.kind === 'lend');
+  dispatcher.lentLost(lent.run, 100);
+  const done = [0, 1].map(index => ({
+    sequence: index + 1,
+    task: `b.0.0.${index}`,
+    run: 1,
+    end: RunEnd.Done,
+  }));
+  dispatcher.looked('w1', createLook([], done), 200, 200);
+  assert.deepEqual(formatOrders(dispatcher.tick(2_050)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(2_110)), [
+    'start a.0.0.0/2 on w1',
+  ]);
+});
--- a/packages/peers/src/link/client.ts
+++ b/packages/peers/src/link/client.ts
@@ -54,8 +54,7 @@
         }
         const {timeoutMs} = op.context as CallContext;
         const {path, input} = op;
-        if (!isCallOf(callMethods, path))
-          throw new TypeError(`no such call: ${path}`);
+        if (!isCallOf(callMethods, path)) throw new TypeError('no such call');
         connection.send({call: path, input, timeoutMs}, result => {
           if (result.isErr()) return fail(new PeerCallError(result.error));
           observer.next({result: {type: 'data', data: result.value}});
--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -92,7 +92,8 @@
     const successor = findSuccessor(members, now);
     // A leaving holder goes on until its successor's claim is heard.
     if (holderId === this.selfId) return {kind: 'hold'};
-    if (this.isHolderAlive(holderId, members, now)) {
+    const canNobodySucceed = isLeaving && successor === undefined;
+    if (this.isHolderAlive(holderId, members, canNobodySucceed, now)) {
       return {kind: 'follow', holderId};
     }
     if (isLeaving && successor !== undefined) return {kind: 'wait'};
@@ -106,13 +107,14 @@
   private isHolderAlive(
     holderId: string,
     members: readonly Member[],
+    canNobodySucceed: boolean,
     now: Millis,
   ): boolean {
     const holder = members.find(({id}) => id === holderId);
     if (holder === undefined) {
       return members.some(member => hearsHolder(member, holderId, now));
     }
-    if (holder.isLeaving) return findSuccessor(members, now) === undefined;
+    if (holder.isLeaving) return canNobodySucceed;
     if (isHeard(holder, now)) return true;
     if (holder.isRefused) return false;
     return members.some(member => hearsHolder(member, holderId, now));
--- /dev/null
+++ b/packages/zone/src/holder/carrier.ts
@@ -0,0 +1,81 @@
+/** Carries out a dispatcher's orders to workers and brings the answers back. */
+import {
+  StartAnswer,
+  type Dispatcher,
+  type DispatcherOptions,
+  type StartCommand,
+  type StopCommand,
+} from '@goldcrestpier/dispatch';
+import {readClock, type Logger} from '@goldcrestpier/runtime';
+import type {ZoneMetrics} from '../metrics/index.js';
+import type {WorkerPort} from '../ports/index.js';
+
+/** What a carrier needs. */
+export interface CarrierOptions {
+  readonly token: number;
+  readonly bounds: DispatcherOptions;
+  readonly port: WorkerPort;
+  readonly dispatcher: Dispatcher;
+  readonly logger: Logger;
+  readonly metrics: ZoneMetrics;
+  /** Called when a worker is about to be given something. */
+  readonly onOrder: (workerId: string) => void;
+  /** Called when something is known that decisions depend on. */
+  readonly onChange: () => void;
+  readonly onFenced: (workerId: string) => void;
+}
+
+/** Sends each order once. */
+export class Carrier {
+  constructor(private readonly options: CarrierOptions) {}
+
+  /** Starts a run. */
+  async start({run, payload}: StartCommand): Promise<void> {
+    const {bounds, port, token, dispatcher, onOrder, onChange} = this.options;
+    const record = dispatcher.workers.get(run.workerId);
+    const sentAt = readClock();
+    const clock = record?.clockAt(sentAt);
+    if (record === undefined || clock === undefined) {
+      dispatcher.startAnswered(run, StartAnswer.Rejected, sentAt);
+      return;
+    }
+    dispatcher.noteLease(run.workerId, sentAt);
+    const leaseUntil = Math.floor(clock + bounds.leaseMs);
+    const worker = record.info;
+    onOrder(run.workerId);
+    const reply = await port.start({worker, run, payload, token, leaseUntil});
+    const now = readClock();
+    if (reply.clockMs !== undefined) record.readClock(reply.clockMs, now);
+    this.noteStart(run.workerId, run.key, reply.answer);
+    dispatcher.startAnswered(run, reply.answer, now);
+    onChange();
+  }
+
+  private noteStart(worker: string, task: string, answer: StartAnswer): void {
+    const {logger, metrics, onFenced} = this.options;
+    metrics.starts.inc({answer});
+    if (answer === StartAnswer.Started) return;
+    logger.warn('start not taken', {worker, task, answer});
+    if (answer === StartAnswer.Fenced) onFenced(worker);
+  }
+
+  /** Stops a run. */
+  async stop(order: StopCommand): Promise<void> {
+    const {port, token, logger, dispatcher, onChange} = this.options;
+    const {workerId, key: task, runNumber, run} = order;
+    const record = dispatcher.workers.get(workerId);
+    if (record === undefined) return;
+    const worker = record.info;
+    const result = await port.stop({worker, task, run: runNumber, token});
+    const outcome = result.isOk() ? 'taken' : result.error;
+    logger.info('run stopped', {
+      worker: workerId,
+      task,
+      run: runNumber,
+      outcome,
+    });
+    if (run === undefined) return;
+    if (result.isOk()) dispatcher.stopTaken(run, readClock());
+    onChange();
+  }
+}
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -5,12 +5,9 @@
 import {
   AbandonReason,
   Dispatcher,
-  StartAnswer,
   type DispatcherOptions,
   type EndedJob,
   type Order,
-  type StartCommand,
-  type StopCommand,
   type Worker,
   type ZoneRoom,
 } from '@goldcrestpier/dispatch';
@@ -24,7 +21,9 @@
   LentList,
   ZoneHeartbeat,
 } from '../protocol/index.js';
+import {Carrier} from './carrier.js';
 import {Lender, type FindZone} from './lender.js';
+import {formatRooms} from './rooms.js';
 import {createObserver, logPlacements} from './observer.js';
 import {formatLent, toJob, toLentJob} from './to_job.js';
 import {WorkerWatch} from './worker_watch.js';
@@ -55,6 +54,7 @@
 /** The holder of a zone's workers, for as long as its token is the highest. */
 export class Holder {
   private readonly dispatcher: Dispatcher;
+  private readonly carrier: Carrier;
   private readonly lender: Lender;
   private readonly watches = new Map<string, WorkerWatch>();
   private readonly waiters = new Map<string, Waiter[]>();
@@ -67,6 +67,17 @@
     const {bounds, logger, metrics, lifecycle} = options;
     const observer = createObserver(logger, metrics);
     this.dispatcher = new Dispatcher(bounds, readClock(), observer);
+    this.carrier = new Carrier({
+      token: options.token,
+      bounds,
+      port: options.port,
+      dispatcher: this.dispatcher,
+      logger,
+      metrics,
+      onOrder: workerId => this.watches.get(workerId)?.wake(),
+      onChange: () => this.pumpSoon(),
+      onFenced: workerId => this.fence(workerId),
+    });
     this.lender = new Lender({
       zone: options.zone,
       dispatcher: this.dispatcher,
@@ -164,21 +175,7 @@
 
   /** Free room of all services, as other zones are told. */
   findRooms(): ZoneHeartbeat['rooms'] {
-    const services = new Set<string>();
-    for (const {info} of this.dispatcher.workers.values()) {
-      services.add(info.service);
-    }
-    const now = readClock();
-    return [...services].map(service => ({
-      service,
-      vacancies: this.dispatcher
-        .findVacancies(service, now)
-        .map(({slowness, cpuMillis, memoryMb}) => [
-          Math.round(slowness * 100) / 100,
-          cpuMillis,
-          memoryMb,
-        ]),
-    }));
+    return formatRooms(this.dispatcher, readClock());
   }
 
   /** Runs one task for another zone, now or not at all. */
@@ -328,9 +325,9 @@
   private async carryOut(order: Order): Promise<void> {
     switch (order.kind) {
       case 'start':
-        return this.start(order);
+        return this.carrier.start(order);
       case 'stop':
-        return this.stop(order);
+        return this.carrier.stop(order);
       case 'lend':
         return this.lender.lend(order);
       case 'recall':
@@ -338,54 +335,6 @@
     }
   }
 
-  private async start({run, payload}: StartCommand): Promise<void> {
-    const {bounds, port, token} = this.options;
-    const record = this.dispatcher.workers.get(run.workerId);
-    const sentAt = readClock();
-    const clock = record?.clockAt(sentAt);
-    if (record === undefined || clock === undefined) {
-      this.dispatcher.startAnswered(run, StartAnswer.Rejected, sentAt);
-      return;
-    }
-    this.dispatcher.noteLease(run.workerId, sentAt);
-    const leaseUntil = Math.floor(clock + bounds.leaseMs);
-    const worker = record.info;
-    this.watches.get(run.workerId)?.wake();
-    const reply = await port.start({worker, run, payload, token, leaseUntil});
-    const now = readClock();
-    if (reply.clockMs !== undefined) record.readClock(reply.clockMs, now);
-    this.noteStart(run.workerId, run.key, reply.answer);
-    this.dispatcher.startAnswered(run, reply.answer, now);
-    this.pumpSoon();
-  }
-
-  private noteStart(worker: string, task: string, answer: StartAnswer): void {
-    const {logger, metrics} = this.options;
-    metrics.starts.inc({answer});
-    if (answer === StartAnswer.Started) return;
-    logger.warn('start not taken', {worker, task, answer});
-    if (answer === StartAnswer.Fenced) this.fence(worker);
-  }
-
-  private async stop(order: StopCommand): Promise<void> {
-    const {port, token, logger} = this.options;
-    const {workerId, key: task, runNumber, run} = order;
-    const record = this.dispatcher.workers.get(workerId);
-    if (record === undefined) return;
-    const worker = record.info;
-    const result = await port.stop({worker, task, run: runNumber, token});
-    const outcome = result.isOk() ? 'taken' : result.error;
-    logger.info('run stopped', {
-      worker: workerId,
-      task,
-      run: runNumber,
-      outcome,
-    });
-    if (run === undefined) return;
-    if (result.isOk()) this.dispatcher.stopTaken(run, readClock());
-    this.pumpSoon();
-  }
-
   private logSubmission(message: JobSubmission, isKnown: boolean): void {
     const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
     const fields = {job: id, queue, ownerId, isResumed, isKnown};
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -9,7 +9,7 @@
 import {PeerFailureKind} from '@goldcrestpier/peers';
 import {readClock, type Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {JobAnswer, ZoneCalls} from '../protocol/index.js';
+import type {JobAnswer, ZoneCallFailure, ZoneCalls} from '../protocol/index.js';
 import {toSubmission} from './to_job.js';
 
 /** How long other zones are asked what they run for this one, in ms. */
@@ -114,7 +114,7 @@
     }
   }
 
-  private takeFailure(run: Run, kind: string): void {
+  private takeFailure(run: Run, kind: ZoneCallFailure['kind']): void {
     if (kind === PeerFailureKind.NotSent) {
       this.options.dispatcher.lentEnded(run, 'refused', readClock());
     } else {
--- /dev/null
+++ b/packages/zone/src/holder/rooms.ts
@@ -0,0 +1,26 @@
+/** Tells other zones which room the workers of a dispatcher have. */
+import type {Dispatcher} from '@goldcrestpier/dispatch';
+import type {Millis} from '@goldcrestpier/runtime';
+import type {ZoneHeartbeat} from '../protocol/index.js';
+
+/** Slowness is told in steps of this size. */
+const SLOWNESS_STEP = 0.01;
+
+/** Free room of all services, in the form of a heartbeat. */
+export function formatRooms(
+  dispatcher: Dispatcher,
+  now: Millis,
+): ZoneHeartbeat['rooms'] {
+  const services = new Set<string>();
+  for (const {info} of dispatcher.workers.values()) services.add(info.service);
+  return [...services].map(service => ({
+    service,
+    vacancies: dispatcher
+      .findVacancies(service, now)
+      .map(({slowness, cpuMillis, memoryMb}) => [
+        Math.round(slowness / SLOWNESS_STEP) * SLOWNESS_STEP,
+        cpuMillis,
+        memoryMb,
+      ]),
+  }));
+}
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -1,10 +1,9 @@
 /** Instances of a zone that share the holding of its workers. */
+export {Instance, type InstanceOptions} from './instance/instance.js';
 export {
-  Instance,
   startInstance,
   type InstanceFailure,
-  type InstanceOptions,
-} from './instance/instance.js';
+} from './instance/start_instance.js';
 export {ZoneMetrics} from './metrics/index.js';
 export * from './owner/index.js';
 export * from './ports/index.js';
--- /dev/null
+++ b/packages/zone/src/instance/holder_targets.ts
@@ -0,0 +1,36 @@
+/** The holder as an owner asks it: in this process or at a peer. */
+import {AbandonReason} from '@goldcrestpier/dispatch';
+import {Ok} from 'ts-results-es';
+import type {Holder} from '../holder/index.js';
+import type {HolderTarget} from '../owner/index.js';
+import type {ZoneCalls} from '../protocol/index.js';
+
+/** How long a cancellation waits for its answer, in ms. */
+const CANCEL_TIMEOUT_MS = 1_000;
+
+/** The holder in this process. */
+export function createLocalTarget(
+  holder: Holder,
+  selfId: string,
+): HolderTarget {
+  return {
+    id: selfId,
+    submit: async message => Ok(await holder.submit(message)),
+    cancel: jobId => holder.cancel(selfId, jobId, AbandonReason.Cancelled),
+  };
+}
+
+/** The holder at the other end of a link. */
+export function createPeerTarget(
+  calls: ZoneCalls,
+  holderId: string,
+  selfId: string,
+): HolderTarget {
+  return {
+    id: holderId,
+    submit: (message, timeoutMs) => calls.submit(message, timeoutMs),
+    // Without an answer the job ends by its deadline.
+    cancel: jobId =>
+      void calls.cancel({ownerId: selfId, jobId}, CANCEL_TIMEOUT_MS),
+  };
+}
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -7,29 +7,18 @@
   type DispatcherOptions,
   type Job,
 } from '@goldcrestpier/dispatch';
-import {startCallServer} from '@goldcrestpier/peers';
 import {
   LogPart,
   readClock,
   type Lifecycle,
-  type Logger,
   type Logs,
   type Millis,
 } from '@goldcrestpier/runtime';
-import {Err, Ok, type Result} from 'ts-results-es';
-import {
-  createToken,
-  Election,
-  type Role,
-  type SelfState,
-} from '../election/index.js';
-import {Holder} from '../holder/index.js';
+import type {SelfState} from '../election/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
 import {Owner, type HolderTarget, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration, Directory, WorkerPort} from '../ports/index.js';
 import {
-  createZoneRouter,
-  zoneMethods,
   type Claim,
   type JobAnswer,
   type JobCancellation,
@@ -42,8 +31,10 @@
   type ZoneHeartbeat,
 } from '../protocol/index.js';
 import {HolderChange} from './holder_change.js';
+import {createLocalTarget, createPeerTarget} from './holder_targets.js';
 import {Links} from './links.js';
 import {NeighbourZones} from './neighbour_zones.js';
+import {RoleKeeper} from './role_keeper.js';
 import {ZoneView} from './zone_view.js';
 
 /** How often an instance considers its role, in ms. */
@@ -52,8 +43,6 @@
 const READY_WITHOUT_HOLDER_MS = 2_000;
 /** How long a question to a peer waits for its answer, in ms. */
 const ASK_TIMEOUT_MS = 1_000;
-/** No secret: the platform's network keeps others away from the listener. */
-const PEER_TOKEN = 'zone';
 
 /** Where an instance's listener for peers stands. */
 export interface PeerAddress {
@@ -79,59 +68,32 @@
   readonly lifecycle: Lifecycle;
 }
 
-/** The listener for peers could not be opened. */
-export interface InstanceFailure {
-  readonly address: string;
-  /** The system's error code. */
-  readonly code: string;
-}
-
-/** Starts an instance. */
-export async function startInstance(
-  options: InstanceOptions,
-): Promise<Result<Instance, InstanceFailure>> {
-  const instance = new Instance(options);
-  const started = await startCallServer({
-    listen: options.listen,
-    token: PEER_TOKEN,
-    router: createZoneRouter(instance),
-    methods: zoneMethods,
-    logger: options.logs.forPart(LogPart.Peers),
-    lifecycle: options.lifecycle,
-  });
-  if (started.isErr()) {
-    const {host, port, code} = started.error;
-    return Err({address: `${host}:${port}`, code});
-  }
-  instance.start();
-  return Ok(instance);
-}
-
 /** A running instance. */
 export class Instance implements ZoneHandlers {
-  private readonly log: Logger;
   private readonly address: string;
   private readonly view: ZoneView;
   private readonly zones: NeighbourZones;
-  private readonly election: Election;
+  private readonly roles: RoleKeeper;
   private readonly links: Links;
   private readonly owner: Owner;
   private readonly change = new HolderChange();
-  private holder: Holder | undefined;
-  private holderLifecycle: Lifecycle | undefined;
-  private role: Role = {kind: 'wait'};
   private hadHolderAt: Millis = -Infinity;
   private isLeaving = false;
   private isReadingConfiguration = false;
 
   constructor(private readonly options: InstanceOptions) {
     const {id, zone, listen, logs, metrics, lifecycle, seeds} = options;
-    this.log = logs.forPart(LogPart.Membership);
     this.address = `${listen.host}:${listen.port}`;
     this.view = new ZoneView(zone, this.address);
     this.zones = new NeighbourZones(zone);
     for (const seed of seeds) this.view.addAddress(seed);
-    this.election = new Election(id, readClock());
+    this.roles = new RoleKeeper({
+      ...options,
+      findZone: other => this.findZone(other),
+      findZones: () => this.findZones(),
+      // The next step decides anew, when this one has ended.
+      onFenced: () => setImmediate(() => this.step(readClock())),
+    });
     this.links = new Links({
       selfId: id,
       logger: logs.forPart(LogPart.Peers),
@@ -169,7 +131,7 @@
 
   /** Whether this instance holds the workers of its zone. */
   isHolder(): boolean {
-    return this.holder !== undefined;
+    return this.roles.holder !== undefined;
   }
 
   /** Begins a planned stop: another instance takes over. */
@@ -179,7 +141,7 @@
 
   /** Jobs of a queue that have not started, as far as is known here. */
   countWaiting(queue: string): number {
-    return this.holder?.countWaiting(queue) ?? 0;
+    return this.roles.holder?.countWaiting(queue) ?? 0;
   }
 
   /** Takes a neighbour's heartbeat. */
@@ -192,13 +154,14 @@
 
   /** Takes a job for the workers that this instance holds. */
   submit(message: JobSubmission): Promise<JobAnswer> {
-    if (this.holder !== undefined) return this.holder.submit(message);
+    if (this.roles.holder !== undefined)
+      return this.roles.holder.submit(message);
     return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
   }
 
   /** Gives up a job that a peer handed in. */
   cancel({ownerId, jobId}: JobCancellation): Promise<void> {
-    this.holder?.cancel(ownerId, jobId, AbandonReason.Cancelled);
+    this.roles.holder?.cancel(ownerId, jobId, AbandonReason.Cancelled);
     return Promise.resolve();
   }
 
@@ -209,19 +172,20 @@
 
   /** Runs a task that the holder of another zone lends. */
   lend(message: Lending): Promise<JobAnswer> {
-    if (this.holder !== undefined) return this.holder.takeLent(message);
+    if (this.roles.holder !== undefined)
+      return this.roles.holder.takeLent(message);
     return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
   }
 
   /** Stops a task that another zone takes back. */
   recall({homeZone, task}: Recall): Promise<void> {
-    this.holder?.recall(homeZone, task);
+    this.roles.holder?.recall(homeZone, task);
     return Promise.resolve();
   }
 
   /** The tasks that run here for another zone. */
   listLent(homeZone: string): Promise<LentList> {
-    return Promise.resolve(this.holder?.listLent(homeZone) ?? []);
+    return Promise.resolve(this.roles.holder?.listLent(homeZone) ?? []);
   }
 
   private step(now: Millis): void {
@@ -229,70 +193,24 @@
     const registrations = directory.registrations();
     this.view.setRegistrations(registrations, now);
     this.zones.setRegistrations(registrations);
-    const foreign = this.holder === undefined ? [] : this.zones.addresses;
+    const foreign = this.roles.holder === undefined ? [] : this.zones.addresses;
     this.links.setAddresses([...this.view.addresses, ...foreign]);
-    this.takeRole(
-      this.election.chooseRole(this.view.members(), this.selfState(), now),
-      now,
-    );
-    const {holder} = this;
+    this.roles.update(this.view.members(), this.selfState(), now);
+    const {holderId} = this.roles;
+    if (holderId !== undefined) this.hadHolderAt = now;
+    if (holderId !== undefined) this.change.tell(holderId);
+    const {holder} = this.roles;
     if (holder === undefined) return;
-    const {zone, id} = this.options;
-    holder.setWorkers(directory.workers().filter(w => w.zone === zone));
+    const {id} = this.options;
     holder.dropOwners(
       ownerId => ownerId === id || this.view.isAlive(ownerId, now),
     );
     holder.dropZones(other => this.zones.isAlive(other, now));
   }
 
-  private takeRole(role: Role, now: Millis): void {
-    const before = this.role;
-    this.role = role;
-    if (role.kind !== 'hold' && role.kind !== 'claim') this.endHolding();
-    if (role.kind === 'claim') this.claim(role.skip, now);
-    const holderId = this.holderId();
-    if (holderId !== undefined) this.hadHolderAt = now;
-    if (before.kind !== role.kind) {
-      this.options.metrics.roles.inc({role: role.kind});
-      this.log.info('role changed', {
-        from: before.kind,
-        to: role.kind,
-        holder: holderId,
-        token: this.election.claim?.token,
-      });
-    }
-    if (holderId !== undefined) this.change.tell(holderId);
-  }
-
-  private claim(skip: number, now: Millis): void {
-    const {id, nonce} = this.options;
-    const highest = this.election.claim?.token ?? 0;
-    // Only the token's height depends on the time of day, not its safety.
-    const token = createToken(highest, nonce, Date.now(), skip);
-    this.endHolding();
-    this.election.noteClaim({holderId: id, token});
-    this.log.info('claiming the workers of the zone', {token, highest});
-    const {bounds, port, logs, metrics, lifecycle, zone, directory} =
-      this.options;
-    const child = lifecycle.createChild(`holder ${token}`);
-    this.holderLifecycle = child;
-    this.holder = new Holder({
-      zone,
-      findZone: other => this.findZone(other),
-      token,
-      bounds,
-      port,
-      logger: logs.forPart(LogPart.Holding),
-      metrics,
-      lifecycle: child,
-      onFenced: () => this.noteFenced(readClock()),
-    });
-    this.holder.setWorkers(directory.workers().filter(w => w.zone === zone));
-    this.holder.surveyZones(
-      this.zones.zones.filter(other => this.zones.isAlive(other, now)),
-    );
-    directory.announce(token);
-    this.hadHolderAt = now;
+  private findZones(): readonly string[] {
+    const now = readClock();
+    return this.zones.zones.filter(zone => this.zones.isAlive(zone, now));
   }
 
   private findZone(zone: string): ZoneCalls | undefined {
@@ -300,19 +218,6 @@
     return address === undefined ? undefined : this.links.find(address);
   }
 
-  private noteFenced(now: Millis): void {
-    this.election.noteFenced(now);
-    this.step(now);
-  }
-
-  private endHolding(): void {
-    if (this.holderLifecycle === undefined) return;
-    void this.holderLifecycle.close();
-    this.holderLifecycle = undefined;
-    this.holder = undefined;
-    this.options.directory.announce(undefined);
-  }
-
   private hear(message: ZoneHeartbeat, now: Millis): void {
     this.view.hear(message, now);
     if (message.zone !== this.options.zone) this.hearZone(message, now);
@@ -327,7 +232,7 @@
     this.zones.hear(message, now);
     const {zone, rooms = []} = message;
     for (const {service, vacancies} of rooms) {
-      this.holder?.tellRoom({
+      this.roles.holder?.tellRoom({
         zone,
         service,
         vacancies: vacancies.map(([slowness, cpuMillis, memoryMb]) => ({
@@ -340,11 +245,8 @@
   }
 
   private noteClaim(claim: Claim, now: Millis): void {
-    if (!this.election.noteClaim(claim)) return;
-    const {holderId, token} = claim;
-    this.log.info('heard a higher claim', {holder: holderId, token});
     // Acting at once shortens the time in which two instances hold.
-    this.step(now);
+    if (this.roles.noteClaim(claim)) this.step(now);
   }
 
   private async fetchConfiguration(address: string): Promise<void> {
@@ -359,7 +261,7 @@
 
   private createHeartbeat(now: Millis, withRooms: boolean): ZoneHeartbeat {
     const {id, zone, directory} = this.options;
-    const {claim} = this.election;
+    const {claim} = this.roles;
     return {
       id,
       zone,
@@ -369,8 +271,8 @@
       ...(claim === undefined
         ? {}
         : {claim, holderHeardMs: this.holderHeardMs(claim.holderId, now)}),
-      ...(this.holder !== undefined && withRooms
-        ? {rooms: this.holder.findRooms()}
+      ...(this.roles.holder !== undefined && withRooms
+        ? {rooms: this.roles.holder.findRooms()}
         : {}),
     };
   }
@@ -386,37 +288,14 @@
     return heardAt === undefined ? undefined : now - heardAt;
   }
 
-  private holderId(): string | undefined {
-    switch (this.role.kind) {
-      case 'hold':
-      case 'claim':
-        return this.options.id;
-      case 'follow':
-        return this.role.holderId;
-      case 'wait':
-        return undefined;
-    }
-  }
-
   private findHolder(): HolderTarget | undefined {
-    const {holder, options} = this;
-    const {id: selfId} = options;
-    if (holder !== undefined) {
-      return {
-        id: selfId,
-        submit: async message => Ok(await holder.submit(message)),
-        cancel: jobId => holder.cancel(selfId, jobId, AbandonReason.Cancelled),
-      };
-    }
-    const id = this.holderId();
-    const address = id === undefined ? undefined : this.view.addressOf(id);
+    const {holder, holderId} = this.roles;
+    const {id: selfId} = this.options;
+    if (holder !== undefined) return createLocalTarget(holder, selfId);
+    if (holderId === undefined) return undefined;
+    const address = this.view.addressOf(holderId);
     const calls = address === undefined ? undefined : this.links.find(address);
-    if (id === undefined || calls === undefined) return undefined;
-    return {
-      id,
-      submit: (message, timeoutMs) => calls.submit(message, timeoutMs),
-      cancel: jobId =>
-        void calls.cancel({ownerId: selfId, jobId}, ASK_TIMEOUT_MS),
-    };
+    if (calls === undefined) return undefined;
+    return createPeerTarget(calls, holderId, selfId);
   }
 }
--- /dev/null
+++ b/packages/zone/test/election.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createToken, Election, type Member} from '../src/election/index.js';
+
+const informed = {isLeaving: false, isInformed: true};
+
+function createMember(id: string, changes: Partial<Member> = {}): Member {
+  return {
+    id,
+    isLeaving: false,
+    heardAt: undefined,
+    isRefused: false,
+    holderId: undefined,
+    holderHeardAt: undefined,
+    ...changes,
+  };
+}
+
+function follow(holderId: string, token: number): Election {
+  const election = new Election('b', 0);
+  election.noteClaim({holderId, token});
+  return election;
+}
+
+test('an instance listens before it claims', () => {
+  const election = new Election('a', 0);
+  assert.equal(election.chooseRole([], informed, 100).kind, 'wait');
+  assert.equal(election.chooseRole([], informed, 300).kind, 'claim');
+});
+
+test('an instance that knows no list and nobody waits much longer', () => {
+  const election = new Election('a', 0);
+  const state = {isLeaving: false, isInformed: false};
+  assert.equal(election.chooseRole([], state, 2_000).kind, 'wait');
+  assert.equal(election.chooseRole([], state, 3_100).kind, 'claim');
+});
+
+test('the first of those that are heard takes over from a silent holder', () => {
+  const election = follow('a', 10);
+  const members = [
+    createMember('a', {heardAt: 1_000}),
+    createMember('c', {heardAt: 1_990}),
+  ];
+  const role = election.chooseRole(members, informed, 1_500);
+  assert.deepEqual(role, {kind: 'follow', holderId: 'a'});
+  assert.equal(election.chooseRole(members, informed, 2_000).kind, 'claim');
+});
+
+test('a holder that another instance still hears is not replaced', () => {
+  const election = follow('a', 10);
+  const members = [
+    createMember('a', {heardAt: 1_000}),
+    createMember('c', {
+      heardAt: 1_990,
+      holderId: 'a',
+      holderHeardAt: 1_900,
+    }),
+  ];
+  const role = election.chooseRole(members, informed, 2_000);
+  assert.deepEqual(role, {kind: 'follow', holderId: 'a'});
+});
+
+test('an instance that is cut off from all others waits before it claims', () => {
+  const election = follow('a', 10);
+  const members = [
+    createMember('a', {heardAt: 1_000}),
+    createMember('c', {heardAt: 1_000}),
+  ];
+  assert.equal(election.chooseRole(members, informed, 2_000).kind, 'wait');
+  assert.equal(election.chooseRole(members, informed, 4_100).kind, 'claim');
+});
+
+test('one of two takes over at once when the other host refuses', () => {
+  const election = follow('a', 10);
+  const members = [createMember('a', {heardAt: 1_000, isRefused: true})];
+  assert.equal(election.chooseRole(members, informed, 1_700).kind, 'claim');
+});
+
+test('a leaving holder goes on until a higher claim is heard', () => {
+  const election = follow('b', 10);
+  const members = [createMember('c', {heardAt: 990})];
+  const state = {isLeaving: true, isInformed: true};
+  assert.equal(election.chooseRole(members, state, 1_000).kind, 'hold');
+  election.noteClaim({holderId: 'c', token: 11});
+  assert.deepEqual(election.chooseRole(members, state, 1_000), {
+    kind: 'follow',
+    holderId: 'c',
+  });
+});
+
+test('others take over from a leaving holder without waiting', () => {
+  const election = follow('a', 10);
+  const members = [createMember('a', {heardAt: 990, isLeaving: true})];
+  assert.equal(election.chooseRole(members, informed, 1_000).kind, 'claim');
+});
+
+test('a fenced holder does not fight for its workers while it is alone', () => {
+  const election = follow('b', 10);
+  election.noteFenced(1_000);
+  assert.equal(election.chooseRole([], informed, 9_000).kind, 'wait');
+  const role = election.chooseRole([], informed, 11_100);
+  assert.equal(role.kind, 'claim');
+  assert.ok(role.kind === 'claim' && role.skip > 0);
+});
+
+test('tokens rise, also when clocks go back, and differ between processes', () => {
+  const first = createToken(0, 5, Date.UTC(2026, 0, 1), 0);
+  const later = createToken(first, 7, Date.UTC(2025, 0, 1), 0);
+  const same = createToken(0, 6, Date.UTC(2026, 0, 1), 0);
+  assert.ok(later > first);
+  assert.notEqual(same, first);
+  assert.ok(Number.isSafeInteger(createToken(later, 1, Date.now(), 1_000)));
+});
--- /dev/null
+++ b/packages/zone/test/zone_view.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {NeighbourZones} from '../src/instance/neighbour_zones.js';
+import {ZoneView} from '../src/instance/zone_view.js';
+import type {ZoneHeartbeat} from '../src/protocol/index.js';
+
+function createHeartbeat(changes: Partial<ZoneHeartbeat> = {}): ZoneHeartbeat {
+  return {
+    id: 'b-1',
+    zone: 'west',
+    address: '10.0.0.2:7000',
+    isLeaving: false,
+    configurationVersion: 1,
+    ...changes,
+  };
+}
+
+test('a new life at an address ends what was heard of the old one', () => {
+  const view = new ZoneView('west', '10.0.0.1:7000');
+  view.hear(createHeartbeat(), 100);
+  assert.equal(view.isAlive('b-1', 150), true);
+  view.hear(createHeartbeat({id: 'b-2'}), 200);
+  assert.equal(view.isAlive('b-1', 210), false);
+  assert.equal(view.isAlive('b-2', 210), true);
+  assert.equal(view.addressOf('b-2'), '10.0.0.2:7000');
+});
+
+test('an instance of another zone is no neighbour', () => {
+  const view = new ZoneView('west', '10.0.0.1:7000');
+  view.addAddress('10.0.0.2:7000');
+  view.hear(createHeartbeat({zone: 'east'}), 100);
+  assert.deepEqual(view.addresses, []);
+});
+
+test('an old registration does not hide an instance that is heard', () => {
+  const view = new ZoneView('west', '10.0.0.1:7000');
+  view.hear(createHeartbeat({id: 'b-2'}), 100);
+  const old = {id: 'b-1', zone: 'west', address: '10.0.0.2:7000'};
+  view.setRegistrations([old], 200);
+  assert.equal(view.isAlive('b-2', 200), true);
+});
+
+test('one that is neither registered nor heard is forgotten', () => {
+  const view = new ZoneView('west', '10.0.0.1:7000');
+  view.hear(createHeartbeat(), 100);
+  view.setRegistrations([], 5_000);
+  assert.equal(view.addresses.length, 1);
+  view.setRegistrations([], 10_200);
+  assert.equal(view.addresses.length, 0);
+});
+
+test('the holder of another zone is the one with the highest token', () => {
+  const zones = new NeighbourZones('west');
+  const east = {zone: 'east', id: 'e-1', address: '10.1.0.1:7000'};
+  zones.setRegistrations([
+    {...east, holderToken: 5},
+    {...east, id: 'e-2', address: '10.1.0.2:7000', holderToken: 7},
+  ]);
+  assert.equal(zones.addressOf('east'), '10.1.0.2:7000');
+  const claim = {holderId: 'e-1', token: 9};
+  zones.hear(createHeartbeat({...east, claim}), 100);
+  assert.equal(zones.addressOf('east'), '10.1.0.1:7000');
+  assert.equal(zones.isAlive('east', 1_000), true);
+  assert.equal(zones.isAlive('east', 1_200), false);
+});
