--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -24,9 +24,10 @@
 import {Carrier} from './carrier.js';
 import {Lender, type FindZone} from './lender.js';
 import {formatRooms} from './rooms.js';
-import {createObserver, logPlacements} from './observer.js';
+import {createObserver, logPlacements, logSubmission} from './observer.js';
 import {formatLent, toJob, toLentJob} from './to_job.js';
-import {WorkerWatch} from './worker_watch.js';
+import {Waiters} from './waiters.js';
+import {WorkerWatches} from './worker_watches.js';
 
 /** How often the dispatcher looks at its times, in ms. */
 const TICK_MS = 25;
@@ -46,18 +47,13 @@
   readonly onFenced: () => void;
 }
 
-interface Waiter {
-  readonly ownerId: string;
-  readonly answer: (answer: JobAnswer) => void;
-}
-
 /** The holder of a zone's workers, for as long as its token is the highest. */
 export class Holder {
   private readonly dispatcher: Dispatcher;
   private readonly carrier: Carrier;
   private readonly lender: Lender;
-  private readonly watches = new Map<string, WorkerWatch>();
-  private readonly waiters = new Map<string, Waiter[]>();
+  private readonly watches: WorkerWatches;
+  private readonly waiters = new Waiters();
   /** Submissions of jobs whose earlier life is still being stopped. */
   private readonly postponed = new Map<string, JobSubmission>();
   private isPumpDue = false;
@@ -74,7 +70,14 @@
       dispatcher: this.dispatcher,
       logger,
       metrics,
-      onOrder: workerId => this.watches.get(workerId)?.wake(),
+      onOrder: workerId => this.watches.wake(workerId),
+      onChange: () => this.pumpSoon(),
+      onFenced: workerId => this.fence(workerId),
+    });
+    this.watches = new WorkerWatches({
+      ...options,
+      leaseMs: bounds.leaseMs,
+      dispatcher: this.dispatcher,
       onChange: () => this.pumpSoon(),
       onFenced: workerId => this.fence(workerId),
     });
@@ -98,11 +101,16 @@
     return this.options.token;
   }
 
+  /** Jobs that have not ended. */
+  get jobCount(): number {
+    return this.dispatcher.jobs.size;
+  }
+
   /** Takes the present list of workers. */
   setWorkers(workers: readonly Worker[]): void {
     if (this.isClosed) return;
     this.dispatcher.setWorkers(workers, readClock());
-    for (const id of this.dispatcher.workers.keys()) this.watch(id);
+    this.watches.watchAll();
     this.pumpSoon();
   }
 
@@ -123,29 +131,22 @@
     }
     const now = readClock();
     const {id, ownerId, isResumed} = message;
+    const {logger} = this.options;
     return new Promise(answer => {
-      const waiters = this.waiters.get(id) ?? [];
-      waiters.push({ownerId, answer});
-      this.waiters.set(id, waiters);
+      this.waiters.add(id, {ownerId, answer});
       const known = this.dispatcher.jobs.get(id);
       if (known?.ending !== undefined) this.postponed.set(id, message);
       else this.dispatcher.submit(toJob(message, now), isResumed, now);
-      this.logSubmission(message, known !== undefined);
+      logSubmission(message, known !== undefined, this, logger);
       this.pumpSoon();
     });
   }
 
   /** One owner gives a job up; it is stopped when no other waits for it. */
   cancel(ownerId: string, jobId: string, reason: AbandonReason): void {
-    const waiters = this.waiters.get(jobId);
-    if (waiters === undefined) return;
-    const left: Waiter[] = [];
-    for (const waiter of waiters) {
-      if (waiter.ownerId !== ownerId) left.push(waiter);
-      else waiter.answer({kind: 'abandoned', reason});
-    }
-    this.waiters.set(jobId, left);
-    if (left.length > 0) return;
+    if (!this.waiters.ownersOf(jobId).includes(ownerId)) return;
+    const answer = {kind: 'abandoned', reason} as const;
+    if (this.waiters.answerOwner(jobId, ownerId, answer) > 0) return;
     this.postponed.delete(jobId);
     this.options.logger.info('job given up', {job: jobId, reason, ownerId});
     this.dispatcher.cancel(jobId, reason, readClock());
@@ -154,9 +155,9 @@
 
   /** Gives up the jobs of every owner for whom `isAlive` is false. */
   dropOwners(isAlive: (ownerId: string) => boolean): void {
-    for (const [jobId, waiters] of [...this.waiters]) {
+    for (const jobId of this.waiters.records) {
       if (this.dispatcher.jobs.get(jobId)?.isForeign === true) continue;
-      for (const {ownerId} of [...waiters]) {
+      for (const ownerId of this.waiters.ownersOf(jobId)) {
         if (isAlive(ownerId)) continue;
         this.cancel(ownerId, jobId, AbandonReason.OwnerLost);
       }
@@ -191,9 +192,7 @@
       return Promise.resolve({kind: 'abandoned', reason});
     }
     return new Promise(answer => {
-      const waiters = this.waiters.get(job.id) ?? [];
-      waiters.push({ownerId: message.homeZone, answer});
-      this.waiters.set(job.id, waiters);
+      this.waiters.add(job.id, {ownerId: message.homeZone, answer});
       if (!isKnown) this.carryOutAll(this.dispatcher.takeLent(job, now));
       this.pumpSoon();
     });
@@ -238,44 +237,11 @@
   private close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    for (const [jobId, waiters] of this.waiters) {
-      const job = this.dispatcher.jobs.get(jobId);
-      const mayHaveStarted = job?.hasStarted ?? false;
-      for (const {answer} of waiters) {
-        answer({kind: 'not_holder', mayHaveStarted});
-      }
+    for (const jobId of this.waiters.records) {
+      const mayHaveStarted =
+        this.dispatcher.jobs.get(jobId)?.hasStarted ?? false;
+      this.waiters.answerAll(jobId, {kind: 'not_holder', mayHaveStarted});
     }
-    this.waiters.clear();
-  }
-
-  private watch(workerId: string): void {
-    if (this.watches.has(workerId)) return;
-    const {token, bounds, port, lifecycle, logger, metrics} = this.options;
-    const watch = new WorkerWatch({
-      workerId,
-      token,
-      leaseMs: bounds.leaseMs,
-      dispatcher: this.dispatcher,
-      port,
-      onChange: () => this.pumpSoon(),
-      onFenced: () => this.fence(workerId),
-      onLookFailed: (worker, failure) => {
-        metrics.looksFailed.inc({reason: failure});
-        logger.warn('look at worker failed', {worker, failure});
-      },
-    });
-    this.watches.set(workerId, watch);
-    const loop = async (signal: AbortSignal) => {
-      await watch.run(signal);
-      this.watches.delete(workerId);
-    };
-    lifecycle.run(`watch ${workerId}`, loop, cause => {
-      this.watches.delete(workerId);
-      logger.error('watch of a worker ended by a fault', {
-        worker: workerId,
-        cause: String(cause),
-      });
-    });
   }
 
   private fence(workerId: string): void {
@@ -316,10 +282,8 @@
       this.pumpSoon();
       return;
     }
-    const waiters = this.waiters.get(id) ?? [];
-    this.waiters.delete(id);
     this.options.metrics.countOutcome(outcome);
-    for (const {answer} of waiters) answer(outcome);
+    this.waiters.answerAll(id, outcome);
   }
 
   private async carryOut(order: Order): Promise<void> {
@@ -334,17 +298,4 @@
         return this.lender.recall(order);
     }
   }
-
-  private logSubmission(message: JobSubmission, isKnown: boolean): void {
-    const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
-    const fields = {job: id, queue, ownerId, isResumed, isKnown};
-    const {dispatcher} = this;
-    this.options.logger.info('job taken', {
-      ...fields,
-      ageMs: Math.round(ageMs),
-      remainingMs: Math.round(remainingMs),
-      jobs: dispatcher.jobs.size,
-      free: this.freeMillis(),
-    });
-  }
 }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -6,6 +6,7 @@
 } from '@goldcrestpier/dispatch';
 import type {Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
+import type {JobSubmission} from '../protocol/index.js';
 
 /** Observes one dispatcher. */
 export function createObserver(
@@ -49,3 +50,30 @@
     logger.info('tasks placed', {job, tasks: texts.join(' ')});
   }
 }
+
+/** What a line on a submission says of the holder. */
+interface HolderState {
+  readonly jobCount: number;
+  freeMillis(): number;
+}
+
+/** Writes that a job was taken, with what its fate depends on. */
+export function logSubmission(
+  message: JobSubmission,
+  isKnown: boolean,
+  holder: HolderState,
+  logger: Logger,
+): void {
+  const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
+  logger.info('job taken', {
+    job: id,
+    queue,
+    ownerId,
+    isResumed,
+    isKnown,
+    ageMs: Math.round(ageMs),
+    remainingMs: Math.round(remainingMs),
+    jobs: holder.jobCount,
+    free: holder.freeMillis(),
+  });
+}
--- a/packages/zone/src/holder/rooms.ts
+++ b/packages/zone/src/holder/rooms.ts
@@ -1,8 +1,11 @@
 /** Tells other zones which room the workers of a dispatcher have. */
-import type {Dispatcher} from '@goldcrestpier/dispatch';
+import type {Dispatcher, ZoneRoom} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {ZoneHeartbeat} from '../protocol/index.js';
 
+/** One service's room in a heartbeat. */
+type ToldRoom = NonNullable<ZoneHeartbeat['rooms']>[number];
+
 /** Slowness is told in steps of this size. */
 const SLOWNESS_STEP = 0.01;
 
@@ -24,3 +27,16 @@
       ]),
   }));
 }
+
+/** The room that another zone's heartbeat told of. */
+export function toRoom(zone: string, {service, vacancies}: ToldRoom): ZoneRoom {
+  return {
+    zone,
+    service,
+    vacancies: vacancies.map(([slowness, cpuMillis, memoryMb]) => ({
+      slowness,
+      cpuMillis,
+      memoryMb,
+    })),
+  };
+}
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -33,6 +33,7 @@
 import {HolderChange} from './holder_change.js';
 import {createLocalTarget, createPeerTarget} from './holder_targets.js';
 import {Links} from './links.js';
+import {toRoom} from '../holder/index.js';
 import {NeighbourZones} from './neighbour_zones.js';
 import {RoleKeeper} from './role_keeper.js';
 import {ZoneView} from './zone_view.js';
@@ -231,17 +232,7 @@
   private hearZone(message: ZoneHeartbeat, now: Millis): void {
     this.zones.hear(message, now);
     const {zone, rooms = []} = message;
-    for (const {service, vacancies} of rooms) {
-      this.roles.holder?.tellRoom({
-        zone,
-        service,
-        vacancies: vacancies.map(([slowness, cpuMillis, memoryMb]) => ({
-          slowness,
-          cpuMillis,
-          memoryMb,
-        })),
-      });
-    }
+    for (const room of rooms) this.roles.holder?.tellRoom(toRoom(zone, room));
   }
 
   private noteClaim(claim: Claim, now: Millis): void {
