--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -3,10 +3,12 @@
  * is decided when stands in the dispatcher; here a run begins or ends.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import {chooseRetryAfter} from '../admission/index.js';
 import {Durations} from '../speeds/index.js';
 import {
   AbandonReason,
   parseTaskName,
+  type RefusalReason,
   type Job,
   type Outcome,
 } from '../work/index.js';
@@ -19,9 +21,7 @@
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
 import {createRun} from './create_run.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
-
-/** How long run numbers of an ended job are remembered, in ms. */
-const REMEMBER_RUNS_MS = 20_000;
+import {RunNumbers} from './run_numbers.js';
 
 /** A job that has ended, to be told to whoever handed it in. */
 export interface EndedJob {
@@ -49,9 +49,9 @@
   readonly run: number;
 }
 
-interface RememberedRun {
-  readonly lastRun: number;
-  readonly until: Millis;
+interface LentOrphan {
+  readonly zone: string;
+  readonly run: number;
 }
 
 /** The present state of one holder's work. */
@@ -60,7 +60,7 @@
   readonly workers = new Map<string, WorkerRecord>();
   readonly durations = new Durations();
   private ended: EndedJob[] = [];
-  private readonly remembered = new Map<string, RememberedRun>();
+  private readonly runNumbers = new RunNumbers();
   private readonly unsurveyedZones = new Set<string>();
   private readonly lentOrphans = new Map<string, LentOrphan>();
   private readonly lastStruckJob = new Map<string, string>();
@@ -70,7 +70,7 @@
   /** Takes up a job; its run numbers go on where an earlier life ended. */
   addJob(job: Job): JobRecord {
     const expectedMs = this.expectJob(job);
-    const lastRun = this.remembered.get(job.id)?.lastRun ?? 0;
+    const lastRun = this.runNumbers.lastOf(job.id);
     const record = new JobRecord(job, expectedMs, lastRun);
     this.jobs.set(job.id, record);
     return record;
@@ -124,6 +124,17 @@
     this.settle(record, now);
   }
 
+  /** Refuses a job that never started; `waitMs` is why it would not end. */
+  refuse(
+    record: JobRecord,
+    reason: RefusalReason,
+    waitMs: Millis,
+    now: Millis,
+  ): void {
+    const retryAfterMs = chooseRetryAfter(waitMs);
+    this.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
+  }
+
   /** Gives a worker a strike, once for each job in a row. */
   strike(run: Run, reason: StrikeReason, now: Millis): void {
     const worker = this.workers.get(run.workerId);
@@ -144,10 +155,7 @@
 
   /** Forgets run numbers whose time is over. */
   forgetOld(now: Millis): void {
-    for (const [id, {until}] of this.remembered) {
-      if (until > now) return;
-      this.remembered.delete(id);
-    }
+    this.runNumbers.forgetOld(now);
   }
 
   /** Takes over what an earlier holder started, once its job is known. */
@@ -277,19 +285,10 @@
     const {queue} = job;
     if (this.jobs.get(id) !== record) return;
     this.jobs.delete(id);
-    this.remember(record, now);
+    this.runNumbers.remember(record, now);
     const {ending: outcome, hasStarted} = record;
     this.ended.push({id, queue, outcome, hasStarted});
   }
-
-  private remember(record: JobRecord, now: Millis): void {
-    let lastRun = 0;
-    for (const task of record.tasks) lastRun = Math.max(lastRun, task.lastRun);
-    const {id} = record;
-    this.remembered.delete(id);
-    if (lastRun === 0) return;
-    this.remembered.set(id, {lastRun, until: now + REMEMBER_RUNS_MS});
-  }
 }
 
 /** The outcome of a job that was given up. */
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -5,7 +5,6 @@
  * back through the other methods.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {chooseRetryAfter} from '../admission/index.js';
 import {Neighbours, type Vacancy, type ZoneRoom} from '../neighbours/index.js';
 import {AbandonReason, RefusalReason, type Job} from '../work/index.js';
 import {
@@ -26,7 +25,7 @@
 } from './board.js';
 import {beginTrial, StrikeReason} from './health.js';
 import type {JobRecord} from './job_record.js';
-import {nextOverdueAt, takeLook} from './looks.js';
+import {takeLook} from './looks.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
 import {Placer} from './placer.js';
@@ -93,9 +92,7 @@
     const refusal = isResumed ? undefined : findRefusal(this.board, job, now);
     const record = this.board.addJob(job);
     if (refusal !== undefined) {
-      const retryAfterMs = chooseRetryAfter(refusal.waitMs);
-      const {reason} = refusal;
-      this.board.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
+      this.board.refuse(record, refusal.reason, refusal.waitMs, now);
       return;
     }
     this.board.adoptOrphans(record, now);
@@ -114,7 +111,8 @@
     if (this.board.jobs.has(job.id)) return [];
     const record = this.board.addJob(job);
     const orders = this.placer.place(now);
-    if (!record.hasStarted) this.refuseLate(record, now);
+    if (!record.hasStarted)
+      this.board.refuse(record, RefusalReason.TooLate, 0, now);
     return orders;
   }
 
@@ -145,9 +143,7 @@
 
   /** Notes the answer to an order to start. */
   startAnswered(run: Run, answer: StartAnswer, now: Millis): void {
-    const isUnanswered =
-      answer === StartAnswer.Unanswered || answer === StartAnswer.NotListening;
-    if (isUnanswered) {
+    if (isUnanswered(answer)) {
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
       this.board.strike(run, StrikeReason.OrderUnanswered, now);
     } else if (answer !== StartAnswer.Started) {
@@ -178,12 +174,6 @@
     if (worker !== undefined) worker.isSilent = true;
   }
 
-  /** When a worker should be looked at again because a run is overdue then. */
-  overdueAt(workerId: string): Millis {
-    const worker = this.board.workers.get(workerId);
-    return worker === undefined ? Infinity : nextOverdueAt(worker);
-  }
-
   /** Takes what the holder of another zone tells of its free workers. */
   tellRoom(room: ZoneRoom, now: Millis): void {
     this.neighbours.tell(room, now);
@@ -268,16 +258,10 @@
 
   private giveUp(record: JobRecord, reason: AbandonReason, now: Millis): void {
     const isRefusal = reason === AbandonReason.Deadline && !record.hasStarted;
-    if (isRefusal) this.refuseLate(record, now);
+    if (isRefusal) this.board.refuse(record, RefusalReason.TooLate, 0, now);
     else this.board.endJob(record, abandoned(reason), now);
   }
 
-  private refuseLate(record: JobRecord, now: Millis): void {
-    const reason = RefusalReason.TooLate;
-    const retryAfterMs = chooseRetryAfter(record.expectedMs);
-    this.board.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
-  }
-
   /** Ends runs whose leases or stops are over. */
   private endOverdueRuns(now: Millis): void {
     for (const [id, worker] of this.board.workers) {
@@ -303,8 +287,16 @@
       if (now >= record.job.deadlineAt) {
         this.giveUp(record, AbandonReason.Deadline, now);
       } else if (!record.hasStarted && now >= record.usefulUntil) {
-        this.refuseLate(record, now);
+        this.board.refuse(record, RefusalReason.TooLate, 0, now);
       }
     }
   }
 }
+
+/** Whether the order may be carried out all the same. */
+function isUnanswered(answer: StartAnswer): boolean {
+  // A refused connection may come from a cut in the network.
+  return (
+    answer === StartAnswer.Unanswered || answer === StartAnswer.NotListening
+  );
+}
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -1,6 +1,7 @@
 /** The decisions of one holder. */
 export type {DispatchObserver, EndedJob, LentEntry} from './board.js';
 export {Dispatcher} from './dispatcher.js';
+export {nextOverdueAt} from './looks.js';
 export {StrikeReason} from './health.js';
 export type {JobRecord} from './job_record.js';
 export type * from './orders.js';
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -30,6 +30,8 @@
   lastRun: number;
   /** Runs that ended as failed. */
   failures: number;
+  /** The worker on which a run was stopped, as it seemed to stand still. */
+  stalledOn: string | undefined;
 }
 
 /** A job with its tasks. */
@@ -135,7 +137,15 @@
       const name = {jobId: job.id, step: stepIndex, index};
       const key = formatTaskName(name);
       const state = {kind: 'waiting'} as const;
-      tasks.push({name, key, step, state, lastRun, failures: 0});
+      tasks.push({
+        name,
+        key,
+        step,
+        state,
+        lastRun,
+        failures: 0,
+        stalledOn: undefined,
+      });
     }
   }
   return tasks;
@@ -146,5 +156,15 @@
   if (step === undefined) return [];
   const key = formatTaskName(name);
   const state = {kind: 'waiting'} as const;
-  return [{name, key, step, state, lastRun: run - 1, failures: 0}];
+  return [
+    {
+      name,
+      key,
+      step,
+      state,
+      lastRun: run - 1,
+      failures: 0,
+      stalledOn: undefined,
+    },
+  ];
 }
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -107,6 +107,10 @@
   const elapsedMs = now - run.startedAt;
   const wholeMs = (elapsedMs * 100) / Math.max(percent, 1);
   if (wholeMs < STALLED_FACTOR * run.expectedMs) return;
+  const task = board.jobs.get(run.recordId)?.findTask(run.key);
+  // What stands still on a second worker too is just longer than declared.
+  if (task === undefined || task.stalledOn !== undefined) return;
+  task.stalledOn = run.workerId;
   run.phase = RunPhase.Stopping;
   board.strike(run, StrikeReason.TaskStalled, now);
 }
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -45,6 +45,16 @@
   }
 }
 
+/** The workers but one, unless it is the only one. */
+function leaveOut(
+  workers: readonly WorkerRecord[],
+  workerId: string | undefined,
+): readonly WorkerRecord[] {
+  if (workerId === undefined) return workers;
+  const others = workers.filter(({info}) => info.id !== workerId);
+  return others.length > 0 ? others : workers;
+}
+
 /** What became of one waiting task. */
 type Placement =
   | {readonly kind: 'placed'; readonly order: Order}
@@ -95,7 +105,7 @@
     const countOn = (workerId: string) => record.countOn(workerId, name.step);
     const candidate: Candidate = {queue, step, due: record, countOn};
     const {durations} = this.board;
-    const workers = scene.usable(service);
+    const workers = leaveOut(scene.usable(service), task.stalledOn);
     const free = chooseFree(candidate, workers, durations, now);
     const freeWorth = free?.worth ?? 0;
     const remote = this.findRemote(record, task, freeWorth, now);
--- a/packages/dispatch/test/runs.test.ts
+++ b/packages/dispatch/test/runs.test.ts
@@ -153,3 +153,31 @@
   dispatcher.submit(again, false, 1_400);
   assert.equal(startOne(dispatcher, 1_400).run.run, 2);
 });
+
+test('a task that is far longer than declared is moved once, not for ever', () => {
+  const dispatcher = createScene([createWorker('w1'), createWorker('w2')]);
+  lookAtAll(dispatcher, 0);
+  const long = {targetMs: 60_000, deadlineAt: 60_000};
+  dispatcher.submit(createJob('a', 1, long), false, 0);
+  const places: string[] = [];
+  for (let now = 0; now < 20_000; now += 100) {
+    for (const order of dispatcher.tick(now)) {
+      if (order.kind === 'stop' && order.run !== undefined) {
+        dispatcher.stopTaken(order.run, now);
+      }
+      if (order.kind !== 'start') continue;
+      places.push(order.run.workerId);
+      dispatcher.startAnswered(order.run, StartAnswer.Started, now);
+    }
+    for (const [id, worker] of dispatcher.workers) {
+      const running = [...worker.runs.values()].map(({key, run}) => ({
+        task: key,
+        run,
+        percent: 1,
+      }));
+      dispatcher.looked(id, createLook(running), now, now);
+    }
+  }
+  assert.equal(places.length, 2);
+  assert.notEqual(places[0], places[1]);
+});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -101,11 +101,6 @@
     return this.options.token;
   }
 
-  /** Jobs that have not ended. */
-  get jobCount(): number {
-    return this.dispatcher.jobs.size;
-  }
-
   /** Takes the present list of workers. */
   setWorkers(workers: readonly Worker[]): void {
     if (this.isClosed) return;
@@ -137,7 +132,7 @@
       const known = this.dispatcher.jobs.get(id);
       if (known?.ending !== undefined) this.postponed.set(id, message);
       else this.dispatcher.submit(toJob(message, now), isResumed, now);
-      logSubmission(message, known !== undefined, this, logger);
+      logSubmission(message, known !== undefined, this.freeMillis(), logger);
       this.pumpSoon();
     });
   }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -51,17 +51,11 @@
   }
 }
 
-/** What a line on a submission says of the holder. */
-interface HolderState {
-  readonly jobCount: number;
-  freeMillis(): number;
-}
-
 /** Writes that a job was taken, with what its fate depends on. */
 export function logSubmission(
   message: JobSubmission,
   isKnown: boolean,
-  holder: HolderState,
+  freeMillis: number,
   logger: Logger,
 ): void {
   const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
@@ -73,7 +67,6 @@
     isKnown,
     ageMs: Math.round(ageMs),
     remainingMs: Math.round(remainingMs),
-    jobs: holder.jobCount,
-    free: holder.freeMillis(),
+    freeMillis,
   });
 }
--- a/packages/zone/src/holder/worker_watch.ts
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -3,7 +3,7 @@
  * runs there under a lease, and takes in what has ended. A worker where nothing
  * runs is left in peace.
  */
-import type {Dispatcher} from '@goldcrestpier/dispatch';
+import {nextOverdueAt, type Dispatcher} from '@goldcrestpier/dispatch';
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
 import {OrderFailure, type WorkerPort} from '../ports/index.js';
 
@@ -91,7 +91,9 @@
 
   private chooseWait(now: Millis): Millis {
     const {workerId, dispatcher} = this.options;
-    const untilOverdue = dispatcher.overdueAt(workerId) - now;
+    const record = dispatcher.workers.get(workerId);
+    const overdueAt = record === undefined ? Infinity : nextOverdueAt(record);
+    const untilOverdue = overdueAt - now;
     const wait = Math.min(
       Math.max(untilOverdue, SHORTEST_WAIT_MS),
       LONGEST_WAIT_MS,
