--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -49,11 +49,6 @@
   readonly run: number;
 }
 
-interface LentOrphan {
-  readonly zone: string;
-  readonly run: number;
-}
-
 /** The present state of one holder's work. */
 export class Board {
   readonly jobs = new Map<string, JobRecord>();
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -39,6 +39,12 @@
 /** After this a task that was lent to a lost holder has surely ended, in ms. */
 const LENT_OVER_MS = 2_000;
 
+/** Answers after which the order may be carried out all the same. */
+const proveNothing: ReadonlySet<StartAnswer> = new Set([
+  StartAnswer.Unanswered,
+  StartAnswer.NotListening,
+]);
+
 /** Decides for the workers that one instance holds. */
 export class Dispatcher {
   private readonly board: Board;
@@ -86,7 +92,7 @@
     }
   }
 
-  /** Takes a job. `isResumed`: another holder may have started some of it. */
+  /** Takes a job. `isResumed`: another holder may have started it. */
   submit(job: Job, isResumed: boolean, now: Millis): void {
     if (this.board.jobs.has(job.id)) return;
     const refusal = isResumed ? undefined : findRefusal(this.board, job, now);
@@ -97,8 +103,7 @@
     }
     this.board.adoptOrphans(record, now);
     for (const run of this.board.adoptLent(record, now)) {
-      const zone = run.workerId;
-      const order = {zone, run, record, isAdopted: true};
+      const order = {zone: run.workerId, run, record, isAdopted: true};
       this.adopted.push({kind: 'lend', ...order});
     }
     if (!isResumed) return;
@@ -119,7 +124,7 @@
   /** Gives a job up; it ends once nothing of it runs. */
   cancel(recordId: string, reason: AbandonReason, now: Millis): void {
     const record = this.board.jobs.get(recordId);
-    if (record !== undefined) this.giveUp(record, reason, now);
+    if (record) this.giveUp(record, reason, now);
   }
 
   /** Decides what is due now. */
@@ -143,7 +148,8 @@
 
   /** Notes the answer to an order to start. */
   startAnswered(run: Run, answer: StartAnswer, now: Millis): void {
-    if (isUnanswered(answer)) {
+    // A refused connection may come from a cut in the network.
+    if (proveNothing.has(answer)) {
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
       this.board.strike(run, StrikeReason.OrderUnanswered, now);
     } else if (answer !== StartAnswer.Started) {
@@ -292,11 +298,3 @@
     }
   }
 }
-
-/** Whether the order may be carried out all the same. */
-function isUnanswered(answer: StartAnswer): boolean {
-  // A refused connection may come from a cut in the network.
-  return (
-    answer === StartAnswer.Unanswered || answer === StartAnswer.NotListening
-  );
-}
