Follow a lent task to the next holder of its zone

The lender now asks the zone's next holder, which adopts the run. Tests play both ends; a new one fails without it.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -21,6 +21,7 @@
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
 import {createRun} from './create_run.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
+import {LentSurvey} from './lent_survey.js';
 import {RunNumbers} from './run_numbers.js';
 
 /** A job that has ended, to be told to whoever handed it in. */
@@ -37,18 +38,6 @@
   workerStruck(workerId: string, reason: StrikeReason, ejected: boolean): void;
 }
 
-/** A task that another zone runs for this one. */
-export interface LentEntry {
-  /** The task's name as text. */
-  readonly key: string;
-  readonly run: number;
-}
-
-interface LentOrphan {
-  readonly zone: string;
-  readonly run: number;
-}
-
 /** The present state of one holder's work. */
 export class Board {
   readonly jobs = new Map<string, JobRecord>();
@@ -56,8 +45,8 @@
   readonly durations = new Durations();
   private ended: EndedJob[] = [];
   private readonly runNumbers = new RunNumbers();
-  private readonly unsurveyedZones = new Set<string>();
-  private readonly lentOrphans = new Map<string, LentOrphan>();
+  /** What other zones run for this one since an earlier holder. */
+  readonly survey = new LentSurvey();
   private readonly lastStruckJob = new Map<string, string>();
 
   constructor(private readonly observer: DispatchObserver) {}
@@ -159,39 +148,17 @@
     const record = name && this.jobs.get(name.jobId);
     const task = record?.findTask(key);
     if (record === undefined || task === undefined) return false;
-    if (record.ending !== undefined || task.state.kind !== 'waiting') {
-      return false;
-    }
-    const workerId = worker.info.id;
-    const {estimateMs} = task.step;
-    const {queue} = record.job;
-    const expectedMs = this.durations.expectOn(workerId, queue, estimateMs);
-    const adopted = createRun(record, task, workerId, expectedMs, now, run);
-    adopted.phase = RunPhase.Running;
-    adopted.confirmedAt = now;
-    this.beginRun(record, task, adopted);
-    return true;
-  }
-
-  /** Waits until other zones have told which tasks they run for this one. */
-  expectLent(zones: readonly string[]): void {
-    for (const zone of zones) this.unsurveyedZones.add(zone);
-  }
-
-  /** Takes what another zone runs for this one since an earlier holder. */
-  noteLent(zone: string, entries: readonly LentEntry[]): void {
-    this.unsurveyedZones.delete(zone);
-    for (const {key, run} of entries) this.lentOrphans.set(key, {zone, run});
+    return this.adoptRun(record, task, worker, run, now);
   }
 
   /** Takes over what an earlier holder lent of a job. */
   adoptLent(record: JobRecord, now: Millis): Run[] {
     const adopted: Run[] = [];
     for (const task of record.tasks) {
-      const orphan = this.lentOrphans.get(task.key);
-      if (orphan === undefined || task.state.kind !== 'waiting') continue;
-      this.lentOrphans.delete(task.key);
-      const {zone, run: number} = orphan;
+      if (task.state.kind !== 'waiting') continue;
+      const found = this.survey.take(task.key);
+      if (found === undefined) continue;
+      const {zone, run: number} = found;
       const expectedMs = this.expectTask(record, task);
       const run = createRun(record, task, zone, expectedMs, now, number);
       run.lentTo = zone;
@@ -208,15 +175,36 @@
 
   /** Takes over what an earlier holder started of a job. */
   adoptOrphans(record: JobRecord, now: Millis): void {
-    const prefix = `${record.job.id}.`;
-    for (const worker of this.workers.values()) {
-      for (const [key, run] of [...worker.orphans]) {
-        if (!key.startsWith(prefix)) continue;
-        if (this.adopt(worker, key, run, now)) worker.orphans.delete(key);
+    for (const task of record.tasks) {
+      for (const worker of this.workers.values()) {
+        const run = worker.orphans.get(task.key);
+        if (run === undefined) continue;
+        const isAdopted = this.adoptRun(record, task, worker, run, now);
+        if (isAdopted) worker.orphans.delete(task.key);
       }
     }
   }
 
+  private adoptRun(
+    record: JobRecord,
+    task: TaskRecord,
+    worker: WorkerRecord,
+    run: number,
+    now: Millis,
+  ): boolean {
+    if (record.ending !== undefined) return false;
+    if (task.state.kind !== 'waiting') return false;
+    const workerId = worker.info.id;
+    const {estimateMs} = task.step;
+    const {queue} = record.job;
+    const expectedMs = this.durations.expectOn(workerId, queue, estimateMs);
+    const adopted = createRun(record, task, workerId, expectedMs, now, run);
+    adopted.phase = RunPhase.Running;
+    adopted.confirmedAt = now;
+    this.beginRun(record, task, adopted);
+    return true;
+  }
+
   /** Leaves out run numbers after a worker called one old. */
   skipRuns(run: Run, count: number): void {
     const task = this.jobs.get(run.recordId)?.findTask(run.key);
@@ -232,7 +220,7 @@
 
   /** Whether every worker and every other zone has told what runs there. */
   get isSurveyed(): boolean {
-    if (this.unsurveyedZones.size > 0) return false;
+    if (!this.survey.isComplete) return false;
     for (const {isHeld, isSilent} of this.workers.values()) {
       if (!isHeld || isSilent) return false;
     }
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -21,16 +21,17 @@
   Board,
   type DispatchObserver,
   type EndedJob,
-  type LentEntry,
 } from './board.js';
 import {beginTrial, StrikeReason} from './health.js';
 import type {JobRecord} from './job_record.js';
 import {takeLook} from './looks.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
+import type {LentEntry} from './lent_survey.js';
 import {Placer} from './placer.js';
 import {findRefusal} from './refusal.js';
 import {Stopper} from './stopper.js';
+import {listVacancies} from './vacancies.js';
 
 /** How long a worker that said it is full is not asked again, in ms. */
 const FULL_MS = 50;
@@ -111,6 +112,15 @@
     record.notBefore = leaseOverAt(this.heldSince, this.options.leaseMs);
   }
 
+  /** Takes over a lent task that an earlier holder of this zone started. */
+  rejoinLent(job: Job, now: Millis): void {
+    if (this.board.jobs.has(job.id)) return;
+    const record = this.board.addJob(job);
+    this.board.adoptOrphans(record, now);
+    if (record.hasStarted) return;
+    this.board.endJob(record, abandoned(AbandonReason.RunLost), now);
+  }
+
   /** Takes a task that another zone lends; it starts now or is refused. */
   takeLent(job: Job, now: Millis): Order[] {
     if (this.board.jobs.has(job.id)) return [];
@@ -187,25 +197,17 @@
 
   /** Free room on each worker of a service, for other zones. */
   findVacancies(service: string, now: Millis): Vacancy[] {
-    const vacancies: Vacancy[] = [];
-    for (const worker of this.board.workersOf(service)) {
-      if (!worker.isUsable(now)) continue;
-      const {cpuMillis, memoryMb} = worker.free();
-      if (cpuMillis <= 0) continue;
-      const slowness = this.board.durations.slownessOf(worker.info.id);
-      vacancies.push({slowness, cpuMillis, memoryMb});
-    }
-    return vacancies;
+    return listVacancies(this.board, service, now);
   }
 
   /** Places no resumed job until these zones have told what they run for it. */
   expectLent(zones: readonly string[]): void {
-    this.board.expectLent(zones);
+    this.board.survey.expect(zones);
   }
 
   /** Takes what another zone runs for this one since an earlier holder. */
   noteLent(zone: string, entries: readonly LentEntry[]): void {
-    this.board.noteLent(zone, entries);
+    this.board.survey.note(zone, entries);
   }
 
   /** Notes how a lent task ended. */
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/lent_survey.ts
@@ -0,0 +1,43 @@
+/** What other zones run for this one since an earlier holder lent it. */
+
+/** A task that another zone runs for this one. */
+export interface LentEntry {
+  /** The task's name as text. */
+  readonly key: string;
+  readonly run: number;
+}
+
+/** A lent task and the zone that runs it. */
+export interface LentRun {
+  readonly zone: string;
+  readonly run: number;
+}
+
+/** Gathers the answers of other zones to a new holder. */
+export class LentSurvey {
+  private readonly unheardZones = new Set<string>();
+  private readonly runs = new Map<string, LentRun>();
+
+  /** Whether every zone that was asked has answered. */
+  get isComplete(): boolean {
+    return this.unheardZones.size === 0;
+  }
+
+  /** Notes that these zones are being asked. */
+  expect(zones: readonly string[]): void {
+    for (const zone of zones) this.unheardZones.add(zone);
+  }
+
+  /** Takes a zone's answer. */
+  note(zone: string, entries: readonly LentEntry[]): void {
+    this.unheardZones.delete(zone);
+    for (const {key, run} of entries) this.runs.set(key, {zone, run});
+  }
+
+  /** Hands out where a task runs, once. */
+  take(key: string): LentRun | undefined {
+    const found = this.runs.get(key);
+    this.runs.delete(key);
+    return found;
+  }
+}
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -115,3 +115,26 @@
     'start a.0.0.0/2 on w1',
   ]);
 });
+
+test('a new holder takes over a task that was lent to the one before', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
+  const job = createJob('a.0.0.0@east', 1, {lent, lentBy: 'east'});
+  dispatcher.rejoinLent(job, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(600)), []);
+  const end = {sequence: 1, task: 'a.0.0.0', run: 3, end: RunEnd.Done};
+  dispatcher.looked('w1', createLook([], [end]), 700, 701);
+  const [ended] = dispatcher.takeEnded();
+  assert.deepEqual(ended?.outcome, {kind: 'completed'});
+});
+
+test('a lent task that is not there is told to be lost', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  lookAtAll(dispatcher, 1);
+  const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
+  const job = createJob('a.0.0.0@east', 1, {lent, lentBy: 'east'});
+  dispatcher.rejoinLent(job, 5);
+  const [ended] = dispatcher.takeEnded();
+  assert.equal(ended?.outcome.kind, 'abandoned');
+});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -181,14 +181,10 @@
     }
     const now = readClock();
     const job = toLentJob(message, now);
-    const isKnown = this.dispatcher.jobs.has(job.id);
-    if (!isKnown && message.isJoin) {
-      const reason = AbandonReason.RunLost;
-      return Promise.resolve({kind: 'abandoned', reason});
-    }
     return new Promise(answer => {
       this.waiters.add(job.id, {ownerId: message.homeZone, answer});
-      if (!isKnown) this.carryOutAll(this.dispatcher.takeLent(job, now));
+      if (message.isJoin) this.dispatcher.rejoinLent(job, now);
+      else this.carryOutAll(this.dispatcher.takeLent(job, now));
       this.pumpSoon();
     });
   }
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -6,8 +6,9 @@
   type RecallCommand,
   type Run,
 } from '@goldcrestpier/dispatch';
-import {PeerFailureKind} from '@goldcrestpier/peers';
-import {readClock, type Logger} from '@goldcrestpier/runtime';
+import {NotSentReason, PeerFailureKind} from '@goldcrestpier/peers';
+import {readClock, sleep, type Logger} from '@goldcrestpier/runtime';
+import {Err, type Result} from 'ts-results-es';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {JobAnswer, ZoneCallFailure, ZoneCalls} from '../protocol/index.js';
 import {toSubmission} from './to_job.js';
@@ -17,6 +18,9 @@
 /** Added to a task's time for the answer to come back, in ms. */
 const ANSWER_MARGIN_MS = 500;
 const RECALL_TIMEOUT_MS = 500;
+/** How often, and after which pause, the next holder is asked, in ms. */
+const REJOIN_TRIES = 5;
+const REJOIN_PAUSE_MS = 80;
 
 /** The calls of another zone's holder; undefined when it can't be reached. */
 export type FindZone = (zone: string) => ZoneCalls | undefined;
@@ -44,34 +48,43 @@
   }
 
   /** Lends one task and waits for the end of its run. */
-  async lend({zone, run, record, isAdopted}: LendCommand): Promise<void> {
-    const {dispatcher, findZone, onChange} = this.options;
-    const calls = findZone(zone);
-    if (calls === undefined) {
-      dispatcher.lentEnded(run, 'refused', readClock());
-      onChange();
-      return;
-    }
+  async lend(command: LendCommand): Promise<void> {
+    const {run, isAdopted} = command;
+    const result = await this.ask(command, isAdopted);
+    if (result.isOk()) await this.takeAnswer(command, result.value);
+    else if (result.error.kind === PeerFailureKind.NotSent) this.refuse(run);
+    else await this.rejoin(command, result.error.kind);
+    this.options.onChange();
+  }
+
+  private async ask(
+    {zone, run, record}: LendCommand,
+    isJoin: boolean,
+  ): Promise<Result<JobAnswer, ZoneCallFailure>> {
+    const calls = this.options.findZone(zone);
     const task = record.findTask(run.key);
-    if (task === undefined) return;
+    if (calls === undefined || task === undefined) {
+      const reason = NotSentReason.Disconnected;
+      return Err({kind: PeerFailureKind.NotSent, reason});
+    }
+    const {zone: homeZone} = this.options;
     const {step, index} = task.name;
-    const now = readClock();
-    const whole = toSubmission(record.job, this.options.zone, false, now);
+    const whole = toSubmission(record.job, homeZone, false, readClock());
     const job = {...whole, steps: [{...task.step, tasks: 1, after: []}]};
-    const result = await calls.lend(
-      {
-        homeZone: this.options.zone,
-        job,
-        step,
-        index,
-        run: run.run,
-        isJoin: isAdopted,
-      },
-      job.remainingMs + ANSWER_MARGIN_MS,
-    );
-    if (result.isOk()) this.takeAnswer(run, result.value);
-    else this.takeFailure(run, result.error.kind);
-    onChange();
+    const message = {homeZone, job, step, index, run: run.run, isJoin};
+    return calls.lend(message, job.remainingMs + ANSWER_MARGIN_MS);
+  }
+
+  /** Asks the zone's next holder for a run that an earlier one had started. */
+  private async rejoin(command: LendCommand, reason: string): Promise<void> {
+    for (let tries = 0; tries < REJOIN_TRIES; tries += 1) {
+      await sleep(REJOIN_PAUSE_MS);
+      const result = await this.ask(command, true);
+      if (result.isErr() || result.value.kind === 'not_holder') continue;
+      if (result.value.kind === 'abandoned') break;
+      return this.takeAnswer(command, result.value);
+    }
+    this.lose(command.run, reason);
   }
 
   /** Takes a lent task back. */
@@ -95,8 +108,12 @@
     logger.info('zone surveyed', {zone, lent: result.value.length});
   }
 
-  private takeAnswer(run: Run, answer: JobAnswer): void {
+  private async takeAnswer(
+    command: LendCommand,
+    answer: JobAnswer,
+  ): Promise<void> {
     const {dispatcher, metrics} = this.options;
+    const {run} = command;
     const now = readClock();
     metrics.lent.inc({outcome: answer.kind});
     switch (answer.kind) {
@@ -105,21 +122,17 @@
       case 'failed':
         return dispatcher.lentEnded(run, RunEnd.Failed, now);
       case 'refused':
-        return dispatcher.lentEnded(run, 'refused', now);
+        return this.refuse(run);
       case 'abandoned':
         return dispatcher.lentEnded(run, RunEnd.Stopped, now);
       case 'not_holder':
-        if (answer.mayHaveStarted) return this.lose(run, answer.kind);
-        return dispatcher.lentEnded(run, 'refused', now);
+        if (answer.mayHaveStarted) return this.rejoin(command, answer.kind);
+        return this.refuse(run);
     }
   }
 
-  private takeFailure(run: Run, kind: ZoneCallFailure['kind']): void {
-    if (kind === PeerFailureKind.NotSent) {
-      this.options.dispatcher.lentEnded(run, 'refused', readClock());
-    } else {
-      this.lose(run, kind);
-    }
+  private refuse(run: Run): void {
+    this.options.dispatcher.lentEnded(run, 'refused', readClock());
   }
 
   private lose(run: Run, reason: string): void {
