Ask every other zone by name what it runs for a new holder

Tasks that the holder before had lent ran on in another zone and were started again here. Now all zones of the settings are asked, and again for 1.5 s; a job that is handed in again waits for their answers or 2 s. A zone drops what was lent under an older token if the new holder has not asked for it within 1 s.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -218,9 +218,8 @@
     }
   }
 
-  /** Whether every worker and every other zone has told what runs there. */
-  get isSurveyed(): boolean {
-    if (!this.survey.isComplete) return false;
+  /** Whether every worker has told what runs there. */
+  get areWorkersSurveyed(): boolean {
     for (const {isHeld, isSilent} of this.workers.values()) {
       if (!isHeld || isSilent) return false;
     }
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -28,15 +28,12 @@
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
 import type {LentEntry} from './lent_survey.js';
+import {noteNotStarted} from './not_started.js';
 import {Placer} from './placer.js';
 import {findRefusal} from './refusal.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
 
-/** How long a worker that said it is full is not asked again, in ms. */
-const FULL_MS = 50;
-/** Run numbers left out after a worker called one old. */
-const RUN_STEP = 8;
 /** After this a task that was lent to a lost holder has surely ended, in ms. */
 const LENT_OVER_MS = 2_000;
 
@@ -58,11 +55,14 @@
   /** `heldSince` is when this instance became the holder. */
   constructor(
     private readonly options: DispatcherOptions,
-    private readonly heldSince: Millis,
+    heldSince: Millis,
     observer: DispatchObserver,
   ) {
     this.board = new Board(observer);
-    this.placer = new Placer(this.board, this.neighbours);
+    this.placer = new Placer(this.board, this.neighbours, {
+      workersOverAt: leaseOverAt(heldSince, options.leaseMs),
+      lentOverAt: heldSince + LENT_OVER_MS,
+    });
     this.stopper = new Stopper(this.board, heldSince);
   }
 
@@ -109,7 +109,7 @@
     }
     if (!isResumed) return;
     record.hasStarted = true;
-    record.notBefore = leaseOverAt(this.heldSince, this.options.leaseMs);
+    record.isResumed = true;
   }
 
   /** Takes over a lent task that an earlier holder of this zone started. */
@@ -163,7 +163,7 @@
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
       this.board.strike(run, StrikeReason.OrderUnanswered, now);
     } else if (answer !== StartAnswer.Started) {
-      this.noteNotStarted(run, answer, now);
+      noteNotStarted(this.board, run, answer, now);
       this.board.endRun(run, 'refused', now);
     } else if (run.phase === RunPhase.Starting) {
       run.phase = RunPhase.Running;
@@ -237,33 +237,6 @@
     for (const run of lost) this.board.endRun(run, 'lost', now);
   }
 
-  private noteNotStarted(run: Run, answer: StartAnswer, now: Millis): void {
-    const worker = this.board.workers.get(run.workerId);
-    if (worker === undefined) return;
-    switch (answer) {
-      case StartAnswer.NoRoom:
-        worker.fullUntil = now + FULL_MS;
-        return;
-      case StartAnswer.OldRun:
-        this.board.skipRuns(run, RUN_STEP);
-        return;
-      case StartAnswer.Unavailable:
-        worker.fullUntil = now + FULL_MS;
-        this.board.strike(run, StrikeReason.OrderRefused, now);
-        return;
-      case StartAnswer.OtherLife:
-        worker.isHeld = false;
-        return;
-      case StartAnswer.Started:
-      case StartAnswer.Unanswered:
-      case StartAnswer.NotListening:
-      case StartAnswer.Late:
-      case StartAnswer.Rejected:
-      case StartAnswer.Fenced:
-        return;
-    }
-  }
-
   private giveUp(record: JobRecord, reason: AbandonReason, now: Millis): void {
     const isRefusal = reason === AbandonReason.Deadline && !record.hasStarted;
     if (isRefusal) this.board.refuse(record, RefusalReason.TooLate, 0, now);
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -45,8 +45,8 @@
   hasStarted = false;
   /** How it ends once nothing of it runs any more. */
   ending: Outcome | undefined;
-  /** No task is placed before; runs of an earlier holder may still go on. */
-  notBefore: Millis = 0;
+  /** Runs of an earlier holder may still go on. */
+  isResumed = false;
 
   /** `expectedMs` is the ideal run time of the whole job. */
   constructor(
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -62,11 +62,20 @@
   | {readonly kind: 'waits'}
   | {readonly kind: 'no_room'};
 
+/** When runs of an earlier holder that nobody told of have surely ended. */
+export interface Barrier {
+  /** Those on workers that do not answer. */
+  readonly workersOverAt: Millis;
+  /** Those that were lent to zones that do not answer. */
+  readonly lentOverAt: Millis;
+}
+
 /** Places the tasks of one board. */
 export class Placer {
   constructor(
     private readonly board: Board,
     private readonly neighbours: Neighbours,
+    private readonly barrier: Barrier,
   ) {}
 
   /** Orders for all tasks that have a place now. */
@@ -91,7 +100,13 @@
   /** Whether the job goes on and no run of an earlier holder is unknown. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.ending !== undefined) return false;
-    return now >= record.notBefore || this.board.isSurveyed;
+    if (!record.isResumed) return true;
+    const {survey, areWorkersSurveyed} = this.board;
+    const {workersOverAt, lentOverAt} = this.barrier;
+    return (
+      (areWorkersSurveyed || now >= workersOverAt) &&
+      (survey.isComplete || now >= lentOverAt)
+    );
   }
 
   private placeTask(
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -138,3 +138,17 @@
   const [ended] = dispatcher.takeEnded();
   assert.equal(ended?.outcome.kind, 'abandoned');
 });
+
+test('a zone that does not answer holds resumed jobs back for 2 s', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.expectLent(['east']);
+  lookAtAll(dispatcher, 2);
+  const long = {targetMs: 3_000, deadlineAt: 5_000};
+  dispatcher.submit(createJob('a', 1, long), true, 5);
+  dispatcher.submit(createJob('b', 1, long), false, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start b.0.0.0/1 on w1']);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_900)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(2_010)), [
+    'start a.0.0.0/1 on w1',
+  ]);
+});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -23,7 +23,7 @@
 } from '../protocol/index.js';
 import {Carrier} from './carrier.js';
 import {Lender, type FindZone} from './lender.js';
-import {formatRooms} from './rooms.js';
+import {formatRooms, sumFreeMillis} from './rooms.js';
 import {createObserver, logPlacements, logSubmission} from './observer.js';
 import {formatLent, toJob, toLentJob} from './to_job.js';
 import {Waiters} from './waiters.js';
@@ -47,6 +47,9 @@
   readonly onFenced: () => void;
 }
 
+/** Whether a zone still wants a task that it lent under a token. */
+export type WantsLent = (zone: string, token: number) => boolean;
+
 /** The holder of a zone's workers, for as long as its token is the highest. */
 export class Holder {
   private readonly dispatcher: Dispatcher;
@@ -56,6 +59,8 @@
   private readonly waiters = new Waiters();
   /** Submissions of jobs whose earlier life is still being stopped. */
   private readonly postponed = new Map<string, JobSubmission>();
+  /** The token under which each foreign task was lent or joined last. */
+  private readonly lentUnder = new Map<string, number>();
   private isPumpDue = false;
   private isClosed = false;
 
@@ -83,6 +88,7 @@
     });
     this.lender = new Lender({
       zone: options.zone,
+      token: options.token,
       dispatcher: this.dispatcher,
       findZone: options.findZone,
       logger,
@@ -111,12 +117,7 @@
 
   /** Free processors of the workers in use, in thousandths. */
   freeMillis(): number {
-    let free = 0;
-    const now = readClock();
-    for (const worker of this.dispatcher.workers.values()) {
-      if (worker.isUsable(now)) free += worker.free().cpuMillis;
-    }
-    return free;
+    return sumFreeMillis(this.dispatcher, readClock());
   }
 
   /** Takes a job; answers when it has ended. */
@@ -183,6 +184,7 @@
     const job = toLentJob(message, now);
     return new Promise(answer => {
       this.waiters.add(job.id, {ownerId: message.homeZone, answer});
+      this.lentUnder.set(job.id, message.token);
       if (message.isJoin) this.dispatcher.rejoinLent(job, now);
       else this.carryOutAll(this.dispatcher.takeLent(job, now));
       this.pumpSoon();
@@ -206,10 +208,12 @@
     return list;
   }
 
-  /** Stops what runs for zones for which `isAlive` is false. */
-  dropZones(isAlive: (zone: string) => boolean): void {
+  /** Stops what runs for zones that are gone or have forgotten it. */
+  dropZones(wants: WantsLent): void {
     for (const {id, job} of [...this.dispatcher.jobs.values()]) {
-      if (job.lentBy === undefined || isAlive(job.lentBy)) continue;
+      const token = this.lentUnder.get(id);
+      if (job.lentBy === undefined || token === undefined) continue;
+      if (wants(job.lentBy, token)) continue;
       this.dispatcher.cancel(id, AbandonReason.OwnerLost, readClock());
       this.pumpSoon();
     }
@@ -274,6 +278,7 @@
       return;
     }
     this.options.metrics.countOutcome(outcome);
+    this.lentUnder.delete(id);
     this.waiters.answerAll(id, outcome);
   }
 
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -15,6 +15,9 @@
 
 /** How long other zones are asked what they run for this one, in ms. */
 const SURVEY_TIMEOUT_MS = 400;
+/** How often a zone is asked, and after which pause again, in ms. */
+const SURVEY_TRIES = 30;
+const SURVEY_PAUSE_MS = 50;
 /** Added to a task's time for the answer to come back, in ms. */
 const ANSWER_MARGIN_MS = 500;
 const RECALL_TIMEOUT_MS = 500;
@@ -28,6 +31,7 @@
 /** What a lender needs. */
 export interface LenderOptions {
   readonly zone: string;
+  readonly token: number;
   readonly dispatcher: Dispatcher;
   readonly findZone: FindZone;
   readonly logger: Logger;
@@ -67,11 +71,11 @@
       const reason = NotSentReason.Disconnected;
       return Err({kind: PeerFailureKind.NotSent, reason});
     }
-    const {zone: homeZone} = this.options;
+    const {zone: homeZone, token} = this.options;
     const {step, index} = task.name;
     const whole = toSubmission(record.job, homeZone, false, readClock());
     const job = {...whole, steps: [{...task.step, tasks: 1, after: []}]};
-    const message = {homeZone, job, step, index, run: run.run, isJoin};
+    const message = {homeZone, token, job, step, index, run: run.run, isJoin};
     return calls.lend(message, job.remainingMs + ANSWER_MARGIN_MS);
   }
 
@@ -98,14 +102,18 @@
 
   private async surveyZone(zone: string): Promise<void> {
     const {dispatcher, findZone, logger} = this.options;
-    const calls = findZone(zone);
-    const result = await calls?.listLent(this.options.zone, SURVEY_TIMEOUT_MS);
-    if (result?.isOk() !== true) {
-      logger.warn('zone not surveyed', {zone});
-      return;
+    for (let tries = 0; tries < SURVEY_TRIES; tries += 1) {
+      const calls = findZone(zone);
+      const home = this.options.zone;
+      const result = await calls?.listLent(home, SURVEY_TIMEOUT_MS);
+      if (result?.isOk() === true) {
+        dispatcher.noteLent(zone, result.value);
+        logger.info('zone surveyed', {zone, lent: result.value.length});
+        return;
+      }
+      await sleep(SURVEY_PAUSE_MS);
     }
-    dispatcher.noteLent(zone, result.value);
-    logger.info('zone surveyed', {zone, lent: result.value.length});
+    logger.warn('zone not surveyed', {zone});
   }
 
   private async takeAnswer(
--- a/packages/zone/src/holder/rooms.ts
+++ b/packages/zone/src/holder/rooms.ts
@@ -40,3 +40,12 @@
     })),
   };
 }
+
+/** Free processors of the workers in use, in thousandths. */
+export function sumFreeMillis(dispatcher: Dispatcher, now: Millis): number {
+  let free = 0;
+  for (const worker of dispatcher.workers.values()) {
+    if (worker.isUsable(now)) free += worker.free().cpuMillis;
+  }
+  return free;
+}
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -62,6 +62,8 @@
   readonly bounds: DispatcherOptions;
   readonly directory: Directory;
   readonly port: WorkerPort;
+  /** All other zones of the deployment. */
+  readonly otherZones: readonly string[];
   /** Addresses of peers that are worth a try without the platform's list. */
   readonly seeds: readonly string[];
   readonly logs: Logs;
@@ -91,7 +93,6 @@
     this.roles = new RoleKeeper({
       ...options,
       findZone: other => this.findZone(other),
-      findZones: () => this.findZones(),
       // The next step decides anew, when this one has ended.
       onFenced: () => setImmediate(() => this.step(readClock())),
     });
@@ -193,7 +194,7 @@
     const {directory} = this.options;
     const registrations = directory.registrations();
     this.view.setRegistrations(registrations, now);
-    this.zones.setRegistrations(registrations);
+    this.zones.setRegistrations(registrations, now);
     const foreign = this.roles.holder === undefined ? [] : this.zones.addresses;
     this.links.setAddresses([...this.view.addresses, ...foreign]);
     this.roles.update(this.view.members(), this.selfState(), now);
@@ -206,12 +207,7 @@
     holder.dropOwners(
       ownerId => ownerId === id || this.view.isAlive(ownerId, now),
     );
-    holder.dropZones(other => this.zones.isAlive(other, now));
-  }
-
-  private findZones(): readonly string[] {
-    const now = readClock();
-    return this.zones.zones.filter(zone => this.zones.isAlive(zone, now));
+    holder.dropZones((other, token) => this.zones.wantsLent(other, token, now));
   }
 
   private findZone(zone: string): ZoneCalls | undefined {
--- a/packages/zone/src/instance/neighbour_zones.ts
+++ b/packages/zone/src/instance/neighbour_zones.ts
@@ -6,9 +6,14 @@
 /** Silence after which a zone's tasks are no longer worked on, in ms. */
 const ZONE_SILENCE_MS = 1_000;
 
+/** How long a new holder has to ask for tasks that were lent before it, in ms. */
+const JOIN_MS = 1_000;
+
 interface ForeignHolder {
   readonly address: string;
   readonly token: number;
+  /** When it was first known under this token. */
+  readonly since: Millis;
   heardAt: Millis;
 }
 
@@ -23,23 +28,18 @@
     return [...this.holders.values()].map(({address}) => address);
   }
 
-  /** The zones that have a holder, as far as is known. */
-  get zones(): readonly string[] {
-    return [...this.holders.keys()];
-  }
-
   /** Takes the platform's list, which may be old. */
-  setRegistrations(list: readonly Registration[]): void {
+  setRegistrations(list: readonly Registration[], now: Millis): void {
     for (const {zone, address, holderToken} of list) {
       if (zone === this.zone || holderToken === undefined) continue;
-      this.note(zone, address, holderToken);
+      this.note(zone, address, holderToken, now);
     }
   }
 
   /** Notes a heartbeat from an instance of another zone. */
   hear({id, zone, address, claim}: ZoneHeartbeat, now: Millis): void {
     if (zone === this.zone || claim?.holderId !== id) return;
-    this.note(zone, address, claim.token);
+    this.note(zone, address, claim.token, now);
     const holder = this.holders.get(zone);
     if (holder?.address === address) holder.heardAt = now;
   }
@@ -55,10 +55,23 @@
     return holder !== undefined && now - holder.heardAt < ZONE_SILENCE_MS;
   }
 
-  private note(zone: string, address: string, token: number): void {
+  /** Whether the zone still wants a task that it lent under `token`. */
+  wantsLent(zone: string, token: number, now: Millis): boolean {
+    const holder = this.holders.get(zone);
+    if (holder === undefined || !this.isAlive(zone, now)) return false;
+    // A new holder asks for what was lent before it; then that is its own.
+    return token >= holder.token || now - holder.since < JOIN_MS;
+  }
+
+  private note(
+    zone: string,
+    address: string,
+    token: number,
+    now: Millis,
+  ): void {
     const known = this.holders.get(zone);
     if (known !== undefined && known.token >= token) return;
     const heardAt = known?.heardAt ?? -Infinity;
-    this.holders.set(zone, {address, token, heardAt});
+    this.holders.set(zone, {address, token, since: now, heardAt});
   }
 }
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -33,8 +33,8 @@
   readonly directory: Directory;
   readonly port: WorkerPort;
   readonly findZone: HolderOptions['findZone'];
-  /** Other zones whose holders can be asked now. */
-  readonly findZones: () => readonly string[];
+  /** All other zones of the deployment. */
+  readonly otherZones: readonly string[];
   /** Called when a worker turned this instance's token away. */
   readonly onFenced: () => void;
   readonly logs: Logs;
@@ -105,7 +105,7 @@
   }
 
   private takeOver(skip: number): void {
-    const {id, nonce, findZones, directory} = this.options;
+    const {id, nonce, otherZones, directory} = this.options;
     const highest = this.election.claim?.token ?? 0;
     // Only the token's height depends on the time of day, not its safety.
     const token = createToken(highest, nonce, Date.now(), skip);
@@ -113,7 +113,7 @@
     this.election.noteClaim({holderId: id, token});
     this.log.info('claiming the workers of the zone', {token, highest});
     this.current = this.createHolder(token);
-    this.current.surveyZones(findZones());
+    this.current.surveyZones(otherZones);
     directory.announce(token);
   }
 
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -70,8 +70,9 @@
 
 /** Lends one task; answered when its run has ended. */
 export const lendingSchema = z.object({
-  /** The zone that lends it. */
+  /** The zone that lends it, and the token of its holder. */
   homeZone: z.string(),
+  token: z.number(),
   job: jobSubmissionSchema,
   step: z.number().int().nonnegative(),
   index: z.number().int().nonnegative(),
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -52,10 +52,13 @@
 test('the holder of another zone is the one with the highest token', () => {
   const zones = new NeighbourZones('west');
   const east = {zone: 'east', id: 'e-1', address: '10.1.0.1:7000'};
-  zones.setRegistrations([
-    {...east, holderToken: 5},
-    {...east, id: 'e-2', address: '10.1.0.2:7000', holderToken: 7},
-  ]);
+  zones.setRegistrations(
+    [
+      {...east, holderToken: 5},
+      {...east, id: 'e-2', address: '10.1.0.2:7000', holderToken: 7},
+    ],
+    0,
+  );
   assert.equal(zones.addressOf('east'), '10.1.0.2:7000');
   const claim = {holderId: 'e-1', token: 9};
   zones.hear(createHeartbeat({...east, claim}), 100);
@@ -63,3 +66,22 @@
   assert.equal(zones.isAlive('east', 1_000), true);
   assert.equal(zones.isAlive('east', 1_200), false);
 });
+
+test('a zone with a new holder has a second to ask for what it lent before', () => {
+  const zones = new NeighbourZones('west');
+  const east = {zone: 'east', id: 'e-1', address: '10.1.0.1:7000'};
+  const hear = (token: number, now: number) => {
+    zones.hear(
+      createHeartbeat({...east, claim: {holderId: 'e-1', token}}),
+      now,
+    );
+  };
+  hear(5, 0);
+  assert.equal(zones.wantsLent('east', 5, 100), true);
+  hear(9, 200);
+  assert.equal(zones.wantsLent('east', 5, 900), true);
+  hear(9, 1_300);
+  assert.equal(zones.wantsLent('east', 5, 1_300), false);
+  assert.equal(zones.wantsLent('east', 9, 1_300), true);
+  assert.equal(zones.wantsLent('east', 9, 2_400), false);
+});
