--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -103,10 +103,7 @@
       return;
     }
     this.board.adoptOrphans(record, now);
-    for (const run of this.board.adoptLent(record, now)) {
-      const order = {zone: run.workerId, run, record, isAdopted: true};
-      this.adopted.push({kind: 'lend', ...order});
-    }
+    this.adoptLent(record, now);
     if (!isResumed) return;
     record.hasStarted = true;
     record.isResumed = true;
@@ -206,8 +203,9 @@
   }
 
   /** Takes what another zone runs for this one since an earlier holder. */
-  noteLent(zone: string, entries: readonly LentEntry[]): void {
+  noteLent(zone: string, entries: readonly LentEntry[], now: Millis): void {
     this.board.survey.note(zone, entries);
+    for (const record of this.board.jobs.values()) this.adoptLent(record, now);
   }
 
   /** Notes how a lent task ended. */
@@ -223,6 +221,13 @@
     run.overAt = now + LENT_OVER_MS;
   }
 
+  private adoptLent(record: JobRecord, now: Millis): void {
+    for (const run of this.board.adoptLent(record, now)) {
+      const order = {zone: run.workerId, run, record, isAdopted: true};
+      this.adopted.push({kind: 'lend', ...order});
+    }
+  }
+
   private setWorker(worker: Worker, now: Millis): void {
     const known = this.board.workers.get(worker.id);
     if (known === undefined) {
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -107,7 +107,7 @@
       const home = this.options.zone;
       const result = await calls?.listLent(home, SURVEY_TIMEOUT_MS);
       if (result?.isOk() === true) {
-        dispatcher.noteLent(zone, result.value);
+        dispatcher.noteLent(zone, result.value, readClock());
         logger.info('zone surveyed', {zone, lent: result.value.length});
         return;
       }
