Plan a step's tasks together and refuse by that plan

Cause: tasks were placed one by one. After a restart of all, 62 jobs were refused because no worker had been looked at yet, and a process needed 0.35 s of processor time to start, 0.13 s of it Node's own.

The played load has three zones, estimates that are off for a whole job, and tells worth, the largest tenth and late refusals.

Ruled out, by trials: late jobs on what is left free, moving every late run, a factor for each job, first come first served, long or short jobs first.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -218,6 +218,14 @@
     }
   }
 
+  /** Whether a worker of the service was not looked at since it came. */
+  hasUnseenWorkers(service: string): boolean {
+    for (const {info, isHeld, isSilent} of this.workersOf(service)) {
+      if (!isHeld && !isSilent && !info.isDraining) return true;
+    }
+    return false;
+  }
+
   /** Whether every worker has told what runs there. */
   get areWorkersSurveyed(): boolean {
     for (const {isHeld, isSilent} of this.workers.values()) {
--- a/packages/dispatch/src/dispatcher/create_run.ts
+++ b/packages/dispatch/src/dispatcher/create_run.ts
@@ -20,6 +20,7 @@
     need: task.step.need,
     startedAt: now,
     expectedMs,
+    endsAt: now + expectedMs,
     phase: RunPhase.Starting,
     lentTo: undefined,
     confirmedAt: Infinity,
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -229,6 +229,7 @@
   }
 
   private setWorker(worker: Worker, now: Millis): void {
+    this.board.durations.setKind(worker.id, worker.kind);
     const known = this.board.workers.get(worker.id);
     if (known === undefined) {
       this.board.workers.set(worker.id, new WorkerRecord(worker));
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -43,6 +43,8 @@
   readonly usefulUntil: Millis;
   /** Whether an order to start any of its tasks was ever sent. */
   hasStarted = false;
+  /** Whether it was found to be servable once. */
+  isPlanned = false;
   /** How it ends once nothing of it runs any more. */
   ending: Outcome | undefined;
   /** Runs of an earlier holder may still go on. */
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -12,6 +12,8 @@
 
 /** Most ends that a worker lists in one answer. */
 const MOST_ENDS = 500;
+/** From this share of its work on, a run's end is told by its progress. */
+const LEAST_PERCENT = 4;
 /** A run is looked at more closely after this multiple of its expected time. */
 const OVERDUE_FACTOR = 2;
 /** Added to the expected time before a run counts as overdue, in ms. */
@@ -103,9 +105,10 @@
     run.phase = RunPhase.Running;
     run.confirmedAt = now;
   }
-  if (run.phase !== RunPhase.Running || now < overdueAt(run)) return;
   const elapsedMs = now - run.startedAt;
   const wholeMs = (elapsedMs * 100) / Math.max(percent, 1);
+  if (percent >= LEAST_PERCENT) run.endsAt = run.startedAt + wholeMs;
+  if (run.phase !== RunPhase.Running || now < overdueAt(run)) return;
   if (wholeMs < STALLED_FACTOR * run.expectedMs) return;
   const task = board.jobs.get(run.recordId)?.findTask(run.key);
   // What stands still on a second worker too is just longer than declared.
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -1,49 +1,29 @@
-/** Decides which waiting tasks start now, and where. */
+/** Decides which waiting tasks start now, and where, and which jobs can't. */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {Neighbours, RemotePlace} from '../neighbours/index.js';
+import type {Neighbours} from '../neighbours/index.js';
 import {
-  chooseFree,
-  chooseLater,
-  isWorthWaiting,
-  Prospects,
-  type Candidate,
+  expectWorth,
+  planStep,
+  type Demand,
+  type Place,
+  type StepPlan,
 } from '../placement/index.js';
+import {RefusalReason} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import type {Board} from './board.js';
 import {createRun} from './create_run.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
+import {moveLateRuns} from './mover.js';
 import {orderJobs} from './order.js';
 import type {Order} from './orders.js';
+import {Scene} from './scene.js';
 
-/** A place in another zone must be better than the best here by this. */
-const LEND_GAIN = 0.05;
-
-/** A place of this worth is taken without looking for a better one. */
-const SURE_WORTH = 0.95;
-
-/** What stays the same while one round of tasks is placed. */
-class Scene {
-  readonly prospects: Prospects;
-  private readonly byService = new Map<string, readonly WorkerRecord[]>();
-
-  constructor(
-    private readonly board: Board,
-    private readonly now: Millis,
-  ) {
-    this.prospects = new Prospects(now);
-  }
-
-  /** Workers of a service that may be given tasks. */
-  usable(service: string): readonly WorkerRecord[] {
-    const known = this.byService.get(service);
-    if (known !== undefined) return known;
-    const usable = [...this.board.workersOf(service)].filter(worker =>
-      worker.isUsable(this.now),
-    );
-    this.byService.set(service, usable);
-    return usable;
-  }
-}
+/** A job is refused when no plan brings this share of its best worth. */
+const REFUSE_SHARE = 0.35;
+/** The same on its arrival: what is taken then should not be refused late. */
+const REFUSE_NEW_SHARE = 0.6;
+/** Run time on the fastest workers beside the expected one. */
+const FASTEST_SHARE = 0.7;
 
 /** The workers but one, unless it is the only one. */
 function leaveOut(
@@ -55,13 +35,6 @@
   return others.length > 0 ? others : workers;
 }
 
-/** What became of one waiting task. */
-type Placement =
-  | {readonly kind: 'placed'; readonly order: Order}
-  /** A worker that is about to have room is better than what is free. */
-  | {readonly kind: 'waits'}
-  | {readonly kind: 'no_room'};
-
 /** When runs of an earlier holder that nobody told of have surely ended. */
 export interface Barrier {
   /** Those on workers that do not answer. */
@@ -80,21 +53,16 @@
 
   /** Orders for all tasks that have a place now. */
   place(now: Millis): Order[] {
-    const orders: Order[] = [];
     const waiting = [...this.board.jobs.values()].filter(record =>
       this.isPlaceable(record, now),
     );
-    if (waiting.length === 0) return orders;
     const scene = new Scene(this.board, now);
-    for (const record of orderJobs(waiting, now)) {
-      for (const task of record.ready()) {
-        const placement = this.placeTask(record, task, scene, now);
-        // The tasks of a step are alike: where one has no room, none has.
-        if (placement.kind === 'no_room') break;
-        if (placement.kind === 'placed') orders.push(placement.order);
-      }
-    }
-    return orders;
+    moveLateRuns(this.board, scene, now);
+    return orderJobs(waiting).flatMap(record =>
+      groupTasks(record).flatMap(tasks =>
+        this.placeTasks(record, tasks, scene, now),
+      ),
+    );
   }
 
   /** Whether the job goes on and no run of an earlier holder is unknown. */
@@ -109,63 +77,100 @@
     );
   }
 
-  private placeTask(
+  /** Places tasks that are alike. */
+  private placeTasks(
     record: JobRecord,
-    task: TaskRecord,
+    tasks: readonly TaskRecord[],
     scene: Scene,
     now: Millis,
-  ): Placement {
-    const {queue, service, payload} = record.job;
-    const {step, name} = task;
-    const countOn = (workerId: string) => record.countOn(workerId, name.step);
-    const candidate: Candidate = {queue, step, due: record, countOn};
-    const {durations} = this.board;
-    const workers = leaveOut(scene.usable(service), task.stalledOn);
-    const free = chooseFree(candidate, workers, durations, now);
-    const freeWorth = free?.worth ?? 0;
-    const remote = this.findRemote(record, task, freeWorth, now);
-    if (free === undefined && remote === undefined) return {kind: 'no_room'};
-    const later =
-      freeWorth < SURE_WORTH
-        ? chooseLater(candidate, workers, durations, scene.prospects)
-        : undefined;
-    const localWorth = Math.max(freeWorth, later?.worth ?? 0);
-    if (remote !== undefined && remote.worth > localWorth + LEND_GAIN) {
-      return {kind: 'placed', order: this.lend(record, task, remote, now)};
+  ): Order[] {
+    const plan = this.plan(record, tasks, scene, now);
+    if (this.isHopeless(record, plan)) {
+      this.board.refuse(record, RefusalReason.Overloaded, 0, now);
+      return [];
     }
-    if (later !== undefined && isWorthWaiting(later.worth, freeWorth)) {
-      scene.prospects.take(later.worker);
-      return {kind: 'waits'};
-    }
-    if (free === undefined) return {kind: 'no_room'};
-    const workerId = free.worker.info.id;
-    const run = createRun(record, task, workerId, free.expectedMs, now);
-    this.board.beginRun(record, task, run);
-    return {kind: 'placed', order: {kind: 'start', run, payload}};
+    return plan.places.flatMap((place, index) => {
+      const task = tasks[index];
+      if (task === undefined) return [];
+      return this.takePlace(record, task, place, scene, now);
+    });
   }
 
-  private findRemote(
+  private plan(
     record: JobRecord,
-    {step}: TaskRecord,
-    freeWorth: number,
+    tasks: readonly TaskRecord[],
+    scene: Scene,
     now: Millis,
-  ): RemotePlace | undefined {
-    if (record.isForeign || freeWorth >= SURE_WORTH) return undefined;
+  ): StepPlan {
+    const [first] = tasks;
+    if (first === undefined) return {places: [], worth: 0};
     const {queue, service} = record.job;
     const {durations} = this.board;
-    return this.neighbours.find(service, queue, step, record, durations, now);
+    const demand: Demand = {
+      queue,
+      step: first.step,
+      due: record,
+      count: tasks.length,
+      countOn: workerId => record.countOn(workerId, first.name.step),
+    };
+    const workers = leaveOut(scene.usable(service), first.stalledOn);
+    const remotes = record.isForeign
+      ? []
+      : this.neighbours.list(service, demand, durations, now);
+    const forecast = {durations, prospects: scene.prospects};
+    return planStep(demand, workers, remotes, forecast, now);
   }
 
-  private lend(
+  /** Whether the job has not begun and could hardly be of use if it did. */
+  private isHopeless(record: JobRecord, {worth}: StepPlan): boolean {
+    const {hasStarted, isForeign, job, expectedMs} = record;
+    if (hasStarted || isForeign) return false;
+    // Workers that a new holder has not looked at yet have room in a moment.
+    if (this.board.hasUnseenWorkers(job.service)) return false;
+    const fastestMs = expectedMs * FASTEST_SHARE;
+    const best = expectWorth(record, fastestMs, job.arrivedAt);
+    const share = record.isPlanned ? REFUSE_SHARE : REFUSE_NEW_SHARE;
+    record.isPlanned = true;
+    return worth < share * best;
+  }
+
+  private takePlace(
     record: JobRecord,
     task: TaskRecord,
-    {zone, expectedMs, take}: RemotePlace,
+    place: Place,
+    scene: Scene,
     now: Millis,
-  ): Order {
-    take();
-    const run = createRun(record, task, zone, expectedMs, now);
-    run.lentTo = zone;
-    this.board.beginRun(record, task, run);
-    return {kind: 'lend', zone, run, record, isAdopted: false};
+  ): Order[] {
+    switch (place.kind) {
+      case 'free': {
+        const {worker, expectedMs} = place;
+        const run = createRun(record, task, worker.info.id, expectedMs, now);
+        this.board.beginRun(record, task, run);
+        return [{kind: 'start', run, payload: record.job.payload}];
+      }
+      case 'remote': {
+        const {zone, expectedMs, take} = place;
+        take();
+        const run = createRun(record, task, zone, expectedMs, now);
+        run.lentTo = zone;
+        this.board.beginRun(record, task, run);
+        return [{kind: 'lend', zone, run, record, isAdopted: false}];
+      }
+      case 'later':
+        if (place.isVacancy) scene.prospects.take(place.worker);
+        return [];
+    }
+  }
+}
+
+/** The tasks that wait, in groups that may run in the same places. */
+function groupTasks(record: JobRecord): readonly TaskRecord[][] {
+  const groups = new Map<string, TaskRecord[]>();
+  for (const task of record.ready()) {
+    const key = `${task.name.step} ${task.stalledOn ?? ''}`;
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [task]);
+    else group.push(task);
   }
+  return [...groups.values()];
 }
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -11,6 +11,7 @@
 
 /** Stops what is not wanted any more. */
 export class Stopper {
+  /** When stops of runs that nobody wants last went out, by task. */
   private readonly orphanStops = new Map<string, Millis>();
 
   /** `heldSince` is when this instance became the holder. */
@@ -22,6 +23,7 @@
   /** Orders to stop that are due. */
   stop(now: Millis): Order[] {
     const orders: Order[] = [];
+    this.forgetOldStops(now);
     for (const worker of this.board.workers.values()) {
       this.stopRuns(orders, worker, now);
       if (now < this.heldSince + ADOPTION_MS) continue;
@@ -49,13 +51,18 @@
   ): void {
     const workerId = worker.info.id;
     for (const [key, runNumber] of worker.orphans) {
-      const sentAt = this.orphanStops.get(key) ?? -Infinity;
-      if (now - sentAt < STOP_AGAIN_MS) continue;
+      if (this.orphanStops.has(key)) continue;
       this.orphanStops.set(key, now);
       orders.push({kind: 'stop', workerId, key, runNumber, run: undefined});
     }
   }
 
+  private forgetOldStops(now: Millis): void {
+    for (const [key, sentAt] of this.orphanStops) {
+      if (now - sentAt >= STOP_AGAIN_MS) this.orphanStops.delete(key);
+    }
+  }
+
   private recall(orders: Order[], now: Millis): void {
     for (const record of this.board.jobs.values()) {
       if (record.ending === undefined) continue;
--- a/packages/dispatch/src/neighbours/neighbours.ts
+++ b/packages/dispatch/src/neighbours/neighbours.ts
@@ -5,9 +5,14 @@
  * a moment old, so the other holder may turn a task away; it never queues one.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {expectWorth, type Due} from '../placement/index.js';
+import {
+  countFitting,
+  expectWorth,
+  type Demand,
+  type RemotePlace,
+} from '../placement/index.js';
 import type {Durations} from '../speeds/index.js';
-import type {Step} from '../work/index.js';
+import type {Need, Step} from '../work/index.js';
 
 /** What was told counts for this long, in ms. */
 const FRESH_MS = 500;
@@ -29,15 +34,6 @@
   readonly vacancies: readonly Vacancy[];
 }
 
-/** A place for one task in another zone. */
-export interface RemotePlace {
-  readonly zone: string;
-  readonly worth: number;
-  readonly expectedMs: Millis;
-  /** Takes the room, so that the next task does not count on it. */
-  readonly take: () => void;
-}
-
 interface RoomRecord {
   readonly room: ZoneRoom;
   readonly toldAt: Millis;
@@ -63,47 +59,60 @@
     }
   }
 
-  /** The best place for a task elsewhere; undefined when there is none. */
-  find(
+  /** Places elsewhere for the tasks that wait. */
+  list(
     service: string,
-    queue: string,
-    step: Step,
-    due: Due,
+    demand: Demand,
     durations: Durations,
     now: Millis,
-  ): RemotePlace | undefined {
-    if (!canLend(step)) return undefined;
-    let best: RemotePlace | undefined;
+  ): RemotePlace[] {
+    if (!canLend(demand.step)) return [];
+    const places: RemotePlace[] = [];
     for (const record of this.rooms.values()) {
       const isFresh = now - record.toldAt < FRESH_MS;
       if (record.room.service !== service || !isFresh) continue;
-      for (const vacancy of record.vacancies) {
-        if (!hasRoom(vacancy, step)) continue;
-        const usualMs = durations.expect(queue, step.estimateMs);
-        const expectedMs = usualMs * vacancy.slowness + TRAVEL_MS;
-        const worth = expectWorth(due, expectedMs, now);
-        if (best !== undefined && worth <= best.worth) continue;
-        const take = () => takeRoom(record, vacancy, step);
-        best = {zone: record.room.zone, worth, expectedMs, take};
+      for (const index of record.vacancies.keys()) {
+        places.push(...listPlaces(record, index, demand, durations, now));
       }
     }
-    return best;
+    return places;
   }
 }
 
+/** Places on one worker of another zone. */
+function listPlaces(
+  record: RoomRecord,
+  index: number,
+  {queue, step, due, count}: Demand,
+  durations: Durations,
+  now: Millis,
+): RemotePlace[] {
+  const vacancy = record.vacancies[index];
+  if (vacancy === undefined) return [];
+  const fitting = Math.min(count, countFitting(step.need, toNeed(vacancy)));
+  if (fitting === 0) return [];
+  const usualMs = durations.expect(queue, step.estimateMs);
+  const expectedMs = usualMs * vacancy.slowness + TRAVEL_MS;
+  const worth = expectWorth(due, expectedMs, now);
+  const {zone} = record.room;
+  const take = () => takeRoom(record, index, step);
+  const place: RemotePlace = {kind: 'remote', zone, worth, expectedMs, take};
+  return Array.from({length: fitting}, () => place);
+}
+
+function toNeed({cpuMillis, memoryMb}: Vacancy): Need {
+  return {cpuMillis, memoryMb, accelerators: 0};
+}
+
 /** Steps that depend on where exactly they run stay in their zone. */
 function canLend(step: Step): boolean {
   const isBound = step.requiredLabel ?? step.dataRack ?? step.maxPerWorker;
   return isBound === undefined && step.need.accelerators === 0;
 }
 
-function hasRoom({cpuMillis, memoryMb}: Vacancy, {need}: Step): boolean {
-  return need.cpuMillis <= cpuMillis && need.memoryMb <= memoryMb;
-}
-
-function takeRoom(record: RoomRecord, vacancy: Vacancy, {need}: Step): void {
-  const index = record.vacancies.indexOf(vacancy);
-  if (index < 0) return;
+function takeRoom(record: RoomRecord, index: number, {need}: Step): void {
+  const vacancy = record.vacancies[index];
+  if (vacancy === undefined) return;
   record.vacancies[index] = {
     slowness: vacancy.slowness,
     cpuMillis: vacancy.cpuMillis - need.cpuMillis,
--- /dev/null
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -0,0 +1,48 @@
+/**
+ * Plans the waiting tasks of a step together. Answers the load of wide jobs
+ * over workers of uneven speed: a job is served by the last of its tasks, so
+ * the plan makes this last one as good as it can be, and then takes for each
+ * task the place that others need least among those that are no worse. Fast
+ * workers stay free for tasks that need them, and large gaps for wide jobs.
+ */
+import type {Millis} from '@goldcrestpier/runtime';
+import type {WorkerRecord} from '../workers/index.js';
+import {listPlaces, type Demand, type Forecast} from './list_places.js';
+import {
+  comparePlaces,
+  weighPlace,
+  type Place,
+  type RemotePlace,
+} from './place.js';
+
+/** Places count as no worse that bring this share of the last one's worth. */
+const GOOD_SHARE = 0.95;
+
+/** Where the tasks of a step should run. */
+export interface StepPlan {
+  /** One for each task; fewer when there are not enough. */
+  readonly places: readonly Place[];
+  /** Worth to expect of the last task; 0 when one has no place. */
+  readonly worth: number;
+}
+
+/** Plans as many tasks as the demand has. */
+export function planStep(
+  demand: Demand,
+  workers: readonly WorkerRecord[],
+  remotes: readonly RemotePlace[],
+  forecast: Forecast,
+  now: Millis,
+): StepPlan {
+  const places: Place[] = [...remotes];
+  for (const worker of workers) {
+    places.push(...listPlaces(demand, worker, forecast, now));
+  }
+  places.sort((a, b) => weighPlace(b) - weighPlace(a));
+  const last = places[demand.count - 1];
+  if (last === undefined) return {places, worth: 0};
+  const least = weighPlace(last) * GOOD_SHARE;
+  const good = places.filter(place => weighPlace(place) >= least);
+  good.sort(comparePlaces);
+  return {places: good.slice(0, demand.count), worth: last.worth};
+}
--- a/packages/dispatch/src/placement/prospects.ts
+++ b/packages/dispatch/src/placement/prospects.ts
@@ -14,9 +14,9 @@
 
   constructor(private readonly now: Millis) {}
 
-  /** When the next vacancy that is not spoken for comes up. */
-  nextVacancy(worker: WorkerRecord): Millis {
-    return this.endsOn(worker)[0] ?? Infinity;
+  /** When the vacancies come up that are not spoken for, the next one first. */
+  vacanciesOf(worker: WorkerRecord): readonly Millis[] {
+    return this.endsOn(worker);
   }
 
   /** Speaks for the worker's next vacancy. */
@@ -28,8 +28,8 @@
     const known = this.ends.get(worker);
     if (known !== undefined) return known;
     const ends: Millis[] = [];
-    for (const {startedAt, expectedMs} of worker.runs.values()) {
-      ends.push(Math.max(startedAt + expectedMs, this.now + OVERDUE_MS));
+    for (const {endsAt} of worker.runs.values()) {
+      ends.push(Math.max(endsAt, this.now + OVERDUE_MS));
     }
     ends.sort((a, b) => a - b);
     this.ends.set(worker, ends);
--- a/packages/dispatch/src/speeds/durations.ts
+++ b/packages/dispatch/src/speeds/durations.ts
@@ -1,7 +1,7 @@
 /**
  * Expected run times. Declared estimates are rough and workers differ in
  * speed, so both are corrected by what was seen: a factor for each queue and a
- * speed for each worker.
+ * speed for each worker, which starts from that of its kind.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 
@@ -14,25 +14,47 @@
 const SMALLEST_RATIO = 0.05;
 const LARGEST_RATIO = 20;
 
-interface WorkerSpeed {
-  /** Natural logarithm of run time over expected run time. */
-  logSlowness: number;
-  /** The same as a factor. */
-  slowness: number;
-  runs: number;
-}
+/** Runs that the speed of a worker's kind counts for. */
+const KIND_RUNS = 2;
+/** Least weight of the newest run in the speed of a kind. */
+const KIND_WEIGHT = 0.03;
+
+/** A slowness that is learned: run time over expected run time. */
+class Slowness {
+  private constructor(
+    /** Its natural logarithm. */
+    readonly log: number,
+    /** The same as a factor. */
+    readonly factor: number,
+    private readonly runs: number,
+  ) {}
+
+  /** Before any run; `log` counts for `runs`. */
+  static begin(log = 0, runs = 0): Slowness {
+    return new Slowness(log, Math.exp(log), runs);
+  }
 
-interface QueueFactor {
-  /** Natural logarithm of run time over declared run time. */
-  logFactor: number;
-  /** The same as a factor. */
-  factor: number;
+  /** With one more run; `firstWeight` falls with their number. */
+  learn(seen: number, firstWeight: number, leastWeight: number): Slowness {
+    const weight = Math.max(firstWeight / (this.runs + 1), leastWeight);
+    const log = this.log + weight * (seen - this.log);
+    return new Slowness(log, Math.exp(log), this.runs + 1);
+  }
 }
 
 /** Learns run times from finished runs. */
 export class Durations {
-  private readonly queues = new Map<string, QueueFactor>();
-  private readonly workers = new Map<string, WorkerSpeed>();
+  /** Run time over declared run time of each queue. */
+  private readonly queues = new Map<string, Slowness>();
+  private readonly workers = new Map<string, Slowness>();
+  /** Of each kind of worker, for workers that have not run much. */
+  private readonly kinds = new Map<string, Slowness>();
+  private readonly kindOf = new Map<string, string>();
+
+  /** Notes of which kind a worker is. */
+  setKind(workerId: string, kind: string | undefined): void {
+    if (kind !== undefined) this.kindOf.set(workerId, kind);
+  }
 
   /** Expected run time of a task on a worker of ordinary speed. */
   expect(queue: string, estimateMs: Millis): Millis {
@@ -46,7 +68,8 @@
 
   /** How many times as long as usual tasks take there; 1 while unknown. */
   slownessOf(workerId: string): number {
-    return this.workers.get(workerId)?.slowness ?? 1;
+    const own = this.workers.get(workerId) ?? this.kindSlowness(workerId);
+    return own?.factor ?? 1;
   }
 
   /** Learns from a run that ended well. */
@@ -59,23 +82,43 @@
     const ratio = tookMs / Math.max(estimateMs, 1);
     const bounded = Math.min(Math.max(ratio, SMALLEST_RATIO), LARGEST_RATIO);
     const seen = Math.log(bounded);
-    const queueLog = this.queues.get(queue)?.logFactor ?? 0;
-    const worker = this.workers.get(workerId);
-    const workerLog = worker?.logSlowness ?? 0;
-    const runs = worker?.runs ?? 0;
-    const weight = Math.max(
-      FIRST_WORKER_WEIGHT / (runs + 1),
-      LATER_WORKER_WEIGHT,
+    const queueSlowness = this.queues.get(queue) ?? Slowness.begin();
+    const own = this.workers.get(workerId) ?? this.beginWorker(workerId);
+    const ofQueue = seen - own.log;
+    const ofWorker = seen - queueSlowness.log;
+    this.queues.set(
+      queue,
+      queueSlowness.learn(ofQueue, QUEUE_WEIGHT, QUEUE_WEIGHT),
     );
-    const logFactor = queueLog + QUEUE_WEIGHT * (seen - workerLog - queueLog);
-    const logSlowness = workerLog + weight * (seen - queueLog - workerLog);
-    this.queues.set(queue, {logFactor, factor: Math.exp(logFactor)});
-    const slowness = Math.exp(logSlowness);
-    this.workers.set(workerId, {logSlowness, slowness, runs: runs + 1});
+    this.workers.set(
+      workerId,
+      own.learn(ofWorker, FIRST_WORKER_WEIGHT, LATER_WORKER_WEIGHT),
+    );
+    this.learnKind(workerId, ofWorker);
   }
 
   /** Forgets a worker that is gone. */
   forget(workerId: string): void {
     this.workers.delete(workerId);
+    this.kindOf.delete(workerId);
+  }
+
+  private learnKind(workerId: string, seen: number): void {
+    const kind = this.kindOf.get(workerId);
+    if (kind === undefined) return;
+    const known = this.kinds.get(kind) ?? Slowness.begin();
+    this.kinds.set(kind, known.learn(seen, 1, KIND_WEIGHT));
+  }
+
+  private beginWorker(workerId: string): Slowness {
+    const kind = this.kindSlowness(workerId);
+    return kind === undefined
+      ? Slowness.begin()
+      : Slowness.begin(kind.log, KIND_RUNS);
+  }
+
+  private kindSlowness(workerId: string): Slowness | undefined {
+    const kind = this.kindOf.get(workerId);
+    return kind === undefined ? undefined : this.kinds.get(kind);
   }
 }
--- a/packages/dispatch/src/work/job.ts
+++ b/packages/dispatch/src/work/job.ts
@@ -81,12 +81,3 @@
   const isWhole = Number.isInteger(name.step) && Number.isInteger(name.index);
   return isWhole ? name : undefined;
 }
-
-/** Processor time of all tasks as declared, in thousandths of a core x ms. */
-export function sumDeclaredWork(job: Job): number {
-  let work = 0;
-  for (const {tasks, need, estimateMs} of job.steps) {
-    work += tasks * need.cpuMillis * estimateMs;
-  }
-  return work;
-}
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -26,6 +26,8 @@
   readonly startedAt: Millis;
   /** Expected run time on this worker. */
   readonly expectedMs: Millis;
+  /** When it should end, as far as the worker has told of its progress. */
+  endsAt: Millis;
   phase: RunPhase;
   /** The zone whose holder runs it, where it was lent. */
   lentTo: string | undefined;
--- a/packages/dispatch/src/workers/worker.ts
+++ b/packages/dispatch/src/workers/worker.ts
@@ -15,6 +15,8 @@
   /** A leaving worker gets no new tasks. */
   readonly isDraining: boolean;
   /** Unix time of its start in ms: tells one life from the next. */
+  /** Workers of one kind are about equally fast; undefined when not told. */
+  readonly kind?: string | undefined;
   readonly bornAt: number;
 }
 
--- a/packages/dispatch/test/placement.test.ts
+++ b/packages/dispatch/test/placement.test.ts
@@ -28,7 +28,7 @@
     seed: 7,
     lengthMs: 10_000,
     deadlineMs: 1_500,
-    workers: createWorkers(11, faulty),
+    zones: [createWorkers(11, faulty)],
     queues: [
       {
         name: 'checks',
@@ -58,6 +58,23 @@
   };
 }
 
+/** Three zones with workers of three kinds; `factor` 1 fills them. */
+function createRegion(factor: number): PlayedLoad {
+  const load = createLoad(3 * factor);
+  const speeds = [1.9, 0.8, 0.8, 0.55, 0.8, 1.9, 0.55, 0.8, 1.9, 0.55, 0.8];
+  const createZone = (offset: number) =>
+    speeds.map((speed, index) => ({
+      cpuMillis: (index + offset) % 4 === 2 ? 96_000 : 64_000,
+      speed,
+      fault: PlayedFault.None,
+    }));
+  return {
+    ...load,
+    lengthMs: 16_000,
+    zones: [createZone(0), createZone(1), createZone(2)],
+  };
+}
+
 test('at half of the load jobs end in time nearly as often as alone', () => {
   const alone = playLoad({...createLoad(0.02), lengthMs: 400_000});
   const results = playLoad(createLoad(0.5));
@@ -93,9 +110,34 @@
   assert.ok((inTime + late) / jobs > 0.9);
 });
 
+test('large jobs are served at least half as often as all at 1.2 of the room', () => {
+  const load = {...createRegion(1.2), lengthMs: 40_000};
+  const runs = playLoad(load).get('runs') ?? NO_RESULT;
+  const served = (runs.inTime + runs.late) / runs.jobs;
+  assert.ok(runs.largestTenth >= served / 2, `${runs.largestTenth}, ${served}`);
+});
+
+test('at 1.5 of the room no queue starves, and refusals come promptly', () => {
+  const results = playLoad(createRegion(1.5));
+  for (const [name, result] of results) {
+    const {inTime, late, jobs, refusedLate} = result;
+    assert.ok((inTime + late) / jobs > 0.5, name);
+    assert.ok(refusedLate < 0.05, `${name}: ${refusedLate}`);
+  }
+  snapshots.match('three zones at 1.5', Object.fromEntries(results));
+});
+
 function shareInTime(result: QueueResult | undefined): number {
   const {jobs, inTime} = result ?? NOTHING;
   return inTime / jobs;
 }
 
 const NOTHING = {jobs: 1, inTime: 0, late: 0};
+const NO_RESULT: QueueResult = {
+  ...NOTHING,
+  refused: 0,
+  lost: 0,
+  worth: 0,
+  largestTenth: 0,
+  refusedLate: 0,
+};
--- a/packages/dispatch/test/runs.test.ts
+++ b/packages/dispatch/test/runs.test.ts
@@ -35,6 +35,48 @@
   assert.deepEqual(formatOrders(dispatcher.tick(1)), ['start a.0.0.0/1 on w1']);
 });
 
+test('a new holder refuses no job while it has not seen all workers', () => {
+  const workers = [createWorker('w1'), createWorker('w2')];
+  const dispatcher = createScene(workers);
+  dispatcher.submit(createJob('a', 1), false, 0);
+  dispatcher.tick(0);
+  assert.deepEqual(dispatcher.takeEnded(), []);
+  assert.equal(dispatcher.jobs.size, 1);
+});
+
+test('a job for which no place comes in time is refused at once', () => {
+  const dispatcher = createScene([createWorker('w1')]);
+  lookAtAll(dispatcher, 0);
+  dispatcher.submit(createJob('a', 2), false, 0);
+  assert.equal(startsOf(dispatcher.tick(0)).length, 2);
+  const [step] = createJob('b', 2).steps;
+  assert.ok(step !== undefined);
+  const steps = [{...step, estimateMs: 20}];
+  dispatcher.submit(createJob('b', 2, {queue: 'short', steps}), false, 1);
+  dispatcher.tick(1);
+  const [ended] = dispatcher.takeEnded();
+  assert.equal(ended?.id, 'b');
+  assert.equal(ended?.outcome.kind, 'refused');
+});
+
+test('a run that would end too late is moved once to a sound worker', () => {
+  const workers = [createWorker('w1'), createWorker('w2')];
+  const dispatcher = createScene(workers);
+  lookAtAll(dispatcher, 0);
+  dispatcher.submit(createJob('a', 1, {targetMs: 500}), false, 0);
+  const {run} = startOne(dispatcher, 0);
+  dispatcher.startAnswered(run, StartAnswer.Started, 1);
+  const entry = {task: run.key, run: 1, percent: 10};
+  dispatcher.looked(run.workerId, createLook([entry]), 199, 200);
+  assert.deepEqual(formatOrders(dispatcher.tick(200)), [
+    `stop a.0.0.0/1 on ${run.workerId}`,
+  ]);
+  dispatcher.stopTaken(run, 201);
+  const [again] = formatOrders(dispatcher.tick(290));
+  assert.match(again ?? '', /^start a\.0\.0\.0\/2 on w/);
+  assert.ok(!(again ?? '').endsWith(run.workerId));
+});
+
 test('a task without an answer starts again only after its stop is over', () => {
   const workers = [createWorker('w1'), createWorker('w2')];
   const dispatcher = createScene(workers);
--- a/packages/zone/src/election/token.ts
+++ b/packages/zone/src/election/token.ts
@@ -3,6 +3,7 @@
  * instances make the same one: the low part is drawn by the process at random,
  * the high part rises with each claim. The store is not needed to make one.
  */
+import {randomInt} from 'node:crypto';
 import type {Millis} from '@goldcrestpier/runtime';
 
 /** Values of the part that tells processes apart. */
@@ -12,8 +13,8 @@
 const MILLIS_PER_SECOND = 1000;
 
 /** Draws the part of a process's tokens that is its own. */
-export function drawNonce(random: number): number {
-  return Math.floor(random * NONCE_VALUES);
+export function drawNonce(): number {
+  return randomInt(NONCE_VALUES);
 }
 
 /**
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -131,11 +131,6 @@
     return now - this.hadHolderAt < READY_WITHOUT_HOLDER_MS;
   }
 
-  /** Whether this instance holds the workers of its zone. */
-  isHolder(): boolean {
-    return this.roles.holder !== undefined;
-  }
-
   /** Begins a planned stop: another instance takes over. */
   leave(): void {
     this.isLeaving = true;
--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -1,8 +1,35 @@
 // Bundles the program that runs on the users' platform into target/, straight
 // from the sources, so that the build writes nowhere else and starts fast.
 import {copyFileSync} from 'node:fs';
+import {resolve} from 'node:path';
 import {build} from 'esbuild';
 
+/** Leaves out what the program never uses but would load at each start. */
+const lean = {
+  name: 'lean',
+  setup(build) {
+    build.onResolve({filter: /^undici$/}, () => ({
+      path: resolve('scripts/undici_core.cjs'),
+    }));
+    // HTTP/2 is offered by none of the servers that are called.
+    build.onLoad(
+      {filter: /undici[/\\]lib[/\\]dispatcher[/\\]client-h2\.js$/},
+      () => ({
+        contents: `module.exports = () => { throw new Error('no HTTP/2'); };`,
+      }),
+    );
+    // No connection is encrypted.
+    build.onResolve({filter: /^(https|tls)$/}, ({importer}) =>
+      /[/\\]ws[/\\]lib[/\\]/.test(importer)
+        ? {path: 'unused', namespace: 'unused'}
+        : undefined,
+    );
+    build.onLoad({filter: /.*/, namespace: 'unused'}, () => ({
+      contents: 'module.exports = {};',
+    }));
+  },
+};
+
 await build({
   entryPoints: ['platform/src/bin/goldcrestpier.ts'],
   outfile: 'target/goldcrestpier.cjs',
@@ -19,6 +46,9 @@
     'safe-json-stringify',
   ],
   legalComments: 'none',
+  minifySyntax: true,
+  minifyWhitespace: true,
+  plugins: [lean],
   logLevel: 'warning',
 });
 copyFileSync('scripts/start_target.cjs', 'target/start.cjs');
