--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -10,7 +10,13 @@
 import {readClock, sleep, type Logger} from '@goldcrestpier/runtime';
 import {Err, type Result} from 'ts-results-es';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {JobAnswer, ZoneCallFailure, ZoneCalls} from '../protocol/index.js';
+import type {
+  JobAnswer,
+  LentAnswer,
+  ZoneCallFailure,
+  ZoneCalls,
+} from '../protocol/index.js';
+import {toRoom} from './rooms.js';
 import {toSubmission} from './to_job.js';
 
 /** How long other zones are asked what they run for this one, in ms. */
@@ -55,7 +61,7 @@
   async lend(command: LendCommand): Promise<void> {
     const {run, isAdopted} = command;
     const result = await this.ask(command, isAdopted);
-    if (result.isOk()) await this.takeAnswer(command, result.value);
+    if (result.isOk()) await this.takeLentAnswer(command, result.value);
     else if (result.error.kind === PeerFailureKind.NotSent) this.refuse(run);
     else await this.rejoin(command, result.error.kind);
     this.options.onChange();
@@ -64,7 +70,7 @@
   private async ask(
     {zone, run, record}: LendCommand,
     isJoin: boolean,
-  ): Promise<Result<JobAnswer, ZoneCallFailure>> {
+  ): Promise<Result<LentAnswer, ZoneCallFailure>> {
     const calls = this.options.findZone(zone);
     const task = record.findTask(run.key);
     if (calls === undefined || task === undefined) {
@@ -84,9 +90,11 @@
     for (let tries = 0; tries < REJOIN_TRIES; tries += 1) {
       await sleep(REJOIN_PAUSE_MS);
       const result = await this.ask(command, true);
-      if (result.isErr() || result.value.kind === 'not_holder') continue;
-      if (result.value.kind === 'abandoned') break;
-      return this.takeAnswer(command, result.value);
+      if (result.isErr()) continue;
+      const {kind} = result.value.answer;
+      if (kind === 'not_holder') continue;
+      if (kind === 'abandoned') break;
+      return this.takeLentAnswer(command, result.value);
     }
     this.lose(command.run, reason);
   }
@@ -116,6 +124,18 @@
     logger.warn('zone not surveyed', {zone});
   }
 
+  private async takeLentAnswer(
+    command: LendCommand,
+    {answer, rooms = []}: LentAnswer,
+  ): Promise<void> {
+    await this.takeAnswer(command, answer);
+    const {dispatcher} = this.options;
+    const now = readClock();
+    for (const room of rooms) {
+      dispatcher.tellRoom(toRoom(command.zone, room), now);
+    }
+  }
+
   private async takeAnswer(
     command: LendCommand,
     answer: JobAnswer,
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -24,6 +24,7 @@
   type JobCancellation,
   type JobSubmission,
   type Lending,
+  type LentAnswer,
   type LentList,
   type Recall,
   type ZoneCalls,
@@ -168,10 +169,13 @@
   }
 
   /** Runs a task that the holder of another zone lends. */
-  lend(message: Lending): Promise<JobAnswer> {
-    if (this.roles.holder !== undefined)
-      return this.roles.holder.takeLent(message);
-    return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
+  async lend(message: Lending): Promise<LentAnswer> {
+    const {holder} = this.roles;
+    if (holder === undefined) {
+      return {answer: {kind: 'not_holder', mayHaveStarted: false}};
+    }
+    const answer = await holder.takeLent(message);
+    return {answer, rooms: holder.findRooms()};
   }
 
   /** Stops a task that another zone takes back. */
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -107,6 +107,12 @@
   z.object({kind: z.literal('not_holder'), mayHaveStarted: z.boolean()}),
 ]);
 
+/** How a lent task ended, and what room the zone has now. */
+export const lentAnswerSchema = z.object({
+  answer: jobAnswerSchema,
+  rooms: z.array(roomSchema).optional(),
+});
+
 /** Gives a job up: the caller left or cancelled. */
 export const jobCancellationSchema = z.object({
   ownerId: z.string(),
@@ -151,5 +157,7 @@
 export type LentList = z.infer<typeof lentListSchema>;
 /** How a submission ended. */
 export type JobAnswer = z.infer<typeof jobAnswerSchema>;
+/** How a lent task ended, and what room the zone has now. */
+export type LentAnswer = z.infer<typeof lentAnswerSchema>;
 /** Gives a job up. */
 export type JobCancellation = z.infer<typeof jobCancellationSchema>;
--- a/packages/zone/src/protocol/router.ts
+++ b/packages/zone/src/protocol/router.ts
@@ -17,12 +17,14 @@
   jobCancellationSchema,
   jobSubmissionSchema,
   lendingSchema,
+  lentAnswerSchema,
   lentListSchema,
   recallSchema,
   type JobAnswer,
   type JobCancellation,
   type JobSubmission,
   type Lending,
+  type LentAnswer,
   type LentList,
   type Recall,
   type ZoneHeartbeat,
@@ -34,7 +36,7 @@
   submit(message: JobSubmission): Promise<JobAnswer>;
   cancel(message: JobCancellation): Promise<void>;
   readConfiguration(): Promise<Configuration | null>;
-  lend(message: Lending): Promise<JobAnswer>;
+  lend(message: Lending): Promise<LentAnswer>;
   recall(message: Recall): Promise<void>;
   listLent(homeZone: string): Promise<LentList>;
 }
@@ -123,8 +125,8 @@
   lend(
     message: Lending,
     timeoutMs: number,
-  ): Promise<Result<JobAnswer, ZoneCallFailure>> {
-    return this.ask(jobAnswerSchema, 'lend', message, timeoutMs);
+  ): Promise<Result<LentAnswer, ZoneCallFailure>> {
+    return this.ask(lentAnswerSchema, 'lend', message, timeoutMs);
   }
 
   /** Takes a lent task back. */
