--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -2,7 +2,6 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Neighbours} from '../neighbours/index.js';
 import {
-  expectWorth,
   planStep,
   type Demand,
   type Place,
@@ -12,19 +11,13 @@
 import type {WorkerRecord} from '../workers/index.js';
 import type {Board} from './board.js';
 import {createRun} from './create_run.js';
+import {findLeastWorth} from './least_worth.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
 import {moveLateRuns} from './mover.js';
 import {orderJobs} from './order.js';
 import type {Order} from './orders.js';
 import {Scene} from './scene.js';
 
-/** A job is refused when no plan brings this share of its best worth. */
-const REFUSE_SHARE = 0.35;
-/** The same on its arrival: what is taken then should not be refused late. */
-const REFUSE_NEW_SHARE = 0.6;
-/** Run time on the fastest workers beside the expected one. */
-const FASTEST_SHARE = 0.7;
-
 /** The workers but one, unless it is the only one. */
 function leaveOut(
   workers: readonly WorkerRecord[],
@@ -56,7 +49,7 @@
     const waiting = [...this.board.jobs.values()].filter(record =>
       this.isPlaceable(record, now),
     );
-    const scene = new Scene(this.board, now);
+    const scene = new Scene(this.board, waiting, now);
     moveLateRuns(this.board, scene, now);
     return orderJobs(waiting).flatMap(record =>
       groupTasks(record).flatMap(tasks =>
@@ -85,7 +78,7 @@
     now: Millis,
   ): Order[] {
     const plan = this.plan(record, tasks, scene, now);
-    if (this.isHopeless(record, plan)) {
+    if (this.isHopeless(record, plan, scene)) {
       this.board.refuse(record, RefusalReason.Overloaded, 0, now);
       return [];
     }
@@ -121,17 +114,18 @@
     return planStep(demand, workers, remotes, forecast, now);
   }
 
-  /** Whether the job has not begun and could hardly be of use if it did. */
-  private isHopeless(record: JobRecord, {worth}: StepPlan): boolean {
-    const {hasStarted, isForeign, job, expectedMs} = record;
+  /** Whether the job has not begun and is not worth to begin. */
+  private isHopeless(
+    record: JobRecord,
+    {worth}: StepPlan,
+    {isCrowded}: Scene,
+  ): boolean {
+    const {hasStarted, isForeign, isPlanned, job} = record;
     if (hasStarted || isForeign) return false;
     // Workers that a new holder has not looked at yet have room in a moment.
     if (this.board.hasUnseenWorkers(job.service)) return false;
-    const fastestMs = expectedMs * FASTEST_SHARE;
-    const best = expectWorth(record, fastestMs, job.arrivedAt);
-    const share = record.isPlanned ? REFUSE_SHARE : REFUSE_NEW_SHARE;
     record.isPlanned = true;
-    return worth < share * best;
+    return worth < findLeastWorth(record, {isCrowded, isNew: !isPlanned});
   }
 
   private takePlace(
--- a/packages/dispatch/src/dispatcher/scene.ts
+++ b/packages/dispatch/src/dispatcher/scene.ts
@@ -3,16 +3,21 @@
 import {Prospects} from '../placement/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import type {Board} from './board.js';
+import type {JobRecord} from './job_record.js';
+import {areManyWaiting} from './least_worth.js';
 
-/** The usable workers and the vacancies to come. */
+/** The usable workers, the vacancies to come, and whether many jobs wait. */
 export class Scene {
   readonly prospects: Prospects;
+  readonly isCrowded: boolean;
   private readonly byService = new Map<string, readonly WorkerRecord[]>();
 
   constructor(
     private readonly board: Board,
+    waiting: readonly JobRecord[],
     private readonly now: Millis,
   ) {
+    this.isCrowded = areManyWaiting(waiting);
     this.prospects = new Prospects(now);
   }
 
