Send unanswered starts again; don't wait on lost looks

Each lost start took 200 ms to be noticed, a stop, and 80 ms more before the task started elsewhere, so that a job of eight tasks seldom ended in time. Each lost look left the holder blind for ends on that worker for up to 650 ms. Ruled out: strikes (15 ejections in six seconds), lends refused.

An order to start is sent once more, as it was, after 100 ms: a worker starts each run once, and turns down what has ended. While answers of two workers or more get lost, a look waits no longer than until the next end is due, and the first lost look is repeated at once.

--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -2,7 +2,7 @@
 export type {DispatchObserver, EndedJob} from './board.js';
 export type {LentEntry} from './lent_survey.js';
 export {Dispatcher} from './dispatcher.js';
-export {nextOverdueAt} from './looks.js';
+export {nextEndAt, nextOverdueAt} from './looks.js';
 export {StrikeReason} from './health.js';
 export type {JobRecord} from './job_record.js';
 export type * from './orders.js';
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -41,6 +41,13 @@
   takeRunning(board, worker, look, sentAt, now);
 }
 
+/** When the next run there should end; Infinity when nothing runs. */
+export function nextEndAt(worker: WorkerRecord): Millis {
+  let next = Infinity;
+  for (const {endsAt} of worker.runs.values()) next = Math.min(next, endsAt);
+  return next;
+}
+
 /** When the worker should be looked at again because a run is overdue then. */
 export function nextOverdueAt(worker: WorkerRecord): Millis {
   let next = Infinity;
--- a/packages/zone/src/holder/carrier.ts
+++ b/packages/zone/src/holder/carrier.ts
@@ -1,5 +1,6 @@
 /** Carries out a dispatcher's orders to workers and brings the answers back. */
 import {
+  RunPhase,
   StartAnswer,
   type Dispatcher,
   type DispatcherOptions,
@@ -8,7 +9,13 @@
 } from '@goldcrestpier/dispatch';
 import {readClock, type Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {WorkerPort} from '../ports/index.js';
+import type {StartOrder, StartReply, WorkerPort} from '../ports/index.js';
+import type {AnswerLosses} from './answer_losses.js';
+
+/** How long an order to start may go unanswered at first, in ms. */
+const FIRST_START_MS = 100;
+/** The same when it is sent again, in ms. */
+const NEXT_START_MS = 200;
 
 /** What a carrier needs. */
 export interface CarrierOptions {
@@ -18,6 +25,7 @@
   readonly dispatcher: Dispatcher;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
+  readonly losses: AnswerLosses;
   /** Called when a worker is about to be given something. */
   readonly onOrder: (workerId: string) => void;
   /** Called when something is known that decisions depend on. */
@@ -25,13 +33,13 @@
   readonly onFenced: (workerId: string) => void;
 }
 
-/** Sends each order once. */
+/** Sends orders; one to start is sent again when it is not answered. */
 export class Carrier {
   constructor(private readonly options: CarrierOptions) {}
 
   /** Starts a run. */
   async start({run, payload}: StartCommand): Promise<void> {
-    const {bounds, port, token, dispatcher, onOrder, onChange} = this.options;
+    const {bounds, token, dispatcher, onOrder, onChange} = this.options;
     const record = dispatcher.workers.get(run.workerId);
     const sentAt = readClock();
     const clock = record?.clockAt(sentAt);
@@ -43,7 +51,15 @@
     const leaseUntil = Math.floor(clock + bounds.leaseMs);
     const worker = record.info;
     onOrder(run.workerId);
-    const reply = await port.start({worker, run, payload, token, leaseUntil});
+    const timeoutMs = FIRST_START_MS;
+    const reply = await this.sendStart({
+      worker,
+      run,
+      payload,
+      token,
+      leaseUntil,
+      timeoutMs,
+    });
     const now = readClock();
     if (reply.clockMs !== undefined) record.readClock(reply.clockMs, now);
     this.noteStart(run.workerId, run.key, reply.answer);
@@ -51,6 +67,22 @@
     onChange();
   }
 
+  /** A worker starts a run once, however often it is told to. */
+  private async sendStart(order: StartOrder): Promise<StartReply> {
+    const {port, losses, metrics} = this.options;
+    const {run, worker} = order;
+    const first = await port.start(order);
+    if (first.answer !== StartAnswer.Unanswered) return first;
+    losses.note(worker.id, readClock());
+    // A look may have shown it meanwhile, or its job may have been given up.
+    if (run.phase !== RunPhase.Starting) return first;
+    metrics.retries.inc({order: 'start', reason: first.answer});
+    const again = await port.start({...order, timeoutMs: NEXT_START_MS});
+    if (again.answer !== StartAnswer.OldRun) return again;
+    // The first order was carried out, and the run has ended already.
+    return {...again, answer: StartAnswer.Started};
+  }
+
   private noteStart(worker: string, task: string, answer: StartAnswer): void {
     const {logger, metrics, onFenced} = this.options;
     metrics.starts.inc({answer});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -21,6 +21,7 @@
   LentList,
   ZoneHeartbeat,
 } from '../protocol/index.js';
+import {AnswerLosses} from './answer_losses.js';
 import {Carrier} from './carrier.js';
 import {Lender, type FindZone} from './lender.js';
 import {formatRooms, sumFreeMillis} from './rooms.js';
@@ -47,9 +48,6 @@
   readonly onFenced: () => void;
 }
 
-/** Whether a zone still wants a task that it lent under a token. */
-export type WantsLent = (zone: string, token: number) => boolean;
-
 /** The holder of a zone's workers, for as long as its token is the highest. */
 export class Holder {
   private readonly dispatcher: Dispatcher;
@@ -67,6 +65,7 @@
   constructor(private readonly options: HolderOptions) {
     const {bounds, logger, metrics, lifecycle} = options;
     const observer = createObserver(logger, metrics);
+    const losses = new AnswerLosses();
     this.dispatcher = new Dispatcher(bounds, readClock(), observer);
     this.carrier = new Carrier({
       token: options.token,
@@ -75,12 +74,14 @@
       dispatcher: this.dispatcher,
       logger,
       metrics,
+      losses,
       onOrder: workerId => this.watches.wake(workerId),
       onChange: () => this.pumpSoon(),
       onFenced: workerId => this.fence(workerId),
     });
     this.watches = new WorkerWatches({
       ...options,
+      losses,
       leaseMs: bounds.leaseMs,
       dispatcher: this.dispatcher,
       onChange: () => this.pumpSoon(),
@@ -209,7 +210,7 @@
   }
 
   /** Stops what runs for zones that are gone or have forgotten it. */
-  dropZones(wants: WantsLent): void {
+  dropZones(wants: (zone: string, token: number) => boolean): void {
     for (const {id, job} of [...this.dispatcher.jobs.values()]) {
       const token = this.lentUnder.get(id);
       if (job.lentBy === undefined || token === undefined) continue;
--- a/packages/zone/src/holder/worker_watch.ts
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -3,14 +3,26 @@
  * runs there under a lease, and takes in what has ended. A worker where nothing
  * runs is left in peace.
  */
-import {nextOverdueAt, type Dispatcher} from '@goldcrestpier/dispatch';
+import {
+  nextEndAt,
+  nextOverdueAt,
+  type Dispatcher,
+} from '@goldcrestpier/dispatch';
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
 import {OrderFailure, type WorkerPort} from '../ports/index.js';
+import type {AnswerLosses} from './answer_losses.js';
 
 /** Longest time that a worker may wait for an end before it answers, in ms. */
 const LONGEST_WAIT_MS = 400;
 /** Shortest such time, in ms. */
 const SHORTEST_WAIT_MS = 20;
+/** Added to the wait before a look counts as unanswered, in ms. */
+const MARGIN_MS = 250;
+/** The same, and the shortest wait, while answers of workers get lost, in ms. */
+const LOSSY_MARGIN_MS = 80;
+const LOSSY_WAIT_MS = 60;
+/** A worker may be this late with an end while answers get lost, in ms. */
+const LATE_END_MS = 30;
 /** First and longest pause before a silent worker is looked at again, in ms. */
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 1_000;
@@ -22,6 +34,7 @@
   readonly leaseMs: Millis;
   readonly dispatcher: Dispatcher;
   readonly port: WorkerPort;
+  readonly losses: AnswerLosses;
   /** Called when something is known that decisions depend on. */
   readonly onChange: () => void;
   readonly onFenced: () => void;
@@ -56,14 +69,16 @@
   }
 
   private async look(signal: AbortSignal): Promise<void> {
-    const {workerId, dispatcher, port, token, onChange} = this.options;
+    const {workerId, dispatcher, port, token, losses, onChange} = this.options;
     const record = dispatcher.workers.get(workerId);
     if (record === undefined) return;
     const sentAt = readClock();
     const leaseUntil = this.chooseLease(sentAt);
     const waitMs = leaseUntil === undefined ? 0 : this.chooseWait(sentAt);
     const {info: worker, lastSeen} = record;
-    const order = {worker, token, lastSeen, leaseUntil, waitMs};
+    const isLossy = losses.areMany(sentAt);
+    const marginMs = isLossy ? LOSSY_MARGIN_MS : MARGIN_MS;
+    const order = {worker, token, lastSeen, leaseUntil, waitMs, marginMs};
     const result = await port.look(order, signal);
     const now = readClock();
     if (signal.aborted) return;
@@ -90,8 +105,14 @@
   }
 
   private chooseWait(now: Millis): Millis {
-    const {workerId, dispatcher} = this.options;
+    const {workerId, dispatcher, losses} = this.options;
     const record = dispatcher.workers.get(workerId);
+    if (record !== undefined && losses.areMany(now)) {
+      // Ends are not left to a single answer that may be lost.
+      const untilEnd = nextEndAt(record) + LATE_END_MS - now;
+      const wait = Math.max(untilEnd, LOSSY_WAIT_MS);
+      return Math.ceil(Math.min(wait, LONGEST_WAIT_MS));
+    }
     const overdueAt = record === undefined ? Infinity : nextOverdueAt(record);
     const untilOverdue = overdueAt - now;
     const wait = Math.min(
@@ -105,7 +126,7 @@
     failure: OrderFailure,
     signal: AbortSignal,
   ): Promise<void> {
-    const {workerId, dispatcher, onFenced, onLookFailed} = this.options;
+    const {workerId, dispatcher, losses, onFenced, onLookFailed} = this.options;
     if (failure === OrderFailure.Fenced) {
       onFenced();
       return;
@@ -113,6 +134,12 @@
     dispatcher.lookFailed(workerId);
     onLookFailed(workerId, failure);
     this.options.onChange();
+    if (failure === OrderFailure.Unanswered) losses.note(workerId, readClock());
+    const isFirst = this.failures === 0;
+    if (isFirst && losses.areMany(readClock())) {
+      this.failures += 1;
+      return;
+    }
     const pause = FIRST_PAUSE_MS * 2 ** this.failures;
     this.failures += 1;
     await sleep(Math.min(pause, LONGEST_PAUSE_MS), signal);
--- a/packages/zone/src/holder/worker_watches.ts
+++ b/packages/zone/src/holder/worker_watches.ts
@@ -3,6 +3,7 @@
 import type {Lifecycle, Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {OrderFailure, WorkerPort} from '../ports/index.js';
+import type {AnswerLosses} from './answer_losses.js';
 import {WorkerWatch} from './worker_watch.js';
 
 /** What the watches need. */
@@ -11,6 +12,7 @@
   readonly leaseMs: Millis;
   readonly dispatcher: Dispatcher;
   readonly port: WorkerPort;
+  readonly losses: AnswerLosses;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
   readonly lifecycle: Lifecycle;
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -63,6 +63,11 @@
     'Tasks lent to other zones, by how that ended.',
     ['outcome'],
   );
+  readonly retries = this.createCounter(
+    'goldcrestpier_orders_retried_total',
+    'Orders to workers that were sent again, by order and reason.',
+    ['order', 'reason'],
+  );
   readonly roles = this.createCounter(
     'goldcrestpier_role_changes_total',
     "Changes of this instance's role, by the new role.",
--- a/packages/zone/src/ports/worker_port.ts
+++ b/packages/zone/src/ports/worker_port.ts
@@ -25,6 +25,8 @@
   readonly token: number;
   /** When its lease ends, on the worker's clock. */
   readonly leaseUntil: Millis;
+  /** How long the order may go unanswered. */
+  readonly timeoutMs: Millis;
 }
 
 /** An order to stop a run. */
@@ -46,6 +48,8 @@
   readonly leaseUntil: Millis | undefined;
   /** How long the worker may wait for an end before it answers. */
   readonly waitMs: Millis;
+  /** Added to `waitMs` before the look counts as unanswered. */
+  readonly marginMs: Millis;
 }
 
 /** An answer to a start, with the worker's clock where it told it. */
