--- /dev/null
+++ b/packages/zone/test/lender.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {RefusalReason, type Dispatcher} from '@goldcrestpier/dispatch';
+import {readClock} from '@goldcrestpier/runtime';
+import {Ok} from 'ts-results-es';
+import {Lender} from '../src/holder/lender.js';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import type {LentAnswer, ZoneCalls} from '../src/protocol/index.js';
+import {createDispatcher, createJob, quiet} from './fixtures/scene.js';
+
+const room = {service: 'pricing', vacancies: [[1, 64_000, 1_000]]} satisfies {
+  service: string;
+  vacancies: Array<[number, number, number]>;
+};
+
+/** A dispatcher whose worker is busy, and which knows of room in the east. */
+function createBusy(now: number): Dispatcher {
+  const dispatcher = createDispatcher(now);
+  dispatcher.submit(createJob('a', 2, now), false, now);
+  dispatcher.tick(now);
+  const vacancies = [{slowness: 1, cpuMillis: 30_000, memoryMb: 1_000}];
+  dispatcher.tellRoom({zone: 'east', service: 'pricing', vacancies}, now);
+  dispatcher.submit(createJob('b', 1, now), false, now);
+  return dispatcher;
+}
+
+/** Whether a refused task is lent again, with this answer to the first time. */
+async function isLentAgain(answer: LentAnswer): Promise<boolean> {
+  const now = readClock();
+  const dispatcher = createBusy(now);
+  const [command] = dispatcher.tick(now);
+  assert.ok(command?.kind === 'lend');
+  const calls: Pick<ZoneCalls, 'lend'> = {
+    lend: () => Promise.resolve(Ok(answer)),
+  };
+  const lender = new Lender({
+    zone: 'west',
+    token: 7,
+    dispatcher,
+    findZone: () => calls as ZoneCalls,
+    logger: quiet,
+    metrics: new ZoneMetrics(),
+    onChange: () => undefined,
+  });
+  await lender.lend(command);
+  return dispatcher.tick(now).some(({kind}) => kind === 'lend');
+}
+
+const refused = {
+  kind: 'refused',
+  reason: RefusalReason.TooLate,
+  retryAfterMs: 1_000,
+} as const;
+
+test('a zone that refused a task is left alone until it tells of room', async () => {
+  assert.equal(await isLentAgain({answer: refused}), false);
+});
+
+test('the room that an answer tells of is used at once', async () => {
+  assert.equal(await isLentAgain({answer: refused, rooms: [room]}), true);
+});
