Log what a refusal was decided by

Cause: a job refused by its plan left only the caller's answer in the log. The line `holding: job refused` has the reason, the job's age, the worth of its plan and the least worth to be taken, and how long the work before it takes.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -36,6 +36,13 @@
 export interface DispatchObserver {
   runEnded(run: Run, end: RunEnd | 'lost' | 'refused', tookMs: Millis): void;
   workerStruck(workerId: string, reason: StrikeReason, ejected: boolean): void;
+  /** `waitMs` is when the work before the job has drained. */
+  jobRefused(
+    record: JobRecord,
+    reason: RefusalReason,
+    waitMs: Millis,
+    now: Millis,
+  ): void;
 }
 
 /** The present state of one holder's work. */
@@ -115,6 +122,7 @@
     waitMs: Millis,
     now: Millis,
   ): void {
+    this.observer.jobRefused(record, reason, waitMs, now);
     const retryAfterMs = chooseRetryAfter(waitMs);
     this.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
   }
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -34,6 +34,12 @@
   stalledOn: string | undefined;
 }
 
+/** Worth, 0 to 1, that a plan would bring, and the least for it to be taken. */
+export interface PlannedWorth {
+  readonly worth: number;
+  readonly leastWorth: number;
+}
+
 /** A job with its tasks. */
 export class JobRecord {
   readonly tasks: readonly TaskRecord[];
@@ -43,8 +49,8 @@
   readonly usefulUntil: Millis;
   /** Whether an order to start any of its tasks was ever sent. */
   hasStarted = false;
-  /** Whether it was found to be servable once. */
-  isPlanned = false;
+  /** What its last plan would bring, and had to; undefined before the first. */
+  planned: PlannedWorth | undefined;
   /** How it ends once nothing of it runs any more. */
   ending: Outcome | undefined;
   /** Runs of an earlier holder may still go on. */
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -122,12 +122,14 @@
     {worth}: StepPlan,
     {isCrowded}: Scene,
   ): boolean {
-    const {hasStarted, isForeign, isPlanned, job} = record;
+    const {hasStarted, isForeign, planned, job} = record;
     if (hasStarted || isForeign) return false;
     // Workers that a new holder has not looked at yet have room in a moment.
     if (this.board.hasUnseenWorkers(job.service)) return false;
-    record.isPlanned = true;
-    return worth < findLeastWorth(record, {isCrowded, isNew: !isPlanned});
+    const isNew = planned === undefined;
+    const leastWorth = findLeastWorth(record, {isCrowded, isNew});
+    record.planned = {worth, leastWorth};
+    return worth < leastWorth;
   }
 
   private takePlace(
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -27,6 +27,23 @@
       if (end === RunEnd.Done) logger.debug('run ended', fields);
       else logger.info('run ended', fields);
     },
+    jobRefused(
+      {id: job, isForeign, planned, job: {arrivedAt}},
+      reason,
+      waitMs,
+      now,
+    ) {
+      // The zone that lends a task logs that it was turned away.
+      if (isForeign) return;
+      logger.info('job refused', {
+        job,
+        reason,
+        ageMs: Math.round(now - arrivedAt),
+        worth: round(planned?.worth),
+        leastWorth: round(planned?.leastWorth),
+        waitMs: Math.round(waitMs),
+      });
+    },
     workerStruck(worker, reason, ejected) {
       metrics.strikes.inc({reason});
       if (ejected) metrics.ejections.inc({reason});
@@ -35,6 +52,11 @@
   };
 }
 
+/** Two digits, as much as a worth is known to. */
+function round(worth: number | undefined): number | undefined {
+  return worth === undefined ? undefined : Math.round(worth * 100) / 100;
+}
+
 /** Writes one line for each job of which tasks were placed. */
 export function logPlacements(orders: readonly Order[], logger: Logger): void {
   const placed = new Map<string, string[]>();
