Start no step of a job that another step made refused

Cause, found by reading: a job of several steps that may begin at once was refused by the plan of its first, and a later one was started all the same. The test (runs.test.ts) failed with a start after the refusal. Jobs of one step, as the two sites send, were never concerned.

--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -78,6 +78,8 @@
     scene: Scene,
     now: Millis,
   ): Order[] {
+    // Another step of the job may have been found hopeless just now.
+    if (record.ending !== undefined) return [];
     const plan = this.plan(record, tasks, scene, now);
     if (this.isHopeless(record, plan, scene)) {
       const waitMs = estimateDrain(this.board, record.job, now);
--- a/packages/dispatch/test/runs.test.ts
+++ b/packages/dispatch/test/runs.test.ts
@@ -63,6 +63,26 @@
   assert.ok(Math.abs(ended.outcome.retryAfterMs - drainMs) < 1);
 });
 
+test('no step of a job starts once another step made it refused', () => {
+  const dispatcher = createScene([createWorker('w1')]);
+  lookAtAll(dispatcher, 0);
+  const [step] = createJob('a', 1).steps;
+  assert.ok(step !== undefined);
+  const long = [{...step, estimateMs: 1_300}];
+  dispatcher.submit(createJob('a', 1, {steps: long}), false, 0);
+  assert.equal(startsOf(dispatcher.tick(0)).length, 1);
+  // The first step fits only when the long task is over, the second one now.
+  const wide = {...step.need, cpuMillis: 60_000};
+  const small = {...step.need, cpuMillis: 1_000};
+  const steps = [
+    {...step, need: wide, estimateMs: 20},
+    {...step, need: small, estimateMs: 20},
+  ];
+  dispatcher.submit(createJob('b', 1, {queue: 'short', steps}), false, 1);
+  assert.deepEqual(formatOrders(dispatcher.tick(1)), []);
+  assert.equal(dispatcher.takeEnded()[0]?.outcome.kind, 'refused');
+});
+
 test('a run that would end too late is moved once to a sound worker', () => {
   const workers = [createWorker('w1'), createWorker('w2')];
   const dispatcher = createScene(workers);
