A holder that closes delivers the ends that it knows of

A holder that closed in between told the owner that it holds no more and that nothing had started, and the next holder was free to refuse the job. A ready answer was lost, too.

The new test (holder.test.ts) gave just that answer before: not_holder, mayHaveStarted false, for a job that was done. Ends are now told before the rest is handed over, and an unknown job counts as one that may have started. Ruled out: a message called unsent that was sent (nothing is handed to the socket then), two lives of one job. HolderOptions has a file of its own.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -5,15 +5,12 @@
 import {
   AbandonReason,
   Dispatcher,
-  type DispatcherOptions,
   type EndedJob,
   type Order,
   type Worker,
   type ZoneRoom,
 } from '@goldcrestpier/dispatch';
-import {readClock, type Lifecycle, type Logger} from '@goldcrestpier/runtime';
-import type {ZoneMetrics} from '../metrics/index.js';
-import type {WorkerPort} from '../ports/index.js';
+import {readClock} from '@goldcrestpier/runtime';
 import type {
   JobAnswer,
   JobSubmission,
@@ -23,7 +20,8 @@
 } from '../protocol/index.js';
 import {AnswerLosses} from './answer_losses.js';
 import {Carrier} from './carrier.js';
-import {Lender, type FindZone} from './lender.js';
+import type {HolderOptions} from './holder_options.js';
+import {Lender} from './lender.js';
 import {formatRooms, sumFreeMillis} from './rooms.js';
 import {createObserver, logPlacements, logSubmission} from './observer.js';
 import {formatLent, toJob, toLentJob} from './to_job.js';
@@ -33,21 +31,6 @@
 /** How often the dispatcher looks at its times, in ms. */
 const TICK_MS = 25;
 
-/** What a holder needs. */
-export interface HolderOptions {
-  readonly zone: string;
-  /** Finds the holder of another zone. */
-  readonly findZone: FindZone;
-  readonly token: number;
-  readonly bounds: DispatcherOptions;
-  readonly port: WorkerPort;
-  readonly logger: Logger;
-  readonly metrics: ZoneMetrics;
-  readonly lifecycle: Lifecycle;
-  /** Called once when a worker follows a higher token. */
-  readonly onFenced: () => void;
-}
-
 /** The holder of a zone's workers, for as long as its token is the highest. */
 export class Holder {
   private readonly dispatcher: Dispatcher;
@@ -232,10 +215,12 @@
   /** Tells all owners that this instance holds the workers no more. */
   private close(): void {
     if (this.isClosed) return;
+    // What has ended is answered as it ended; the rest the next holder takes.
+    this.tellEnds();
     this.isClosed = true;
     for (const jobId of this.waiters.records) {
       const mayHaveStarted =
-        this.dispatcher.jobs.get(jobId)?.hasStarted ?? false;
+        this.dispatcher.jobs.get(jobId)?.hasStarted ?? true;
       this.waiters.answerAll(jobId, {kind: 'not_holder', mayHaveStarted});
     }
   }
@@ -261,6 +246,10 @@
   private pump(): void {
     if (this.isClosed) return;
     this.carryOutAll(this.dispatcher.tick(readClock()));
+    this.tellEnds();
+  }
+
+  private tellEnds(): void {
     for (const ended of this.dispatcher.takeEnded()) this.tellEnd(ended);
   }
 
--- a/packages/zone/src/holder/index.ts
+++ b/packages/zone/src/holder/index.ts
@@ -1,4 +1,5 @@
 /** Holding the workers of a zone. */
-export {Holder, type HolderOptions} from './holder.js';
+export {Holder} from './holder.js';
+export type {HolderOptions} from './holder_options.js';
 export {toSubmission} from './to_job.js';
 export {toRoom} from './rooms.js';
--- /dev/null
+++ b/packages/zone/test/holder.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {test} from 'node:test';
+import {RunEnd, StartAnswer, type Look} from '@goldcrestpier/dispatch';
+import {Lifecycle, readClock} from '@goldcrestpier/runtime';
+import {Ok} from 'ts-results-es';
+import {Holder} from '../src/holder/index.js';
+import {toSubmission} from '../src/holder/to_job.js';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import type {WorkerPort} from '../src/ports/index.js';
+import {bounds, createJob, fail, quiet, worker} from './fixtures/scene.js';
+
+const idle: Look = {clockMs: 5, bornAt: 1, running: [], ended: []};
+
+/** A worker that tells of an end when the test says so. */
+class Stage {
+  readonly lifecycle = new Lifecycle('test');
+  readonly holder: Holder;
+  private tell: (look: Look) => void = fail;
+
+  constructor() {
+    const look = new Promise<Look>(resolve => (this.tell = resolve));
+    let looks = 0;
+    const port: WorkerPort = {
+      start: () => Promise.resolve({answer: StartAnswer.Started, clockMs: 5}),
+      stop: fail,
+      look: async (_order, signal) => {
+        looks += 1;
+        if (looks === 1) return Ok(idle);
+        const aborted = new Promise<Look>(resolve => {
+          signal.addEventListener('abort', () => resolve(idle));
+        });
+        return Ok(await Promise.race([look, aborted]));
+      },
+    };
+    this.holder = new Holder({
+      zone: 'z',
+      findZone: () => undefined,
+      token: 7,
+      bounds,
+      port,
+      logger: quiet,
+      metrics: new ZoneMetrics(),
+      lifecycle: this.lifecycle,
+      onFenced: fail,
+    });
+    this.holder.setWorkers([worker]);
+  }
+
+  /** Has the worker tell that the job's only task is done. */
+  end(jobId: string): void {
+    const task = `${jobId}.0.0.0`;
+    const ended = [{sequence: 1, task, run: 1, end: RunEnd.Done}];
+    this.tell({...idle, ended});
+  }
+}
+
+/** Lets all that is ready happen, within this turn of the event loop. */
+async function settle(): Promise<void> {
+  for (let step = 0; step < 50; step += 1) await Promise.resolve();
+}
+
+test('a holder that closes delivers the ends that it knows of', async () => {
+  const stage = new Stage();
+  await nextTurn();
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
+  const answer = stage.holder.submit(job);
+  while (stage.holder.countWaiting('quotes') > 0) await nextTurn();
+  await nextTurn();
+  stage.end('a');
+  await settle();
+  void stage.lifecycle.close();
+  assert.deepEqual(await answer, {kind: 'completed'});
+});
+
+test('a holder that closes says that begun jobs may have started', async () => {
+  const stage = new Stage();
+  await nextTurn();
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
+  const answer = stage.holder.submit(job);
+  while (stage.holder.countWaiting('quotes') > 0) await nextTurn();
+  void stage.lifecycle.close();
+  assert.deepEqual(await answer, {kind: 'not_holder', mayHaveStarted: true});
+});
