Refuse for lack of room in one place

The estimate on arrival (work ahead over capacity) and the plan both refused what could not end in time; the plan is the stricter and sees single workers. Arrival now only asks whether any worker could ever run the job.

--- a/packages/dispatch/src/admission/estimate.ts
+++ b/packages/dispatch/src/admission/estimate.ts
@@ -1,7 +1,6 @@
 /**
- * Estimates when a job would end if it were taken now. Answers more load than
- * the workers can serve: a job that could not end while it is of use is refused
- * on arrival and told when to come back.
+ * Estimates how long work keeps the workers busy. Answers more load than they
+ * can serve: a caller that is refused is told when to come back.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {WorkerRecord} from '../workers/index.js';
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/demand.ts
@@ -0,0 +1,14 @@
+/** What a job asks of the planner. */
+import type {Demand} from '../placement/index.js';
+import type {JobRecord, TaskRecord} from './job_record.js';
+
+/** Places for `count` tasks like this one. */
+export function createDemand(
+  record: JobRecord,
+  {step, name}: TaskRecord,
+  count: number,
+): Demand {
+  const {queue} = record.job;
+  const countOn = (workerId: string) => record.countOn(workerId, name.step);
+  return {queue, step, due: record, count, countOn};
+}
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -96,10 +96,10 @@
   /** Takes a job. `isResumed`: another holder may have started it. */
   submit(job: Job, isResumed: boolean, now: Millis): void {
     if (this.board.jobs.has(job.id)) return;
-    const refusal = isResumed ? undefined : findRefusal(this.board, job, now);
+    const refusal = isResumed ? undefined : findRefusal(this.board, job);
     const record = this.board.addJob(job);
     if (refusal !== undefined) {
-      this.board.refuse(record, refusal.reason, refusal.waitMs, now);
+      this.board.refuse(record, refusal, 0, now);
       return;
     }
     this.board.adoptOrphans(record, now);
--- a/packages/dispatch/src/dispatcher/mover.ts
+++ b/packages/dispatch/src/dispatcher/mover.ts
@@ -7,6 +7,7 @@
 import {planStep} from '../placement/index.js';
 import {RunPhase, type Run} from '../workers/index.js';
 import type {Board} from './board.js';
+import {createDemand} from './demand.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
 import type {Scene} from './scene.js';
 
@@ -48,20 +49,15 @@
 function hasBetterPlace(
   board: Board,
   record: JobRecord,
-  {step, name}: TaskRecord,
+  task: TaskRecord,
   {workerId}: Run,
   scene: Scene,
   now: Millis,
 ): boolean {
-  const {queue, service} = record.job;
-  const others = scene.usable(service).filter(({info}) => info.id !== workerId);
-  const demand = {
-    queue,
-    step,
-    due: record,
-    count: 1,
-    countOn: (id: string) => record.countOn(id, name.step),
-  };
+  const others = scene
+    .usable(record.job.service)
+    .filter(({info}) => info.id !== workerId);
+  const demand = createDemand(record, task, 1);
   const {durations} = board;
   const forecast = {durations, prospects: scene.prospects};
   const {places} = planStep(demand, others, [], forecast, now + STOP_MS);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -1,18 +1,14 @@
 /** Decides which waiting tasks start now, and where, and which jobs can't. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Neighbours} from '../neighbours/index.js';
-import {
-  planStep,
-  type Demand,
-  type Place,
-  type StepPlan,
-} from '../placement/index.js';
+import {planStep, type Place, type StepPlan} from '../placement/index.js';
 import {RefusalReason} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import type {Board} from './board.js';
 import {createRun} from './create_run.js';
-import {findLeastWorth} from './least_worth.js';
+import {createDemand} from './demand.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
+import {findLeastWorth} from './least_worth.js';
 import {moveLateRuns} from './mover.js';
 import {orderJobs} from './order.js';
 import type {Order} from './orders.js';
@@ -101,15 +97,9 @@
   ): StepPlan {
     const [first] = tasks;
     if (first === undefined) return {places: [], worth: 0};
-    const {queue, service} = record.job;
+    const {service} = record.job;
     const {durations} = this.board;
-    const demand: Demand = {
-      queue,
-      step: first.step,
-      due: record,
-      count: tasks.length,
-      countOn: workerId => record.countOn(workerId, first.name.step),
-    };
+    const demand = createDemand(record, first, tasks.length);
     const workers = leaveOut(scene.usable(service), first.stalledOn);
     const remotes = record.isForeign
       ? []
--- a/packages/dispatch/src/neighbours/neighbours.ts
+++ b/packages/dispatch/src/neighbours/neighbours.ts
@@ -72,7 +72,7 @@
       const isFresh = now - record.toldAt < FRESH_MS;
       if (record.room.service !== service || !isFresh) continue;
       for (const index of record.vacancies.keys()) {
-        places.push(...listPlaces(record, index, demand, durations, now));
+        places.push(...listPlacesOf(record, index, demand, durations, now));
       }
     }
     return places;
@@ -80,7 +80,7 @@
 }
 
 /** Places on one worker of another zone. */
-function listPlaces(
+function listPlacesOf(
   record: RoomRecord,
   index: number,
   {queue, step, due, count}: Demand,
