Leave bunyan's optional parts out where the bundle is made

They stood twice: as external names of the bundle, and again in the starter, which turned each away at run time. The bundle now answers for them itself, and the starter is as it was before.

--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -27,6 +27,14 @@
     build.onLoad({filter: /.*/, namespace: 'unused'}, () => ({
       contents: 'module.exports = {};',
     }));
+    // Bunyan goes on without its optional parts when they can't be loaded.
+    build.onResolve(
+      {filter: /^(dtrace-provider|mv|safe-json-stringify|source-map-support)$/},
+      ({path}) => ({path, namespace: 'missing'}),
+    );
+    build.onLoad({filter: /.*/, namespace: 'missing'}, ({path}) => ({
+      contents: `throw new Error('${path} is not used');`,
+    }));
   },
 };
 
@@ -38,13 +46,6 @@
   target: 'node20',
   format: 'cjs',
   conditions: ['source'],
-  // Optional parts of bunyan that are not used.
-  external: [
-    'dtrace-provider',
-    'mv',
-    'source-map-support',
-    'safe-json-stringify',
-  ],
   legalComments: 'none',
   minifySyntax: true,
   minifyWhitespace: true,
--- a/scripts/start_target.cjs
+++ b/scripts/start_target.cjs
@@ -11,14 +11,13 @@
 const source = readFileSync(bundle, 'utf8').replace(/^#!.*/, '');
 const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
 const script = new Script(Module.wrap(source), {filename: bundle, cachedData});
-/** Optional parts of bunyan that are not used; it goes on without them. */
-const unused = new Set(['dtrace-provider', 'mv', 'safe-json-stringify']);
-const requireModule = Module.createRequire(bundle);
-const requireUsed = name => {
-  if (unused.has(name)) throw new Error(`${name} is not used`);
-  return requireModule(name);
-};
 const isWriting = process.argv.includes('--write-cache');
 if (isWriting) process.argv = [...process.argv.slice(0, 2), '--version'];
-script.runInThisContext()(exports, requireUsed, module, bundle, __dirname);
+script.runInThisContext()(
+  exports,
+  Module.createRequire(bundle),
+  module,
+  bundle,
+  __dirname,
+);
 if (isWriting) writeFileSync(cache, script.createCachedData());
