A queue that has not begun to drain has no rate yet

Cause of the test that failed once beside load (1,000 interleaved jobs): a job was refused as wait_too_long with an estimate without bound. The only way to it is a drain rate of zero, which DrainRate gave after 250 ms with a backlog and no start at all, as on a busy host at the first jobs of a pool. A deadline of 60 s was refused by that. Without any start there is now no rate, as before the first 250 ms; a queue that stops later still has one that falls. Tests: limits.test.ts, the first of them failed before. The test that failed is as it was.

--- a/packages/limits/src/rates/index.ts
+++ b/packages/limits/src/rates/index.ts
@@ -32,6 +32,8 @@
   perSecond(now: Millis): number | undefined {
     this.advance(now);
     if (this.backloggedMs < LEAST_MEASURED_MS) return undefined;
+    // The first start may be late; no rate, not one of zero, follows from that.
+    if (this.starts === 0) return undefined;
     return (this.starts * MS_PER_SECOND) / this.backloggedMs;
   }
 
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -173,3 +173,20 @@
   assert.ok(checkAdmission(slow).isErr());
   assert.ok(checkAdmission({...slow, backlog: []}).isOk());
 });
+
+test('a queue that has not begun to drain refuses nobody by its rate', () => {
+  const rate = new DrainRate();
+  rate.record(0, true, 0);
+  // Half a second without a start, as on a busy host, is no rate of zero.
+  const startsPerSecond = rate.perSecond(500);
+  const patient = {...input, startsPerSecond, deadlineMs: 60_000};
+  assert.ok(checkAdmission(patient).isOk());
+});
+
+test('a queue that stops draining has a rate that falls', () => {
+  const rate = new DrainRate();
+  rate.record(0, true, 0);
+  for (let now = 10; now <= 2_000; now += 10) rate.record(1, true, now);
+  const stopped = rate.perSecond(20_000) ?? Infinity;
+  assert.ok(stopped < 1, `${stopped}`);
+});
