--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -7,10 +7,10 @@
   Dispatcher,
   type EndedJob,
   type Order,
-  type Worker,
   type ZoneRoom,
 } from '@goldcrestpier/dispatch';
-import {readClock} from '@goldcrestpier/runtime';
+import {readClock, type Millis} from '@goldcrestpier/runtime';
+import type {WorkerListing} from '../ports/index.js';
 import type {
   JobAnswer,
   JobSubmission,
@@ -42,6 +42,7 @@
   private readonly postponed = new Map<string, JobSubmission>();
   /** The token under which each foreign task was lent or joined last. */
   private readonly lentUnder = new Map<string, number>();
+  private workersAsOf: Millis | undefined;
   private isPumpDue = false;
   private isClosed = false;
 
@@ -92,8 +93,9 @@
   }
 
   /** Takes the present list of workers. */
-  setWorkers(workers: readonly Worker[]): void {
+  setWorkers({workers, asOf}: WorkerListing): void {
     if (this.isClosed) return;
+    this.workersAsOf = asOf;
     this.dispatcher.setWorkers(workers, readClock());
     this.watches.watchAll();
     this.pumpSoon();
@@ -254,7 +256,10 @@
   }
 
   private carryOutAll(orders: readonly Order[]): void {
-    logPlacements(orders, this.options.logger);
+    const {workersAsOf} = this;
+    const listAgeMs =
+      workersAsOf === undefined ? undefined : readClock() - workersAsOf;
+    logPlacements(orders, listAgeMs, this.options.logger);
     for (const order of orders) void this.carryOut(order);
   }
 
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -4,7 +4,7 @@
   type DispatchObserver,
   type Order,
 } from '@goldcrestpier/dispatch';
-import type {Logger} from '@goldcrestpier/runtime';
+import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {JobSubmission} from '../protocol/index.js';
 
@@ -57,8 +57,15 @@
   return worth === undefined ? undefined : Math.round(worth * 100) / 100;
 }
 
-/** Writes one line for each job of which tasks were placed. */
-export function logPlacements(orders: readonly Order[], logger: Logger): void {
+/**
+ * Writes one line for each job of which tasks were placed, with the age of the
+ * list of workers that they were placed by.
+ */
+export function logPlacements(
+  orders: readonly Order[],
+  listAgeMs: Millis | undefined,
+  logger: Logger,
+): void {
   const placed = new Map<string, string[]>();
   for (const order of orders) {
     if (order.kind !== 'start' && order.kind !== 'lend') continue;
@@ -68,8 +75,10 @@
     texts.push(`${place}~${Math.round(expectedMs)}ms`);
     placed.set(recordId, texts);
   }
+  const age = listAgeMs === undefined ? undefined : Math.round(listAgeMs);
   for (const [job, texts] of placed) {
-    logger.info('tasks placed', {job, tasks: texts.join(' ')});
+    const fields = {job, tasks: texts.join(' '), listAgeMs: age};
+    logger.info('tasks placed', fields);
   }
 }
 
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -34,6 +34,7 @@
 import {HolderChange} from './holder_change.js';
 import {createLocalTarget, createPeerTarget} from './holder_targets.js';
 import {Links} from './links.js';
+import {LoopDelay} from './loop_delay.js';
 import {toRoom} from '../holder/index.js';
 import {NeighbourZones} from './neighbour_zones.js';
 import {RoleKeeper} from './role_keeper.js';
@@ -116,7 +117,14 @@
 
   /** Begins to consider its role. */
   start(): void {
-    const timer = setInterval(() => this.step(readClock()), STEP_MS);
+    const {logs, metrics} = this.options;
+    const log = logs.forPart(LogPart.Membership);
+    const delay = new LoopDelay(STEP_MS, log, metrics);
+    const timer = setInterval(() => {
+      const now = readClock();
+      delay.note(now);
+      this.step(now);
+    }, STEP_MS);
     this.options.lifecycle.own('role', () => clearInterval(timer));
   }
 
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -2,7 +2,7 @@
  * Keeps an instance's role: follows the zone's holder, or is it. Owns the holder
  * of this process for as long as its claim is the highest.
  */
-import type {DispatcherOptions, Worker} from '@goldcrestpier/dispatch';
+import type {DispatcherOptions} from '@goldcrestpier/dispatch';
 import {
   LogPart,
   readClock,
@@ -14,13 +14,14 @@
 import {
   createToken,
   Election,
+  SILENCE_MS,
   type Member,
   type Role,
   type SelfState,
 } from '../election/index.js';
 import {Holder, type HolderOptions} from '../holder/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {Directory, WorkerPort} from '../ports/index.js';
+import type {Directory, WorkerListing, WorkerPort} from '../ports/index.js';
 import type {Claim} from '../protocol/index.js';
 
 /** What a role keeper needs. */
@@ -94,6 +95,7 @@
       case 'hold':
         break;
       case 'claim':
+        this.logClaim(members, now);
         this.takeOver(this.role.skip);
         break;
       case 'follow':
@@ -111,12 +113,28 @@
     const token = createToken(highest, nonce, Date.now(), skip);
     this.endHolding();
     this.election.noteClaim({holderId: id, token});
-    this.log.info('claiming the workers of the zone', {token, highest});
     this.current = this.createHolder(token);
     this.current.surveyZones(otherZones);
     directory.announce(token);
   }
 
+  private logClaim(members: readonly Member[], now: Millis): void {
+    const {claim} = this.election;
+    const previous = members.find(({id}) => id === claim?.holderId);
+    const isHeard = ({heardAt}: Member) =>
+      heardAt !== undefined && now - heardAt < SILENCE_MS;
+    const silentMs =
+      previous?.heardAt === undefined ? undefined : now - previous.heardAt;
+    this.log.info('claiming the workers of the zone', {
+      previous: claim?.holderId,
+      previousToken: claim?.token,
+      silentMs: silentMs === undefined ? undefined : Math.round(silentMs),
+      isLeaving: previous?.isLeaving,
+      known: members.length,
+      heard: members.filter(isHeard).length,
+    });
+  }
+
   private createHolder(token: number): Holder {
     const {zone, findZone, bounds, port, logs, metrics, lifecycle, onFenced} =
       this.options;
@@ -146,9 +164,10 @@
     this.options.directory.announce(undefined);
   }
 
-  private ownWorkers(): readonly Worker[] {
+  private ownWorkers(): WorkerListing {
     const {directory, zone} = this.options;
-    return directory.workers().filter(worker => worker.zone === zone);
+    const {workers, asOf} = directory.workers();
+    return {workers: workers.filter(worker => worker.zone === zone), asOf};
   }
 
   private logChange(before: Role['kind']): void {
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -1,8 +1,11 @@
 /** Counters and histograms of one instance, in the form of Prometheus. */
 import type {Outcome} from '@goldcrestpier/dispatch';
+import {readClock, type Millis} from '@goldcrestpier/runtime';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+const MILLIS_PER_SECOND = 1_000;
 const JOB_SECONDS_BUCKETS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+const LOOP_DELAY_BUCKETS = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6];
 
 /** What an instance counts. */
 export class ZoneMetrics {
@@ -83,6 +86,12 @@
     help: '1 while this instance takes new connections.',
     registers: [this.registry],
   });
+  readonly loopDelaySeconds = new Histogram({
+    name: 'goldcrestpier_loop_delay_seconds',
+    help: 'How late a periodic step of this instance came.',
+    buckets: LOOP_DELAY_BUCKETS,
+    registers: [this.registry],
+  });
   readonly jobSeconds = new Histogram({
     name: 'goldcrestpier_job_seconds',
     help: "Time from a job's arrival to its answer, by outcome.",
@@ -100,6 +109,24 @@
     }
   }
 
+  /** Shows how old what is known of each part of the store is. */
+  followStore(
+    readAges: (now: Millis) => ReadonlyMap<string, Millis | undefined>,
+  ): void {
+    new Gauge({
+      name: 'goldcrestpier_store_age_seconds',
+      help: 'How old what is known of a prefix of the store is.',
+      labelNames: ['prefix'],
+      registers: [this.registry],
+      collect() {
+        for (const [prefix, ageMs] of readAges(readClock())) {
+          if (ageMs !== undefined)
+            this.set({prefix}, ageMs / MILLIS_PER_SECOND);
+        }
+      },
+    });
+  }
+
   /** All figures as text. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -40,10 +40,17 @@
   readonly holderToken?: number | undefined;
 }
 
+/** The workers that are registered. */
+export interface WorkerListing {
+  readonly workers: readonly Worker[];
+  /** The platform had just these then; undefined before it was ever read. */
+  readonly asOf: Millis | undefined;
+}
+
 /** The newest that is known; each part is undefined until first read. */
 export interface Directory {
   configuration(): Configuration | undefined;
-  workers(): readonly Worker[];
+  workers(): WorkerListing;
   registrations(): readonly Registration[];
   /** Lets other zones know that this instance is the holder, or is not. */
   announce(holderToken: number | undefined): void;
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -44,7 +44,7 @@
       lifecycle: this.lifecycle,
       onFenced: fail,
     });
-    this.holder.setWorkers([worker]);
+    this.holder.setWorkers({workers: [worker], asOf: readClock()});
   }
 
   /** Has the worker tell that the job's only task is done. */
