A new holder places nothing by a list of workers that may be old

What callers would see: a task started on a worker that had said that it leaves (DRAIN), in the first moments after another instance took over. Found by looking for the class of the fault before, silence taken for "nothing new": an instance that does not hold reads the list every 2 s, by reads that the store may answer from seconds ago. When it became the holder it placed tasks by that list at once.

Now it waits for a list that it has asked for itself since it claimed. Until then nothing is placed, and no job is refused for want of workers.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -50,6 +50,8 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly durations = new Durations();
+  /** Whether the list of workers is as new as it can be had. */
+  isListConfirmed = false;
   private ended: EndedJob[] = [];
   private readonly runNumbers = new RunNumbers();
   /** What other zones run for this one since an earlier holder. */
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -93,6 +93,11 @@
     }
   }
 
+  /** The list of workers is as new as it can be had: tasks may be placed. */
+  confirmWorkers(): void {
+    this.board.isListConfirmed = true;
+  }
+
   /** Takes a job. `isResumed`: another holder may have started it. */
   submit(job: Job, isResumed: boolean, now: Millis): void {
     if (this.board.jobs.has(job.id)) return;
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -43,6 +43,8 @@
 
   /** Orders for all tasks that have a place now. */
   place(now: Millis): Order[] {
+    // By an old list tasks would start on workers that have left since.
+    if (!this.board.isListConfirmed) return [];
     const waiting = [...this.board.jobs.values()].filter(record =>
       this.isPlaceable(record, now),
     );
--- a/packages/dispatch/src/dispatcher/refusal.ts
+++ b/packages/dispatch/src/dispatcher/refusal.ts
@@ -7,6 +7,7 @@
 
 /** Why no worker could ever run the job; undefined when one can. */
 export function findRefusal(board: Board, job: Job): RefusalReason | undefined {
+  if (!board.isListConfirmed) return undefined;
   const own = [...board.workersOf(job.service)];
   if (own.length === 0) return RefusalReason.NoWorkers;
   const isPossible = job.steps.every(step =>
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {RunEnd, StartAnswer} from '../src/index.js';
+import {Dispatcher, RunEnd, StartAnswer} from '../src/index.js';
 import {
   createJob,
   createLook,
@@ -152,3 +152,15 @@
     'start a.0.0.0/1 on w1',
   ]);
 });
+
+test('a new holder places and refuses nothing before it has a present list', () => {
+  const ignore = () => undefined;
+  const observer = {runEnded: ignore, workerStruck: ignore, jobRefused: ignore};
+  const dispatcher = new Dispatcher({leaseMs: 1_000, stopMs: 50}, 0, observer);
+  dispatcher.submit(createJob('a', 1), false, 1);
+  dispatcher.setWorkers([createWorker('w1')], 2);
+  lookAtAll(dispatcher, 3);
+  assert.deepEqual(formatOrders(dispatcher.tick(4)), []);
+  dispatcher.confirmWorkers();
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start a.0.0.0/1 on w1']);
+});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -9,7 +9,7 @@
   type Order,
   type ZoneRoom,
 } from '@goldcrestpier/dispatch';
-import {readClock, type Millis} from '@goldcrestpier/runtime';
+import {readClock} from '@goldcrestpier/runtime';
 import type {WorkerListing} from '../ports/index.js';
 import type {
   JobAnswer,
@@ -22,6 +22,7 @@
 import {Carrier} from './carrier.js';
 import type {HolderOptions} from './holder_options.js';
 import {Lender} from './lender.js';
+import {findListingAge, isListingAwaited} from './listing_age.js';
 import {formatRooms, sumFreeMillis} from './rooms.js';
 import {createObserver, logPlacements, logSubmission} from './observer.js';
 import {formatLent, toJob, toLentJob} from './to_job.js';
@@ -42,7 +43,8 @@
   private readonly postponed = new Map<string, JobSubmission>();
   /** The token under which each foreign task was lent or joined last. */
   private readonly lentUnder = new Map<string, number>();
-  private workersAsOf: Millis | undefined;
+  private readonly heldSince = readClock();
+  private listing: WorkerListing | undefined;
   private isPumpDue = false;
   private isClosed = false;
 
@@ -50,7 +52,7 @@
     const {bounds, logger, metrics, lifecycle} = options;
     const observer = createObserver(logger, metrics);
     const losses = new AnswerLosses();
-    this.dispatcher = new Dispatcher(bounds, readClock(), observer);
+    this.dispatcher = new Dispatcher(bounds, this.heldSince, observer);
     this.carrier = new Carrier({
       token: options.token,
       bounds,
@@ -93,10 +95,13 @@
   }
 
   /** Takes the present list of workers. */
-  setWorkers({workers, asOf}: WorkerListing): void {
+  setWorkers(listing: WorkerListing): void {
     if (this.isClosed) return;
-    this.workersAsOf = asOf;
-    this.dispatcher.setWorkers(workers, readClock());
+    const now = readClock();
+    this.listing = listing;
+    this.dispatcher.setWorkers(listing.workers, now);
+    const isAwaited = isListingAwaited(listing, this.heldSince, now);
+    if (!isAwaited) this.dispatcher.confirmWorkers();
     this.watches.watchAll();
     this.pumpSoon();
   }
@@ -256,9 +261,7 @@
   }
 
   private carryOutAll(orders: readonly Order[]): void {
-    const {workersAsOf} = this;
-    const listAgeMs =
-      workersAsOf === undefined ? undefined : readClock() - workersAsOf;
+    const listAgeMs = findListingAge(this.listing, readClock());
     logPlacements(orders, listAgeMs, this.options.logger);
     for (const order of orders) void this.carryOut(order);
   }
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -166,8 +166,9 @@
 
   private ownWorkers(): WorkerListing {
     const {directory, zone} = this.options;
-    const {workers, asOf} = directory.workers();
-    return {workers: workers.filter(worker => worker.zone === zone), asOf};
+    const listing = directory.workers();
+    const workers = listing.workers.filter(worker => worker.zone === zone);
+    return {...listing, workers};
   }
 
   private logChange(before: Role['kind']): void {
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -45,6 +45,8 @@
   readonly workers: readonly Worker[];
   /** The platform had just these then; undefined before it was ever read. */
   readonly asOf: Millis | undefined;
+  /** Whether the platform answered when it was last asked. */
+  readonly isReachable: boolean;
 }
 
 /** The newest that is known; each part is undefined until first read. */
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -44,7 +44,11 @@
       lifecycle: this.lifecycle,
       onFenced: fail,
     });
-    this.holder.setWorkers({workers: [worker], asOf: readClock()});
+    this.holder.setWorkers({
+      workers: [worker],
+      asOf: readClock(),
+      isReachable: true,
+    });
   }
 
   /** Has the worker tell that the job's only task is done. */
