The strongest instance of a zone holds its workers

Cause, the first of several: who holds was decided by who claims first and then by name; the share of a processor stands in the settings and was used nowhere.

Instances tell their processors in registrations and heartbeats. The strongest of those that are heard takes over, then by name. A holder with less than half of what a stronger instance has makes way for it, once that one runs for 1.5 s: at the start of a deployment all claim before they have heard each other.

Tests in election.test.ts: both asked for `claim` and `wait` where the code before had `wait` and `claim`, as it knew names only.

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -19,9 +19,20 @@
 /** Added to a token that was turned away although no higher one is known. */
 const TOKEN_SKIP = 120;
 
-/** Another instance of the zone, as heard. */
-export interface Member {
+/** A holder with less than this share of a stronger instance is replaced. */
+const WEAK_SHARE = 0.5;
+/** How long a strong instance runs before it replaces a weak holder, in ms. */
+const REPLACE_AFTER_MS = 1_500;
+
+/** What decides who of several instances should hold. */
+export interface Candidate {
   readonly id: string;
+  /** What it may use of processors, in whole ones. */
+  readonly processors: number;
+}
+
+/** Another instance of the zone, as heard. */
+export interface Member extends Candidate {
   readonly isLeaving: boolean;
   /** When it was last heard from; undefined before the first time. */
   readonly heardAt: Millis | undefined;
@@ -55,7 +66,7 @@
   private skip = 0;
 
   constructor(
-    private readonly selfId: string,
+    private readonly self: Candidate,
     private readonly startedAt: Millis,
   ) {}
 
@@ -70,14 +81,14 @@
       return false;
     }
     this.highest = claim;
-    if (claim.holderId !== this.selfId) this.skip = 0;
+    if (claim.holderId !== this.self.id) this.skip = 0;
     return true;
   }
 
   /** Notes that workers turned this instance's token away. */
   noteFenced(now: Millis): void {
     this.fencedAt = now;
-    if (this.highest?.holderId !== this.selfId) return;
+    if (this.highest?.holderId !== this.self.id) return;
     this.highest = {holderId: '', token: this.highest.token};
     this.skip += TOKEN_SKIP;
   }
@@ -91,15 +102,19 @@
     const holderId = this.highest?.holderId ?? '';
     const successor = findSuccessor(members, now);
     // A leaving holder goes on until its successor's claim is heard.
-    if (holderId === this.selfId) return {kind: 'hold'};
+    if (holderId === this.self.id) return {kind: 'hold'};
     const canNobodySucceed = isLeaving && successor === undefined;
+    const isFirst =
+      successor === undefined || compareStrength(this.self, successor) < 0;
     if (this.isHolderAlive(holderId, members, canNobodySucceed, now)) {
+      const holder = members.find(({id}) => id === holderId);
+      if (!isLeaving && isFirst && this.isTooWeak(holder, now)) {
+        return {kind: 'claim', skip: this.skip};
+      }
       return {kind: 'follow', holderId};
     }
     if (isLeaving && successor !== undefined) return {kind: 'wait'};
-    if (successor !== undefined && successor < this.selfId) {
-      return {kind: 'wait'};
-    }
+    if (!isFirst) return {kind: 'wait'};
     if (!this.mayClaim(members, isInformed, now)) return {kind: 'wait'};
     return {kind: 'claim', skip: this.skip};
   }
@@ -120,6 +135,14 @@
     return members.some(member => hearsHolder(member, holderId, now));
   }
 
+  /** Whether a holder that is heard should make way for this instance. */
+  private isTooWeak(holder: Member | undefined, now: Millis): boolean {
+    if (holder === undefined || !isHeard(holder, now)) return false;
+    if (now - this.startedAt < REPLACE_AFTER_MS) return false;
+    if (this.fencedAt !== undefined) return false;
+    return holder.processors < WEAK_SHARE * this.self.processors;
+  }
+
   private mayClaim(
     members: readonly Member[],
     isInformed: boolean,
@@ -157,13 +180,21 @@
   return holderHeardAt !== undefined && now - holderHeardAt < SILENCE_MS;
 }
 
-/** The other instance that would take over: the first one by id. */
+/** The other instance that would take over: the strongest, then by id. */
 function findSuccessor(
   members: readonly Member[],
   now: Millis,
-): string | undefined {
-  const able = members
-    .filter(member => !member.isLeaving && isHeard(member, now))
-    .map(({id}) => id);
-  return able.sort()[0];
+): Member | undefined {
+  const able = members.filter(
+    member => !member.isLeaving && isHeard(member, now),
+  );
+  return able.sort(compareStrength)[0];
+}
+
+/** Puts the instance that should rather hold first; the same everywhere. */
+export function compareStrength(one: Candidate, other: Candidate): number {
+  if (one.processors !== other.processors) {
+    return other.processors - one.processors;
+  }
+  return one.id < other.id ? -1 : 1;
 }
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -58,6 +58,8 @@
   /** Differs for each start of a process. */
   readonly id: string;
   readonly zone: string;
+  /** What it may use of processors, in whole ones. */
+  readonly processors: number;
   readonly listen: PeerAddress;
   /** The part of its tokens that is this process's own. */
   readonly nonce: number;
@@ -254,12 +256,13 @@
   }
 
   private createHeartbeat(now: Millis, withRooms: boolean): ZoneHeartbeat {
-    const {id, zone, directory} = this.options;
+    const {id, zone, processors, directory} = this.options;
     const {claim} = this.roles;
     return {
       id,
       zone,
       address: this.address,
+      processors,
       isLeaving: this.isLeaving,
       configurationVersion: directory.configuration()?.version ?? 0,
       ...(claim === undefined
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -28,6 +28,8 @@
 export interface RoleKeeperOptions {
   readonly id: string;
   readonly zone: string;
+  /** What this instance may use of processors, in whole ones. */
+  readonly processors: number;
   /** The part of its tokens that is this process's own. */
   readonly nonce: number;
   readonly bounds: DispatcherOptions;
@@ -53,7 +55,7 @@
 
   constructor(private readonly options: RoleKeeperOptions) {
     this.log = options.logs.forPart(LogPart.Membership);
-    this.election = new Election(options.id, readClock());
+    this.election = new Election(options, readClock());
   }
 
   /** The holder in this process, while it is its turn. */
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -10,6 +10,8 @@
 interface Neighbour {
   readonly address: string;
   id: string;
+  /** As registered or told; undefined before either. */
+  processors: number | undefined;
   isRegistered: boolean;
   last: ZoneHeartbeat | undefined;
   heardAt: Millis | undefined;
@@ -35,10 +37,11 @@
     for (const neighbour of this.neighbours.values()) {
       neighbour.isRegistered = false;
     }
-    for (const {id, zone, address} of list) {
+    for (const {id, zone, address, processors} of list) {
       if (zone !== this.zone || address === this.selfAddress) continue;
       const known = this.find(address, id);
       known.isRegistered = true;
+      known.processors ??= processors;
       if (!isHeardAt(known.heardAt, now)) known.id = id;
     }
     for (const [address, {isRegistered, heardAt}] of this.neighbours) {
@@ -60,6 +63,7 @@
     }
     const known = this.find(message.address, message.id);
     known.id = message.id;
+    known.processors = message.processors;
     known.last = message;
     known.heardAt = now;
     known.isRefused = false;
@@ -98,11 +102,13 @@
   /** The members as the election takes them. */
   members(): Member[] {
     const members: Member[] = [];
-    for (const {id, last, heardAt, isRefused} of this.neighbours.values()) {
+    for (const neighbour of this.neighbours.values()) {
+      const {id, processors = 0, last, heardAt, isRefused} = neighbour;
       if (id === '') continue;
       const holderHeardMs = last?.holderHeardMs;
       members.push({
         id,
+        processors,
         isLeaving: last?.isLeaving ?? false,
         heardAt,
         isRefused,
@@ -122,6 +128,7 @@
     const added: Neighbour = {
       address,
       id,
+      processors: undefined,
       isRegistered: false,
       last: undefined,
       heardAt: undefined,
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -36,6 +36,8 @@
   readonly zone: string;
   /** `host:port` of its listener for peers. */
   readonly address: string;
+  /** What it may use of processors, in whole ones. */
+  readonly processors: number;
   /** Its token, where it holds its zone's workers. */
   readonly holderToken?: number | undefined;
 }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -21,6 +21,8 @@
   id: z.string(),
   zone: z.string(),
   address: z.string(),
+  /** What the sender may use of processors, in whole ones. */
+  processors: z.number(),
   isLeaving: z.boolean(),
   /** The highest claim that the sender knows. */
   claim: claimSchema.optional(),
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -7,6 +7,7 @@
 function createMember(id: string, changes: Partial<Member> = {}): Member {
   return {
     id,
+    processors: 1,
     isLeaving: false,
     heardAt: undefined,
     isRefused: false,
@@ -17,19 +18,19 @@
 }
 
 function follow(holderId: string, token: number): Election {
-  const election = new Election('b', 0);
+  const election = new Election({id: 'b', processors: 1}, 0);
   election.noteClaim({holderId, token});
   return election;
 }
 
 test('an instance listens before it claims', () => {
-  const election = new Election('a', 0);
+  const election = new Election({id: 'a', processors: 1}, 0);
   assert.equal(election.chooseRole([], informed, 100).kind, 'wait');
   assert.equal(election.chooseRole([], informed, 300).kind, 'claim');
 });
 
 test('an instance that knows no list and nobody waits much longer', () => {
-  const election = new Election('a', 0);
+  const election = new Election({id: 'a', processors: 1}, 0);
   const state = {isLeaving: false, isInformed: false};
   assert.equal(election.chooseRole([], state, 2_000).kind, 'wait');
   assert.equal(election.chooseRole([], state, 3_100).kind, 'claim');
@@ -111,3 +112,29 @@
   assert.notEqual(same, first);
   assert.ok(Number.isSafeInteger(createToken(later, 1, Date.now(), 1_000)));
 });
+
+test('the strongest of those that are heard takes over, whatever its name', () => {
+  const members = [
+    createMember('a', {heardAt: 1_000}),
+    createMember('c', {heardAt: 1_990, processors: 2}),
+  ];
+  const role = follow('a', 10).chooseRole(members, informed, 2_000);
+  assert.deepEqual(role, {kind: 'wait'});
+  const strong = new Election({id: 'c', processors: 2}, 0);
+  strong.noteClaim({holderId: 'a', token: 10});
+  const others = [
+    createMember('a', {heardAt: 1_000}),
+    createMember('b', {heardAt: 1_990}),
+  ];
+  assert.equal(strong.chooseRole(others, informed, 2_000).kind, 'claim');
+});
+
+test('a weak holder makes way for a much stronger instance, and for no other', () => {
+  const roles = [0.3, 0.8].map(processors => {
+    const strong = new Election({id: 'c', processors: 1.35}, 0);
+    strong.noteClaim({holderId: 'a', token: 10});
+    const holder = createMember('a', {heardAt: 1_990, processors});
+    return strong.chooseRole([holder], informed, 2_000).kind;
+  });
+  assert.deepEqual(roles, ['claim', 'follow']);
+});
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -9,6 +9,7 @@
     id: 'b-1',
     zone: 'west',
     address: '10.0.0.2:7000',
+    processors: 1,
     isLeaving: false,
     configurationVersion: 1,
     ...changes,
@@ -35,7 +36,12 @@
 test('an old registration does not hide an instance that is heard', () => {
   const view = new ZoneView('west', '10.0.0.1:7000');
   view.hear(createHeartbeat({id: 'b-2'}), 100);
-  const old = {id: 'b-1', zone: 'west', address: '10.0.0.2:7000'};
+  const old = {
+    id: 'b-1',
+    zone: 'west',
+    address: '10.0.0.2:7000',
+    processors: 1,
+  };
   view.setRegistrations([old], 200);
   assert.equal(view.isAlive('b-2', 200), true);
 });
@@ -51,7 +57,12 @@
 
 test('the holder of another zone is the one with the highest token', () => {
   const zones = new NeighbourZones('west');
-  const east = {zone: 'east', id: 'e-1', address: '10.1.0.1:7000'};
+  const east = {
+    zone: 'east',
+    processors: 1,
+    id: 'e-1',
+    address: '10.1.0.1:7000',
+  };
   zones.setRegistrations(
     [
       {...east, holderToken: 5},
@@ -69,7 +80,12 @@
 
 test('a zone with a new holder has a second to ask for what it lent before', () => {
   const zones = new NeighbourZones('west');
-  const east = {zone: 'east', id: 'e-1', address: '10.1.0.1:7000'};
+  const east = {
+    zone: 'east',
+    processors: 1,
+    id: 'e-1',
+    address: '10.1.0.1:7000',
+  };
   const hear = (token: number, now: number) => {
     zones.hear(
       createHeartbeat({...east, claim: {holderId: 'e-1', token}}),
