Links within a zone go to its three strongest instances

An instance now links to the three strongest that can be heard, to those before them that can not, and to the holder. Two may be lost at once, so one is left; when all three are silent, the next ones are linked after 600 ms. Nobody claims while a stronger instance was linked a moment ago and may still be heard. Of instances that are not linked, silence tells nothing and isn't counted. Zones of up to three instances behave as before.

Tests: zone_view.test.ts, three; none could hold before, as all were linked.

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -34,6 +34,8 @@
 /** Another instance of the zone, as heard. */
 export interface Member extends Candidate {
   readonly isLeaving: boolean;
+  /** The link to it is too young for its silence to tell anything. */
+  readonly isTried: boolean;
   /** When it was last heard from; undefined before the first time. */
   readonly heardAt: Millis | undefined;
   /** Its host says that no process listens there any more. */
@@ -114,7 +116,7 @@
       return {kind: 'follow', holderId};
     }
     if (isLeaving && successor !== undefined) return {kind: 'wait'};
-    if (!isFirst) return {kind: 'wait'};
+    if (!isFirst || this.isStrongerTried(members)) return {kind: 'wait'};
     if (!this.mayClaim(members, isInformed, now)) return {kind: 'wait'};
     return {kind: 'claim', skip: this.skip};
   }
@@ -135,6 +137,13 @@
     return members.some(member => hearsHolder(member, holderId, now));
   }
 
+  /** Whether an instance that should rather hold may be heard in a moment. */
+  private isStrongerTried(members: readonly Member[]): boolean {
+    return members.some(
+      member => member.isTried && compareStrength(member, this.self) < 0,
+    );
+  }
+
   /** Whether a holder that is heard should make way for this instance. */
   private isTooWeak(holder: Member | undefined, now: Millis): boolean {
     if (holder === undefined || !isHeard(holder, now)) return false;
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -89,9 +89,10 @@
   private isReadingConfiguration = false;
 
   constructor(private readonly options: InstanceOptions) {
-    const {id, zone, listen, logs, metrics, lifecycle, seeds} = options;
+    const {id, zone, processors, listen, logs, metrics, lifecycle, seeds} =
+      options;
     this.address = `${listen.host}:${listen.port}`;
-    this.view = new ZoneView(zone, this.address);
+    this.view = new ZoneView(zone, this.address, {id, processors});
     this.zones = new NeighbourZones(zone);
     for (const seed of seeds) this.view.addAddress(seed);
     this.roles = new RoleKeeper({
@@ -205,8 +206,9 @@
     this.view.setRegistrations(registrations, now);
     this.zones.setRegistrations(registrations, now);
     const foreign = this.roles.holder === undefined ? [] : this.zones.addresses;
-    this.links.setAddresses([...this.view.addresses, ...foreign]);
-    this.roles.update(this.view.members(), this.selfState(), now);
+    const own = this.view.chooseLinks(this.roles.claim?.holderId, now);
+    this.links.setAddresses([...own, ...foreign]);
+    this.roles.update(this.view.members(now), this.selfState(), now);
     const {holderId} = this.roles;
     if (holderId !== undefined) this.hadHolderAt = now;
     if (holderId !== undefined) this.change.tell(holderId);
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -1,9 +1,19 @@
 /** The other instances of the zone, as registered and as heard. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {SILENCE_MS, type Member} from '../election/index.js';
+import {
+  compareStrength,
+  SILENCE_MS,
+  type Candidate,
+  type Member,
+} from '../election/index.js';
 import type {Registration} from '../ports/index.js';
 import type {ZoneHeartbeat} from '../protocol/index.js';
 
+/**
+ * Links are kept to so many of the strongest instances, as any two may be lost
+ * at once. In a larger zone the rest hear of each other through them.
+ */
+const CANDIDATES = 3;
 /** How long an instance that is neither registered nor heard is kept, in ms. */
 const FORGET_MS = 10_000;
 
@@ -16,6 +26,8 @@
   last: ZoneHeartbeat | undefined;
   heardAt: Millis | undefined;
   isRefused: boolean;
+  /** Since when a link to it is kept; undefined without one. */
+  linkedAt: Millis | undefined;
 }
 
 /** Keeps one record for each address of the zone. */
@@ -25,11 +37,38 @@
   constructor(
     private readonly zone: string,
     private readonly selfAddress: string,
+    private readonly self: Candidate,
   ) {}
 
-  /** Addresses to keep links to. */
-  get addresses(): readonly string[] {
-    return [...this.neighbours.keys()];
+  /**
+   * The addresses to keep links to: of the strongest instances that can be
+   * heard, of those before them that can not, and of the holder.
+   */
+  chooseLinks(holderId: string | undefined, now: Millis): readonly string[] {
+    const chosen = new Set(this.chooseCandidates(now));
+    for (const neighbour of this.neighbours.values()) {
+      // Who is at an address without an id is only known once it is heard.
+      const isUnknown = neighbour.id === '';
+      if (isUnknown || neighbour.id === holderId) chosen.add(neighbour);
+      if (!chosen.has(neighbour)) neighbour.linkedAt = undefined;
+    }
+    for (const neighbour of chosen) neighbour.linkedAt ??= now;
+    return [...chosen].map(({address}) => address);
+  }
+
+  private chooseCandidates(now: Millis): Neighbour[] {
+    const known = [...this.neighbours.values()]
+      .filter(({id}) => id !== '')
+      .map(neighbour => ({...toCandidate(neighbour), neighbour}));
+    const ranked = [...known, {...this.self, neighbour: undefined}];
+    const chosen: Neighbour[] = [];
+    let sound = 0;
+    for (const {neighbour} of ranked.sort(compareStrength)) {
+      if (sound === CANDIDATES) break;
+      if (neighbour !== undefined) chosen.push(neighbour);
+      if (neighbour === undefined || isSound(neighbour, now)) sound += 1;
+    }
+    return chosen;
   }
 
   /** Takes the platform's list, which may be old. */
@@ -100,15 +139,17 @@
   }
 
   /** The members as the election takes them. */
-  members(): Member[] {
+  members(now: Millis): Member[] {
     const members: Member[] = [];
     for (const neighbour of this.neighbours.values()) {
-      const {id, processors = 0, last, heardAt, isRefused} = neighbour;
+      const {id, last, heardAt, isRefused, linkedAt} = neighbour;
       if (id === '') continue;
+      // Of those that are not linked, silence tells nothing.
+      if (linkedAt === undefined && !isHeardAt(heardAt, now)) continue;
       const holderHeardMs = last?.holderHeardMs;
       members.push({
-        id,
-        processors,
+        ...toCandidate(neighbour),
+        isTried: isTried(neighbour, now),
         isLeaving: last?.isLeaving ?? false,
         heardAt,
         isRefused,
@@ -133,6 +174,7 @@
       last: undefined,
       heardAt: undefined,
       isRefused: false,
+      linkedAt: undefined,
     };
     this.neighbours.set(address, added);
     return added;
@@ -142,3 +184,23 @@
 function isHeardAt(heardAt: Millis | undefined, now: Millis): boolean {
   return heardAt !== undefined && now - heardAt < SILENCE_MS;
 }
+
+function toCandidate({id, processors = 0}: Neighbour): Candidate {
+  return {id, processors};
+}
+
+/** Whether it answers, or may answer in a moment. */
+function isSound(neighbour: Neighbour, now: Millis): boolean {
+  if (neighbour.last?.isLeaving === true) return false;
+  if (isHeardAt(neighbour.heardAt, now)) return true;
+  return neighbour.linkedAt === undefined || isTried(neighbour, now);
+}
+
+/** Whether a link to it is too young for its silence to tell anything. */
+function isTried(
+  {heardAt, isRefused, linkedAt}: Neighbour,
+  now: Millis,
+): boolean {
+  if (linkedAt === undefined || isRefused) return false;
+  return !isHeardAt(heardAt, now) && now - linkedAt < SILENCE_MS;
+}
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -8,6 +8,7 @@
   return {
     id,
     processors: 1,
+    isTried: false,
     isLeaving: false,
     heardAt: undefined,
     isRefused: false,
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {Election} from '../src/election/index.js';
 import {NeighbourZones} from '../src/instance/neighbour_zones.js';
 import {ZoneView} from '../src/instance/zone_view.js';
 import type {ZoneHeartbeat} from '../src/protocol/index.js';
@@ -17,7 +18,10 @@
 }
 
 test('a new life at an address ends what was heard of the old one', () => {
-  const view = new ZoneView('west', '10.0.0.1:7000');
+  const view = new ZoneView('west', '10.0.0.1:7000', {
+    id: 'a-1',
+    processors: 1,
+  });
   view.hear(createHeartbeat(), 100);
   assert.equal(view.isAlive('b-1', 150), true);
   view.hear(createHeartbeat({id: 'b-2'}), 200);
@@ -27,14 +31,20 @@
 });
 
 test('an instance of another zone is no neighbour', () => {
-  const view = new ZoneView('west', '10.0.0.1:7000');
+  const view = new ZoneView('west', '10.0.0.1:7000', {
+    id: 'a-1',
+    processors: 1,
+  });
   view.addAddress('10.0.0.2:7000');
   view.hear(createHeartbeat({zone: 'east'}), 100);
-  assert.deepEqual(view.addresses, []);
+  assert.deepEqual(view.chooseLinks(undefined, 100), []);
 });
 
 test('an old registration does not hide an instance that is heard', () => {
-  const view = new ZoneView('west', '10.0.0.1:7000');
+  const view = new ZoneView('west', '10.0.0.1:7000', {
+    id: 'a-1',
+    processors: 1,
+  });
   view.hear(createHeartbeat({id: 'b-2'}), 100);
   const old = {
     id: 'b-1',
@@ -47,12 +57,15 @@
 });
 
 test('one that is neither registered nor heard is forgotten', () => {
-  const view = new ZoneView('west', '10.0.0.1:7000');
+  const view = new ZoneView('west', '10.0.0.1:7000', {
+    id: 'a-1',
+    processors: 1,
+  });
   view.hear(createHeartbeat(), 100);
   view.setRegistrations([], 5_000);
-  assert.equal(view.addresses.length, 1);
+  assert.equal(view.chooseLinks(undefined, 0).length, 1);
   view.setRegistrations([], 10_200);
-  assert.equal(view.addresses.length, 0);
+  assert.equal(view.chooseLinks(undefined, 0).length, 0);
 });
 
 test('the holder of another zone is the one with the highest token', () => {
@@ -101,3 +114,53 @@
   assert.equal(zones.wantsLent('east', 9, 1_300), true);
   assert.equal(zones.wantsLent('east', 9, 2_400), false);
 });
+
+/** Registers instances of the zone, each with its processors. */
+function register(view: ZoneView, processors: readonly number[]): void {
+  const list = processors.map((share, index) => ({
+    id: `b-${index}`,
+    zone: 'west',
+    address: `10.0.1.${index}:7000`,
+    processors: share,
+  }));
+  view.setRegistrations(list, 0);
+}
+
+test('links are kept to the strongest instances and to the holder only', () => {
+  const view = new ZoneView('west', '10.0.0.1:7000', {id: 'a', processors: 1});
+  register(view, [0.2, 0.8, 2, 0.2, 2, 0.2]);
+  assert.deepEqual(view.chooseLinks(undefined, 0), [
+    '10.0.1.2:7000',
+    '10.0.1.4:7000',
+  ]);
+  assert.deepEqual(view.chooseLinks('b-3', 0), [
+    '10.0.1.2:7000',
+    '10.0.1.4:7000',
+    '10.0.1.3:7000',
+  ]);
+});
+
+test('when the strongest are silent, the next ones are linked as well', () => {
+  const self = {id: 'z', processors: 0.2};
+  const view = new ZoneView('west', '10.0.0.1:7000', self);
+  register(view, [2, 2, 2, 1, 0.8, 0.5]);
+  assert.equal(view.chooseLinks(undefined, 0).length, 3);
+  assert.equal(view.chooseLinks(undefined, 500).length, 3);
+  assert.equal(view.chooseLinks(undefined, 600).length, 6);
+  view.hear(createHeartbeat({id: 'b-0', address: '10.0.1.0:7000'}), 700);
+  assert.equal(view.chooseLinks(undefined, 700).length, 5);
+});
+
+test('nobody claims while a stronger instance may be heard in a moment', () => {
+  const self = {id: 'z', processors: 0.2};
+  const view = new ZoneView('west', '10.0.0.1:7000', self);
+  const election = new Election(self, -10_000);
+  register(view, [2]);
+  const state = {isLeaving: false, isInformed: true};
+  view.chooseLinks(undefined, 0);
+  const early = election.chooseRole(view.members(100), state, 100);
+  assert.equal(early.kind, 'wait');
+  view.noteRefused('10.0.1.0:7000');
+  const late = election.chooseRole(view.members(110), state, 110);
+  assert.equal(late.kind, 'claim');
+});
