A busy process no longer takes its own delay for the silence of others

Timeouts of exchanges and of calls between instances, and the step that decides a role, now come after one more pass over the sockets.

--- a/packages/peers/src/link/connection.ts
+++ b/packages/peers/src/link/connection.ts
@@ -1,5 +1,6 @@
 /** One open connection to a peer, with the calls that wait on it. */
 import {failureSchema} from '@goldcrestpier/protocol';
+import {startReadingTimeout, type CancelTimeout} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocket, type RawData} from 'ws';
 import {z} from 'zod';
@@ -28,7 +29,7 @@
 
 interface WaitingCall {
   readonly call: string;
-  readonly timer: NodeJS.Timeout;
+  readonly cancelTimeout: CancelTimeout;
   readonly settle: Settle;
 }
 
@@ -71,10 +72,10 @@
       queueMicrotask(() => settle(Err(createNotSent(reason))));
       return;
     }
-    const timer = setTimeout(() => {
+    const cancelTimeout = startReadingTimeout(() => {
       this.settle(id, Err(createUnknown(UnknownReason.TimedOut)));
     }, timeoutMs);
-    this.waiting.set(id, {call, timer, settle});
+    this.waiting.set(id, {call, cancelTimeout, settle});
     this.counts.count(Direction.Sent, call, Buffer.byteLength(frame));
     this.coalescer?.hold();
     this.socket.send(frame);
@@ -111,7 +112,7 @@
     const waiting = this.waiting.get(id);
     if (waiting === undefined) return;
     this.waiting.delete(id);
-    clearTimeout(waiting.timer);
+    waiting.cancelTimeout();
     waiting.settle(result);
   }
 
--- a/packages/runtime/src/clock/index.ts
+++ b/packages/runtime/src/clock/index.ts
@@ -24,3 +24,25 @@
     signal?.addEventListener('abort', end, {once: true});
   });
 }
+
+/** Takes a timeout back. */
+export type CancelTimeout = () => void;
+
+/**
+ * Calls back after `ms` milliseconds, but only once what has arrived by then is
+ * read. Node runs timers that are due before it reads from sockets, so that a
+ * process that was busy would take its own delay for the silence of another.
+ */
+export function startReadingTimeout(
+  callback: () => void,
+  ms: Millis,
+): CancelTimeout {
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    immediate = setImmediate(callback);
+  }, ms);
+  return () => {
+    clearTimeout(timer);
+    if (immediate !== undefined) clearImmediate(immediate);
+  };
+}
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -124,9 +124,9 @@
     const log = logs.forPart(LogPart.Membership);
     const delay = new LoopDelay(STEP_MS, log, metrics);
     const timer = setInterval(() => {
-      const now = readClock();
-      delay.note(now);
-      this.step(now);
+      delay.note(readClock());
+      // Heartbeats that have arrived are read before anyone counts as silent.
+      setImmediate(() => this.step(readClock()));
     }, STEP_MS);
     this.options.lifecycle.own('role', () => clearInterval(timer));
   }
