The holder reads the configuration for its zone, the others hear of it

A heartbeat now says how long ago its sender knew the configuration to be the newest. So silence still never counts as "nothing new": an age has to be told.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -14,7 +14,6 @@
   type Logs,
   type Millis,
 } from '@goldcrestpier/runtime';
-import type {SelfState} from '../election/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
 import {Owner, type HolderTarget, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration, Directory, WorkerPort} from '../ports/index.js';
@@ -37,6 +36,7 @@
 import {LoopDelay} from './loop_delay.js';
 import {toRoom} from '../holder/index.js';
 import {NeighbourZones} from './neighbour_zones.js';
+import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleKeeper} from './role_keeper.js';
 import {ZoneView} from './zone_view.js';
 
@@ -106,7 +106,7 @@
       logger: logs.forPart(LogPart.Peers),
       lifecycle,
       createHeartbeat: () => this.createHeartbeat(readClock(), true),
-      onHeartbeat: (message, now) => this.hear(message, now),
+      onAnswer: (message, sentAt) => this.takeAnswer(message, sentAt),
       onRefused: address => this.view.noteRefused(address),
     });
     this.owner = new Owner({
@@ -206,9 +206,13 @@
     this.view.setRegistrations(registrations, now);
     this.zones.setRegistrations(registrations, now);
     const foreign = this.roles.holder === undefined ? [] : this.zones.addresses;
-    const own = this.view.chooseLinks(this.roles.claim?.holderId, now);
-    this.links.setAddresses([...own, ...foreign]);
-    this.roles.update(this.view.members(now), this.selfState(), now);
+    const holderInForce = this.roles.claim?.holderId;
+    const {addresses, isCandidate} = this.view.chooseLinks(holderInForce, now);
+    directory.setCandidate(isCandidate);
+    this.links.setAddresses([...addresses, ...foreign]);
+    const isInformed = directory.heardAt() !== undefined;
+    const self = {isLeaving: this.isLeaving, isInformed};
+    this.roles.update(this.view.members(now), self, now);
     const {holderId} = this.roles;
     if (holderId !== undefined) this.hadHolderAt = now;
     if (holderId !== undefined) this.change.tell(holderId);
@@ -226,6 +230,15 @@
     return address === undefined ? undefined : this.links.find(address);
   }
 
+  private takeAnswer(message: ZoneHeartbeat, sentAt: Millis): void {
+    this.hear(message, readClock());
+    const {configurationVersion, configurationAgeMs} = message;
+    if (configurationAgeMs === undefined) return;
+    // What was asked for at `sentAt` can not have been older then.
+    const asOf = sentAt - configurationAgeMs;
+    this.options.directory.confirmConfiguration(configurationVersion, asOf);
+  }
+
   private hear(message: ZoneHeartbeat, now: Millis): void {
     this.view.hear(message, now);
     if (message.zone !== this.options.zone) this.hearZone(message, now);
@@ -259,26 +272,12 @@
 
   private createHeartbeat(now: Millis, withRooms: boolean): ZoneHeartbeat {
     const {id, zone, processors, directory} = this.options;
-    const {claim} = this.roles;
-    return {
-      id,
-      zone,
-      address: this.address,
-      processors,
-      isLeaving: this.isLeaving,
-      configurationVersion: directory.configuration()?.version ?? 0,
-      ...(claim === undefined
-        ? {}
-        : {claim, holderHeardMs: this.holderHeardMs(claim.holderId, now)}),
-      ...(this.roles.holder !== undefined && withRooms
-        ? {rooms: this.roles.holder.findRooms()}
-        : {}),
-    };
-  }
-
-  private selfState(): SelfState {
-    const isInformed = this.options.directory.heardAt() !== undefined;
-    return {isLeaving: this.isLeaving, isInformed};
+    const {claim, holder} = this.roles;
+    const {address, isLeaving} = this;
+    const holderHeardMs = claim && this.holderHeardMs(claim.holderId, now);
+    const rooms = withRooms ? holder?.findRooms() : undefined;
+    const self = {id, zone, address, processors, isLeaving, directory};
+    return createOwnHeartbeat({...self, claim, holderHeardMs, rooms}, now);
   }
 
   private holderHeardMs(holderId: string, now: Millis): Millis | undefined {
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -30,7 +30,8 @@
   readonly lifecycle: Lifecycle;
   /** The heartbeat to send now. */
   readonly createHeartbeat: () => ZoneHeartbeat;
-  readonly onHeartbeat: (message: ZoneHeartbeat, now: Millis) => void;
+  /** Takes the answer to a heartbeat that was sent at `sentAt`. */
+  readonly onAnswer: (message: ZoneHeartbeat, sentAt: Millis) => void;
   readonly onRefused: (address: string) => void;
 }
 
@@ -92,12 +93,13 @@
     calls: ZoneCalls,
     signal: AbortSignal,
   ): Promise<void> {
-    const {createHeartbeat, onHeartbeat, onRefused} = this.options;
+    const {createHeartbeat, onAnswer, onRefused} = this.options;
     while (!signal.aborted) {
       if (link.isConnected()) {
         const message = createHeartbeat();
+        const sentAt = readClock();
         const result = await calls.heartbeat(message, HEARTBEAT_TIMEOUT_MS);
-        if (result.isOk()) onHeartbeat(result.value, readClock());
+        if (result.isOk()) onAnswer(result.value, sentAt);
       } else if (link.isRefused()) {
         onRefused(link.address);
       }
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -30,6 +30,13 @@
   linkedAt: Millis | undefined;
 }
 
+/** Which links an instance keeps. */
+export interface LinkChoice {
+  readonly addresses: readonly string[];
+  /** Whether the instance is one of those that the others keep links to. */
+  readonly isCandidate: boolean;
+}
+
 /** Keeps one record for each address of the zone. */
 export class ZoneView {
   private readonly neighbours = new Map<string, Neighbour>();
@@ -44,8 +51,10 @@
    * The addresses to keep links to: of the strongest instances that can be
    * heard, of those before them that can not, and of the holder.
    */
-  chooseLinks(holderId: string | undefined, now: Millis): readonly string[] {
-    const chosen = new Set(this.chooseCandidates(now));
+  chooseLinks(holderId: string | undefined, now: Millis): LinkChoice {
+    const candidates = this.chooseCandidates(now);
+    const isCandidate = candidates.includes(undefined);
+    const chosen = new Set(candidates.filter(other => other !== undefined));
     for (const neighbour of this.neighbours.values()) {
       // Who is at an address without an id is only known once it is heard.
       const isUnknown = neighbour.id === '';
@@ -53,19 +62,21 @@
       if (!chosen.has(neighbour)) neighbour.linkedAt = undefined;
     }
     for (const neighbour of chosen) neighbour.linkedAt ??= now;
-    return [...chosen].map(({address}) => address);
+    const addresses = [...chosen].map(({address}) => address);
+    return {addresses, isCandidate};
   }
 
-  private chooseCandidates(now: Millis): Neighbour[] {
+  /** The strongest instances; this one is undefined. */
+  private chooseCandidates(now: Millis): (Neighbour | undefined)[] {
     const known = [...this.neighbours.values()]
       .filter(({id}) => id !== '')
       .map(neighbour => ({...toCandidate(neighbour), neighbour}));
     const ranked = [...known, {...this.self, neighbour: undefined}];
-    const chosen: Neighbour[] = [];
+    const chosen: (Neighbour | undefined)[] = [];
     let sound = 0;
     for (const {neighbour} of ranked.sort(compareStrength)) {
       if (sound === CANDIDATES) break;
-      if (neighbour !== undefined) chosen.push(neighbour);
+      chosen.push(neighbour);
       if (neighbour === undefined || isSound(neighbour, now)) sound += 1;
     }
     return chosen;
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -54,10 +54,16 @@
 /** The newest that is known; each part is undefined until first read. */
 export interface Directory {
   configuration(): Configuration | undefined;
+  /** The configuration was known to be the newest then. */
+  configurationAsOf(): Millis | undefined;
+  /** A peer knew this version to be the newest at that time. */
+  confirmConfiguration(version: number, asOf: Millis): void;
   workers(): WorkerListing;
   registrations(): readonly Registration[];
   /** Lets other zones know that this instance is the holder, or is not. */
   announce(holderToken: number | undefined): void;
+  /** Says whether this instance is one of those that may hold next. */
+  setCandidate(isCandidate: boolean): void;
   /** When the platform's store last answered. */
   heardAt(): Millis | undefined;
   /** Takes a configuration that a peer has; only a newer one changes anything. */
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -29,6 +29,8 @@
   /** How long ago the sender heard from that holder, in ms. */
   holderHeardMs: z.number().optional(),
   configurationVersion: z.number(),
+  /** How long ago the sender knew that version to be the newest, in ms. */
+  configurationAgeMs: z.number().optional(),
   /** Free room of the sender's workers; holders tell other zones. */
   rooms: z.array(roomSchema).optional(),
 });
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -37,7 +37,7 @@
   });
   view.addAddress('10.0.0.2:7000');
   view.hear(createHeartbeat({zone: 'east'}), 100);
-  assert.deepEqual(view.chooseLinks(undefined, 100), []);
+  assert.deepEqual(view.chooseLinks(undefined, 100).addresses, []);
 });
 
 test('an old registration does not hide an instance that is heard', () => {
@@ -63,9 +63,9 @@
   });
   view.hear(createHeartbeat(), 100);
   view.setRegistrations([], 5_000);
-  assert.equal(view.chooseLinks(undefined, 0).length, 1);
+  assert.equal(view.chooseLinks(undefined, 0).addresses.length, 1);
   view.setRegistrations([], 10_200);
-  assert.equal(view.chooseLinks(undefined, 0).length, 0);
+  assert.equal(view.chooseLinks(undefined, 0).addresses.length, 0);
 });
 
 test('the holder of another zone is the one with the highest token', () => {
@@ -129,11 +129,11 @@
 test('links are kept to the strongest instances and to the holder only', () => {
   const view = new ZoneView('west', '10.0.0.1:7000', {id: 'a', processors: 1});
   register(view, [0.2, 0.8, 2, 0.2, 2, 0.2]);
-  assert.deepEqual(view.chooseLinks(undefined, 0), [
+  assert.deepEqual(view.chooseLinks(undefined, 0).addresses, [
     '10.0.1.2:7000',
     '10.0.1.4:7000',
   ]);
-  assert.deepEqual(view.chooseLinks('b-3', 0), [
+  assert.deepEqual(view.chooseLinks('b-3', 0).addresses, [
     '10.0.1.2:7000',
     '10.0.1.4:7000',
     '10.0.1.3:7000',
@@ -144,11 +144,12 @@
   const self = {id: 'z', processors: 0.2};
   const view = new ZoneView('west', '10.0.0.1:7000', self);
   register(view, [2, 2, 2, 1, 0.8, 0.5]);
-  assert.equal(view.chooseLinks(undefined, 0).length, 3);
-  assert.equal(view.chooseLinks(undefined, 500).length, 3);
-  assert.equal(view.chooseLinks(undefined, 600).length, 6);
+  assert.equal(view.chooseLinks(undefined, 0).addresses.length, 3);
+  assert.equal(view.chooseLinks(undefined, 0).isCandidate, false);
+  assert.equal(view.chooseLinks(undefined, 500).addresses.length, 3);
+  assert.equal(view.chooseLinks(undefined, 600).addresses.length, 6);
   view.hear(createHeartbeat({id: 'b-0', address: '10.0.1.0:7000'}), 700);
-  assert.equal(view.chooseLinks(undefined, 700).length, 5);
+  assert.equal(view.chooseLinks(undefined, 700).addresses.length, 5);
 });
 
 test('nobody claims while a stronger instance may be heard in a moment', () => {
