The end of a lent task is told, also when its zone is looked at just then

What callers would see: a task that another zone had run was run a second time, after its end.

Cause: a holder gives up the jobs of owners that are silent, and leaves out tasks that other zones have lent by looking at their record. A task that has just ended has none any more, its lender isn't an instance of the zone, so its answer became "given up". The look had come in the timers' phase, always after the ends were told; since the step that decides a role waits for the sockets it can come before. Now a job that has ended is left out: its answer is on its way.

Test: `the end of a lent task is told though its zone is no owner of the zone` failed before ({kind: abandoned, reason: owner_lost} for {kind: completed}).

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -143,7 +143,9 @@
   /** Gives up the jobs of every owner for whom `isAlive` is false. */
   dropOwners(isAlive: (ownerId: string) => boolean): void {
     for (const jobId of this.waiters.records) {
-      if (this.dispatcher.jobs.get(jobId)?.isForeign === true) continue;
+      const record = this.dispatcher.jobs.get(jobId);
+      // One that has ended just now is about to be answered.
+      if (record === undefined || record.isForeign) continue;
       for (const ownerId of this.waiters.ownersOf(jobId)) {
         if (isAlive(ownerId)) continue;
         this.cancel(ownerId, jobId, AbandonReason.OwnerLost);
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -88,3 +88,18 @@
   void stage.lifecycle.close();
   assert.deepEqual(await answer, {kind: 'not_holder', mayHaveStarted: true});
 });
+
+test('the end of a lent task is told though its zone is no owner of the zone', async () => {
+  const stage = new Stage();
+  await nextTurn();
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'east', false, now);
+  const lending = {homeZone: 'east', token: 3, job, step: 0, index: 0, run: 1};
+  const answer = stage.holder.takeLent({...lending, isJoin: false});
+  await nextTurn();
+  stage.end('a');
+  await settle();
+  stage.holder.dropOwners(() => false);
+  void stage.lifecycle.close();
+  assert.deepEqual(await answer, {kind: 'completed'});
+});
