A holder without processor time refuses jobs at once

Nothing bounded what a holder takes up: the plan behind a refusal knows the workers' room, not the holder's own.

A holder whose 25 ms step was never in time for 200 ms now refuses new jobs on arrival, with the reason holder_busy, and turns away tasks that others lend; it doesn't count on other zones' room then, as lending costs more than a start. Such a refusal is true, as nothing was taken up, and a job that another holder may have started is still taken. One step in time and jobs are taken again. The decision has the time as its argument and answers one load: more jobs than one process can carry.

What other zones lend has a file of its own, as the holder's had grown.

--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -11,6 +11,8 @@
   NoFit = 'no_fit',
   /** The zone has no worker of the service at present. */
   NoWorkers = 'no_workers',
+  /** The holder has no processor time left to take up more jobs. */
+  HolderBusy = 'holder_busy',
 }
 
 /** Why a job that had started was given up. Nothing of it runs any more. */
--- /dev/null
+++ b/packages/zone/src/holder/busy_refusal.ts
@@ -0,0 +1,12 @@
+/** The answer to a job of which a busy holder takes nothing up. */
+import {RefusalReason} from '@goldcrestpier/dispatch';
+
+/** When a caller that was refused for a busy holder may come back, in ms. */
+const BUSY_RETRY_MS = 1_000;
+
+/** True, as nothing of the job was started. */
+export const busyRefusal = {
+  kind: 'refused',
+  reason: RefusalReason.HolderBusy,
+  retryAfterMs: BUSY_RETRY_MS,
+} as const;
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -19,13 +19,16 @@
   ZoneHeartbeat,
 } from '../protocol/index.js';
 import {AnswerLosses} from './answer_losses.js';
+import {busyRefusal} from './busy_refusal.js';
 import {Carrier} from './carrier.js';
+import {ForeignTasks, type WantsLent} from './foreign_tasks.js';
 import type {HolderOptions} from './holder_options.js';
 import {Lender} from './lender.js';
 import {findListingAge, isListingAwaited} from './listing_age.js';
 import {formatRooms, sumFreeMillis} from './rooms.js';
+import {LoopLoad} from './loop_load.js';
 import {createObserver, logPlacements, logSubmission} from './observer.js';
-import {formatLent, toJob, toLentJob} from './to_job.js';
+import {toJob} from './to_job.js';
 import {Waiters} from './waiters.js';
 import {WorkerWatches} from './worker_watches.js';
 
@@ -37,13 +40,13 @@
   private readonly dispatcher: Dispatcher;
   private readonly carrier: Carrier;
   private readonly lender: Lender;
+  private readonly foreign: ForeignTasks;
   private readonly watches: WorkerWatches;
   private readonly waiters = new Waiters();
   /** Submissions of jobs whose earlier life is still being stopped. */
   private readonly postponed = new Map<string, JobSubmission>();
-  /** The token under which each foreign task was lent or joined last. */
-  private readonly lentUnder = new Map<string, number>();
   private readonly heldSince = readClock();
+  private readonly load = new LoopLoad(TICK_MS);
   private listing: WorkerListing | undefined;
   private isPumpDue = false;
   private isClosed = false;
@@ -82,7 +85,16 @@
       metrics,
       onChange: () => this.pumpSoon(),
     });
-    const timer = setInterval(() => this.pump(), TICK_MS);
+    this.foreign = new ForeignTasks({
+      dispatcher: this.dispatcher,
+      waiters: this.waiters,
+      onOrders: orders => this.carryOutAll(orders),
+      onChange: () => this.pumpSoon(),
+    });
+    const timer = setInterval(() => {
+      this.load.note(readClock());
+      this.pump();
+    }, TICK_MS);
     lifecycle.own('holder', () => {
       clearInterval(timer);
       this.close();
@@ -118,7 +130,13 @@
     }
     const now = readClock();
     const {id, ownerId, isResumed} = message;
-    const {logger} = this.options;
+    const {logger, metrics} = this.options;
+    const isNew = !isResumed && !this.dispatcher.jobs.has(id);
+    if (isNew && this.load.isSwamped(now)) {
+      logger.info('job refused', {job: id, reason: busyRefusal.reason});
+      metrics.countOutcome(busyRefusal);
+      return Promise.resolve(busyRefusal);
+    }
     return new Promise(answer => {
       this.waiters.add(id, {ownerId, answer});
       const known = this.dispatcher.jobs.get(id);
@@ -160,7 +178,9 @@
 
   /** Takes what the holder of another zone tells of its free workers. */
   tellRoom(room: ZoneRoom): void {
-    this.dispatcher.tellRoom(room, readClock());
+    const now = readClock();
+    // To lend a task costs more than to start it here.
+    if (!this.load.isSwamped(now)) this.dispatcher.tellRoom(room, now);
   }
 
   /** Free room of all services, as other zones are told. */
@@ -174,42 +194,24 @@
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
     const now = readClock();
-    const job = toLentJob(message, now);
-    return new Promise(answer => {
-      this.waiters.add(job.id, {ownerId: message.homeZone, answer});
-      this.lentUnder.set(job.id, message.token);
-      if (message.isJoin) this.dispatcher.rejoinLent(job, now);
-      else this.carryOutAll(this.dispatcher.takeLent(job, now));
-      this.pumpSoon();
-    });
+    const isRefused = this.load.isSwamped(now) && !message.isJoin;
+    if (isRefused) return Promise.resolve(busyRefusal);
+    return this.foreign.take(message, now);
   }
 
   /** Stops a task that another zone takes back. */
   recall(homeZone: string, task: string): void {
-    const id = formatLent(homeZone, task);
-    this.dispatcher.cancel(id, AbandonReason.Cancelled, readClock());
-    this.pumpSoon();
+    this.foreign.recall(homeZone, task, readClock());
   }
 
   /** The tasks that run here for another zone. */
   listLent(homeZone: string): LentList {
-    const list: LentList = [];
-    for (const record of this.dispatcher.jobs.values()) {
-      if (record.job.lentBy !== homeZone) continue;
-      for (const {key, run} of record.runs()) list.push({key, run});
-    }
-    return list;
+    return this.foreign.list(homeZone);
   }
 
   /** Stops what runs for zones that are gone or have forgotten it. */
-  dropZones(wants: (zone: string, token: number) => boolean): void {
-    for (const {id, job} of [...this.dispatcher.jobs.values()]) {
-      const token = this.lentUnder.get(id);
-      if (job.lentBy === undefined || token === undefined) continue;
-      if (wants(job.lentBy, token)) continue;
-      this.dispatcher.cancel(id, AbandonReason.OwnerLost, readClock());
-      this.pumpSoon();
-    }
+  dropZones(wants: WantsLent): void {
+    this.foreign.drop(wants, readClock());
   }
 
   /** Jobs that no task of has started yet. */
@@ -278,7 +280,7 @@
       return;
     }
     this.options.metrics.countOutcome(outcome);
-    this.lentUnder.delete(id);
+    this.foreign.forget(id);
     this.waiters.answerAll(id, outcome);
   }
 
