A strained holder tells of no room and is lent nothing

For a second after it was swamped a holder now tells of no room, refuses what is lent and lends nothing itself.

The holder's file loses an accessor that nothing used.

--- a/packages/zone/src/holder/busy_refusal.ts
+++ b/packages/zone/src/holder/busy_refusal.ts
@@ -1,5 +1,6 @@
 /** The answer to a job of which a busy holder takes nothing up. */
 import {RefusalReason} from '@goldcrestpier/dispatch';
+import type {JobAnswer} from '../protocol/index.js';
 
 /** When a caller that was refused for a busy holder may come back, in ms. */
 const BUSY_RETRY_MS = 1_000;
@@ -10,3 +11,6 @@
   reason: RefusalReason.HolderBusy,
   retryAfterMs: BUSY_RETRY_MS,
 } as const;
+
+/** The same as the answer to a message. */
+export const refusedAsBusy: Promise<JobAnswer> = Promise.resolve(busyRefusal);
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -19,13 +19,13 @@
   ZoneHeartbeat,
 } from '../protocol/index.js';
 import {AnswerLosses} from './answer_losses.js';
-import {busyRefusal} from './busy_refusal.js';
+import {busyRefusal, refusedAsBusy} from './busy_refusal.js';
 import {Carrier} from './carrier.js';
 import {ForeignTasks, type WantsLent} from './foreign_tasks.js';
 import type {HolderOptions} from './holder_options.js';
 import {Lender} from './lender.js';
 import {findListingAge, isListingAwaited} from './listing_age.js';
-import {formatRooms, sumFreeMillis} from './rooms.js';
+import {formatRooms, sumFreeMillis, withoutVacancies} from './rooms.js';
 import {LoopLoad} from './loop_load.js';
 import {createObserver, logPlacements, logSubmission} from './observer.js';
 import {toJob} from './to_job.js';
@@ -118,11 +118,6 @@
     this.pumpSoon();
   }
 
-  /** Free processors of the workers in use, in thousandths. */
-  freeMillis(): number {
-    return sumFreeMillis(this.dispatcher, readClock());
-  }
-
   /** Takes a job; answers when it has ended. */
   submit(message: JobSubmission): Promise<JobAnswer> {
     if (this.isClosed) {
@@ -135,14 +130,15 @@
     if (isNew && this.load.isSwamped(now)) {
       logger.info('job refused', {job: id, reason: busyRefusal.reason});
       metrics.countOutcome(busyRefusal);
-      return Promise.resolve(busyRefusal);
+      return refusedAsBusy;
     }
     return new Promise(answer => {
       this.waiters.add(id, {ownerId, answer});
       const known = this.dispatcher.jobs.get(id);
       if (known?.ending !== undefined) this.postponed.set(id, message);
       else this.dispatcher.submit(toJob(message, now), isResumed, now);
-      logSubmission(message, known !== undefined, this.freeMillis(), logger);
+      const freeMillis = sumFreeMillis(this.dispatcher, now);
+      logSubmission(message, known !== undefined, freeMillis, logger);
       this.pumpSoon();
     });
   }
@@ -180,12 +176,15 @@
   tellRoom(room: ZoneRoom): void {
     const now = readClock();
     // To lend a task costs more than to start it here.
-    if (!this.load.isSwamped(now)) this.dispatcher.tellRoom(room, now);
+    if (!this.load.isStrained(now)) this.dispatcher.tellRoom(room, now);
   }
 
   /** Free room of all services, as other zones are told. */
   findRooms(): ZoneHeartbeat['rooms'] {
-    return formatRooms(this.dispatcher, readClock());
+    const now = readClock();
+    const rooms = formatRooms(this.dispatcher, now);
+    // What others would lend now is turned away.
+    return this.load.isStrained(now) ? withoutVacancies(rooms) : rooms;
   }
 
   /** Runs one task for another zone, now or not at all. */
@@ -194,9 +193,8 @@
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
     const now = readClock();
-    const isRefused = this.load.isSwamped(now) && !message.isJoin;
-    if (isRefused) return Promise.resolve(busyRefusal);
-    return this.foreign.take(message, now);
+    const isTaken = message.isJoin || !this.load.isStrained(now);
+    return isTaken ? this.foreign.take(message, now) : refusedAsBusy;
   }
 
   /** Stops a task that another zone takes back. */
--- a/packages/zone/src/holder/rooms.ts
+++ b/packages/zone/src/holder/rooms.ts
@@ -10,10 +10,7 @@
 const SLOWNESS_STEP = 0.01;
 
 /** Free room of all services, in the form of a heartbeat. */
-export function formatRooms(
-  dispatcher: Dispatcher,
-  now: Millis,
-): ZoneHeartbeat['rooms'] {
+export function formatRooms(dispatcher: Dispatcher, now: Millis): ToldRoom[] {
   const services = new Set<string>();
   for (const {info} of dispatcher.workers.values()) services.add(info.service);
   return [...services].map(service => ({
@@ -28,6 +25,13 @@
   }));
 }
 
+/** Tells of the same services that there is no room. */
+export function withoutVacancies(
+  rooms: readonly ToldRoom[],
+): ZoneHeartbeat['rooms'] {
+  return rooms.map(({service}) => ({service, vacancies: []}));
+}
+
 /** The room that another zone's heartbeat told of. */
 export function toRoom(zone: string, {service, vacancies}: ToldRoom): ZoneRoom {
   return {
--- a/packages/zone/test/loop_load.test.ts
+++ b/packages/zone/test/loop_load.test.ts
@@ -17,11 +17,18 @@
 }
 
 test('a process is swamped once no step came in time for a while', () => {
-  assert.deepEqual(play([90, 90, 90, 90]), [false, false, true, true]);
+  assert.deepEqual(play([60, 60, 60, 60]), [false, true, true, true]);
 });
 
 test('one step in time and the process takes jobs again', () => {
-  assert.deepEqual(play([90, 90, 90, 30]), [false, false, true, false]);
+  assert.deepEqual(play([60, 60, 60, 30]), [false, true, true, false]);
+});
+
+test('a process that was swamped is strained for a second', () => {
+  const load = new LoopLoad(EVERY_MS);
+  for (const now of [0, 60, 120, 180]) load.note(now);
+  assert.equal(load.isStrained(1_100), true);
+  assert.equal(load.isStrained(1_200), false);
 });
 
 test('pauses of a processor of which a share is granted swamp nobody', () => {
