An owner that hands in a job counts as alive before its first heartbeat

What callers would see: 504 for a job that was handed to a new holder.

Cause: since an instance links to the strongest and the holder only, its link to a new holder opens when it hears the claim. The first job may come over it before the first heartbeat, and a holder gives up the jobs of instances that it doesn't hear. A job that is handed in now counts as a sign of life for as long as a heartbeat does; a dead owner is noticed in the same 600 ms as before.

Test: zone_view.test.ts, `an owner that has handed in a job lives before its first heartbeat`; there was no such note before, so it could not hold.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -163,8 +163,9 @@
 
   /** Takes a job for the workers that this instance holds. */
   submit(message: JobSubmission): Promise<JobAnswer> {
-    if (this.roles.holder !== undefined)
-      return this.roles.holder.submit(message);
+    this.view.noteContact(message.ownerId, readClock());
+    const {holder} = this.roles;
+    if (holder !== undefined) return holder.submit(message);
     return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
   }
 
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -40,6 +40,8 @@
 /** Keeps one record for each address of the zone. */
 export class ZoneView {
   private readonly neighbours = new Map<string, Neighbour>();
+  /** When each instance last sent something else than a heartbeat. */
+  private readonly contacts = new Map<string, Millis>();
 
   constructor(
     private readonly zone: string,
@@ -94,6 +96,9 @@
       known.processors ??= processors;
       if (!isHeardAt(known.heardAt, now)) known.id = id;
     }
+    for (const [id, at] of this.contacts) {
+      if (!isHeardAt(at, now)) this.contacts.delete(id);
+    }
     for (const [address, {isRegistered, heardAt}] of this.neighbours) {
       const isOld = now - (heardAt ?? 0) > FORGET_MS;
       if (!isRegistered && isOld) this.neighbours.delete(address);
@@ -125,8 +130,14 @@
     if (known !== undefined) known.isRefused = true;
   }
 
+  /** Notes a message other than a heartbeat: its sender lives, too. */
+  noteContact(id: string, now: Millis): void {
+    this.contacts.set(id, now);
+  }
+
   /** Whether this instance was heard a moment ago. */
   isAlive(id: string, now: Millis): boolean {
+    if (isHeardAt(this.contacts.get(id), now)) return true;
     for (const neighbour of this.neighbours.values()) {
       if (neighbour.id === id) return isHeardAt(neighbour.heardAt, now);
     }
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -165,3 +165,12 @@
   const late = election.chooseRole(view.members(110), state, 110);
   assert.equal(late.kind, 'claim');
 });
+
+test('an owner that has handed in a job lives before its first heartbeat', () => {
+  const self = {id: 'a', processors: 1};
+  const view = new ZoneView('west', '10.0.0.1:7000', self);
+  assert.equal(view.isAlive('b-1', 100), false);
+  view.noteContact('b-1', 100);
+  assert.equal(view.isAlive('b-1', 150), true);
+  assert.equal(view.isAlive('b-1', 700), false);
+});
