--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -164,3 +164,12 @@
   dispatcher.confirmWorkers();
   assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start a.0.0.0/1 on w1']);
 });
+
+test('a resumed job is not lent while no worker of the zone is known', () => {
+  const dispatcher = createScene([], 0);
+  const vacancies = [{slowness: 1, cpuMillis: 64_000, memoryMb: 1_000}];
+  dispatcher.tellRoom({zone: 'east', service: 'pricing', vacancies}, 10);
+  const job = createJob('a', 1, {targetMs: 3_000, deadlineAt: 5_000});
+  dispatcher.submit(job, true, 10);
+  assert.deepEqual(formatOrders(dispatcher.tick(20)), []);
+});
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -18,7 +18,7 @@
   readonly holder: Holder;
   private tell: (look: Look) => void = fail;
 
-  constructor() {
+  constructor(first: Look = idle) {
     const look = new Promise<Look>(resolve => (this.tell = resolve));
     let looks = 0;
     const port: WorkerPort = {
@@ -26,7 +26,7 @@
       stop: fail,
       look: async (_order, signal) => {
         looks += 1;
-        if (looks === 1) return Ok(idle);
+        if (looks === 1) return Ok(first);
         const aborted = new Promise<Look>(resolve => {
           signal.addEventListener('abort', () => resolve(idle));
         });
@@ -103,3 +103,13 @@
   void stage.lifecycle.close();
   assert.deepEqual(await answer, {kind: 'completed'});
 });
+
+test('a new holder tells other zones what the one before it still runs for them', async () => {
+  const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
+  const stage = new Stage({...idle, running});
+  await nextTurn();
+  await settle();
+  const lent = stage.holder.listLent('east');
+  void stage.lifecycle.close();
+  assert.deepEqual(lent, [{key: 'a.0.0.0', run: 1}]);
+});
