--- a/packages/zone/src/holder/busy_refusal.ts
+++ b/packages/zone/src/holder/busy_refusal.ts
@@ -5,7 +5,7 @@
 /** When a caller that was refused for a busy holder may come back, in ms. */
 const BUSY_RETRY_MS = 1_000;
 
-/** True, as nothing of the job was started. */
+/** Given to a job that this holder has no record of. */
 export const busyRefusal = {
   kind: 'refused',
   reason: RefusalReason.HolderBusy,
