Logs that tell apart how a task may run twice

Nothing said by what a resumed job was placed, what a holder left behind when it stepped down, on what an instance claimed, nor how new a holder is that answers another zone. Each is a field or a line now: heldMs, workers and workersLookedAt of a resumed placement; holding ended; isInformed and upForMs of a claim; told another zone what runs for it.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -5,7 +5,6 @@
 import {
   AbandonReason,
   Dispatcher,
-  type EndedJob,
   type Order,
   type ZoneRoom,
 } from '@goldcrestpier/dispatch';
@@ -19,16 +18,17 @@
   ZoneHeartbeat,
 } from '../protocol/index.js';
 import {AnswerLosses} from './answer_losses.js';
-import {busyRefusal, refusedAsBusy} from './busy_refusal.js';
+import {refusedAsBusy} from './busy_refusal.js';
 import {Carrier} from './carrier.js';
 import {ForeignTasks, type WantsLent} from './foreign_tasks.js';
 import type {HolderOptions} from './holder_options.js';
+import {JobDesk} from './job_desk.js';
 import {Lender} from './lender.js';
 import {findListingAge, isListingAwaited} from './listing_age.js';
-import {formatRooms, sumFreeMillis, withoutVacancies} from './rooms.js';
+import {countOrphans, countRuns} from './run_counts.js';
+import {formatRooms, withoutVacancies} from './rooms.js';
 import {LoopLoad} from './loop_load.js';
-import {createObserver, logPlacements, logSubmission} from './observer.js';
-import {toJob} from './to_job.js';
+import {createObserver, logPlacements} from './observer.js';
 import {Waiters} from './waiters.js';
 import {WorkerWatches} from './worker_watches.js';
 
@@ -40,11 +40,10 @@
   private readonly dispatcher: Dispatcher;
   private readonly carrier: Carrier;
   private readonly lender: Lender;
+  private readonly jobs: JobDesk;
   private readonly foreign: ForeignTasks;
   private readonly watches: WorkerWatches;
   private readonly waiters = new Waiters();
-  /** Submissions of jobs whose earlier life is still being stopped. */
-  private readonly postponed = new Map<string, JobSubmission>();
   private readonly heldSince = readClock();
   private readonly load = new LoopLoad(TICK_MS);
   private listing: WorkerListing | undefined;
@@ -85,6 +84,14 @@
       metrics,
       onChange: () => this.pumpSoon(),
     });
+    this.jobs = new JobDesk({
+      dispatcher: this.dispatcher,
+      waiters: this.waiters,
+      load: this.load,
+      logger,
+      metrics,
+      onChange: () => this.pumpSoon(),
+    });
     this.foreign = new ForeignTasks({
       dispatcher: this.dispatcher,
       waiters: this.waiters,
@@ -123,48 +130,17 @@
     if (this.isClosed) {
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
-    const now = readClock();
-    const {id, ownerId, isResumed} = message;
-    const {logger, metrics} = this.options;
-    const isNew = !isResumed && !this.dispatcher.jobs.has(id);
-    if (isNew && this.load.isSwamped(now)) {
-      logger.info('job refused', {job: id, reason: busyRefusal.reason});
-      metrics.countOutcome(busyRefusal);
-      return refusedAsBusy;
-    }
-    return new Promise(answer => {
-      this.waiters.add(id, {ownerId, answer});
-      const known = this.dispatcher.jobs.get(id);
-      if (known?.ending !== undefined) this.postponed.set(id, message);
-      else this.dispatcher.submit(toJob(message, now), isResumed, now);
-      const freeMillis = sumFreeMillis(this.dispatcher, now);
-      logSubmission(message, known !== undefined, freeMillis, logger);
-      this.pumpSoon();
-    });
+    return this.jobs.submit(message, readClock());
   }
 
   /** One owner gives a job up; it is stopped when no other waits for it. */
   cancel(ownerId: string, jobId: string, reason: AbandonReason): void {
-    if (!this.waiters.ownersOf(jobId).includes(ownerId)) return;
-    const answer = {kind: 'abandoned', reason} as const;
-    if (this.waiters.answerOwner(jobId, ownerId, answer) > 0) return;
-    this.postponed.delete(jobId);
-    this.options.logger.info('job given up', {job: jobId, reason, ownerId});
-    this.dispatcher.cancel(jobId, reason, readClock());
-    this.pumpSoon();
+    this.jobs.cancel(ownerId, jobId, reason, readClock());
   }
 
   /** Gives up the jobs of every owner for whom `isAlive` is false. */
   dropOwners(isAlive: (ownerId: string) => boolean): void {
-    for (const jobId of this.waiters.records) {
-      const record = this.dispatcher.jobs.get(jobId);
-      // One that has ended just now is about to be answered.
-      if (record === undefined || record.isForeign) continue;
-      for (const ownerId of this.waiters.ownersOf(jobId)) {
-        if (isAlive(ownerId)) continue;
-        this.cancel(ownerId, jobId, AbandonReason.OwnerLost);
-      }
-    }
+    this.jobs.dropOwners(isAlive, readClock());
   }
 
   /** Asks other zones which tasks they run for this one. */
@@ -204,7 +180,14 @@
 
   /** The tasks that run here for another zone. */
   listLent(homeZone: string): LentList {
-    return this.foreign.list(homeZone);
+    const lent = this.foreign.list(homeZone);
+    this.options.logger.info('told another zone what runs for it', {
+      zone: homeZone,
+      lent: lent.length,
+      unknownRuns: countOrphans(this.dispatcher),
+      heldMs: Math.round(readClock() - this.heldSince),
+    });
+    return lent;
   }
 
   /** Stops what runs for zones that are gone or have forgotten it. */
@@ -227,11 +210,12 @@
     // What has ended is answered as it ended; the rest the next holder takes.
     this.tellEnds();
     this.isClosed = true;
-    for (const jobId of this.waiters.records) {
-      const mayHaveStarted =
-        this.dispatcher.jobs.get(jobId)?.hasStarted ?? true;
-      this.waiters.answerAll(jobId, {kind: 'not_holder', mayHaveStarted});
-    }
+    this.options.logger.info('holding ended', {
+      jobs: this.dispatcher.jobs.size,
+      runs: countRuns(this.dispatcher),
+      heldMs: Math.round(readClock() - this.heldSince),
+    });
+    this.jobs.letGo();
   }
 
   private fence(workerId: string): void {
@@ -259,29 +243,22 @@
   }
 
   private tellEnds(): void {
-    for (const ended of this.dispatcher.takeEnded()) this.tellEnd(ended);
+    for (const ended of this.dispatcher.takeEnded()) {
+      this.foreign.forget(ended.id);
+      this.jobs.tellEnd(ended, readClock());
+    }
   }
 
   private carryOutAll(orders: readonly Order[]): void {
-    const listAgeMs = findListingAge(this.listing, readClock());
-    logPlacements(orders, listAgeMs, this.options.logger);
+    const now = readClock();
+    const basis = {
+      listAgeMs: findListingAge(this.listing, now),
+      heldMs: now - this.heldSince,
+    };
+    logPlacements(orders, this.dispatcher, basis, this.options.logger);
     for (const order of orders) void this.carryOut(order);
   }
 
-  private tellEnd({id, outcome}: EndedJob): void {
-    const postponed = this.postponed.get(id);
-    if (postponed !== undefined) {
-      this.postponed.delete(id);
-      const now = readClock();
-      this.dispatcher.submit(toJob(postponed, now), false, now);
-      this.pumpSoon();
-      return;
-    }
-    this.options.metrics.countOutcome(outcome);
-    this.foreign.forget(id);
-    this.waiters.answerAll(id, outcome);
-  }
-
   private async carryOut(order: Order): Promise<void> {
     switch (order.kind) {
       case 'start':
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -1,6 +1,7 @@
 /** Writes what the dispatcher changes to the log and the counters. */
 import {
   RunEnd,
+  type Dispatcher,
   type DispatchObserver,
   type Order,
 } from '@goldcrestpier/dispatch';
@@ -57,13 +58,19 @@
   return worth === undefined ? undefined : Math.round(worth * 100) / 100;
 }
 
-/**
- * Writes one line for each job of which tasks were placed, with the age of the
- * list of workers that they were placed by.
- */
+/** What a holder's placements rest on, for its log. */
+export interface PlacementBasis {
+  /** How old the list of workers is. */
+  readonly listAgeMs: Millis | undefined;
+  /** How long this instance has been the holder. */
+  readonly heldMs: Millis;
+}
+
+/** Writes one line for each job of which tasks were placed, and by what. */
 export function logPlacements(
   orders: readonly Order[],
-  listAgeMs: Millis | undefined,
+  dispatcher: Dispatcher,
+  {listAgeMs, heldMs}: PlacementBasis,
   logger: Logger,
 ): void {
   const placed = new Map<string, string[]>();
@@ -78,10 +85,22 @@
   const age = listAgeMs === undefined ? undefined : Math.round(listAgeMs);
   for (const [job, texts] of placed) {
     const fields = {job, tasks: texts.join(' '), listAgeMs: age};
-    logger.info('tasks placed', fields);
+    const isResumed = dispatcher.jobs.get(job)?.isResumed === true;
+    const takeover = isResumed ? describeTakeover(dispatcher, heldMs) : {};
+    logger.info('tasks placed', {...fields, ...takeover});
   }
 }
 
+/** By what a holder knew that no earlier run of a resumed job goes on. */
+function describeTakeover({workers}: Dispatcher, heldMs: Millis) {
+  const lookedAt = [...workers.values()].filter(({isHeld}) => isHeld);
+  return {
+    heldMs: Math.round(heldMs),
+    workers: workers.size,
+    workersLookedAt: lookedAt.length,
+  };
+}
+
 /** Writes that a job was taken, with what its fate depends on. */
 export function logSubmission(
   message: JobSubmission,
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -52,10 +52,11 @@
   private role: Role = {kind: 'wait'};
   private current: Holder | undefined;
   private holderLifecycle: Lifecycle | undefined;
+  private readonly startedAt = readClock();
 
   constructor(private readonly options: RoleKeeperOptions) {
     this.log = options.logs.forPart(LogPart.Membership);
-    this.election = new Election(options, readClock());
+    this.election = new Election(options, this.startedAt);
   }
 
   /** The holder in this process, while it is its turn. */
@@ -97,7 +98,7 @@
       case 'hold':
         break;
       case 'claim':
-        this.logClaim(members, now);
+        this.logClaim(members, self, now);
         this.takeOver(this.role.skip);
         break;
       case 'follow':
@@ -120,7 +121,11 @@
     directory.announce(token);
   }
 
-  private logClaim(members: readonly Member[], now: Millis): void {
+  private logClaim(
+    members: readonly Member[],
+    {isInformed}: SelfState,
+    now: Millis,
+  ): void {
     const {claim} = this.election;
     const previous = members.find(({id}) => id === claim?.holderId);
     const isHeard = ({heardAt}: Member) =>
@@ -134,6 +139,8 @@
       isLeaving: previous?.isLeaving,
       known: members.length,
       heard: members.filter(isHeard).length,
+      isInformed,
+      upForMs: Math.round(now - this.startedAt),
     });
   }
 
