Failing tests: how a task that must run once may run twice

Each fails on the present code, each guards against one belief: a list of workers for all workers, a list of instances for all instances, a holder that steps down without a word, and a lent task that is called lost before it can be.

--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -173,3 +173,29 @@
   dispatcher.submit(job, true, 10);
   assert.deepEqual(formatOrders(dispatcher.tick(20)), []);
 });
+
+test('a list without some workers is no proof that nothing of a resumed job runs', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  lookAtAll(dispatcher, 2);
+  const long = {targetMs: 3_000, deadlineAt: 5_000};
+  dispatcher.submit(createJob('a', 1, long), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_000)), []);
+  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 1_001);
+  dispatcher.looked('w2', createLook([running(0)]), 1_002, 1_003);
+  assert.deepEqual(formatOrders(dispatcher.tick(3_000)), []);
+  assert.equal(dispatcher.workers.get('w2')?.runs.get('a.0.0.0')?.run, 3);
+});
+
+test('a lent task may run on until the leases of the holder before are over', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  lookAtAll(dispatcher, 1);
+  const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
+  const long = {targetMs: 3_000, deadlineAt: 5_000};
+  const job = createJob('a.0.0.0@east', 1, {...long, lent, lentBy: 'east'});
+  dispatcher.rejoinLent(job, 5);
+  dispatcher.tick(1_000);
+  assert.deepEqual(dispatcher.takeEnded(), []);
+  dispatcher.tick(2_000);
+  const [ended] = dispatcher.takeEnded();
+  assert.equal(ended?.outcome.kind, 'abandoned');
+});
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -139,3 +139,10 @@
   });
   assert.deepEqual(roles, ['claim', 'follow']);
 });
+
+test('a list of instances that was just read without others is no reason to claim', () => {
+  const election = new Election({id: 'a', processors: 1}, 0);
+  const state = {isLeaving: false, isInformed: true, informedSince: 100};
+  assert.equal(election.chooseRole([], state, 1_500).kind, 'wait');
+  assert.equal(election.chooseRole([], state, 1_700).kind, 'claim');
+});
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -113,3 +113,16 @@
   void stage.lifecycle.close();
   assert.deepEqual(lent, [{key: 'a.0.0.0', run: 1}]);
 });
+
+test('a holder that steps down tells what it runs of each job', async () => {
+  const stage = new Stage();
+  await nextTurn();
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
+  const answer = stage.holder.submit(job);
+  while (stage.holder.countWaiting('quotes') > 0) await nextTurn();
+  void stage.lifecycle.close();
+  const told = JSON.stringify(await answer);
+  assert.match(told, /"key":"a\.0\.0\.0"/);
+  assert.match(told, /"workerId":"w1"/);
+});
