A resumed job starts again only when all earlier leases are over

Callers saw a task run twice. The new holder of a zone placed what the holder before still ran, as soon as each worker on its list had told what runs there. The list lacked workers that were alive (an outage of the store had let their entries lapse). The class: absence in what was read, taken for 'is not there'.

Tasks of a resumed job of which no run is found now wait until the leases of any holder before are over, 0.6 s and a lease after the claim; runs that are found are adopted as before. A lent task that a new holder does not find is told to be lost then, no sooner.

Five older tests had the wrong belief written into them (a start as soon as the listed workers had been looked at); they now ask for no start before the leases are over, which is stricter. Ruled out: longer waits for the list alone, as a process that has just started can't know how long the store has been back. What ends runs and jobs whose time is over moves to a module of its own.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -236,14 +236,6 @@
     return false;
   }
 
-  /** Whether every worker has told what runs there. */
-  get areWorkersSurveyed(): boolean {
-    for (const {isHeld, isSilent} of this.workers.values()) {
-      if (!isHeld || isSilent) return false;
-    }
-    return true;
-  }
-
   /** Forgets a worker that is gone. */
   dropWorker(id: string): void {
     this.workers.delete(id);
@@ -280,7 +272,7 @@
   private settle(record: JobRecord, now: Millis): void {
     if (record.isDone) record.ending = {kind: 'completed'};
     if (record.ending === undefined) return;
-    for (const _run of record.runs()) return;
+    if (record.isRunning) return;
     const {id, job} = record;
     const {queue} = job;
     if (this.jobs.get(id) !== record) return;
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -16,24 +16,30 @@
   type Run,
   type Worker,
 } from '../workers/index.js';
-import {
-  abandoned,
-  Board,
-  type DispatchObserver,
-  type EndedJob,
-} from './board.js';
-import {beginTrial, StrikeReason} from './health.js';
+import {Board, type DispatchObserver, type EndedJob} from './board.js';
+import {StrikeReason} from './health.js';
 import type {JobRecord} from './job_record.js';
 import {takeLook} from './looks.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
 import type {LentEntry} from './lent_survey.js';
 import {noteNotStarted} from './not_started.js';
+import {
+  endLostTasks,
+  endOverdueJobs,
+  endOverdueRuns,
+  giveUp,
+} from './overdue.js';
 import {Placer} from './placer.js';
 import {findRefusal} from './refusal.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
 
+/**
+ * By then a holder before that lives has heard of this one, was turned away by
+ * a worker, or has given up the jobs of owners that it can't hear, in ms.
+ */
+const DEPOSED_MS = 600;
 /** After this a task that was lent to a lost holder has surely ended, in ms. */
 const LENT_OVER_MS = 2_000;
 
@@ -60,7 +66,7 @@
   ) {
     this.board = new Board(observer);
     this.placer = new Placer(this.board, this.neighbours, {
-      workersOverAt: leaseOverAt(heldSince, options.leaseMs),
+      workersOverAt: leaseOverAt(heldSince + DEPOSED_MS, options.leaseMs),
       lentOverAt: heldSince + LENT_OVER_MS,
     });
     this.stopper = new Stopper(this.board, heldSince);
@@ -112,15 +118,16 @@
     if (!isResumed) return;
     record.hasStarted = true;
     record.isResumed = true;
+    record.mayRunUnseen = true;
   }
 
   /** Takes over a lent task that an earlier holder of this zone started. */
   rejoinLent(job: Job, now: Millis): void {
     if (this.board.jobs.has(job.id)) return;
     const record = this.board.addJob(job);
+    record.hasStarted = true;
+    record.mayRunUnseen = true;
     this.board.adoptOrphans(record, now);
-    if (record.hasStarted) return;
-    this.board.endJob(record, abandoned(AbandonReason.RunLost), now);
   }
 
   /** Takes a task that another zone lends; it starts now or is refused. */
@@ -136,14 +143,15 @@
   /** Gives a job up; it ends once nothing of it runs. */
   cancel(recordId: string, reason: AbandonReason, now: Millis): void {
     const record = this.board.jobs.get(recordId);
-    if (record) this.giveUp(record, reason, now);
+    if (record) giveUp(this.board, record, reason, now);
   }
 
   /** Decides what is due now. */
   tick(now: Millis): Order[] {
     this.board.forgetOld(now);
-    this.endOverdueRuns(now);
-    this.endOverdueJobs(now);
+    endOverdueRuns(this.board, now);
+    endLostTasks(this.board, this.placer, now);
+    endOverdueJobs(this.board, now);
     const {adopted} = this;
     this.adopted = [];
     const placed = this.placer.place(now);
@@ -247,40 +255,4 @@
     known.forgetLife();
     for (const run of lost) this.board.endRun(run, 'lost', now);
   }
-
-  private giveUp(record: JobRecord, reason: AbandonReason, now: Millis): void {
-    const isRefusal = reason === AbandonReason.Deadline && !record.hasStarted;
-    if (isRefusal) this.board.refuse(record, RefusalReason.TooLate, 0, now);
-    else this.board.endJob(record, abandoned(reason), now);
-  }
-
-  /** Ends runs whose leases or stops are over. */
-  private endOverdueRuns(now: Millis): void {
-    for (const [id, worker] of this.board.workers) {
-      beginTrial(worker, now);
-      for (const run of [...worker.runs.values()]) {
-        const isLapsed = worker.isSilent && now >= worker.leasesOverAt;
-        if (isLapsed || now >= run.overAt) this.board.endRun(run, 'lost', now);
-      }
-      const isGone = worker.info.isDraining && worker.isSilent;
-      if (isGone && worker.runs.size === 0) this.board.dropWorker(id);
-    }
-    for (const record of [...this.board.jobs.values()]) {
-      for (const run of [...record.runs()]) {
-        const isOver = run.lentTo !== undefined && now >= run.overAt;
-        if (isOver) this.board.endRun(run, 'lost', now);
-      }
-    }
-  }
-
-  private endOverdueJobs(now: Millis): void {
-    for (const record of [...this.board.jobs.values()]) {
-      if (record.ending !== undefined) continue;
-      if (now >= record.job.deadlineAt) {
-        this.giveUp(record, AbandonReason.Deadline, now);
-      } else if (!record.hasStarted && now >= record.usefulUntil) {
-        this.board.refuse(record, RefusalReason.TooLate, 0, now);
-      }
-    }
-  }
 }
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -53,8 +53,10 @@
   planned: PlannedWorth | undefined;
   /** How it ends once nothing of it runs any more. */
   ending: Outcome | undefined;
-  /** Runs of an earlier holder may still go on. */
+  /** An earlier holder had it. */
   isResumed = false;
+  /** Runs of an earlier holder may go on that are not known here. */
+  mayRunUnseen = false;
 
   /** `expectedMs` is the ideal run time of the whole job. */
   constructor(
@@ -93,6 +95,11 @@
     return this.tasks.every(({state}) => state.kind === 'done');
   }
 
+  /** Whether a run of any task may still go on. */
+  get isRunning(): boolean {
+    return this.tasks.some(({state}) => state.kind === 'running');
+  }
+
   /** Runs that may still go on. */
   *runs(): Iterable<Run> {
     for (const {state} of this.tasks) {
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -27,7 +27,7 @@
 
 /** When runs of an earlier holder that nobody told of have surely ended. */
 export interface Barrier {
-  /** Those on workers that do not answer. */
+  /** Those on workers, listed here or not. */
   readonly workersOverAt: Millis;
   /** Those that were lent to zones that do not answer. */
   readonly lentOverAt: Millis;
@@ -60,13 +60,16 @@
   /** Whether the job goes on and no run of an earlier holder is unknown. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.ending !== undefined) return false;
-    if (!record.isResumed) return true;
-    const {survey, areWorkersSurveyed} = this.board;
+    return this.isSettled(record, now);
+  }
+
+  /** Whether nothing of the job can run that is not known here. */
+  isSettled(record: JobRecord, now: Millis): boolean {
+    if (!record.mayRunUnseen) return true;
     const {workersOverAt, lentOverAt} = this.barrier;
-    return (
-      (areWorkersSurveyed || now >= workersOverAt) &&
-      (survey.isComplete || now >= lentOverAt)
-    );
+    // A worker that no list has may still run a task, so only time tells.
+    if (now < workersOverAt) return false;
+    return this.board.survey.isComplete || now >= lentOverAt;
   }
 
   /** Places tasks that are alike. */
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -10,6 +10,9 @@
   lookAtAll,
 } from './fixtures/scene.js';
 
+/** A caller that waits longer than all leases of an earlier holder last. */
+const patient = {targetMs: 3_000, deadlineAt: 5_000};
+
 const running = (index: number) => ({
   task: `a.0.0.${index}`,
   run: 3,
@@ -19,9 +22,16 @@
 test('a new holder adopts what runs of a job that its owner still wants', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
   dispatcher.looked('w1', createLook([running(0)]), 1, 2);
-  dispatcher.submit(createJob('a', 2), true, 5);
-  assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start a.0.0.1/1 on w1']);
-  assert.equal(dispatcher.workers.get('w1')?.runs.size, 2);
+  dispatcher.submit(createJob('a', 2, patient), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+  assert.deepEqual(
+    [...(dispatcher.workers.get('w1')?.runs.keys() ?? [])],
+    ['a.0.0.0'],
+  );
+  assert.deepEqual(formatOrders(dispatcher.tick(1_640)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_660)), [
+    'start a.0.0.1/1 on w1',
+  ]);
 });
 
 test('a job that its client sends again adopts what still runs of it', () => {
@@ -46,10 +56,9 @@
   const dispatcher = createScene(workers, 0);
   dispatcher.looked('w1', createLook(), 1, 2);
   dispatcher.lookFailed('w2');
-  const job = createJob('a', 1, {targetMs: 3_000, deadlineAt: 5_000});
-  dispatcher.submit(job, true, 5);
-  assert.deepEqual(formatOrders(dispatcher.tick(1_000)), []);
-  assert.deepEqual(formatOrders(dispatcher.tick(1_060)), [
+  dispatcher.submit(createJob('a', 1, patient), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_640)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_660)), [
     'start a.0.0.0/1 on w1',
   ]);
 });
@@ -58,10 +67,10 @@
   const dispatcher = createScene([createWorker('w1')], 0);
   dispatcher.expectLent(['east']);
   lookAtAll(dispatcher, 2);
-  dispatcher.submit(createJob('a', 2), true, 5);
-  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
-  dispatcher.noteLent('east', [{key: 'a.0.0.1', run: 4}], 8);
-  assert.deepEqual(formatOrders(dispatcher.tick(8)), [
+  dispatcher.submit(createJob('a', 2, patient), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_700)), []);
+  dispatcher.noteLent('east', [{key: 'a.0.0.1', run: 4}], 1_708);
+  assert.deepEqual(formatOrders(dispatcher.tick(1_708)), [
     'lend a.0.0.1/4 to east',
     'start a.0.0.0/1 on w1',
   ]);
@@ -133,8 +142,13 @@
   const dispatcher = createScene([createWorker('w1')], 0);
   lookAtAll(dispatcher, 1);
   const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
-  const job = createJob('a.0.0.0@east', 1, {lent, lentBy: 'east'});
+  const job = createJob('a.0.0.0@east', 1, {
+    ...patient,
+    lent,
+    lentBy: 'east',
+  });
   dispatcher.rejoinLent(job, 5);
+  dispatcher.tick(1_660);
   const [ended] = dispatcher.takeEnded();
   assert.equal(ended?.outcome.kind, 'abandoned');
 });
@@ -143,9 +157,8 @@
   const dispatcher = createScene([createWorker('w1')], 0);
   dispatcher.expectLent(['east']);
   lookAtAll(dispatcher, 2);
-  const long = {targetMs: 3_000, deadlineAt: 5_000};
-  dispatcher.submit(createJob('a', 1, long), true, 5);
-  dispatcher.submit(createJob('b', 1, long), false, 5);
+  dispatcher.submit(createJob('a', 1, patient), true, 5);
+  dispatcher.submit(createJob('b', 1, patient), false, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start b.0.0.0/1 on w1']);
   assert.deepEqual(formatOrders(dispatcher.tick(1_900)), []);
   assert.deepEqual(formatOrders(dispatcher.tick(2_010)), [
@@ -169,16 +182,14 @@
   const dispatcher = createScene([], 0);
   const vacancies = [{slowness: 1, cpuMillis: 64_000, memoryMb: 1_000}];
   dispatcher.tellRoom({zone: 'east', service: 'pricing', vacancies}, 10);
-  const job = createJob('a', 1, {targetMs: 3_000, deadlineAt: 5_000});
-  dispatcher.submit(job, true, 10);
+  dispatcher.submit(createJob('a', 1, patient), true, 10);
   assert.deepEqual(formatOrders(dispatcher.tick(20)), []);
 });
 
 test('a list without some workers is no proof that nothing of a resumed job runs', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
   lookAtAll(dispatcher, 2);
-  const long = {targetMs: 3_000, deadlineAt: 5_000};
-  dispatcher.submit(createJob('a', 1, long), true, 5);
+  dispatcher.submit(createJob('a', 1, patient), true, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(1_000)), []);
   dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 1_001);
   dispatcher.looked('w2', createLook([running(0)]), 1_002, 1_003);
@@ -190,8 +201,7 @@
   const dispatcher = createScene([createWorker('w1')], 0);
   lookAtAll(dispatcher, 1);
   const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
-  const long = {targetMs: 3_000, deadlineAt: 5_000};
-  const job = createJob('a.0.0.0@east', 1, {...long, lent, lentBy: 'east'});
+  const job = createJob('a.0.0.0@east', 1, {...patient, lent, lentBy: 'east'});
   dispatcher.rejoinLent(job, 5);
   dispatcher.tick(1_000);
   assert.deepEqual(dispatcher.takeEnded(), []);
