An instance that has just started doesn't take itself for the only one

A restarted instance claimed its zone 0.27 s after its start beside a holder that was alive: the store had been away, entries had lapsed, and the list that the instance read was empty. Any answer of the store counted as having read the list.

Now the election is told since when the list of instances can be read, and one that hears nobody waits until entries of living instances must be back (1.5 s: the renewal's 1 s, a retry's 0.3 s and the calls). Whoever hears another instance claims as before. The test failed before. Ruled out: asking how long the store has been back, which a new process can't know.

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -10,6 +10,11 @@
 export const SILENCE_MS: Millis = 600;
 /** How long a new instance listens before it claims anything, in ms. */
 const LISTEN_MS = 250;
+/**
+ * After this a list that can be read has all instances that live, in ms: their
+ * entries lapse while the platform's store is away, unseen by a new instance.
+ */
+const RELIST_MS = 1_500;
 /** Silence of all others after which a cut-off instance takes over, in ms. */
 const ALONE_MS = 3_000;
 /** How long an instance stays away after workers turned its token away, in ms. */
@@ -49,8 +54,11 @@
 export interface SelfState {
   /** A planned stop has begun. */
   readonly isLeaving: boolean;
-  /** It has read the platform's list of instances since it started. */
-  readonly isInformed: boolean;
+  /**
+   * Since when the platform's list of instances can be read; undefined before
+   * the first time.
+   */
+  readonly informedSince: Millis | undefined;
 }
 
 /** What an instance should do. */
@@ -98,7 +106,7 @@
   /** Chooses the role by what is known now. */
   chooseRole(
     members: readonly Member[],
-    {isLeaving, isInformed}: SelfState,
+    {isLeaving, informedSince}: SelfState,
     now: Millis,
   ): Role {
     const holderId = this.highest?.holderId ?? '';
@@ -117,7 +125,7 @@
     }
     if (isLeaving && successor !== undefined) return {kind: 'wait'};
     if (!isFirst || this.isStrongerTried(members)) return {kind: 'wait'};
-    if (!this.mayClaim(members, isInformed, now)) return {kind: 'wait'};
+    if (!this.mayClaim(members, informedSince, now)) return {kind: 'wait'};
     return {kind: 'claim', skip: this.skip};
   }
 
@@ -144,6 +152,15 @@
     );
   }
 
+  /** Whether there may be others that are neither heard nor listed yet. */
+  private mayOthersLive(
+    informedSince: Millis | undefined,
+    now: Millis,
+  ): boolean {
+    if (now - this.startedAt >= ALONE_MS) return false;
+    return informedSince === undefined || now - informedSince < RELIST_MS;
+  }
+
   /** Whether a holder that is heard should make way for this instance. */
   private isTooWeak(holder: Member | undefined, now: Millis): boolean {
     if (holder === undefined || !isHeard(holder, now)) return false;
@@ -154,7 +171,7 @@
 
   private mayClaim(
     members: readonly Member[],
-    isInformed: boolean,
+    informedSince: Millis | undefined,
     now: Millis,
   ): boolean {
     const heard = members.filter(member => isHeard(member, now));
@@ -165,10 +182,10 @@
     const missing = members.filter(
       member => !isHeard(member, now) && !member.isRefused,
     );
-    // Whoever knows of no others may just not have heard of them.
-    const knowsOthers = isInformed || heard.length > 0;
-    const listenMs = knowsOthers ? LISTEN_MS : ALONE_MS;
-    if (now - this.startedAt < listenMs) return false;
+    if (now - this.startedAt < LISTEN_MS) return false;
+    if (heard.length === 0 && this.mayOthersLive(informedSince, now)) {
+      return false;
+    }
     // A majority decides at once; the rest only when all others stay silent.
     if (heard.length + 1 > missing.length) return true;
     const lastHeard = Math.max(
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -211,8 +211,8 @@
     const {addresses, isCandidate} = this.view.chooseLinks(holderInForce, now);
     directory.setCandidate(isCandidate);
     this.links.setAddresses([...addresses, ...foreign]);
-    const isInformed = directory.heardAt() !== undefined;
-    const self = {isLeaving: this.isLeaving, isInformed};
+    const informedSince = directory.registrationsSince();
+    const self = {isLeaving: this.isLeaving, informedSince};
     this.roles.update(this.view.members(now), self, now);
     const {holderId} = this.roles;
     if (holderId !== undefined) this.hadHolderAt = now;
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -123,7 +123,7 @@
 
   private logClaim(
     members: readonly Member[],
-    {isInformed}: SelfState,
+    {informedSince}: SelfState,
     now: Millis,
   ): void {
     const {claim} = this.election;
@@ -139,7 +139,10 @@
       isLeaving: previous?.isLeaving,
       known: members.length,
       heard: members.filter(isHeard).length,
-      isInformed,
+      informedForMs:
+        informedSince === undefined
+          ? undefined
+          : Math.round(now - informedSince),
       upForMs: Math.round(now - this.startedAt),
     });
   }
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -64,8 +64,8 @@
   announce(holderToken: number | undefined): void;
   /** Says whether this instance is one of those that may hold next. */
   setCandidate(isCandidate: boolean): void;
-  /** When the platform's store last answered. */
-  heardAt(): Millis | undefined;
+  /** Since when instances can be read; undefined before the first time. */
+  registrationsSince(): Millis | undefined;
   /** Takes a configuration that a peer has; only a newer one changes anything. */
   offer(configuration: Configuration): void;
 }
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {createToken, Election, type Member} from '../src/election/index.js';
 
-const informed = {isLeaving: false, isInformed: true};
+const informed = {isLeaving: false, informedSince: -10_000};
 
 function createMember(id: string, changes: Partial<Member> = {}): Member {
   return {
@@ -32,7 +32,7 @@
 
 test('an instance that knows no list and nobody waits much longer', () => {
   const election = new Election({id: 'a', processors: 1}, 0);
-  const state = {isLeaving: false, isInformed: false};
+  const state = {isLeaving: false, informedSince: undefined};
   assert.equal(election.chooseRole([], state, 2_000).kind, 'wait');
   assert.equal(election.chooseRole([], state, 3_100).kind, 'claim');
 });
@@ -81,7 +81,7 @@
 test('a leaving holder goes on until a higher claim is heard', () => {
   const election = follow('b', 10);
   const members = [createMember('c', {heardAt: 990})];
-  const state = {isLeaving: true, isInformed: true};
+  const state = {isLeaving: true, informedSince: -10_000};
   assert.equal(election.chooseRole(members, state, 1_000).kind, 'hold');
   election.noteClaim({holderId: 'c', token: 11});
   assert.deepEqual(election.chooseRole(members, state, 1_000), {
@@ -142,7 +142,7 @@
 
 test('a list of instances that was just read without others is no reason to claim', () => {
   const election = new Election({id: 'a', processors: 1}, 0);
-  const state = {isLeaving: false, isInformed: true, informedSince: 100};
+  const state = {isLeaving: false, informedSince: 100};
   assert.equal(election.chooseRole([], state, 1_500).kind, 'wait');
   assert.equal(election.chooseRole([], state, 1_700).kind, 'claim');
 });
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -157,7 +157,7 @@
   const view = new ZoneView('west', '10.0.0.1:7000', self);
   const election = new Election(self, -10_000);
   register(view, [2]);
-  const state = {isLeaving: false, isInformed: true};
+  const state = {isLeaving: false, informedSince: 0};
   view.chooseLinks(undefined, 0);
   const early = election.chooseRole(view.members(100), state, 100);
   assert.equal(early.kind, 'wait');
