A holder that steps down hands over what it knows of each job

A holder that lives knows each run and its worker, and told its owners only that something may have started. The next holder had to find out by looking, at the workers that it happened to list, or to wait for all leases.

Its answer now carries the state of each begun task: done, running where and under which number, lent to which zone, and whether that is all. Owners take it to the next holder (and wait up to 250 ms for it while the holder before is heard). Told runs count as going on until their workers show otherwise, also on workers that are not listed yet, or until their leases are over. Done tasks are not run again.

Adoption moves to a module, and an instance's options to another.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -7,7 +7,6 @@
 import {Durations} from '../speeds/index.js';
 import {
   AbandonReason,
-  parseTaskName,
   type RefusalReason,
   type Job,
   type Outcome,
@@ -19,7 +18,6 @@
   type WorkerRecord,
 } from '../workers/index.js';
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
-import {createRun} from './create_run.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
 import {LentSurvey} from './lent_survey.js';
 import {RunNumbers} from './run_numbers.js';
@@ -152,69 +150,11 @@
     this.runNumbers.forgetOld(now);
   }
 
-  /** Takes over what an earlier holder started, once its job is known. */
-  adopt(worker: WorkerRecord, key: string, run: number, now: Millis): boolean {
-    const name = parseTaskName(key);
-    const record = name && this.jobs.get(name.jobId);
-    const task = record?.findTask(key);
-    if (record === undefined || task === undefined) return false;
-    return this.adoptRun(record, task, worker, run, now);
-  }
-
-  /** Takes over what an earlier holder lent of a job. */
-  adoptLent(record: JobRecord, now: Millis): Run[] {
-    const adopted: Run[] = [];
-    for (const task of record.tasks) {
-      if (task.state.kind !== 'waiting') continue;
-      const found = this.survey.take(task.key);
-      if (found === undefined) continue;
-      const {zone, run: number} = found;
-      const expectedMs = this.expectTask(record, task);
-      const run = createRun(record, task, zone, expectedMs, now, number);
-      run.lentTo = zone;
-      this.beginRun(record, task, run);
-      adopted.push(run);
-    }
-    return adopted;
-  }
-
   /** Expected run time of a task on a worker of ordinary speed. */
   expectTask({job}: JobRecord, {step}: TaskRecord): Millis {
     return this.durations.expect(job.queue, step.estimateMs);
   }
 
-  /** Takes over what an earlier holder started of a job. */
-  adoptOrphans(record: JobRecord, now: Millis): void {
-    for (const task of record.tasks) {
-      for (const worker of this.workers.values()) {
-        const run = worker.orphans.get(task.key);
-        if (run === undefined) continue;
-        const isAdopted = this.adoptRun(record, task, worker, run, now);
-        if (isAdopted) worker.orphans.delete(task.key);
-      }
-    }
-  }
-
-  private adoptRun(
-    record: JobRecord,
-    task: TaskRecord,
-    worker: WorkerRecord,
-    run: number,
-    now: Millis,
-  ): boolean {
-    if (record.ending !== undefined) return false;
-    if (task.state.kind !== 'waiting') return false;
-    const workerId = worker.info.id;
-    const {estimateMs} = task.step;
-    const {queue} = record.job;
-    const expectedMs = this.durations.expectOn(workerId, queue, estimateMs);
-    const adopted = createRun(record, task, workerId, expectedMs, now, run);
-    adopted.phase = RunPhase.Running;
-    adopted.confirmedAt = now;
-    this.beginRun(record, task, adopted);
-    return true;
-  }
-
   /** Leaves out run numbers after a worker called one old. */
   skipRuns(run: Run, count: number): void {
     const task = this.jobs.get(run.recordId)?.findTask(run.key);
@@ -269,7 +209,8 @@
     this.endJob(record, {kind: 'failed'}, now);
   }
 
-  private settle(record: JobRecord, now: Millis): void {
+  /** Ends a job of which all is done, or nothing runs any more. */
+  settle(record: JobRecord, now: Millis): void {
     if (record.isDone) record.ending = {kind: 'completed'};
     if (record.ending === undefined) return;
     if (record.isRunning) return;
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -6,7 +6,12 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {Neighbours, type Vacancy, type ZoneRoom} from '../neighbours/index.js';
-import {AbandonReason, RefusalReason, type Job} from '../work/index.js';
+import {
+  AbandonReason,
+  RefusalReason,
+  type Job,
+  type JobProgress,
+} from '../work/index.js';
 import {
   RunEnd,
   RunPhase,
@@ -16,6 +21,7 @@
   type Run,
   type Worker,
 } from '../workers/index.js';
+import {adoptLent, adoptOrphans} from './adoption.js';
 import {Board, type DispatchObserver, type EndedJob} from './board.js';
 import {StrikeReason} from './health.js';
 import type {JobRecord} from './job_record.js';
@@ -31,6 +37,7 @@
   giveUp,
 } from './overdue.js';
 import {Placer} from './placer.js';
+import {describeProgress, takeProgress} from './progress.js';
 import {findRefusal} from './refusal.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
@@ -104,30 +111,47 @@
     this.board.isListConfirmed = true;
   }
 
-  /** Takes a job. `isResumed`: another holder may have started it. */
-  submit(job: Job, isResumed: boolean, now: Millis): void {
-    if (this.board.jobs.has(job.id)) return;
+  /**
+   * Takes a job. `isResumed`: another holder may have started it, and may have
+   * told by `progress` what it knew.
+   */
+  submit(
+    job: Job,
+    isResumed: boolean,
+    now: Millis,
+    progress?: JobProgress,
+  ): void {
+    const known = this.board.jobs.get(job.id);
+    if (known !== undefined) return this.takeProgress(known, progress, now);
     const refusal = isResumed ? undefined : findRefusal(this.board, job);
     const record = this.board.addJob(job);
     if (refusal !== undefined) {
       this.board.refuse(record, refusal, 0, now);
       return;
     }
-    this.board.adoptOrphans(record, now);
+    record.isResumed = isResumed;
+    record.mayRunUnseen = isResumed;
+    if (isResumed) record.hasStarted = true;
+    this.takeProgress(record, progress, now);
+    adoptOrphans(this.board, record, now);
     this.adoptLent(record, now);
-    if (!isResumed) return;
-    record.hasStarted = true;
-    record.isResumed = true;
-    record.mayRunUnseen = true;
+  }
+
+  /** What is known here of a job, for the holder that comes next. */
+  describeProgress(recordId: string, now: Millis): JobProgress | undefined {
+    const record = this.board.jobs.get(recordId);
+    if (record === undefined) return undefined;
+    return describeProgress(record, this.placer.isSettled(record, now), now);
   }
 
   /** Takes over a lent task that an earlier holder of this zone started. */
-  rejoinLent(job: Job, now: Millis): void {
+  rejoinLent(job: Job, now: Millis, progress?: JobProgress): void {
     if (this.board.jobs.has(job.id)) return;
     const record = this.board.addJob(job);
     record.hasStarted = true;
     record.mayRunUnseen = true;
-    this.board.adoptOrphans(record, now);
+    this.takeProgress(record, progress, now);
+    adoptOrphans(this.board, record, now);
   }
 
   /** Takes a task that another zone lends; it starts now or is refused. */
@@ -234,8 +258,25 @@
     run.overAt = now + LENT_OVER_MS;
   }
 
+  private takeProgress(
+    record: JobRecord,
+    progress: JobProgress | undefined,
+    now: Millis,
+  ): void {
+    if (progress === undefined || !record.mayRunUnseen) return;
+    const overAt = leaseOverAt(now, this.options.leaseMs);
+    const lent = takeProgress(this.board, record, progress, overAt, now);
+    this.askForEnds(record, lent);
+    this.board.settle(record, now);
+  }
+
   private adoptLent(record: JobRecord, now: Millis): void {
-    for (const run of this.board.adoptLent(record, now)) {
+    this.askForEnds(record, adoptLent(this.board, record, now));
+  }
+
+  /** Has the zones that run lent tasks asked how these end. */
+  private askForEnds(record: JobRecord, lent: readonly Run[]): void {
+    for (const run of lent) {
       const order = {zone: run.workerId, run, record, isAdopted: true};
       this.adopted.push({kind: 'lend', ...order});
     }
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -7,6 +7,7 @@
   type RunningEntry,
   type WorkerRecord,
 } from '../workers/index.js';
+import {adopt} from './adoption.js';
 import type {Board} from './board.js';
 import {StrikeReason} from './health.js';
 
@@ -87,7 +88,7 @@
     listed.add(entry.task);
     const known = worker.runs.get(entry.task);
     if (known?.run === entry.run) noteRunning(board, known, entry, now);
-    else if (!board.adopt(worker, entry.task, entry.run, now)) {
+    else if (!adopt(board, worker, entry.task, entry.run, now)) {
       orphans.set(entry.task, entry.run);
     }
   }
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -19,8 +19,7 @@
   }
   for (const record of [...board.jobs.values()]) {
     for (const run of [...record.runs()]) {
-      const isOver = run.lentTo !== undefined && now >= run.overAt;
-      if (isOver) board.endRun(run, 'lost', now);
+      if (now >= run.overAt) board.endRun(run, 'lost', now);
     }
   }
 }
--- a/packages/zone/src/holder/foreign_tasks.ts
+++ b/packages/zone/src/holder/foreign_tasks.ts
@@ -32,10 +32,11 @@
   take(message: Lending, now: Millis): Promise<JobAnswer> {
     const {dispatcher, waiters, onOrders, onChange} = this.options;
     const job = toLentJob(message, now);
+    const {progress} = message;
     return new Promise(answer => {
       waiters.add(job.id, {ownerId: message.homeZone, answer});
       this.lentUnder.set(job.id, message.token);
-      if (message.isJoin) dispatcher.rejoinLent(job, now);
+      if (message.isJoin) dispatcher.rejoinLent(job, now, progress);
       else onOrders(dispatcher.takeLent(job, now));
       onChange();
     });
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -215,7 +215,7 @@
       runs: countRuns(this.dispatcher),
       heldMs: Math.round(readClock() - this.heldSince),
     });
-    this.jobs.letGo();
+    this.jobs.letGo(readClock());
   }
 
   private fence(workerId: string): void {
--- a/packages/zone/src/holder/job_desk.ts
+++ b/packages/zone/src/holder/job_desk.ts
@@ -91,11 +91,12 @@
   }
 
   /** Tells all owners that this instance holds the workers no more. */
-  letGo(): void {
+  letGo(now: Millis): void {
     const {dispatcher, waiters} = this.options;
     for (const jobId of waiters.records) {
       const mayHaveStarted = dispatcher.jobs.get(jobId)?.hasStarted ?? true;
-      waiters.answerAll(jobId, {kind: 'not_holder', mayHaveStarted});
+      const progress = dispatcher.describeProgress(jobId, now);
+      waiters.answerAll(jobId, {kind: 'not_holder', mayHaveStarted, progress});
     }
   }
 
@@ -105,11 +106,11 @@
     now: Millis,
   ): void {
     const {dispatcher, waiters, logger, onChange} = this.options;
-    const {id, ownerId, isResumed} = message;
+    const {id, ownerId, isResumed, progress} = message;
     waiters.add(id, {ownerId, answer});
     const known = dispatcher.jobs.get(id);
     if (known?.ending !== undefined) this.postponed.set(id, message);
-    else dispatcher.submit(toJob(message, now), isResumed, now);
+    else dispatcher.submit(toJob(message, now), isResumed, now, progress);
     const freeMillis = sumFreeMillis(dispatcher, now);
     logSubmission(message, known !== undefined, freeMillis, logger);
     onChange();
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -1,5 +1,6 @@
 /** Instances of a zone that share the holding of its workers. */
-export {Instance, type InstanceOptions} from './instance/instance.js';
+export {Instance} from './instance/instance.js';
+export type {InstanceOptions} from './instance/instance_options.js';
 export {
   startInstance,
   type InstanceFailure,
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -2,21 +2,10 @@
  * One instance of a zone: it answers for the jobs that callers hand to it, and
  * holds the zone's workers when it is its turn.
  */
-import {
-  AbandonReason,
-  type DispatcherOptions,
-  type Job,
-} from '@goldcrestpier/dispatch';
-import {
-  LogPart,
-  readClock,
-  type Lifecycle,
-  type Logs,
-  type Millis,
-} from '@goldcrestpier/runtime';
-import type {ZoneMetrics} from '../metrics/index.js';
+import {AbandonReason, type Job} from '@goldcrestpier/dispatch';
+import {LogPart, readClock, type Millis} from '@goldcrestpier/runtime';
 import {Owner, type HolderTarget, type OwnerAnswer} from '../owner/index.js';
-import type {Configuration, Directory, WorkerPort} from '../ports/index.js';
+import type {Configuration} from '../ports/index.js';
 import {
   type Claim,
   type JobAnswer,
@@ -31,6 +20,7 @@
   type ZoneHeartbeat,
 } from '../protocol/index.js';
 import {HolderChange} from './holder_change.js';
+import type {InstanceOptions} from './instance_options.js';
 import {createLocalTarget, createPeerTarget} from './holder_targets.js';
 import {Links} from './links.js';
 import {LoopDelay} from './loop_delay.js';
@@ -47,34 +37,6 @@
 /** How long a question to a peer waits for its answer, in ms. */
 const ASK_TIMEOUT_MS = 1_000;
 
-/** Where an instance's listener for peers stands. */
-export interface PeerAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** What an instance needs. */
-export interface InstanceOptions {
-  /** Differs for each start of a process. */
-  readonly id: string;
-  readonly zone: string;
-  /** What it may use of processors, in whole ones. */
-  readonly processors: number;
-  readonly listen: PeerAddress;
-  /** The part of its tokens that is this process's own. */
-  readonly nonce: number;
-  readonly bounds: DispatcherOptions;
-  readonly directory: Directory;
-  readonly port: WorkerPort;
-  /** All other zones of the deployment. */
-  readonly otherZones: readonly string[];
-  /** Addresses of peers that are worth a try without the platform's list. */
-  readonly seeds: readonly string[];
-  readonly logs: Logs;
-  readonly metrics: ZoneMetrics;
-  readonly lifecycle: Lifecycle;
-}
-
 /** A running instance. */
 export class Instance implements ZoneHandlers {
   private readonly address: string;
@@ -113,6 +75,7 @@
       selfId: id,
       findHolder: () => this.findHolder(),
       waitForChange: (from, signal) => this.change.wait(from, signal),
+      isAlive: (other, now) => other === id || this.view.isAlive(other, now),
       logger: logs.forPart(LogPart.Jobs),
       metrics,
     });
--- a/packages/zone/src/instance/start_instance.ts
+++ b/packages/zone/src/instance/start_instance.ts
@@ -3,7 +3,8 @@
 import {LogPart} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {createZoneRouter, zoneMethods} from '../protocol/index.js';
-import {Instance, type InstanceOptions} from './instance.js';
+import {Instance} from './instance.js';
+import type {InstanceOptions} from './instance_options.js';
 
 /** No secret: the platform's network keeps others away from the listener. */
 const PEER_TOKEN = 'zone';
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -2,7 +2,11 @@
  * Answers for the jobs that callers handed to this instance: finds the holder,
  * hands the job on, and hands it on again when the holder is lost.
  */
-import {RefusalReason, type Job} from '@goldcrestpier/dispatch';
+import {
+  RefusalReason,
+  type Job,
+  type JobProgress,
+} from '@goldcrestpier/dispatch';
 import {PeerFailureKind} from '@goldcrestpier/peers';
 import {
   readClock,
@@ -25,6 +29,8 @@
 const LOOK_AGAIN_MS = 20;
 /** What a caller is told when there is no holder, in ms. */
 const NO_HOLDER_RETRY_MS = 2_000;
+/** How long a holder that another replaced may take to tell its state, in ms. */
+const LAST_WORD_MS = 250;
 /** Added to a job's time for the answer to come back, in ms. */
 const ANSWER_MARGIN_MS = 500;
 
@@ -62,31 +68,46 @@
   readonly findHolder: () => HolderTarget | undefined;
   /** Waits until another instance than `from` is the holder. */
   readonly waitForChange: (from: string, signal: AbortSignal) => Promise<void>;
+  /** Whether an instance of the zone was heard a moment ago. */
+  readonly isAlive: (instanceId: string, now: Millis) => boolean;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
 }
 
+/** What earlier holders of a job may have done for it. */
+type Past =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'told'; readonly progress: JobProgress}
+  /** Any of it may run anywhere. */
+  | {readonly kind: 'unknown'};
+
+/** How one attempt to have a job run ended. */
+type Attempt =
+  | {readonly kind: 'answered'; readonly answer: OwnerAnswer}
+  | {readonly kind: 'lost'; readonly reason: string; readonly past: Past};
+
 /** Hands jobs to the holder and brings the answers back. */
 export class Owner {
   constructor(private readonly options: OwnerOptions) {}
 
   /** Answers a job. Aborting `signal` gives it up. */
   async run(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
-    let mayHaveStarted = false;
+    let past: Past = {kind: 'none'};
     for (;;) {
       const now = readClock();
       const holder = this.options.findHolder();
       if (signal.aborted) return {kind: 'unknown'};
-      if (now >= job.deadlineAt) return this.giveUp(job, mayHaveStarted);
+      if (now >= job.deadlineAt) return this.giveUp(job, past);
       if (holder === undefined) {
         const isLate = now - job.arrivedAt > HOLDER_WAIT_MS;
-        if (isLate && !mayHaveStarted) return this.giveUp(job, false);
+        if (isLate && past.kind === 'none') return this.giveUp(job, past);
         await sleep(LOOK_AGAIN_MS, signal);
         continue;
       }
-      const attempt = await this.tryHolder(holder, job, mayHaveStarted, signal);
-      if (attempt.answer !== undefined) return attempt.answer;
-      mayHaveStarted ||= attempt.mayHaveStarted;
+      const attempt = await this.tryHolder(holder, job, past, signal);
+      if (attempt.kind === 'answered') return attempt.answer;
+      past = attempt.past;
+      this.noteLost(job, holder.id, attempt.reason, past);
       await sleep(LOOK_AGAIN_MS, signal);
     }
   }
@@ -94,60 +115,65 @@
   private async tryHolder(
     holder: HolderTarget,
     job: Job,
-    isResumed: boolean,
+    past: Past,
     signal: AbortSignal,
-  ): Promise<{answer?: OwnerAnswer; mayHaveStarted: boolean}> {
-    const now = readClock();
-    const {selfId} = this.options;
-    const message = toSubmission(job, selfId, isResumed, now);
-    const timeoutMs = message.remainingMs + ANSWER_MARGIN_MS;
+  ): Promise<Attempt> {
     const cancel = () => holder.cancel(job.id);
     signal.addEventListener('abort', cancel, {once: true});
-    const attempt = new AbortController();
-    const result = await Promise.race([
-      holder.submit(message, timeoutMs),
-      this.options.waitForChange(holder.id, attempt.signal),
-    ]);
-    attempt.abort();
+    const result = await this.submit(holder, job, past);
     signal.removeEventListener('abort', cancel);
     if (result === undefined) {
-      return this.noteLost(job, holder.id, 'holder_changed', true);
+      return {kind: 'lost', reason: 'holder_changed', past: {kind: 'unknown'}};
     }
     if (result.isErr()) {
-      const {kind} = result.error;
-      const wasSent = kind !== PeerFailureKind.NotSent;
-      return this.noteLost(job, holder.id, kind, wasSent);
-    }
-    const answer = result.value;
-    if (answer.kind === 'not_holder') {
-      const {mayHaveStarted} = answer;
-      return this.noteLost(job, holder.id, answer.kind, mayHaveStarted);
-    }
-    // Only the first holder knows of starts before a refusal.
-    if (answer.kind === 'refused' && isResumed) {
-      return {answer: {kind: 'unknown'}, mayHaveStarted: true};
+      const {kind: reason} = result.error;
+      const wasSent = reason !== PeerFailureKind.NotSent;
+      return {kind: 'lost', reason, past: wasSent ? {kind: 'unknown'} : past};
     }
-    return {answer, mayHaveStarted: true};
+    return readAnswer(result.value, past);
   }
 
-  private noteLost(
+  /** The holder's answer; undefined when another took its place without one. */
+  private async submit(
+    holder: HolderTarget,
     job: Job,
+    past: Past,
+  ): Promise<Result<JobAnswer, ZoneCallFailure> | undefined> {
+    const {selfId, waitForChange, isAlive} = this.options;
+    const now = readClock();
+    const message = {
+      ...toSubmission(job, selfId, past.kind !== 'none', now),
+      progress: past.kind === 'told' ? past.progress : undefined,
+    };
+    const timeoutMs = message.remainingMs + ANSWER_MARGIN_MS;
+    const answer = holder.submit(message, timeoutMs);
+    const attempt = new AbortController();
+    const change = waitForChange(holder.id, attempt.signal);
+    const result = await Promise.race([answer, change]);
+    attempt.abort();
+    if (result !== undefined) return result;
+    // A holder that lives tells what it knows as soon as it hears of the other.
+    if (!isAlive(holder.id, readClock())) return undefined;
+    return Promise.race([answer, sleep(LAST_WORD_MS).then(() => undefined)]);
+  }
+
+  private noteLost(
+    {id}: Job,
     holder: string,
     reason: string,
-    mayHaveStarted: boolean,
-  ): {mayHaveStarted: boolean} {
+    past: Past,
+  ): void {
     this.options.metrics.resubmissions.inc({reason});
-    const fields = {job: job.id, holder, reason, mayHaveStarted};
+    const fields = {job: id, holder, reason, past: past.kind};
     this.options.logger.warn('job handed in again', fields);
-    return {mayHaveStarted};
   }
 
-  private giveUp(job: Job, mayHaveStarted: boolean): OwnerAnswer {
+  private giveUp(job: Job, past: Past): OwnerAnswer {
     this.options.logger.warn('job without a holder', {
       job: job.id,
-      mayHaveStarted,
+      past: past.kind,
     });
-    if (mayHaveStarted) return {kind: 'unknown'};
+    if (past.kind !== 'none') return {kind: 'unknown'};
     return {
       kind: 'refused',
       reason: OwnerRefusal.NoHolder,
@@ -155,3 +181,18 @@
     };
   }
 }
+
+function readAnswer(answer: JobAnswer, past: Past): Attempt {
+  if (answer.kind !== 'not_holder') {
+    // Only the first holder knows of starts before a refusal.
+    const isUnknown = answer.kind === 'refused' && past.kind !== 'none';
+    const told: OwnerAnswer = isUnknown ? {kind: 'unknown'} : answer;
+    return {kind: 'answered', answer: told};
+  }
+  const {kind: reason, mayHaveStarted, progress} = answer;
+  if (!mayHaveStarted) return {kind: 'lost', reason, past};
+  if (progress === undefined) {
+    return {kind: 'lost', reason, past: {kind: 'unknown'}};
+  }
+  return {kind: 'lost', reason, past: {kind: 'told', progress}};
+}
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -51,6 +51,38 @@
   maxPerWorker: z.number().int().positive().optional(),
 });
 
+const taskProgressStateSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('waiting')}),
+  z.object({
+    kind: z.literal('running'),
+    run: z.number(),
+    workerId: z.string(),
+    tookMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal('lent'),
+    run: z.number(),
+    zone: z.string(),
+    tookMs: z.number(),
+  }),
+  z.object({kind: z.literal('done')}),
+]);
+
+/** What a holder that steps down knows of a job. */
+const jobProgressSchema = z.object({
+  isComplete: z.boolean(),
+  tasks: z
+    .array(
+      z.object({
+        key: z.string(),
+        lastRun: z.number(),
+        failures: z.number(),
+        state: taskProgressStateSchema,
+      }),
+    )
+    .readonly(),
+});
+
 /** Hands a job to the holder; answered when the job has ended. */
 export const jobSubmissionSchema = z.object({
   /** Id of the instance that answers the caller. */
@@ -70,6 +102,8 @@
   ageMs: z.number(),
   /** How long its caller still waits, in ms. */
   remainingMs: z.number(),
+  /** What the holder before told of it when it stepped down. */
+  progress: jobProgressSchema.optional(),
 });
 
 /** Lends one task; answered when its run has ended. */
@@ -83,6 +117,8 @@
   run: z.number().int().positive(),
   /** Only asks how a run ended that another holder of the zone has lent. */
   isJoin: z.boolean(),
+  /** What the holder before told of it when it stepped down. */
+  progress: jobProgressSchema.optional(),
 });
 
 /** Takes a lent task back. */
@@ -107,8 +143,15 @@
     retryAfterMs: z.number(),
   }),
   z.object({kind: z.literal('abandoned'), reason: z.enum(AbandonReason)}),
-  /** Not the holder. `mayHaveStarted`: it was, and lost it on the way. */
-  z.object({kind: z.literal('not_holder'), mayHaveStarted: z.boolean()}),
+  /**
+   * Not the holder. `mayHaveStarted`: it was, and lost it on the way; `progress`
+   * is what it knew of the job then.
+   */
+  z.object({
+    kind: z.literal('not_holder'),
+    mayHaveStarted: z.boolean(),
+    progress: jobProgressSchema.optional(),
+  }),
 ]);
 
 /** How a lent task ended, and what room the zone has now. */
