Failing test: a look at a new life loses a run whose order is on its way

An order to start and the look that it wakes go out on two connections. When the worker has started anew under the same id and the look is answered first, all runs count as lost (`beginLife`), also one in the phase `Starting`, which the new life takes a moment later.

Today: `start a.0.0.0/2` while the order for run 1 is on its way.

--- a/packages/dispatch/test/worker_lives.test.ts
+++ b/packages/dispatch/test/worker_lives.test.ts
@@ -3,6 +3,7 @@
 import {StartAnswer, type Dispatcher, type Run} from '../src/index.js';
 import {
   createJob,
+  createLook,
   createScene,
   createWorker,
   formatOrders,
@@ -37,3 +38,9 @@
   dispatcher.setWorkers(listed, 10);
   assert.deepEqual(startsAt(dispatcher, 10), []);
 });
+
+test('a look at a new life does not lose a run whose order is on its way there', () => {
+  const {dispatcher, run} = beginOne();
+  dispatcher.looked(run.workerId, createLook([], [], 2), 1, 2);
+  assert.deepEqual(startsAt(dispatcher, 2), []);
+});
