Failing test: a new life cancels the stop of an order without an answer

An order to start without an answer may be carried out later. Its task starts again only after its stop was taken, but not when a look shows a new life meanwhile: then the run counts as lost and no stop goes out. The id is the same, so that the new life takes what was sent to the worker, for example while it was starting.

Today: `start a.0.0.0/2` at once.

--- a/packages/dispatch/test/worker_lives.test.ts
+++ b/packages/dispatch/test/worker_lives.test.ts
@@ -44,3 +44,11 @@
   dispatcher.looked(run.workerId, createLook([], [], 2), 1, 2);
   assert.deepEqual(startsAt(dispatcher, 2), []);
 });
+
+test('an order without an answer is stopped also in the next life of its worker', () => {
+  const {dispatcher, run} = beginOne();
+  dispatcher.startAnswered(run, StartAnswer.Unanswered, 300);
+  dispatcher.tick(300);
+  dispatcher.looked(run.workerId, createLook([], [], 2), 400, 401);
+  assert.deepEqual(startsAt(dispatcher, 401), []);
+});
