Failing test: a join that can't be sent gives the lent task up as refused

A new holder asks the other zones what they run for it and joins these tasks once their jobs are handed in. Where the link to the zone is lost between answer and join, `Lender.lend` gets `NotSent` and treats it as for a task that it is lending itself: never started, so placed again at once. The other zone goes on with the run for a second.

Today: the task is begun again in the same tick.

--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -59,3 +59,29 @@
 test('the room that an answer tells of is used at once', async () => {
   assert.equal(await isLentAgain({answer: refused, rooms: [room]}), true);
 });
+
+/** Whether a task that an earlier holder lent is started or lent again. */
+async function isBegunAgain(calls: ZoneCalls | undefined): Promise<boolean> {
+  const now = readClock();
+  const dispatcher = createDispatcher(now);
+  dispatcher.expectLent(['east']);
+  dispatcher.submit(createJob('a', 1, now), true, now);
+  dispatcher.noteLent('east', [{key: 'a.0.0.0', run: 4}], now);
+  const [command] = dispatcher.tick(now);
+  assert.ok(command?.kind === 'lend' && command.isAdopted);
+  const lender = new Lender({
+    zone: 'west',
+    token: 7,
+    dispatcher,
+    findZone: () => calls,
+    logger: quiet,
+    metrics: new ZoneMetrics(),
+    onChange: () => undefined,
+  });
+  await lender.lend(command);
+  return dispatcher.tick(readClock()).length > 0;
+}
+
+test('a task that an earlier holder lent goes on while its zone is out of reach', async () => {
+  assert.equal(await isBegunAgain(undefined), false);
+});
