Failing test: a join answered by a zone without holder gives the task up

An instance that is not, or no longer, the holder answers a join with `not_holder` and `mayHaveStarted: false`: it has not started anything by this call. For a task lent before, that is no word on its run, which goes on at the workers of that zone. `takeAnswer` takes it for refused.

Today: the task is begun again in the same tick.

--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -5,7 +5,7 @@
 import {Ok} from 'ts-results-es';
 import {Lender} from '../src/holder/lender.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import type {LentAnswer, ZoneCalls} from '../src/protocol/index.js';
+import type {JobAnswer, LentAnswer, ZoneCalls} from '../src/protocol/index.js';
 import {createDispatcher, createJob, quiet} from './fixtures/scene.js';
 
 const room = {service: 'pricing', vacancies: [[1, 64_000, 1_000]]} satisfies {
@@ -82,6 +82,19 @@
   return dispatcher.tick(readClock()).length > 0;
 }
 
+/** Calls of a zone that gives this answer to whoever lends or joins. */
+function answerWith(answer: JobAnswer): ZoneCalls {
+  const calls: Pick<ZoneCalls, 'lend'> = {
+    lend: () => Promise.resolve(Ok({answer})),
+  };
+  return calls as ZoneCalls;
+}
+
 test('a task that an earlier holder lent goes on while its zone is out of reach', async () => {
   assert.equal(await isBegunAgain(undefined), false);
 });
+
+test('a task that an earlier holder lent goes on while its zone has no holder', async () => {
+  const answer = {kind: 'not_holder', mayHaveStarted: false} as const;
+  assert.equal(await isBegunAgain(answerWith(answer)), false);
+});
