Failing test: a join answered as lost by a new holder starts the task again

When both zones have new holders, the second one answers a join with `run_lost` for a run that it has not seen yet. `rejoin` takes this answer for lost and waits 2 s, `takeAnswer` after the first join doesn't.

Today: the task is begun again in the same tick.

--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {RefusalReason, type Dispatcher} from '@goldcrestpier/dispatch';
+import {
+  AbandonReason,
+  RefusalReason,
+  type Dispatcher,
+} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {Lender} from '../src/holder/lender.js';
@@ -98,3 +102,8 @@
   const answer = {kind: 'not_holder', mayHaveStarted: false} as const;
   assert.equal(await isBegunAgain(answerWith(answer)), false);
 });
+
+test('a task that an earlier holder lent goes on when its zone has a new holder too', async () => {
+  const answer = {kind: 'abandoned', reason: AbandonReason.RunLost} as const;
+  assert.equal(await isBegunAgain(answerWith(answer)), false);
+});
