Failing test: a job sent again by its client doesn't wait for the survey

`isPlaceable` lets a job go that isn't resumed. One that comes again from its client looks new; that nothing runs of it rests on times alone. Owner lost at 0, holder lost at 590 ms before it noticed: the last lease ends at 1,640 ms, the new holder claims at 1,190 to 1,240 ms, the job comes again at 1,300 ms, when some workers may not have answered the first look.

Today: `start a.0.0.0/1 on w1` while w2 was not looked at.

--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -21,3 +21,10 @@
   dispatcher.submit(createJob('a', 1), true, 300);
   assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
 });
+
+test('a job that comes again waits until a new holder has looked at every worker', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w1', createLook(), 1, 2);
+  dispatcher.submit(createJob('a', 1), false, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+});
