Failing test: the word that a job has begun is dropped when it is known as new

`Dispatcher.submit` returns at once for a job that it has. If its client sent it again through another owner, and that came first, the resumed submission changes nothing: the record is not resumed, waits for no survey, and may even be refused as never started.

Today: `start a.0.0.0/1 on w1` while w2 is silent.

--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -28,3 +28,12 @@
   dispatcher.submit(createJob('a', 1), false, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
 });
+
+test('a job that one owner hands in as new and another as begun counts as begun', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w1', createLook(), 1, 2);
+  dispatcher.lookFailed('w2');
+  dispatcher.submit(createJob('a', 1), false, 5);
+  dispatcher.submit(createJob('a', 1), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+});
