Failing test: a job that comes again starts a task that is lent to this zone

A lent task has a record of its own, under an id made of task and zone. When the client hands the whole job in here, its tasks start without a look at these records. `WorkerRecord` keeps runs by task, so that on the same worker the lent run falls out of the table and its record never ends.

The times are not enough: with owner and holder of the home zone lost at 0 and its next holder heard at 650 ms, this zone keeps what was lent under the old token until 1,650 ms; the job comes at 1,300 ms.

Today: `start a.0.0.0/1 on w1` while run 3 goes on there.

--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {StartAnswer} from '../src/index.js';
 import {
   createJob,
   createLook,
@@ -37,3 +38,15 @@
   dispatcher.submit(createJob('a', 1), true, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
 });
+
+test('a job that comes again starts no task that runs here for another zone', () => {
+  const dispatcher = createScene([first, second]);
+  lookAtAll(dispatcher, 0);
+  const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
+  const task = createJob('a.0.0.0@west', 1, {lent, lentBy: 'west'});
+  const [start] = dispatcher.takeLent(task, 0);
+  assert.ok(start?.kind === 'start');
+  dispatcher.startAnswered(start.run, StartAnswer.Started, 1);
+  dispatcher.submit(createJob('a', 1), false, 2);
+  assert.deepEqual(formatOrders(dispatcher.tick(2)), []);
+});
