Failing test: a lease by an old reading of a slow clock ends later than reckoned

An idle worker is not asked for its clock. `clockAt` adds the time since the last reading, and a clock may be 2% slow: after 50 s the estimate is up to 1 s ahead. The order's `until_ms` is cut to the longest lease when it arrives in time, but one that is carried out late gets all of it. `noteLease` reckons from the sending.

--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {StartAnswer} from '../src/index.js';
 import {
+  bounds,
   createJob,
   createLook,
   createScene,
@@ -50,3 +51,14 @@
   dispatcher.submit(createJob('a', 1), false, 2);
   assert.deepEqual(formatOrders(dispatcher.tick(2)), []);
 });
+
+test('a lease by an old reading of a slow clock is over when that clock says so', () => {
+  const dispatcher = createScene([first]);
+  const now = 50_000;
+  const clockShare = 0.98;
+  lookAtAll(dispatcher, 0);
+  dispatcher.noteLease('w1', now);
+  const record = dispatcher.workers.get('w1');
+  const leaseUntil = (record?.clockAt(now) ?? 0) + bounds.leaseMs;
+  assert.ok((record?.leasesOverAt ?? 0) >= leaseUntil / clockShare);
+});
