Failing test: of two runs of one task only one is stopped at first

`Stopper.orphanStops` is kept by task. Where a new holder finds a task on two workers, the stop of the second waits until that of the first is 200 ms old.

Today: one stop, on w1.

--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -62,3 +62,13 @@
   const leaseUntil = (record?.clockAt(now) ?? 0) + bounds.leaseMs;
   assert.ok((record?.leasesOverAt ?? 0) >= leaseUntil / clockShare);
 });
+
+test('a task that runs on two workers is stopped on both at once', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w1', createLook([running]), 1, 2);
+  dispatcher.looked('w2', createLook([running]), 1, 2);
+  assert.deepEqual(formatOrders(dispatcher.tick(510)), [
+    'stop a.0.0.0/3 on w1',
+    'stop a.0.0.0/3 on w2',
+  ]);
+});
