--- /dev/null
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {StartAnswer} from '../src/index.js';
+import {
+  bounds,
+  createJob,
+  createLook,
+  createScene,
+  createWorker,
+  formatOrders,
+  lookAtAll,
+} from './fixtures/scene.js';
+
+const [first, second] = [createWorker('w1'), createWorker('w2')];
+const running = {task: 'a.0.0.0', run: 3, percent: 40};
+
+test('a worker that leaves the list takes no unclaimed run with it before its lease ends', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.noteLease('w1', 100);
+  dispatcher.setWorkers([second], 200);
+  dispatcher.submit(createJob('a', 1), true, 300);
+  assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
+});
+
+test('a job that comes again waits until a new holder has looked at every worker', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w1', createLook(), 1, 2);
+  dispatcher.submit(createJob('a', 1), false, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+});
+
+test('a job that one owner hands in as new and another as begun counts as begun', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w1', createLook(), 1, 2);
+  dispatcher.lookFailed('w2');
+  dispatcher.submit(createJob('a', 1), false, 5);
+  dispatcher.submit(createJob('a', 1), true, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
+});
+
+test('a job that comes again starts no task that runs here for another zone', () => {
+  const dispatcher = createScene([first, second]);
+  lookAtAll(dispatcher, 0);
+  const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
+  const task = createJob('a.0.0.0@west', 1, {lent, lentBy: 'west'});
+  const [start] = dispatcher.takeLent(task, 0);
+  assert.ok(start?.kind === 'start');
+  dispatcher.startAnswered(start.run, StartAnswer.Started, 1);
+  dispatcher.submit(createJob('a', 1), false, 2);
+  assert.deepEqual(formatOrders(dispatcher.tick(2)), []);
+});
+
+test('a lease by an old reading of a slow clock is over when that clock says so', () => {
+  const dispatcher = createScene([first]);
+  const now = 50_000;
+  const clockShare = 0.98;
+  lookAtAll(dispatcher, 0);
+  dispatcher.noteLease('w1', now);
+  const record = dispatcher.workers.get('w1');
+  const leaseUntil = (record?.clockAt(now) ?? 0) + bounds.leaseMs;
+  assert.ok((record?.leasesOverAt ?? 0) >= leaseUntil / clockShare);
+});
+
+test('a task that runs on two workers is stopped on both at once', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w1', createLook([running]), 1, 2);
+  dispatcher.looked('w2', createLook([running]), 1, 2);
+  assert.deepEqual(formatOrders(dispatcher.tick(510)), [
+    'stop a.0.0.0/3 on w1',
+    'stop a.0.0.0/3 on w2',
+  ]);
+});
--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -1,11 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {RefusalReason, type Dispatcher} from '@goldcrestpier/dispatch';
+import {
+  AbandonReason,
+  RefusalReason,
+  type Dispatcher,
+} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {Lender} from '../src/holder/lender.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import type {LentAnswer, ZoneCalls} from '../src/protocol/index.js';
+import type {JobAnswer, LentAnswer, ZoneCalls} from '../src/protocol/index.js';
 import {createDispatcher, createJob, quiet} from './fixtures/scene.js';
 
 const room = {service: 'pricing', vacancies: [[1, 64_000, 1_000]]} satisfies {
@@ -59,3 +63,47 @@
 test('the room that an answer tells of is used at once', async () => {
   assert.equal(await isLentAgain({answer: refused, rooms: [room]}), true);
 });
+
+/** Whether a task that an earlier holder lent is started or lent again. */
+async function isBegunAgain(calls: ZoneCalls | undefined): Promise<boolean> {
+  const now = readClock();
+  const dispatcher = createDispatcher(now);
+  dispatcher.expectLent(['east']);
+  dispatcher.submit(createJob('a', 1, now), true, now);
+  dispatcher.noteLent('east', [{key: 'a.0.0.0', run: 4}], now);
+  const [command] = dispatcher.tick(now);
+  assert.ok(command?.kind === 'lend' && command.isAdopted);
+  const lender = new Lender({
+    zone: 'west',
+    token: 7,
+    dispatcher,
+    findZone: () => calls,
+    logger: quiet,
+    metrics: new ZoneMetrics(),
+    onChange: () => undefined,
+  });
+  await lender.lend(command);
+  return dispatcher.tick(readClock()).length > 0;
+}
+
+/** Calls of a zone that gives this answer to whoever lends or joins. */
+function answerWith(answer: JobAnswer): ZoneCalls {
+  const calls: Pick<ZoneCalls, 'lend'> = {
+    lend: () => Promise.resolve(Ok({answer})),
+  };
+  return calls as ZoneCalls;
+}
+
+test('a task that an earlier holder lent goes on while its zone is out of reach', async () => {
+  assert.equal(await isBegunAgain(undefined), false);
+});
+
+test('a task that an earlier holder lent goes on while its zone has no holder', async () => {
+  const answer = {kind: 'not_holder', mayHaveStarted: false} as const;
+  assert.equal(await isBegunAgain(answerWith(answer)), false);
+});
+
+test('a task that an earlier holder lent goes on when its zone has a new holder too', async () => {
+  const answer = {kind: 'abandoned', reason: AbandonReason.RunLost} as const;
+  assert.equal(await isBegunAgain(answerWith(answer)), false);
+});
