A refused second order says nothing of the first

What callers could see: a task runs twice at one time (TWICE), without any change of holder. An order to start got no answer and was sent again; the worker said to the second one that it had no room, was unavailable or could not read it. The task started elsewhere at once, and no stop went out for the first order, which "may also be executed seconds later".

Cause: `Carrier.sendStart` gave the second answer on as the answer to the run, so that it counted as never started. Only some answers hold for both orders.

Now, after a first order without an answer, only these settle the run: it has started (also `old`: it ran and has ended), a higher token was seen, another worker lives at the address. After any other answer the first order counts as unanswered: the run is stopped, and its task waits for that.

Evidence: both new tests of carrier.test.ts failed before (the run counted as refused; its phase stayed `starting`) and pass now.

Ruled out: that `late` settles it. A fence closes the holder before anything is placed again.

--- a/packages/zone/src/holder/carrier.ts
+++ b/packages/zone/src/holder/carrier.ts
@@ -17,6 +17,16 @@
 /** The same when it is sent again, in ms. */
 const NEXT_START_MS = 200;
 
+/**
+ * Answers to an order that was sent again which hold for the first one too.
+ * Any other says nothing of the first, which may still be carried out.
+ */
+const tellOfBoth: ReadonlySet<StartAnswer> = new Set([
+  StartAnswer.Started,
+  StartAnswer.Fenced,
+  StartAnswer.OtherLife,
+]);
+
 /** What a carrier needs. */
 export interface CarrierOptions {
   readonly token: number;
@@ -78,9 +88,11 @@
     if (run.phase !== RunPhase.Starting) return first;
     metrics.retries.inc({order: 'start', reason: first.answer});
     const again = await port.start({...order, timeoutMs: NEXT_START_MS});
-    if (again.answer !== StartAnswer.OldRun) return again;
-    // The first order was carried out, and the run has ended already.
-    return {...again, answer: StartAnswer.Started};
+    if (tellOfBoth.has(again.answer)) return again;
+    // Where it is old, the first was carried out, and the run has ended.
+    const isOld = again.answer === StartAnswer.OldRun;
+    const answer = isOld ? StartAnswer.Started : first.answer;
+    return {...again, answer};
   }
 
   private noteStart(worker: string, task: string, answer: StartAnswer): void {
--- a/packages/zone/test/carrier.test.ts
+++ b/packages/zone/test/carrier.test.ts
@@ -93,3 +93,27 @@
   assert.equal(losses.areMany(400), true);
   assert.equal(losses.areMany(1_200), false);
 });
+
+test('an order that may still be carried out is stopped, however the next is refused', async () => {
+  const phases: RunPhase[] = [];
+  for (const refusal of [
+    StartAnswer.NoRoom,
+    StartAnswer.Unavailable,
+    StartAnswer.Rejected,
+  ]) {
+    const {carrier, command} = createScene([StartAnswer.Unanswered, refusal]);
+    await carrier.start(command);
+    phases.push(command.run.phase);
+  }
+  const {Stopping} = RunPhase;
+  assert.deepEqual(phases, [Stopping, Stopping, Stopping]);
+});
+
+test('a second order that comes too late says nothing of the first', async () => {
+  const {carrier, command} = createScene([
+    StartAnswer.Unanswered,
+    StartAnswer.Late,
+  ]);
+  await carrier.start(command);
+  assert.equal(command.run.phase, RunPhase.Stopping);
+});
