A worker that leaves the list keeps its unclaimed runs

What callers could see: a task starts on a second worker while its first run goes on. The entry of a worker goes missing for a moment; it runs tasks that an earlier holder started and that no job has claimed yet. The worker's record went at once, and with it these runs and the lease that this holder had given. A job that came a moment later found nothing of itself and started anew.

Cause: a record counted as empty when no run of this holder's own jobs was left (`setWorkers`, `endOverdueRuns`). Runs that nobody has claimed weren't asked for.

Now a record goes when no run is left, this holder's lease is over, and nothing unclaimed was listed at the last look; a silent worker's unclaimed runs have ended with that lease. Such a worker is looked at on, so that its unclaimed runs are adopted or stopped as anywhere.

Ruled out: that a record which stays gets new tasks. It counts as draining from the first list without it.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -95,7 +95,7 @@
       if (listed.has(id)) continue;
       // Its runs end by their leases; the record goes when none is left.
       record.info = {...record.info, isDraining: true};
-      if (record.runs.size === 0) this.board.dropWorker(id);
+      if (record.isForgettable(now)) this.board.dropWorker(id);
     }
   }
 
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -15,7 +15,7 @@
       if (isLapsed || now >= run.overAt) board.endRun(run, 'lost', now);
     }
     const isGone = worker.info.isDraining && worker.isSilent;
-    if (isGone && worker.runs.size === 0) board.dropWorker(id);
+    if (isGone && worker.isForgettable(now)) board.dropWorker(id);
   }
   for (const record of [...board.jobs.values()]) {
     for (const run of [...record.runs()]) {
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -103,6 +103,15 @@
     return this.clock.workerMs + (now - this.clock.readAt);
   }
 
+  /**
+   * Whether nothing can run there any more: neither what this holder knows of
+   * nor what has a lease of its own. What is silent ends with its lease.
+   */
+  isForgettable(now: Millis): boolean {
+    if (this.runs.size > 0 || now < this.leasesOverAt) return false;
+    return this.isSilent || this.orphans.size === 0;
+  }
+
   /** Begins a new life: nothing of the old one is left. */
   forgetLife(): void {
     this.running.clear();
--- /dev/null
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  createJob,
+  createLook,
+  createScene,
+  createWorker,
+  formatOrders,
+  lookAtAll,
+} from './fixtures/scene.js';
+
+const [first, second] = [createWorker('w1'), createWorker('w2')];
+const running = {task: 'a.0.0.0', run: 3, percent: 40};
+
+test('a worker that leaves the list takes no unclaimed run with it before its lease ends', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.noteLease('w1', 100);
+  dispatcher.setWorkers([second], 200);
+  dispatcher.submit(createJob('a', 1), true, 300);
+  assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
+});
+
+test('a silent worker that leaves the list keeps unclaimed runs until its lease ends', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.noteLease('w1', 100);
+  dispatcher.lookFailed('w1');
+  dispatcher.setWorkers([second], 200);
+  dispatcher.tick(1_140);
+  assert.ok(dispatcher.workers.has('w1'));
+  dispatcher.tick(1_160);
+  assert.ok(!dispatcher.workers.has('w1'));
+});
+
+test('a job that comes again finds its run on a worker that has left the list', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.setWorkers([second], 200);
+  dispatcher.submit(createJob('a', 1), false, 300);
+  assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
+});
