--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -72,3 +72,25 @@
     'stop a.0.0.0/3 on w2',
   ]);
 });
+
+test('a silent worker that leaves the list keeps unclaimed runs until its lease ends', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.noteLease('w1', 100);
+  dispatcher.lookFailed('w1');
+  dispatcher.setWorkers([second], 200);
+  dispatcher.tick(1_140);
+  assert.ok(dispatcher.workers.has('w1'));
+  dispatcher.tick(1_160);
+  assert.ok(!dispatcher.workers.has('w1'));
+});
+
+test('a job that comes again finds its run on a worker that has left the list', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.setWorkers([second], 200);
+  dispatcher.submit(createJob('a', 1), false, 300);
+  assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
+});
--- a/packages/zone/test/carrier.test.ts
+++ b/packages/zone/test/carrier.test.ts
@@ -108,3 +108,12 @@
   const {Stopping} = RunPhase;
   assert.deepEqual(phases, [Stopping, Stopping, Stopping]);
 });
+
+test('a second order that comes too late says nothing of the first', async () => {
+  const {carrier, command} = createScene([
+    StartAnswer.Unanswered,
+    StartAnswer.Late,
+  ]);
+  await carrier.start(command);
+  assert.equal(command.run.phase, RunPhase.Stopping);
+});
