A quiet worker that is new to its holder is looked at

What callers could see: less and less room at a holder. A worker where nothing ran, and which began a new life under its id or whose entry came back into the list after it had been missing, was given nothing any more until the zone's holder changed.

Cause: the watch of a worker where nothing runs rests until it is given an order. A new life, or a new record of the worker, may be given none before a look has shown the token there, and nobody woke the watch; that of a worker that had left stayed too, so that `watchAll` began no other.

Now each list wakes the watches whose worker is gone or isn't held. The first end, the others look at once.

Ruled out: to wake every watch at each list, several times a second; a worker that is held and quiet needs nothing.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -90,7 +90,7 @@
   /** Takes the present list of workers. */
   setWorkers(list: readonly Worker[], now: Millis): void {
     const listed = new Set(list.map(({id}) => id));
-    for (const worker of list) this.setWorker(worker, now);
+    for (const worker of list) this.setWorker(worker);
     for (const [id, record] of this.board.workers) {
       if (listed.has(id)) continue;
       // Its runs end by their leases; the record goes when none is left.
@@ -241,7 +241,7 @@
     }
   }
 
-  private setWorker(worker: Worker, now: Millis): void {
+  private setWorker(worker: Worker): void {
     this.board.durations.setKind(worker.id, worker.kind);
     const known = this.board.workers.get(worker.id);
     if (known === undefined) {
@@ -250,9 +250,7 @@
     }
     const {bornAt} = known.info;
     known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
-    if (bornAt >= worker.bornAt) return;
-    const lost = [...known.runs.values()];
-    known.forgetLife();
-    for (const run of lost) this.board.endRun(run, 'lost', now);
+    // What runs there may be the new life's: its next look tells.
+    if (bornAt < worker.bornAt) known.beginLife();
   }
 }
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -29,7 +29,7 @@
   sentAt: Millis,
   now: Millis,
 ): void {
-  if (look.bornAt !== worker.info.bornAt) beginLife(board, worker, look, now);
+  if (look.bornAt !== worker.info.bornAt) beginLife(worker, look);
   worker.readClock(look.clockMs, now);
   worker.isHeld = true;
   worker.isSilent = false;
@@ -61,17 +61,13 @@
   return startedAt + OVERDUE_FACTOR * expectedMs + OVERDUE_MS;
 }
 
-/** The worker started anew: nothing of its last life runs any more. */
-function beginLife(
-  board: Board,
-  worker: WorkerRecord,
-  look: Look,
-  now: Millis,
-): void {
-  const lost = [...worker.runs.values()];
-  worker.forgetLife();
-  worker.info = {...worker.info, bornAt: look.bornAt};
-  for (const run of lost) board.endRun(run, 'lost', now);
+/**
+ * The worker started anew. A run that it doesn't list is lost like any other:
+ * an order that is on its way, or had no answer, reaches the new life.
+ */
+function beginLife(worker: WorkerRecord, {bornAt}: Look): void {
+  worker.beginLife();
+  worker.info = {...worker.info, bornAt};
 }
 
 function takeRunning(
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -112,11 +112,8 @@
     return this.isSilent || this.orphans.size === 0;
   }
 
-  /** Begins a new life: nothing of the old one is left. */
-  forgetLife(): void {
-    this.running.clear();
-    this.used = NO_NEED;
-    this.orphans.clear();
+  /** Begins a new life, of which only a look tells what runs there. */
+  beginLife(): void {
     this.lastSeen = 0;
     this.clock = undefined;
     this.isHeld = false;
--- a/packages/zone/src/holder/worker_watches.ts
+++ b/packages/zone/src/holder/worker_watches.ts
@@ -27,9 +27,14 @@
 
   constructor(private readonly options: WorkerWatchesOptions) {}
 
-  /** Watches every worker that the dispatcher knows. */
+  /** Watches every worker that the dispatcher knows, and no other. */
   watchAll(): void {
-    for (const id of this.options.dispatcher.workers.keys()) {
+    const {workers} = this.options.dispatcher;
+    for (const [id, watch] of this.watches) {
+      // One at rest doesn't see that its worker is gone, or lives anew.
+      if (workers.get(id)?.isHeld !== true) watch.wake();
+    }
+    for (const id of workers.keys()) {
       if (!this.watches.has(id)) this.watch(id);
     }
   }
