A new holder says that it may not know all that runs for another zone

Where the holders of two zones changed at once, the new holder of the one asked the new holder of the other what it runs for it, was told 'nothing', and started lent tasks again that still ran. Its empty answer meant that it did not know yet.

The answer now says whether it is complete: not before all leases of an earlier holder are over. Until then it also lists the runs found on workers whose jobs nobody has claimed, and it is asked again. Taking up work moves to a module of its own.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -6,12 +6,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {Neighbours, type Vacancy, type ZoneRoom} from '../neighbours/index.js';
-import {
-  AbandonReason,
-  RefusalReason,
-  type Job,
-  type JobProgress,
-} from '../work/index.js';
+import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
   RunPhase,
@@ -21,14 +16,14 @@
   type Run,
   type Worker,
 } from '../workers/index.js';
-import {adoptLent, adoptOrphans} from './adoption.js';
 import {Board, type DispatchObserver, type EndedJob} from './board.js';
 import {StrikeReason} from './health.js';
+import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {takeLook} from './looks.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
-import type {LentEntry} from './lent_survey.js';
+import type {LentReport} from './lent_survey.js';
 import {noteNotStarted} from './not_started.js';
 import {
   endLostTasks,
@@ -37,8 +32,7 @@
   giveUp,
 } from './overdue.js';
 import {Placer} from './placer.js';
-import {describeProgress, takeProgress} from './progress.js';
-import {findRefusal} from './refusal.js';
+import {describeProgress} from './progress.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
 
@@ -61,9 +55,8 @@
   private readonly board: Board;
   private readonly neighbours = new Neighbours();
   private readonly placer: Placer;
+  private readonly intake: Intake;
   private readonly stopper: Stopper;
-  /** Lent tasks whose ends have to be asked for anew. */
-  private adopted: Order[] = [];
 
   /** `heldSince` is when this instance became the holder. */
   constructor(
@@ -76,6 +69,7 @@
       workersOverAt: leaseOverAt(heldSince + DEPOSED_MS, options.leaseMs),
       lentOverAt: heldSince + LENT_OVER_MS,
     });
+    this.intake = new Intake(this.board, this.placer, options.leaseMs);
     this.stopper = new Stopper(this.board, heldSince);
   }
 
@@ -121,20 +115,12 @@
     now: Millis,
     progress?: JobProgress,
   ): void {
-    const known = this.board.jobs.get(job.id);
-    if (known !== undefined) return this.takeProgress(known, progress, now);
-    const refusal = isResumed ? undefined : findRefusal(this.board, job);
-    const record = this.board.addJob(job);
-    if (refusal !== undefined) {
-      this.board.refuse(record, refusal, 0, now);
-      return;
-    }
-    record.isResumed = isResumed;
-    record.mayRunUnseen = isResumed;
-    if (isResumed) record.hasStarted = true;
-    this.takeProgress(record, progress, now);
-    adoptOrphans(this.board, record, now);
-    this.adoptLent(record, now);
+    this.intake.submit(job, {isResumed, progress}, now);
+  }
+
+  /** Whether no worker can run anything that an earlier holder started. */
+  areEarlierRunsOver(now: Millis): boolean {
+    return this.placer.areEarlierRunsOver(now);
   }
 
   /** What is known here of a job, for the holder that comes next. */
@@ -146,22 +132,12 @@
 
   /** Takes over a lent task that an earlier holder of this zone started. */
   rejoinLent(job: Job, now: Millis, progress?: JobProgress): void {
-    if (this.board.jobs.has(job.id)) return;
-    const record = this.board.addJob(job);
-    record.hasStarted = true;
-    record.mayRunUnseen = true;
-    this.takeProgress(record, progress, now);
-    adoptOrphans(this.board, record, now);
+    this.intake.rejoinLent(job, progress, now);
   }
 
   /** Takes a task that another zone lends; it starts now or is refused. */
   takeLent(job: Job, now: Millis): Order[] {
-    if (this.board.jobs.has(job.id)) return [];
-    const record = this.board.addJob(job);
-    const orders = this.placer.place(now);
-    if (!record.hasStarted)
-      this.board.refuse(record, RefusalReason.TooLate, 0, now);
-    return orders;
+    return this.intake.takeLent(job, now);
   }
 
   /** Gives a job up; it ends once nothing of it runs. */
@@ -176,10 +152,9 @@
     endOverdueRuns(this.board, now);
     endLostTasks(this.board, this.placer, now);
     endOverdueJobs(this.board, now);
-    const {adopted} = this;
-    this.adopted = [];
+    const asked = this.intake.takeOrders();
     const placed = this.placer.place(now);
-    return [...adopted, ...placed, ...this.stopper.stop(now)];
+    return [...asked, ...placed, ...this.stopper.stop(now)];
   }
 
   /** Notes an order that gives a lease, at the moment it is sent. */
@@ -240,9 +215,8 @@
   }
 
   /** Takes what another zone runs for this one since an earlier holder. */
-  noteLent(zone: string, entries: readonly LentEntry[], now: Millis): void {
-    this.board.survey.note(zone, entries);
-    for (const record of this.board.jobs.values()) this.adoptLent(record, now);
+  noteLent(zone: string, report: LentReport, now: Millis): void {
+    this.intake.noteLent(zone, report, now);
   }
 
   /** Notes how a lent task ended. */
@@ -258,30 +232,6 @@
     run.overAt = now + LENT_OVER_MS;
   }
 
-  private takeProgress(
-    record: JobRecord,
-    progress: JobProgress | undefined,
-    now: Millis,
-  ): void {
-    if (progress === undefined || !record.mayRunUnseen) return;
-    const overAt = leaseOverAt(now, this.options.leaseMs);
-    const lent = takeProgress(this.board, record, progress, overAt, now);
-    this.askForEnds(record, lent);
-    this.board.settle(record, now);
-  }
-
-  private adoptLent(record: JobRecord, now: Millis): void {
-    this.askForEnds(record, adoptLent(this.board, record, now));
-  }
-
-  /** Has the zones that run lent tasks asked how these end. */
-  private askForEnds(record: JobRecord, lent: readonly Run[]): void {
-    for (const run of lent) {
-      const order = {zone: run.workerId, run, record, isAdopted: true};
-      this.adopted.push({kind: 'lend', ...order});
-    }
-  }
-
   private setWorker(worker: Worker): void {
     this.board.durations.setKind(worker.id, worker.kind);
     const known = this.board.workers.get(worker.id);
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -1,6 +1,6 @@
 /** The decisions of one holder. */
 export type {DispatchObserver, EndedJob} from './board.js';
-export type {LentEntry} from './lent_survey.js';
+export type {LentEntry, LentReport} from './lent_survey.js';
 export {Dispatcher} from './dispatcher.js';
 export {nextEndAt, nextOverdueAt} from './looks.js';
 export {StrikeReason} from './health.js';
--- a/packages/dispatch/src/dispatcher/lent_survey.ts
+++ b/packages/dispatch/src/dispatcher/lent_survey.ts
@@ -7,6 +7,13 @@
   readonly run: number;
 }
 
+/** What a zone says that it runs for this one. */
+export interface LentReport {
+  /** Whether it can run nothing else for this zone. */
+  readonly isComplete: boolean;
+  readonly tasks: readonly LentEntry[];
+}
+
 /** A lent task and the zone that runs it. */
 export interface LentRun {
   readonly zone: string;
@@ -17,8 +24,10 @@
 export class LentSurvey {
   private readonly unheardZones = new Set<string>();
   private readonly runs = new Map<string, LentRun>();
+  /** Runs that were told of before; zones are asked more than once. */
+  private readonly told = new Set<string>();
 
-  /** Whether every zone that was asked has answered. */
+  /** Whether every zone that was asked has told all. */
   get isComplete(): boolean {
     return this.unheardZones.size === 0;
   }
@@ -29,9 +38,14 @@
   }
 
   /** Takes a zone's answer. */
-  note(zone: string, entries: readonly LentEntry[]): void {
-    this.unheardZones.delete(zone);
-    for (const {key, run} of entries) this.runs.set(key, {zone, run});
+  note(zone: string, {isComplete, tasks}: LentReport): void {
+    if (isComplete) this.unheardZones.delete(zone);
+    for (const {key, run} of tasks) {
+      const name = `${zone} ${key} ${run}`;
+      if (this.told.has(name)) continue;
+      this.told.add(name);
+      this.runs.set(key, {zone, run});
+    }
   }
 
   /** Hands out where a task runs, once. */
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -66,10 +66,16 @@
   /** Whether nothing of the job can run that is not known here. */
   isSettled(record: JobRecord, now: Millis): boolean {
     if (!record.mayRunUnseen) return true;
-    const {workersOverAt, lentOverAt} = this.barrier;
-    // A worker that no list has may still run a task, so only time tells.
-    if (now < workersOverAt) return false;
-    return this.board.survey.isComplete || now >= lentOverAt;
+    if (!this.areEarlierRunsOver(now)) return false;
+    return this.board.survey.isComplete || now >= this.barrier.lentOverAt;
+  }
+
+  /**
+   * Whether no worker can run anything that an earlier holder started. A worker
+   * that no list has may run it, so only time tells.
+   */
+  areEarlierRunsOver(now: Millis): boolean {
+    return now >= this.barrier.workersOverAt;
   }
 
   /** Places tasks that are alike. */
--- a/packages/zone/src/holder/foreign_tasks.ts
+++ b/packages/zone/src/holder/foreign_tasks.ts
@@ -47,14 +47,21 @@
     this.cancel(formatLent(homeZone, task), AbandonReason.Cancelled, now);
   }
 
-  /** The tasks that run here for a zone. */
-  list(homeZone: string): LentList {
-    const list: LentList = [];
-    for (const record of this.options.dispatcher.jobs.values()) {
+  /**
+   * The tasks that run here for a zone, and those found on workers that may be
+   * any zone's.
+   */
+  list(homeZone: string, now: Millis): LentList {
+    const {dispatcher} = this.options;
+    const tasks: LentList['tasks'] = [];
+    for (const record of dispatcher.jobs.values()) {
       if (record.job.lentBy !== homeZone) continue;
-      for (const {key, run} of record.runs()) list.push({key, run});
+      for (const {key, run} of record.runs()) tasks.push({key, run});
     }
-    return list;
+    for (const {orphans} of dispatcher.workers.values()) {
+      for (const [key, run] of orphans) tasks.push({key, run});
+    }
+    return {isComplete: dispatcher.areEarlierRunsOver(now), tasks};
   }
 
   /** Stops what runs for zones that are gone or have forgotten it. */
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -178,14 +178,16 @@
     this.foreign.recall(homeZone, task, readClock());
   }
 
-  /** The tasks that run here for another zone. */
+  /** What runs here, or may run, for another zone. */
   listLent(homeZone: string): LentList {
-    const lent = this.foreign.list(homeZone);
+    const now = readClock();
+    const lent = this.foreign.list(homeZone, now);
     this.options.logger.info('told another zone what runs for it', {
       zone: homeZone,
-      lent: lent.length,
+      tasks: lent.tasks.length,
+      isComplete: lent.isComplete,
       unknownRuns: countOrphans(this.dispatcher),
-      heldMs: Math.round(readClock() - this.heldSince),
+      heldMs: Math.round(now - this.heldSince),
     });
     return lent;
   }
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -23,8 +23,8 @@
 /** How long other zones are asked what they run for this one, in ms. */
 const SURVEY_TIMEOUT_MS = 400;
 /** How often a zone is asked, and after which pause again, in ms. */
-const SURVEY_TRIES = 30;
-const SURVEY_PAUSE_MS = 50;
+const SURVEY_TRIES = 20;
+const SURVEY_PAUSE_MS = 100;
 /** Added to a task's time for the answer to come back, in ms. */
 const ANSWER_MARGIN_MS = 500;
 const RECALL_TIMEOUT_MS = 500;
@@ -137,9 +137,11 @@
       const home = this.options.zone;
       const result = await calls?.listLent(home, SURVEY_TIMEOUT_MS);
       if (result?.isOk() === true) {
+        const {tasks, isComplete} = result.value;
         dispatcher.noteLent(zone, result.value, readClock());
-        logger.info('zone surveyed', {zone, lent: result.value.length});
-        return;
+        logger.info('zone surveyed', {zone, lent: tasks.length, isComplete});
+        this.options.onChange();
+        if (isComplete) return;
       }
       await sleep(SURVEY_PAUSE_MS);
     }
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -159,9 +159,10 @@
     return Promise.resolve();
   }
 
-  /** The tasks that run here for another zone. */
+  /** What runs here for another zone, as far as this instance knows. */
   listLent(homeZone: string): Promise<LentList> {
-    return Promise.resolve(this.roles.holder?.listLent(homeZone) ?? []);
+    const unknown = {isComplete: false, tasks: []};
+    return Promise.resolve(this.roles.holder?.listLent(homeZone) ?? unknown);
   }
 
   private step(now: Millis): void {
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -128,10 +128,12 @@
   task: z.string(),
 });
 
-/** Tasks that the peer runs for a zone. */
-export const lentListSchema = z.array(
-  z.object({key: z.string(), run: z.number()}),
-);
+/** What the peer runs, or may run, for a zone. */
+export const lentListSchema = z.object({
+  /** Whether nothing else can run there for any zone. */
+  isComplete: z.boolean(),
+  tasks: z.array(z.object({key: z.string(), run: z.number()})),
+});
 
 /** How a job ended, or that this instance holds the workers no more. */
 export const jobAnswerSchema = z.discriminatedUnion('kind', [
@@ -200,7 +202,7 @@
 export type Lending = z.infer<typeof lendingSchema>;
 /** Takes a lent task back. */
 export type Recall = z.infer<typeof recallSchema>;
-/** Tasks that the peer runs for a zone. */
+/** What the peer runs, or may run, for a zone. */
 export type LentList = z.infer<typeof lentListSchema>;
 /** How a submission ended. */
 export type JobAnswer = z.infer<typeof jobAnswerSchema>;
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -113,7 +113,8 @@
   await settle();
   const lent = stage.holder.listLent('east');
   void stage.lifecycle.close();
-  assert.deepEqual(lent, [{key: 'a.0.0.0', run: 1}]);
+  const tasks = [{key: 'a.0.0.0', run: 1}];
+  assert.deepEqual(lent, {isComplete: false, tasks});
 });
 
 test('a holder that steps down tells what it runs of each job', async () => {
