What only has to be stopped is leased no longer

What callers could see: the second run of a task lives on, for as long as its stop isn't confirmed. Each look at a worker that answered extended the lease of everything there, also where all that was left had to be stopped: runs of jobs given up, and runs of an earlier holder that no job claimed in its time. What would have lapsed within about a second went on until a stop got through.

Cause: `WorkerWatch.chooseLease` asked whether the worker answers, not whether anything there shall go on.

Now a look leases only where a run shall go on, or where unclaimed runs may still be claimed. The wait for an end stays as it was, so that looks don't come faster.

Ruled out: a lease for each run. Workers keep one for all that they run, so beside a run that goes on an unwanted one waits for its stop as before. A start sent to such a worker meanwhile brings its own lease.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -158,6 +158,12 @@
     return [...adopted, ...placed, ...this.stopper.stop(now)];
   }
 
+  /** Whether anything that a worker runs shall go on, so that it is leased. */
+  isWanted(workerId: string, now: Millis): boolean {
+    const worker = this.board.workers.get(workerId);
+    return worker !== undefined && this.stopper.isWanted(worker, now);
+  }
+
   /** Notes an order that gives a lease, at the moment it is sent. */
   noteLease(workerId: string, now: Millis): void {
     const worker = this.board.workers.get(workerId);
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -20,19 +20,29 @@
     private readonly heldSince: Millis,
   ) {}
 
+  /** Whether anything that a worker runs shall go on, as far as is known. */
+  isWanted({runs, orphans}: WorkerRecord, now: Millis): boolean {
+    if (orphans.size > 0 && this.isAdopting(now)) return true;
+    return [...runs.values()].some(({phase}) => isToGoOn(phase));
+  }
+
   /** Orders to stop that are due. */
   stop(now: Millis): Order[] {
     const orders: Order[] = [];
     this.forgetOldStops(now);
     for (const worker of this.board.workers.values()) {
       this.stopRuns(orders, worker, now);
-      if (now < this.heldSince + ADOPTION_MS) continue;
-      this.stopOrphans(orders, worker, now);
+      if (!this.isAdopting(now)) this.stopOrphans(orders, worker, now);
     }
     this.recall(orders, now);
     return orders;
   }
 
+  /** Whether jobs may still claim what an earlier holder started. */
+  private isAdopting(now: Millis): boolean {
+    return now < this.heldSince + ADOPTION_MS;
+  }
+
   private stopRuns(orders: Order[], worker: WorkerRecord, now: Millis): void {
     const workerId = worker.info.id;
     for (const run of worker.runs.values()) {
@@ -76,3 +86,14 @@
     }
   }
 }
+
+function isToGoOn(phase: RunPhase): boolean {
+  switch (phase) {
+    case RunPhase.Starting:
+    case RunPhase.Running:
+      return true;
+    case RunPhase.Stopping:
+    case RunPhase.StopTaken:
+      return false;
+  }
+}
--- a/packages/zone/src/holder/worker_watch.ts
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -7,6 +7,7 @@
   nextEndAt,
   nextOverdueAt,
   type Dispatcher,
+  type WorkerRecord,
 } from '@goldcrestpier/dispatch';
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
 import {OrderFailure, type WorkerPort} from '../ports/index.js';
@@ -73,8 +74,9 @@
     const record = dispatcher.workers.get(workerId);
     if (record === undefined) return;
     const sentAt = readClock();
-    const leaseUntil = this.chooseLease(sentAt);
-    const waitMs = leaseUntil === undefined ? 0 : this.chooseWait(sentAt);
+    const clock = findClock(record, sentAt);
+    const waitMs = clock === undefined ? 0 : this.chooseWait(sentAt);
+    const leaseUntil = this.chooseLease(clock, sentAt);
     const {info: worker, lastSeen} = record;
     const isLossy = losses.areMany(sentAt);
     const marginMs = isLossy ? LOSSY_MARGIN_MS : MARGIN_MS;
@@ -91,15 +93,14 @@
     await this.takeFailure(result.error, signal);
   }
 
-  /** A worker that did not answer gets no new lease, so that runs can lapse. */
-  private chooseLease(now: Millis): Millis | undefined {
+  /** What only has to be stopped may lapse, if its stops go astray. */
+  private chooseLease(
+    clock: Millis | undefined,
+    now: Millis,
+  ): Millis | undefined {
     const {workerId, dispatcher, leaseMs} = this.options;
-    const record = dispatcher.workers.get(workerId);
-    if (record === undefined || record.isSilent || !record.isHeld) {
-      return undefined;
-    }
-    const clock = record.clockAt(now);
     if (clock === undefined) return undefined;
+    if (!dispatcher.isWanted(workerId, now)) return undefined;
     dispatcher.noteLease(workerId, now);
     return Math.floor(clock + leaseMs);
   }
@@ -145,3 +146,9 @@
     await sleep(Math.min(pause, LONGEST_PAUSE_MS), signal);
   }
 }
+
+/** The clock of a worker that answers; a silent one's runs have to lapse. */
+function findClock(record: WorkerRecord, now: Millis): Millis | undefined {
+  if (record.isSilent || !record.isHeld) return undefined;
+  return record.clockAt(now);
+}
