A run found at a worker has a lease until shown otherwise

What callers could see: a task starts on a second worker while the first goes on with it under the lease of an earlier holder. A new holder found the run by its first look, which gives no lease; the worker then went silent. This holder had given no lease there, so that all leases counted as over: as soon as the job claimed the run, it was lost and its task placed again.

Cause: `leasesOverAt` knew only what this holder gave.

Now the first answer that lists runs is noted as if a lease had just been given: until then the holder before may have given one, and after it the worker turns that holder away.

Evidence: the new test of forgotten_runs.test.ts failed before (`start a.0.0.0/4 on w2` at 600 ms, 50 ms after the look) and passes now.

Ruled out: that the barrier after a takeover covers it. It holds back resumed jobs only; one that its client sends again claims runs at once.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -197,7 +197,12 @@
   /** Notes what a worker answered to a look that was sent at `sentAt`. */
   looked(workerId: string, look: Look, sentAt: Millis, now: Millis): void {
     const worker = this.board.workers.get(workerId);
-    if (worker !== undefined) takeLook(this.board, worker, look, sentAt, now);
+    if (worker === undefined) return;
+    // Until this look an earlier holder may have given leases there.
+    if (!worker.isHeld && look.running.length > 0) {
+      this.noteLease(workerId, now);
+    }
+    takeLook(this.board, worker, look, sentAt, now);
   }
 
   /** Notes a look that got no answer. */
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -43,3 +43,12 @@
   dispatcher.submit(createJob('a', 1), false, 300);
   assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
 });
+
+test('the lease of an earlier holder is waited for where its run was found', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w2', createLook(), 1, 2);
+  dispatcher.looked('w1', createLook([running]), 549, 550);
+  dispatcher.lookFailed('w1');
+  dispatcher.submit(createJob('a', 1), false, 600);
+  assert.deepEqual(formatOrders(dispatcher.tick(600)), []);
+});
