A task that runs on two workers is stopped on both at once

What callers could see: where a new holder finds a task on two workers, the second run goes on 200 ms longer than it has to.

Cause: stops of runs that nobody claims were remembered by task, so that the one that had gone to the first worker held back the one for the second.

Now they are remembered by worker and task.

Ruled out: to send stops without remembering them. A look that was under way would repeat each.

--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -11,7 +11,7 @@
 
 /** Stops what is not wanted any more. */
 export class Stopper {
-  /** When stops of runs that nobody wants last went out, by task. */
+  /** When stops of runs that nobody wants last went out, by worker and task. */
   private readonly orphanStops = new Map<string, Millis>();
 
   /** `heldSince` is when this instance became the holder. */
@@ -61,8 +61,9 @@
   ): void {
     const workerId = worker.info.id;
     for (const [key, runNumber] of worker.orphans) {
-      if (this.orphanStops.has(key)) continue;
-      this.orphanStops.set(key, now);
+      const stopKey = `${workerId} ${key}`;
+      if (this.orphanStops.has(stopKey)) continue;
+      this.orphanStops.set(stopKey, now);
       orders.push({kind: 'stop', workerId, key, runNumber, run: undefined});
     }
   }
