A lease is over by the worker's clock, however long ago it was read

What callers could see: a task starts a second time while a late order still runs it. A quiet worker isn't asked for its clock, and a clock may be 2% slow: after 50 s the time that an order names for the end of its lease lies up to 1 s too late there. In time, the worker cuts it to the longest lease; an order that it carries out late gets all of it. If the worker then is silent, its lease was taken for over too early.

Cause: `noteLease` reckoned from the sending alone, and `clockAt` was held to be never ahead of the clock.

Now the end of a lease counts in by how much the clock may have fallen behind since it was read.

Evidence: the new test of forgotten_runs.test.ts failed before (1,050 ms after the sending; the clock gets there after 2,041 ms) and passes now.

Ruled out: to name earlier times instead. By a clock that isn't slow, orders after a long rest would come too late to be taken. The longer wait concerns a worker that goes silent just after a rest, and no other.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -168,7 +168,8 @@
   noteLease(workerId: string, now: Millis): void {
     const worker = this.board.workers.get(workerId);
     if (worker === undefined) return;
-    const overAt = leaseOverAt(now, this.options.leaseMs);
+    const clockAgeMs = worker.clockAgeAt(now);
+    const overAt = leaseOverAt(now, this.options.leaseMs, clockAgeMs);
     worker.leasesOverAt = Math.max(worker.leasesOverAt, overAt);
   }
 
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -14,9 +14,18 @@
 /** Added to the end of a lease or a stop for the way there and back, in ms. */
 const TRAVEL_MARGIN_MS = 30;
 
-/** When a lease given by an order sent at `sentAt` has surely ended. */
-export function leaseOverAt(sentAt: Millis, leaseMs: Millis): Millis {
-  return sentAt + leaseMs / (1 - CLOCK_DRIFT) + TRAVEL_MARGIN_MS;
+/**
+ * When a lease given by an order sent at `sentAt` has surely ended. The order
+ * names a time on the worker's clock, which was read `clockAgeMs` before and
+ * may have fallen behind since.
+ */
+export function leaseOverAt(
+  sentAt: Millis,
+  leaseMs: Millis,
+  clockAgeMs: Millis = 0,
+): Millis {
+  const longestMs = leaseMs + CLOCK_DRIFT * clockAgeMs;
+  return sentAt + longestMs / (1 - CLOCK_DRIFT) + TRAVEL_MARGIN_MS;
 }
 
 /** When a stop that was taken at `takenAt` has surely ended the run. */
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -97,7 +97,15 @@
     this.clock = {workerMs, readAt: now};
   }
 
-  /** The worker's clock now, never ahead of it; undefined before any answer. */
+  /** How long ago the worker's clock was read; 0 before any answer. */
+  clockAgeAt(now: Millis): Millis {
+    return this.clock === undefined ? 0 : now - this.clock.readAt;
+  }
+
+  /**
+   * The worker's clock now, undefined before any answer. A slow clock may have
+   * fallen behind this since it was read.
+   */
   clockAt(now: Millis): Millis | undefined {
     if (this.clock === undefined) return undefined;
     return this.clock.workerMs + (now - this.clock.readAt);
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
+  bounds,
   createJob,
   createLook,
   createScene,
@@ -62,3 +63,14 @@
     'stop a.0.0.0/3 on w2',
   ]);
 });
+
+test('a lease by an old reading of a slow clock is over when that clock says so', () => {
+  const dispatcher = createScene([first]);
+  const now = 50_000;
+  const clockShare = 0.98;
+  lookAtAll(dispatcher, 0);
+  dispatcher.noteLease('w1', now);
+  const record = dispatcher.workers.get('w1');
+  const leaseUntil = (record?.clockAt(now) ?? 0) + bounds.leaseMs;
+  assert.ok((record?.leasesOverAt ?? 0) >= leaseUntil / clockShare);
+});
