--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -157,11 +157,18 @@
     return [...asked, ...placed, ...this.stopper.stop(now)];
   }
 
+  /** Whether anything that a worker runs shall go on, so that it is leased. */
+  isWanted(workerId: string, now: Millis): boolean {
+    const worker = this.board.workers.get(workerId);
+    return worker !== undefined && this.stopper.isWanted(worker, now);
+  }
+
   /** Notes an order that gives a lease, at the moment it is sent. */
   noteLease(workerId: string, now: Millis): void {
     const worker = this.board.workers.get(workerId);
     if (worker === undefined) return;
-    const overAt = leaseOverAt(now, this.options.leaseMs);
+    const clockAgeMs = worker.clockAgeAt(now);
+    const overAt = leaseOverAt(now, this.options.leaseMs, clockAgeMs);
     worker.leasesOverAt = Math.max(worker.leasesOverAt, overAt);
   }
 
@@ -190,7 +197,12 @@
   /** Notes what a worker answered to a look that was sent at `sentAt`. */
   looked(workerId: string, look: Look, sentAt: Millis, now: Millis): void {
     const worker = this.board.workers.get(workerId);
-    if (worker !== undefined) takeLook(this.board, worker, look, sentAt, now);
+    if (worker === undefined) return;
+    // Until this look an earlier holder may have given leases there.
+    if (!worker.isHeld && look.running.length > 0) {
+      this.noteLease(workerId, now);
+    }
+    takeLook(this.board, worker, look, sentAt, now);
   }
 
   /** Notes a look that got no answer. */
