--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -176,6 +176,14 @@
     return false;
   }
 
+  /** Whether a worker was neither looked at yet nor found silent. */
+  get areWorkersUnseen(): boolean {
+    for (const {isHeld, isSilent} of this.workers.values()) {
+      if (!isHeld && !isSilent) return true;
+    }
+    return false;
+  }
+
   /** Forgets a worker that is gone. */
   dropWorker(id: string): void {
     this.workers.delete(id);
