A job that comes again waits until what runs of it for another zone has ended

A zone that runs a lent task of a job keeps it under a record of its own. When the job's caller lost its instance and came here, the task started a second time beside it, and on the same worker the lent run was forgotten. Now the lent task is stopped, and the job waits until it has ended; a zone that was handed a job itself refuses to be lent a task of it.

Ruled out: to adopt the lent run, as its home zone may still wait for its end.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -18,6 +18,7 @@
   type WorkerRecord,
 } from '../workers/index.js';
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
+import {ForeignTasks} from './foreign_tasks.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
 import {LentSurvey} from './lent_survey.js';
 import {RunNumbers} from './run_numbers.js';
@@ -48,6 +49,8 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly durations = new Durations();
+  /** Tasks that other zones have lent to this one. */
+  readonly foreignTasks = new ForeignTasks();
   /** Whether the list of workers is as new as it can be had. */
   isListConfirmed = false;
   private ended: EndedJob[] = [];
@@ -64,6 +67,7 @@
     const lastRun = this.runNumbers.lastOf(job.id);
     const record = new JobRecord(job, expectedMs, lastRun);
     this.jobs.set(job.id, record);
+    this.foreignTasks.add(record);
     return record;
   }
 
@@ -226,6 +230,7 @@
     const {queue} = job;
     if (this.jobs.get(id) !== record) return;
     this.jobs.delete(id);
+    this.foreignTasks.remove(record);
     this.runNumbers.remember(record, now);
     const {ending: outcome, hasStarted} = record;
     this.ended.push({id, queue, outcome, hasStarted});
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -1,9 +1,14 @@
 /** Takes up jobs and lent tasks, with what earlier holders left of them. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {RefusalReason, type Job, type JobProgress} from '../work/index.js';
+import {
+  AbandonReason,
+  RefusalReason,
+  type Job,
+  type JobProgress,
+} from '../work/index.js';
 import type {Run} from '../workers/index.js';
 import {adoptLent, adoptOrphans} from './adoption.js';
-import type {Board} from './board.js';
+import {abandoned, type Board} from './board.js';
 import type {JobRecord} from './job_record.js';
 import type {LentReport} from './lent_survey.js';
 import {leaseOverAt} from './options.js';
@@ -48,6 +53,10 @@
       this.board.refuse(record, refusal, 0, now);
       return;
     }
+    // The zone that lent tasks of it has lost the caller, who came here.
+    for (const task of this.board.foreignTasks.of(job.id)) {
+      this.board.endJob(task, abandoned(AbandonReason.OwnerLost), now);
+    }
     this.takePast(record, past, now);
     adoptOrphans(this.board, record, now);
     this.adoptLent(record, now);
@@ -64,8 +73,9 @@
   /** Takes a task that another zone lends; it starts now or is refused. */
   takeLent(job: Job, now: Millis): Order[] {
     if (this.board.jobs.has(job.id)) return [];
+    const isHandedInHere = this.board.jobs.has(job.lent?.name.jobId ?? '');
     const record = this.board.addJob(job);
-    const orders = this.placer.place(now);
+    const orders = isHandedInHere ? [] : this.placer.place(now);
     if (!record.hasStarted) {
       this.board.refuse(record, RefusalReason.TooLate, 0, now);
     }
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -60,6 +60,8 @@
   /** Whether the job goes on and no run of an earlier holder is unknown. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.ending !== undefined) return false;
+    // What runs for another zone has to end first.
+    if (this.board.foreignTasks.of(record.id).length > 0) return false;
     // A job that its client sends again may run at a worker not yet seen.
     if (!this.areEarlierRunsOver(now) && this.board.areWorkersUnseen) {
       return false;
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -49,7 +49,12 @@
   assert.ok(start?.kind === 'start');
   dispatcher.startAnswered(start.run, StartAnswer.Started, 1);
   dispatcher.submit(createJob('a', 1), false, 2);
-  assert.deepEqual(formatOrders(dispatcher.tick(2)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(2)), ['stop a.0.0.0/3 on w1']);
+  dispatcher.stopTaken(start.run, 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(80)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(90)), [
+    'start a.0.0.0/1 on w1',
+  ]);
 });
 
 test('a lease by an old reading of a slow clock is over when that clock says so', () => {
@@ -124,3 +129,15 @@
   const leaseUntil = (record?.clockAt(now) ?? 0) + bounds.leaseMs;
   assert.ok((record?.leasesOverAt ?? 0) >= leaseUntil / clockShare);
 });
+
+test('a zone that was handed a job itself runs no task of it for another zone', () => {
+  const dispatcher = createScene([first]);
+  lookAtAll(dispatcher, 0);
+  dispatcher.submit(createJob('a', 1), false, 0);
+  dispatcher.tick(0);
+  const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
+  const task = createJob('a.0.0.0@west', 1, {lent, lentBy: 'west'});
+  assert.deepEqual(dispatcher.takeLent(task, 1), []);
+  const [ended] = dispatcher.takeEnded();
+  assert.equal(ended?.outcome.kind, 'refused');
+});
