Failing test: a busy holder refuses a job of which a run goes on

"Not run" is promised with 429. `Holder.submit` asks only whether the dispatcher has a record of the job; a run that an earlier holder began is known as an orphan of its worker, without a record.

Today: refused, `holder_busy`.

--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import {test} from 'node:test';
 import {RunEnd, StartAnswer, type Look} from '@goldcrestpier/dispatch';
 import {Lifecycle, readClock} from '@goldcrestpier/runtime';
@@ -113,3 +116,16 @@
   void stage.lifecycle.close();
   assert.deepEqual(lent, [{key: 'a.0.0.0', run: 1}]);
 });
+
+test('a busy holder refuses no job of which a run goes on', async () => {
+  const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
+  const stage = new Stage({...idle, running});
+  await sleep(60);
+  const began = readClock();
+  while (readClock() - began < 150);
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
+  const answer = stage.holder.submit(job);
+  void stage.lifecycle.close();
+  assert.notEqual((await answer).kind, 'refused');
+});
