Failing test: a run that is to be stopped is leased on by every look

A job may come again in another zone 1,300 ms after its channel broke. A lost owner is noticed at 600 to 650 ms, the stop is over at about 730 ms, and 200 ms later for each order to stop that gets lost: after three it is too late. The looks at the worker are answered meanwhile, and each leases all runs there for 1,000 ms more, so that nothing else ends the run.

Today: leases until 1,009 and 1,005 on the worker's clock in place of none.

--- /dev/null
+++ b/packages/zone/test/unwanted_runs.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {AbandonReason, type Dispatcher} from '@goldcrestpier/dispatch';
+import {readClock, type Millis} from '@goldcrestpier/runtime';
+import {Ok} from 'ts-results-es';
+import {AnswerLosses} from '../src/holder/answer_losses.js';
+import {WorkerWatch} from '../src/holder/worker_watch.js';
+import {
+  bounds,
+  createDispatcher,
+  createJob,
+  fail,
+  worker,
+} from './fixtures/scene.js';
+
+/** The leases that looks give to a worker where a run goes on all the time. */
+async function collectLeases(
+  dispatcher: Dispatcher,
+  count: number,
+): Promise<(Millis | undefined)[]> {
+  const controller = new AbortController();
+  const leases: (Millis | undefined)[] = [];
+  const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
+  const watch = new WorkerWatch({
+    workerId: worker.id,
+    token: 7,
+    leaseMs: bounds.leaseMs,
+    dispatcher,
+    port: {
+      look: ({leaseUntil}) => {
+        leases.push(leaseUntil);
+        if (leases.length === count) controller.abort();
+        return Promise.resolve(Ok({clockMs: 5, bornAt: 1, running, ended: []}));
+      },
+      start: fail,
+      stop: fail,
+    },
+    losses: new AnswerLosses(),
+    onChange: () => undefined,
+    onFenced: fail,
+    onLookFailed: fail,
+  });
+  await watch.run(controller.signal);
+  return leases;
+}
+
+test('a worker whose runs all have to be stopped gets no new lease', async () => {
+  const now = readClock();
+  const dispatcher = createDispatcher(now);
+  dispatcher.submit(createJob('a', 1, now), false, now);
+  dispatcher.tick(now);
+  dispatcher.cancel('a', AbandonReason.OwnerLost, now);
+  assert.deepEqual(await collectLeases(dispatcher, 2), [undefined, undefined]);
+});
