Failing test: a new holder leases on what no job has claimed

With owner and holder lost at once a run would end at 1,050 ms at the latest. A new holder that claims at 650 ms finds it, leases it for 1,000 ms more with each look and stops it at 1,150 ms; each lost stop adds 200 ms, and so does every ms by which the claim comes later (a stronger instance that is tried: up to 600 ms). A job may come again in another zone after 1,300 ms.

Today: leases until 1,611 and 1,005 on the worker's clock in place of none.

--- a/packages/zone/test/unwanted_runs.test.ts
+++ b/packages/zone/test/unwanted_runs.test.ts
@@ -52,3 +52,12 @@
   dispatcher.cancel('a', AbandonReason.OwnerLost, now);
   assert.deepEqual(await collectLeases(dispatcher, 2), [undefined, undefined]);
 });
+
+test('a run that no job has claimed in time gets no new lease', async () => {
+  const heldSince = readClock() - 600;
+  const dispatcher = createDispatcher(heldSince);
+  const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
+  const look = {clockMs: 5, bornAt: 1, running, ended: []};
+  dispatcher.looked(worker.id, look, heldSince, heldSince);
+  assert.deepEqual(await collectLeases(dispatcher, 2), [undefined, undefined]);
+});
