Failing test: an instance without the role says that nothing runs there

A new holder asks for the tasks that other zones run for it at the address that it has for each zone's holder. Where that instance has just given up the role, or not taken it yet, `listLent` answers with an empty list. `LentSurvey` takes it for the zone's word, and the tasks start again while the zone's workers run them.

Distinct from a new holder that has not looked at its workers: here the instance knows that it can't say.

--- /dev/null
+++ b/packages/zone/test/other_zones.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {test} from 'node:test';
+import {StartAnswer} from '@goldcrestpier/dispatch';
+import {Lifecycle, Logs, LogLevel, readClock} from '@goldcrestpier/runtime';
+import {Ok} from 'ts-results-es';
+import {Instance} from '../src/instance/instance.js';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import type {Directory, WorkerPort} from '../src/ports/index.js';
+import {bounds, worker} from './fixtures/scene.js';
+
+const ignore = () => undefined;
+
+/** What an instance reads: one worker, and no other instance. */
+function createDirectory(): Directory {
+  return {
+    configuration: ignore,
+    configurationAsOf: ignore,
+    confirmConfiguration: ignore,
+    workers: () => ({workers: [worker], asOf: readClock(), isReachable: true}),
+    registrations: () => [],
+    announce: ignore,
+    setCandidate: ignore,
+    heardAt: () => readClock(),
+    offer: ignore,
+  };
+}
+
+/** The only instance of its zone; tells of each order to start. */
+function createInstance(lifecycle: Lifecycle, started: string[]): Instance {
+  const port: WorkerPort = {
+    start: ({run}) => {
+      started.push(run.key);
+      return Promise.resolve({answer: StartAnswer.Started, clockMs: 5});
+    },
+    stop: () => Promise.resolve(Ok(undefined)),
+    look: async ({waitMs}, signal) => {
+      await sleep(waitMs, undefined, {signal}).catch(ignore);
+      return Ok({clockMs: 5, bornAt: 1, running: [], ended: []});
+    },
+  };
+  return new Instance({
+    id: 'east-1',
+    zone: 'z',
+    processors: 1,
+    listen: {host: '127.0.0.1', port: 1},
+    nonce: 1,
+    bounds,
+    directory: createDirectory(),
+    port,
+    otherZones: [],
+    seeds: [],
+    logs: new Logs('test', LogLevel.Silent),
+    metrics: new ZoneMetrics(),
+    lifecycle,
+  });
+}
+
+test('an instance that holds no workers does not say that nothing runs there', async () => {
+  const lifecycle = new Lifecycle('test');
+  const instance = createInstance(lifecycle, []);
+  const said = await instance.listLent('west').catch(ignore);
+  void lifecycle.close();
+  assert.notDeepEqual(said, []);
+});
