Failing test: a zone takes what a former holder of another zone lends

Workers turn away a token that is too low, other zones don't. A holder that has not heard of its follower goes on lending; the zone has told the follower what is lent before that, so that the follower starts the same task.

--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -4,10 +4,11 @@
 import {StartAnswer} from '@goldcrestpier/dispatch';
 import {Lifecycle, Logs, LogLevel, readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
+import {toSubmission} from '../src/holder/to_job.js';
 import {Instance} from '../src/instance/instance.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {Directory, WorkerPort} from '../src/ports/index.js';
-import {bounds, worker} from './fixtures/scene.js';
+import {bounds, createJob, worker} from './fixtures/scene.js';
 
 const ignore = () => undefined;
 
@@ -56,6 +57,20 @@
   });
 }
 
+/** A heartbeat of the holder of another zone. */
+function createHeartbeat(token: number) {
+  const id = 'west-2';
+  return {
+    id,
+    zone: 'west',
+    address: '127.0.0.1:2',
+    processors: 1,
+    isLeaving: false,
+    claim: {holderId: id, token},
+    configurationVersion: 0,
+  };
+}
+
 test('an instance that holds no workers does not say that nothing runs there', async () => {
   const lifecycle = new Lifecycle('test');
   const instance = createInstance(lifecycle, []);
@@ -63,3 +78,27 @@
   void lifecycle.close();
   assert.notDeepEqual(said, []);
 });
+
+test('a holder that another has followed lends nothing any more', async () => {
+  const lifecycle = new Lifecycle('test');
+  const started: string[] = [];
+  const instance = createInstance(lifecycle, started);
+  instance.start();
+  for (let turn = 0; turn < 40; turn += 1) {
+    const {claim, rooms} = await instance.heartbeat(createHeartbeat(9));
+    const hasRoom = rooms?.some(({vacancies}) => vacancies.length > 0);
+    if (claim?.holderId === 'east-1' && hasRoom === true) break;
+    await sleep(50);
+  }
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'west', false, now);
+  const lending = {homeZone: 'west', job, step: 0, index: 0, run: 1};
+  void instance.lend({...lending, token: 9, isJoin: false});
+  await sleep(50);
+  assert.deepEqual(started, ['a.0.0.0']);
+  const other = {...lending, job: {...job, id: 'b'}};
+  void instance.lend({...other, token: 8, isJoin: false});
+  await sleep(50);
+  void lifecycle.close();
+  assert.deepEqual(started, ['a.0.0.0']);
+});
