Failing test: lent tasks that no job has claimed are not taken back

What runs on this zone's workers and no job claims is stopped 500 ms after a takeover. What other zones run for it stays in `LentSurvey` for good; they drop it 1,000 ms after they have heard of the new holder. With owner and holder lost at 0 and the claim at 650 ms that is at 1,650 ms or later, and the job may come again in a third zone at 1,300 ms.

--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -72,3 +72,13 @@
     'stop a.0.0.0/3 on w2',
   ]);
 });
+
+test('a task that another zone runs and no job has claimed in time is taken back', () => {
+  const dispatcher = createScene([first], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.expectLent(['east']);
+  dispatcher.noteLent('east', [{key: 'a.0.0.0', run: 4}], 5);
+  assert.deepEqual(formatOrders(dispatcher.tick(510)), [
+    'recall a.0.0.0 from east',
+  ]);
+});
