Failing test: a lent task that counts as lost is not taken back

A lender that can't join its task for five tries (400 ms and more) takes it for lost and starts it again after 2,000 ms, by which "a task that was lent to a lost holder has surely ended". It ends there only if the zone hears nothing from the home holder for 1,000 ms. A link that is back between the two leaves the run alone, and nobody sends a recall: only jobs that are given up do that.

Ruled out: that the next look of the zone drops it. `wantsLent` holds, as the home holder is heard under the same token.

--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -5,8 +5,9 @@
   RefusalReason,
   type Dispatcher,
 } from '@goldcrestpier/dispatch';
+import {PeerFailureKind, UnknownReason} from '@goldcrestpier/peers';
 import {readClock} from '@goldcrestpier/runtime';
-import {Ok} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
 import {Lender} from '../src/holder/lender.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {JobAnswer, LentAnswer, ZoneCalls} from '../src/protocol/index.js';
@@ -107,3 +108,30 @@
   const answer = {kind: 'abandoned', reason: AbandonReason.RunLost} as const;
   assert.equal(await isBegunAgain(answerWith(answer)), false);
 });
+
+test('a lent task that counts as lost is taken back where it may go on', async () => {
+  const now = readClock();
+  const dispatcher = createBusy(now);
+  const [command] = dispatcher.tick(now);
+  assert.ok(command?.kind === 'lend');
+  const recalled: string[] = [];
+  const reason = UnknownReason.Disconnected;
+  const calls: Pick<ZoneCalls, 'lend' | 'recall'> = {
+    lend: () => Promise.resolve(Err({kind: PeerFailureKind.Unknown, reason})),
+    recall: ({task}) => {
+      recalled.push(task);
+      return Promise.resolve(Ok(undefined));
+    },
+  };
+  const lender = new Lender({
+    zone: 'west',
+    token: 7,
+    dispatcher,
+    findZone: () => calls as ZoneCalls,
+    logger: quiet,
+    metrics: new ZoneMetrics(),
+    onChange: () => undefined,
+  });
+  await lender.lend(command);
+  assert.deepEqual(recalled, [command.run.key]);
+});
