Failing test: an answer of the old life counts as a look at the new one

`takeLook` begins a life whenever the birth it reads differs from the known one, also where it is the lower: the look was on its way when the list told of the new life. The worker then counts as looked at, with the clock and the birth of the old life; the next look begins the new life again and drops what was started meanwhile.

Today: `start a.0.0.0/1 on w1` before any look at the new life.

--- a/packages/dispatch/test/worker_lives.test.ts
+++ b/packages/dispatch/test/worker_lives.test.ts
@@ -52,3 +52,12 @@
   dispatcher.looked(run.workerId, createLook([], [], 2), 400, 401);
   assert.deepEqual(startsAt(dispatcher, 401), []);
 });
+
+test('a late answer of the old life is no look at the new one', () => {
+  const dispatcher = createScene([createWorker('w1')]);
+  lookAtAll(dispatcher, 0);
+  dispatcher.setWorkers([createWorker('w1', {bornAt: 2})], 5);
+  dispatcher.looked('w1', createLook(), 4, 6);
+  dispatcher.submit(createJob('a', 1), false, 6);
+  assert.deepEqual(startsAt(dispatcher, 6), []);
+});
