--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -103,24 +103,3 @@
   dispatcher.submit(createJob('a', 1), false, 600);
   assert.deepEqual(formatOrders(dispatcher.tick(600)), []);
 });
-
-test('a task that runs on two workers is stopped on both at once', () => {
-  const dispatcher = createScene([first, second], 0);
-  dispatcher.looked('w1', createLook([running]), 1, 2);
-  dispatcher.looked('w2', createLook([running]), 1, 2);
-  assert.deepEqual(formatOrders(dispatcher.tick(510)), [
-    'stop a.0.0.0/3 on w1',
-    'stop a.0.0.0/3 on w2',
-  ]);
-});
-
-test('a lease by an old reading of a slow clock is over when that clock says so', () => {
-  const dispatcher = createScene([first]);
-  const now = 50_000;
-  const clockShare = 0.98;
-  lookAtAll(dispatcher, 0);
-  dispatcher.noteLease('w1', now);
-  const record = dispatcher.workers.get('w1');
-  const leaseUntil = (record?.clockAt(now) ?? 0) + bounds.leaseMs;
-  assert.ok((record?.leasesOverAt ?? 0) >= leaseUntil / clockShare);
-});
