A late answer of a worker's old life is no look at the new one

What callers could see: a task placed on a worker that this holder hasn't looked at in its present life, by the clock of the last one; the lease that the order named could be one that the new life turns away as over, or one far too long.

Cause: `takeLook` began a life whenever the birth that it read differed from the known one, also where it was the lower: the look was on its way when the list told of the new life. The worker then counted as held, with clock and birth of the old life, until the next look or list began the new one again.

Now the answer to a look that was sent before a later life became known only tells how runs ended in the old one. A look that is sent afterwards counts whatever birth it tells, as births go by the time of day, which may be set back.

Evidence: "a late answer of the old life is no look at the new one" and "... tells how a run ended there" failed before and pass now; "a worker whose births go back is looked at all the same" passes before and after.

Ruled out: to drop such an answer whole. A run that it tells to be done would count as lost at the next look and be run again.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -91,7 +91,7 @@
   /** Takes the present list of workers. */
   setWorkers(list: readonly Worker[], now: Millis): void {
     const listed = new Set(list.map(({id}) => id));
-    for (const worker of list) this.setWorker(worker);
+    for (const worker of list) this.setWorker(worker, now);
     for (const [id, record] of this.board.workers) {
       if (listed.has(id)) continue;
       // Its runs end by their leases; the record goes when none is left.
@@ -244,7 +244,7 @@
     run.overAt = now + LENT_OVER_MS;
   }
 
-  private setWorker(worker: Worker): void {
+  private setWorker(worker: Worker, now: Millis): void {
     this.board.durations.setKind(worker.id, worker.kind);
     const known = this.board.workers.get(worker.id);
     if (known === undefined) {
@@ -254,6 +254,6 @@
     const {bornAt} = known.info;
     known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
     // What runs there may be the new life's: its next look tells.
-    if (bornAt < worker.bornAt) known.beginLife();
+    if (bornAt < worker.bornAt) known.beginLife(now);
   }
 }
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -30,15 +30,18 @@
   sentAt: Millis,
   now: Millis,
 ): void {
-  if (look.bornAt !== worker.info.bornAt) beginLife(worker, look);
+  if (isOfLastLife(worker, look, sentAt)) {
+    takeEnds(board, worker, look, now);
+    return;
+  }
+  if (look.bornAt !== worker.info.bornAt) beginLife(worker, look, now);
   worker.readClock(look.clockMs, now);
   worker.isHeld = true;
   worker.isSilent = false;
-  for (const {sequence, task, run, end} of look.ended) {
+  for (const {sequence} of look.ended) {
     worker.lastSeen = Math.max(worker.lastSeen, sequence);
-    const known = worker.runs.get(task);
-    if (known !== undefined && known.run === run) board.endRun(known, end, now);
   }
+  takeEnds(board, worker, look, now);
   takeRunning(board, worker, look, sentAt, now);
 }
 
@@ -62,15 +65,39 @@
   return startedAt + OVERDUE_FACTOR * expectedMs + OVERDUE_MS;
 }
 
+/**
+ * Whether the look was on its way when a later life became known. One that is
+ * sent afterwards counts even so: births go by the time of day.
+ */
+function isOfLastLife(
+  {info, lifeKnownAt}: WorkerRecord,
+  {bornAt}: Look,
+  sentAt: Millis,
+): boolean {
+  return bornAt < info.bornAt && sentAt <= lifeKnownAt;
+}
+
 /**
  * The worker started anew. A run that it doesn't list is lost like any other:
  * an order that is on its way, or had no answer, reaches the new life.
  */
-function beginLife(worker: WorkerRecord, {bornAt}: Look): void {
-  worker.beginLife();
+function beginLife(worker: WorkerRecord, {bornAt}: Look, now: Millis): void {
+  worker.beginLife(now);
   worker.info = {...worker.info, bornAt};
 }
 
+function takeEnds(
+  board: Board,
+  worker: WorkerRecord,
+  {ended}: Look,
+  now: Millis,
+): void {
+  for (const {task, run, end} of ended) {
+    const known = worker.runs.get(task);
+    if (known !== undefined && known.run === run) board.endRun(known, end, now);
+  }
+}
+
 function takeRunning(
   board: Board,
   worker: WorkerRecord,
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -25,6 +25,8 @@
 export class WorkerRecord {
   /** Runs that this holder knows nothing of, by the task's name. */
   readonly orphans = new Map<string, number>();
+  /** When the present life became known, where it isn't the first. */
+  lifeKnownAt: Millis = -Infinity;
   /** Last acknowledged end of the present life. */
   lastSeen = 0;
   /** Whether this holder's token has been shown there. */
@@ -121,7 +123,8 @@
   }
 
   /** Begins a new life, of which only a look tells what runs there. */
-  beginLife(): void {
+  beginLife(now: Millis): void {
+    this.lifeKnownAt = now;
     this.lastSeen = 0;
     this.clock = undefined;
     this.isHeld = false;
--- a/packages/dispatch/test/worker_lives.test.ts
+++ b/packages/dispatch/test/worker_lives.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {StartAnswer, type Dispatcher, type Run} from '../src/index.js';
+import {RunEnd, StartAnswer, type Dispatcher, type Run} from '../src/index.js';
 import {
   createJob,
   createLook,
@@ -52,3 +52,31 @@
   dispatcher.looked(run.workerId, createLook([], [], 2), 400, 401);
   assert.deepEqual(startsAt(dispatcher, 401), []);
 });
+
+test('a late answer of the old life is no look at the new one', () => {
+  const dispatcher = createScene([createWorker('w1')]);
+  lookAtAll(dispatcher, 0);
+  dispatcher.setWorkers([createWorker('w1', {bornAt: 2})], 5);
+  dispatcher.looked('w1', createLook(), 4, 6);
+  dispatcher.submit(createJob('a', 1), false, 6);
+  assert.deepEqual(startsAt(dispatcher, 6), []);
+});
+
+test('a late answer of the old life tells how a run ended there', () => {
+  const {dispatcher, run} = beginOne();
+  dispatcher.startAnswered(run, StartAnswer.Started, 2);
+  const listed = workers.map(worker => ({...worker, bornAt: 2}));
+  dispatcher.setWorkers(listed, 5);
+  const end = {sequence: 1, task: run.key, run: run.run, end: RunEnd.Done};
+  dispatcher.looked(run.workerId, createLook([], [end]), 4, 6);
+  dispatcher.tick(6);
+  assert.equal(dispatcher.jobs.size, 0);
+  assert.equal(dispatcher.workers.get(run.workerId)?.lastSeen, 0);
+});
+
+test('a worker whose births go back is looked at all the same', () => {
+  const dispatcher = createScene([createWorker('w1', {bornAt: 2})]);
+  dispatcher.looked('w1', createLook(), 4, 6);
+  dispatcher.submit(createJob('a', 1), false, 6);
+  assert.deepEqual(startsAt(dispatcher, 6), ['start a.0.0.0/1 on w1']);
+});
