--- a/packages/zone/test/given_up.test.ts
+++ b/packages/zone/test/given_up.test.ts
@@ -27,6 +27,7 @@
       cancel: jobId => void cancelled.push(jobId),
     }),
     waitForChange: () => new Promise(() => undefined),
+    isAlive: () => true,
     logger: quiet,
     metrics: new ZoneMetrics(),
   });
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -145,3 +145,20 @@
   void stage.lifecycle.close();
   assert.notEqual((await answer).kind, 'refused');
 });
+
+test('a busy holder refuses no job of which it runs a task for another zone', async () => {
+  const stage = new Stage();
+  await nextTurn();
+  const lentAt = readClock();
+  const lent = toSubmission(createJob('a', 1, lentAt), 'east', false, lentAt);
+  const lending = {homeZone: 'east', token: 3, step: 0, index: 0, run: 1};
+  void stage.holder.takeLent({...lending, job: lent, isJoin: false});
+  await sleep(60);
+  const began = readClock();
+  while (readClock() - began < 150);
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
+  const answer = stage.holder.submit(job);
+  void stage.lifecycle.close();
+  assert.notEqual((await answer).kind, 'refused');
+});
