--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -6,7 +6,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {Neighbours, type Vacancy, type ZoneRoom} from '../neighbours/index.js';
-import {AbandonReason, RefusalReason, type Job} from '../work/index.js';
+import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
   RunPhase,
@@ -16,24 +16,31 @@
   type Run,
   type Worker,
 } from '../workers/index.js';
-import {
-  abandoned,
-  Board,
-  type DispatchObserver,
-  type EndedJob,
-} from './board.js';
-import {beginTrial, StrikeReason} from './health.js';
+import {Board, type DispatchObserver, type EndedJob} from './board.js';
+import {StrikeReason} from './health.js';
+import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {takeLook} from './looks.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
-import type {LentEntry} from './lent_survey.js';
+import type {LentReport} from './lent_survey.js';
 import {noteNotStarted} from './not_started.js';
+import {
+  endLostTasks,
+  endOverdueJobs,
+  endOverdueRuns,
+  giveUp,
+} from './overdue.js';
 import {Placer} from './placer.js';
-import {findRefusal} from './refusal.js';
+import {describeProgress} from './progress.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
 
+/**
+ * By then a holder before that lives has heard of this one, was turned away by
+ * a worker, or has given up the jobs of owners that it can't hear, in ms.
+ */
+const DEPOSED_MS = 600;
 /** After this a task that was lent to a lost holder has surely ended, in ms. */
 const LENT_OVER_MS = 2_000;
 
@@ -48,9 +55,8 @@
   private readonly board: Board;
   private readonly neighbours = new Neighbours();
   private readonly placer: Placer;
+  private readonly intake: Intake;
   private readonly stopper: Stopper;
-  /** Lent tasks whose ends have to be asked for anew. */
-  private adopted: Order[] = [];
 
   /** `heldSince` is when this instance became the holder. */
   constructor(
@@ -60,9 +66,10 @@
   ) {
     this.board = new Board(observer);
     this.placer = new Placer(this.board, this.neighbours, {
-      workersOverAt: leaseOverAt(heldSince, options.leaseMs),
+      workersOverAt: leaseOverAt(heldSince + DEPOSED_MS, options.leaseMs),
       lentOverAt: heldSince + LENT_OVER_MS,
     });
+    this.intake = new Intake(this.board, this.placer, options.leaseMs);
     this.stopper = new Stopper(this.board, heldSince);
   }
 
@@ -84,12 +91,12 @@
   /** Takes the present list of workers. */
   setWorkers(list: readonly Worker[], now: Millis): void {
     const listed = new Set(list.map(({id}) => id));
-    for (const worker of list) this.setWorker(worker, now);
+    for (const worker of list) this.setWorker(worker);
     for (const [id, record] of this.board.workers) {
       if (listed.has(id)) continue;
       // Its runs end by their leases; the record goes when none is left.
       record.info = {...record.info, isDraining: true};
-      if (record.runs.size === 0) this.board.dropWorker(id);
+      if (record.isForgettable(now)) this.board.dropWorker(id);
     }
   }
 
@@ -98,63 +105,70 @@
     this.board.isListConfirmed = true;
   }
 
-  /** Takes a job. `isResumed`: another holder may have started it. */
-  submit(job: Job, isResumed: boolean, now: Millis): void {
-    if (this.board.jobs.has(job.id)) return;
-    const refusal = isResumed ? undefined : findRefusal(this.board, job);
-    const record = this.board.addJob(job);
-    if (refusal !== undefined) {
-      this.board.refuse(record, refusal, 0, now);
-      return;
-    }
-    this.board.adoptOrphans(record, now);
-    this.adoptLent(record, now);
-    if (!isResumed) return;
-    record.hasStarted = true;
-    record.isResumed = true;
+  /**
+   * Takes a job. `isResumed`: another holder may have started it, and may have
+   * told by `progress` what it knew.
+   */
+  submit(
+    job: Job,
+    isResumed: boolean,
+    now: Millis,
+    progress?: JobProgress,
+  ): void {
+    this.intake.submit(job, {isResumed, progress}, now);
+  }
+
+  /** Whether no worker can run anything that an earlier holder started. */
+  areEarlierRunsOver(now: Millis): boolean {
+    return this.placer.areEarlierRunsOver(now);
+  }
+
+  /** What is known here of a job, for the holder that comes next. */
+  describeProgress(recordId: string, now: Millis): JobProgress | undefined {
+    const record = this.board.jobs.get(recordId);
+    if (record === undefined) return undefined;
+    return describeProgress(record, this.placer.isSettled(record, now), now);
   }
 
   /** Takes over a lent task that an earlier holder of this zone started. */
-  rejoinLent(job: Job, now: Millis): void {
-    if (this.board.jobs.has(job.id)) return;
-    const record = this.board.addJob(job);
-    this.board.adoptOrphans(record, now);
-    if (record.hasStarted) return;
-    this.board.endJob(record, abandoned(AbandonReason.RunLost), now);
+  rejoinLent(job: Job, now: Millis, progress?: JobProgress): void {
+    this.intake.rejoinLent(job, progress, now);
   }
 
   /** Takes a task that another zone lends; it starts now or is refused. */
   takeLent(job: Job, now: Millis): Order[] {
-    if (this.board.jobs.has(job.id)) return [];
-    const record = this.board.addJob(job);
-    const orders = this.placer.place(now);
-    if (!record.hasStarted)
-      this.board.refuse(record, RefusalReason.TooLate, 0, now);
-    return orders;
+    return this.intake.takeLent(job, now);
   }
 
   /** Gives a job up; it ends once nothing of it runs. */
   cancel(recordId: string, reason: AbandonReason, now: Millis): void {
     const record = this.board.jobs.get(recordId);
-    if (record) this.giveUp(record, reason, now);
+    if (record) giveUp(this.board, record, reason, now);
   }
 
   /** Decides what is due now. */
   tick(now: Millis): Order[] {
     this.board.forgetOld(now);
-    this.endOverdueRuns(now);
-    this.endOverdueJobs(now);
-    const {adopted} = this;
-    this.adopted = [];
+    endOverdueRuns(this.board, now);
+    endLostTasks(this.board, this.placer, now);
+    endOverdueJobs(this.board, now);
+    const asked = this.intake.takeOrders();
     const placed = this.placer.place(now);
-    return [...adopted, ...placed, ...this.stopper.stop(now)];
+    return [...asked, ...placed, ...this.stopper.stop(now)];
+  }
+
+  /** Whether anything that a worker runs shall go on, so that it is leased. */
+  isWanted(workerId: string, now: Millis): boolean {
+    const worker = this.board.workers.get(workerId);
+    return worker !== undefined && this.stopper.isWanted(worker, now);
   }
 
   /** Notes an order that gives a lease, at the moment it is sent. */
   noteLease(workerId: string, now: Millis): void {
     const worker = this.board.workers.get(workerId);
     if (worker === undefined) return;
-    const overAt = leaseOverAt(now, this.options.leaseMs);
+    const clockAgeMs = worker.clockAgeAt(now);
+    const overAt = leaseOverAt(now, this.options.leaseMs, clockAgeMs);
     worker.leasesOverAt = Math.max(worker.leasesOverAt, overAt);
   }
 
@@ -183,7 +197,12 @@
   /** Notes what a worker answered to a look that was sent at `sentAt`. */
   looked(workerId: string, look: Look, sentAt: Millis, now: Millis): void {
     const worker = this.board.workers.get(workerId);
-    if (worker !== undefined) takeLook(this.board, worker, look, sentAt, now);
+    if (worker === undefined) return;
+    // Until this look an earlier holder may have given leases there.
+    if (!worker.isHeld && look.running.length > 0) {
+      this.noteLease(workerId, now);
+    }
+    takeLook(this.board, worker, look, sentAt, now);
   }
 
   /** Notes a look that got no answer. */
@@ -208,9 +227,8 @@
   }
 
   /** Takes what another zone runs for this one since an earlier holder. */
-  noteLent(zone: string, entries: readonly LentEntry[], now: Millis): void {
-    this.board.survey.note(zone, entries);
-    for (const record of this.board.jobs.values()) this.adoptLent(record, now);
+  noteLent(zone: string, report: LentReport, now: Millis): void {
+    this.intake.noteLent(zone, report, now);
   }
 
   /** Notes how a lent task ended. */
@@ -226,14 +244,7 @@
     run.overAt = now + LENT_OVER_MS;
   }
 
-  private adoptLent(record: JobRecord, now: Millis): void {
-    for (const run of this.board.adoptLent(record, now)) {
-      const order = {zone: run.workerId, run, record, isAdopted: true};
-      this.adopted.push({kind: 'lend', ...order});
-    }
-  }
-
-  private setWorker(worker: Worker, now: Millis): void {
+  private setWorker(worker: Worker): void {
     this.board.durations.setKind(worker.id, worker.kind);
     const known = this.board.workers.get(worker.id);
     if (known === undefined) {
@@ -242,45 +253,7 @@
     }
     const {bornAt} = known.info;
     known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
-    if (bornAt >= worker.bornAt) return;
-    const lost = [...known.runs.values()];
-    known.forgetLife();
-    for (const run of lost) this.board.endRun(run, 'lost', now);
-  }
-
-  private giveUp(record: JobRecord, reason: AbandonReason, now: Millis): void {
-    const isRefusal = reason === AbandonReason.Deadline && !record.hasStarted;
-    if (isRefusal) this.board.refuse(record, RefusalReason.TooLate, 0, now);
-    else this.board.endJob(record, abandoned(reason), now);
-  }
-
-  /** Ends runs whose leases or stops are over. */
-  private endOverdueRuns(now: Millis): void {
-    for (const [id, worker] of this.board.workers) {
-      beginTrial(worker, now);
-      for (const run of [...worker.runs.values()]) {
-        const isLapsed = worker.isSilent && now >= worker.leasesOverAt;
-        if (isLapsed || now >= run.overAt) this.board.endRun(run, 'lost', now);
-      }
-      const isGone = worker.info.isDraining && worker.isSilent;
-      if (isGone && worker.runs.size === 0) this.board.dropWorker(id);
-    }
-    for (const record of [...this.board.jobs.values()]) {
-      for (const run of [...record.runs()]) {
-        const isOver = run.lentTo !== undefined && now >= run.overAt;
-        if (isOver) this.board.endRun(run, 'lost', now);
-      }
-    }
-  }
-
-  private endOverdueJobs(now: Millis): void {
-    for (const record of [...this.board.jobs.values()]) {
-      if (record.ending !== undefined) continue;
-      if (now >= record.job.deadlineAt) {
-        this.giveUp(record, AbandonReason.Deadline, now);
-      } else if (!record.hasStarted && now >= record.usefulUntil) {
-        this.board.refuse(record, RefusalReason.TooLate, 0, now);
-      }
-    }
+    // What runs there may be the new life's: its next look tells.
+    if (bornAt < worker.bornAt) known.beginLife();
   }
 }
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -11,7 +11,7 @@
 
 /** Stops what is not wanted any more. */
 export class Stopper {
-  /** When stops of runs that nobody wants last went out, by task. */
+  /** When stops of runs that nobody wants last went out, by worker and task. */
   private readonly orphanStops = new Map<string, Millis>();
 
   /** `heldSince` is when this instance became the holder. */
@@ -20,19 +20,29 @@
     private readonly heldSince: Millis,
   ) {}
 
+  /** Whether anything that a worker runs shall go on, as far as is known. */
+  isWanted({runs, orphans}: WorkerRecord, now: Millis): boolean {
+    if (orphans.size > 0 && this.isAdopting(now)) return true;
+    return [...runs.values()].some(({phase}) => isToGoOn(phase));
+  }
+
   /** Orders to stop that are due. */
   stop(now: Millis): Order[] {
     const orders: Order[] = [];
     this.forgetOldStops(now);
     for (const worker of this.board.workers.values()) {
       this.stopRuns(orders, worker, now);
-      if (now < this.heldSince + ADOPTION_MS) continue;
-      this.stopOrphans(orders, worker, now);
+      if (!this.isAdopting(now)) this.stopOrphans(orders, worker, now);
     }
     this.recall(orders, now);
     return orders;
   }
 
+  /** Whether jobs may still claim what an earlier holder started. */
+  private isAdopting(now: Millis): boolean {
+    return now < this.heldSince + ADOPTION_MS;
+  }
+
   private stopRuns(orders: Order[], worker: WorkerRecord, now: Millis): void {
     const workerId = worker.info.id;
     for (const run of worker.runs.values()) {
@@ -51,8 +61,9 @@
   ): void {
     const workerId = worker.info.id;
     for (const [key, runNumber] of worker.orphans) {
-      if (this.orphanStops.has(key)) continue;
-      this.orphanStops.set(key, now);
+      const stopKey = `${workerId} ${key}`;
+      if (this.orphanStops.has(stopKey)) continue;
+      this.orphanStops.set(stopKey, now);
       orders.push({kind: 'stop', workerId, key, runNumber, run: undefined});
     }
   }
@@ -76,3 +87,14 @@
     }
   }
 }
+
+function isToGoOn(phase: RunPhase): boolean {
+  switch (phase) {
+    case RunPhase.Starting:
+    case RunPhase.Running:
+      return true;
+    case RunPhase.Stopping:
+    case RunPhase.StopTaken:
+      return false;
+  }
+}
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -97,17 +97,31 @@
     this.clock = {workerMs, readAt: now};
   }
 
-  /** The worker's clock now, never ahead of it; undefined before any answer. */
+  /** How long ago the worker's clock was read; 0 before any answer. */
+  clockAgeAt(now: Millis): Millis {
+    return this.clock === undefined ? 0 : now - this.clock.readAt;
+  }
+
+  /**
+   * The worker's clock now, undefined before any answer. A slow clock may have
+   * fallen behind this since it was read.
+   */
   clockAt(now: Millis): Millis | undefined {
     if (this.clock === undefined) return undefined;
     return this.clock.workerMs + (now - this.clock.readAt);
   }
 
-  /** Begins a new life: nothing of the old one is left. */
-  forgetLife(): void {
-    this.running.clear();
-    this.used = NO_NEED;
-    this.orphans.clear();
+  /**
+   * Whether nothing can run there any more: neither what this holder knows of
+   * nor what has a lease of its own. What is silent ends with its lease.
+   */
+  isForgettable(now: Millis): boolean {
+    if (this.runs.size > 0 || now < this.leasesOverAt) return false;
+    return this.isSilent || this.orphans.size === 0;
+  }
+
+  /** Begins a new life, of which only a look tells what runs there. */
+  beginLife(): void {
     this.lastSeen = 0;
     this.clock = undefined;
     this.isHeld = false;
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -73,11 +73,43 @@
   ]);
 });
 
+test('a silent worker that leaves the list keeps unclaimed runs until its lease ends', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.noteLease('w1', 100);
+  dispatcher.lookFailed('w1');
+  dispatcher.setWorkers([second], 200);
+  dispatcher.tick(1_140);
+  assert.ok(dispatcher.workers.has('w1'));
+  dispatcher.tick(1_160);
+  assert.ok(!dispatcher.workers.has('w1'));
+});
+
+test('a job that comes again finds its run on a worker that has left the list', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.setWorkers([second], 200);
+  dispatcher.submit(createJob('a', 1), false, 300);
+  assert.deepEqual(formatOrders(dispatcher.tick(300)), []);
+});
+
+test('the lease of an earlier holder is waited for where its run was found', () => {
+  const dispatcher = createScene([first, second], 0);
+  dispatcher.looked('w2', createLook(), 1, 2);
+  dispatcher.looked('w1', createLook([running]), 549, 550);
+  dispatcher.lookFailed('w1');
+  dispatcher.submit(createJob('a', 1), false, 600);
+  assert.deepEqual(formatOrders(dispatcher.tick(600)), []);
+});
+
 test('a task that another zone runs and no job has claimed in time is taken back', () => {
   const dispatcher = createScene([first], 0);
   lookAtAll(dispatcher, 1);
   dispatcher.expectLent(['east']);
-  dispatcher.noteLent('east', [{key: 'a.0.0.0', run: 4}], 5);
+  const tasks = [{key: 'a.0.0.0', run: 4}];
+  dispatcher.noteLent('east', {isComplete: true, tasks}, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(510)), [
     'recall a.0.0.0 from east',
   ]);
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -47,6 +47,7 @@
     selfId: SELF,
     findHolder: () => createLocalTarget(holder, SELF),
     waitForChange: () => new Promise(() => undefined),
+    isAlive: () => true,
     logger: quiet,
     metrics,
   });
