Heartbeats to all neighbours leave together

Cause: each link kept its own timer, so that an instance without work was woken some 25 times a second just to send, and as often for answers; each wake finds a cold processor cache. A holder listed its free room anew for each link, and told it to its own zone, which doesn't use it.

Links now beat with the step of the instance, each third one: one heartbeat is made for the own zone and one for other zones, and only the latter has the rooms. The interval, the timeout and what counts as silence stay.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -105,7 +105,7 @@
       selfId: id,
       logger: logs.forPart(LogPart.Peers),
       lifecycle,
-      createHeartbeat: () => this.createHeartbeat(readClock(), true),
+      createHeartbeat: (now, isForeign) => this.createHeartbeat(now, isForeign),
       onAnswer: (message, sentAt) => this.takeAnswer(message, sentAt),
       onRefused: address => this.view.noteRefused(address),
     });
@@ -210,10 +210,11 @@
     const holderInForce = this.roles.claim?.holderId;
     const {addresses, isCandidate} = this.view.chooseLinks(holderInForce, now);
     directory.setCandidate(isCandidate);
-    this.links.setAddresses([...addresses, ...foreign]);
+    this.links.setAddresses(addresses, foreign);
     const isInformed = directory.heardAt() !== undefined;
     const self = {isLeaving: this.isLeaving, isInformed};
     this.roles.update(this.view.members(now), self, now);
+    this.links.beat(now);
     const {holderId} = this.roles;
     if (holderId !== undefined) this.hadHolderAt = now;
     if (holderId !== undefined) this.change.tell(holderId);
@@ -275,18 +276,12 @@
     const {id, zone, processors, directory} = this.options;
     const {claim, holder} = this.roles;
     const {address, isLeaving} = this;
-    const holderHeardMs = claim && this.holderHeardMs(claim.holderId, now);
+    const holderHeardMs = claim && this.view.heardMs(claim.holderId, now);
     const rooms = withRooms ? holder?.findRooms() : undefined;
     const self = {id, zone, address, processors, isLeaving, directory};
     return createOwnHeartbeat({...self, claim, holderHeardMs, rooms}, now);
   }
 
-  private holderHeardMs(holderId: string, now: Millis): Millis | undefined {
-    if (holderId === this.options.id) return 0;
-    const heardAt = this.view.heardAt(holderId);
-    return heardAt === undefined ? undefined : now - heardAt;
-  }
-
   private findHolder(): HolderTarget | undefined {
     const {holder, holderId} = this.roles;
     const {id: selfId} = this.options;
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -1,16 +1,13 @@
-/** One link to each neighbour, with a heartbeat on each. */
+/** One link to each neighbour; heartbeats to all of them leave together. */
 import {createCallLink, type CallLink} from '@goldcrestpier/peers';
-import {
-  readClock,
-  sleep,
-  type Lifecycle,
-  type Logger,
-  type Millis,
-} from '@goldcrestpier/runtime';
+import type {Lifecycle, Logger, Millis} from '@goldcrestpier/runtime';
 import {ZoneCalls, zoneMethods, type ZoneHeartbeat} from '../protocol/index.js';
 
-/** Pause between two heartbeats to one neighbour, in ms. */
-const HEARTBEAT_MS = 150;
+/**
+ * Shortest pause between two heartbeats to one neighbour, in ms. They leave with
+ * a step of the instance, which comes every 50 ms: each third one.
+ */
+const HEARTBEAT_PAUSE_MS = 140;
 /** How long a heartbeat waits for its answer, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 450;
 /** No secret: the platform's network keeps others away from the listener. */
@@ -28,8 +25,8 @@
   readonly selfId: string;
   readonly logger: Logger;
   readonly lifecycle: Lifecycle;
-  /** The heartbeat to send now. */
-  readonly createHeartbeat: () => ZoneHeartbeat;
+  /** The heartbeat to send now, to instances of this zone or of others. */
+  readonly createHeartbeat: (now: Millis, isForeign: boolean) => ZoneHeartbeat;
   /** Takes the answer to a heartbeat that was sent at `sentAt`. */
   readonly onAnswer: (message: ZoneHeartbeat, sentAt: Millis) => void;
   readonly onRefused: (address: string) => void;
@@ -39,24 +36,55 @@
   readonly link: CallLink;
   readonly calls: ZoneCalls;
   readonly lifecycle: Lifecycle;
+  /** Whether it is an instance of another zone. */
+  isForeign: boolean;
+  /** Whether a heartbeat waits for its answer. */
+  isAsked: boolean;
 }
 
 /** Keeps the links that are wanted. */
 export class Links {
   private readonly neighbours = new Map<string, Neighbour>();
+  private beatAt: Millis = -Infinity;
 
   constructor(private readonly options: LinksOptions) {}
 
-  /** Opens links to new addresses and closes those that are gone. */
-  setAddresses(addresses: readonly string[]): void {
-    const wanted = new Set(addresses);
+  /**
+   * Opens links to new addresses and closes those that are gone. `foreign` are
+   * those of other zones.
+   */
+  setAddresses(own: readonly string[], foreign: readonly string[]): void {
+    const wanted = new Set([...own, ...foreign]);
     for (const address of wanted) {
       if (!this.neighbours.has(address)) this.open(address);
     }
-    for (const [address, {lifecycle}] of this.neighbours) {
+    for (const [address, neighbour] of this.neighbours) {
+      neighbour.isForeign = foreign.includes(address);
       if (wanted.has(address)) continue;
       this.neighbours.delete(address);
-      void lifecycle.close();
+      void neighbour.lifecycle.close();
+    }
+  }
+
+  /**
+   * Sends a heartbeat, when it is time for one, to each neighbour that is
+   * connected and has answered the one before. All leave in one turn of the event loop, so that an instance
+   * without work is woken once for them.
+   */
+  beat(now: Millis): void {
+    if (now - this.beatAt < HEARTBEAT_PAUSE_MS) return;
+    this.beatAt = now;
+    const {createHeartbeat, onRefused} = this.options;
+    let toOwn: ZoneHeartbeat | undefined;
+    let toForeign: ZoneHeartbeat | undefined;
+    for (const neighbour of this.neighbours.values()) {
+      const {link, isForeign, isAsked} = neighbour;
+      if (link.isRefused()) onRefused(link.address);
+      if (isAsked || !link.isConnected()) continue;
+      if (isForeign) toForeign ??= createHeartbeat(now, true);
+      else toOwn ??= createHeartbeat(now, false);
+      const message = isForeign ? toForeign : toOwn;
+      if (message !== undefined) void this.ask(neighbour, message, now);
     }
   }
 
@@ -78,32 +106,19 @@
     };
     const link = createCallLink({...options, limits: linkLimits}, zoneMethods);
     const calls = new ZoneCalls(link);
-    this.neighbours.set(address, {link, calls, lifecycle});
-    const loop = (signal: AbortSignal) => this.beat(link, calls, signal);
-    lifecycle.run('heartbeats', loop, cause => {
-      logger.error('heartbeats ended by a fault', {
-        address,
-        cause: String(cause),
-      });
-    });
+    const state = {isForeign: false, isAsked: false};
+    this.neighbours.set(address, {link, calls, lifecycle, ...state});
   }
 
-  private async beat(
-    link: CallLink,
-    calls: ZoneCalls,
-    signal: AbortSignal,
+  private async ask(
+    neighbour: Neighbour,
+    message: ZoneHeartbeat,
+    sentAt: Millis,
   ): Promise<void> {
-    const {createHeartbeat, onAnswer, onRefused} = this.options;
-    while (!signal.aborted) {
-      if (link.isConnected()) {
-        const message = createHeartbeat();
-        const sentAt = readClock();
-        const result = await calls.heartbeat(message, HEARTBEAT_TIMEOUT_MS);
-        if (result.isOk()) onAnswer(result.value, sentAt);
-      } else if (link.isRefused()) {
-        onRefused(link.address);
-      }
-      await sleep(HEARTBEAT_MS, signal);
-    }
+    neighbour.isAsked = true;
+    const {calls} = neighbour;
+    const result = await calls.heartbeat(message, HEARTBEAT_TIMEOUT_MS);
+    neighbour.isAsked = false;
+    if (result.isOk()) this.options.onAnswer(result.value, sentAt);
   }
 }
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -152,10 +152,13 @@
     return undefined;
   }
 
-  /** When the instance was last heard from. */
-  heardAt(id: string): Millis | undefined {
+  /** How long ago the instance was last heard from. */
+  heardMs(id: string, now: Millis): Millis | undefined {
+    if (id === this.self.id) return 0;
     for (const neighbour of this.neighbours.values()) {
-      if (neighbour.id === id) return neighbour.heardAt;
+      if (neighbour.id !== id) continue;
+      const {heardAt} = neighbour;
+      return heardAt === undefined ? undefined : now - heardAt;
     }
     return undefined;
   }
