--- a/packages/runtime/src/wakeup/index.ts
+++ b/packages/runtime/src/wakeup/index.ts
@@ -1,3 +1,5 @@
+import type {Millis} from '../clock/index.js';
+
 /** Wakes one waiting loop. What is told while it works is not lost. */
 export class Wakeup {
   private isTold = false;
@@ -9,19 +11,32 @@
     this.resume();
   }
 
-  /** Waits until told, or until `signal` aborts. */
-  async wait(signal: AbortSignal): Promise<void> {
-    if (!this.isTold && !signal.aborted) await this.waitForResume(signal);
+  /**
+   * Waits until told, for `longestMs`, or until `signal` aborts. True when told.
+   */
+  async wait(signal: AbortSignal, longestMs?: Millis): Promise<boolean> {
+    if (!this.isTold && !signal.aborted) {
+      await this.waitForResume(signal, longestMs);
+    }
+    const {isTold} = this;
     this.isTold = false;
+    return isTold;
   }
 
-  private waitForResume(signal: AbortSignal): Promise<void> {
+  private waitForResume(
+    signal: AbortSignal,
+    longestMs: Millis | undefined,
+  ): Promise<void> {
     return new Promise(resolve => {
-      this.resume = () => {
-        signal.removeEventListener('abort', this.resume);
+      const resume = () => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', resume);
         resolve();
       };
-      signal.addEventListener('abort', this.resume, {once: true});
+      const timer =
+        longestMs === undefined ? undefined : setTimeout(resume, longestMs);
+      this.resume = resume;
+      signal.addEventListener('abort', resume, {once: true});
     });
   }
 }
