Log lines of a moment leave in one write

Cause: each line was handed to a thread for writing at once, which wakes that thread and then the event loop again. Lines are now gathered for 20 ms.

Binds next: building a line (bunyan on a cold processor cache), and exchanges with workers.

--- a/packages/runtime/src/logger/bounded_output.ts
+++ b/packages/runtime/src/logger/bounded_output.ts
@@ -2,6 +2,7 @@
  * Writes log lines without ever making the process wait. Node writes to a pipe
  * synchronously, so a reader that stops would stop the program; here lines are
  * kept in memory up to a bound, and what does not fit is counted and left out.
+ * Lines of a moment leave in one write, as each write also wakes a thread.
  */
 import {write} from 'node:fs';
 import {Writable} from 'node:stream';
@@ -11,6 +12,8 @@
 /** Most lines a second; what is over is counted and left out. */
 const MOST_LINES_PER_S = 400;
 const MILLIS_PER_SECOND = 1000;
+/** How long lines are gathered for one write, in ms. */
+const GATHER_MS = 20;
 
 /** Writes bytes to where the log goes, as `fs.write` does. */
 export type WriteBytes = (
@@ -22,6 +25,7 @@
 export class BoundedOutput extends Writable {
   private waiting: Buffer[] = [];
   private waitingBytes = 0;
+  /** Whether a write is due or under way. */
   private isWriting = false;
   private leftOut = 0;
   private secondBegan = 0;
@@ -70,14 +74,18 @@
   private append(line: Buffer): void {
     this.waiting.push(line);
     this.waitingBytes += line.length;
-    if (!this.isWriting) this.flush();
+    if (!this.isWriting) this.flushSoon();
+  }
+
+  private flushSoon(): void {
+    this.isWriting = true;
+    setTimeout(() => this.flush(), GATHER_MS);
   }
 
   private flush(): void {
     const bytes = Buffer.concat(this.waiting);
     this.waiting = [];
     this.waitingBytes = 0;
-    this.isWriting = true;
     this.writeAll(bytes);
   }
 
@@ -87,7 +95,7 @@
       const isDone = error !== null || written >= bytes.length;
       if (!isDone) return this.writeAll(bytes.subarray(written));
       this.isWriting = false;
-      if (this.waiting.length > 0) this.flush();
+      if (this.waiting.length > 0) this.flushSoon();
     });
   }
 }
