--- a/packages/peers/test/calls.test.ts
+++ b/packages/peers/test/calls.test.ts
@@ -6,7 +6,7 @@
   JobState,
   Ran,
 } from '@goldcrestpier/protocol';
-import {sleep} from '@goldcrestpier/runtime';
+import {silentLogger, sleep, type Logger} from '@goldcrestpier/runtime';
 import {
   Direction,
   NotSentReason,
@@ -239,3 +239,23 @@
   assert.equal(read.kind, RelayAnswerKind.Job);
   assert.deepEqual(read.answer.tasks, tasks);
 });
+
+test('a call that fails is logged with its name and code, and answered', async context => {
+  const lifecycle = createLifecycle(context);
+  const lines: string[] = [];
+  const logger: Logger = {
+    ...silentLogger,
+    warn: (message, fields) => {
+      lines.push(`${message} ${fields?.['call']} ${fields?.['code']}`);
+    },
+  };
+  const handlers = createHandlers({
+    settle: () => Promise.reject(new Error('no such owner')),
+  });
+  const {link} = await startPair(lifecycle, {handlers, logger});
+  const answer = await link.settle({owner: 'x', ends: []}, TIMEOUT_MS);
+  const failure = answer.unwrapErr();
+  assert.ok('failure' in failure);
+  assert.equal(failure.failure.code, FailureCode.InternalFault);
+  assert.deepEqual(lines, ['call failed settle INTERNAL_SERVER_ERROR']);
+});
