--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -27,17 +27,6 @@
     build.onLoad({filter: /.*/, namespace: 'unused'}, () => ({
       contents: 'module.exports = {};',
     }));
-    // Neither gateways nor clusters nor a process's own metrics are used.
-    build.onResolve(
-      {filter: /^\.\/lib\/(pushgateway|cluster|defaultMetrics)$/},
-      ({importer}) =>
-        /[/\\]prom-client[/\\]index\.js$/.test(importer)
-          ? {path: 'unused', namespace: 'unused'}
-          : undefined,
-    );
-    build.onResolve({filter: /^(node:)?assert$/}, () => ({
-      path: resolve('scripts/assert_core.cjs'),
-    }));
     // Bunyan goes on without its optional parts when they can't be loaded.
     build.onResolve(
       {filter: /^(dtrace-provider|mv|safe-json-stringify|source-map-support)$/},
