--- a/packages/peers/src/server/connection.ts
+++ b/packages/peers/src/server/connection.ts
@@ -22,12 +22,10 @@
   params: z.object({path: z.string(), input: z.unknown().optional()}),
 });
 
-/** One call as it arrives. */
-export type PeerRequest = z.infer<typeof requestSchema>;
-
 /**
- * Reads and writes the text frames of one connection, where the size of a
- * message and its call are both known.
+ * Reads and writes the text frames of one connection. It stands between
+ * tRPC's adapter and the socket because only there the size of a message and
+ * its call are both known.
  */
 export class PeerConnection {
   /** Calls whose answers are still to come, by their ids. */
@@ -52,7 +50,7 @@
   }
 
   /** Reads one frame. Throws on anything but one call, which tRPC answers. */
-  decode(frame: unknown): PeerRequest {
+  decode(frame: unknown): unknown {
     if (typeof frame !== 'string') throw new TypeError('expected a text frame');
     const request = requestSchema.parse(JSON.parse(frame));
     this.checkId(request.id);
--- a/packages/peers/src/server/server.ts
+++ b/packages/peers/src/server/server.ts
@@ -10,6 +10,7 @@
   type Logger,
 } from '@goldcrestpier/runtime';
 import type {AnyTRPCRouter} from '@trpc/server';
+import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {WebSocketServer, type WebSocket} from 'ws';
 import {
@@ -25,8 +26,7 @@
 import {INCARNATION_HEADER} from '../incarnation_header.js';
 import {PeerConnection} from './connection.js';
 import {defaultPeerServerLimits, type PeerServerLimits} from './limits.js';
-import {createPeerRouter} from './router.js';
-import {serveCalls} from './serve_calls.js';
+import {createPeerRouter, type PeerContext} from './router.js';
 import {createUpgradeServer, refuseUpgrade, sendRefusal} from './upgrade.js';
 
 /** Close code of a server that goes away, from the WebSocket standard. */
@@ -168,15 +168,18 @@
     this.connections.add(connection);
     socket.once('close', () => this.connections.delete(connection));
     watchSilence(socket, {silenceMs: this.limits.idleMs, asks: false});
-    serveCalls({
-      socket,
+    const handle = getWSConnectionHandler({
+      wss: this.sockets,
       router: this.options.router,
-      connection,
-      onError: (path, {code}) => {
-        const fields = {peer, call: path, code};
-        this.log.warn('call failed', code, fields, readClock());
+      createContext: (): PeerContext => ({connection}),
+      // One encoder for each connection: it counts calls and their sizes.
+      experimental_encoder: connection,
+      onError: ({path, error}) => {
+        const fields = {peer, call: path, code: error.code};
+        this.log.warn('call failed', error.code, fields, readClock());
       },
     });
+    handle(socket, request);
   }
 }
 
