Leases of an earlier holder's runs end before their job may come again

A holder that was cut off when it claimed counted the leases of the one before from its claim, though that one went on until the cut ended: it now counts from the first worker that follows it. And a new holder's looks leased runs that nobody had claimed for a whole lease, so that a job that came again in another zone 1.3 s later met them: they are now leased only until claims end, and looked at more often until then.

Both tests failed before.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -53,6 +53,8 @@
   readonly foreignTasks = new ForeignTasks();
   /** Whether the list of workers is as new as it can be had. */
   isListConfirmed = false;
+  /** When a worker first showed that it follows this holder. */
+  followedSince: Millis | undefined;
   private ended: EndedJob[] = [];
   private readonly runNumbers = new RunNumbers();
   /** What other zones run for this one since an earlier holder. */
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -66,8 +66,8 @@
   ) {
     this.board = new Board(observer);
     this.placer = new Placer(this.board, this.neighbours, {
-      workersOverAt: leaseOverAt(heldSince + DEPOSED_MS, options.leaseMs),
-      lentOverAt: heldSince + LENT_OVER_MS,
+      workersMs: leaseOverAt(DEPOSED_MS, options.leaseMs),
+      lentMs: LENT_OVER_MS,
     });
     this.intake = new Intake(this.board, this.placer, options.leaseMs);
     this.stopper = new Stopper(this.board, heldSince);
@@ -157,10 +157,11 @@
     return [...asked, ...placed, ...this.stopper.stop(now)];
   }
 
-  /** Whether anything that a worker runs shall go on, so that it is leased. */
-  isWanted(workerId: string, now: Millis): boolean {
+  /** How long a worker's runs may go on; undefined when none of them shall. */
+  chooseLease(workerId: string, now: Millis): Millis | undefined {
     const worker = this.board.workers.get(workerId);
-    return worker !== undefined && this.stopper.isWanted(worker, now);
+    if (worker === undefined) return undefined;
+    return this.stopper.chooseLease(worker, this.options.leaseMs, now);
   }
 
   /** Notes an order that gives a lease, at the moment it is sent. */
--- a/packages/dispatch/src/dispatcher/looks.ts
+++ b/packages/dispatch/src/dispatcher/looks.ts
@@ -37,6 +37,7 @@
   if (look.bornAt !== worker.info.bornAt) beginLife(worker, look, now);
   worker.readClock(look.clockMs, now);
   worker.isHeld = true;
+  board.followedSince ??= now;
   worker.isSilent = false;
   for (const {sequence} of look.ended) {
     worker.lastSeen = Math.max(worker.lastSeen, sequence);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -25,12 +25,16 @@
   return others.length > 0 ? others : workers;
 }
 
-/** When runs of an earlier holder that nobody told of have surely ended. */
+/**
+ * How long after the first worker follows this holder runs of an earlier one,
+ * that nobody told of, have surely ended. Until then an earlier holder may go
+ * on, however long ago this one claimed.
+ */
 export interface Barrier {
   /** Those on workers, listed here or not. */
-  readonly workersOverAt: Millis;
+  readonly workersMs: Millis;
   /** Those that were lent to zones that do not answer. */
-  readonly lentOverAt: Millis;
+  readonly lentMs: Millis;
 }
 
 /** Places the tasks of one board. */
@@ -73,7 +77,9 @@
   isSettled(record: JobRecord, now: Millis): boolean {
     if (!record.mayRunUnseen) return true;
     if (!this.areEarlierRunsOver(now)) return false;
-    return this.board.survey.isComplete || now >= this.barrier.lentOverAt;
+    return (
+      this.board.survey.isComplete || this.isPast(this.barrier.lentMs, now)
+    );
   }
 
   /**
@@ -81,7 +87,12 @@
    * that no list has may run it, so only time tells.
    */
   areEarlierRunsOver(now: Millis): boolean {
-    return now >= this.barrier.workersOverAt;
+    return this.isPast(this.barrier.workersMs, now);
+  }
+
+  private isPast(durationMs: Millis, now: Millis): boolean {
+    const {followedSince} = this.board;
+    return followedSince !== undefined && now >= followedSince + durationMs;
   }
 
   /** Places tasks that are alike. */
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -8,6 +8,8 @@
 const STOP_AGAIN_MS = 200;
 /** How long runs of an earlier holder wait for their jobs, in ms. */
 const ADOPTION_MS = 500;
+/** Time for the order to stop, added to the lease of unclaimed runs, in ms. */
+const UNCLAIMED_MARGIN_MS = 100;
 
 /** Stops what is not wanted any more. */
 export class Stopper {
@@ -20,10 +22,21 @@
     private readonly heldSince: Millis,
   ) {}
 
-  /** Whether anything that a worker runs shall go on, as far as is known. */
-  isWanted({runs, orphans}: WorkerRecord, now: Millis): boolean {
-    if (orphans.size > 0 && this.isAdopting(now)) return true;
-    return [...runs.values()].some(({phase}) => isToGoOn(phase));
+  /**
+   * How long what a worker runs may go on without another look; undefined when
+   * nothing of it shall. What nobody has claimed may lapse once it has to stop.
+   */
+  chooseLease(
+    {runs, orphans}: WorkerRecord,
+    leaseMs: Millis,
+    now: Millis,
+  ): Millis | undefined {
+    if (orphans.size > 0 && this.isAdopting(now)) {
+      const leftMs = this.heldSince + ADOPTION_MS - now;
+      return Math.min(leaseMs, leftMs + UNCLAIMED_MARGIN_MS);
+    }
+    const isWanted = [...runs.values()].some(({phase}) => isToGoOn(phase));
+    return isWanted ? leaseMs : undefined;
   }
 
   /** Orders to stop that are due. */
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {Dispatcher, RunEnd, StartAnswer} from '../src/index.js';
 import {
+  bounds,
   createJob,
   createLook,
   createScene,
@@ -224,3 +225,23 @@
     'lend a.0.0.0/4 to east',
   ]);
 });
+
+test('a holder that was cut off waits from the first worker that follows it', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  const longer = {targetMs: 10_000, deadlineAt: 20_000};
+  dispatcher.submit(createJob('a', 1, longer), true, 4_000);
+  dispatcher.looked('w1', createLook(), 5_000, 5_001);
+  assert.deepEqual(formatOrders(dispatcher.tick(6_640)), []);
+  assert.deepEqual(formatOrders(dispatcher.tick(6_660)), [
+    'start a.0.0.0/1 on w1',
+  ]);
+});
+
+test('what nobody has claimed is leased no longer than jobs may claim it', () => {
+  const dispatcher = createScene([createWorker('w1')], 0);
+  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  assert.equal(dispatcher.chooseLease('w1', 100), 500);
+  assert.equal(dispatcher.chooseLease('w1', 600), undefined);
+  dispatcher.submit(createJob('a', 1), true, 110);
+  assert.equal(dispatcher.chooseLease('w1', 120), bounds.leaseMs);
+});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -70,7 +70,6 @@
     this.watches = new WorkerWatches({
       ...options,
       losses,
-      leaseMs: bounds.leaseMs,
       dispatcher: this.dispatcher,
       onChange: () => this.pumpSoon(),
       onFenced: workerId => this.fence(workerId),
--- a/packages/zone/src/holder/worker_watch.ts
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -15,6 +15,8 @@
 
 /** Longest time that a worker may wait for an end before it answers, in ms. */
 const LONGEST_WAIT_MS = 400;
+/** The same while runs there are unclaimed, whose leases are short, in ms. */
+const UNCLAIMED_WAIT_MS = 100;
 /** Shortest such time, in ms. */
 const SHORTEST_WAIT_MS = 20;
 /** Added to the wait before a look counts as unanswered, in ms. */
@@ -32,7 +34,6 @@
 export interface WorkerWatchOptions {
   readonly workerId: string;
   readonly token: number;
-  readonly leaseMs: Millis;
   readonly dispatcher: Dispatcher;
   readonly port: WorkerPort;
   readonly losses: AnswerLosses;
@@ -98,9 +99,10 @@
     clock: Millis | undefined,
     now: Millis,
   ): Millis | undefined {
-    const {workerId, dispatcher, leaseMs} = this.options;
+    const {workerId, dispatcher} = this.options;
     if (clock === undefined) return undefined;
-    if (!dispatcher.isWanted(workerId, now)) return undefined;
+    const leaseMs = dispatcher.chooseLease(workerId, now);
+    if (leaseMs === undefined) return undefined;
     dispatcher.noteLease(workerId, now);
     return Math.floor(clock + leaseMs);
   }
@@ -116,10 +118,9 @@
     }
     const overdueAt = record === undefined ? Infinity : nextOverdueAt(record);
     const untilOverdue = overdueAt - now;
-    const wait = Math.min(
-      Math.max(untilOverdue, SHORTEST_WAIT_MS),
-      LONGEST_WAIT_MS,
-    );
+    const isUnclaimed = record !== undefined && record.orphans.size > 0;
+    const longestMs = isUnclaimed ? UNCLAIMED_WAIT_MS : LONGEST_WAIT_MS;
+    const wait = Math.min(Math.max(untilOverdue, SHORTEST_WAIT_MS), longestMs);
     return Math.ceil(wait);
   }
 
--- a/packages/zone/src/holder/worker_watches.ts
+++ b/packages/zone/src/holder/worker_watches.ts
@@ -1,6 +1,6 @@
 /** One watch for each worker of a dispatcher. */
 import type {Dispatcher} from '@goldcrestpier/dispatch';
-import type {Lifecycle, Logger, Millis} from '@goldcrestpier/runtime';
+import type {Lifecycle, Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {OrderFailure, WorkerPort} from '../ports/index.js';
 import type {AnswerLosses} from './answer_losses.js';
@@ -9,7 +9,6 @@
 /** What the watches need. */
 export interface WorkerWatchesOptions {
   readonly token: number;
-  readonly leaseMs: Millis;
   readonly dispatcher: Dispatcher;
   readonly port: WorkerPort;
   readonly losses: AnswerLosses;
--- a/packages/zone/test/unwanted_runs.test.ts
+++ b/packages/zone/test/unwanted_runs.test.ts
@@ -5,13 +5,7 @@
 import {Ok} from 'ts-results-es';
 import {AnswerLosses} from '../src/holder/answer_losses.js';
 import {WorkerWatch} from '../src/holder/worker_watch.js';
-import {
-  bounds,
-  createDispatcher,
-  createJob,
-  fail,
-  worker,
-} from './fixtures/scene.js';
+import {createDispatcher, createJob, fail, worker} from './fixtures/scene.js';
 
 /** The leases that looks give to a worker where a run goes on all the time. */
 async function collectLeases(
@@ -24,7 +18,6 @@
   const watch = new WorkerWatch({
     workerId: worker.id,
     token: 7,
-    leaseMs: bounds.leaseMs,
     dispatcher,
     port: {
       look: ({leaseUntil}) => {
--- a/packages/zone/test/worker_watch.test.ts
+++ b/packages/zone/test/worker_watch.test.ts
@@ -6,7 +6,6 @@
 import {WorkerWatch} from '../src/holder/worker_watch.js';
 import {OrderFailure, type LookOrder} from '../src/ports/index.js';
 import {
-  bounds,
   createDispatcher,
   createJob,
   fail,
@@ -33,7 +32,6 @@
   const watch = new WorkerWatch({
     workerId: worker.id,
     token: 7,
-    leaseMs: bounds.leaseMs,
     dispatcher,
     port: {look, start: fail, stop: fail},
     losses,
--- a/packages/zone/test/worker_watches.test.ts
+++ b/packages/zone/test/worker_watches.test.ts
@@ -7,13 +7,7 @@
 import {AnswerLosses} from '../src/holder/answer_losses.js';
 import {WorkerWatches} from '../src/holder/worker_watches.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import {
-  bounds,
-  createDispatcher,
-  fail,
-  quiet,
-  worker,
-} from './fixtures/scene.js';
+import {createDispatcher, fail, quiet, worker} from './fixtures/scene.js';
 
 /** How often a quiet worker is looked at when the list changes like this. */
 async function countLooks(
@@ -28,7 +22,6 @@
   };
   const watches = new WorkerWatches({
     token: 7,
-    leaseMs: bounds.leaseMs,
     dispatcher,
     port: {look, start: fail, stop: fail},
     losses: new AnswerLosses(),
