A lent task that counts as lost is taken back where it may go on

After a link that was away for half a second, a lent task counted as lost and began again 2 s later, while the other zone, which had heard its home again, went on with it. A task whose job nobody claims of a new holder was left to the other zone as well, for up to 1.8 s, longer than its caller waits to send it again. Both are now recalled.

--- a/packages/dispatch/src/dispatcher/lent_survey.ts
+++ b/packages/dispatch/src/dispatcher/lent_survey.ts
@@ -15,9 +15,8 @@
 }
 
 /** A lent task and the zone that runs it. */
-export interface LentRun {
+export interface LentRun extends LentEntry {
   readonly zone: string;
-  readonly run: number;
 }
 
 /** Gathers the answers of other zones to a new holder. */
@@ -44,10 +43,17 @@
       const name = `${zone} ${key} ${run}`;
       if (this.told.has(name)) continue;
       this.told.add(name);
-      this.runs.set(key, {zone, run});
+      this.runs.set(key, {key, zone, run});
     }
   }
 
+  /** Hands out all that nobody has asked for, once. */
+  takeAll(): LentRun[] {
+    const left = [...this.runs.values()];
+    this.runs.clear();
+    return left;
+  }
+
   /** Hands out where a task runs, once. */
   take(key: string): LentRun | undefined {
     const found = this.runs.get(key);
--- a/packages/dispatch/src/dispatcher/orders.ts
+++ b/packages/dispatch/src/dispatcher/orders.ts
@@ -33,7 +33,10 @@
 export interface RecallCommand {
   readonly kind: 'recall';
   readonly zone: string;
-  readonly run: Run;
+  /** The task's name as text. */
+  readonly key: string;
+  /** Undefined for a run that an earlier holder lent and nobody has claimed. */
+  readonly run: Run | undefined;
 }
 
 /** An order to be carried out. */
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -48,6 +48,7 @@
       if (!this.isAdopting(now)) this.stopOrphans(orders, worker, now);
     }
     this.recall(orders, now);
+    if (!this.isAdopting(now)) this.recallUnclaimed(orders);
     return orders;
   }
 
@@ -95,10 +96,17 @@
         if (zone === undefined || run.phase !== RunPhase.Stopping) continue;
         if (now - run.stopSentAt < STOP_AGAIN_MS) continue;
         run.stopSentAt = now;
-        orders.push({kind: 'recall', zone, run});
+        orders.push({kind: 'recall', zone, key: run.key, run});
       }
     }
   }
+
+  /** Tasks that an earlier holder lent, of jobs that nobody hands in. */
+  private recallUnclaimed(orders: Order[]): void {
+    for (const {key, zone} of this.board.survey.takeAll()) {
+      orders.push({kind: 'recall', zone, key, run: undefined});
+    }
+  }
 }
 
 function isToGoOn(phase: RunPhase): boolean {
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -110,7 +110,7 @@
           return this.takeAnswer(command, answer);
         case 'abandoned':
         case 'refused':
-          return this.lose(command.run, reason);
+          return this.giveUp(command.run, reason);
         case 'not_holder':
           known = answer.progress ?? known;
           break;
@@ -118,16 +118,27 @@
       }
       await sleep(REJOIN_PAUSE_MS);
     }
-    this.lose(command.run, reason);
+    return this.giveUp(command.run, reason);
+  }
+
+  /** Counts a run as lost, and has it stopped where it may go on. */
+  private async giveUp(run: Run, reason: string): Promise<void> {
+    this.lose(run, reason);
+    await this.sendRecall(run.workerId, run.key);
   }
 
   /** Takes a lent task back. */
-  async recall({zone, run}: RecallCommand): Promise<void> {
+  async recall({zone, key, run}: RecallCommand): Promise<void> {
+    const isTaken = await this.sendRecall(zone, key);
+    // The end of the run answers the call that lent it.
+    if (!isTaken && run !== undefined) this.lose(run, 'recall_failed');
+  }
+
+  private async sendRecall(zone: string, task: string): Promise<boolean> {
     const calls = this.options.findZone(zone);
-    const message = {homeZone: this.options.zone, task: run.key};
+    const message = {homeZone: this.options.zone, task};
     const result = await calls?.recall(message, RECALL_TIMEOUT_MS);
-    // The end of the run answers the call that lent it.
-    if (result?.isOk() !== true) this.lose(run, 'recall_failed');
+    return result?.isOk() === true;
   }
 
   private async surveyZone(zone: string): Promise<void> {
--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -90,8 +90,9 @@
 
 /** Calls of a zone that gives this answer to whoever lends or joins. */
 function answerWith(answer: JobAnswer): ZoneCalls {
-  const calls: Pick<ZoneCalls, 'lend'> = {
+  const calls: Pick<ZoneCalls, 'lend' | 'recall'> = {
     lend: () => Promise.resolve(Ok({answer})),
+    recall: () => Promise.resolve(Ok(undefined)),
   };
   return calls as ZoneCalls;
 }
