A caller that leaves takes back its job, wherever it is, and only its own

Two ends of one thread. A caller that left between two attempts to reach the holder was told to nobody, and a call to give its job up was sent once: the job went on until its deadline, and could meet its own second life in another zone. And of two connections with one job at an instance, the end of the first cancelled it for the second as well, which was answered 'cancelled'.

An instance now counts its callers for each job, and when the last one leaves it tells the holder, whoever that is by then, until it has taken the word or the deadline is over.

--- a/packages/zone/src/instance/holder_targets.ts
+++ b/packages/zone/src/instance/holder_targets.ts
@@ -16,7 +16,10 @@
   return {
     id: selfId,
     submit: async message => Ok(await holder.submit(message)),
-    cancel: jobId => holder.cancel(selfId, jobId, AbandonReason.Cancelled),
+    cancel: jobId => {
+      holder.cancel(selfId, jobId, AbandonReason.Cancelled);
+      return Promise.resolve(true);
+    },
   };
 }
 
@@ -29,8 +32,10 @@
   return {
     id: holderId,
     submit: (message, timeoutMs) => calls.submit(message, timeoutMs),
-    // Without an answer the job ends by its deadline.
-    cancel: jobId =>
-      void calls.cancel({ownerId: selfId, jobId}, CANCEL_TIMEOUT_MS),
+    cancel: async jobId => {
+      const message = {ownerId: selfId, jobId};
+      const result = await calls.cancel(message, CANCEL_TIMEOUT_MS);
+      return result.isOk();
+    },
   };
 }
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -15,6 +15,7 @@
   type Millis,
 } from '@goldcrestpier/runtime';
 import type {Result} from 'ts-results-es';
+import {CallerCount} from './caller_count.js';
 import {toSubmission} from '../holder/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {
@@ -58,7 +59,8 @@
     message: JobSubmission,
     timeoutMs: Millis,
   ): Promise<Result<JobAnswer, ZoneCallFailure>>;
-  cancel(jobId: string): void;
+  /** Gives a job up; whether the holder has taken that. */
+  cancel(jobId: string): Promise<boolean>;
 }
 
 /** What an owner needs. */
@@ -88,10 +90,24 @@
 
 /** Hands jobs to the holder and brings the answers back. */
 export class Owner {
+  private readonly callers = new CallerCount();
+
   constructor(private readonly options: OwnerOptions) {}
 
-  /** Answers a job. Aborting `signal` gives it up. */
+  /** Answers a job. Aborting `signal` gives it up for this caller. */
   async run(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
+    this.callers.enter(job.id);
+    const leave = () => {
+      if (this.callers.leave(job.id)) void this.takeBack(job);
+    };
+    signal.addEventListener('abort', leave, {once: true});
+    const answer = await this.handIn(job, signal);
+    signal.removeEventListener('abort', leave);
+    if (!signal.aborted) this.callers.leave(job.id);
+    return answer;
+  }
+
+  private async handIn(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
     let past: Past = {kind: 'none'};
     for (;;) {
       const now = readClock();
@@ -104,7 +120,7 @@
         await sleep(LOOK_AGAIN_MS, signal);
         continue;
       }
-      const attempt = await this.tryHolder(holder, job, past, signal);
+      const attempt = await this.tryHolder(holder, job, past);
       if (attempt.kind === 'answered') return attempt.answer;
       past = attempt.past;
       this.noteLost(job, holder.id, attempt.reason, past);
@@ -116,12 +132,8 @@
     holder: HolderTarget,
     job: Job,
     past: Past,
-    signal: AbortSignal,
   ): Promise<Attempt> {
-    const cancel = () => holder.cancel(job.id);
-    signal.addEventListener('abort', cancel, {once: true});
     const result = await this.submit(holder, job, past);
-    signal.removeEventListener('abort', cancel);
     if (result === undefined) {
       return {kind: 'lost', reason: 'holder_changed', past: {kind: 'unknown'}};
     }
@@ -157,6 +169,16 @@
     return Promise.race([answer, sleep(LAST_WORD_MS).then(() => undefined)]);
   }
 
+  /** Has the job of a caller that left given up, at whoever holds it. */
+  private async takeBack({id, deadlineAt}: Job): Promise<void> {
+    while (readClock() < deadlineAt) {
+      const holder = this.options.findHolder();
+      if (holder !== undefined && (await holder.cancel(id))) return;
+      await sleep(LOOK_AGAIN_MS);
+    }
+    this.options.logger.warn('job not taken back', {job: id});
+  }
+
   private noteLost(
     {id}: Job,
     holder: string,
--- a/packages/zone/test/given_up.test.ts
+++ b/packages/zone/test/given_up.test.ts
@@ -24,7 +24,10 @@
         setImmediate(() => caller.abort());
         return Promise.resolve(Err(lost));
       },
-      cancel: jobId => void cancelled.push(jobId),
+      cancel: jobId => {
+        cancelled.push(jobId);
+        return Promise.resolve(true);
+      },
     }),
     waitForChange: () => new Promise(() => undefined),
     isAlive: () => true,
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -34,8 +34,8 @@
     return Ok(await this.answer);
   }
 
-  cancel(): void {
-    fail();
+  cancel(): Promise<boolean> {
+    return fail();
   }
 }
 
