A claim is told to the neighbours at once

A new holder told of its claim with its next heartbeat, up to 150 ms later. The test failed to compile before, as there was no way to be urgent.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -178,7 +178,7 @@
     const informedSince = directory.registrationsSince();
     const self = {isLeaving: this.isLeaving, informedSince};
     this.roles.update(this.view.members(now), self, now);
-    this.links.beat(now);
+    this.links.beat(now, {isUrgent: this.roles.isClaiming});
     const {holderId} = this.roles;
     if (holderId !== undefined) this.hadHolderAt = now;
     if (holderId !== undefined) this.change.tell(holderId);
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -67,12 +67,13 @@
   }
 
   /**
-   * Sends a heartbeat, when it is time for one, to each neighbour that is
-   * connected and has answered the one before. All leave in one turn of the event loop, so that an instance
-   * without work is woken once for them.
+   * Sends a heartbeat, when it is time for one or it is urgent, to each
+   * neighbour that is connected and has answered the one before. All leave in
+   * one turn of the event loop, so that an instance without work is woken once
+   * for them.
    */
-  beat(now: Millis): void {
-    if (now - this.beatAt < HEARTBEAT_PAUSE_MS) return;
+  beat(now: Millis, {isUrgent} = {isUrgent: false}): void {
+    if (!isUrgent && now - this.beatAt < HEARTBEAT_PAUSE_MS) return;
     this.beatAt = now;
     const {createHeartbeat, onRefused} = this.options;
     let toOwn: ZoneHeartbeat | undefined;
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -64,6 +64,11 @@
     return this.current;
   }
 
+  /** Whether it has claimed just now, which nobody has heard yet. */
+  get isClaiming(): boolean {
+    return this.role.kind === 'claim';
+  }
+
   /** The highest claim known. */
   get claim(): Claim | undefined {
     return this.election.claim;
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -167,3 +167,12 @@
     assert.equal(made.length, 4);
   });
 });
+
+test('what is urgent is told at once', async () => {
+  await withLinks(async ({links, peers, made, answers}) => {
+    links.beat(0);
+    await waitFor('answers', () => answers.length === peers.length);
+    links.beat(50, {isUrgent: true});
+    assert.equal(made.length, 4);
+  });
+});
