A holder that another has followed lends and takes back nothing any more

Lending had no fence: a zone ran what a deposed holder of another zone lent it, after the follower had been told what is lent, so that the follower started the task as well. Calls between holders of zones now show the token; one below the highest that its zone has shown starts nothing and stops nothing.

--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -13,6 +13,8 @@
   NoWorkers = 'no_workers',
   /** The holder has no processor time left to take up more jobs. */
   HolderBusy = 'holder_busy',
+  /** Another holder has followed the one that lends the task. */
+  Outdated = 'outdated',
 }
 
 /** Why a job that had started was given up. Nothing of it runs any more. */
--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -136,7 +136,8 @@
 
   private async sendRecall(zone: string, task: string): Promise<boolean> {
     const calls = this.options.findZone(zone);
-    const message = {homeZone: this.options.zone, task};
+    const {zone: homeZone, token} = this.options;
+    const message = {homeZone, token, task};
     const result = await calls?.recall(message, RECALL_TIMEOUT_MS);
     return result?.isOk() === true;
   }
@@ -145,8 +146,9 @@
     const {dispatcher, findZone, logger} = this.options;
     for (let tries = 0; tries < SURVEY_TRIES; tries += 1) {
       const calls = findZone(zone);
-      const home = this.options.zone;
-      const result = await calls?.listLent(home, SURVEY_TIMEOUT_MS);
+      const {zone: homeZone, token} = this.options;
+      const question = {homeZone, token};
+      const result = await calls?.listLent(question, SURVEY_TIMEOUT_MS);
       if (result?.isOk() === true) {
         const {tasks, isComplete} = result.value;
         dispatcher.noteLent(zone, result.value, readClock());
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -14,6 +14,7 @@
   type Lending,
   type LentAnswer,
   type LentList,
+  type LentQuestion,
   type Recall,
   type ZoneCalls,
   type ZoneHandlers,
@@ -22,6 +23,7 @@
 import {HolderChange} from './holder_change.js';
 import type {InstanceOptions} from './instance_options.js';
 import {createLocalTarget, createPeerTarget} from './holder_targets.js';
+import {outdated} from './outdated.js';
 import {Links} from './links.js';
 import {LoopDelay} from './loop_delay.js';
 import {toRoom} from '../holder/index.js';
@@ -149,18 +151,23 @@
     if (holder === undefined) {
       return {answer: {kind: 'not_holder', mayHaveStarted: false}};
     }
+    const {homeZone, token} = message;
+    // Its follower was told what is lent, and knows nothing of this one.
+    if (!this.zones.noteToken(homeZone, token)) return {answer: outdated};
     const answer = await holder.takeLent(message);
     return {answer, rooms: holder.findRooms()};
   }
 
   /** Stops a task that another zone takes back. */
-  recall({homeZone, task}: Recall): Promise<void> {
-    this.roles.holder?.recall(homeZone, task);
+  recall({homeZone, token, task}: Recall): Promise<void> {
+    const isInForce = this.zones.noteToken(homeZone, token);
+    if (isInForce) this.roles.holder?.recall(homeZone, task);
     return Promise.resolve();
   }
 
   /** What runs here for another zone, as far as this instance knows. */
-  listLent(homeZone: string): Promise<LentList> {
+  listLent({homeZone, token}: LentQuestion): Promise<LentList> {
+    this.zones.noteToken(homeZone, token);
     const unknown = {isComplete: false, tasks: []};
     return Promise.resolve(this.roles.holder?.listLent(homeZone) ?? unknown);
   }
--- a/packages/zone/src/instance/neighbour_zones.ts
+++ b/packages/zone/src/instance/neighbour_zones.ts
@@ -20,6 +20,8 @@
 /** Keeps the newest holder of each other zone. */
 export class NeighbourZones {
   private readonly holders = new Map<string, ForeignHolder>();
+  /** The highest token that each zone's holders have shown. */
+  private readonly tokens = new Map<string, number>();
 
   constructor(private readonly zone: string) {}
 
@@ -49,6 +51,13 @@
     return this.holders.get(zone)?.address;
   }
 
+  /** Notes the token that a zone's holder shows; true unless it is outdated. */
+  noteToken(zone: string, token: number): boolean {
+    const highest = this.tokens.get(zone) ?? 0;
+    if (token > highest) this.tokens.set(zone, token);
+    return token >= highest;
+  }
+
   /** Whether the zone's holder was heard a moment ago. */
   isAlive(zone: string, now: Millis): boolean {
     const holder = this.holders.get(zone);
@@ -69,6 +78,7 @@
     token: number,
     now: Millis,
   ): void {
+    this.noteToken(zone, token);
     const known = this.holders.get(zone);
     if (known !== undefined && known.token >= token) return;
     const heardAt = known?.heardAt ?? -Infinity;
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -123,11 +123,20 @@
 
 /** Takes a lent task back. */
 export const recallSchema = z.object({
+  /** The zone that takes it back, and the token of its holder. */
   homeZone: z.string(),
+  token: z.number(),
   /** The task's name as text. */
   task: z.string(),
 });
 
+/** Asks what the peer runs for a zone. */
+export const lentQuestionSchema = z.object({
+  /** The zone that asks, and the token of its holder. */
+  homeZone: z.string(),
+  token: z.number(),
+});
+
 /** What the peer runs, or may run, for a zone. */
 export const lentListSchema = z.object({
   /** Whether nothing else can run there for any zone. */
@@ -202,6 +211,8 @@
 export type Lending = z.infer<typeof lendingSchema>;
 /** Takes a lent task back. */
 export type Recall = z.infer<typeof recallSchema>;
+/** Asks what the peer runs for a zone. */
+export type LentQuestion = z.infer<typeof lentQuestionSchema>;
 /** What the peer runs, or may run, for a zone. */
 export type LentList = z.infer<typeof lentListSchema>;
 /** How a submission ended. */
--- a/packages/zone/src/protocol/router.ts
+++ b/packages/zone/src/protocol/router.ts
@@ -19,6 +19,7 @@
   lendingSchema,
   lentAnswerSchema,
   lentListSchema,
+  lentQuestionSchema,
   recallSchema,
   type JobAnswer,
   type JobCancellation,
@@ -26,6 +27,7 @@
   type Lending,
   type LentAnswer,
   type LentList,
+  type LentQuestion,
   type Recall,
   type ZoneHeartbeat,
 } from './messages.js';
@@ -38,7 +40,7 @@
   readConfiguration(): Promise<Configuration | null>;
   lend(message: Lending): Promise<LentAnswer>;
   recall(message: Recall): Promise<void>;
-  listLent(homeZone: string): Promise<LentList>;
+  listLent(question: LentQuestion): Promise<LentList>;
 }
 
 /** How tRPC takes each call. */
@@ -72,7 +74,7 @@
       .input(recallSchema)
       .mutation(take(input => handlers.recall(input))),
     listLent: call
-      .input(z.string())
+      .input(lentQuestionSchema)
       .query(take(input => handlers.listLent(input))),
   });
 }
@@ -139,10 +141,10 @@
 
   /** Asks which tasks the peer runs for a zone. */
   listLent(
-    homeZone: string,
+    question: LentQuestion,
     timeoutMs: number,
   ): Promise<Result<LentList, ZoneCallFailure>> {
-    return this.ask(lentListSchema, 'listLent', homeZone, timeoutMs);
+    return this.ask(lentListSchema, 'listLent', question, timeoutMs);
   }
 
   private async ask<Answer>(
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -74,7 +74,7 @@
 test('an instance that holds no workers does not say that nothing runs there', async () => {
   const lifecycle = new Lifecycle('test');
   const instance = createInstance(lifecycle, []);
-  const said = await instance.listLent('west');
+  const said = await instance.listLent({homeZone: 'west', token: 1});
   void lifecycle.close();
   assert.equal(said.isComplete, false);
 });
