Hand an instance the way it opens links

Instances could only speak over sockets, so that no test could play several of them in one process on simulated time. How a link is opened is now an option; startInstance gives the one over the network, and the token of the peers' listener and the limits of links stand in one place instead of two.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -32,7 +32,7 @@
 } from '../protocol/index.js';
 import {HolderChange} from './holder_change.js';
 import {createLocalTarget, createPeerTarget} from './holder_targets.js';
-import {Links} from './links.js';
+import {Links, type OpenLink} from './links.js';
 import {LoopDelay} from './loop_delay.js';
 import {toRoom} from '../holder/index.js';
 import {NeighbourZones} from './neighbour_zones.js';
@@ -66,6 +66,7 @@
   readonly bounds: DispatcherOptions;
   readonly directory: Directory;
   readonly port: WorkerPort;
+  readonly openLink: OpenLink;
   /** All other zones of the deployment. */
   readonly otherZones: readonly string[];
   /** Addresses of peers that are worth a try without the platform's list. */
@@ -89,8 +90,7 @@
   private isReadingConfiguration = false;
 
   constructor(private readonly options: InstanceOptions) {
-    const {id, zone, processors, listen, logs, metrics, lifecycle, seeds} =
-      options;
+    const {id, zone, processors, listen, logs, metrics, seeds} = options;
     this.address = `${listen.host}:${listen.port}`;
     this.view = new ZoneView(zone, this.address, {id, processors});
     this.zones = new NeighbourZones(zone);
@@ -102,9 +102,8 @@
       onFenced: () => setImmediate(() => this.step(readClock())),
     });
     this.links = new Links({
-      selfId: id,
+      ...options,
       logger: logs.forPart(LogPart.Peers),
-      lifecycle,
       createHeartbeat: () => this.createHeartbeat(readClock(), true),
       onAnswer: (message, sentAt) => this.takeAnswer(message, sentAt),
       onRefused: address => this.view.noteRefused(address),
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -1,5 +1,5 @@
 /** One link to each neighbour, with a heartbeat on each. */
-import {createCallLink, type CallLink} from '@goldcrestpier/peers';
+import type {CallLink} from '@goldcrestpier/peers';
 import {
   readClock,
   sleep,
@@ -7,25 +7,18 @@
   type Logger,
   type Millis,
 } from '@goldcrestpier/runtime';
-import {ZoneCalls, zoneMethods, type ZoneHeartbeat} from '../protocol/index.js';
+import {ZoneCalls, type ZoneHeartbeat} from '../protocol/index.js';
 
 /** Pause between two heartbeats to one neighbour, in ms. */
 const HEARTBEAT_MS = 150;
 /** How long a heartbeat waits for its answer, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 450;
-/** No secret: the platform's network keeps others away from the listener. */
-const PEER_TOKEN = 'zone';
-
-const linkLimits = {
-  connectMs: 400,
-  silenceMs: 900,
-  firstRetryMs: 50,
-  longestRetryMs: 400,
-};
+/** Opens a link that is kept up until its life cycle closes. */
+export type OpenLink = (address: string, lifecycle: Lifecycle) => CallLink;
 
 /** What links need. */
 export interface LinksOptions {
-  readonly selfId: string;
+  readonly openLink: OpenLink;
   readonly logger: Logger;
   readonly lifecycle: Lifecycle;
   /** The heartbeat to send now. */
@@ -67,16 +60,9 @@
   }
 
   private open(address: string): void {
-    const {selfId, logger} = this.options;
+    const {openLink, logger} = this.options;
     const lifecycle = this.options.lifecycle.createChild(`to ${address}`);
-    const options = {
-      address,
-      token: PEER_TOKEN,
-      self: selfId,
-      logger,
-      lifecycle,
-    };
-    const link = createCallLink({...options, limits: linkLimits}, zoneMethods);
+    const link = openLink(address, lifecycle);
     const calls = new ZoneCalls(link);
     this.neighbours.set(address, {link, calls, lifecycle});
     const loop = (signal: AbortSignal) => this.beat(link, calls, signal);
--- a/packages/zone/src/instance/start_instance.ts
+++ b/packages/zone/src/instance/start_instance.ts
@@ -1,13 +1,24 @@
 /** Starts an instance with its listener for peers. */
-import {startCallServer} from '@goldcrestpier/peers';
+import {createCallLink, startCallServer} from '@goldcrestpier/peers';
 import {LogPart} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {createZoneRouter, zoneMethods} from '../protocol/index.js';
 import {Instance, type InstanceOptions} from './instance.js';
+import type {OpenLink} from './links.js';
 
 /** No secret: the platform's network keeps others away from the listener. */
 const PEER_TOKEN = 'zone';
 
+const linkLimits = {
+  connectMs: 400,
+  silenceMs: 900,
+  firstRetryMs: 50,
+  longestRetryMs: 400,
+};
+
+/** What an instance needs that speaks to its peers over the network. */
+export type NetworkedOptions = Omit<InstanceOptions, 'openLink'>;
+
 /** The listener for peers could not be opened. */
 export interface InstanceFailure {
   readonly address: string;
@@ -17,9 +28,10 @@
 
 /** Starts an instance. */
 export async function startInstance(
-  options: InstanceOptions,
+  options: NetworkedOptions,
 ): Promise<Result<Instance, InstanceFailure>> {
-  const instance = new Instance(options);
+  const openLink = createOpenLink(options);
+  const instance = new Instance({...options, openLink});
   const started = await startCallServer({
     listen: options.listen,
     token: PEER_TOKEN,
@@ -35,3 +47,19 @@
   instance.start();
   return Ok(instance);
 }
+
+function createOpenLink({id, logs}: NetworkedOptions): OpenLink {
+  const logger = logs.forPart(LogPart.Peers);
+  return (address, lifecycle) =>
+    createCallLink(
+      {
+        address,
+        token: PEER_TOKEN,
+        self: id,
+        logger,
+        lifecycle,
+        limits: linkLimits,
+      },
+      zoneMethods,
+    );
+}
