--- a/packages/zone/test/play/network.ts
+++ b/packages/zone/test/play/network.ts
@@ -27,8 +27,12 @@
 /** After a cut what was sent meanwhile is sent again within this time. */
 const RESEND_MS = 300;
 
+/** The share of what was sent that arrives though the sender gave up. */
+const ARRIVES_ANYWAY = 0.5;
+
 /** Ways, with what disturbs them at present. */
 export class Network {
+  private holdsMessages = false;
   private disturbances: Disturbance[] = [];
 
   constructor(
@@ -46,6 +50,16 @@
     this.disturb(from, to, ms, delayMs);
   }
 
+  /** From now on connections deliver some of what they held up. */
+  holdMessages(): void {
+    this.holdsMessages = true;
+  }
+
+  /** Whether a message of a connection that its sender ended still arrives. */
+  arrivesAnyway(): boolean {
+    return this.holdsMessages && this.random.chance(ARRIVES_ANYWAY);
+  }
+
   /** Whether a message gets through at once. */
   isOpen(from: string, to: string): boolean {
     return this.opensAt(from, to) <= this.scheduler.now;
