--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -6,7 +6,12 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {Neighbours, type Vacancy, type ZoneRoom} from '../neighbours/index.js';
-import {AbandonReason, RefusalReason, type Job} from '../work/index.js';
+import {
+  AbandonReason,
+  RefusalReason,
+  type Job,
+  type JobProgress,
+} from '../work/index.js';
 import {
   RunEnd,
   RunPhase,
@@ -16,24 +21,32 @@
   type Run,
   type Worker,
 } from '../workers/index.js';
-import {
-  abandoned,
-  Board,
-  type DispatchObserver,
-  type EndedJob,
-} from './board.js';
-import {beginTrial, StrikeReason} from './health.js';
+import {adoptLent, adoptOrphans} from './adoption.js';
+import {Board, type DispatchObserver, type EndedJob} from './board.js';
+import {StrikeReason} from './health.js';
 import type {JobRecord} from './job_record.js';
 import {takeLook} from './looks.js';
 import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
 import type {Order} from './orders.js';
 import type {LentEntry} from './lent_survey.js';
 import {noteNotStarted} from './not_started.js';
+import {
+  endLostTasks,
+  endOverdueJobs,
+  endOverdueRuns,
+  giveUp,
+} from './overdue.js';
 import {Placer} from './placer.js';
+import {describeProgress, takeProgress} from './progress.js';
 import {findRefusal} from './refusal.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
 
+/**
+ * By then a holder before that lives has heard of this one, was turned away by
+ * a worker, or has given up the jobs of owners that it can't hear, in ms.
+ */
+const DEPOSED_MS = 600;
 /** After this a task that was lent to a lost holder has surely ended, in ms. */
 const LENT_OVER_MS = 2_000;
 
@@ -60,7 +73,7 @@
   ) {
     this.board = new Board(observer);
     this.placer = new Placer(this.board, this.neighbours, {
-      workersOverAt: leaseOverAt(heldSince, options.leaseMs),
+      workersOverAt: leaseOverAt(heldSince + DEPOSED_MS, options.leaseMs),
       lentOverAt: heldSince + LENT_OVER_MS,
     });
     this.stopper = new Stopper(this.board, heldSince);
@@ -84,12 +97,12 @@
   /** Takes the present list of workers. */
   setWorkers(list: readonly Worker[], now: Millis): void {
     const listed = new Set(list.map(({id}) => id));
-    for (const worker of list) this.setWorker(worker, now);
+    for (const worker of list) this.setWorker(worker);
     for (const [id, record] of this.board.workers) {
       if (listed.has(id)) continue;
       // Its runs end by their leases; the record goes when none is left.
       record.info = {...record.info, isDraining: true};
-      if (record.runs.size === 0) this.board.dropWorker(id);
+      if (record.isForgettable(now)) this.board.dropWorker(id);
     }
   }
 
@@ -98,29 +111,47 @@
     this.board.isListConfirmed = true;
   }
 
-  /** Takes a job. `isResumed`: another holder may have started it. */
-  submit(job: Job, isResumed: boolean, now: Millis): void {
-    if (this.board.jobs.has(job.id)) return;
+  /**
+   * Takes a job. `isResumed`: another holder may have started it, and may have
+   * told by `progress` what it knew.
+   */
+  submit(
+    job: Job,
+    isResumed: boolean,
+    now: Millis,
+    progress?: JobProgress,
+  ): void {
+    const known = this.board.jobs.get(job.id);
+    if (known !== undefined) return this.takeProgress(known, progress, now);
     const refusal = isResumed ? undefined : findRefusal(this.board, job);
     const record = this.board.addJob(job);
     if (refusal !== undefined) {
       this.board.refuse(record, refusal, 0, now);
       return;
     }
-    this.board.adoptOrphans(record, now);
+    record.isResumed = isResumed;
+    record.mayRunUnseen = isResumed;
+    if (isResumed) record.hasStarted = true;
+    this.takeProgress(record, progress, now);
+    adoptOrphans(this.board, record, now);
     this.adoptLent(record, now);
-    if (!isResumed) return;
-    record.hasStarted = true;
-    record.isResumed = true;
+  }
+
+  /** What is known here of a job, for the holder that comes next. */
+  describeProgress(recordId: string, now: Millis): JobProgress | undefined {
+    const record = this.board.jobs.get(recordId);
+    if (record === undefined) return undefined;
+    return describeProgress(record, this.placer.isSettled(record, now), now);
   }
 
   /** Takes over a lent task that an earlier holder of this zone started. */
-  rejoinLent(job: Job, now: Millis): void {
+  rejoinLent(job: Job, now: Millis, progress?: JobProgress): void {
     if (this.board.jobs.has(job.id)) return;
     const record = this.board.addJob(job);
-    this.board.adoptOrphans(record, now);
-    if (record.hasStarted) return;
-    this.board.endJob(record, abandoned(AbandonReason.RunLost), now);
+    record.hasStarted = true;
+    record.mayRunUnseen = true;
+    this.takeProgress(record, progress, now);
+    adoptOrphans(this.board, record, now);
   }
 
   /** Takes a task that another zone lends; it starts now or is refused. */
@@ -136,14 +167,15 @@
   /** Gives a job up; it ends once nothing of it runs. */
   cancel(recordId: string, reason: AbandonReason, now: Millis): void {
     const record = this.board.jobs.get(recordId);
-    if (record) this.giveUp(record, reason, now);
+    if (record) giveUp(this.board, record, reason, now);
   }
 
   /** Decides what is due now. */
   tick(now: Millis): Order[] {
     this.board.forgetOld(now);
-    this.endOverdueRuns(now);
-    this.endOverdueJobs(now);
+    endOverdueRuns(this.board, now);
+    endLostTasks(this.board, this.placer, now);
+    endOverdueJobs(this.board, now);
     const {adopted} = this;
     this.adopted = [];
     const placed = this.placer.place(now);
@@ -226,14 +258,31 @@
     run.overAt = now + LENT_OVER_MS;
   }
 
+  private takeProgress(
+    record: JobRecord,
+    progress: JobProgress | undefined,
+    now: Millis,
+  ): void {
+    if (progress === undefined || !record.mayRunUnseen) return;
+    const overAt = leaseOverAt(now, this.options.leaseMs);
+    const lent = takeProgress(this.board, record, progress, overAt, now);
+    this.askForEnds(record, lent);
+    this.board.settle(record, now);
+  }
+
   private adoptLent(record: JobRecord, now: Millis): void {
-    for (const run of this.board.adoptLent(record, now)) {
+    this.askForEnds(record, adoptLent(this.board, record, now));
+  }
+
+  /** Has the zones that run lent tasks asked how these end. */
+  private askForEnds(record: JobRecord, lent: readonly Run[]): void {
+    for (const run of lent) {
       const order = {zone: run.workerId, run, record, isAdopted: true};
       this.adopted.push({kind: 'lend', ...order});
     }
   }
 
-  private setWorker(worker: Worker, now: Millis): void {
+  private setWorker(worker: Worker): void {
     this.board.durations.setKind(worker.id, worker.kind);
     const known = this.board.workers.get(worker.id);
     if (known === undefined) {
@@ -242,45 +291,7 @@
     }
     const {bornAt} = known.info;
     known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
-    if (bornAt >= worker.bornAt) return;
-    const lost = [...known.runs.values()];
-    known.forgetLife();
-    for (const run of lost) this.board.endRun(run, 'lost', now);
-  }
-
-  private giveUp(record: JobRecord, reason: AbandonReason, now: Millis): void {
-    const isRefusal = reason === AbandonReason.Deadline && !record.hasStarted;
-    if (isRefusal) this.board.refuse(record, RefusalReason.TooLate, 0, now);
-    else this.board.endJob(record, abandoned(reason), now);
-  }
-
-  /** Ends runs whose leases or stops are over. */
-  private endOverdueRuns(now: Millis): void {
-    for (const [id, worker] of this.board.workers) {
-      beginTrial(worker, now);
-      for (const run of [...worker.runs.values()]) {
-        const isLapsed = worker.isSilent && now >= worker.leasesOverAt;
-        if (isLapsed || now >= run.overAt) this.board.endRun(run, 'lost', now);
-      }
-      const isGone = worker.info.isDraining && worker.isSilent;
-      if (isGone && worker.runs.size === 0) this.board.dropWorker(id);
-    }
-    for (const record of [...this.board.jobs.values()]) {
-      for (const run of [...record.runs()]) {
-        const isOver = run.lentTo !== undefined && now >= run.overAt;
-        if (isOver) this.board.endRun(run, 'lost', now);
-      }
-    }
-  }
-
-  private endOverdueJobs(now: Millis): void {
-    for (const record of [...this.board.jobs.values()]) {
-      if (record.ending !== undefined) continue;
-      if (now >= record.job.deadlineAt) {
-        this.giveUp(record, AbandonReason.Deadline, now);
-      } else if (!record.hasStarted && now >= record.usefulUntil) {
-        this.board.refuse(record, RefusalReason.TooLate, 0, now);
-      }
-    }
+    // What runs there may be the new life's: its next look tells.
+    if (bornAt < worker.bornAt) known.beginLife();
   }
 }
--- a/packages/zone/test/play/directory.ts
+++ b/packages/zone/test/play/directory.ts
@@ -59,7 +59,7 @@
   private isCandidate = false;
   private isAway = false;
   private returnedAt: Millis = -Infinity;
-  private heard: Millis | undefined;
+  private instancesReadAt: Millis | undefined;
   private listAsOf: Millis | undefined;
   private readonly known = new Map<string, KnownWorker>();
   private instances: readonly Registration[] = [];
@@ -136,9 +136,10 @@
     this.isCandidate = isCandidate;
   }
 
-  /** When the store last answered. */
-  heardAt(): Millis | undefined {
-    return this.heard;
+  /** Since when instances can be read; undefined before the first time. */
+  registrationsSince(): Millis | undefined {
+    if (this.instancesReadAt === undefined) return undefined;
+    return Math.max(this.instancesReadAt, this.returnedAt);
   }
 
   private async read(mayBeStale: boolean): Promise<Snapshot | undefined> {
@@ -150,7 +151,6 @@
       this.isAway = true;
       return undefined;
     }
-    this.heard = now;
     if (this.isAway) this.returnedAt = now;
     this.isAway = false;
     return answer.value;
@@ -203,7 +203,10 @@
   private async followInstances(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const snapshot = await this.read(false);
-      if (snapshot !== undefined) this.instances = snapshot.instances;
+      if (snapshot !== undefined) {
+        this.instancesReadAt ??= readClock();
+        this.instances = snapshot.instances;
+      }
       await sleep(INSTANCES_MS, signal);
     }
   }
