--- a/packages/zone/src/instance/start_instance.ts
+++ b/packages/zone/src/instance/start_instance.ts
@@ -49,7 +49,11 @@
   return Ok(instance);
 }
 
-function createOpenLink({id, logs}: NetworkedOptions): OpenLink {
+/** Opens links over the network for the instance of that id. */
+export function createOpenLink({
+  id,
+  logs,
+}: Pick<InstanceOptions, 'id' | 'logs'>): OpenLink {
   const logger = logs.forPart(LogPart.Peers);
   return (address, lifecycle) =>
     createCallLink(
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -6,6 +6,7 @@
 import {Ok} from 'ts-results-es';
 import {toSubmission} from '../src/holder/to_job.js';
 import {Instance} from '../src/instance/instance.js';
+import {createOpenLink} from '../src/instance/start_instance.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {Directory, WorkerPort} from '../src/ports/index.js';
 import {bounds, createJob, worker} from './fixtures/scene.js';
@@ -40,8 +41,10 @@
       return Ok({clockMs: 5, bornAt: 1, running: [], ended: []});
     },
   };
+  const id = 'east-1';
+  const logs = new Logs('test', LogLevel.Silent);
   return new Instance({
-    id: 'east-1',
+    id,
     zone: 'z',
     processors: 1,
     listen: {host: '127.0.0.1', port: 1},
@@ -51,7 +54,8 @@
     port,
     otherZones: [],
     seeds: [],
-    logs: new Logs('test', LogLevel.Silent),
+    logs,
+    openLink: createOpenLink({id, logs}),
     metrics: new ZoneMetrics(),
     lifecycle,
   });
--- a/packages/zone/test/play/client.ts
+++ b/packages/zone/test/play/client.ts
@@ -15,7 +15,7 @@
 /** The share of refused jobs that are sent once more. */
 const TRIES_AGAIN = 0.3;
 /** The share of callers that leave early. */
-const LEAVES_EARLY = 0.02;
+const LEAVES_EARLY = 0.04;
 
 interface SentJob {
   readonly id: string;
@@ -109,6 +109,7 @@
     const end = (isLeft: boolean) => {
       isOver = true;
       life.onGone.delete(lose);
+      life.onReset.delete(reset);
       if (!isLeft) return;
       const at = network.arrivesAt(CALLERS, machine.name);
       scheduler.deliver(at, life.process, () => controller.abort());
@@ -124,7 +125,12 @@
         end(false);
         this.breakOff(sent);
       });
+    const reset = () => {
+      end(true);
+      this.breakOff(sent);
+    };
     life.onGone.add(lose);
+    life.onReset.add(reset);
     scheduler.later(sent.waitMs, () => {
       if (isOver) return;
       end(true);
--- a/packages/zone/test/play/faults.ts
+++ b/packages/zone/test/play/faults.ts
@@ -23,7 +23,9 @@
   DelayMachine = 'delay_machine',
   CutWorkers = 'cut_workers',
   CrashWorkers = 'crash_workers',
+  DrainWorkers = 'drain_workers',
   LateOrders = 'late_orders',
+  ResetCallers = 'reset_callers',
   /** What was sent on a connection may arrive after its sender gave it up. */
   HeldMessages = 'held_messages',
 }
@@ -101,6 +103,10 @@
         return this.cutWorkers(ms);
       case Fault.CrashWorkers:
         return this.crashWorkers();
+      case Fault.DrainWorkers:
+        return this.drainWorkers();
+      case Fault.ResetCallers:
+        return this.resetCallers(machine);
       case Fault.LateOrders:
         return this.carryOutLate(ms);
       case Fault.HeldMessages:
@@ -210,19 +216,40 @@
   }
 
   private crashWorkers(): void {
+    for (const worker of this.chooseWorkers(0.4)) this.crash(worker);
+  }
+
+  /** Workers say that they leave, and then do. */
+  private drainWorkers(): void {
     const {random, world} = this;
-    for (const worker of this.chooseWorkers(0.4)) {
-      this.tell(`${worker.id} crashes`);
-      worker.crash();
-      world.scheduler.later(random.between(50, 2_500), () => {
-        worker.begin();
-        const enterMs = random.between(0, LATEST_ENTRY_MS);
-        world.scheduler.later(enterMs, () => world.store.enter(worker));
-        this.tell(`${worker.id} is up again`);
-      });
+    for (const worker of this.chooseWorkers(0.3)) {
+      this.tell(`${worker.id} drains`);
+      worker.drain();
+      world.store.enter(worker);
+      const leavesMs = random.between(300, 3_000);
+      world.scheduler.later(leavesMs, () => this.crash(worker));
     }
   }
 
+  private crash(worker: PlayedWorker): void {
+    const {random, world} = this;
+    this.tell(`${worker.id} crashes`);
+    worker.crash();
+    world.scheduler.later(random.between(50, 2_500), () => {
+      worker.begin();
+      const enterMs = random.between(0, LATEST_ENTRY_MS);
+      world.scheduler.later(enterMs, () => world.store.enter(worker));
+      this.tell(`${worker.id} is up again`);
+    });
+  }
+
+  /** Both ends of each channel hear of it. */
+  private resetCallers({life}: Machine): void {
+    if (life === undefined) return;
+    this.tell(`channels of the callers of ${life.id} are reset`);
+    for (const reset of [...life.onReset]) reset();
+  }
+
   private carryOutLate(ms: Millis): void {
     const {random, world} = this;
     const share = random.between(0.1, 0.6);
--- a/packages/zone/test/play/machine.ts
+++ b/packages/zone/test/play/machine.ts
@@ -38,6 +38,8 @@
   readonly instance: Instance;
   readonly lifecycle: Lifecycle;
   readonly directory: PlayedDirectory;
+  /** Called when the channels of its callers are reset. */
+  readonly onReset: Set<() => void>;
 }
 
 /** One machine. */
@@ -146,8 +148,12 @@
       if (handle === undefined) throw new Error(`no call ${method}`);
       return handle(input);
     };
-    const onGone = new Set<() => void>();
-    return {id, machine, process, instance, lifecycle, directory, call, onGone};
+    const tell = {
+      onGone: new Set<() => void>(),
+      onReset: new Set<() => void>(),
+    };
+    const parts = {id, machine, process, instance, lifecycle, directory};
+    return {...parts, call, ...tell};
   }
 }
 
--- a/packages/zone/test/play/play.ts
+++ b/packages/zone/test/play/play.ts
@@ -81,7 +81,9 @@
   for (const zone of zones) {
     const count = random.whole(2, 3);
     for (let index = 0; index < count; index += 1) {
-      machines.push(new Machine(`${zone}-i${index}`, zone, 1, world));
+      const processors = random.pick([1, 1, 1, 0.4]);
+      const name = `${zone}-i${index}`;
+      machines.push(new Machine(name, zone, processors, world));
     }
   }
   for (const machine of machines) {
@@ -103,6 +105,5 @@
     address: `${id}:1`,
     capacity: {cpuMillis: 64_000, memoryMb: 100_000, accelerators: 0},
     labels: [],
-    isDraining: false,
   };
 }
--- a/packages/zone/test/play/worker.ts
+++ b/packages/zone/test/play/worker.ts
@@ -53,7 +53,7 @@
 
 /** What a worker needs. */
 export interface PlayedWorkerOptions {
-  readonly info: Omit<Worker, 'bornAt'>;
+  readonly info: Omit<Worker, 'bornAt' | 'isDraining'>;
   readonly scheduler: Scheduler;
   readonly random: Random;
   readonly checker: Checker;
@@ -74,6 +74,7 @@
   readonly rate: number;
   readonly clockZero: Millis;
   isOver = false;
+  isDraining = false;
 
   constructor(now: Millis, random: Random) {
     this.bornAt = PLAY_BEGINS_AT + Math.floor(now);
@@ -112,7 +113,8 @@
   /** How it lists itself. */
   get entry(): Worker | undefined {
     if (this.life === undefined) return undefined;
-    return {...this.options.info, bornAt: this.life.bornAt};
+    const {bornAt, isDraining} = this.life;
+    return {...this.options.info, bornAt, isDraining};
   }
 
   /** Ends its life: all that runs there is gone. */
@@ -126,6 +128,11 @@
     }
   }
 
+  /** Says from now on that it leaves. */
+  drain(): void {
+    if (this.life !== undefined) this.life.isDraining = true;
+  }
+
   /** Begins a new life. */
   begin(): void {
     const {scheduler, random} = this.options;
