--- a/packages/zone/test/one_run_at_a_time.test.ts
+++ b/packages/zone/test/one_run_at_a_time.test.ts
@@ -3,21 +3,42 @@
 import {Fault} from './play/faults.js';
 import {play} from './play/play.js';
 
-/** Plays that are part of every test run; by hand: a first seed, and a count. */
-const usualSeeds = [1, 3, 4, 101, 191];
-const {PLAY_SEED: firstSeed, PLAY_COUNT: count = '1', PLAY_HELD} = process.env;
-const seeds =
-  firstSeed === undefined
-    ? usualSeeds
-    : Array.from({length: Number(count)}, (_, i) => Number(firstSeed) + i);
+/** One play, and by which chain it broke the rule before it was mended. */
+interface Case {
+  readonly seed: number;
+  readonly zones: number;
+  readonly chain: string;
+}
+
+const found: readonly Case[] = [
+  {seed: 21, zones: 1, chain: 'a worker starts again under its id'},
+  {seed: 94, zones: 1, chain: 'a lease by an old reading of a slow clock'},
+  {seed: 97, zones: 1, chain: 'a new holder has not looked everywhere'},
+  {
+    seed: 73,
+    zones: 2,
+    chain: 'the old holder goes on while the new is cut off',
+  },
+  {seed: 5104, zones: 3, chain: 'a new holder leases what nobody claimed'},
+];
+const {PLAY_SEED, PLAY_COUNT = '1', PLAY_ZONES, PLAY_HELD} = process.env;
 /** `PLAY_HELD` adds messages that arrive after their connection was given up. */
 const kinds = Object.values(Fault).filter(
   kind => kind !== Fault.HeldMessages || PLAY_HELD !== undefined,
 );
 
-for (const seed of seeds) {
-  test(`no task has two runs at a time in play ${seed}`, async () => {
-    const zones = 1 + (seed % 3);
+/** Plays that are asked for by hand. */
+function listAsked(firstSeed: number): readonly Case[] {
+  return Array.from({length: Number(PLAY_COUNT)}, (_, index) => {
+    const seed = firstSeed + index;
+    const zones = Number(PLAY_ZONES ?? 1 + (seed % 3));
+    return {seed, zones, chain: 'asked for'};
+  });
+}
+
+const cases = PLAY_SEED === undefined ? found : listAsked(Number(PLAY_SEED));
+for (const {seed, zones, chain} of cases) {
+  test(`no task has two runs at a time in play ${seed} of ${zones} zones: ${chain}`, async () => {
     const {violations, starts} = await play({seed, zones, kinds});
     assert.ok(starts > 0);
     const [first] = violations;
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -23,7 +23,7 @@
     registrations: () => [],
     announce: ignore,
     setCandidate: ignore,
-    registrationsSince: () => -10_000,
+    registrationsSince: () => 0,
     offer: ignore,
   };
 }
@@ -78,9 +78,9 @@
 test('an instance that holds no workers does not say that nothing runs there', async () => {
   const lifecycle = new Lifecycle('test');
   const instance = createInstance(lifecycle, []);
-  const said = await instance.listLent('west').catch(ignore);
+  const said = await instance.listLent('west');
   void lifecycle.close();
-  assert.notDeepEqual(said, []);
+  assert.equal(said.isComplete, false);
 });
 
 test('a holder that another has followed lends nothing any more', async () => {
