--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -53,8 +53,7 @@
   private isReadingConfiguration = false;
 
   constructor(private readonly options: InstanceOptions) {
-    const {id, zone, processors, listen, logs, metrics, lifecycle, seeds} =
-      options;
+    const {id, zone, processors, listen, logs, metrics, seeds} = options;
     this.address = `${listen.host}:${listen.port}`;
     this.view = new ZoneView(zone, this.address, {id, processors});
     this.zones = new NeighbourZones(zone);
@@ -66,9 +65,7 @@
       onFenced: () => setImmediate(() => this.step(readClock())),
     });
     this.links = new Links({
-      selfId: id,
-      logger: logs.forPart(LogPart.Peers),
-      lifecycle,
+      ...options,
       createHeartbeat: (now, isForeign) => this.createHeartbeat(now, isForeign),
       onAnswer: (message, sentAt) => this.takeAnswer(message, sentAt),
       onRefused: address => this.view.noteRefused(address),
--- a/packages/zone/src/instance/instance_options.ts
+++ b/packages/zone/src/instance/instance_options.ts
@@ -3,6 +3,7 @@
 import type {Lifecycle, Logs} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {Directory, WorkerPort} from '../ports/index.js';
+import type {OpenLink} from './links.js';
 
 /** Where an instance's listener for peers stands. */
 export interface PeerAddress {
@@ -23,6 +24,7 @@
   readonly bounds: DispatcherOptions;
   readonly directory: Directory;
   readonly port: WorkerPort;
+  readonly openLink: OpenLink;
   /** All other zones of the deployment. */
   readonly otherZones: readonly string[];
   /** Addresses of peers that are worth a try without the platform's list. */
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -1,7 +1,7 @@
 /** One link to each neighbour; heartbeats to all of them leave together. */
-import {createCallLink, type CallLink} from '@goldcrestpier/peers';
-import type {Lifecycle, Logger, Millis} from '@goldcrestpier/runtime';
-import {ZoneCalls, zoneMethods, type ZoneHeartbeat} from '../protocol/index.js';
+import type {CallLink} from '@goldcrestpier/peers';
+import type {Lifecycle, Millis} from '@goldcrestpier/runtime';
+import {ZoneCalls, type ZoneHeartbeat} from '../protocol/index.js';
 
 /**
  * Shortest pause between two heartbeats to one neighbour, in ms. They leave with
@@ -10,20 +10,12 @@
 const HEARTBEAT_PAUSE_MS = 140;
 /** How long a heartbeat waits for its answer, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 450;
-/** No secret: the platform's network keeps others away from the listener. */
-const PEER_TOKEN = 'zone';
-
-const linkLimits = {
-  connectMs: 400,
-  silenceMs: 900,
-  firstRetryMs: 50,
-  longestRetryMs: 400,
-};
+/** Opens a link that is kept up until its life cycle closes. */
+export type OpenLink = (address: string, lifecycle: Lifecycle) => CallLink;
 
 /** What links need. */
 export interface LinksOptions {
-  readonly selfId: string;
-  readonly logger: Logger;
+  readonly openLink: OpenLink;
   readonly lifecycle: Lifecycle;
   /** The heartbeat to send now, to instances of this zone or of others. */
   readonly createHeartbeat: (now: Millis, isForeign: boolean) => ZoneHeartbeat;
@@ -96,16 +88,9 @@
   }
 
   private open(address: string): void {
-    const {selfId, logger} = this.options;
+    const {openLink} = this.options;
     const lifecycle = this.options.lifecycle.createChild(`to ${address}`);
-    const options = {
-      address,
-      token: PEER_TOKEN,
-      self: selfId,
-      logger,
-      lifecycle,
-    };
-    const link = createCallLink({...options, limits: linkLimits}, zoneMethods);
+    const link = openLink(address, lifecycle);
     const calls = new ZoneCalls(link);
     const state = {isForeign: false, isAsked: false};
     this.neighbours.set(address, {link, calls, lifecycle, ...state});
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -1,8 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {startCallServer} from '@goldcrestpier/peers';
-import {Lifecycle, silentLogger, sleep} from '@goldcrestpier/runtime';
+import {
+  Lifecycle,
+  Logs,
+  LogLevel,
+  silentLogger,
+  sleep,
+} from '@goldcrestpier/runtime';
 import {Links} from '../src/instance/links.js';
+import {createOpenLink} from '../src/instance/start_instance.js';
 import {
   createZoneRouter,
   zoneMethods,
@@ -86,9 +93,9 @@
   for (const peer of peers) await peer.start(lifecycle);
   const made: boolean[] = [];
   const answers: ZoneHeartbeat[] = [];
+  const logs = new Logs('test', LogLevel.Silent);
   const links = new Links({
-    selfId: 'a-1',
-    logger: silentLogger,
+    openLink: createOpenLink({id: 'a-1', logs}),
     lifecycle,
     createHeartbeat: (_now, isForeign) => {
       made.push(isForeign);
