--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -103,11 +103,17 @@
     return this.clock.workerMs + (now - this.clock.readAt);
   }
 
-  /** Begins a new life: nothing of the old one is left. */
-  forgetLife(): void {
-    this.running.clear();
-    this.used = NO_NEED;
-    this.orphans.clear();
+  /**
+   * Whether nothing can run there any more: neither what this holder knows of
+   * nor what has a lease of its own. What is silent ends with its lease.
+   */
+  isForgettable(now: Millis): boolean {
+    if (this.runs.size > 0 || now < this.leasesOverAt) return false;
+    return this.isSilent || this.orphans.size === 0;
+  }
+
+  /** Begins a new life, of which only a look tells what runs there. */
+  beginLife(): void {
     this.lastSeen = 0;
     this.clock = undefined;
     this.isHeld = false;
