What a silent peer sent earlier is not taken as fresh later

A link that falls silent is given up by its sender after 900 ms, but the network can hold back what was written and deliver it seconds later. Peers ask for a sign of life every 225 ms when quiet, so that the listener closes a connection that has been silent for 1 s, and what comes then meets a closed one.

--- a/packages/zone/src/instance/start_instance.ts
+++ b/packages/zone/src/instance/start_instance.ts
@@ -9,6 +9,11 @@
 
 /** No secret: the platform's network keeps others away from the listener. */
 const PEER_TOKEN = 'zone';
+/**
+ * Silence after which a peer's connection is closed, in ms. The peer gives it up
+ * after 900 ms; what the network held back must not be taken as fresh later.
+ */
+const SILENT_PEER_MS = 1_000;
 
 const linkLimits = {
   connectMs: 400,
@@ -40,6 +45,7 @@
     methods: zoneMethods,
     logger: options.logs.forPart(LogPart.Peers),
     lifecycle: options.lifecycle,
+    limits: {idleMs: SILENT_PEER_MS},
   });
   if (started.isErr()) {
     const {host, port, code} = started.error;
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -8,26 +8,11 @@
 import {Instance} from '../src/instance/instance.js';
 import {createOpenLink} from '../src/instance/start_instance.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import type {Directory, WorkerPort} from '../src/ports/index.js';
-import {bounds, createJob, worker} from './fixtures/scene.js';
+import type {WorkerPort} from '../src/ports/index.js';
+import {bounds, createDirectory, createJob} from './fixtures/scene.js';
 
 const ignore = () => undefined;
 
-/** What an instance reads: one worker, and no other instance. */
-function createDirectory(): Directory {
-  return {
-    configuration: ignore,
-    configurationAsOf: ignore,
-    confirmConfiguration: ignore,
-    workers: () => ({workers: [worker], asOf: readClock(), isReachable: true}),
-    registrations: () => [],
-    announce: ignore,
-    setCandidate: ignore,
-    registrationsSince: () => 0,
-    offer: ignore,
-  };
-}
-
 /** The only instance of its zone; tells of each order to start. */
 function createInstance(lifecycle: Lifecycle, started: string[]): Instance {
   const port: WorkerPort = {
