A caller that left before does not take back a job that was sent here again

An instance tells the holder until it has taken the word that the last caller left. A caller that sent the job here again meanwhile was answered 'cancelled'.

--- a/packages/zone/src/owner/caller_count.ts
+++ b/packages/zone/src/owner/caller_count.ts
@@ -9,6 +9,11 @@
     this.counts.set(jobId, (this.counts.get(jobId) ?? 0) + 1);
   }
 
+  /** Whether a caller waits for the job. */
+  has(jobId: string): boolean {
+    return this.counts.has(jobId);
+  }
+
   /** Notes that a caller waits no more; true when none is left. */
   leave(jobId: string): boolean {
     const left = (this.counts.get(jobId) ?? 0) - 1;
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -172,6 +172,8 @@
   /** Has the job of a caller that left given up, at whoever holds it. */
   private async takeBack({id, deadlineAt}: Job): Promise<void> {
     while (readClock() < deadlineAt) {
+      // It was sent here again: what runs is wanted.
+      if (this.callers.has(id)) return;
       const holder = this.options.findHolder();
       if (holder !== undefined && (await holder.cancel(id))) return;
       await sleep(LOOK_AGAIN_MS);
