What may run unseen is not forgotten with the job

A job that was given up at a new holder and came again at once counted as new, though runs of the holder before could go on; and one whose earlier life was being stopped lost the word that it had begun. Both stay known for as long as run numbers do. The test failed before. Found by review.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -68,6 +68,7 @@
     const expectedMs = this.expectJob(job);
     const lastRun = this.runNumbers.lastOf(job.id);
     const record = new JobRecord(job, expectedMs, lastRun);
+    record.mayRunUnseen = this.runNumbers.mayRunUnseen(job.id);
     this.jobs.set(job.id, record);
     this.foreignTasks.add(record);
     return record;
--- a/packages/dispatch/src/dispatcher/run_numbers.ts
+++ b/packages/dispatch/src/dispatcher/run_numbers.ts
@@ -7,6 +7,8 @@
 
 interface RememberedRun {
   readonly lastRun: number;
+  /** Runs of an earlier holder might go on when the job ended. */
+  readonly mayRunUnseen: boolean;
   readonly until: Millis;
 }
 
@@ -19,13 +21,19 @@
     return this.remembered.get(jobId)?.lastRun ?? 0;
   }
 
+  /** Whether runs of the job may go on that are not known here. */
+  mayRunUnseen(jobId: string): boolean {
+    return this.remembered.get(jobId)?.mayRunUnseen ?? false;
+  }
+
   /** Notes the numbers of a job that has ended. */
-  remember({id, tasks}: JobRecord, now: Millis): void {
+  remember({id, tasks, mayRunUnseen}: JobRecord, now: Millis): void {
     let lastRun = 0;
     for (const task of tasks) lastRun = Math.max(lastRun, task.lastRun);
     this.remembered.delete(id);
-    if (lastRun === 0) return;
-    this.remembered.set(id, {lastRun, until: now + REMEMBER_MS});
+    if (lastRun === 0 && !mayRunUnseen) return;
+    const until = now + REMEMBER_MS;
+    this.remembered.set(id, {lastRun, mayRunUnseen, until});
   }
 
   /** Forgets what is old; the oldest stand first. */
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {StartAnswer} from '../src/index.js';
+import {AbandonReason, StartAnswer} from '../src/index.js';
 import {
   bounds,
   createJob,
@@ -131,3 +131,12 @@
     'recall a.0.0.0 from east',
   ]);
 });
+
+test('what may run unseen is not forgotten with the job', () => {
+  const dispatcher = createScene([first], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.submit(createJob('a', 1), true, 5);
+  dispatcher.cancel('a', AbandonReason.Cancelled, 6);
+  dispatcher.submit(createJob('a', 1), false, 7);
+  assert.deepEqual(formatOrders(dispatcher.tick(8)), []);
+});
--- a/packages/zone/src/holder/job_desk.ts
+++ b/packages/zone/src/holder/job_desk.ts
@@ -82,7 +82,7 @@
     const postponed = this.postponed.get(id);
     if (postponed !== undefined) {
       this.postponed.delete(id);
-      dispatcher.submit(toJob(postponed, now), false, now);
+      dispatcher.submit(toJob(postponed, now), postponed.isResumed, now);
       onChange();
       return;
     }
