Short leases are renewed in time also where answers get lost

A look at a worker with unclaimed runs, whose leases are short, waited up to 400 ms where answers had been lost, so that runs that were claimed there could lapse. Found by review; no test of its own.

--- a/packages/zone/src/holder/worker_watch.ts
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -110,16 +110,16 @@
   private chooseWait(now: Millis): Millis {
     const {workerId, dispatcher, losses} = this.options;
     const record = dispatcher.workers.get(workerId);
+    const isUnclaimed = record !== undefined && record.orphans.size > 0;
+    const longestMs = isUnclaimed ? UNCLAIMED_WAIT_MS : LONGEST_WAIT_MS;
     if (record !== undefined && losses.areMany(now)) {
       // Ends are not left to a single answer that may be lost.
       const untilEnd = nextEndAt(record) + LATE_END_MS - now;
       const wait = Math.max(untilEnd, LOSSY_WAIT_MS);
-      return Math.ceil(Math.min(wait, LONGEST_WAIT_MS));
+      return Math.ceil(Math.min(wait, longestMs));
     }
     const overdueAt = record === undefined ? Infinity : nextOverdueAt(record);
     const untilOverdue = overdueAt - now;
-    const isUnclaimed = record !== undefined && record.orphans.size > 0;
-    const longestMs = isUnclaimed ? UNCLAIMED_WAIT_MS : LONGEST_WAIT_MS;
     const wait = Math.min(Math.max(untilOverdue, SHORTEST_WAIT_MS), longestMs);
     return Math.ceil(wait);
   }
