A host that refuses says nothing of instances that are not listed yet

An instance that had just started waited for a whole list only if it knew nobody; a listed instance that was dead was enough for it to claim beside a holder that lived. It now waits unless it knows of a claim. The test failed before. Another test compares the whole answer of a holder that closes again, with what it hands over. Found by review.

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -154,13 +154,14 @@
 
   /** Whether there may be others that are neither heard nor listed yet. */
   private mayOthersLive(
-    areAnyKnown: boolean,
     informedSince: Millis | undefined,
     now: Millis,
   ): boolean {
     if (now - this.startedAt >= ALONE_MS) return false;
     if (informedSince === undefined) return true;
-    return !areAnyKnown && now - informedSince < RELIST_MS;
+    // Whoever knows of a claim has heard the zone before.
+    const isNew = this.highest === undefined;
+    return isNew && now - informedSince < RELIST_MS;
   }
 
   /** Whether a holder that is heard should make way for this instance. */
@@ -185,9 +186,8 @@
       member => !isHeard(member, now) && !member.isRefused,
     );
     if (now - this.startedAt < LISTEN_MS) return false;
-    if (heard.length === 0) {
-      const areAnyKnown = members.length > 0;
-      if (this.mayOthersLive(areAnyKnown, informedSince, now)) return false;
+    if (heard.length === 0 && this.mayOthersLive(informedSince, now)) {
+      return false;
     }
     // A majority decides at once; the rest only when all others stay silent.
     if (heard.length + 1 > missing.length) return true;
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -146,3 +146,11 @@
   assert.equal(election.chooseRole([], state, 1_500).kind, 'wait');
   assert.equal(election.chooseRole([], state, 1_700).kind, 'claim');
 });
+
+test('a host that refuses says nothing of instances that are not listed yet', () => {
+  const election = new Election({id: 'a', processors: 1}, 0);
+  const state = {isLeaving: false, informedSince: 100};
+  const members = [createMember('c', {isRefused: true})];
+  assert.equal(election.chooseRole(members, state, 1_500).kind, 'wait');
+  assert.equal(election.chooseRole(members, state, 1_700).kind, 'claim');
+});
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -91,7 +91,10 @@
   void stage.lifecycle.close();
   const told = await answer;
   assert.ok(told.kind === 'not_holder');
-  assert.equal(told.mayHaveStarted, true);
+  const {progress, ...rest} = told;
+  assert.deepEqual(rest, {kind: 'not_holder', mayHaveStarted: true});
+  const keys = progress?.tasks.map(({key}) => key);
+  assert.deepEqual(keys, ['a.0.0.0']);
 });
 
 test('the end of a lent task is told though its zone is no owner of the zone', async () => {
