A lent task that nobody claims stays known until it has surely ended

A new holder took such a task back once and forgot it. With that word lost, or the other zone's stop, its job could come again and start beside it. It is now taken back every 200 ms and stays known for 2 s, so that the job joins it. The test failed before.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -21,7 +21,12 @@
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {takeLook} from './looks.js';
-import {leaseOverAt, stopOverAt, type DispatcherOptions} from './options.js';
+import {
+  LENT_OVER_MS,
+  leaseOverAt,
+  stopOverAt,
+  type DispatcherOptions,
+} from './options.js';
 import type {Order} from './orders.js';
 import type {LentReport} from './lent_survey.js';
 import {noteNotStarted} from './not_started.js';
@@ -41,8 +46,6 @@
  * a worker, or has given up the jobs of owners that it can't hear, in ms.
  */
 const DEPOSED_MS = 600;
-/** After this a task that was lent to a lost holder has surely ended, in ms. */
-const LENT_OVER_MS = 2_000;
 
 /** Answers after which the order may be carried out all the same. */
 const proveNothing: ReadonlySet<StartAnswer> = new Set([
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -84,7 +84,7 @@
 
   /** Takes what another zone runs for this one since an earlier holder. */
   noteLent(zone: string, report: LentReport, now: Millis): void {
-    this.board.survey.note(zone, report);
+    this.board.survey.note(zone, report, now);
     for (const record of this.board.jobs.values()) this.adoptLent(record, now);
   }
 
--- a/packages/dispatch/src/dispatcher/lent_survey.ts
+++ b/packages/dispatch/src/dispatcher/lent_survey.ts
@@ -1,4 +1,9 @@
 /** What other zones run for this one since an earlier holder lent it. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {LENT_OVER_MS} from './options.js';
+
+/** How long after it was taken back a task is taken back again, in ms. */
+const RECALL_AGAIN_MS = 200;
 
 /** A task that another zone runs for this one. */
 export interface LentEntry {
@@ -17,6 +22,9 @@
 /** A lent task and the zone that runs it. */
 export interface LentRun extends LentEntry {
   readonly zone: string;
+  readonly toldAt: Millis;
+  /** When it was last taken back, as no job claims it. */
+  recalledAt: Millis;
 }
 
 /** Gathers the answers of other zones to a new holder. */
@@ -37,21 +45,30 @@
   }
 
   /** Takes a zone's answer. */
-  note(zone: string, {isComplete, tasks}: LentReport): void {
+  note(zone: string, {isComplete, tasks}: LentReport, now: Millis): void {
     if (isComplete) this.unheardZones.delete(zone);
     for (const {key, run} of tasks) {
       const name = `${zone} ${key} ${run}`;
       if (this.told.has(name)) continue;
       this.told.add(name);
-      this.runs.set(key, {key, zone, run});
+      const times = {toldAt: now, recalledAt: -Infinity};
+      this.runs.set(key, {key, zone, run, ...times});
     }
   }
 
-  /** Hands out all that nobody has asked for, once. */
-  takeAll(): LentRun[] {
-    const left = [...this.runs.values()];
-    this.runs.clear();
-    return left;
+  /**
+   * What nobody has claimed and is to be taken back now. It stays known until it
+   * has surely ended, as its job may still be handed in.
+   */
+  takeRecalls(now: Millis): LentRun[] {
+    for (const [key, {toldAt}] of this.runs) {
+      if (now - toldAt >= LENT_OVER_MS) this.runs.delete(key);
+    }
+    const due = [...this.runs.values()].filter(
+      ({recalledAt}) => now - recalledAt >= RECALL_AGAIN_MS,
+    );
+    for (const run of due) run.recalledAt = now;
+    return due;
   }
 
   /** Hands out where a task runs, once. */
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -9,6 +9,9 @@
   readonly stopMs: Millis;
 }
 
+/** After this a task that was lent to a lost holder has surely ended, in ms. */
+export const LENT_OVER_MS = 2_000;
+
 /** A worker's clock may be slower than ours by this share. */
 const CLOCK_DRIFT = 0.02;
 /** Added to the end of a lease or a stop for the way there and back, in ms. */
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -48,7 +48,7 @@
       if (!this.isAdopting(now)) this.stopOrphans(orders, worker, now);
     }
     this.recall(orders, now);
-    if (!this.isAdopting(now)) this.recallUnclaimed(orders);
+    if (!this.isAdopting(now)) this.recallUnclaimed(orders, now);
     return orders;
   }
 
@@ -102,8 +102,8 @@
   }
 
   /** Tasks that an earlier holder lent, of jobs that nobody hands in. */
-  private recallUnclaimed(orders: Order[]): void {
-    for (const {key, zone} of this.board.survey.takeAll()) {
+  private recallUnclaimed(orders: Order[], now: Millis): void {
+    for (const {key, zone} of this.board.survey.takeRecalls(now)) {
       orders.push({kind: 'recall', zone, key, run: undefined});
     }
   }
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -140,3 +140,19 @@
   dispatcher.submit(createJob('a', 1), false, 7);
   assert.deepEqual(formatOrders(dispatcher.tick(8)), []);
 });
+
+test('a job that comes after its lent task was taken back waits for its end', () => {
+  const dispatcher = createScene([first], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.expectLent(['east']);
+  const tasks = [{key: 'a.0.0.0', run: 4}];
+  dispatcher.noteLent('east', {isComplete: true, tasks}, 5);
+  dispatcher.tick(510);
+  assert.deepEqual(formatOrders(dispatcher.tick(720)), [
+    'recall a.0.0.0 from east',
+  ]);
+  dispatcher.submit(createJob('a', 1), false, 730);
+  assert.deepEqual(formatOrders(dispatcher.tick(730)), [
+    'lend a.0.0.0/4 to east',
+  ]);
+});
