--- a/packages/dispatch/src/dispatcher/adoption.ts
+++ b/packages/dispatch/src/dispatcher/adoption.ts
@@ -67,15 +67,35 @@
     return findAgain(task.state.run, worker, run, now);
   }
   if (task.state.kind !== 'waiting') return false;
-  const workerId = worker.info.id;
+  const found = {workerId: worker.info.id, number: run, startedAt: now};
+  beginFoundRun(board, record, task, found, now);
+  return true;
+}
+
+/** A run that an earlier holder started on a worker of the zone. */
+export interface FoundRun {
+  readonly workerId: string;
+  readonly number: number;
+  /** As far as is known. */
+  readonly startedAt: Millis;
+}
+
+/** Counts a task as running where it was found, or told of. */
+export function beginFoundRun(
+  board: Board,
+  record: JobRecord,
+  task: TaskRecord,
+  {workerId, number, startedAt}: FoundRun,
+  now: Millis,
+): Run {
   const {estimateMs} = task.step;
   const {queue} = record.job;
   const expectedMs = board.durations.expectOn(workerId, queue, estimateMs);
-  const adopted = createRun(record, task, workerId, expectedMs, now, run);
-  adopted.phase = RunPhase.Running;
-  adopted.confirmedAt = now;
-  board.beginRun(record, task, adopted);
-  return true;
+  const run = createRun(record, task, workerId, expectedMs, startedAt, number);
+  run.phase = RunPhase.Running;
+  run.confirmedAt = now;
+  board.beginRun(record, task, run);
+  return run;
 }
 
 /** Takes a run to its worker that was not listed when the run was told of. */
--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -18,7 +18,7 @@
   type WorkerRecord,
 } from '../workers/index.js';
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
-import {ForeignTasks} from './foreign_tasks.js';
+import {ForeignRecords} from './foreign_records.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
 import {LentSurvey} from './lent_survey.js';
 import {RunNumbers} from './run_numbers.js';
@@ -50,7 +50,7 @@
   readonly workers = new Map<string, WorkerRecord>();
   readonly durations = new Durations();
   /** Tasks that other zones have lent to this one. */
-  readonly foreignTasks = new ForeignTasks();
+  readonly foreignRecords = new ForeignRecords();
   /** Whether the list of workers is as new as it can be had. */
   isListConfirmed = false;
   /** When a worker first showed that it follows this holder. */
@@ -70,7 +70,7 @@
     const record = new JobRecord(job, expectedMs, lastRun);
     record.mayRunUnseen = this.runNumbers.mayRunUnseen(job.id);
     this.jobs.set(job.id, record);
-    this.foreignTasks.add(record);
+    this.foreignRecords.add(record);
     return record;
   }
 
@@ -233,7 +233,7 @@
     const {queue} = job;
     if (this.jobs.get(id) !== record) return;
     this.jobs.delete(id);
-    this.foreignTasks.remove(record);
+    this.foreignRecords.remove(record);
     this.runNumbers.remember(record, now);
     const {ending: outcome, hasStarted} = record;
     this.ended.push({id, queue, outcome, hasStarted});
--- a/packages/dispatch/src/dispatcher/foreign_tasks.ts
+++ b/packages/dispatch/src/dispatcher/foreign_records.ts
@@ -2,7 +2,7 @@
 import type {JobRecord} from './job_record.js';
 
 /** Finds the tasks of a job whose own record is in another zone. */
-export class ForeignTasks {
+export class ForeignRecords {
   private readonly byJob = new Map<string, Set<JobRecord>>();
 
   /** Adds a record, if it is a task of another zone's job. */
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -54,7 +54,7 @@
       return;
     }
     // The zone that lent tasks of it has lost the caller, who came here.
-    for (const task of this.board.foreignTasks.of(job.id)) {
+    for (const task of this.board.foreignRecords.of(job.id)) {
       this.board.endJob(task, abandoned(AbandonReason.OwnerLost), now);
     }
     this.takePast(record, past, now);
--- a/packages/dispatch/src/dispatcher/progress.ts
+++ b/packages/dispatch/src/dispatcher/progress.ts
@@ -5,7 +5,8 @@
   TaskProgress,
   TaskProgressState,
 } from '../work/index.js';
-import {RunPhase, type Run} from '../workers/index.js';
+import type {Run} from '../workers/index.js';
+import {beginFoundRun} from './adoption.js';
 import type {Board} from './board.js';
 import {createRun} from './create_run.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
@@ -89,18 +90,12 @@
   overAt: Millis,
   now: Millis,
 ): Run {
-  const {estimateMs} = task.step;
-  const {queue} = record.job;
-  const expectedMs = board.durations.expectOn(workerId, queue, estimateMs);
-  const startedAt = now - tookMs;
-  const run = createRun(record, task, workerId, expectedMs, startedAt, number);
-  run.phase = RunPhase.Running;
-  run.confirmedAt = now;
+  const found = {workerId, number, startedAt: now - tookMs};
+  const run = beginFoundRun(board, record, task, found, now);
   const worker = board.workers.get(workerId);
   if (worker === undefined) run.overAt = overAt;
   else worker.leasesOverAt = Math.max(worker.leasesOverAt, overAt);
   worker?.orphans.delete(task.key);
-  board.beginRun(record, task, run);
   return run;
 }
 
--- a/packages/dispatch/test/progress.test.ts
+++ b/packages/dispatch/test/progress.test.ts
@@ -4,21 +4,14 @@
 import {
   createJob,
   createLook,
+  createRunning,
   createScene,
   createWorker,
   formatOrders,
   lookAtAll,
+  patient,
 } from './fixtures/scene.js';
 
-/** A caller that waits longer than all leases of an earlier holder last. */
-const patient = {targetMs: 3_000, deadlineAt: 5_000};
-
-const running = (index: number) => ({
-  task: `a.0.0.${index}`,
-  run: 3,
-  percent: 40,
-});
-
 /** What the holder before told of a job of two tasks. */
 const told = (state: TaskProgressState): JobProgress => ({
   isComplete: true,
@@ -32,7 +25,7 @@
   dispatcher.submit(createJob('a', 2, patient), true, 5, told(state));
   assert.deepEqual(formatOrders(dispatcher.tick(5)), ['start a.0.0.1/1 on w1']);
   dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 400);
-  dispatcher.looked('w2', createLook([running(0)]), 401, 402);
+  dispatcher.looked('w2', createLook([createRunning(0)]), 401, 402);
   assert.deepEqual(formatOrders(dispatcher.tick(2_000)), []);
   assert.equal(dispatcher.workers.get('w2')?.runs.get('a.0.0.0')?.run, 3);
 });
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -5,24 +5,17 @@
   bounds,
   createJob,
   createLook,
+  createRunning,
   createScene,
   createWorker,
   formatOrders,
   lookAtAll,
+  patient,
 } from './fixtures/scene.js';
 
-/** A caller that waits longer than all leases of an earlier holder last. */
-const patient = {targetMs: 3_000, deadlineAt: 5_000};
-
-const running = (index: number) => ({
-  task: `a.0.0.${index}`,
-  run: 3,
-  percent: 40,
-});
-
 test('a new holder adopts what runs of a job that its owner still wants', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
-  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.looked('w1', createLook([createRunning(0)]), 1, 2);
   dispatcher.submit(createJob('a', 2, patient), true, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
   assert.deepEqual(
@@ -37,7 +30,7 @@
 
 test('a job that its client sends again adopts what still runs of it', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
-  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.looked('w1', createLook([createRunning(0)]), 1, 2);
   dispatcher.submit(createJob('a', 1), false, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(5)), []);
   assert.equal(dispatcher.workers.get('w1')?.runs.get('a.0.0.0')?.run, 3);
@@ -45,7 +38,7 @@
 
 test('a run whose owner never comes is stopped', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
-  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.looked('w1', createLook([createRunning(0)]), 1, 2);
   assert.deepEqual(formatOrders(dispatcher.tick(400)), []);
   assert.deepEqual(formatOrders(dispatcher.tick(510)), [
     'stop a.0.0.0/3 on w1',
@@ -129,7 +122,7 @@
 
 test('a new holder takes over a task that was lent to the one before', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
-  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.looked('w1', createLook([createRunning(0)]), 1, 2);
   const lent = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
   const job = createJob('a.0.0.0@east', 1, {lent, lentBy: 'east'});
   dispatcher.rejoinLent(job, 5);
@@ -194,7 +187,7 @@
   dispatcher.submit(createJob('a', 1, patient), true, 5);
   assert.deepEqual(formatOrders(dispatcher.tick(1_000)), []);
   dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 1_001);
-  dispatcher.looked('w2', createLook([running(0)]), 1_002, 1_003);
+  dispatcher.looked('w2', createLook([createRunning(0)]), 1_002, 1_003);
   assert.deepEqual(formatOrders(dispatcher.tick(3_000)), []);
   assert.equal(dispatcher.workers.get('w2')?.runs.get('a.0.0.0')?.run, 3);
 });
@@ -239,7 +232,7 @@
 
 test('what nobody has claimed is leased no longer than jobs may claim it', () => {
   const dispatcher = createScene([createWorker('w1')], 0);
-  dispatcher.looked('w1', createLook([running(0)]), 1, 2);
+  dispatcher.looked('w1', createLook([createRunning(0)]), 1, 2);
   assert.equal(dispatcher.chooseLease('w1', 100), 500);
   assert.equal(dispatcher.chooseLease('w1', 600), undefined);
   dispatcher.submit(createJob('a', 1), true, 110);
