--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -58,6 +58,8 @@
   isUsable(now: Millis): boolean {
     if (!this.isHeld || this.isSilent || this.info.isDraining) return false;
     if (now < this.fullUntil) return false;
+    // A start would lease what nobody has claimed there as well.
+    if (this.orphans.size > 0) return false;
     switch (this.health) {
       case Health.Good:
         return true;
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -156,3 +156,12 @@
     'lend a.0.0.0/4 to east',
   ]);
 });
+
+test('a worker with unclaimed runs is given no task, which would lease them, too', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  dispatcher.looked('w1', createLook([running]), 2, 3);
+  dispatcher.submit(createJob('b', 3), false, 5);
+  const starts = formatOrders(dispatcher.tick(5));
+  assert.deepEqual(starts, ['start b.0.0.0/1 on w2', 'start b.0.0.1/1 on w2']);
+});
--- a/packages/zone/test/one_run_at_a_time.test.ts
+++ b/packages/zone/test/one_run_at_a_time.test.ts
@@ -20,6 +20,7 @@
     chain: 'the old holder goes on while the new is cut off',
   },
   {seed: 5104, zones: 3, chain: 'a new holder leases what nobody claimed'},
+  {seed: 9101, zones: 3, chain: 'a start leases what nobody claimed'},
 ];
 const {PLAY_SEED, PLAY_COUNT = '1', PLAY_ZONES, PLAY_HELD} = process.env;
 /** `PLAY_HELD` adds messages that arrive after their connection was given up. */
