Callers of a job are kept in one place

The adapter kept the requests of each job, and the owner counted the same callers. A caller that had left before its job was taken no longer stays in the count.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -98,6 +98,16 @@
     return this.owner.run(job, signal);
   }
 
+  /** Whether a caller waits here for the job. */
+  isWaitedFor(jobId: string): boolean {
+    return this.owner.isWaitedFor(jobId);
+  }
+
+  /** Gives a job up for all its callers; false when it has none here. */
+  giveUpAll(jobId: string): boolean {
+    return this.owner.giveUpAll(jobId);
+  }
+
   /** Whether this instance should be given new connections. */
   isReady(now: Millis): boolean {
     if (this.isLeaving) return false;
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -15,7 +15,6 @@
   type Millis,
 } from '@goldcrestpier/runtime';
 import type {Result} from 'ts-results-es';
-import {CallerCount} from './caller_count.js';
 import {toSubmission} from '../holder/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {
@@ -23,6 +22,7 @@
   JobSubmission,
   ZoneCallFailure,
 } from '../protocol/index.js';
+import {Callers} from './callers.js';
 
 /** How long a job waits for a holder before it is refused, in ms. */
 const HOLDER_WAIT_MS = 1_000;
@@ -90,23 +90,36 @@
 
 /** Hands jobs to the holder and brings the answers back. */
 export class Owner {
-  private readonly callers = new CallerCount();
+  private readonly callers = new Callers();
 
   constructor(private readonly options: OwnerOptions) {}
 
   /** Answers a job. Aborting `signal` gives it up for this caller. */
   async run(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
-    this.callers.enter(job.id);
-    const leave = () => {
-      if (this.callers.leave(job.id)) void this.takeBack(job);
-    };
-    signal.addEventListener('abort', leave, {once: true});
-    const answer = await this.handIn(job, signal);
-    signal.removeEventListener('abort', leave);
-    if (!signal.aborted) this.callers.leave(job.id);
+    const caller = new AbortController();
+    this.callers.enter(job.id, caller);
+    caller.signal.addEventListener('abort', () => {
+      if (this.callers.leave(job.id, caller)) void this.takeBack(job);
+    });
+    const abort = () => caller.abort();
+    signal.addEventListener('abort', abort, {once: true});
+    if (signal.aborted) abort();
+    const answer = await this.handIn(job, caller.signal);
+    signal.removeEventListener('abort', abort);
+    this.callers.leave(job.id, caller);
     return answer;
   }
 
+  /** Whether a caller waits here for the job. */
+  isWaitedFor(jobId: string): boolean {
+    return this.callers.has(jobId);
+  }
+
+  /** Gives a job up for all its callers; false when it has none here. */
+  giveUpAll(jobId: string): boolean {
+    return this.callers.abort(jobId);
+  }
+
   private async handIn(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
     let past: Past = {kind: 'none'};
     for (;;) {
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -72,3 +72,23 @@
   void lifecycle.close();
   assert.equal(kind, 'completed');
 });
+
+test('a job that is given up ends for each caller that waits for it here', async () => {
+  const lifecycle = new Lifecycle('test');
+  const owner = createPair(lifecycle, new Promise(() => undefined));
+  await nextTurn();
+  const job = createJob('a', 1, readClock());
+  const callers = [1, 2].map(() =>
+    owner.run(job, new AbortController().signal),
+  );
+  for (let turn = 0; turn < 5; turn += 1) await nextTurn();
+  assert.equal(owner.isWaitedFor('a'), true);
+  assert.equal(owner.giveUpAll('a'), true);
+  const answers = await Promise.all(callers);
+  void lifecycle.close();
+  assert.deepEqual(
+    answers.map(({kind}) => kind),
+    ['abandoned', 'abandoned'],
+  );
+  assert.equal(owner.giveUpAll('a'), false);
+});
