Runs that were lent begin in one place; heartbeats of a beat are made plainly

No change of behaviour: the record of a run in another zone was made in two places, a question of yes or no copied a list for each job and round, and a beat made its two messages by need.

--- a/packages/dispatch/src/dispatcher/adoption.ts
+++ b/packages/dispatch/src/dispatcher/adoption.ts
@@ -45,11 +45,8 @@
     const found = board.survey.take(task.key);
     if (found === undefined) continue;
     const {zone, run: number} = found;
-    const expectedMs = board.expectTask(record, task);
-    const run = createRun(record, task, zone, expectedMs, now, number);
-    run.lentTo = zone;
-    board.beginRun(record, task, run);
-    adopted.push(run);
+    const lent = {zone, number, startedAt: now};
+    adopted.push(beginLentRun(board, record, task, lent));
   }
   return adopted;
 }
@@ -98,6 +95,28 @@
   return run;
 }
 
+/** A run that an earlier holder lent to another zone. */
+export interface LentAway {
+  readonly zone: string;
+  readonly number: number;
+  /** As far as is known. */
+  readonly startedAt: Millis;
+}
+
+/** Counts a task as running in the zone that it was lent to. */
+export function beginLentRun(
+  board: Board,
+  record: JobRecord,
+  task: TaskRecord,
+  {zone, number, startedAt}: LentAway,
+): Run {
+  const expectedMs = board.expectTask(record, task);
+  const run = createRun(record, task, zone, expectedMs, startedAt, number);
+  run.lentTo = zone;
+  board.beginRun(record, task, run);
+  return run;
+}
+
 /** Takes a run to its worker that was not listed when the run was told of. */
 function findAgain(
   known: Run,
--- a/packages/dispatch/src/dispatcher/foreign_records.ts
+++ b/packages/dispatch/src/dispatcher/foreign_records.ts
@@ -23,6 +23,11 @@
     if (records?.size === 0) this.byJob.delete(jobId);
   }
 
+  /** Whether a task of the job has not ended here. */
+  has(jobId: string): boolean {
+    return this.byJob.has(jobId);
+  }
+
   /** The tasks of a job that have not ended here. */
   of(jobId: string): readonly JobRecord[] {
     return [...(this.byJob.get(jobId) ?? [])];
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -65,7 +65,7 @@
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.ending !== undefined) return false;
     // What runs for another zone has to end first.
-    if (this.board.foreignRecords.of(record.id).length > 0) return false;
+    if (this.board.foreignRecords.has(record.id)) return false;
     // A job that its client sends again may run at a worker not yet seen.
     if (!this.areEarlierRunsOver(now) && this.board.areWorkersUnseen) {
       return false;
--- a/packages/dispatch/src/dispatcher/progress.ts
+++ b/packages/dispatch/src/dispatcher/progress.ts
@@ -6,9 +6,8 @@
   TaskProgressState,
 } from '../work/index.js';
 import type {Run} from '../workers/index.js';
-import {beginFoundRun} from './adoption.js';
+import {beginFoundRun, beginLentRun} from './adoption.js';
 import type {Board} from './board.js';
-import {createRun} from './create_run.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
 
 /** What is known here of a job. */
@@ -78,7 +77,11 @@
     case 'running':
       return takeRun(board, record, task, state, overAt, now);
     case 'lent':
-      return takeLentRun(board, record, task, state, now);
+      return beginLentRun(board, record, task, {
+        zone: state.zone,
+        number: state.run,
+        startedAt: now - state.tookMs,
+      });
   }
 }
 
@@ -98,17 +101,3 @@
   worker?.orphans.delete(task.key);
   return run;
 }
-
-function takeLentRun(
-  board: Board,
-  record: JobRecord,
-  task: TaskRecord,
-  {run: number, zone, tookMs}: TaskProgressState & {kind: 'lent'},
-  now: Millis,
-): Run {
-  const expectedMs = board.expectTask(record, task);
-  const run = createRun(record, task, zone, expectedMs, now - tookMs, number);
-  run.lentTo = zone;
-  board.beginRun(record, task, run);
-  return run;
-}
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -68,16 +68,13 @@
     if (!isUrgent && now - this.beatAt < HEARTBEAT_PAUSE_MS) return;
     this.beatAt = now;
     const {createHeartbeat, onRefused} = this.options;
-    let toOwn: ZoneHeartbeat | undefined;
-    let toForeign: ZoneHeartbeat | undefined;
+    const toOwn = createHeartbeat(now, false);
+    const toForeign = createHeartbeat(now, true);
     for (const neighbour of this.neighbours.values()) {
       const {link, isForeign, isAsked} = neighbour;
       if (link.isRefused()) onRefused(link.address);
       if (isAsked || !link.isConnected()) continue;
-      if (isForeign) toForeign ??= createHeartbeat(now, true);
-      else toOwn ??= createHeartbeat(now, false);
-      const message = isForeign ? toForeign : toOwn;
-      if (message !== undefined) void this.ask(neighbour, message, now);
+      void this.ask(neighbour, isForeign ? toForeign : toOwn, now);
     }
   }
 
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -137,17 +137,16 @@
       heardAt !== undefined && now - heardAt < SILENCE_MS;
     const silentMs =
       previous?.heardAt === undefined ? undefined : now - previous.heardAt;
+    const informedForMs =
+      informedSince === undefined ? undefined : now - informedSince;
     this.log.info('claiming the workers of the zone', {
       previous: claim?.holderId,
       previousToken: claim?.token,
-      silentMs: silentMs === undefined ? undefined : Math.round(silentMs),
+      silentMs: roundUnlessUnknown(silentMs),
       isLeaving: previous?.isLeaving,
       known: members.length,
       heard: members.filter(isHeard).length,
-      informedForMs:
-        informedSince === undefined
-          ? undefined
-          : Math.round(now - informedSince),
+      informedForMs: roundUnlessUnknown(informedForMs),
       upForMs: Math.round(now - this.startedAt),
     });
   }
@@ -199,3 +198,7 @@
     });
   }
 }
+
+function roundUnlessUnknown(ms: Millis | undefined): Millis | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
