An instance that holds no workers takes no word that ends a run

'Give this job up' and 'stop this lent task' were answered in the same way by an instance that had lost the role, so that whoever asked took them for done. Both are now answered with whether a holder has taken them. The test had nothing to ask before, as the answers were empty.

--- a/packages/zone/src/holder/lender.ts
+++ b/packages/zone/src/holder/lender.ts
@@ -139,7 +139,7 @@
     const {zone: homeZone, token} = this.options;
     const message = {homeZone, token, task};
     const result = await calls?.recall(message, RECALL_TIMEOUT_MS);
-    return result?.isOk() === true;
+    return result?.isOk() === true && result.value;
   }
 
   private async surveyZone(zone: string): Promise<void> {
--- a/packages/zone/src/instance/holder_targets.ts
+++ b/packages/zone/src/instance/holder_targets.ts
@@ -35,7 +35,7 @@
     cancel: async jobId => {
       const message = {ownerId: selfId, jobId};
       const result = await calls.cancel(message, CANCEL_TIMEOUT_MS);
-      return result.isOk();
+      return result.isOk() && result.value;
     },
   };
 }
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -142,9 +142,10 @@
   }
 
   /** Gives up a job that a peer handed in. */
-  cancel({ownerId, jobId}: JobCancellation): Promise<void> {
-    this.roles.holder?.cancel(ownerId, jobId, AbandonReason.Cancelled);
-    return Promise.resolve();
+  cancel({ownerId, jobId}: JobCancellation): Promise<boolean> {
+    const {holder} = this.roles;
+    holder?.cancel(ownerId, jobId, AbandonReason.Cancelled);
+    return Promise.resolve(holder !== undefined);
   }
 
   /** The configuration known here. */
@@ -166,10 +167,11 @@
   }
 
   /** Stops a task that another zone takes back. */
-  recall({homeZone, token, task}: Recall): Promise<void> {
+  recall({homeZone, token, task}: Recall): Promise<boolean> {
+    const {holder} = this.roles;
     const isInForce = this.zones.noteToken(homeZone, token);
-    if (isInForce) this.roles.holder?.recall(homeZone, task);
-    return Promise.resolve();
+    if (isInForce) holder?.recall(homeZone, task);
+    return Promise.resolve(holder !== undefined);
   }
 
   /** What runs here for another zone, as far as this instance knows. */
--- a/packages/zone/src/protocol/router.ts
+++ b/packages/zone/src/protocol/router.ts
@@ -36,10 +36,10 @@
 export interface ZoneHandlers {
   heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat>;
   submit(message: JobSubmission): Promise<JobAnswer>;
-  cancel(message: JobCancellation): Promise<void>;
+  cancel(message: JobCancellation): Promise<boolean>;
   readConfiguration(): Promise<Configuration | null>;
   lend(message: Lending): Promise<LentAnswer>;
-  recall(message: Recall): Promise<void>;
+  recall(message: Recall): Promise<boolean>;
   listLent(question: LentQuestion): Promise<LentList>;
 }
 
@@ -107,12 +107,12 @@
     return this.ask(jobAnswerSchema, 'submit', message, timeoutMs);
   }
 
-  /** Gives a job up. */
+  /** Gives a job up; false from an instance that holds no workers. */
   cancel(
     message: JobCancellation,
     timeoutMs: number,
-  ): Promise<Result<unknown, ZoneCallFailure>> {
-    return this.ask(z.unknown(), 'cancel', message, timeoutMs);
+  ): Promise<Result<boolean, ZoneCallFailure>> {
+    return this.ask(z.boolean(), 'cancel', message, timeoutMs);
   }
 
   /** Reads the configuration that the peer has; null when it has none. */
@@ -131,12 +131,12 @@
     return this.ask(lentAnswerSchema, 'lend', message, timeoutMs);
   }
 
-  /** Takes a lent task back. */
+  /** Takes a lent task back; false from an instance that holds no workers. */
   recall(
     message: Recall,
     timeoutMs: number,
-  ): Promise<Result<unknown, ZoneCallFailure>> {
-    return this.ask(z.unknown(), 'recall', message, timeoutMs);
+  ): Promise<Result<boolean, ZoneCallFailure>> {
+    return this.ask(z.boolean(), 'recall', message, timeoutMs);
   }
 
   /** Asks which tasks the peer runs for a zone. */
--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -92,7 +92,7 @@
 function answerWith(answer: JobAnswer): ZoneCalls {
   const calls: Pick<ZoneCalls, 'lend' | 'recall'> = {
     lend: () => Promise.resolve(Ok({answer})),
-    recall: () => Promise.resolve(Ok(undefined)),
+    recall: () => Promise.resolve(Ok(true)),
   };
   return calls as ZoneCalls;
 }
@@ -122,7 +122,7 @@
     lend: () => Promise.resolve(Err({kind: PeerFailureKind.Unknown, reason})),
     recall: ({task}) => {
       recalled.push(task);
-      return Promise.resolve(Ok(undefined));
+      return Promise.resolve(Ok(true));
     },
   };
   const lender = new Lender({
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -68,6 +68,18 @@
   assert.equal(said.isComplete, false);
 });
 
+test('an instance that holds no workers takes no word that ends a run', async () => {
+  const lifecycle = new Lifecycle('test');
+  const instance = createInstance(lifecycle, []);
+  const message = {ownerId: 'owner', jobId: 'a'};
+  const said = [
+    await instance.cancel(message),
+    await instance.recall({homeZone: 'west', token: 1, task: 'a.0.0.0'}),
+  ];
+  void lifecycle.close();
+  assert.deepEqual(said, [false, false]);
+});
+
 test('a holder that another has followed lends nothing any more', async () => {
   const lifecycle = new Lifecycle('test');
   const started: string[] = [];
