A run that was found beside another one of its task is adopted when that is lost

A found run that didn't fit what was told of its task was only stopped, some time later; when the run that was told was lost, the task began again at once beside it. The test failed before.

--- a/packages/dispatch/src/dispatcher/board.ts
+++ b/packages/dispatch/src/dispatcher/board.ts
@@ -17,6 +17,7 @@
   type Run,
   type WorkerRecord,
 } from '../workers/index.js';
+import {adoptOrphans} from './adoption.js';
 import {addGoodEnd, addStrike, StrikeReason} from './health.js';
 import {ForeignRecords} from './foreign_records.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
@@ -109,6 +110,8 @@
     else if (record.isForeign)
       record.ending ??= abandoned(AbandonReason.RunLost);
     this.settle(record, now);
+    // Another run of the task may have been found meanwhile.
+    if (end !== RunEnd.Done) adoptOrphans(this, record, now);
   }
 
   /** Ends a job with `outcome` as soon as nothing of it runs. */
--- a/packages/dispatch/test/forgotten_runs.test.ts
+++ b/packages/dispatch/test/forgotten_runs.test.ts
@@ -165,3 +165,16 @@
   const starts = formatOrders(dispatcher.tick(5));
   assert.deepEqual(starts, ['start b.0.0.0/1 on w2', 'start b.0.0.1/1 on w2']);
 });
+
+test('a run that was found beside another one of its task is adopted when that is lost', () => {
+  const dispatcher = createScene([first, second], 0);
+  lookAtAll(dispatcher, 1);
+  const state = {kind: 'running', run: 2, workerId: 'w1', tookMs: 50} as const;
+  const task = {key: 'a.0.0.0', lastRun: 2, failures: 0, state};
+  const progress = {isComplete: true, tasks: [task]};
+  dispatcher.submit(createJob('a', 1), true, 5, progress);
+  dispatcher.looked('w2', createLook([running]), 6, 7);
+  dispatcher.looked('w1', createLook(), 8, 9);
+  assert.deepEqual(formatOrders(dispatcher.tick(10)), []);
+  assert.equal(dispatcher.workers.get('w2')?.runs.get('a.0.0.0')?.run, 3);
+});
