--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -18,7 +18,7 @@
   ZoneHeartbeat,
 } from '../protocol/index.js';
 import {AnswerLosses} from './answer_losses.js';
-import {refusedAsBusy} from './busy_refusal.js';
+import {refusedAsBusy} from './refusals.js';
 import {Carrier} from './carrier.js';
 import {ForeignTasks, type WantsLent} from './foreign_tasks.js';
 import type {HolderOptions} from './holder_options.js';
--- a/packages/zone/src/holder/job_desk.ts
+++ b/packages/zone/src/holder/job_desk.ts
@@ -7,7 +7,7 @@
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {JobAnswer, JobSubmission} from '../protocol/index.js';
-import {busyRefusal, refusedAsBusy} from './busy_refusal.js';
+import {busyRefusal, refusedAsBusy} from './refusals.js';
 import type {LoopLoad} from './loop_load.js';
 import {logSubmission} from './observer.js';
 import {sumFreeMillis} from './rooms.js';
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -23,10 +23,9 @@
 import {HolderChange} from './holder_change.js';
 import type {InstanceOptions} from './instance_options.js';
 import {createLocalTarget, createPeerTarget} from './holder_targets.js';
-import {outdated} from './outdated.js';
 import {Links} from './links.js';
 import {LoopDelay} from './loop_delay.js';
-import {toRoom} from '../holder/index.js';
+import {outdatedRefusal, toRoom} from '../holder/index.js';
 import {NeighbourZones} from './neighbour_zones.js';
 import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleKeeper} from './role_keeper.js';
@@ -161,7 +160,9 @@
     }
     const {homeZone, token} = message;
     // Its follower was told what is lent, and knows nothing of this one.
-    if (!this.zones.noteToken(homeZone, token)) return {answer: outdated};
+    if (!this.zones.noteToken(homeZone, token)) {
+      return {answer: outdatedRefusal};
+    }
     const answer = await holder.takeLent(message);
     return {answer, rooms: holder.findRooms()};
   }
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -11,6 +11,7 @@
 import {toSubmission} from '../src/holder/to_job.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {WorkerPort} from '../src/ports/index.js';
+import type {JobAnswer} from '../src/protocol/index.js';
 import {bounds, createJob, fail, quiet, worker} from './fixtures/scene.js';
 
 const idle: Look = {clockMs: 5, bornAt: 1, running: [], ended: []};
@@ -54,6 +55,16 @@
     });
   }
 
+  /** Hands in a job of one task, and waits until that has been started. */
+  async begin(jobId: string): Promise<{end: Promise<JobAnswer>}> {
+    await nextTurn();
+    const now = readClock();
+    const job = toSubmission(createJob(jobId, 1, now), 'owner', false, now);
+    const end = this.holder.submit(job);
+    while (this.holder.countWaiting('quotes') > 0) await nextTurn();
+    return {end};
+  }
+
   /** Has the worker tell that the job's only task is done. */
   end(jobId: string): void {
     const task = `${jobId}.0.0.0`;
@@ -69,27 +80,19 @@
 
 test('a holder that closes delivers the ends that it knows of', async () => {
   const stage = new Stage();
-  await nextTurn();
-  const now = readClock();
-  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
-  const answer = stage.holder.submit(job);
-  while (stage.holder.countWaiting('quotes') > 0) await nextTurn();
+  const {end} = await stage.begin('a');
   await nextTurn();
   stage.end('a');
   await settle();
   void stage.lifecycle.close();
-  assert.deepEqual(await answer, {kind: 'completed'});
+  assert.deepEqual(await end, {kind: 'completed'});
 });
 
 test('a holder that closes says that begun jobs may have started', async () => {
   const stage = new Stage();
-  await nextTurn();
-  const now = readClock();
-  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
-  const answer = stage.holder.submit(job);
-  while (stage.holder.countWaiting('quotes') > 0) await nextTurn();
+  const {end} = await stage.begin('a');
   void stage.lifecycle.close();
-  const told = await answer;
+  const told = await end;
   assert.ok(told.kind === 'not_holder');
   const {progress, ...rest} = told;
   assert.deepEqual(rest, {kind: 'not_holder', mayHaveStarted: true});
@@ -125,13 +128,9 @@
 
 test('a holder that steps down tells what it runs of each job', async () => {
   const stage = new Stage();
-  await nextTurn();
-  const now = readClock();
-  const job = toSubmission(createJob('a', 1, now), 'owner', false, now);
-  const answer = stage.holder.submit(job);
-  while (stage.holder.countWaiting('quotes') > 0) await nextTurn();
+  const {end} = await stage.begin('a');
   void stage.lifecycle.close();
-  const told = JSON.stringify(await answer);
+  const told = JSON.stringify(await end);
   assert.match(told, /"key":"a\.0\.0\.0"/);
   assert.match(told, /"workerId":"w1"/);
 });
