Lost replies of one server are many enough on a busy machine, too

Traced: on a busy machine the holders of other zones come late, and the server with lost replies gets 8 to 30 of the 690 tasks, so that not one of 40 replies was lost and the job was complete. What is asserted stays.

--- a/packages/proofs/test/losses.test.ts
+++ b/packages/proofs/test/losses.test.ts
@@ -42,7 +42,7 @@
   const caller = stage.callerOf('e1-1');
   const session = await caller.openSession();
   const {admin} = stage.cluster.server('r2-1');
-  await admin.setFaults({loseEveryNthReply: 40});
+  await admin.setFaults({loseEveryNthReply: 4});
   const job = createJob(690, 5);
   const answer = expectAnswer(await caller.submit(session, 'lost', job));
   await admin.setFaults({});
