--- a/packages/measure/src/bin/measure.ts
+++ b/packages/measure/src/bin/measure.ts
@@ -3,6 +3,7 @@
 import {Lifecycle} from '@goldcrestpier/runtime';
 import sade from 'sade';
 import {
+  measureFleet,
   measureIdle,
   measureOverload,
   measureResponses,
@@ -18,6 +19,7 @@
   overload: measureOverload,
   starts: measureStarts,
   idle: measureIdle,
+  fleet: measureFleet,
 };
 
 sade('measure', true)
@@ -35,6 +37,9 @@
   .option('--delay', 'One-way delay between zones, in ms', 0.5)
   .option('--entries', 'Entry instances; several for the mode idle', 8)
   .option('--runners', 'Runners; several for the mode idle', 30)
+  .option('--zones', 'Zones of the mode fleet', 3)
+  .option('--jobs', 'Jobs a second of the mode fleet', 0)
+  .option('--profiled', 'Divide the processor time of the mode fleet', false)
   .option('--json', 'File for the figures')
   .action(run)
   .parse(process.argv);
--- a/packages/measure/src/modes/index.ts
+++ b/packages/measure/src/modes/index.ts
@@ -1,4 +1,5 @@
 /** What the tool can measure. */
+export {measureFleet} from './fleet.js';
 export {measureIdle} from './idle.js';
 export {readOptions, type MeasureOptions} from './options.js';
 export {measureOverload} from './overload.js';
--- a/packages/measure/src/modes/options.ts
+++ b/packages/measure/src/modes/options.ts
@@ -19,6 +19,12 @@
   readonly betweenZonesMs: number;
   readonly entries: readonly number[];
   readonly runners: readonly number[];
+  /** Zones of the mode fleet, whose entries and runners are for each zone. */
+  readonly zones: number;
+  /** Jobs that all callers together send, of the mode fleet. */
+  readonly jobsPerSecond: number;
+  /** Whether the processor time is divided by work. */
+  readonly isProfiled: boolean;
 }
 
 /** Reads the options as the command line has them; throws on wrong ones. */
@@ -44,6 +50,9 @@
     betweenZonesMs: readNumber(raw, 'delay'),
     entries: readNumbers(raw, 'entries'),
     runners: readNumbers(raw, 'runners'),
+    zones: readNumber(raw, 'zones'),
+    jobsPerSecond: Number(raw['jobs']),
+    isProfiled: raw['profiled'] === true,
   };
 }
 
