--- a/packages/measure/src/bin/measure.ts
+++ b/packages/measure/src/bin/measure.ts
@@ -40,6 +40,8 @@
   .option('--zones', 'Zones of the mode fleet', 3)
   .option('--jobs', 'Jobs a second of the mode fleet', 0)
   .option('--profiled', 'Divide the processor time of the mode fleet', false)
+  .option('--program', 'Bundle that the mode fleet runs, of another commit')
+  .option('--flags', 'Further arguments for Node.js in the mode fleet')
   .option('--json', 'File for the figures')
   .action(run)
   .parse(process.argv);
--- a/packages/measure/src/fleet/launch.ts
+++ b/packages/measure/src/fleet/launch.ts
@@ -28,6 +28,15 @@
   readonly workersEach: number;
 }
 
+/** How the program is run. */
+export interface FleetProgram {
+  /** A bundle to run in place of this build. */
+  readonly program: string | undefined;
+  /** Further arguments for Node.js. */
+  readonly nodeArguments: readonly string[];
+  readonly isProfiled: boolean;
+}
+
 /** A fleet whose instances are all ready. */
 export interface PlatformFleet {
   readonly stage: Stage;
@@ -40,7 +49,7 @@
 /** Launches a fleet; the life cycle ends what is left of it. */
 export async function launchPlatformFleet(
   {zones, instancesEach, workersEach}: FleetSize,
-  isProfiled: boolean,
+  {program, isProfiled, nodeArguments: further}: FleetProgram,
   lifecycle: Lifecycle,
 ): Promise<PlatformFleet> {
   const names = Array.from({length: zones}, (_, index) => `zone-${index}`);
@@ -51,12 +60,13 @@
   for (const worker of stage.workers) worker.slots = SLOTS;
   stage.store.set('op/config', createConfiguration(1));
   const profiles = isProfiled ? createFolder(lifecycle) : undefined;
-  const nodeArguments = chooseArguments(profiles);
+  const nodeArguments = [...chooseArguments(profiles), ...further];
+  const run = {nodeArguments, ...(program === undefined ? {} : {program})};
   for (let index = 0; index < zones * instancesEach; index += 1) {
     const zone = names[index % zones] ?? '';
     const place = Math.floor(index / zones);
     const processors = STRONG_PROCESSORS[place] ?? WEAK_PROCESSORS;
-    const added = await stage.addInstance({zone, processors, nodeArguments});
+    const added = await stage.addInstance({zone, processors, ...run});
     if (index % STARTED_TOGETHER === 0) await stage.waitUntilReady(added);
   }
   for (const instance of stage.instances) await stage.waitUntilReady(instance);
--- a/packages/measure/src/modes/fleet.ts
+++ b/packages/measure/src/modes/fleet.ts
@@ -32,9 +32,9 @@
 ): Promise<object> {
   const [instancesEach = 1] = options.entries;
   const [workersEach = 1] = options.runners;
-  const {zones, jobsPerSecond, isProfiled, seconds} = options;
+  const {zones, jobsPerSecond, seconds, fleetProgram} = options;
   const size = {zones, instancesEach, workersEach};
-  const fleet = await launchPlatformFleet(size, isProfiled, lifecycle);
+  const fleet = await launchPlatformFleet(size, fleetProgram, lifecycle);
   const {instances} = fleet.stage;
   await sleep(SETTLE_MS);
   const before = instances.map(readUsageOf);
--- a/packages/measure/src/modes/options.ts
+++ b/packages/measure/src/modes/options.ts
@@ -1,5 +1,6 @@
 /** What the tool is asked for. */
 import {PolicyKind} from '@goldcrestpier/settings';
+import type {FleetProgram} from '../fleet/index.js';
 import {PROFILES, type Profile} from '../load/index.js';
 
 /** What the tool is asked for, checked. */
@@ -23,8 +24,8 @@
   readonly zones: number;
   /** Jobs that all callers together send, of the mode fleet. */
   readonly jobsPerSecond: number;
-  /** Whether the processor time is divided by work. */
-  readonly isProfiled: boolean;
+  /** How the mode fleet runs the program. */
+  readonly fleetProgram: FleetProgram;
 }
 
 /** Reads the options as the command line has them; throws on wrong ones. */
@@ -52,6 +53,15 @@
     runners: readNumbers(raw, 'runners'),
     zones: readNumber(raw, 'zones'),
     jobsPerSecond: Number(raw['jobs']),
+    fleetProgram: readProgram(raw),
+  };
+}
+
+function readProgram(raw: Readonly<Record<string, unknown>>): FleetProgram {
+  const {program, flags} = raw;
+  return {
+    program: typeof program === 'string' ? program : undefined,
+    nodeArguments: typeof flags === 'string' ? flags.split(' ') : [],
     isProfiled: raw['profiled'] === true,
   };
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -10,4 +10,5 @@
 export * from './link/index.js';
 export * from './messages/index.js';
 export * from './server/index.js';
+export {SilenceGuard, type SilenceWatch} from './silence.js';
 export {SparseLog} from './sparse_log.js';
--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -19,7 +19,7 @@
   type MessageCounts,
 } from '../calls.js';
 import {Coalescer} from '../coalesce.js';
-import {watchSilence} from '../silence.js';
+import {SilenceGuard} from '../silence.js';
 import {SparseLog} from '../sparse_log.js';
 import {chooseBackoff} from './backoff.js';
 import {ClientCalls, type PeerCalls} from './client_calls.js';
@@ -42,6 +42,8 @@
   readonly lifecycle: Lifecycle;
   readonly limits?: Partial<PeerLinkLimits>;
   readonly counts?: MessageCounts;
+  /** Watches all links of this process together; else each is on its own. */
+  readonly silence?: SilenceGuard;
 }
 
 /** A connection to one peer that is opened again whenever it is cut. */
@@ -57,6 +59,10 @@
   isConnected(): boolean;
   /** When opening the present connection began; undefined without one. */
   connectedAt(): Millis | undefined;
+  /** When something last arrived on the present connection. */
+  heardAt(): Millis | undefined;
+  /** Asks the peer's process for a sign of life, which `heardAt` shows. */
+  ping(): void;
   /** Whether the host last said that no process listens at the address. */
   isRefused(): boolean;
   /** Ends the link; calls in flight end as unknown. */
@@ -100,6 +106,14 @@
     return this.link.connectedAt();
   }
 
+  heardAt(): Millis | undefined {
+    return this.link.heardAt();
+  }
+
+  ping(): void {
+    this.link.ping();
+  }
+
   isRefused(): boolean {
     return this.link.isRefused();
   }
@@ -115,7 +129,9 @@
   private readonly log: SparseLog;
   /** The open connection, if there is one. */
   current: PeerConnection | undefined;
+  private socket: WebSocket | undefined;
   private openedAt: Millis = 0;
+  private lastHeardAt: Millis | undefined;
   private openFailure: OpenFailure | undefined;
 
   constructor(
@@ -154,6 +170,14 @@
     return this.isConnected() ? this.openedAt : undefined;
   }
 
+  heardAt(): Millis | undefined {
+    return this.isConnected() ? this.lastHeardAt : undefined;
+  }
+
+  ping(): void {
+    if (this.isConnected()) this.socket?.ping();
+  }
+
   isRefused(): boolean {
     return !this.isConnected() && this.openFailure === OpenFailure.NotListening;
   }
@@ -220,12 +244,26 @@
       this.methods,
       new Coalescer(stream),
     );
-    watchSilence(socket, {silenceMs: this.limits.silenceMs, asks: true});
+    this.watch(socket);
     const end = () => socket.terminate();
     signal.addEventListener('abort', end, {once: true});
     if (signal.aborted) end();
     await closed;
     signal.removeEventListener('abort', end);
     this.current = undefined;
+    this.socket = undefined;
+  }
+
+  private watch(socket: WebSocket): void {
+    const {silenceMs} = this.limits;
+    const {silence = new SilenceGuard({silenceMs, asks: true})} = this.options;
+    silence.add(socket);
+    this.socket = socket;
+    this.lastHeardAt = undefined;
+    const note = () => {
+      this.lastHeardAt = readClock();
+    };
+    socket.on('message', note);
+    socket.on('pong', note);
   }
 }
--- a/packages/peers/src/server/server.ts
+++ b/packages/peers/src/server/server.ts
@@ -21,7 +21,7 @@
 } from '../calls.js';
 import type {PeerHandlers} from '../handlers.js';
 import {Coalescer} from '../coalesce.js';
-import {watchSilence} from '../silence.js';
+import {SilenceGuard} from '../silence.js';
 import {SparseLog} from '../sparse_log.js';
 import {INCARNATION_HEADER} from '../incarnation_header.js';
 import {PeerConnection} from './connection.js';
@@ -49,6 +49,8 @@
   /** A router whose context is a `PeerContext`. */
   readonly router: AnyTRPCRouter;
   readonly methods: CallMethods;
+  /** Told of each ping, with how the peer names itself. */
+  readonly onPing?: (self: string) => void;
   readonly logger: Logger;
   readonly lifecycle: Lifecycle;
   readonly limits?: Partial<PeerServerLimits>;
@@ -115,11 +117,13 @@
   readonly sockets: WebSocketServer;
   private readonly connections = new Set<PeerConnection>();
   private readonly log: SparseLog;
+  private readonly silence: SilenceGuard;
 
   constructor(
     private readonly options: CallServerOptions,
     readonly limits: PeerServerLimits,
   ) {
+    this.silence = new SilenceGuard({silenceMs: limits.idleMs, asks: false});
     this.log = new SparseLog(options.logger);
     this.sockets = new WebSocketServer({
       noServer: true,
@@ -167,7 +171,12 @@
     );
     this.connections.add(connection);
     socket.once('close', () => this.connections.delete(connection));
-    watchSilence(socket, {silenceMs: this.limits.idleMs, asks: false});
+    this.silence.add(socket);
+    const self = request.headers[INCARNATION_HEADER];
+    const {onPing} = this.options;
+    if (onPing !== undefined && typeof self === 'string') {
+      socket.on('ping', () => onPing(self));
+    }
     const handle = getWSConnectionHandler({
       wss: this.sockets,
       router: this.options.router,
--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -6,7 +6,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Claim} from '../protocol/index.js';
 
-/** Silence after which an instance counts as gone, in ms. */
+/** Silence after which an instance that is watched closely counts as gone, in ms. */
 export const SILENCE_MS: Millis = 600;
 /** How long a new instance listens before it claims anything, in ms. */
 const LISTEN_MS = 250;
@@ -43,6 +43,8 @@
   readonly isTried: boolean;
   /** When it was last heard from; undefined before the first time. */
   readonly heardAt: Millis | undefined;
+  /** Whether that is so short ago that it counts as there. */
+  readonly isHeard: boolean;
   /** Its host says that no process listens there any more. */
   readonly isRefused: boolean;
   /** When it last heard the holder that it follows, and which that is. */
@@ -110,7 +112,7 @@
     now: Millis,
   ): Role {
     const holderId = this.highest?.holderId ?? '';
-    const successor = findSuccessor(members, now);
+    const successor = findSuccessor(members);
     // A leaving holder goes on until its successor's claim is heard.
     if (holderId === this.self.id) return {kind: 'hold'};
     const canNobodySucceed = isLeaving && successor === undefined;
@@ -140,7 +142,7 @@
       return members.some(member => hearsHolder(member, holderId, now));
     }
     if (holder.isLeaving) return canNobodySucceed;
-    if (isHeard(holder, now)) return true;
+    if (holder.isHeard) return true;
     if (holder.isRefused) return false;
     return members.some(member => hearsHolder(member, holderId, now));
   }
@@ -166,7 +168,7 @@
 
   /** Whether a holder that is heard should make way for this instance. */
   private isTooWeak(holder: Member | undefined, now: Millis): boolean {
-    if (holder === undefined || !isHeard(holder, now)) return false;
+    if (holder?.isHeard !== true) return false;
     if (now - this.startedAt < REPLACE_AFTER_MS) return false;
     if (this.fencedAt !== undefined) return false;
     return holder.processors < WEAK_SHARE * this.self.processors;
@@ -177,13 +179,13 @@
     informedSince: Millis | undefined,
     now: Millis,
   ): boolean {
-    const heard = members.filter(member => isHeard(member, now));
+    const heard = members.filter(member => member.isHeard);
     if (this.fencedAt !== undefined) {
       const wait = heard.length > 0 ? FENCED_MS : FENCED_ALONE_MS;
       if (now - this.fencedAt < wait) return false;
     }
     const missing = members.filter(
-      member => !isHeard(member, now) && !member.isRefused,
+      member => !member.isHeard && !member.isRefused,
     );
     if (now - this.startedAt < LISTEN_MS) return false;
     if (heard.length === 0 && this.mayOthersLive(informedSince, now)) {
@@ -199,24 +201,15 @@
   }
 }
 
-function isHeard({heardAt}: Member, now: Millis): boolean {
-  return heardAt !== undefined && now - heardAt < SILENCE_MS;
-}
-
 function hearsHolder(member: Member, holderId: string, now: Millis): boolean {
-  if (!isHeard(member, now) || member.holderId !== holderId) return false;
+  if (!member.isHeard || member.holderId !== holderId) return false;
   const {holderHeardAt} = member;
   return holderHeardAt !== undefined && now - holderHeardAt < SILENCE_MS;
 }
 
 /** The other instance that would take over: the strongest, then by id. */
-function findSuccessor(
-  members: readonly Member[],
-  now: Millis,
-): Member | undefined {
-  const able = members.filter(
-    member => !member.isLeaving && isHeard(member, now),
-  );
+function findSuccessor(members: readonly Member[]): Member | undefined {
+  const able = members.filter(member => !member.isLeaving && member.isHeard);
   return able.sort(compareStrength)[0];
 }
 
--- a/packages/zone/src/holder/rooms.ts
+++ b/packages/zone/src/holder/rooms.ts
@@ -1,10 +1,11 @@
 /** Tells other zones which room the workers of a dispatcher have. */
-import type {Dispatcher, ZoneRoom} from '@goldcrestpier/dispatch';
+import type {Dispatcher, Vacancy, ZoneRoom} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {ZoneHeartbeat} from '../protocol/index.js';
 
 /** One service's room in a heartbeat. */
 type ToldRoom = NonNullable<ZoneHeartbeat['rooms']>[number];
+type ToldRow = ToldRoom['vacancies'][number];
 
 /** Slowness is told in steps of this size. */
 const SLOWNESS_STEP = 0.01;
@@ -15,16 +16,22 @@
   for (const {info} of dispatcher.workers.values()) services.add(info.service);
   return [...services].map(service => ({
     service,
-    vacancies: dispatcher
-      .findVacancies(service, now)
-      .map(({slowness, cpuMillis, memoryMb}) => [
-        Math.round(slowness / SLOWNESS_STEP) * SLOWNESS_STEP,
-        cpuMillis,
-        memoryMb,
-      ]),
+    vacancies: groupVacancies(dispatcher.findVacancies(service, now)),
   }));
 }
 
+/** One row for all workers that have the same room. */
+function groupVacancies(vacancies: readonly Vacancy[]): ToldRow[] {
+  const rows = new Map<string, ToldRow>();
+  for (const {slowness, cpuMillis, memoryMb} of vacancies) {
+    const steps = Math.round(slowness / SLOWNESS_STEP);
+    const key = `${steps} ${cpuMillis} ${memoryMb}`;
+    const count = (rows.get(key)?.[3] ?? 0) + 1;
+    rows.set(key, [steps * SLOWNESS_STEP, cpuMillis, memoryMb, count]);
+  }
+  return [...rows.values()];
+}
+
 /** Tells of the same services that there is no room. */
 export function withoutVacancies(
   rooms: readonly ToldRoom[],
@@ -37,11 +44,9 @@
   return {
     zone,
     service,
-    vacancies: vacancies.map(([slowness, cpuMillis, memoryMb]) => ({
-      slowness,
-      cpuMillis,
-      memoryMb,
-    })),
+    vacancies: vacancies.flatMap(([slowness, cpuMillis, memoryMb, count]) =>
+      Array.from({length: count}, () => ({slowness, cpuMillis, memoryMb})),
+    ),
   };
 }
 
--- a/packages/zone/src/instance/holder_targets.ts
+++ b/packages/zone/src/instance/holder_targets.ts
@@ -8,6 +8,26 @@
 /** How long a cancellation waits for its answer, in ms. */
 const CANCEL_TIMEOUT_MS = 1_000;
 
+/** Who holds, as far as an instance knows. */
+export interface KnownHolder {
+  /** The holder in this process, while it is its turn. */
+  readonly holder: Holder | undefined;
+  readonly holderId: string | undefined;
+}
+
+/** The holder to ask; undefined when none is known, or it isn't connected. */
+export function findTarget(
+  {holder, holderId}: KnownHolder,
+  selfId: string,
+  findCalls: (id: string) => ZoneCalls | undefined,
+): HolderTarget | undefined {
+  if (holder !== undefined) return createLocalTarget(holder, selfId);
+  if (holderId === undefined) return undefined;
+  const calls = findCalls(holderId);
+  if (calls === undefined) return undefined;
+  return createPeerTarget(calls, holderId, selfId);
+}
+
 /** The holder in this process. */
 export function createLocalTarget(
   holder: Holder,
@@ -24,7 +44,7 @@
 }
 
 /** The holder at the other end of a link. */
-export function createPeerTarget(
+function createPeerTarget(
   calls: ZoneCalls,
   holderId: string,
   selfId: string,
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -4,7 +4,7 @@
  */
 import {AbandonReason, type Job} from '@goldcrestpier/dispatch';
 import {LogPart, readClock, type Millis} from '@goldcrestpier/runtime';
-import {Owner, type HolderTarget, type OwnerAnswer} from '../owner/index.js';
+import {Owner, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration} from '../ports/index.js';
 import {
   type Claim,
@@ -20,24 +20,22 @@
   type ZoneHandlers,
   type ZoneHeartbeat,
 } from '../protocol/index.js';
+import {Activity} from './activity.js';
+import {ConfigurationFetch} from './configuration_fetch.js';
 import {HolderChange} from './holder_change.js';
 import type {InstanceOptions} from './instance_options.js';
-import {createLocalTarget, createPeerTarget} from './holder_targets.js';
+import {findTarget} from './holder_targets.js';
+import {LentCalls} from './lent_calls.js';
 import {Links} from './links.js';
 import {LoopDelay} from './loop_delay.js';
-import {outdatedRefusal, toRoom} from '../holder/index.js';
+import {toRoom, type Holder} from '../holder/index.js';
 import {NeighbourZones} from './neighbour_zones.js';
 import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleKeeper} from './role_keeper.js';
+import {Stepper} from './stepper.js';
+import {ToldNews} from './told_news.js';
 import {ZoneView} from './zone_view.js';
 
-/** How often an instance considers its role, in ms. */
-const STEP_MS = 50;
-/** How long an instance may be without a holder and still call itself ready. */
-const READY_WITHOUT_HOLDER_MS = 2_000;
-/** How long a question to a peer waits for its answer, in ms. */
-const ASK_TIMEOUT_MS = 1_000;
-
 /** A running instance. */
 export class Instance implements ZoneHandlers {
   private readonly address: string;
@@ -45,11 +43,14 @@
   private readonly zones: NeighbourZones;
   private readonly roles: RoleKeeper;
   private readonly links: Links;
+  private readonly lent: LentCalls;
   private readonly owner: Owner;
   private readonly change = new HolderChange();
-  private hadHolderAt: Millis = -Infinity;
+  private readonly fetch: ConfigurationFetch;
+  private readonly stepper: Stepper;
+  private readonly activity = new Activity();
+  private readonly toldNews = new ToldNews();
   private isLeaving = false;
-  private isReadingConfiguration = false;
 
   constructor(private readonly options: InstanceOptions) {
     const {id, zone, processors, listen, logs, metrics, seeds} = options;
@@ -61,40 +62,48 @@
       ...options,
       findZone: other => this.findZone(other),
       // The next step decides anew, when this one has ended.
-      onFenced: () => setImmediate(() => this.step(readClock())),
+      onFenced: () => this.stepper.wake(),
     });
+    this.lent = new LentCalls(this.zones, () => this.roles.holder);
     this.links = new Links({
       ...options,
       createHeartbeat: (now, isForeign) => this.createHeartbeat(now, isForeign),
       onAnswer: (message, sentAt) => this.takeAnswer(message, sentAt),
       onRefused: address => this.view.noteRefused(address),
     });
+    this.fetch = new ConfigurationFetch({
+      ...options,
+      findCalls: address => this.links.find(address),
+    });
     this.owner = new Owner({
       selfId: id,
-      findHolder: () => this.findHolder(),
+      findHolder: () =>
+        findTarget(this.roles, id, other => this.findCalls(other)),
       waitForChange: (from, signal) => this.change.wait(from, signal),
       isAlive: (other, now) => other === id || this.view.isAlive(other, now),
+      onHolderMissed: now => this.noteHolderMissed(now),
       logger: logs.forPart(LogPart.Jobs),
       metrics,
     });
+    const log = logs.forPart(LogPart.Membership);
+    this.stepper = new Stepper({
+      step: now => this.step(now),
+      delay: new LoopDelay(log, metrics),
+      lifecycle: options.lifecycle,
+    });
   }
 
   /** Begins to consider its role. */
   start(): void {
-    const {logs, metrics} = this.options;
-    const log = logs.forPart(LogPart.Membership);
-    const delay = new LoopDelay(STEP_MS, log, metrics);
-    const timer = setInterval(() => {
-      delay.note(readClock());
-      // Heartbeats that have arrived are read before anyone counts as silent.
-      setImmediate(() => this.step(readClock()));
-    }, STEP_MS);
-    this.options.lifecycle.own('role', () => clearInterval(timer));
+    this.stepper.start();
   }
 
   /** Answers a caller's job. Aborting `signal` gives it up. */
   run(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
-    return this.owner.run(job, signal);
+    const answer = this.owner.run(job, signal);
+    // The holder is watched closely from now on.
+    if (!this.activity.isBusy(readClock())) this.stepper.wake();
+    return answer;
   }
 
   /** Whether a caller waits here for the job. */
@@ -111,7 +120,7 @@
   isReady(now: Millis): boolean {
     if (this.isLeaving) return false;
     if (this.options.directory.configuration() === undefined) return false;
-    return now - this.hadHolderAt < READY_WITHOUT_HOLDER_MS;
+    return this.activity.hasHolder(now);
   }
 
   /** Begins a planned stop: another instance takes over. */
@@ -124,6 +133,11 @@
     return this.roles.holder?.countWaiting(queue) ?? 0;
   }
 
+  /** Notes a sign of life of the instance with this id. */
+  notePing(id: string): void {
+    this.view.noteContact(id, readClock());
+  }
+
   /** Takes a neighbour's heartbeat. */
   heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat> {
     const now = readClock();
@@ -153,54 +167,79 @@
   }
 
   /** Runs a task that the holder of another zone lends. */
-  async lend(message: Lending): Promise<LentAnswer> {
-    const {holder} = this.roles;
-    if (holder === undefined) {
-      return {answer: {kind: 'not_holder', mayHaveStarted: false}};
-    }
-    const {homeZone, token} = message;
-    // Its follower was told what is lent, and knows nothing of this one.
-    if (!this.zones.noteToken(homeZone, token)) {
-      return {answer: outdatedRefusal};
-    }
-    const answer = await holder.takeLent(message);
-    return {answer, rooms: holder.findRooms()};
+  lend(message: Lending): Promise<LentAnswer> {
+    return this.lent.lend(message);
   }
 
   /** Stops a task that another zone takes back. */
-  recall({homeZone, token, task}: Recall): Promise<boolean> {
-    const {holder} = this.roles;
-    const isInForce = this.zones.noteToken(homeZone, token);
-    if (isInForce) holder?.recall(homeZone, task);
-    return Promise.resolve(holder !== undefined);
+  recall(message: Recall): Promise<boolean> {
+    return this.lent.recall(message);
   }
 
   /** What runs here for another zone, as far as this instance knows. */
-  listLent({homeZone, token}: LentQuestion): Promise<LentList> {
-    this.zones.noteToken(homeZone, token);
-    const unknown = {isComplete: false, tasks: []};
-    return Promise.resolve(this.roles.holder?.listLent(homeZone) ?? unknown);
+  listLent(question: LentQuestion): Promise<LentList> {
+    return this.lent.listLent(question);
   }
 
-  private step(now: Millis): void {
+  /** Does what is due; returns how long it may be until the next step. */
+  private step(now: Millis): Millis {
     const {directory} = this.options;
     const registrations = directory.registrations();
+    this.activity.noteStep(now);
+    for (const {address, at} of this.links.answered()) {
+      this.view.noteAnswer(address, at);
+    }
     this.view.setRegistrations(registrations, now);
     this.zones.setRegistrations(registrations, now);
-    const foreign = this.roles.holder === undefined ? [] : this.zones.addresses;
-    const holderInForce = this.roles.claim?.holderId;
-    const {addresses, isCandidate} = this.view.chooseLinks(holderInForce, now);
+    if (this.owner.hasJobs) this.activity.noteJobs(now);
+    const isCandidate = this.chooseLinks(now);
     directory.setCandidate(isCandidate);
-    this.links.setAddresses(addresses, foreign);
     const informedSince = directory.registrationsSince();
     const self = {isLeaving: this.isLeaving, informedSince};
     this.roles.update(this.view.members(now), self, now);
-    this.links.beat(now, {isUrgent: this.roles.isClaiming});
+    const version = directory.configuration()?.version;
+    const news = {claim: this.roles.claim, isLeaving: this.isLeaving, version};
+    this.links.beat(now, {isUrgent: this.toldNews.isNew(news)});
+    const {holderId, holder} = this.roles;
+    if (holderId !== undefined) {
+      this.activity.noteHolder(now);
+      this.change.tell(holderId);
+    }
+    if (holder !== undefined) this.dropUnwanted(holder, now);
+    const isShort = isCandidate || this.isUnsettled(now);
+    return this.activity.chooseStep(isShort || holder !== undefined, now);
+  }
+
+  /** Keeps the links that are wanted now; whether this one may hold next. */
+  private chooseLinks(now: Millis): boolean {
+    const isHolder = this.roles.holder !== undefined;
+    const situation = {
+      holderId: this.roles.claim?.holderId,
+      isUnsettled: this.isUnsettled(now),
+      hasJobs: this.activity.isBusy(now),
+      isHolder,
+    };
+    const {links, isCandidate} = this.view.chooseLinks(situation, now);
+    this.links.setNeighbours(links, isHolder ? this.zones.addresses : []);
+    return isCandidate;
+  }
+
+  /** Whether others have to be asked who holds the workers. */
+  private isUnsettled(now: Millis): boolean {
+    if (this.isLeaving || this.roles.isWaiting) return true;
+    if (this.activity.hasMissedHolder(now)) return true;
     const {holderId} = this.roles;
-    if (holderId !== undefined) this.hadHolderAt = now;
-    if (holderId !== undefined) this.change.tell(holderId);
-    const {holder} = this.roles;
-    if (holder === undefined) return;
+    return holderId !== undefined && this.view.isDoubtful(holderId, now);
+  }
+
+  private noteHolderMissed(now: Millis): void {
+    const isKnown = this.isUnsettled(now);
+    this.activity.noteHolderMissed(now);
+    if (!isKnown) this.stepper.wake();
+  }
+
+  /** Gives up what nobody waits for any more. */
+  private dropUnwanted(holder: Holder, now: Millis): void {
     const {id} = this.options;
     holder.dropOwners(
       ownerId => ownerId === id || this.view.isAlive(ownerId, now),
@@ -228,7 +267,7 @@
     else if (message.claim !== undefined) this.noteClaim(message.claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
     if (message.configurationVersion > own) {
-      void this.fetchConfiguration(message.address);
+      void this.fetch.askFor(message.address);
     }
   }
 
@@ -243,16 +282,6 @@
     if (this.roles.noteClaim(claim)) this.step(now);
   }
 
-  private async fetchConfiguration(address: string): Promise<void> {
-    const calls = this.links.find(address);
-    if (calls === undefined || this.isReadingConfiguration) return;
-    this.isReadingConfiguration = true;
-    const result = await calls.readConfiguration(ASK_TIMEOUT_MS);
-    this.isReadingConfiguration = false;
-    if (result.isErr() || result.value === null) return;
-    this.options.directory.offer(result.value);
-  }
-
   private createHeartbeat(now: Millis, withRooms: boolean): ZoneHeartbeat {
     const {id, zone, processors, directory} = this.options;
     const {claim, holder} = this.roles;
@@ -263,14 +292,8 @@
     return createOwnHeartbeat({...self, claim, holderHeardMs, rooms}, now);
   }
 
-  private findHolder(): HolderTarget | undefined {
-    const {holder, holderId} = this.roles;
-    const {id: selfId} = this.options;
-    if (holder !== undefined) return createLocalTarget(holder, selfId);
-    if (holderId === undefined) return undefined;
-    const address = this.view.addressOf(holderId);
-    const calls = address === undefined ? undefined : this.links.find(address);
-    if (calls === undefined) return undefined;
-    return createPeerTarget(calls, holderId, selfId);
+  private findCalls(id: string): ZoneCalls | undefined {
+    const address = this.view.addressOf(id);
+    return address === undefined ? undefined : this.links.find(address);
   }
 }
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -2,12 +2,9 @@
 import type {CallLink} from '@goldcrestpier/peers';
 import type {Lifecycle, Millis} from '@goldcrestpier/runtime';
 import {ZoneCalls, type ZoneHeartbeat} from '../protocol/index.js';
+import {News, pauseOf, PING_PAUSE_MS, type Attention} from './pace.js';
+import type {LinkedNeighbour} from './zone_view.js';
 
-/**
- * Shortest pause between two heartbeats to one neighbour, in ms. They leave with
- * a step of the instance, which comes every 50 ms: each third one.
- */
-const HEARTBEAT_PAUSE_MS = 140;
 /** How long a heartbeat waits for its answer, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 450;
 /** Opens a link that is kept up until its life cycle closes. */
@@ -24,12 +21,21 @@
   readonly onRefused: (address: string) => void;
 }
 
+/** Holders of other zones tell each other of free room. */
+const foreignAttention: Attention = {news: News.Regular, isClose: false};
+
 interface Neighbour {
   readonly link: CallLink;
   readonly calls: ZoneCalls;
   readonly lifecycle: Lifecycle;
   /** Whether it is an instance of another zone. */
   isForeign: boolean;
+  attention: Attention;
+  /** When the last heartbeat left, and the last request for a sign of life. */
+  askedAt: Millis;
+  pingedAt: Millis;
+  /** The connection on which a heartbeat was last answered, by its beginning. */
+  greetedOn: Millis | undefined;
   /** Whether a heartbeat waits for its answer. */
   isAsked: boolean;
 }
@@ -37,44 +43,62 @@
 /** Keeps the links that are wanted. */
 export class Links {
   private readonly neighbours = new Map<string, Neighbour>();
-  private beatAt: Millis = -Infinity;
-
   constructor(private readonly options: LinksOptions) {}
 
   /**
-   * Opens links to new addresses and closes those that are gone. `foreign` are
-   * those of other zones.
+   * Opens links to new neighbours and closes those that are not wanted any more.
+   * `foreign` are addresses in other zones.
    */
-  setAddresses(own: readonly string[], foreign: readonly string[]): void {
-    const wanted = new Set([...own, ...foreign]);
-    for (const address of wanted) {
-      if (!this.neighbours.has(address)) this.open(address);
+  setNeighbours(
+    own: readonly LinkedNeighbour[],
+    foreign: readonly string[],
+  ): void {
+    const wanted = new Set<string>(foreign);
+    for (const {address, attention} of own) {
+      wanted.add(address);
+      this.keep(address, attention, false);
     }
-    for (const [address, neighbour] of this.neighbours) {
-      neighbour.isForeign = foreign.includes(address);
+    for (const address of foreign) this.keep(address, foreignAttention, true);
+    for (const [address, {lifecycle}] of this.neighbours) {
       if (wanted.has(address)) continue;
       this.neighbours.delete(address);
-      void neighbour.lifecycle.close();
+      void lifecycle.close();
+    }
+  }
+
+  /** Neighbours that have said who they are, with when they last answered. */
+  *answered(): Iterable<{readonly address: string; readonly at: Millis}> {
+    for (const [address, neighbour] of this.neighbours) {
+      const at = neighbour.link.heardAt();
+      if (at !== undefined && isGreeted(neighbour)) yield {address, at};
     }
   }
 
   /**
-   * Sends a heartbeat, when it is time for one or it is urgent, to each
-   * neighbour that is connected and has answered the one before. All leave in
-   * one turn of the event loop, so that an instance without work is woken once
-   * for them.
+   * Sends a heartbeat to each neighbour for whom it is time, or to all when it is
+   * urgent, but for those that are not connected or have not answered the one
+   * before. Who is watched closely is asked for a sign of life between two. All
+   * leave in one turn of the event loop, so that an instance without work is
+   * woken once for them.
    */
   beat(now: Millis, {isUrgent} = {isUrgent: false}): void {
-    if (!isUrgent && now - this.beatAt < HEARTBEAT_PAUSE_MS) return;
-    this.beatAt = now;
     const {createHeartbeat, onRefused} = this.options;
-    const toOwn = createHeartbeat(now, false);
-    const toForeign = createHeartbeat(now, true);
+    const due: Neighbour[] = [];
     for (const neighbour of this.neighbours.values()) {
-      const {link, isForeign, isAsked} = neighbour;
+      const {link} = neighbour;
       if (link.isRefused()) onRefused(link.address);
-      if (isAsked || !link.isConnected()) continue;
-      void this.ask(neighbour, isForeign ? toForeign : toOwn, now);
+      if (!link.isConnected()) continue;
+      if (isUrgent || isHeartbeatDue(neighbour, now)) due.push(neighbour);
+      else if (isPingDue(neighbour, now)) ping(neighbour, now);
+    }
+    const messages = new Map<boolean, ZoneHeartbeat>();
+    for (const neighbour of due) {
+      const {isForeign, isAsked} = neighbour;
+      if (isAsked && !isUrgent) continue;
+      const message =
+        messages.get(isForeign) ?? createHeartbeat(now, isForeign);
+      messages.set(isForeign, message);
+      void this.ask(neighbour, message, now);
     }
   }
 
@@ -84,13 +108,34 @@
     return neighbour?.link.isConnected() ? neighbour.calls : undefined;
   }
 
-  private open(address: string): void {
+  private keep(
+    address: string,
+    attention: Attention,
+    isForeign: boolean,
+  ): void {
+    const neighbour = this.neighbours.get(address) ?? this.open(address);
+    neighbour.attention = attention;
+    neighbour.isForeign = isForeign;
+  }
+
+  private open(address: string): Neighbour {
     const {openLink} = this.options;
     const lifecycle = this.options.lifecycle.createChild(`to ${address}`);
     const link = openLink(address, lifecycle);
     const calls = new ZoneCalls(link);
-    const state = {isForeign: false, isAsked: false};
-    this.neighbours.set(address, {link, calls, lifecycle, ...state});
+    const neighbour: Neighbour = {
+      link,
+      calls,
+      lifecycle,
+      isForeign: false,
+      isAsked: false,
+      attention: foreignAttention,
+      askedAt: -Infinity,
+      pingedAt: -Infinity,
+      greetedOn: undefined,
+    };
+    this.neighbours.set(address, neighbour);
+    return neighbour;
   }
 
   private async ask(
@@ -99,9 +144,37 @@
     sentAt: Millis,
   ): Promise<void> {
     neighbour.isAsked = true;
-    const {calls} = neighbour;
+    neighbour.askedAt = sentAt;
+    const {calls, link} = neighbour;
+    const connection = link.connectedAt();
     const result = await calls.heartbeat(message, HEARTBEAT_TIMEOUT_MS);
     neighbour.isAsked = false;
-    if (result.isOk()) this.options.onAnswer(result.value, sentAt);
+    if (result.isErr()) return;
+    neighbour.greetedOn = connection;
+    this.options.onAnswer(result.value, sentAt);
   }
 }
+
+/** Whether the process at the other end of the connection is known. */
+function isGreeted({greetedOn, link}: Neighbour): boolean {
+  return greetedOn !== undefined && greetedOn === link.connectedAt();
+}
+
+function isHeartbeatDue(neighbour: Neighbour, now: Millis): boolean {
+  const {attention, askedAt} = neighbour;
+  const news = isGreeted(neighbour) ? attention.news : News.Urgent;
+  return now - askedAt >= pauseOf(news);
+}
+
+function isPingDue(
+  {attention, askedAt, pingedAt}: Neighbour,
+  now: Millis,
+): boolean {
+  if (!attention.isClose) return false;
+  return now - Math.max(askedAt, pingedAt) >= PING_PAUSE_MS;
+}
+
+function ping(neighbour: Neighbour, now: Millis): void {
+  neighbour.pingedAt = now;
+  neighbour.link.ping();
+}
--- a/packages/zone/src/instance/loop_delay.ts
+++ b/packages/zone/src/instance/loop_delay.ts
@@ -21,24 +21,21 @@
   return user + system;
 }
 
-/** Measures how late a periodic step comes. */
+/** Measures how late steps come. */
 export class LoopDelay {
-  private dueAt: Millis | undefined;
   private lineAt: Millis = 0;
   private lineMicros = 0;
   private latestMs: Millis = 0;
 
   constructor(
-    private readonly everyMs: Millis,
     private readonly logger: Logger,
     private readonly metrics: ZoneMetrics,
     private readonly readMicros: ReadProcessorMicros = readProcessorMicros,
   ) {}
 
-  /** To be called at each step. */
-  note(now: Millis): void {
-    const lateMs = Math.max(0, now - (this.dueAt ?? now));
-    this.dueAt = now + this.everyMs;
+  /** To be called at each step that was due at `dueAt`. */
+  note(now: Millis, dueAt: Millis): void {
+    const lateMs = Math.max(0, now - dueAt);
     this.metrics.loopDelaySeconds.observe(lateMs / MILLIS_PER_SECOND);
     this.latestMs = Math.max(this.latestMs, lateMs);
     if (now - this.lineAt < LINE_PAUSE_MS) return;
--- a/packages/zone/src/instance/role_keeper.ts
+++ b/packages/zone/src/instance/role_keeper.ts
@@ -14,7 +14,6 @@
 import {
   createToken,
   Election,
-  SILENCE_MS,
   type Member,
   type Role,
   type SelfState,
@@ -64,9 +63,9 @@
     return this.current;
   }
 
-  /** Whether it has claimed just now, which nobody has heard yet. */
-  get isClaiming(): boolean {
-    return this.role.kind === 'claim';
+  /** Whether it is not known who holds the zone's workers. */
+  get isWaiting(): boolean {
+    return this.role.kind === 'wait';
   }
 
   /** The highest claim known. */
@@ -133,8 +132,6 @@
   ): void {
     const {claim} = this.election;
     const previous = members.find(({id}) => id === claim?.holderId);
-    const isHeard = ({heardAt}: Member) =>
-      heardAt !== undefined && now - heardAt < SILENCE_MS;
     const silentMs =
       previous?.heardAt === undefined ? undefined : now - previous.heardAt;
     const informedForMs =
@@ -145,7 +142,7 @@
       silentMs: roundUnlessUnknown(silentMs),
       isLeaving: previous?.isLeaving,
       known: members.length,
-      heard: members.filter(isHeard).length,
+      heard: members.filter(({isHeard}) => isHeard).length,
       informedForMs: roundUnlessUnknown(informedForMs),
       upForMs: Math.round(now - this.startedAt),
     });
--- a/packages/zone/src/instance/start_instance.ts
+++ b/packages/zone/src/instance/start_instance.ts
@@ -1,5 +1,9 @@
 /** Starts an instance with its listener for peers. */
-import {createCallLink, startCallServer} from '@goldcrestpier/peers';
+import {
+  createCallLink,
+  SilenceGuard,
+  startCallServer,
+} from '@goldcrestpier/peers';
 import {LogPart} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {createZoneRouter, zoneMethods} from '../protocol/index.js';
@@ -43,6 +47,7 @@
     token: PEER_TOKEN,
     router: createZoneRouter(instance),
     methods: zoneMethods,
+    onPing: id => instance.notePing(id),
     logger: options.logs.forPart(LogPart.Peers),
     lifecycle: options.lifecycle,
     limits: {idleMs: SILENT_PEER_MS},
@@ -61,6 +66,8 @@
   logs,
 }: Pick<InstanceOptions, 'id' | 'logs'>): OpenLink {
   const logger = logs.forPart(LogPart.Peers);
+  const {silenceMs} = linkLimits;
+  const silence = new SilenceGuard({silenceMs, asks: true});
   return (address, lifecycle) =>
     createCallLink(
       {
@@ -70,6 +77,7 @@
         logger,
         lifecycle,
         limits: linkLimits,
+        silence,
       },
       zoneMethods,
     );
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -8,31 +8,39 @@
 } from '../election/index.js';
 import type {Registration} from '../ports/index.js';
 import type {ZoneHeartbeat} from '../protocol/index.js';
+import {
+  createNeighbour,
+  isHeard,
+  isHeardWithin,
+  isSound,
+  isTried,
+  latestOf,
+  LONGEST_SILENCE_MS,
+  setAttention,
+  toCandidate,
+  type Neighbour,
+} from './neighbour.js';
+import {chooseAttention, type Attention, type Situation} from './pace.js';
 
 /**
  * Links are kept to so many of the strongest instances, as any two may be lost
  * at once. In a larger zone the rest hear of each other through them.
  */
 const CANDIDATES = 3;
+/** Silence of a holder that is watched closely and casts doubt on it, in ms. */
+const DOUBT_MS = 300;
 /** How long an instance that is neither registered nor heard is kept, in ms. */
 const FORGET_MS = 10_000;
 
-interface Neighbour {
+/** A neighbour to keep a link to. */
+export interface LinkedNeighbour {
   readonly address: string;
-  id: string;
-  /** As registered or told; undefined before either. */
-  processors: number | undefined;
-  isRegistered: boolean;
-  last: ZoneHeartbeat | undefined;
-  heardAt: Millis | undefined;
-  isRefused: boolean;
-  /** Since when a link to it is kept; undefined without one. */
-  linkedAt: Millis | undefined;
+  readonly attention: Attention;
 }
 
 /** Which links an instance keeps. */
 export interface LinkChoice {
-  readonly addresses: readonly string[];
+  readonly links: readonly LinkedNeighbour[];
   /** Whether the instance is one of those that the others keep links to. */
   readonly isCandidate: boolean;
 }
@@ -53,7 +61,8 @@
    * The addresses to keep links to: of the strongest instances that can be
    * heard, of those before them that can not, and of the holder.
    */
-  chooseLinks(holderId: string | undefined, now: Millis): LinkChoice {
+  chooseLinks(situation: Situation, now: Millis): LinkChoice {
+    const {holderId} = situation;
     const candidates = this.chooseCandidates(now);
     const isCandidate = candidates.includes(undefined);
     const chosen = new Set(candidates.filter(other => other !== undefined));
@@ -63,9 +72,24 @@
       if (isUnknown || neighbour.id === holderId) chosen.add(neighbour);
       if (!chosen.has(neighbour)) neighbour.linkedAt = undefined;
     }
-    for (const neighbour of chosen) neighbour.linkedAt ??= now;
-    const addresses = [...chosen].map(({address}) => address);
-    return {addresses, isCandidate};
+    for (const neighbour of chosen) {
+      neighbour.linkedAt ??= now;
+      const {id} = neighbour;
+      const attention = chooseAttention(id, situation, isCandidate);
+      setAttention(neighbour, attention, now);
+    }
+    const links = [...chosen].map(({address, attention}) => ({
+      address,
+      attention,
+    }));
+    return {links, isCandidate};
+  }
+
+  /** Whether an instance that is watched closely has been silent for a while. */
+  isDoubtful(id: string, now: Millis): boolean {
+    const known = this.findById(id);
+    if (known?.attention.isClose !== true) return false;
+    return now - latestOf(known.heardAt, known.closeSince) >= DOUBT_MS;
   }
 
   /** The strongest instances; this one is undefined. */
@@ -94,10 +118,12 @@
       const known = this.find(address, id);
       known.isRegistered = true;
       known.processors ??= processors;
-      if (!isHeardAt(known.heardAt, now)) known.id = id;
+      if (!isHeardWithin(known.heardAt, LONGEST_SILENCE_MS, now)) {
+        known.id = id;
+      }
     }
     for (const [id, at] of this.contacts) {
-      if (!isHeardAt(at, now)) this.contacts.delete(id);
+      if (!isHeardWithin(at, SILENCE_MS, now)) this.contacts.delete(id);
     }
     for (const [address, {isRegistered, heardAt}] of this.neighbours) {
       const isOld = now - (heardAt ?? 0) > FORGET_MS;
@@ -130,37 +156,39 @@
     if (known !== undefined) known.isRefused = true;
   }
 
-  /** Notes a message other than a heartbeat: its sender lives, too. */
+  /** Notes something else than a heartbeat: its sender lives, too. */
   noteContact(id: string, now: Millis): void {
     this.contacts.set(id, now);
+    const known = this.findById(id);
+    if (known?.heardAt !== undefined) known.heardAt = now;
+  }
+
+  /** Notes when the instance that was heard at an address last answered. */
+  noteAnswer(address: string, at: Millis): void {
+    const known = this.neighbours.get(address);
+    if (known?.heardAt === undefined) return;
+    known.heardAt = Math.max(known.heardAt, at);
   }
 
   /** Whether this instance was heard a moment ago. */
   isAlive(id: string, now: Millis): boolean {
-    const known = [...this.neighbours.values()].find(other => other.id === id);
+    const known = this.findById(id);
     // Its host answers for it: the process is gone.
     if (known?.isRefused === true) return false;
-    if (isHeardAt(this.contacts.get(id), now)) return true;
-    return isHeardAt(known?.heardAt, now);
+    if (isHeardWithin(this.contacts.get(id), SILENCE_MS, now)) return true;
+    return known !== undefined && isHeard(known, now);
   }
 
   /** The address of an instance; undefined when it is not known. */
   addressOf(id: string): string | undefined {
-    for (const neighbour of this.neighbours.values()) {
-      if (neighbour.id === id) return neighbour.address;
-    }
-    return undefined;
+    return this.findById(id)?.address;
   }
 
   /** How long ago the instance was last heard from. */
   heardMs(id: string, now: Millis): Millis | undefined {
     if (id === this.self.id) return 0;
-    for (const neighbour of this.neighbours.values()) {
-      if (neighbour.id !== id) continue;
-      const {heardAt} = neighbour;
-      return heardAt === undefined ? undefined : now - heardAt;
-    }
-    return undefined;
+    const heardAt = this.findById(id)?.heardAt;
+    return heardAt === undefined ? undefined : now - heardAt;
   }
 
   /** The members as the election takes them. */
@@ -170,13 +198,14 @@
       const {id, last, heardAt, isRefused, linkedAt} = neighbour;
       if (id === '') continue;
       // Of those that are not linked, silence tells nothing.
-      if (linkedAt === undefined && !isHeardAt(heardAt, now)) continue;
+      if (linkedAt === undefined && !isHeard(neighbour, now)) continue;
       const holderHeardMs = last?.holderHeardMs;
       members.push({
         ...toCandidate(neighbour),
         isTried: isTried(neighbour, now),
         isLeaving: last?.isLeaving ?? false,
         heardAt,
+        isHeard: isHeard(neighbour, now),
         isRefused,
         holderId: last?.claim?.holderId,
         holderHeardAt:
@@ -191,41 +220,15 @@
   private find(address: string, id: string): Neighbour {
     const known = this.neighbours.get(address);
     if (known !== undefined) return known;
-    const added: Neighbour = {
-      address,
-      id,
-      processors: undefined,
-      isRegistered: false,
-      last: undefined,
-      heardAt: undefined,
-      isRefused: false,
-      linkedAt: undefined,
-    };
+    const added = createNeighbour(address, id);
     this.neighbours.set(address, added);
     return added;
   }
-}
-
-function isHeardAt(heardAt: Millis | undefined, now: Millis): boolean {
-  return heardAt !== undefined && now - heardAt < SILENCE_MS;
-}
-
-function toCandidate({id, processors = 0}: Neighbour): Candidate {
-  return {id, processors};
-}
 
-/** Whether it answers, or may answer in a moment. */
-function isSound(neighbour: Neighbour, now: Millis): boolean {
-  if (neighbour.last?.isLeaving === true) return false;
-  if (isHeardAt(neighbour.heardAt, now)) return true;
-  return neighbour.linkedAt === undefined || isTried(neighbour, now);
-}
-
-/** Whether a link to it is too young for its silence to tell anything. */
-function isTried(
-  {heardAt, isRefused, linkedAt}: Neighbour,
-  now: Millis,
-): boolean {
-  if (linkedAt === undefined || isRefused) return false;
-  return !isHeardAt(heardAt, now) && now - linkedAt < SILENCE_MS;
+  private findById(id: string): Neighbour | undefined {
+    for (const neighbour of this.neighbours.values()) {
+      if (neighbour.id === id) return neighbour;
+    }
+    return undefined;
+  }
 }
--- a/packages/zone/src/owner/callers.ts
+++ b/packages/zone/src/owner/callers.ts
@@ -4,6 +4,11 @@
 export class Callers {
   private readonly byJob = new Map<string, Set<AbortController>>();
 
+  /** Whether nobody waits. */
+  get isEmpty(): boolean {
+    return this.byJob.size === 0;
+  }
+
   /** Whether any caller waits for the job. */
   has(jobId: string): boolean {
     return this.byJob.has(jobId);
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -72,6 +72,8 @@
   readonly waitForChange: (from: string, signal: AbortSignal) => Promise<void>;
   /** Whether an instance of the zone was heard a moment ago. */
   readonly isAlive: (instanceId: string, now: Millis) => boolean;
+  /** Called when the holder can't be asked, or says that it isn't. */
+  readonly onHolderMissed: (now: Millis) => void;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
 }
@@ -110,6 +112,11 @@
     return answer;
   }
 
+  /** Whether any caller waits here. */
+  get hasJobs(): boolean {
+    return !this.callers.isEmpty;
+  }
+
   /** Whether a caller waits here for the job. */
   isWaitedFor(jobId: string): boolean {
     return this.callers.has(jobId);
@@ -128,6 +135,7 @@
       if (signal.aborted) return {kind: 'unknown'};
       if (now >= job.deadlineAt) return this.giveUp(job, past);
       if (holder === undefined) {
+        this.options.onHolderMissed(now);
         const isLate = now - job.arrivedAt > HOLDER_WAIT_MS;
         if (isLate && past.kind === 'none') return this.giveUp(job, past);
         await sleep(LOOK_AGAIN_MS, signal);
@@ -136,6 +144,7 @@
       const attempt = await this.tryHolder(holder, job, past);
       if (attempt.kind === 'answered') return attempt.answer;
       past = attempt.past;
+      this.options.onHolderMissed(readClock());
       this.noteLost(job, holder.id, attempt.reason, past);
       await sleep(LOOK_AGAIN_MS, signal);
     }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -2,14 +2,25 @@
 import {AbandonReason, RefusalReason} from '@goldcrestpier/dispatch';
 import {z} from 'zod';
 
+/** Most workers that one row of free room speaks for. */
+const MOST_ALIKE = 10_000;
+
 const claimSchema = z.object({
   /** Id of the instance that holds the zone's workers. */
   holderId: z.string(),
   token: z.number(),
 });
 
-/** Free room on one worker: slowness, processors in thousandths, memory in MB. */
-const vacancySchema = z.tuple([z.number(), z.number(), z.number()]);
+/**
+ * Workers with the same free room: slowness, processors in thousandths, memory in
+ * MB, how many workers.
+ */
+const vacancySchema = z.tuple([
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number().int().positive().max(MOST_ALIKE),
+]);
 
 const roomSchema = z.object({
   service: z.string(),
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -1,6 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createToken, Election, type Member} from '../src/election/index.js';
+import {
+  createToken,
+  Election,
+  SILENCE_MS,
+  type Member,
+  type Role,
+  type SelfState,
+} from '../src/election/index.js';
 
 const informed = {isLeaving: false, informedSince: -10_000};
 
@@ -11,6 +18,7 @@
     isTried: false,
     isLeaving: false,
     heardAt: undefined,
+    isHeard: false,
     isRefused: false,
     holderId: undefined,
     holderHeardAt: undefined,
@@ -18,6 +26,21 @@
   };
 }
 
+/** The role chosen when silence counts as for one that is watched closely. */
+function chooseRole(
+  election: Election,
+  members: readonly Member[],
+  state: SelfState,
+  now: number,
+): Role {
+  const seen = members.map(member => {
+    const {heardAt} = member;
+    const isHeard = heardAt !== undefined && now - heardAt < SILENCE_MS;
+    return {...member, isHeard};
+  });
+  return election.chooseRole(seen, state, now);
+}
+
 function follow(holderId: string, token: number): Election {
   const election = new Election({id: 'b', processors: 1}, 0);
   election.noteClaim({holderId, token});
@@ -26,15 +49,15 @@
 
 test('an instance listens before it claims', () => {
   const election = new Election({id: 'a', processors: 1}, 0);
-  assert.equal(election.chooseRole([], informed, 100).kind, 'wait');
-  assert.equal(election.chooseRole([], informed, 300).kind, 'claim');
+  assert.equal(chooseRole(election, [], informed, 100).kind, 'wait');
+  assert.equal(chooseRole(election, [], informed, 300).kind, 'claim');
 });
 
 test('an instance that knows no list and nobody waits much longer', () => {
   const election = new Election({id: 'a', processors: 1}, 0);
   const state = {isLeaving: false, informedSince: undefined};
-  assert.equal(election.chooseRole([], state, 2_000).kind, 'wait');
-  assert.equal(election.chooseRole([], state, 3_100).kind, 'claim');
+  assert.equal(chooseRole(election, [], state, 2_000).kind, 'wait');
+  assert.equal(chooseRole(election, [], state, 3_100).kind, 'claim');
 });
 
 test('the first of those that are heard takes over from a silent holder', () => {
@@ -43,9 +66,9 @@
     createMember('a', {heardAt: 1_000}),
     createMember('c', {heardAt: 1_990}),
   ];
-  const role = election.chooseRole(members, informed, 1_500);
+  const role = chooseRole(election, members, informed, 1_500);
   assert.deepEqual(role, {kind: 'follow', holderId: 'a'});
-  assert.equal(election.chooseRole(members, informed, 2_000).kind, 'claim');
+  assert.equal(chooseRole(election, members, informed, 2_000).kind, 'claim');
 });
 
 test('a holder that another instance still hears is not replaced', () => {
@@ -58,7 +81,7 @@
       holderHeardAt: 1_900,
     }),
   ];
-  const role = election.chooseRole(members, informed, 2_000);
+  const role = chooseRole(election, members, informed, 2_000);
   assert.deepEqual(role, {kind: 'follow', holderId: 'a'});
 });
 
@@ -68,23 +91,23 @@
     createMember('a', {heardAt: 1_000}),
     createMember('c', {heardAt: 1_000}),
   ];
-  assert.equal(election.chooseRole(members, informed, 2_000).kind, 'wait');
-  assert.equal(election.chooseRole(members, informed, 4_100).kind, 'claim');
+  assert.equal(chooseRole(election, members, informed, 2_000).kind, 'wait');
+  assert.equal(chooseRole(election, members, informed, 4_100).kind, 'claim');
 });
 
 test('one of two takes over at once when the other host refuses', () => {
   const election = follow('a', 10);
   const members = [createMember('a', {heardAt: 1_000, isRefused: true})];
-  assert.equal(election.chooseRole(members, informed, 1_700).kind, 'claim');
+  assert.equal(chooseRole(election, members, informed, 1_700).kind, 'claim');
 });
 
 test('a leaving holder goes on until a higher claim is heard', () => {
   const election = follow('b', 10);
   const members = [createMember('c', {heardAt: 990})];
   const state = {isLeaving: true, informedSince: -10_000};
-  assert.equal(election.chooseRole(members, state, 1_000).kind, 'hold');
+  assert.equal(chooseRole(election, members, state, 1_000).kind, 'hold');
   election.noteClaim({holderId: 'c', token: 11});
-  assert.deepEqual(election.chooseRole(members, state, 1_000), {
+  assert.deepEqual(chooseRole(election, members, state, 1_000), {
     kind: 'follow',
     holderId: 'c',
   });
@@ -93,14 +116,14 @@
 test('others take over from a leaving holder without waiting', () => {
   const election = follow('a', 10);
   const members = [createMember('a', {heardAt: 990, isLeaving: true})];
-  assert.equal(election.chooseRole(members, informed, 1_000).kind, 'claim');
+  assert.equal(chooseRole(election, members, informed, 1_000).kind, 'claim');
 });
 
 test('a fenced holder does not fight for its workers while it is alone', () => {
   const election = follow('b', 10);
   election.noteFenced(1_000);
-  assert.equal(election.chooseRole([], informed, 9_000).kind, 'wait');
-  const role = election.chooseRole([], informed, 11_100);
+  assert.equal(chooseRole(election, [], informed, 9_000).kind, 'wait');
+  const role = chooseRole(election, [], informed, 11_100);
   assert.equal(role.kind, 'claim');
   assert.ok(role.kind === 'claim' && role.skip > 0);
 });
@@ -119,7 +142,7 @@
     createMember('a', {heardAt: 1_000}),
     createMember('c', {heardAt: 1_990, processors: 2}),
   ];
-  const role = follow('a', 10).chooseRole(members, informed, 2_000);
+  const role = chooseRole(follow('a', 10), members, informed, 2_000);
   assert.deepEqual(role, {kind: 'wait'});
   const strong = new Election({id: 'c', processors: 2}, 0);
   strong.noteClaim({holderId: 'a', token: 10});
@@ -127,7 +150,7 @@
     createMember('a', {heardAt: 1_000}),
     createMember('b', {heardAt: 1_990}),
   ];
-  assert.equal(strong.chooseRole(others, informed, 2_000).kind, 'claim');
+  assert.equal(chooseRole(strong, others, informed, 2_000).kind, 'claim');
 });
 
 test('a weak holder makes way for a much stronger instance, and for no other', () => {
@@ -135,7 +158,7 @@
     const strong = new Election({id: 'c', processors: 1.35}, 0);
     strong.noteClaim({holderId: 'a', token: 10});
     const holder = createMember('a', {heardAt: 1_990, processors});
-    return strong.chooseRole([holder], informed, 2_000).kind;
+    return chooseRole(strong, [holder], informed, 2_000).kind;
   });
   assert.deepEqual(roles, ['claim', 'follow']);
 });
@@ -143,14 +166,14 @@
 test('a list of instances that was just read without others is no reason to claim', () => {
   const election = new Election({id: 'a', processors: 1}, 0);
   const state = {isLeaving: false, informedSince: 100};
-  assert.equal(election.chooseRole([], state, 1_500).kind, 'wait');
-  assert.equal(election.chooseRole([], state, 1_700).kind, 'claim');
+  assert.equal(chooseRole(election, [], state, 1_500).kind, 'wait');
+  assert.equal(chooseRole(election, [], state, 1_700).kind, 'claim');
 });
 
 test('a host that refuses says nothing of instances that are not listed yet', () => {
   const election = new Election({id: 'a', processors: 1}, 0);
   const state = {isLeaving: false, informedSince: 100};
   const members = [createMember('c', {isRefused: true})];
-  assert.equal(election.chooseRole(members, state, 1_500).kind, 'wait');
-  assert.equal(election.chooseRole(members, state, 1_700).kind, 'claim');
+  assert.equal(chooseRole(election, members, state, 1_500).kind, 'wait');
+  assert.equal(chooseRole(election, members, state, 1_700).kind, 'claim');
 });
--- a/packages/zone/test/given_up.test.ts
+++ b/packages/zone/test/given_up.test.ts
@@ -31,6 +31,7 @@
     }),
     waitForChange: () => new Promise(() => undefined),
     isAlive: () => true,
+    onHolderMissed: () => undefined,
     logger: quiet,
     metrics: new ZoneMetrics(),
   });
@@ -57,6 +58,7 @@
         : undefined,
     waitForChange: () => new Promise(() => undefined),
     isAlive: () => true,
+    onHolderMissed: () => undefined,
     logger: quiet,
     metrics: new ZoneMetrics(),
   });
--- a/packages/zone/test/lender.test.ts
+++ b/packages/zone/test/lender.test.ts
@@ -13,9 +13,12 @@
 import type {JobAnswer, LentAnswer, ZoneCalls} from '../src/protocol/index.js';
 import {createDispatcher, createJob, quiet} from './fixtures/scene.js';
 
-const room = {service: 'pricing', vacancies: [[1, 64_000, 1_000]]} satisfies {
+const room = {
+  service: 'pricing',
+  vacancies: [[1, 64_000, 1_000, 1]],
+} satisfies {
   service: string;
-  vacancies: Array<[number, number, number]>;
+  vacancies: Array<[number, number, number, number]>;
 };
 
 /** A dispatcher whose worker is busy, and which knows of room in the east. */
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -9,6 +9,7 @@
   sleep,
 } from '@goldcrestpier/runtime';
 import {Links} from '../src/instance/links.js';
+import {News} from '../src/instance/pace.js';
 import {createOpenLink} from '../src/instance/start_instance.js';
 import {
   createZoneRouter,
@@ -20,6 +21,7 @@
 
 const LOOK_MS = 10;
 const PATIENCE_MS = 10_000;
+const urgent = {news: News.Urgent, isClose: true};
 const room = {service: 'pricing', vacancies: []};
 
 function createHeartbeat(changes: Partial<ZoneHeartbeat> = {}): ZoneHeartbeat {
@@ -45,6 +47,8 @@
 /** An instance that keeps what it is told. */
 class Peer {
   readonly heard: ZoneHeartbeat[] = [];
+  /** Who has asked for a sign of life. */
+  readonly pings: string[] = [];
   isSilent = false;
   address = '';
 
@@ -63,6 +67,7 @@
       token: 'zone',
       router: createZoneRouter(handlers),
       methods: zoneMethods,
+      onPing: id => this.pings.push(id),
       logger: silentLogger,
       lifecycle,
       limits: {drainMs: 0},
@@ -105,7 +110,11 @@
     onRefused: () => undefined,
   });
   const addresses = peers.map(({address}) => address);
-  links.setAddresses(addresses.slice(0, 2), addresses.slice(2));
+  const own = addresses.slice(0, 2);
+  links.setNeighbours(
+    own.map(address => ({address, attention: urgent})),
+    addresses.slice(2),
+  );
   try {
     const isLinked = (address: string) => links.find(address) !== undefined;
     await waitFor('links', () => addresses.every(isLinked));
@@ -141,7 +150,7 @@
     silent.isSilent = true;
     links.beat(0);
     await waitFor('answers', () => answers.length === peers.length - 1);
-    links.beat(150);
+    links.beat(350);
     await waitFor('answers', () => answers.length === 2 * (peers.length - 1));
     assert.deepEqual(
       peers.map(({heard}) => heard.length),
@@ -171,7 +180,10 @@
     links.beat(100);
     assert.equal(made.length, 2);
     links.beat(150);
-    assert.equal(made.length, 4);
+    assert.deepEqual(made.slice(2), [false]);
+    await waitFor('answers', () => answers.length === 2 * peers.length - 1);
+    links.beat(350);
+    assert.deepEqual(made.slice(3), [false, true]);
   });
 });
 
@@ -183,3 +195,39 @@
     assert.equal(made.length, 4);
   });
 });
+
+test('who is watched closely is asked for a sign of life between heartbeats', async () => {
+  await withLinks(async ({links, peers, answers}) => {
+    const attentions = [
+      {news: News.Rare, isClose: true},
+      {news: News.Rare, isClose: false},
+    ];
+    const own = attentions.map((attention, index) => ({
+      address: peers[index]?.address ?? '',
+      attention,
+    }));
+    links.setNeighbours(own, []);
+    links.beat(0);
+    await waitFor('answers', () => answers.length === own.length);
+    const heardFirst = [...links.answered()][0]?.at ?? 0;
+    links.beat(150);
+    const [close, other] = peers;
+    await waitFor('a sign of life', () => close?.pings.length === 1);
+    await waitFor('its answer', () => {
+      const [first] = links.answered();
+      return first !== undefined && first.at > heardFirst;
+    });
+    assert.deepEqual(close?.pings, ['a-1']);
+    assert.deepEqual(other?.pings, []);
+    assert.deepEqual([close?.heard.length, other?.heard.length], [1, 1]);
+  });
+});
+
+test('an answer tells of nobody before a heartbeat was answered', async () => {
+  await withLinks(async ({links, peers, answers}) => {
+    assert.deepEqual([...links.answered()], []);
+    links.beat(0);
+    await waitFor('answers', () => answers.length === peers.length);
+    assert.equal([...links.answered()].length, peers.length);
+  });
+});
--- a/packages/zone/test/loop_delay.test.ts
+++ b/packages/zone/test/loop_delay.test.ts
@@ -15,8 +15,12 @@
   };
   let micros = 0;
   const readMicros = () => (micros += 30_000);
-  const delay = new LoopDelay(EVERY_MS, logger, new ZoneMetrics(), readMicros);
-  for (const now of times) delay.note(now);
+  const delay = new LoopDelay(logger, new ZoneMetrics(), readMicros);
+  let dueAt = times[0] ?? 0;
+  for (const now of times) {
+    delay.note(now, dueAt);
+    dueAt = now + EVERY_MS;
+  }
   return lines;
 }
 
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -51,6 +51,7 @@
     waitForChange: from =>
       from === 'first' ? Promise.resolve() : new Promise(() => undefined),
     isAlive: () => isFirstAlive,
+    onHolderMissed: () => undefined,
     logger: quiet,
     metrics: new ZoneMetrics(),
   });
--- a/packages/zone/test/play/link.ts
+++ b/packages/zone/test/play/link.ts
@@ -7,6 +7,7 @@
   type PeerFailure,
 } from '@goldcrestpier/peers';
 import {
+  readClock,
   sleep,
   startReadingTimeout,
   type Lifecycle,
@@ -43,12 +44,16 @@
   readonly process: Process;
   /** Calls a method of the router. */
   readonly call: (name: string, input: unknown) => Promise<unknown>;
+  /** Takes a sign of life of the instance with this id. */
+  readonly onPing: (id: string) => void;
   /** Called at the other ends when the process is gone. */
   readonly onGone: Set<() => void>;
 }
 
 /** What links need. */
 export interface PlayedLinkOptions {
+  /** The id of the instance at this end. */
+  readonly id: string;
   readonly machine: string;
   readonly process: Process;
   readonly scheduler: Scheduler;
@@ -62,12 +67,16 @@
 class Connection {
   isOpen = true;
   quietLooks = 0;
+  heardAt: Millis | undefined;
   sentUntil: Millis = 0;
   answeredUntil: Millis = 0;
   readonly waiting = new Set<(failure: PeerFailure) => void>();
   onClosed: () => void = () => undefined;
 
-  constructor(readonly listener: Listener) {}
+  constructor(
+    readonly listener: Listener,
+    readonly openedAt: Millis,
+  ) {}
 
   close(): void {
     if (!this.isOpen) return;
@@ -98,9 +107,19 @@
     return this.connection !== undefined;
   }
 
-  /** Not used by zones. */
+  /** When the present connection was opened. */
   connectedAt(): Millis | undefined {
-    return undefined;
+    return this.connection?.openedAt;
+  }
+
+  /** When something last arrived on the present connection. */
+  heardAt(): Millis | undefined {
+    return this.connection?.heardAt;
+  }
+
+  /** Asks for a sign of life. */
+  ping(): void {
+    if (this.connection !== undefined) this.sendPing(this.connection);
   }
 
   /** Whether the host last said that no process listens there. */
@@ -165,6 +184,7 @@
     scheduler.deliver(connection.answeredUntil, process, () => {
       if (!connection.isOpen) return;
       connection.quietLooks = 0;
+      connection.heardAt = readClock();
       take();
     });
   }
@@ -215,7 +235,7 @@
         scheduler.deliver(scheduler.now, listener.process, () =>
           reply(() => {
             this.isTurnedAway = false;
-            end(new Connection(listener));
+            end(new Connection(listener, readClock()));
           }),
         );
       });
@@ -233,7 +253,7 @@
     if (listener.process.isGone) lose();
     this.connection = connection;
     await new Promise<void>(resolve => {
-      const timer = setInterval(() => this.ping(connection), SILENCE_LOOK_MS);
+      const timer = setInterval(() => this.look(connection), SILENCE_LOOK_MS);
       const close = () => connection.close();
       connection.onClosed = () => {
         clearInterval(timer);
@@ -247,16 +267,21 @@
     this.connection = undefined;
   }
 
-  private ping(connection: Connection): void {
+  private look(connection: Connection): void {
     connection.quietLooks += 1;
     if (connection.quietLooks > SILENCE_LOOKS) return connection.close();
-    const {machine, scheduler, network} = this.options;
+    this.sendPing(connection);
+  }
+
+  private sendPing(connection: Connection): void {
+    const {id, machine, scheduler, network} = this.options;
     const {listener} = connection;
     const arrivesAt = network.arrivesAt(machine, listener.machine);
     connection.sentUntil = Math.max(connection.sentUntil, arrivesAt);
-    scheduler.deliver(connection.sentUntil, listener.process, () =>
-      this.answer(connection, () => undefined),
-    );
+    scheduler.deliver(connection.sentUntil, listener.process, () => {
+      listener.onPing(id);
+      this.answer(connection, () => undefined);
+    });
   }
 }
 
--- a/packages/zone/test/play/machine.ts
+++ b/packages/zone/test/play/machine.ts
@@ -119,7 +119,7 @@
     directory.start();
     const findListener = (other: string) =>
       world.machines.find(candidate => candidate.address === other)?.life;
-    const options = {...world, machine, process, findListener};
+    const options = {...world, id, machine, process, findListener};
     const stream = createStream(text => timeLine.add(id, text));
     const instance = new Instance({
       id,
@@ -153,7 +153,8 @@
       onReset: new Set<() => void>(),
     };
     const parts = {id, machine, process, instance, lifecycle, directory};
-    return {...parts, call, ...tell};
+    const onPing = (other: string) => instance.notePing(other);
+    return {...parts, call, onPing, ...tell};
   }
 }
 
--- a/packages/zone/test/play/play.ts
+++ b/packages/zone/test/play/play.ts
@@ -22,6 +22,8 @@
 export interface PlayOptions {
   readonly seed: number;
   readonly zones: number;
+  /** Instances of each zone; drawn when not given. */
+  readonly instances?: number | undefined;
   readonly kinds: readonly Fault[];
 }
 
@@ -54,7 +56,7 @@
 }
 
 function begin(
-  {zones: zoneCount, kinds}: PlayOptions,
+  {zones: zoneCount, instances, kinds}: PlayOptions,
   scheduler: Scheduler,
   random: Random,
   timeLine: TimeLine,
@@ -79,7 +81,7 @@
   const parts = {...shared, random, store, lateness, timeLine};
   const world: World = {...parts, zones, machines};
   for (const zone of zones) {
-    const count = random.whole(2, 3);
+    const count = instances ?? random.whole(2, 3);
     for (let index = 0; index < count; index += 1) {
       const processors = random.pick([1, 1, 1, 0.4]);
       const name = `${zone}-i${index}`;
--- /dev/null
+++ b/packages/zone/test/rooms.test.ts
@@ -0,0 +1,20 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {formatRooms, toRoom} from '../src/holder/rooms.js';
+import {createDispatcher, worker} from './fixtures/scene.js';
+
+test('workers with the same room are told of in one row, and read as before', () => {
+  const dispatcher = createDispatcher(0);
+  const others = ['w2', 'w3'].map(id => ({...worker, id}));
+  dispatcher.setWorkers([worker, ...others], 0);
+  for (const {id} of others) {
+    const look = {clockMs: 5, bornAt: 1, running: [], ended: []};
+    dispatcher.looked(id, look, 0, 0);
+  }
+  const [room] = formatRooms(dispatcher, 1);
+  assert.ok(room !== undefined);
+  assert.equal(room.vacancies.length, 1);
+  const {vacancies} = toRoom('east', room);
+  assert.equal(vacancies.length, 3);
+  assert.deepEqual(vacancies, dispatcher.findVacancies(room.service, 1));
+});
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -48,6 +48,7 @@
     findHolder: () => createLocalTarget(holder, SELF),
     waitForChange: () => new Promise(() => undefined),
     isAlive: () => true,
+    onHolderMissed: () => undefined,
     logger: quiet,
     metrics,
   });
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {Election} from '../src/election/index.js';
 import {NeighbourZones} from '../src/instance/neighbour_zones.js';
+import {News, type Attention, type Situation} from '../src/instance/pace.js';
 import {ZoneView} from '../src/instance/zone_view.js';
 import type {ZoneHeartbeat} from '../src/protocol/index.js';
 
@@ -17,6 +18,19 @@
   };
 }
 
+const unsettled: Situation = {
+  holderId: undefined,
+  isUnsettled: true,
+  hasJobs: false,
+  isHolder: false,
+};
+
+/** The addresses to which links are kept. */
+function listLinks(view: ZoneView, now: number, holderId?: string): string[] {
+  const {links} = view.chooseLinks({...unsettled, holderId}, now);
+  return links.map(({address}) => address);
+}
+
 test('a new life at an address ends what was heard of the old one', () => {
   const view = new ZoneView('west', '10.0.0.1:7000', {
     id: 'a-1',
@@ -37,7 +51,7 @@
   });
   view.addAddress('10.0.0.2:7000');
   view.hear(createHeartbeat({zone: 'east'}), 100);
-  assert.deepEqual(view.chooseLinks(undefined, 100).addresses, []);
+  assert.deepEqual(listLinks(view, 100), []);
 });
 
 test('an old registration does not hide an instance that is heard', () => {
@@ -63,9 +77,9 @@
   });
   view.hear(createHeartbeat(), 100);
   view.setRegistrations([], 5_000);
-  assert.equal(view.chooseLinks(undefined, 0).addresses.length, 1);
+  assert.equal(listLinks(view, 0).length, 1);
   view.setRegistrations([], 10_200);
-  assert.equal(view.chooseLinks(undefined, 0).addresses.length, 0);
+  assert.equal(listLinks(view, 0).length, 0);
 });
 
 test('the holder of another zone is the one with the highest token', () => {
@@ -129,11 +143,8 @@
 test('links are kept to the strongest instances and to the holder only', () => {
   const view = new ZoneView('west', '10.0.0.1:7000', {id: 'a', processors: 1});
   register(view, [0.2, 0.8, 2, 0.2, 2, 0.2]);
-  assert.deepEqual(view.chooseLinks(undefined, 0).addresses, [
-    '10.0.1.2:7000',
-    '10.0.1.4:7000',
-  ]);
-  assert.deepEqual(view.chooseLinks('b-3', 0).addresses, [
+  assert.deepEqual(listLinks(view, 0), ['10.0.1.2:7000', '10.0.1.4:7000']);
+  assert.deepEqual(listLinks(view, 0, 'b-3'), [
     '10.0.1.2:7000',
     '10.0.1.4:7000',
     '10.0.1.3:7000',
@@ -144,12 +155,12 @@
   const self = {id: 'z', processors: 0.2};
   const view = new ZoneView('west', '10.0.0.1:7000', self);
   register(view, [2, 2, 2, 1, 0.8, 0.5]);
-  assert.equal(view.chooseLinks(undefined, 0).addresses.length, 3);
-  assert.equal(view.chooseLinks(undefined, 0).isCandidate, false);
-  assert.equal(view.chooseLinks(undefined, 500).addresses.length, 3);
-  assert.equal(view.chooseLinks(undefined, 600).addresses.length, 6);
+  assert.equal(listLinks(view, 0).length, 3);
+  assert.equal(view.chooseLinks(unsettled, 0).isCandidate, false);
+  assert.equal(listLinks(view, 500).length, 3);
+  assert.equal(listLinks(view, 600).length, 6);
   view.hear(createHeartbeat({id: 'b-0', address: '10.0.1.0:7000'}), 700);
-  assert.equal(view.chooseLinks(undefined, 700).addresses.length, 5);
+  assert.equal(listLinks(view, 700).length, 5);
 });
 
 test('nobody claims while a stronger instance may be heard in a moment', () => {
@@ -158,7 +169,7 @@
   const election = new Election(self, -10_000);
   register(view, [2]);
   const state = {isLeaving: false, informedSince: 0};
-  view.chooseLinks(undefined, 0);
+  view.chooseLinks(unsettled, 0);
   const early = election.chooseRole(view.members(100), state, 100);
   assert.equal(early.kind, 'wait');
   view.noteRefused('10.0.1.0:7000');
@@ -178,7 +189,7 @@
 test('an owner whose host refuses is gone at once', () => {
   const view = new ZoneView('west', '10.0.0.1:7000', {id: 'a', processors: 1});
   register(view, [1]);
-  const [other] = view.chooseLinks(undefined, 0).addresses;
+  const [other] = listLinks(view, 0);
   assert.ok(other);
   const [{id} = {id: ''}] = [...view.members(0)];
   view.noteContact(id, 100);
@@ -186,3 +197,96 @@
   view.noteRefused(other);
   assert.equal(view.isAlive(id, 120), false);
 });
+
+/** A weak instance beside three strong ones, of which the first holds. */
+function createFollower(): ZoneView {
+  const self = {id: 'z', processors: 0.2};
+  const view = new ZoneView('west', '10.0.0.1:7000', self);
+  register(view, [2, 2, 2]);
+  return view;
+}
+
+const following: Situation = {
+  holderId: 'b-0',
+  isUnsettled: false,
+  hasJobs: false,
+  isHolder: false,
+};
+
+/** Has all three strong instances heard. */
+function hearAll(view: ZoneView, now: number): void {
+  for (const index of [0, 1, 2]) {
+    const address = `10.0.1.${index}:7000`;
+    view.hear(createHeartbeat({id: `b-${index}`, address}), now);
+  }
+}
+
+function listAttentions(
+  view: ZoneView,
+  situation: Situation,
+  now: number,
+): Attention[] {
+  const {links} = view.chooseLinks(situation, now);
+  return links.map(({attention}) => attention);
+}
+
+test('an instance speaks to others as often as it needs to know of them', () => {
+  const urgent = {news: News.Urgent, isClose: true};
+  const regular = {news: News.Regular, isClose: false};
+  const rare = {news: News.Rare, isClose: false};
+  const closeRare = {news: News.Rare, isClose: true};
+  const view = createFollower();
+  const busy = {...following, hasJobs: true};
+  const lost = {...following, isUnsettled: true};
+  const holding = {...following, holderId: 'z', isHolder: true};
+  const list = (situation: Situation) => listAttentions(view, situation, 0);
+  assert.deepEqual(list(following), [regular, rare, rare]);
+  const watched = {...regular, isClose: true};
+  assert.deepEqual(list(busy), [watched, rare, rare]);
+  assert.deepEqual(list(lost), [urgent, urgent, urgent]);
+  assert.deepEqual(list(holding), [closeRare, closeRare, closeRare]);
+});
+
+test('who may hold next watches the holder and the others like it closely', () => {
+  const self = {id: 'z', processors: 2};
+  const view = new ZoneView('west', '10.0.0.1:7000', self);
+  register(view, [2, 2, 0.2, 0.2]);
+  const {links, isCandidate} = view.chooseLinks(following, 0);
+  assert.equal(isCandidate, true);
+  assert.deepEqual(
+    links.map(({attention}) => attention.isClose),
+    [true, true],
+  );
+});
+
+test('silence counts by how often a neighbour is asked', () => {
+  const view = createFollower();
+  view.chooseLinks(following, 0);
+  hearAll(view, 0);
+  const listHeard = (now: number) =>
+    view.members(now).flatMap(({id, isHeard}) => (isHeard ? [id] : []));
+  assert.deepEqual(listHeard(790), ['b-0', 'b-1', 'b-2']);
+  assert.deepEqual(listHeard(810), ['b-1', 'b-2']);
+  assert.deepEqual(listHeard(1_470), []);
+});
+
+test('a holder that is watched closely from now on is not silent by what was heard before', () => {
+  const view = createFollower();
+  view.chooseLinks(following, 0);
+  hearAll(view, 0);
+  const busy = {...following, hasJobs: true};
+  view.chooseLinks(busy, 700);
+  const isHeard = (now: number) => view.members(now)[0]?.isHeard;
+  assert.equal(isHeard(1_290), true);
+  assert.equal(isHeard(1_310), false);
+});
+
+test('a holder that is watched closely is in doubt before it counts as gone', () => {
+  const view = createFollower();
+  view.chooseLinks({...following, hasJobs: true}, 0);
+  hearAll(view, 0);
+  assert.equal(view.isDoubtful('b-0', 290), false);
+  assert.equal(view.isDoubtful('b-0', 300), true);
+  view.chooseLinks(following, 350);
+  assert.equal(view.isDoubtful('b-0', 350), false);
+});
