Decisions and callers: less work for each job

Cause: a profile of a holder (1.06 ms a start under the profiler) shows 365 ms of 11.3 s in copies of run lists made at each decision, jobs without waiting tasks sorted and grouped each time; of an owner, errors made to end a wait that nobody reads (3%) and an iterator for bodies of one chunk (3%).

--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -100,6 +100,11 @@
     return this.tasks.some(({state}) => state.kind === 'running');
   }
 
+  /** Whether any task is not running and not done. */
+  get hasWaiting(): boolean {
+    return this.tasks.some(({state}) => state.kind === 'waiting');
+  }
+
   /** Runs that may still go on. */
   *runs(): Iterable<Run> {
     for (const {state} of this.tasks) {
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -10,23 +10,24 @@
 export function endOverdueRuns(board: Board, now: Millis): void {
   for (const [id, worker] of board.workers) {
     beginTrial(worker, now);
-    for (const run of [...worker.runs.values()]) {
+    for (const run of worker.runs.values()) {
       const isLapsed = worker.isSilent && now >= worker.leasesOverAt;
       if (isLapsed || now >= run.overAt) board.endRun(run, 'lost', now);
     }
     const isGone = worker.info.isDraining && worker.isSilent;
     if (isGone && worker.isForgettable(now)) board.dropWorker(id);
   }
-  for (const record of [...board.jobs.values()]) {
-    for (const run of [...record.runs()]) {
-      if (now >= run.overAt) board.endRun(run, 'lost', now);
+  for (const record of board.jobs.values()) {
+    for (const {state} of record.tasks) {
+      const isOver = state.kind === 'running' && now >= state.run.overAt;
+      if (isOver) board.endRun(state.run, 'lost', now);
     }
   }
 }
 
 /** Ends tasks of other zones that an earlier holder ran, if none is found. */
 export function endLostTasks(board: Board, placer: Placer, now: Millis): void {
-  for (const record of [...board.jobs.values()]) {
+  for (const record of board.jobs.values()) {
     if (!record.isForeign || !record.mayRunUnseen) continue;
     if (!placer.isSettled(record, now)) continue;
     record.mayRunUnseen = false;
@@ -37,7 +38,7 @@
 
 /** Ends jobs for which it is too late. */
 export function endOverdueJobs(board: Board, now: Millis): void {
-  for (const record of [...board.jobs.values()]) {
+  for (const record of board.jobs.values()) {
     if (record.ending !== undefined) continue;
     if (now >= record.job.deadlineAt) {
       giveUp(board, record, AbandonReason.Deadline, now);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -63,7 +63,7 @@
 
   /** Whether the job goes on and no run of an earlier holder is unknown. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
-    if (record.ending !== undefined) return false;
+    if (record.ending !== undefined || !record.hasWaiting) return false;
     // What runs for another zone has to end first.
     if (this.board.foreignRecords.has(record.id)) return false;
     // A job that its client sends again may run at a worker not yet seen.
--- a/packages/http/src/body/index.ts
+++ b/packages/http/src/body/index.ts
@@ -9,26 +9,31 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {z} from 'zod';
 
-/** Reads the whole body; an error when it is larger than `limitBytes`. */
-export async function readBody(
+/**
+ * Reads the whole body; an error when it is larger than `limitBytes`. Rejects
+ * when the caller leaves before its end.
+ */
+export function readBody(
   request: IncomingMessage,
   limitBytes: number,
 ): Promise<Result<Buffer, Failure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  // Ending the loop early must not destroy the request: that would close the
-  // connection before the refusal is sent.
-  const body = request.iterator({destroyOnReturn: false});
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limitBytes) break;
-    chunks.push(chunk);
-  }
-  if (size <= limitBytes) return Ok(Buffer.concat(chunks));
-  // What is left is read and dropped, so that the connection can go on. This
-  // has to follow the loop, whose listener holds the stream back.
-  request.resume();
-  return Err(createFailure(FailureCode.BodyTooLarge, {limitBytes}));
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const leave = () => reject(new Error('the caller left'));
+    request.once('close', leave);
+    request.once('error', reject);
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      // What is too much is read and dropped, so that the connection can go on.
+      if (size <= limitBytes) chunks.push(chunk);
+      else resolve(Err(createFailure(FailureCode.BodyTooLarge, {limitBytes})));
+    });
+    request.once('end', () => {
+      request.off('close', leave);
+      resolve(Ok(Buffer.concat(chunks)));
+    });
+  });
 }
 
 /** Reads the body as JSON and checks it against `schema`. */
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -35,6 +35,9 @@
 /** Added to a job's time for the answer to come back, in ms. */
 const ANSWER_MARGIN_MS = 500;
 
+/** Why waiting for another holder ends; spares an error for each job. */
+const ATTEMPT_OVER = 'the attempt is over';
+
 /** Why a job could not be handed to a holder. */
 export enum OwnerRefusal {
   /** No instance holds the zone's workers, or it can't be reached. */
@@ -184,7 +187,7 @@
     const attempt = new AbortController();
     const change = waitForChange(holder.id, attempt.signal);
     const result = await Promise.race([answer, change]);
-    attempt.abort();
+    attempt.abort(ATTEMPT_OVER);
     if (result !== undefined) return result;
     // A holder that lives tells what it knows as soon as it hears of the other.
     if (!isAlive(holder.id, readClock())) return undefined;
