A worker that stays silent is no lost answer, and many workers need more of them

Cause: each unanswered look counted as an answer lost, also from a worker that had gone dark, and two workers in the last second were enough to have all workers of a zone looked at in short turns. Now only the first loss of a worker that answered counts, and a share of the workers has to show one.

--- a/packages/zone/src/holder/worker_watch.ts
+++ b/packages/zone/src/holder/worker_watch.ts
@@ -79,7 +79,7 @@
     const waitMs = clock === undefined ? 0 : this.chooseWait(sentAt);
     const leaseUntil = this.chooseLease(clock, sentAt);
     const {info: worker, lastSeen} = record;
-    const isLossy = losses.areMany(sentAt);
+    const isLossy = losses.areMany(sentAt, dispatcher.workers.size);
     const marginMs = isLossy ? LOSSY_MARGIN_MS : MARGIN_MS;
     const order = {worker, token, lastSeen, leaseUntil, waitMs, marginMs};
     const result = await port.look(order, signal);
@@ -112,7 +112,7 @@
     const record = dispatcher.workers.get(workerId);
     const isUnclaimed = record !== undefined && record.orphans.size > 0;
     const longestMs = isUnclaimed ? UNCLAIMED_WAIT_MS : LONGEST_WAIT_MS;
-    if (record !== undefined && losses.areMany(now)) {
+    if (record !== undefined && losses.areMany(now, dispatcher.workers.size)) {
       // Ends are not left to a single answer that may be lost.
       const untilEnd = nextEndAt(record) + LATE_END_MS - now;
       const wait = Math.max(untilEnd, LOSSY_WAIT_MS);
@@ -136,9 +136,13 @@
     dispatcher.lookFailed(workerId);
     onLookFailed(workerId, failure);
     this.options.onChange();
-    if (failure === OrderFailure.Unanswered) losses.note(workerId, readClock());
+    const now = readClock();
     const isFirst = this.failures === 0;
-    if (isFirst && losses.areMany(readClock())) {
+    // One that stays silent is gone, which says nothing of other answers.
+    if (isFirst && failure === OrderFailure.Unanswered) {
+      losses.note(workerId, now);
+    }
+    if (isFirst && losses.areMany(now, dispatcher.workers.size)) {
       this.failures += 1;
       return;
     }
--- a/packages/zone/test/carrier.test.ts
+++ b/packages/zone/test/carrier.test.ts
@@ -88,10 +88,10 @@
   const losses = new AnswerLosses();
   losses.note('w1', 0);
   losses.note('w1', 100);
-  assert.equal(losses.areMany(200), false);
+  assert.equal(losses.areMany(200, 33), false);
   losses.note('w2', 300);
-  assert.equal(losses.areMany(400), true);
-  assert.equal(losses.areMany(1_200), false);
+  assert.equal(losses.areMany(400, 33), true);
+  assert.equal(losses.areMany(1_200, 33), false);
 });
 
 test('an order that may still be carried out is stopped, however the next is refused', async () => {
--- a/packages/zone/test/worker_watch.test.ts
+++ b/packages/zone/test/worker_watch.test.ts
@@ -63,3 +63,18 @@
   const [, second] = await watchSilent(losses, 2);
   assert.equal(second?.waitMs, 0);
 });
+
+test('a worker that stays silent loses one answer, not one with each look', async () => {
+  const losses = new AnswerLosses();
+  const noted: string[] = [];
+  losses.note = workerId => noted.push(workerId);
+  await watchSilent(losses, 3);
+  assert.deepEqual(noted, [worker.id]);
+});
+
+test('more workers must have lost answers where there are many', () => {
+  const losses = new AnswerLosses();
+  for (const id of ['w1', 'w2', 'w3']) losses.note(id, 0);
+  assert.equal(losses.areMany(10, 33), true);
+  assert.equal(losses.areMany(10, 120), false);
+});
