A holder whose host refuses connections is replaced at once

Cause: after a kill of the holder its zone stood still for 600 ms of silence, though its host had said within 50 ms that nobody listens there. Now that is enough where no other instance hears the holder, who are asked at once; a cut network can say so as well, so one word alone moves nothing.

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -142,8 +142,8 @@
       return members.some(member => hearsHolder(member, holderId, now));
     }
     if (holder.isLeaving) return canNobodySucceed;
-    if (holder.isHeard) return true;
-    if (holder.isRefused) return false;
+    // Its host says that it is gone, but a cut network can say so as well.
+    if (holder.isHeard && !holder.isRefused) return true;
     return members.some(member => hearsHolder(member, holderId, now));
   }
 
@@ -209,7 +209,9 @@
 
 /** The other instance that would take over: the strongest, then by id. */
 function findSuccessor(members: readonly Member[]): Member | undefined {
-  const able = members.filter(member => !member.isLeaving && member.isHeard);
+  const able = members.filter(
+    ({isLeaving, isHeard, isRefused}) => isHeard && !isLeaving && !isRefused,
+  );
   return able.sort(compareStrength)[0];
 }
 
--- a/packages/zone/src/instance/neighbour.ts
+++ b/packages/zone/src/instance/neighbour.ts
@@ -86,7 +86,7 @@
 
 /** Whether it answers, or may answer in a moment. */
 export function isSound(neighbour: Neighbour, now: Millis): boolean {
-  if (neighbour.last?.isLeaving === true) return false;
+  if (neighbour.isRefused || neighbour.last?.isLeaving === true) return false;
   if (isHeard(neighbour, now)) return true;
   return neighbour.linkedAt === undefined || isTried(neighbour, now);
 }
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -85,9 +85,10 @@
     return {links, isCandidate};
   }
 
-  /** Whether an instance that is watched closely has been silent for a while. */
+  /** Whether an instance may be gone: its host says so, or it is silent too long. */
   isDoubtful(id: string, now: Millis): boolean {
     const known = this.findById(id);
+    if (known?.isRefused === true) return true;
     if (known?.attention.isClose !== true) return false;
     return now - latestOf(known.heardAt, known.closeSince) >= DOUBT_MS;
   }
@@ -184,11 +185,12 @@
     return this.findById(id)?.address;
   }
 
-  /** How long ago the instance was last heard from. */
+  /** How long ago the instance was last heard from; undefined if it seems gone. */
   heardMs(id: string, now: Millis): Millis | undefined {
     if (id === this.self.id) return 0;
-    const heardAt = this.findById(id)?.heardAt;
-    return heardAt === undefined ? undefined : now - heardAt;
+    const known = this.findById(id);
+    if (known?.heardAt === undefined || known.isRefused) return undefined;
+    return now - known.heardAt;
   }
 
   /** The members as the election takes them. */
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -101,6 +101,17 @@
   assert.equal(chooseRole(election, members, informed, 1_700).kind, 'claim');
 });
 
+test('a holder whose host refuses is replaced at once, unless another hears it', () => {
+  const election = follow('a', 10);
+  const holder = createMember('a', {heardAt: 1_990, isRefused: true});
+  const other = createMember('c', {heardAt: 1_990, holderId: 'a'});
+  const hears = {...other, holderHeardAt: 1_900};
+  const choose = (members: readonly Member[]) =>
+    chooseRole(election, members, informed, 2_000).kind;
+  assert.equal(choose([holder, hears]), 'follow');
+  assert.equal(choose([holder, other]), 'claim');
+});
+
 test('a leaving holder goes on until a higher claim is heard', () => {
   const election = follow('b', 10);
   const members = [createMember('c', {heardAt: 990})];
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -290,3 +290,13 @@
   view.chooseLinks(following, 350);
   assert.equal(view.isDoubtful('b-0', 350), false);
 });
+
+test('a holder whose host refuses is in doubt, and not told of as heard', () => {
+  const view = createFollower();
+  view.chooseLinks({...following, hasJobs: true}, 0);
+  hearAll(view, 0);
+  assert.equal(view.heardMs('b-0', 20), 20);
+  view.noteRefused('10.0.1.0:7000');
+  assert.equal(view.isDoubtful('b-0', 20), true);
+  assert.equal(view.heardMs('b-0', 20), undefined);
+});
