--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -18,24 +18,13 @@
   type ZoneHeartbeat,
 } from '../src/protocol/index.js';
 import {fail} from './fixtures/scene.js';
+import {createHeartbeat} from './fixtures/view.js';
 
 const LOOK_MS = 10;
 const PATIENCE_MS = 10_000;
 const urgent = {news: News.Urgent, isClose: true};
 const room = {service: 'pricing', vacancies: []};
 
-function createHeartbeat(changes: Partial<ZoneHeartbeat> = {}): ZoneHeartbeat {
-  return {
-    id: 'a-1',
-    zone: 'west',
-    address: '127.0.0.1:1',
-    processors: 1,
-    isLeaving: false,
-    configurationVersion: 1,
-    ...changes,
-  };
-}
-
 async function waitFor(what: string, check: () => boolean): Promise<void> {
   const until = Date.now() + PATIENCE_MS;
   while (!check()) {
