--- a/packages/zone/test/attention.test.ts
+++ b/packages/zone/test/attention.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {News, type Attention, type Situation} from '../src/instance/pace.js';
+import {
+  News,
+  pauseOf,
+  PING_PAUSE_MS,
+  type Attention,
+  type Situation,
+} from '../src/instance/pace.js';
 import {ZoneView} from '../src/instance/zone_view.js';
 import {createHeartbeat, register} from './fixtures/view.js';
 
@@ -106,3 +112,29 @@
   assert.equal(view.isDoubtful('b-0', 20), true);
   assert.equal(view.heardMs('b-0', 20), undefined);
 });
+
+/** Heartbeats and pings a second that an idle zone of `size` sends. */
+function countMessages(size: number): number {
+  const strengths = Array.from({length: size}, (_, at) => (at < 3 ? 2 : 0.2));
+  let messages = 0;
+  for (const [at, processors] of strengths.entries()) {
+    const self = {id: `b-${at}`, processors};
+    const view = new ZoneView('west', `10.0.1.${at}:7000`, self);
+    register(view, strengths);
+    const isHolder = at === 0;
+    const {links} = view.chooseLinks({...following, isHolder}, 0);
+    for (const {attention} of links) {
+      messages += 1_000 / pauseOf(attention.news);
+      if (attention.isClose) messages += 1_000 / PING_PAUSE_MS;
+    }
+  }
+  return messages;
+}
+
+test('messages of an idle zone grow with its instances, not with their square', () => {
+  const few = countMessages(20);
+  const many = countMessages(40);
+  const each = (many - few) / 20;
+  assert.ok(each < 5, `${each} messages a second for one more instance`);
+  assert.ok(many < 2 * few);
+});
