Plan a step with less sorting, to the same end

Cause: under too much load planning takes 20% of a holder's time (3.2 of 15.8 s under the profiler, 100 workers, 330 jobs a second), most of it in sorting all places by rules that take logarithms at each comparison. Now numbers are sorted to find the last place that is needed, and what is left by keys made once.

--- a/packages/dispatch/src/placement/place.ts
+++ b/packages/dispatch/src/placement/place.ts
@@ -55,13 +55,32 @@
   }
 }
 
-/** Sorts first what other tasks need least: near, slow, nearly full. */
-export function comparePlaces(a: Place, b: Place): number {
-  const byKind = rankKind(a) - rankKind(b);
-  if (byKind !== 0) return byKind;
-  const bySpeed = toSpeedStep(b) - toSpeedStep(a);
-  if (bySpeed !== 0) return bySpeed;
-  return leftOf(a) - leftOf(b);
+/** A place with what its order goes by. */
+interface RankedPlace {
+  readonly place: Place;
+  readonly kind: number;
+  readonly speedStep: number;
+  readonly left: number;
+  readonly weight: number;
+}
+
+/** Puts first what other tasks need least: near, slow, nearly full. */
+export function sortPlaces(places: readonly Place[]): Place[] {
+  const ranked = places.map(place => ({
+    place,
+    kind: rankKind(place),
+    speedStep: toSpeedStep(place),
+    left: leftOf(place),
+    weight: weighPlace(place),
+  }));
+  return ranked.sort(compareRanked).map(({place}) => place);
+}
+
+function compareRanked(a: RankedPlace, b: RankedPlace): number {
+  if (a.kind !== b.kind) return a.kind - b.kind;
+  if (a.speedStep !== b.speedStep) return b.speedStep - a.speedStep;
+  if (a.left !== b.left) return a.left - b.left;
+  return b.weight - a.weight;
 }
 
 function rankKind({kind}: Place): number {
--- a/packages/dispatch/src/placement/plan_step.ts
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -8,12 +8,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {WorkerRecord} from '../workers/index.js';
 import {listPlaces, type Demand, type Forecast} from './list_places.js';
-import {
-  comparePlaces,
-  weighPlace,
-  type Place,
-  type RemotePlace,
-} from './place.js';
+import {sortPlaces, weighPlace, type Place, type RemotePlace} from './place.js';
 
 /** Places count as no worse that bring this share of the last one's worth. */
 const GOOD_SHARE = 0.95;
@@ -38,11 +33,26 @@
   for (const worker of workers) {
     places.push(...listPlaces(demand, worker, forecast, now));
   }
-  places.sort((a, b) => weighPlace(b) - weighPlace(a));
-  const last = places[demand.count - 1];
-  if (last === undefined) return {places, worth: 0};
+  const last = findRanked(places, demand.count);
+  if (last === undefined) {
+    places.sort((a, b) => weighPlace(b) - weighPlace(a));
+    return {places, worth: 0};
+  }
   const least = weighPlace(last) * GOOD_SHARE;
   const good = places.filter(place => weighPlace(place) >= least);
-  good.sort(comparePlaces);
-  return {places: good.slice(0, demand.count), worth: last.worth};
+  return {places: sortPlaces(good).slice(0, demand.count), worth: last.worth};
+}
+
+/**
+ * The place that comes at this rank, from 1 on, when the best are in front and
+ * equal ones stay in their order. Only numbers are sorted, as there are many
+ * places and few tasks.
+ */
+function findRanked(places: readonly Place[], rank: number): Place | undefined {
+  if (places.length < rank) return undefined;
+  const weights = Float64Array.from(places, weighPlace).sort();
+  const weight = weights[places.length - rank] ?? 0;
+  const better = places.length - 1 - weights.lastIndexOf(weight);
+  const equal = places.filter(place => weighPlace(place) === weight);
+  return equal[rank - 1 - better];
 }
