--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -2,7 +2,7 @@
 import type {CallLink} from '@goldcrestpier/peers';
 import type {Lifecycle, Millis} from '@goldcrestpier/runtime';
 import {ZoneCalls, type ZoneHeartbeat} from '../protocol/index.js';
-import {News, pauseOf, PING_PAUSE_MS, type Attention} from './pace.js';
+import {News, pauseOf, PING_PAUSE_MS, type Attention} from './attention.js';
 import type {LinkedNeighbour} from './zone_view.js';
 
 /** How long a heartbeat waits for its answer, in ms. */
--- a/packages/zone/src/instance/neighbour.ts
+++ b/packages/zone/src/instance/neighbour.ts
@@ -2,7 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {SILENCE_MS, type Candidate} from '../election/index.js';
 import type {ZoneHeartbeat} from '../protocol/index.js';
-import {News, silenceOf, type Attention} from './pace.js';
+import {News, silenceOf, type Attention} from './attention.js';
 
 /** Of a neighbour that was not heard yet. */
 const newcomer: Attention = {news: News.Urgent, isClose: true};
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -20,7 +20,7 @@
   toCandidate,
   type Neighbour,
 } from './neighbour.js';
-import {chooseAttention, type Attention, type Situation} from './pace.js';
+import {chooseAttention, type Attention, type Situation} from './attention.js';
 
 /**
  * Links are kept to so many of the strongest instances, as any two may be lost
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -9,7 +9,7 @@
   sleep,
 } from '@goldcrestpier/runtime';
 import {Links} from '../src/instance/links.js';
-import {News} from '../src/instance/pace.js';
+import {News} from '../src/instance/attention.js';
 import {createOpenLink} from '../src/instance/start_instance.js';
 import {
   createZoneRouter,
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {Election} from '../src/election/index.js';
 import {NeighbourZones} from '../src/instance/neighbour_zones.js';
-import type {Situation} from '../src/instance/pace.js';
+import type {Situation} from '../src/instance/attention.js';
 import {ZoneView} from '../src/instance/zone_view.js';
 import {createHeartbeat, register} from './fixtures/view.js';
 
--- a/scripts/print_days.mjs
+++ b/scripts/print_days.mjs
@@ -15,14 +15,13 @@
 
 function formatDay(day) {
   const {name, G: worth, served, refused, failed, cpu_s: seconds} = day;
-  const broken = [...Object.keys(day.rules ?? {}), day.fault, ...day.short];
+  const broken = [...Object.keys(day.rules ?? {}), ...day.short];
   const cells = [
     name,
     worth?.toFixed(3) ?? '-',
     served?.toFixed(3) ?? '-',
     `${refused?.toFixed(3)} / ${failed?.toFixed(3)}`,
     broken
-      .filter(each => each !== null)
       .map(each => (typeof each === 'string' ? each : JSON.stringify(each)))
       .join('; ') || 'none',
     formatPrices(day.prices ?? []),
