--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -88,13 +88,13 @@
       const {link} = neighbour;
       if (link.isRefused()) onRefused(link.address);
       if (!link.isConnected()) continue;
-      if (isUrgent || isHeartbeatDue(neighbour, now)) due.push(neighbour);
+      const isDue = !neighbour.isAsked && isHeartbeatDue(neighbour, now);
+      if (isUrgent || isDue) due.push(neighbour);
       else if (isPingDue(neighbour, now)) ping(neighbour, now);
     }
     const messages = new Map<boolean, ZoneHeartbeat>();
     for (const neighbour of due) {
-      const {isForeign, isAsked} = neighbour;
-      if (isAsked && !isUrgent) continue;
+      const {isForeign} = neighbour;
       const message =
         messages.get(isForeign) ?? createHeartbeat(now, isForeign);
       messages.set(isForeign, message);
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -220,3 +220,31 @@
     assert.equal([...links.answered()].length, peers.length);
   });
 });
+
+test('who owes an answer to a heartbeat is still asked for a sign of life', async () => {
+  const lifecycle = new Lifecycle('test');
+  const sent: string[] = [];
+  const links = new Links({
+    openLink: address => ({
+      address,
+      call: name => {
+        sent.push(name);
+        return new Promise(() => undefined);
+      },
+      ping: () => sent.push('ping'),
+      isConnected: () => true,
+      connectedAt: () => 0,
+      heardAt: () => undefined,
+      isRefused: () => false,
+      close: () => Promise.resolve(),
+    }),
+    lifecycle,
+    createHeartbeat: () => createHeartbeat(),
+    onAnswer: fail,
+    onRefused: fail,
+  });
+  links.setNeighbours([{address: 'b:1', attention: urgent}], []);
+  for (const now of [0, 150, 300]) links.beat(now);
+  await lifecycle.close();
+  assert.deepEqual(sent, ['heartbeat', 'ping', 'ping']);
+});
