--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -1,7 +1,12 @@
 /** Assigns waiting tasks to workers; refuses jobs that can't end in time. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {RemoteVacancies} from '../remote_vacancies/index.js';
-import {planStep, type Place, type StepPlan} from '../placement/index.js';
+import {
+  planStep,
+  type Place,
+  type StepPlan,
+  type UpcomingVacancies,
+} from '../placement/index.js';
 import {RefusalReason} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
@@ -15,6 +20,11 @@
 import {estimateDrain} from './refusal.js';
 import {PlacementRound} from './placement_round.js';
 
+/** Time before it is free at which a place in another zone is used, in ms. */
+const MAX_EARLY_MS = 40;
+/** Added to the expected wait of a task in another zone, in ms. */
+const WAIT_MARGIN_MS = 100;
+
 /** Excludes one worker, unless it is the only one. */
 function excludeWorker(
   workers: readonly WorkerRecord[],
@@ -40,6 +50,9 @@
 
 /** Places the waiting tasks of one registry. */
 export class Placer {
+  /** Vacancies that the last round left for other zones. */
+  private lastUpcoming: UpcomingVacancies | undefined;
+
   constructor(
     private readonly registry: Registry,
     private readonly remoteVacancies: RemoteVacancies,
@@ -54,6 +67,7 @@
       this.isPlaceable(record, now),
     );
     const round = new PlacementRound(this.registry, waiting, now);
+    this.lastUpcoming = round.upcoming;
     moveLateRuns(this.registry, round, now);
     return sortJobs(waiting).flatMap(record =>
       groupTasks(record).flatMap(tasks =>
@@ -62,6 +76,11 @@
     );
   }
 
+  /** Upcoming vacancies that no task of the last round is planned for. */
+  get upcoming(): UpcomingVacancies | undefined {
+    return this.lastUpcoming;
+  }
+
   /** Whether the job has waiting tasks and none of them may run already. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.pendingOutcome !== undefined || !record.hasWaitingTasks)
@@ -148,13 +167,14 @@
   private isNotWorthStarting(
     record: JobRecord,
     {worth}: StepPlan,
-    {hasManyWaiting}: PlacementRound,
+    round: PlacementRound,
   ): boolean {
     const {hasStarted, isInbound, planned, job} = record;
     if (hasStarted || isInbound) return false;
     // Workers that a new holder has not polled yet may have free capacity.
     if (this.registry.hasUnpolledWorkersFor(job.service)) return false;
     const isNew = planned === undefined;
+    const hasManyWaiting = round.hasManyWaiting(job.service);
     const minWorth = findMinWorth(record, {hasManyWaiting, isNew});
     record.planned = {worth, minWorth};
     return worth < minWorth;
@@ -175,12 +195,15 @@
         return [{kind: 'start', run, payload: record.job.payload}];
       }
       case 'remote': {
-        const {zone, expectedMs, reserve} = place;
+        const {zone, expectedMs, waitMs, reserve} = place;
         reserve();
+        if (waitMs > MAX_EARLY_MS) return [];
         const run = createRun(record, task, zone, expectedMs, now);
         run.delegatedTo = zone;
+        run.expectedEndAt += waitMs;
         this.registry.beginRun(record, task, run);
-        return [{kind: 'lend', zone, run, record, isAdopted: false}];
+        const maxWaitMs = waitMs + WAIT_MARGIN_MS;
+        return [{kind: 'lend', zone, run, record, maxWaitMs, isAdopted: false}];
       }
       case 'later':
         if (place.isVacancy) round.upcoming.reserve(place.worker);
--- a/packages/dispatch/src/placement/place.ts
+++ b/packages/dispatch/src/placement/place.ts
@@ -23,12 +23,14 @@
   readonly isVacancy: boolean;
 }
 
-/** Capacity that another zone reported as free. */
+/** Capacity that another zone reported, which is free now or will be. */
 export interface RemotePlace {
   readonly kind: 'remote';
   readonly zone: string;
   readonly worth: number;
   readonly expectedMs: Millis;
+  /** Time until it is free, in ms; 0 if it is free now. */
+  readonly waitMs: Millis;
   /** Reserves the capacity, so that it is not planned for another task. */
   readonly reserve: () => void;
 }
@@ -37,19 +39,20 @@
 export type Place = FreePlace | LaterPlace | RemotePlace;
 
 /** Discounts relative to free places, as other tasks may take them first. */
-const REMOTE_DISCOUNT = 0.97;
+const REMOTE_DISCOUNT = 0.92;
 const LATER_DISCOUNT = 0.9;
 
 /** Buckets per factor of e; run times in one bucket count as equal. */
 const SPEED_BUCKETS = 7;
 
 /** Worth of a place, discounted by the risk that another task takes it. */
-export function weighPlace({kind, worth}: Place): number {
-  switch (kind) {
+export function weighPlace(place: Place): number {
+  const {worth} = place;
+  switch (place.kind) {
     case 'free':
       return worth;
     case 'remote':
-      return worth * REMOTE_DISCOUNT;
+      return worth * REMOTE_DISCOUNT * (place.waitMs > 0 ? LATER_DISCOUNT : 1);
     case 'later':
       return worth * LATER_DISCOUNT;
   }
@@ -83,12 +86,12 @@
   return b.weight - a.weight;
 }
 
-function rankKind({kind}: Place): number {
-  switch (kind) {
+function rankKind(place: Place): number {
+  switch (place.kind) {
     case 'free':
       return 0;
     case 'remote':
-      return 1;
+      return place.waitMs > 0 ? 3 : 1;
     case 'later':
       return 2;
   }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -107,11 +107,20 @@
   };
 }
 
+/** State of the holder that is logged with a job it accepts. */
+export interface AcceptanceContext {
+  /** Whether the job was submitted before. */
+  readonly isKnown: boolean;
+  /** Free CPU of all usable workers, in thousandths of a processor. */
+  readonly freeMillis: number;
+  /** Time from the job's arrival until it is due; undefined once it ended. */
+  readonly objectiveMs: Millis | undefined;
+}
+
 /** Logs an accepted job with the state that its outcome depends on. */
 export function logAcceptedJob(
   message: JobSubmission,
-  isKnown: boolean,
-  freeMillis: number,
+  {isKnown, freeMillis, objectiveMs}: AcceptanceContext,
   logger: Logger,
 ): void {
   const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
@@ -124,5 +133,7 @@
     ageMs: Math.round(ageMs),
     remainingMs: Math.round(remainingMs),
     freeMillis,
+    objectiveMs:
+      objectiveMs === undefined ? undefined : Math.round(objectiveMs),
   });
 }
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -126,7 +126,10 @@
     if (known?.pendingOutcome !== undefined) this.postponed.set(id, message);
     else dispatcher.submit(toJob(message, now), isResumed, now, progress);
     const freeMillis = sumFreeMillis(dispatcher, now);
-    logAcceptedJob(message, known !== undefined, freeMillis, logger);
+    const record = dispatcher.jobs.get(id);
+    const objectiveMs = record && record.dueAt - record.job.arrivedAt;
+    const isKnown = known !== undefined;
+    logAcceptedJob(message, {isKnown, freeMillis, objectiveMs}, logger);
     onChange();
   }
 }
