--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -105,6 +105,7 @@
   /** Replaces the list of workers with the current one. */
   setWorkers(list: readonly Worker[], now: Millis): void {
     const listed = new Set(list.map(({id}) => id));
+    this.registry.isPlacementDue = true;
     for (const worker of list) this.setWorker(worker, now);
     for (const [id, record] of this.registry.workers) {
       if (listed.has(id)) continue;
@@ -118,6 +119,7 @@
   /** Marks the list of workers as up to date, so that tasks may be placed. */
   confirmWorkerList(): void {
     this.registry.isListConfirmed = true;
+    this.registry.isPlacementDue = true;
   }
 
   /**
@@ -179,7 +181,7 @@
     endLostTasks(this.registry, this.placer, now);
     endOverdueJobs(this.registry, now);
     const delegations = this.intake.takeCommands();
-    const starts = this.placer.place(now);
+    const starts = this.placer.placeIfDue(now);
     return [...delegations, ...starts, ...this.stopper.stop(now)];
   }
 
@@ -246,6 +248,7 @@
   /** Updates the free capacity that the holder of another zone reported. */
   updateZoneVacancies(reported: ZoneVacancies, now: Millis): void {
     this.remoteVacancies.update(reported, now);
+    this.registry.isPlacementDue = true;
   }
 
   /** Lists the free capacity on each worker of a service, for other zones. */
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -20,6 +20,11 @@
 import {estimateDrain} from './refusal.js';
 import {PlacementRound} from './placement_round.js';
 
+/**
+ * Longest time between placements, in ms: expected ends and deadlines come
+ * closer although nothing changes.
+ */
+const MAX_PLACEMENT_INTERVAL_MS = 20;
 /** Time before it is free at which a place in another zone is used, in ms. */
 const MAX_EARLY_MS = 40;
 /** Added to the expected wait of a task in another zone, in ms. */
@@ -52,6 +57,7 @@
 export class Placer {
   /** Vacancies that the last round left for other zones. */
   private lastUpcoming: UpcomingVacancies | undefined;
+  private lastPlacedAt: Millis = -Infinity;
 
   constructor(
     private readonly registry: Registry,
@@ -59,8 +65,19 @@
     private readonly timeouts: EarlierRunTimeouts,
   ) {}
 
+  /**
+   * Places all tasks that fit somewhere now, if anything that decides about it
+   * has changed, or enough time has passed.
+   */
+  placeIfDue(now: Millis): Command[] {
+    const isOverdue = now - this.lastPlacedAt >= MAX_PLACEMENT_INTERVAL_MS;
+    return this.registry.isPlacementDue || isOverdue ? this.place(now) : [];
+  }
+
   /** Places all tasks that fit somewhere now; returns the commands. */
   place(now: Millis): Command[] {
+    this.registry.isPlacementDue = false;
+    this.lastPlacedAt = now;
     // With a stale list, tasks would start on workers that have left since.
     if (!this.registry.isListConfirmed) return [];
     const waiting = [...this.registry.jobs.values()].filter(record =>
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -7,6 +7,7 @@
 import {RunTimes} from '../run_times/index.js';
 import {
   AbandonReason,
+  findLongestChain,
   type RefusalReason,
   type Job,
   type Outcome,
@@ -60,6 +61,11 @@
   isListConfirmed = false;
   /** When a worker first answered this holder, and so accepted its token. */
   firstReportAt: Millis | undefined;
+  /**
+   * Whether a job, a worker or free capacity has changed since the waiting
+   * tasks were last placed.
+   */
+  isPlacementDue = true;
   private endedJobs: EndedJob[] = [];
   private readonly runNumbers = new RunNumbers();
   /** Runs that an earlier holder delegated to other zones. */
@@ -76,19 +82,16 @@
     const record = new JobRecord(job, expectedMs, lastRun);
     record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id);
     this.jobs.set(job.id, record);
+    this.isPlacementDue = true;
     this.inboundTasks.add(record);
     return record;
   }
 
   /** Expected time of a job's longest chain of steps at typical speed. */
   predictJob(job: Job): Millis {
-    const ends: Millis[] = [];
-    for (const {after, estimateMs} of job.steps) {
-      const before = after.map(index => ends[index] ?? 0);
-      const start = Math.max(0, ...before);
-      ends.push(start + this.runTimes.predict(job.queue, estimateMs));
-    }
-    return Math.max(0, ...ends);
+    return findLongestChain(job.steps, ({estimateMs}) =>
+      this.runTimes.predict(job.queue, estimateMs),
+    );
   }
 
   /** Assigns a run to its worker. */
@@ -103,6 +106,7 @@
   endRun(run: Run, end: RunEnd | 'lost' | 'refused', now: Millis): void {
     const worker = this.workers.get(run.workerId);
     if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
+    this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
     const record = this.jobs.get(run.recordId);
--- a/packages/dispatch/src/dispatcher/vacancies.ts
+++ b/packages/dispatch/src/dispatcher/vacancies.ts
@@ -6,7 +6,7 @@
 import type {Registry} from './registry.js';
 
 /** Upcoming vacancies are reported up to this time ahead, in ms. */
-const MAX_REPORTED_WAIT_MS = 200;
+const MAX_REPORTED_WAIT_MS = 80;
 
 /**
  * Lists the capacity of each usable worker of a service. `upcoming` are the
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -40,6 +40,8 @@
   if (report.bornAt !== worker.info.bornAt)
     beginIncarnation(worker, report, now);
   worker.recordClock(report.clockMs, now);
+  if (!worker.hasAcceptedToken || worker.isUnresponsive)
+    registry.isPlacementDue = true;
   worker.hasAcceptedToken = true;
   registry.firstReportAt ??= now;
   worker.isUnresponsive = false;
--- a/packages/dispatch/src/work/job.ts
+++ b/packages/dispatch/src/work/job.ts
@@ -52,6 +52,19 @@
   readonly delegatedBy?: string | undefined;
 }
 
+/** Returns the time of the longest chain of steps, in ms. */
+export function findLongestChain(
+  steps: readonly Step[],
+  predict: (step: Step) => Millis,
+): Millis {
+  const ends: Millis[] = [];
+  for (const step of steps) {
+    const before = step.after.map(index => ends[index] ?? 0);
+    ends.push(Math.max(0, ...before) + predict(step));
+  }
+  return Math.max(0, ...ends);
+}
+
 /** One task that the holder of another zone delegates to this one. */
 export interface DelegatedTask {
   readonly name: TaskName;
--- a/packages/dispatch/test/placement.test.ts
+++ b/packages/dispatch/test/placement.test.ts
@@ -165,5 +165,6 @@
   lost: 0,
   worth: 0,
   largestTenth: 0,
+  worthOfLarge: 0,
   refusedLate: 0,
 };
--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -137,6 +137,25 @@
     return {kind: 'claim', skip: this.skip};
   }
 
+  /**
+   * When this instance claims the zone at the soonest, if nobody else can do so
+   * before: it is new, and no other instance is listed. Undefined otherwise.
+   */
+  findExpectedClaim(
+    members: readonly Member[],
+    {isLeaving, registrationsKnownSince}: SelfState,
+    now: Millis,
+  ): Millis | undefined {
+    const isAlone =
+      members.length === 0 && registrationsKnownSince !== undefined;
+    if (!isAlone || isLeaving) return undefined;
+    if (!this.canOthersBeAlive(registrationsKnownSince, now)) return undefined;
+    return Math.min(
+      registrationsKnownSince + REREGISTRATION_MS,
+      this.startedAt + ISOLATED_CLAIM_DELAY_MS,
+    );
+  }
+
   private isHolderAlive(
     holderId: string,
     members: readonly Member[],
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -94,6 +94,16 @@
     return true;
   }
 
+  /** When this instance claims the zone, if only it can; else undefined. */
+  findExpectedClaim(
+    members: readonly Member[],
+    self: SelfState,
+    now: Millis,
+  ): Millis | undefined {
+    if (!this.isWaiting) return undefined;
+    return this.election.findExpectedClaim(members, self, now);
+  }
+
   /** Chooses the role again and applies it. */
   update(members: readonly Member[], self: SelfState, now: Millis): void {
     const before = this.role.kind;
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -23,9 +23,8 @@
   ZoneCallFailure,
 } from '../protocol/index.js';
 import {Callers} from './callers.js';
+import {findHolderWaitEnd} from './holder_wait.js';
 
-/** How long a job waits for a holder before it is refused, in ms. */
-const HOLDER_WAIT_MS = 1_000;
 /** Pause before the holder is looked up again, in ms. */
 const HOLDER_RETRY_MS = 20;
 /** Delay after which a caller may retry if there is no holder, in ms. */
@@ -78,6 +77,8 @@
   ) => Promise<void>;
   /** Whether an instance of the zone was heard recently. */
   readonly isAlive: (instanceId: string, now: Millis) => boolean;
+  /** Time before which the zone has no holder, if that is known. */
+  readonly holderExpectedAt: (now: Millis) => Millis | undefined;
   /** Called when the holder is unreachable or denies being the holder. */
   readonly onHolderUnavailable: (now: Millis) => void;
   readonly logger: Logger;
@@ -146,7 +147,7 @@
       if (now >= job.deadlineAt) return this.answerWithoutHolder(job, history);
       if (holder === undefined) {
         this.options.onHolderUnavailable(now);
-        const isLate = now - job.arrivedAt > HOLDER_WAIT_MS;
+        const isLate = this.findHolderTime(now) > findHolderWaitEnd(job);
         if (isLate && history.kind === 'none')
           return this.answerWithoutHolder(job, history);
         await sleep(HOLDER_RETRY_MS, signal);
@@ -161,6 +162,11 @@
     }
   }
 
+  /** The earliest time at which there may be a holder again. */
+  private findHolderTime(now: Millis): Millis {
+    return Math.max(now, this.options.holderExpectedAt(now) ?? now);
+  }
+
   private async tryHolder(
     holder: HolderClient,
     job: Job,
@@ -244,10 +250,12 @@
       past: history.kind,
     });
     if (history.kind !== 'none') return {kind: 'unknown'};
+    const now = readClock();
+    const untilHolderMs = this.findHolderTime(now) - now;
     return {
       kind: 'refused',
       reason: OwnerRefusal.NoHolder,
-      retryAfterMs: NO_HOLDER_RETRY_AFTER_MS,
+      retryAfterMs: Math.max(untilHolderMs, NO_HOLDER_RETRY_AFTER_MS),
     };
   }
 }
--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -211,3 +211,19 @@
   assert.equal(chooseRole(election, members, state, 1_500).kind, 'wait');
   assert.equal(chooseRole(election, members, state, 1_700).kind, 'claim');
 });
+
+test('an instance without listed peers knows when it will claim', () => {
+  const election = new Election({id: 'a', processors: 1}, 0);
+  const state = {isLeaving: false, registrationsKnownSince: 50};
+  const claimAt = election.findExpectedClaim([], state, 100);
+  assert.equal(claimAt, 1_550);
+  assert.equal(chooseRole(election, [], state, claimAt - 1).kind, 'wait');
+  assert.equal(chooseRole(election, [], state, claimAt).kind, 'claim');
+});
+
+test('an instance with listed peers does not know when the zone has a holder', () => {
+  const election = new Election({id: 'a', processors: 1}, 0);
+  const state = {isLeaving: false, registrationsKnownSince: 50};
+  const members = [createMember('b')];
+  assert.equal(election.findExpectedClaim(members, state, 100), undefined);
+});
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -4,7 +4,13 @@
 import {readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import {Owner, type HolderClient} from '../src/owner/index.js';
+import {
+  Owner,
+  OwnerRefusal,
+  type HolderClient,
+  type OwnerAnswer,
+} from '../src/owner/index.js';
+import {findHolderWaitEnd} from '../src/owner/holder_wait.js';
 import type {JobAnswer, JobSubmission} from '../src/protocol/index.js';
 import {createJob, failOnCall, noopLogger} from './fixtures/dispatcher.js';
 
@@ -51,6 +57,7 @@
     waitForHolderChange: from =>
       from === 'first' ? Promise.resolve() : new Promise(() => undefined),
     isAlive: () => isFirstAlive,
+    holderExpectedAt: () => undefined,
     onHolderUnavailable: () => undefined,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
@@ -85,3 +92,40 @@
   assert.equal(submission?.isResumed, true);
   assert.equal(submission.progress, undefined);
 });
+
+/** Runs a job in a zone that has no holder before `holderExpectedAt`. */
+function runWithoutHolder(
+  arrivedAt: number,
+  holderExpectedAt: number | undefined,
+): Promise<OwnerAnswer> {
+  const owner = new Owner({
+    selfId: 'owner',
+    findHolder: () => undefined,
+    waitForHolderChange: failOnCall,
+    isAlive: failOnCall,
+    holderExpectedAt: () => holderExpectedAt,
+    onHolderUnavailable: () => undefined,
+    logger: noopLogger,
+    metrics: new ZoneMetrics(),
+  });
+  const job = createJob('a', 1, arrivedAt);
+  return owner.run(job, new AbortController().signal);
+}
+
+test('a job that no holder can end in time is refused at once', async () => {
+  const now = readClock();
+  const answer = await runWithoutHolder(now, now + 60_000);
+  assert.ok(answer.kind === 'refused');
+  assert.equal(answer.reason, OwnerRefusal.NoHolder);
+  // The wall clock has moved a little since.
+  assert.equal(Math.ceil(answer.retryAfterMs / 10_000), 6);
+});
+
+test('a job waits for a holder only as long as it can end in time', () => {
+  const short = createJob('a', 1, 5_000);
+  assert.equal(findHolderWaitEnd(short), 5_180);
+  const [step] = short.steps;
+  assert.ok(step !== undefined);
+  const long = {...short, steps: [{...step, estimateMs: 9_000}]};
+  assert.equal(findHolderWaitEnd(long), 6_000);
+});
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -62,6 +62,7 @@
     findHolder: () => createLocalHolderClient(holder, OWNER_ID),
     waitForHolderChange: () => new Promise(() => undefined),
     isAlive: () => true,
+    holderExpectedAt: () => undefined,
     onHolderUnavailable: () => undefined,
     logger: noopLogger,
     metrics,
