--- a/packages/dispatch/src/dispatcher/min_worth.ts
+++ b/packages/dispatch/src/dispatcher/min_worth.ts
@@ -36,11 +36,15 @@
     MIN_WAITING_JOBS,
     MAX_WAITING_PER_WORKER * workers,
   );
-  return jobs.filter(isNotBegun).length > maxWaiting;
+  return jobs.filter(isHeldUp).length > maxWaiting;
 }
 
-function isNotBegun({hasStarted, isInbound}: JobRecord): boolean {
-  return !hasStarted && !isInbound;
+/**
+ * Whether a job waits because an earlier round found no place for it. Those
+ * that have just arrived, perhaps several at once, say nothing of the load.
+ */
+function isHeldUp({hasStarted, isInbound, planned}: JobRecord): boolean {
+  return !hasStarted && !isInbound && planned !== undefined;
 }
 
 /** Returns the minimum worth, 0 to 1, with which the job is accepted. */
