--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -99,6 +99,7 @@
     now: Millis,
   ): void {
     this.registry.delegationSurvey.addReport(zone, report, now);
+    this.registry.isPlacementDue = true;
     for (const record of this.registry.jobs.values())
       this.adoptDelegated(record, now);
   }
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -57,7 +57,14 @@
   const addLater = (at: Millis, isVacancy: boolean) => {
     if (places.length >= maxPlaces || at > due.usefulUntil) return;
     const worth = estimateWorth(due, expectedMs, at);
-    places.push({kind: 'later', worker, worth, expectedMs, isVacancy});
+    places.push({
+      kind: 'later',
+      worker,
+      worth,
+      expectedMs,
+      startsAt: at,
+      isVacancy,
+    });
   };
   for (const {at} of upcoming.list(worker)) {
     addLater(at, true);
