--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -151,11 +151,6 @@
       this.registry.refuse(record, RefusalReason.Overloaded, waitMs, now);
       return [];
     }
-    const isWaitingHere = record.isInbound && !record.hasStarted;
-    if (isWaitingHere && !canStartInTime(record, plan)) {
-      this.registry.refuse(record, RefusalReason.TooLate, 0, now);
-      return [];
-    }
     return plan.places.flatMap((place, index) => {
       const task = tasks[index];
       if (task === undefined) return [];
@@ -234,13 +229,6 @@
   }
 }
 
-/** Whether the plan of a delegated task starts it as early as it has to. */
-function canStartInTime({startUntil}: JobRecord, {places}: StepPlan): boolean {
-  const [place] = places;
-  if (place === undefined) return false;
-  return place.kind !== 'later' || place.startsAt <= startUntil;
-}
-
 /** Groups the ready tasks by step and by the worker that they must avoid. */
 function groupTasks(record: JobRecord): readonly TaskRecord[][] {
   const groups = new Map<string, TaskRecord[]>();
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -57,14 +57,7 @@
   const addLater = (at: Millis, isVacancy: boolean) => {
     if (places.length >= maxPlaces || at > due.usefulUntil) return;
     const worth = estimateWorth(due, expectedMs, at);
-    places.push({
-      kind: 'later',
-      worker,
-      worth,
-      expectedMs,
-      startsAt: at,
-      isVacancy,
-    });
+    places.push({kind: 'later', worker, worth, expectedMs, isVacancy});
   };
   for (const {at} of upcoming.list(worker)) {
     addLater(at, true);
--- a/packages/dispatch/src/placement/place.ts
+++ b/packages/dispatch/src/placement/place.ts
@@ -19,7 +19,6 @@
   readonly worker: WorkerRecord;
   readonly worth: number;
   readonly expectedMs: Millis;
-  readonly startsAt: Millis;
   /** Whether a current run frees it, rather than a task planned before. */
   readonly isVacancy: boolean;
 }
--- a/packages/dispatch/test/placement.test.ts
+++ b/packages/dispatch/test/placement.test.ts
@@ -3,6 +3,7 @@
 import {openSnapshots} from '@goldcrestpier/testing';
 import {
   WorkerFault,
+  countDelegations,
   simulateLoad,
   type SimulatedLoad,
   type QueueResult,
@@ -149,6 +150,64 @@
   snapshots.match('three zones at 1.2', Object.fromEntries(results));
 });
 
+/**
+ * Jobs of many short tasks and of few long ones on workers of three speeds, as
+ * the booking of lessons has them; 1 is as much as the workers can do.
+ */
+function createUnevenLoad(busyShare: number, zones: number): SimulatedLoad {
+  const speeds = [0.6, 1, 1.6];
+  const workers = Array.from({length: 33}, (_, index) => ({
+    cpuMillis: 16_000,
+    speed: speeds[index % speeds.length] ?? 1,
+    fault: WorkerFault.None,
+  }));
+  const perZone = workers.length / zones;
+  const createQueue = (
+    name: string,
+    priority: number,
+    fullRate: number,
+    tasks: number,
+    taskMs: number,
+  ) => {
+    const jobsPerS = busyShare * fullRate;
+    return {name, priority, jobsPerS, tasks, taskMs, targetMs: 60};
+  };
+  return {
+    seed: 1,
+    lengthMs: 15_000,
+    deadlineMs: 1_500,
+    tasks: {
+      medianCpuMillis: 6_800,
+      maxCpuMillis: 10_000,
+      estimateSpread: 0.4,
+    },
+    zones: Array.from({length: zones}, (_, zone) =>
+      workers.slice(zone * perZone, (zone + 1) * perZone),
+    ),
+    queues: [
+      createQueue('checks', 0, 24.1, 7.4, 55),
+      createQueue('runs', 2, 4.37, 3.7, 830),
+      createQueue('quotes', 1, 70, 1.85, 185),
+    ],
+  };
+}
+
+test('few of the tasks that zones delegate to each other are refused', () => {
+  const {sent, refused} = countDelegations(createUnevenLoad(1, 3));
+  assert.ok(sent > 1_000, `${sent}`);
+  assert.ok(refused < 0.05 * sent, `${refused} of ${sent}`);
+});
+
+test('three zones serve nearly as many short jobs in time as one holder of all workers', () => {
+  const {inTime: asOne} = findChecks(createUnevenLoad(1, 1));
+  const {inTime} = findChecks(createUnevenLoad(1, 3));
+  assert.ok(inTime > 0.98 * asOne, `${inTime}, one holder ${asOne}`);
+});
+
+function findChecks(load: SimulatedLoad): QueueResult {
+  return simulateLoad(load).get('checks') ?? EMPTY_RESULT;
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
