--- a/packages/dispatch/src/dispatcher/commands.ts
+++ b/packages/dispatch/src/dispatcher/commands.ts
@@ -1,5 +1,4 @@
 /** Commands of a dispatcher, which its holder executes. */
-import type {Millis} from '@goldcrestpier/runtime';
 import type {JobRecord} from './job_record.js';
 import type {Run} from '../workers/index.js';
 
@@ -26,8 +25,6 @@
   readonly zone: string;
   readonly run: Run;
   readonly record: JobRecord;
-  /** How long it may wait there for capacity, in ms. */
-  readonly maxWaitMs: Millis;
   /** Whether an earlier holder delegated it: only its result is requested. */
   readonly isAdopted: boolean;
 }
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -11,12 +11,7 @@
   type Vacancy,
   type ZoneVacancies,
 } from '../remote_vacancies/index.js';
-import {
-  RefusalReason,
-  type AbandonReason,
-  type Job,
-  type JobProgress,
-} from '../work/index.js';
+import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
   RunPhase,
@@ -156,7 +151,7 @@
     this.intake.resumeDelegated(job, progress, now);
   }
 
-  /** Accepts a task from another zone; it starts in time or is refused. */
+  /** Accepts a task from another zone; it starts now or is refused. */
   acceptDelegated(job: Job, now: Millis): Command[] {
     return this.intake.acceptDelegated(job, now);
   }
@@ -167,13 +162,6 @@
     if (record) abandonJob(this.registry, record, reason, now);
   }
 
-  /** Refuses a delegated task that waits, before any start of it was sent. */
-  refuse(recordId: string, now: Millis): void {
-    const record = this.registry.jobs.get(recordId);
-    if (record === undefined || record.hasStarted) return;
-    this.registry.refuse(record, RefusalReason.TooLate, 0, now);
-  }
-
   /** Returns the commands that are due now. */
   tick(now: Millis): Command[] {
     this.registry.removeExpiredRunNumbers(now);
@@ -253,8 +241,7 @@
 
   /** Lists the free capacity on each worker of a service, for other zones. */
   findVacancies(service: string, now: Millis): Vacancy[] {
-    const {upcoming} = this.placer;
-    return listVacancies(this.registry, service, upcoming, now);
+    return listVacancies(this.registry, service, now);
   }
 
   /** Holds back resumed jobs until these zones have reported their runs. */
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -77,7 +77,7 @@
     adoptOrphans(this.registry, record, now);
   }
 
-  /** Accepts a task from another zone; it starts in time or is refused. */
+  /** Accepts a task from another zone; it starts now or is refused. */
   acceptDelegated(job: Job, now: Millis): Command[] {
     if (this.registry.jobs.has(job.id)) return [];
     const isSubmittedHere = this.registry.jobs.has(
@@ -85,8 +85,7 @@
     );
     const record = this.registry.addJob(job);
     const commands = isSubmittedHere ? [] : this.placer.place(now);
-    const mayWait = !isSubmittedHere && now < record.startUntil;
-    if (!record.hasStarted && !mayWait) {
+    if (!record.hasStarted) {
       this.registry.refuse(record, RefusalReason.TooLate, 0, now);
     }
     return commands;
@@ -135,13 +134,7 @@
   /** Requests the results of delegated tasks from the zones that run them. */
   private requestResults(record: JobRecord, runs: readonly Run[]): void {
     for (const run of runs) {
-      const command = {
-        zone: run.workerId,
-        run,
-        record,
-        maxWaitMs: 0,
-        isAdopted: true,
-      };
+      const command = {zone: run.workerId, run, record, isAdopted: true};
       this.commands.push({kind: 'lend', ...command});
     }
   }
--- a/packages/dispatch/src/dispatcher/job_order.ts
+++ b/packages/dispatch/src/dispatcher/job_order.ts
@@ -17,16 +17,10 @@
 }
 
 function compareJobs(a: JobRecord, b: JobRecord): number {
-  const isBegun = hasBegun(a);
-  if (isBegun !== hasBegun(b)) return isBegun ? -1 : 1;
+  if (a.hasStarted !== b.hasStarted) return a.hasStarted ? -1 : 1;
   return computeRank(a) - computeRank(b);
 }
 
-/** Whether a task of the job has started; delegated ones are of such jobs. */
-function hasBegun({hasStarted, isInbound}: JobRecord): boolean {
-  return hasStarted || isInbound;
-}
-
 function computeRank({job, startBy}: JobRecord): Millis {
   return startBy + PRIORITY_SLACK_MS * job.priority;
 }
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -85,11 +85,6 @@
     return this.tasks.find(task => task.key === key);
   }
 
-  /** Until when it may start; after that it is refused. */
-  get startUntil(): Millis {
-    return this.job.delegated?.startUntil ?? this.usefulUntil;
-  }
-
   /** The latest start time with which it is expected to end when due. */
   get startBy(): Millis {
     return this.dueAt - this.expectedMs;
--- a/packages/dispatch/src/dispatcher/min_worth.ts
+++ b/packages/dispatch/src/dispatcher/min_worth.ts
@@ -6,10 +6,8 @@
 import {estimateWorth} from '../placement/index.js';
 import type {JobRecord} from './job_record.js';
 
-/** Jobs that wait to start for each worker, above which the load is high. */
-const MAX_WAITING_PER_WORKER = 0.09;
-/** Jobs that may wait to start in any zone, however few its workers. */
-const MIN_WAITING_JOBS = 1;
+/** Number of jobs waiting to start above which the load counts as high. */
+const MAX_WAITING_JOBS = 3;
 /** Share of its best possible worth that a job needs while few wait. */
 const LOW_LOAD_SHARE = 0.15;
 /** The same share while many wait. */
@@ -27,24 +25,9 @@
   readonly isNew: boolean;
 }
 
-/** Whether many of a service's jobs wait to start, for so many workers. */
-export function areManyWaiting(
-  jobs: readonly JobRecord[],
-  workers: number,
-): boolean {
-  const maxWaiting = Math.max(
-    MIN_WAITING_JOBS,
-    MAX_WAITING_PER_WORKER * workers,
-  );
-  return jobs.filter(isHeldUp).length > maxWaiting;
-}
-
-/**
- * Whether a job waits because an earlier round found no place for it. Those
- * that have just arrived, perhaps several at once, say nothing of the load.
- */
-function isHeldUp({hasStarted, isInbound, planned}: JobRecord): boolean {
-  return !hasStarted && !isInbound && planned !== undefined;
+/** Whether many of the jobs wait to start. */
+export function areManyWaiting(jobs: readonly JobRecord[]): boolean {
+  return jobs.filter(({hasStarted}) => !hasStarted).length > MAX_WAITING_JOBS;
 }
 
 /** Returns the minimum worth, 0 to 1, with which the job is accepted. */
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -48,7 +48,7 @@
     if (record.pendingOutcome !== undefined) continue;
     if (now >= record.job.deadlineAt) {
       abandonJob(registry, record, AbandonReason.Deadline, now);
-    } else if (!record.hasStarted && now >= record.startUntil) {
+    } else if (!record.hasStarted && now >= record.usefulUntil) {
       registry.refuse(record, RefusalReason.TooLate, 0, now);
     }
   }
--- a/packages/dispatch/src/dispatcher/placement_round.ts
+++ b/packages/dispatch/src/dispatcher/placement_round.ts
@@ -9,27 +9,18 @@
 /** The usable workers, their upcoming vacancies, and the load of a round. */
 export class PlacementRound {
   readonly upcoming: UpcomingVacancies;
-  private readonly manyWaiting = new Map<string, boolean>();
+  readonly hasManyWaiting: boolean;
   private readonly byService = new Map<string, readonly WorkerRecord[]>();
 
   constructor(
     private readonly registry: Registry,
-    private readonly waiting: readonly JobRecord[],
+    waiting: readonly JobRecord[],
     private readonly now: Millis,
   ) {
+    this.hasManyWaiting = areManyWaiting(waiting);
     this.upcoming = new UpcomingVacancies(now);
   }
 
-  /** Whether many jobs of the service wait to start. */
-  hasManyWaiting(service: string): boolean {
-    const known = this.manyWaiting.get(service);
-    if (known !== undefined) return known;
-    const jobs = this.waiting.filter(({job}) => job.service === service);
-    const hasMany = areManyWaiting(jobs, this.usableWorkers(service).length);
-    this.manyWaiting.set(service, hasMany);
-    return hasMany;
-  }
-
   /** Returns the workers of a service that can be given tasks now. */
   usableWorkers(service: string): readonly WorkerRecord[] {
     const known = this.byService.get(service);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -1,12 +1,7 @@
 /** Assigns waiting tasks to workers; refuses jobs that can't end in time. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {RemoteVacancies} from '../remote_vacancies/index.js';
-import {
-  planStep,
-  type Place,
-  type StepPlan,
-  type UpcomingVacancies,
-} from '../placement/index.js';
+import {planStep, type Place, type StepPlan} from '../placement/index.js';
 import {RefusalReason} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
@@ -25,10 +20,6 @@
  * closer although nothing changes.
  */
 const MAX_PLACEMENT_INTERVAL_MS = 20;
-/** Time before it is free at which a place in another zone is used, in ms. */
-const MAX_EARLY_MS = 40;
-/** Added to the expected wait of a task in another zone, in ms. */
-const WAIT_MARGIN_MS = 100;
 
 /** Excludes one worker, unless it is the only one. */
 function excludeWorker(
@@ -55,8 +46,6 @@
 
 /** Places the waiting tasks of one registry. */
 export class Placer {
-  /** Vacancies that the last round left for other zones. */
-  private lastUpcoming: UpcomingVacancies | undefined;
   private lastPlacedAt: Millis = -Infinity;
 
   constructor(
@@ -84,7 +73,6 @@
       this.isPlaceable(record, now),
     );
     const round = new PlacementRound(this.registry, waiting, now);
-    this.lastUpcoming = round.upcoming;
     moveLateRuns(this.registry, round, now);
     return sortJobs(waiting).flatMap(record =>
       groupTasks(record).flatMap(tasks =>
@@ -93,11 +81,6 @@
     );
   }
 
-  /** Upcoming vacancies that no task of the last round is planned for. */
-  get upcoming(): UpcomingVacancies | undefined {
-    return this.lastUpcoming;
-  }
-
   /** Whether the job has waiting tasks and none of them may run already. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.pendingOutcome !== undefined || !record.hasWaitingTasks)
@@ -184,14 +167,13 @@
   private isNotWorthStarting(
     record: JobRecord,
     {worth}: StepPlan,
-    round: PlacementRound,
+    {hasManyWaiting}: PlacementRound,
   ): boolean {
     const {hasStarted, isInbound, planned, job} = record;
     if (hasStarted || isInbound) return false;
     // Workers that a new holder has not polled yet may have free capacity.
     if (this.registry.hasUnpolledWorkersFor(job.service)) return false;
     const isNew = planned === undefined;
-    const hasManyWaiting = round.hasManyWaiting(job.service);
     const minWorth = findMinWorth(record, {hasManyWaiting, isNew});
     record.planned = {worth, minWorth};
     return worth < minWorth;
@@ -212,15 +194,12 @@
         return [{kind: 'start', run, payload: record.job.payload}];
       }
       case 'remote': {
-        const {zone, expectedMs, waitMs, reserve} = place;
+        const {zone, expectedMs, reserve} = place;
         reserve();
-        if (waitMs > MAX_EARLY_MS) return [];
         const run = createRun(record, task, zone, expectedMs, now);
         run.delegatedTo = zone;
-        run.expectedEndAt += waitMs;
         this.registry.beginRun(record, task, run);
-        const maxWaitMs = waitMs + WAIT_MARGIN_MS;
-        return [{kind: 'lend', zone, run, record, maxWaitMs, isAdopted: false}];
+        return [{kind: 'lend', zone, run, record, isAdopted: false}];
       }
       case 'later':
         if (place.isVacancy) round.upcoming.reserve(place.worker);
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -59,9 +59,9 @@
     const worth = estimateWorth(due, expectedMs, at);
     places.push({kind: 'later', worker, worth, expectedMs, isVacancy});
   };
-  for (const {at} of upcoming.list(worker)) {
-    addLater(at, true);
-    starts.push(at);
+  for (const vacantAt of upcoming.listTimes(worker)) {
+    addLater(vacantAt, true);
+    starts.push(vacantAt);
   }
   for (let wave = 1; wave < MAX_WAVES; wave += 1) {
     for (const start of starts) addLater(start + wave * expectedMs, false);
--- a/packages/dispatch/src/placement/place.ts
+++ b/packages/dispatch/src/placement/place.ts
@@ -23,14 +23,12 @@
   readonly isVacancy: boolean;
 }
 
-/** Capacity that another zone reported, which is free now or will be. */
+/** Capacity that another zone reported as free. */
 export interface RemotePlace {
   readonly kind: 'remote';
   readonly zone: string;
   readonly worth: number;
   readonly expectedMs: Millis;
-  /** Time until it is free, in ms; 0 if it is free now. */
-  readonly waitMs: Millis;
   /** Reserves the capacity, so that it is not planned for another task. */
   readonly reserve: () => void;
 }
@@ -39,20 +37,19 @@
 export type Place = FreePlace | LaterPlace | RemotePlace;
 
 /** Discounts relative to free places, as other tasks may take them first. */
-const REMOTE_DISCOUNT = 0.92;
+const REMOTE_DISCOUNT = 0.97;
 const LATER_DISCOUNT = 0.9;
 
 /** Buckets per factor of e; run times in one bucket count as equal. */
 const SPEED_BUCKETS = 7;
 
 /** Worth of a place, discounted by the risk that another task takes it. */
-export function weighPlace(place: Place): number {
-  const {worth} = place;
-  switch (place.kind) {
+export function weighPlace({kind, worth}: Place): number {
+  switch (kind) {
     case 'free':
       return worth;
     case 'remote':
-      return worth * REMOTE_DISCOUNT * (place.waitMs > 0 ? LATER_DISCOUNT : 1);
+      return worth * REMOTE_DISCOUNT;
     case 'later':
       return worth * LATER_DISCOUNT;
   }
@@ -86,12 +83,12 @@
   return b.weight - a.weight;
 }
 
-function rankKind(place: Place): number {
-  switch (place.kind) {
+function rankKind({kind}: Place): number {
+  switch (kind) {
     case 'free':
       return 0;
     case 'remote':
-      return place.waitMs > 0 ? 3 : 1;
+      return 1;
     case 'later':
       return 2;
   }
--- a/packages/dispatch/src/placement/upcoming_vacancies.ts
+++ b/packages/dispatch/src/placement/upcoming_vacancies.ts
@@ -3,44 +3,36 @@
  * the same worker reserve its upcoming vacancies one after another.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {Resources} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 
 /** Time from now in which an overdue run is expected to end, in ms. */
 const OVERDUE_DELAY_MS = 30;
 
-/** Capacity that a run frees when it ends. */
-export interface UpcomingVacancy {
-  readonly at: Millis;
-  readonly freed: Resources;
-}
-
 /** Expected vacancies of each worker that are not reserved yet. */
 export class UpcomingVacancies {
-  private readonly byWorker = new Map<WorkerRecord, UpcomingVacancy[]>();
+  private readonly timesByWorker = new Map<WorkerRecord, Millis[]>();
 
   constructor(private readonly now: Millis) {}
 
-  /** Returns the unreserved vacancies of a worker, the next one first. */
-  list(worker: WorkerRecord): readonly UpcomingVacancy[] {
-    return this.getVacancies(worker);
+  /** Returns the times of the unreserved vacancies, the next one first. */
+  listTimes(worker: WorkerRecord): readonly Millis[] {
+    return this.getTimes(worker);
   }
 
   /** Reserves the worker's next vacancy. */
   reserve(worker: WorkerRecord): void {
-    this.getVacancies(worker).shift();
+    this.getTimes(worker).shift();
   }
 
-  private getVacancies(worker: WorkerRecord): UpcomingVacancy[] {
-    const known = this.byWorker.get(worker);
+  private getTimes(worker: WorkerRecord): Millis[] {
+    const known = this.timesByWorker.get(worker);
     if (known !== undefined) return known;
-    const vacancies: UpcomingVacancy[] = [];
-    for (const {expectedEndAt, need} of worker.runs.values()) {
-      const at = Math.max(expectedEndAt, this.now + OVERDUE_DELAY_MS);
-      vacancies.push({at, freed: need});
+    const times: Millis[] = [];
+    for (const {expectedEndAt} of worker.runs.values()) {
+      times.push(Math.max(expectedEndAt, this.now + OVERDUE_DELAY_MS));
     }
-    vacancies.sort((a, b) => a.at - b.at);
-    this.byWorker.set(worker, vacancies);
-    return vacancies;
+    times.sort((a, b) => a - b);
+    this.timesByWorker.set(worker, times);
+    return times;
   }
 }
--- a/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
+++ b/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
@@ -19,17 +19,13 @@
 const MAX_AGE_MS = 500;
 /** Round-trip time to another zone, in ms. */
 const ROUND_TRIP_MS = 4;
-/** Time until capacity is free that was expected to be free already, in ms. */
-const MIN_WAIT_MS = 10;
 
-/** Capacity on one worker of another zone that is free, or will be. */
+/** Free capacity on one worker of another zone. */
 export interface Vacancy {
   /** Run time there relative to a worker of typical speed. */
   readonly slowness: number;
   readonly cpuMillis: number;
   readonly memoryMb: number;
-  /** Time from the report until it is free, in ms; 0 if it was free then. */
-  readonly freeInMs: Millis;
 }
 
 /** Free capacity of one service in another zone. */
@@ -101,20 +97,11 @@
   if (fitting === 0) return [];
   const typicalMs = runTimes.predict(queue, step.estimateMs);
   const expectedMs = typicalMs * vacancy.slowness + ROUND_TRIP_MS;
-  const freeAt = record.reportedAt + vacancy.freeInMs;
-  const waitMs = vacancy.freeInMs > 0 ? Math.max(freeAt - now, MIN_WAIT_MS) : 0;
-  const worth = estimateWorth(due, expectedMs, now + waitMs);
+  const worth = estimateWorth(due, expectedMs, now);
   const {zone} = record.reported;
   const reserve = () => reserveVacancy(record, index, step);
-  const place: RemotePlace = {
-    kind: 'remote',
-    zone,
-    worth,
-    expectedMs,
-    waitMs,
-    reserve,
-  };
-  return Array.from({length: vacancy.freeInMs > 0 ? 1 : fitting}, () => place);
+  const place: RemotePlace = {kind: 'remote', zone, worth, expectedMs, reserve};
+  return Array.from({length: fitting}, () => place);
 }
 
 function toResources({cpuMillis, memoryMb}: Vacancy): Resources {
@@ -136,7 +123,7 @@
   const vacancy = record.remaining[index];
   if (vacancy === undefined) return;
   record.remaining[index] = {
-    ...vacancy,
+    slowness: vacancy.slowness,
     cpuMillis: vacancy.cpuMillis - need.cpuMillis,
     memoryMb: vacancy.memoryMb - need.memoryMb,
   };
--- a/packages/dispatch/src/work/job.ts
+++ b/packages/dispatch/src/work/job.ts
@@ -70,8 +70,6 @@
   readonly name: TaskName;
   /** The run number. */
   readonly run: number;
-  /** Until when it may wait for capacity; it is refused after that. */
-  readonly startUntil: Millis;
 }
 
 /** Identifies one task by its job, its step and its index in the step. */
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -74,12 +74,7 @@
 test('a task is delegated when another zone has capacity and this one has none', () => {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
-  const vacancy = {
-    slowness: 1,
-    cpuMillis: 64_000,
-    memoryMb: 1_000,
-    freeInMs: 0,
-  };
+  const vacancy = {slowness: 1, cpuMillis: 64_000, memoryMb: 1_000};
   const reported = {zone: 'east', service: 'pricing', vacancies: [vacancy]};
   dispatcher.updateZoneVacancies(reported, 0);
   dispatcher.submit(createJob('a', 4), false, 0);
@@ -99,12 +94,7 @@
 test('a task delegated to a lost holder starts again after it has certainly ended', () => {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
-  const vacancy = {
-    slowness: 0.2,
-    cpuMillis: 64_000,
-    memoryMb: 1_000,
-    freeInMs: 0,
-  };
+  const vacancy = {slowness: 0.2, cpuMillis: 64_000, memoryMb: 1_000};
   const reported = {zone: 'east', service: 'pricing', vacancies: [vacancy]};
   const long = {targetMs: 20_000, deadlineAt: 20_000};
   dispatcher.submit(createJob('b', 2, long), false, 0);
@@ -133,11 +123,7 @@
 test('a new holder resumes a task that was delegated to its predecessor', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   dispatcher.handleReport('w1', createReport([createRunningEntry(0)]), 1, 2);
-  const delegated = {
-    name: {jobId: 'a', step: 0, index: 0},
-    run: 3,
-    startUntil: 0,
-  };
+  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
   const job = createJob('a.0.0.0@east', 1, {delegated, delegatedBy: 'east'});
   dispatcher.resumeDelegated(job, 5);
   assert.deepEqual(formatCommands(dispatcher.tick(600)), []);
@@ -150,11 +136,7 @@
 test('a delegated task that is not found is reported as lost', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const delegated = {
-    name: {jobId: 'a', step: 0, index: 0},
-    run: 3,
-    startUntil: 0,
-  };
+  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
   const job = createJob('a.0.0.0@east', 1, {
     ...longDeadline,
     delegated,
@@ -197,9 +179,7 @@
 
 test('a resumed job is not delegated while no worker of the zone is known', () => {
   const dispatcher = createDispatcher([], 0);
-  const vacancies = [
-    {slowness: 1, cpuMillis: 64_000, memoryMb: 1_000, freeInMs: 0},
-  ];
+  const vacancies = [{slowness: 1, cpuMillis: 64_000, memoryMb: 1_000}];
   dispatcher.updateZoneVacancies(
     {zone: 'east', service: 'pricing', vacancies},
     10,
@@ -227,11 +207,7 @@
 test('a delegated task may go on until the leases of the previous holder expire', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const delegated = {
-    name: {jobId: 'a', step: 0, index: 0},
-    run: 3,
-    startUntil: 0,
-  };
+  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
   const job = createJob('a.0.0.0@east', 1, {
     ...longDeadline,
     delegated,
--- a/packages/dispatch/test/unknown_runs.test.ts
+++ b/packages/dispatch/test/unknown_runs.test.ts
@@ -43,11 +43,7 @@
 test('a resubmitted job does not start a task that runs here for another zone', () => {
   const dispatcher = createDispatcher([first, second]);
   pollAllWorkers(dispatcher, 0);
-  const delegated = {
-    name: {jobId: 'a', step: 0, index: 0},
-    run: 3,
-    startUntil: 0,
-  };
+  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
   const task = createJob('a.0.0.0@west', 1, {delegated, delegatedBy: 'west'});
   const [start] = dispatcher.acceptDelegated(task, 0);
   assert.ok(start?.kind === 'start');
@@ -120,11 +116,7 @@
   pollAllWorkers(dispatcher, 0);
   dispatcher.submit(createJob('a', 1), false, 0);
   dispatcher.tick(0);
-  const delegated = {
-    name: {jobId: 'a', step: 0, index: 0},
-    run: 3,
-    startUntil: 0,
-  };
+  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
   const task = createJob('a.0.0.0@west', 1, {delegated, delegatedBy: 'west'});
   assert.deepEqual(dispatcher.acceptDelegated(task, 1), []);
   const [ended] = dispatcher.takeEndedJobs();
--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -55,21 +55,6 @@
     );
   }
 
-  /**
-   * Refuses the tasks of a zone that wait here and were delegated under a lower
-   * token. To a new holder, which is not told of them, they would be free to
-   * start elsewhere.
-   */
-  refuseWaiting(homeZone: string, token: number, now: Millis): void {
-    const {dispatcher, onChange} = this.options;
-    for (const {id, job, hasStarted} of [...dispatcher.jobs.values()]) {
-      if (job.delegatedBy !== homeZone || hasStarted) continue;
-      if ((this.tokenByTask.get(id) ?? 0) >= token) continue;
-      dispatcher.refuse(id, now);
-      onChange();
-    }
-  }
-
   /**
    * Lists the tasks that run here for a zone, and the runs found on workers
    * whose zone is unknown.
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -169,7 +169,7 @@
       : capacities;
   }
 
-  /** Runs one task for another zone; refuses it if it can't start in time. */
+  /** Runs one task for another zone; refuses it if it can't start now. */
   runDelegatedTask(message: TaskDelegation): Promise<JobAnswer> {
     if (this.isClosed) {
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
@@ -185,13 +185,9 @@
     this.delegatedTasks.recall(homeZone, task, readClock());
   }
 
-  /**
-   * Lists the tasks that run, or may run, here for another zone. Those that
-   * wait under a token lower than `token` are refused first.
-   */
-  listDelegatedTasks(homeZone: string, token: number): DelegatedTaskList {
+  /** Lists the tasks that run, or may run, here for another zone. */
+  listDelegatedTasks(homeZone: string): DelegatedTaskList {
     const now = readClock();
-    this.delegatedTasks.refuseWaiting(homeZone, token, now);
     const delegated = this.delegatedTasks.list(homeZone, now);
     this.options.logger.info('listed delegated tasks for another zone', {
       zone: homeZone,
@@ -211,8 +207,8 @@
   /** Counts the jobs of a queue of which no task has started. */
   countWaiting(queue: string): number {
     let count = 0;
-    for (const {job, hasStarted, isInbound} of this.dispatcher.jobs.values()) {
-      if (job.queue === queue && !hasStarted && !isInbound) count += 1;
+    for (const {job, hasStarted} of this.dispatcher.jobs.values()) {
+      if (job.queue === queue && !hasStarted) count += 1;
     }
     return count;
   }
--- a/packages/zone/src/holder/job_conversion.ts
+++ b/packages/zone/src/holder/job_conversion.ts
@@ -55,7 +55,7 @@
 
 /** Converts a delegated task to a separate job with a single attempt. */
 export function toDelegatedJob(message: TaskDelegation, now: Millis): Job {
-  const {homeZone, step, index, run, maxWaitMs = 0} = message;
+  const {homeZone, step, index, run} = message;
   const submitted = toJob(message.job, now);
   const name = {jobId: submitted.id, step, index};
   const id = formatDelegatedTaskId(homeZone, formatTaskName(name));
@@ -63,7 +63,7 @@
     ...submitted,
     id,
     maxAttempts: 1,
-    delegated: {name, run, startUntil: now + maxWaitMs},
+    delegated: {name, run},
     delegatedBy: homeZone,
   };
 }
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -76,7 +76,7 @@
   }
 
   private async request(
-    {zone, run, record, maxWaitMs}: DelegateCommand,
+    {zone, run, record}: DelegateCommand,
     reattachment: {isJoin: boolean; progress?: JobProgress | undefined},
   ): Promise<Result<DelegationAnswer, ZoneCallFailure>> {
     const client = this.options.findZoneClient(zone);
@@ -96,7 +96,6 @@
       step,
       index,
       run: run.number,
-      maxWaitMs,
       ...reattachment,
     };
     return client.delegateTask(message, job.remainingMs + ANSWER_MARGIN_MS);
--- a/packages/zone/src/instance/delegation_handler.ts
+++ b/packages/zone/src/instance/delegation_handler.ts
@@ -48,7 +48,7 @@
     this.zones.recordToken(homeZone, token);
     const unknown = {isComplete: false, tasks: []};
     return Promise.resolve(
-      this.findHolder()?.listDelegatedTasks(homeZone, token) ?? unknown,
+      this.findHolder()?.listDelegatedTasks(homeZone) ?? unknown,
     );
   }
 }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -22,22 +22,9 @@
   z.number().int().positive().max(MAX_WORKERS_PER_ROW),
 ]);
 
-/**
- * Capacity of one worker that its runs will free: slowness, thousandths of a
- * processor, memory in MB, time until then in ms.
- */
-const upcomingVacancySchema = z.tuple([
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-]);
-
 const freeCapacitySchema = z.object({
   service: z.string(),
   vacancies: z.array(vacancySchema),
-  /** Missing in messages of versions that report only what is free. */
-  upcoming: z.array(upcomingVacancySchema).optional(),
 });
 
 /** Sent to peers periodically, and answered with the receiver's own. */
@@ -139,8 +126,6 @@
   step: z.number().int().nonnegative(),
   index: z.number().int().nonnegative(),
   run: z.number().int().positive(),
-  /** How long it may wait for capacity, in ms; it is refused after that. */
-  maxWaitMs: z.number().nonnegative().optional(),
   /** Reattaches to a run that was delegated before; starts nothing. */
   isJoin: z.boolean(),
   /** The progress that the previous holder reported when it stepped down. */
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -143,7 +143,7 @@
   const fixture = new HolderFixture({...idleReport, running});
   await nextTurn();
   await flushPromises();
-  const delegated = fixture.holder.listDelegatedTasks('east', 1);
+  const delegated = fixture.holder.listDelegatedTasks('east');
   void fixture.lifecycle.close();
   const tasks = [{key: 'a.0.0.0', run: 1}];
   assert.deepEqual(delegated, {isComplete: false, tasks});
--- a/packages/zone/test/task_delegator.test.ts
+++ b/packages/zone/test/task_delegator.test.ts
@@ -34,9 +34,7 @@
   const dispatcher = createDispatcher(now);
   dispatcher.submit(createJob('a', 2, now), false, now);
   dispatcher.tick(now);
-  const vacancies = [
-    {slowness: 1, cpuMillis: 30_000, memoryMb: 1_000, freeInMs: 0},
-  ];
+  const vacancies = [{slowness: 1, cpuMillis: 30_000, memoryMb: 1_000}];
   dispatcher.updateZoneVacancies(
     {zone: 'east', service: 'pricing', vacancies},
     now,
