--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -25,7 +25,6 @@
 import {DelegationHandler} from './delegation_handler.js';
 import {PeerLinks} from './links.js';
 import {LoopDelay} from './loop_delay.js';
-import type {SelfState} from '../election/index.js';
 import {toZoneCapacity, type Holder} from '../holder/index.js';
 import {OtherZones} from './other_zones.js';
 import {createOwnHeartbeat} from './own_heartbeat.js';
@@ -79,15 +78,17 @@
         findHolderClient(this.roles, id, other => this.findClient(other)),
       waitForHolderChange: (from, signal) => this.notifier.wait(from, signal),
       isAlive: (other, now) => other === id || this.view.isAlive(other, now),
-      holderExpectedAt: now => this.findExpectedClaim(now),
+      holderExpectedAt: now => {
+        const members = this.view.listMembers(now);
+        return this.roles.findExpectedClaim(members, this.isLeaving, now);
+      },
       onHolderUnavailable: now => this.recordHolderUnavailable(now),
       logger: logs.forPart(LogPart.Jobs),
       metrics,
     });
-    const log = logs.forPart(LogPart.Membership);
     this.scheduler = new StepScheduler({
       step: now => this.step(now),
-      loopDelay: new LoopDelay(log, metrics),
+      loopDelay: new LoopDelay(logs.forPart(LogPart.Membership), metrics),
       lifecycle: options.lifecycle,
     });
   }
@@ -193,7 +194,7 @@
     if (this.owner.hasJobs) this.activity.recordJobs(now);
     const isCandidate = this.chooseLinks(now);
     directory.setCandidate(isCandidate);
-    this.roles.update(this.view.listMembers(now), this.selfState, now);
+    this.roles.update(this.view.listMembers(now), this.isLeaving, now);
     const version = directory.configuration()?.version;
     const state = {claim: this.roles.claim, isLeaving: this.isLeaving, version};
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
@@ -246,16 +247,6 @@
     );
   }
 
-  private get selfState(): SelfState {
-    const registrationsKnownSince = this.options.directory.registrationsSince();
-    return {isLeaving: this.isLeaving, registrationsKnownSince};
-  }
-
-  private findExpectedClaim(now: Millis): Millis | undefined {
-    const members = this.view.listMembers(now);
-    return this.roles.findExpectedClaim(members, this.selfState, now);
-  }
-
   private findZoneClient(zone: string): ZoneClient | undefined {
     const address = this.zones.findAddress(zone);
     return address === undefined ? undefined : this.links.find(address);
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -97,16 +97,18 @@
   /** When this instance claims the zone, if only it can; else undefined. */
   findExpectedClaim(
     members: readonly Member[],
-    self: SelfState,
+    isLeaving: boolean,
     now: Millis,
   ): Millis | undefined {
     if (!this.isWaiting) return undefined;
+    const self = this.describeSelf(isLeaving);
     return this.election.findExpectedClaim(members, self, now);
   }
 
   /** Chooses the role again and applies it. */
-  update(members: readonly Member[], self: SelfState, now: Millis): void {
+  update(members: readonly Member[], isLeaving: boolean, now: Millis): void {
     const before = this.role.kind;
+    const self = this.describeSelf(isLeaving);
     this.role = this.election.chooseRole(members, self, now);
     switch (this.role.kind) {
       case 'hold':
@@ -123,6 +125,11 @@
     if (before !== this.role.kind) this.logRoleChange(before);
   }
 
+  private describeSelf(isLeaving: boolean): SelfState {
+    const registrationsKnownSince = this.options.directory.registrationsSince();
+    return {isLeaving, registrationsKnownSince};
+  }
+
   private takeOver(skip: number): void {
     const {id, nonce, otherZones, directory} = this.options;
     const highest = this.election.claim?.token ?? 0;
