--- a/scripts/explain_day.mjs
+++ b/scripts/explain_day.mjs
@@ -72,6 +72,7 @@
       break;
     case 'request completed':
       job.prefix = entry.path.slice(0, entry.path.lastIndexOf('/'));
+      // Instances are named CLASS-ZONE-NUMBER.
       job.zone = instance.split('-')[1] ?? '?';
       job.at = at;
       job.outcome = entry.outcome;
@@ -83,15 +84,18 @@
 
 function readJobs(file) {
   const jobs = new Map();
+  let unreadable = 0;
   for (const line of readFileSync(file, 'utf8').split('\n')) {
     const match = LINE.exec(line);
     if (match === null) continue;
     try {
       applyLine(jobs, Number(match[1]), match[2], JSON.parse(match[3]));
     } catch {
-      // The log is cut where it is too long: such a line is not JSON.
+      // A line that was cut where it was too long is not JSON.
+      unreadable += 1;
     }
   }
+  console.log(`${unreadable} lines could not be read`);
   nameQueues([...jobs.values()]);
   return [...jobs.values()];
 }
@@ -116,20 +120,12 @@
 function explainSlow(job) {
   const {placed, ended, objectiveMs = Infinity, acceptedAt = 0} = job;
   if (placed.length === 0) return 'no task was placed';
-  const lost = ended.filter(({end}) => end === 'lost');
-  if (lost.length > 0) return 'a run was lost';
-  if (ended.some(({end}) => end === 'failed')) return 'a run failed';
-  if (
-    ended.some(
-      ({end, tookMs, expectedMs}) =>
-        end === 'stopped' &&
-        tookMs < expectedMs * STRAGGLER_FACTOR &&
-        job.outcome === '200',
-    )
-  )
-    return 'a run was moved';
-  if (ended.some(({end}) => end === 'refused'))
-    return 'another zone refused a task';
+  const ends = new Set(ended.map(({end}) => end));
+  if (ends.has('lost')) return 'a run was lost';
+  if (ends.has('failed')) return 'a run failed';
+  // Runs of a job that was not answered are stopped in any case.
+  if (ends.has('stopped') && job.outcome === '200') return 'a run was moved';
+  if (ends.has('refused')) return 'another zone refused a task';
   const first = placed.filter(({run}) => run === 1);
   const waitMs = Math.max(...first.map(({at}) => at - acceptedAt)) * 1_000;
   if (waitMs > LATE_START_SHARE * objectiveMs) return 'a task waited';
