--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -10,8 +10,8 @@
 
 /** Factor on the run time of a task outside the rack that has its data. */
 const REMOTE_DATA_FACTOR = 2;
-/** Most tasks of a step that are planned in one place in sequence. */
-export const MAX_WAVES = 4;
+/** Number of tasks of a step that are planned in one place in sequence. */
+const MAX_WAVES = 4;
 
 /** Tasks of one step that wait together. */
 export interface Demand {
@@ -33,13 +33,12 @@
 /**
  * Lists the worker's places for the demand: those that are free now, those that
  * its current runs will free, and the same places again after a task of the
- * step has ended there, up to `waves` tasks in sequence.
+ * step has ended there.
  */
 export function listPlaces(
   demand: Demand,
   worker: WorkerRecord,
   {runTimes, upcoming}: Forecast,
-  waves: number,
   now: Millis,
 ): Place[] {
   const {queue, step, due, count, countRunningOn} = demand;
@@ -64,7 +63,7 @@
     addLater(vacantAt, true);
     starts.push(vacantAt);
   }
-  for (let wave = 1; wave < waves; wave += 1) {
+  for (let wave = 1; wave < MAX_WAVES; wave += 1) {
     for (const start of starts) addLater(start + wave * expectedMs, false);
   }
   return places;
--- a/packages/dispatch/src/placement/plan_step.ts
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -8,12 +8,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {WorkerRecord} from '../workers/index.js';
-import {
-  listPlaces,
-  MAX_WAVES,
-  type Demand,
-  type Forecast,
-} from './list_places.js';
+import {listPlaces, type Demand, type Forecast} from './list_places.js';
 import {sortPlaces, weighPlace, type Place, type RemotePlace} from './place.js';
 
 /** Share of the last task's worth from which a place counts as good enough. */
@@ -35,12 +30,10 @@
   forecast: Forecast,
   now: Millis,
 ): StepPlan {
-  const listAll = (waves: number) =>
-    workers.flatMap(worker => listPlaces(demand, worker, forecast, waves, now));
-  let places: Place[] = [...remotes, ...listAll(1)];
-  // Only a job with more tasks than there are places runs them in sequence.
-  if (places.length < demand.count)
-    places = [...remotes, ...listAll(MAX_WAVES)];
+  const places: Place[] = [...remotes];
+  for (const worker of workers) {
+    places.push(...listPlaces(demand, worker, forecast, now));
+  }
   const last = findRanked(places, demand.count);
   if (last === undefined) {
     places.sort((a, b) => weighPlace(b) - weighPlace(a));
