packages/zone: a postponed job keeps the deadline of its arrival

A task started 22 ms after its caller had stopped waiting, and ran beside one that another zone started when the job came a third time. Class: acting on a permission that has run out meanwhile.

Change: the job is converted at its arrival, and a postponed one keeps that deadline.

--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -3,6 +3,7 @@
   AbandonReason,
   type Dispatcher,
   type EndedJob,
+  type Job,
 } from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
@@ -26,10 +27,16 @@
   readonly onChange: () => void;
 }
 
+/** A resubmitted job that waits until the runs of its earlier record end. */
+interface PostponedJob {
+  readonly job: Job;
+  readonly isResumed: boolean;
+}
+
 /** Submits jobs to the dispatcher and returns the results to the owners. */
 export class SubmissionHandler {
   /** Resubmitted jobs whose earlier record is still being stopped. */
-  private readonly postponed = new Map<string, JobSubmission>();
+  private readonly postponed = new Map<string, PostponedJob>();
 
   constructor(private readonly options: SubmissionHandlerOptions) {}
 
@@ -85,7 +92,7 @@
     const postponed = this.postponed.get(id);
     if (postponed !== undefined) {
       this.postponed.delete(id);
-      dispatcher.submit(toJob(postponed, now), postponed.isResumed, now);
+      dispatcher.submit(postponed.job, postponed.isResumed, now);
       onChange();
       return;
     }
@@ -123,8 +130,11 @@
     const {id, ownerId, isResumed, progress} = message;
     pendingAnswers.add(id, {ownerId, answer});
     const known = dispatcher.jobs.get(id);
-    if (known?.pendingOutcome !== undefined) this.postponed.set(id, message);
-    else dispatcher.submit(toJob(message, now), isResumed, now, progress);
+    // A message says how much time is left from its arrival on.
+    const job = toJob(message, now);
+    if (known?.pendingOutcome !== undefined)
+      this.postponed.set(id, {job, isResumed});
+    else dispatcher.submit(job, isResumed, now, progress);
     const freeMillis = sumFreeMillis(dispatcher, now);
     const record = dispatcher.jobs.get(id);
     const objectiveMs = record && record.dueAt - record.job.arrivedAt;
--- a/packages/zone/test/one_run_at_a_time.test.ts
+++ b/packages/zone/test/one_run_at_a_time.test.ts
@@ -13,6 +13,11 @@
 }
 
 const regressionCases: readonly SimulationCase[] = [
+  {
+    seed: 3037,
+    zones: 3,
+    cause: 'a postponed job runs on after its caller stopped waiting',
+  },
   {seed: 21, zones: 1, cause: 'a worker restarts with the same id'},
   {
     seed: 94,
