--- a/packages/dispatch/test/placement.test.ts
+++ b/packages/dispatch/test/placement.test.ts
@@ -6,6 +6,7 @@
   countDelegations,
   simulateLoad,
   type SimulatedLoad,
+  type SimulatedQueue,
   type QueueResult,
   type SimulatedWorker,
 } from './fixtures/simulated_load.js';
@@ -62,6 +63,19 @@
   };
 }
 
+/** A queue with `busyShare` of the jobs a second that it has at full load. */
+function createQueue(
+  busyShare: number,
+  name: string,
+  priority: number,
+  fullRate: number,
+  tasks: number,
+  taskMs: number,
+): SimulatedQueue {
+  const jobsPerS = busyShare * fullRate;
+  return {name, priority, jobsPerS, tasks, taskMs, targetMs: 60};
+}
+
 /** Three zones with three kinds of workers, at `busyShare` of full load. */
 function createThreeZoneLoad(busyShare: number): SimulatedLoad {
   const speeds = [1.9, 0.8, 0.8, 0.55, 0.8, 1.9, 0.55, 0.8, 1.9, 0.55, 0.8];
@@ -71,25 +85,15 @@
       speed,
       fault: WorkerFault.None,
     }));
-  const createQueue = (
-    name: string,
-    priority: number,
-    fullRate: number,
-    tasks: number,
-    taskMs: number,
-  ) => {
-    const jobsPerS = busyShare * fullRate;
-    return {name, priority, jobsPerS, tasks, taskMs, targetMs: 60};
-  };
   return {
     seed: 7,
     lengthMs: 40_000,
     deadlineMs: 1_500,
     zones: [createZone(0), createZone(1), createZone(2)],
     queues: [
-      createQueue('checks', 0, 31, 7, 52),
-      createQueue('runs', 2, 5.6, 4, 727),
-      createQueue('quotes', 1, 90, 2, 173),
+      createQueue(busyShare, 'checks', 0, 31, 7, 52),
+      createQueue(busyShare, 'runs', 2, 5.6, 4, 727),
+      createQueue(busyShare, 'quotes', 1, 90, 2, 173),
     ],
   };
 }
@@ -162,16 +166,6 @@
     fault: WorkerFault.None,
   }));
   const perZone = workers.length / zones;
-  const createQueue = (
-    name: string,
-    priority: number,
-    fullRate: number,
-    tasks: number,
-    taskMs: number,
-  ) => {
-    const jobsPerS = busyShare * fullRate;
-    return {name, priority, jobsPerS, tasks, taskMs, targetMs: 60};
-  };
   return {
     seed: 1,
     lengthMs: 15_000,
@@ -185,9 +179,9 @@
       workers.slice(zone * perZone, (zone + 1) * perZone),
     ),
     queues: [
-      createQueue('checks', 0, 24.1, 7.4, 55),
-      createQueue('runs', 2, 4.37, 3.7, 830),
-      createQueue('quotes', 1, 70, 1.85, 185),
+      createQueue(busyShare, 'checks', 0, 24.1, 7.4, 55),
+      createQueue(busyShare, 'runs', 2, 4.37, 3.7, 830),
+      createQueue(busyShare, 'quotes', 1, 70, 1.85, 185),
     ],
   };
 }
