packages/zone: one function says from when on all other instances are known

The bounds of the wait before a claim stood twice, in the check and in the time that a caller is told.

--- a/packages/zone/src/election/election.ts
+++ b/packages/zone/src/election/election.ts
@@ -149,11 +149,8 @@
     const isAlone =
       members.length === 0 && registrationsKnownSince !== undefined;
     if (!isAlone || isLeaving) return undefined;
-    if (!this.canOthersBeAlive(registrationsKnownSince, now)) return undefined;
-    return Math.min(
-      registrationsKnownSince + REREGISTRATION_MS,
-      this.startedAt + ISOLATED_CLAIM_DELAY_MS,
-    );
+    const knownAt = this.findOthersKnownAt(registrationsKnownSince);
+    return now < knownAt ? knownAt : undefined;
   }
 
   private isHolderAlive(
@@ -179,16 +176,15 @@
     );
   }
 
-  /** Whether other live instances may be neither heard nor listed yet. */
-  private canOthersBeAlive(
+  /** From when on every other live instance has been heard or is listed. */
+  private findOthersKnownAt(
     registrationsKnownSince: Millis | undefined,
-    now: Millis,
-  ): boolean {
-    if (now - this.startedAt >= ISOLATED_CLAIM_DELAY_MS) return false;
-    if (registrationsKnownSince === undefined) return true;
+  ): Millis {
+    const latestAt = this.startedAt + ISOLATED_CLAIM_DELAY_MS;
+    if (registrationsKnownSince === undefined) return latestAt;
     // An instance that knows a claim has been in contact with the zone.
-    const isNew = this.highestClaim === undefined;
-    return isNew && now - registrationsKnownSince < REREGISTRATION_MS;
+    if (this.highestClaim !== undefined) return -Infinity;
+    return Math.min(registrationsKnownSince + REREGISTRATION_MS, latestAt);
   }
 
   /** Whether a responsive holder should be replaced by this instance. */
@@ -214,12 +210,8 @@
       member => !member.isResponsive && !member.isRefused,
     );
     if (now - this.startedAt < STARTUP_LISTEN_MS) return false;
-    if (
-      responsive.length === 0 &&
-      this.canOthersBeAlive(registrationsKnownSince, now)
-    ) {
-      return false;
-    }
+    const othersKnownAt = this.findOthersKnownAt(registrationsKnownSince);
+    if (responsive.length === 0 && now < othersKnownAt) return false;
     // A majority may claim at once, a minority only after a long silence.
     if (responsive.length + 1 > unresponsive.length) return true;
     const lastHeardAt = Math.max(
