Lost runs are logged and counted by cause, and a returning worker says whether it restarted

Cause: the line 'run ended' said 'lost' for a crash, for a lease that expired on a worker that was only silent, and for a run that a report left out, so that the hypotheses of the incident could not be told apart.

The line now has the cause and whether another run was on the worker at the time; goldcrestpier_runs_lost_total counts by cause; and a worker that answers again after its leases expired with runs is logged with the tasks and with whether another incarnation answered. The label end="lost" of goldcrestpier_runs_ended_total stays. WorkerRequestFailure moves to packages/dispatch, which now needs to know why a poll failed.

No decision changes.

--- a/packages/dispatch/src/dispatcher/create_run.ts
+++ b/packages/dispatch/src/dispatcher/create_run.ts
@@ -22,6 +22,7 @@
     expectedMs,
     expectedEndAt: now + expectedMs,
     phase: RunPhase.Starting,
+    isShared: false,
     delegatedTo: undefined,
     confirmedAt: Infinity,
     stopSentAt: -Infinity,
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -20,6 +20,7 @@
   type WorkerReport,
   type Run,
   type Worker,
+  WorkerRequestFailure,
 } from '../workers/index.js';
 import {Registry, type DispatchObserver, type EndedJob} from './registry.js';
 import {StrikeReason} from './health.js';
@@ -227,10 +228,13 @@
     applyReport(this.registry, worker, report, sentAt, now);
   }
 
-  /** Handles a poll that got no answer. */
-  handlePollFailure(workerId: string): void {
+  /** Handles a poll that failed. */
+  handlePollFailure(workerId: string, failure: WorkerRequestFailure): void {
     const worker = this.registry.workers.get(workerId);
-    if (worker !== undefined) worker.isUnresponsive = true;
+    if (worker === undefined) return;
+    worker.pollFailure = failure;
+    if (failure === WorkerRequestFailure.OtherIncarnation)
+      this.registry.explainLosses(worker, true);
   }
 
   /** Updates the free capacity that the holder of another zone reported. */
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {AbandonReason, RefusalReason} from '../work/index.js';
 import {createAbandoned, type Registry} from './registry.js';
+import {LossCause} from '../workers/index.js';
 import {startProbation} from './health.js';
 import type {JobRecord} from './job_record.js';
 import type {Placer} from './placer.js';
@@ -13,8 +14,9 @@
     for (const run of worker.runs.values()) {
       const isLeaseExpired =
         worker.isUnresponsive && now >= worker.leasesExpireAt;
-      if (isLeaseExpired || now >= run.latestEndAt)
-        registry.endRun(run, 'lost', now);
+      if (isLeaseExpired) registry.loseRun(worker, run, now);
+      else if (now >= run.latestEndAt)
+        registry.endRun(run, LossCause.Expired, now);
     }
     const isGone = worker.info.isDraining && worker.isUnresponsive;
     if (isGone && worker.canBeRemoved(now)) registry.removeWorker(id);
@@ -22,7 +24,7 @@
   for (const record of registry.jobs.values()) {
     for (const {state} of record.tasks) {
       const isOver = state.kind === 'running' && now >= state.run.latestEndAt;
-      if (isOver) registry.endRun(state.run, 'lost', now);
+      if (isOver) registry.endRun(state.run, LossCause.Expired, now);
     }
   }
 }
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -16,6 +16,7 @@
   RunEnd,
   RunPhase,
   type Run,
+  type RunConclusion,
   type WorkerRecord,
 } from '../workers/index.js';
 import {adoptOrphans} from './adoption.js';
@@ -35,7 +36,13 @@
 
 /** Receives state changes, for logs and metrics. */
 export interface DispatchObserver {
-  runEnded(run: Run, end: RunEnd | 'lost' | 'refused', tookMs: Millis): void;
+  runEnded(run: Run, conclusion: RunConclusion, tookMs: Millis): void;
+  /** A worker answers again after its leases expired with these runs. */
+  lossesExplained(
+    workerId: string,
+    losses: readonly Run[],
+    hasRestarted: boolean,
+  ): void;
   workerStruck(
     workerId: string,
     reason: StrikeReason,
@@ -103,7 +110,7 @@
   }
 
   /** Ends a run that has finished or can certainly never start. */
-  endRun(run: Run, end: RunEnd | 'lost' | 'refused', now: Millis): void {
+  endRun(run: Run, end: RunConclusion, now: Millis): void {
     const worker = this.workers.get(run.workerId);
     if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
     this.isPlacementDue = true;
@@ -123,6 +130,20 @@
     if (end !== RunEnd.Done) adoptOrphans(this, record, now);
   }
 
+  /** Ends a run whose lease expired while its worker did not answer. */
+  loseRun(worker: WorkerRecord, run: Run, now: Millis): void {
+    worker.unexplainedLosses = [...worker.unexplainedLosses, run];
+    this.endRun(run, worker.lossCause, now);
+  }
+
+  /** Reports the runs lost with a worker that answers again. */
+  explainLosses(worker: WorkerRecord, hasRestarted: boolean): void {
+    const {unexplainedLosses: losses, info} = worker;
+    if (losses.length === 0) return;
+    worker.unexplainedLosses = [];
+    this.observer.lossesExplained(info.id, losses, hasRestarted);
+  }
+
   /** Ends a job with `outcome` once none of its tasks runs any more. */
   endJob(record: JobRecord, outcome: Outcome, now: Millis): void {
     record.pendingOutcome ??= outcome;
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -1,6 +1,7 @@
 /** Applies a worker's report of its runs, which is its answer to a poll. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {
+  LossCause,
   RunPhase,
   type WorkerReport,
   type Run,
@@ -37,14 +38,15 @@
     applyEnds(registry, worker, report, now);
     return;
   }
-  if (report.bornAt !== worker.info.bornAt)
-    beginIncarnation(worker, report, now);
+  const hasRestarted = report.bornAt !== worker.info.bornAt;
+  registry.explainLosses(worker, hasRestarted);
+  if (hasRestarted) beginIncarnation(worker, report, now);
   worker.recordClock(report.clockMs, now);
   if (!worker.hasAcceptedToken || worker.isUnresponsive)
     registry.isPlacementDue = true;
   worker.hasAcceptedToken = true;
   registry.firstReportAt ??= now;
-  worker.isUnresponsive = false;
+  worker.pollFailure = undefined;
   for (const {sequence} of report.ended) {
     worker.lastAckedEnd = Math.max(worker.lastAckedEnd, sequence);
   }
@@ -140,7 +142,10 @@
     // after the worker confirmed the run must list it.
     const mustBeListed =
       run.phase !== RunPhase.Starting && run.confirmedAt < sentAt;
-    if (mustBeListed && !listed.has(run.key)) registry.endRun(run, 'lost', now);
+    if (!mustBeListed || listed.has(run.key)) continue;
+    const hasRestarted = run.confirmedAt < worker.incarnationKnownAt;
+    const cause = hasRestarted ? LossCause.Restarted : LossCause.NotReported;
+    registry.endRun(run, cause, now);
   }
 }
 
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -1,6 +1,7 @@
 /** One run of one task on one worker. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Resources} from '../work/index.js';
+import type {RunEnd} from './worker.js';
 
 /** Phase of a run, as far as the holder knows. */
 export enum RunPhase {
@@ -14,6 +15,30 @@
   StopAccepted = 'stop_taken',
 }
 
+/** Why a run counts as ended although its worker never reported an end. */
+export enum LossCause {
+  /** Its lease expired while the worker refused connections. */
+  NotListening = 'not_listening',
+  /** Its lease expired while the worker did not answer. */
+  Unresponsive = 'unresponsive',
+  /** Another incarnation of the worker answered, which has no such run. */
+  Restarted = 'restarted',
+  /** The worker answered without it. */
+  NotReported = 'not_reported',
+  /** The time passed by which a stop, or a run elsewhere, has ended. */
+  Expired = 'expired',
+}
+
+/** How a run ended; a refused one never started. */
+export type RunConclusion = RunEnd | LossCause | 'refused';
+
+const lossCauses: ReadonlySet<string> = new Set(Object.values(LossCause));
+
+/** Whether the run's worker never reported its end. */
+export function isLoss(conclusion: RunConclusion): conclusion is LossCause {
+  return lossCauses.has(conclusion);
+}
+
 /** A run that may use resources on a worker. */
 export interface Run {
   /** The ID of the job record that the run belongs to. */
@@ -30,6 +55,8 @@
   /** When it is expected to end, by its last reported progress. */
   expectedEndAt: Millis;
   phase: RunPhase;
+  /** Whether another run has been on its worker at the same time. */
+  isShared: boolean;
   /** The zone that runs it; undefined if it was not delegated. */
   delegatedTo: string | undefined;
   /** When the worker confirmed the start; later polls must list the run. */
--- a/packages/dispatch/src/workers/worker.ts
+++ b/packages/dispatch/src/workers/worker.ts
@@ -84,3 +84,17 @@
   /** No answer; the command may still be executed, even later. */
   Unanswered = 'unanswered',
 }
+
+/** Why a request to poll a worker or to stop a run failed. */
+export enum WorkerRequestFailure {
+  /** The worker has seen a higher token. */
+  Fenced = 'fenced',
+  /** Another incarnation of the worker answers at the address. */
+  OtherIncarnation = 'other_life',
+  /** The connection was refused. */
+  NotListening = 'not_listening',
+  /** The worker answered with an error or an invalid response. */
+  Refused = 'refused',
+  /** No response arrived within the timeout. */
+  Unanswered = 'unanswered',
+}
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -1,8 +1,8 @@
 /** State of one worker as the holder knows it. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Resources} from '../work/index.js';
-import type {Run} from './run.js';
-import type {Worker} from './worker.js';
+import {LossCause, type Run} from './run.js';
+import {WorkerRequestFailure, type Worker} from './worker.js';
 
 /** The last reading of the worker's clock. */
 interface ClockReading {
@@ -31,8 +31,10 @@
   lastAckedEnd = 0;
   /** Whether the worker has accepted this holder's fencing token. */
   hasAcceptedToken = false;
-  /** Whether the last poll went unanswered. */
-  isUnresponsive = false;
+  /** Why the last poll failed; undefined if it was answered. */
+  pollFailure: WorkerRequestFailure | undefined;
+  /** Runs that ended with the worker's leases, until it answers again. */
+  unexplainedLosses: readonly Run[] = [];
   /** When every lease granted on the worker has certainly expired. */
   leasesExpireAt: Millis = 0;
   health = Health.Healthy;
@@ -49,6 +51,18 @@
 
   constructor(public info: Worker) {}
 
+  /** Whether the last poll went unanswered. */
+  get isUnresponsive(): boolean {
+    return this.pollFailure !== undefined;
+  }
+
+  /** Why runs there are lost if their leases expire now. */
+  get lossCause(): LossCause {
+    return this.pollFailure === WorkerRequestFailure.NotListening
+      ? LossCause.NotListening
+      : LossCause.Unresponsive;
+  }
+
   /** Runs that go on or may go on there, by task name. */
   get runs(): ReadonlyMap<string, Run> {
     return this.running;
@@ -85,6 +99,10 @@
   /** Adds a run, which replaces an earlier run of its task. */
   addRun(run: Run): void {
     this.removeRun(run.key);
+    if (this.running.size > 0) {
+      run.isShared = true;
+      for (const other of this.running.values()) other.isShared = true;
+    }
     this.running.set(run.key, run);
     this.usedResources = addResources(this.usedResources, run.need, 1);
   }
--- a/packages/dispatch/test/progress.test.ts
+++ b/packages/dispatch/test/progress.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {JobProgress, TaskProgressState} from '../src/index.js';
+import {
+  WorkerRequestFailure,
+  type JobProgress,
+  type TaskProgressState,
+} from '../src/index.js';
 import {
   createJob,
   createReport,
@@ -79,7 +83,7 @@
   const workers = [createWorker('w1'), createWorker('w2')];
   const dispatcher = createDispatcher(workers, 0);
   dispatcher.handleReport('w1', createReport(), 1, 1);
-  dispatcher.handlePollFailure('w2');
+  dispatcher.handlePollFailure('w2', WorkerRequestFailure.Unanswered);
   const state = {kind: 'running', run: 3, workerId: 'w2', tookMs: 50} as const;
   dispatcher.submit(
     createJob('a', 1, longDeadline),
--- a/packages/dispatch/test/runs.test.ts
+++ b/packages/dispatch/test/runs.test.ts
@@ -7,6 +7,7 @@
   type Dispatcher,
   type Command,
   type StartCommand,
+  WorkerRequestFailure,
 } from '../src/index.js';
 import {
   createJob,
@@ -128,7 +129,7 @@
   const {run} = startOne(dispatcher, 0);
   dispatcher.recordLease(run.workerId, 0);
   dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
-  dispatcher.handlePollFailure(run.workerId);
+  dispatcher.handlePollFailure(run.workerId, WorkerRequestFailure.Unanswered);
   assert.deepEqual(formatCommands(dispatcher.tick(1_040)), []);
   const [again] = formatCommands(dispatcher.tick(1_060));
   assert.match(again ?? '', /^start a\.0\.0\.0\/2 on w/);
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Dispatcher, RunEnd, StartAnswer} from '../src/index.js';
+import {
+  Dispatcher,
+  RunEnd,
+  StartAnswer,
+  WorkerRequestFailure,
+} from '../src/index.js';
 import {
   options,
   createJob,
@@ -49,7 +54,7 @@
   const workers = [createWorker('w1'), createWorker('w2')];
   const dispatcher = createDispatcher(workers, 0);
   dispatcher.handleReport('w1', createReport(), 1, 2);
-  dispatcher.handlePollFailure('w2');
+  dispatcher.handlePollFailure('w2', WorkerRequestFailure.Unanswered);
   dispatcher.submit(createJob('a', 1, longDeadline), true, 5);
   assert.deepEqual(formatCommands(dispatcher.tick(1_640)), []);
   assert.deepEqual(formatCommands(dispatcher.tick(1_660)), [
@@ -165,7 +170,12 @@
 
 test('a new holder places and refuses nothing before the worker list is confirmed', () => {
   const ignore = () => undefined;
-  const observer = {runEnded: ignore, workerStruck: ignore, jobRefused: ignore};
+  const observer = {
+    runEnded: ignore,
+    lossesExplained: ignore,
+    workerStruck: ignore,
+    jobRefused: ignore,
+  };
   const dispatcher = new Dispatcher({leaseMs: 1_000, stopMs: 50}, 0, observer);
   dispatcher.submit(createJob('a', 1), false, 1);
   dispatcher.setWorkers([createWorker('w1')], 2);
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -1,5 +1,6 @@
 /** Logs the events of a dispatcher and counts them as metrics. */
 import {
+  isLoss,
   RunEnd,
   type Dispatcher,
   type DispatchObserver,
@@ -16,11 +17,14 @@
 ): DispatchObserver {
   return {
     runEnded(
-      {key: task, number: run, workerId: worker, expectedMs},
-      end,
+      {key: task, number: run, workerId: worker, expectedMs, isShared},
+      conclusion,
       tookMs,
     ) {
+      const loss = isLoss(conclusion) ? {cause: conclusion, isShared} : {};
+      const end = isLoss(conclusion) ? 'lost' : conclusion;
       metrics.runs.inc({end});
+      if (isLoss(conclusion)) metrics.lostRuns.inc({cause: conclusion});
       const fields = {
         task,
         run,
@@ -28,6 +32,7 @@
         end,
         tookMs: Math.round(tookMs),
         expectedMs: Math.round(expectedMs),
+        ...loss,
       };
       if (end === RunEnd.Done) logger.debug('run ended', fields);
       else logger.info('run ended', fields);
@@ -49,6 +54,14 @@
         waitMs: Math.round(waitMs),
       });
     },
+    lossesExplained(worker, losses, hasRestarted) {
+      const tasks = losses.map(({key}) => key).join(' ');
+      logger.info('worker that lost runs answers again', {
+        worker,
+        hasRestarted,
+        tasks,
+      });
+    },
     workerStruck(worker, reason, ejected) {
       metrics.strikes.inc({reason});
       if (ejected) metrics.ejections.inc({reason});
--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -5,11 +5,12 @@
 import {
   findNextEndTime,
   findNextOverdueTime,
+  WorkerRequestFailure,
   type Dispatcher,
   type WorkerRecord,
 } from '@goldcrestpier/dispatch';
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
-import {WorkerRequestFailure, type WorkerPort} from '../ports/index.js';
+import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
 
 /** Longest time a worker may hold a poll until a run ends, in ms. */
@@ -144,7 +145,7 @@
       onFenced();
       return;
     }
-    dispatcher.handlePollFailure(workerId);
+    dispatcher.handlePollFailure(workerId, failure);
     onPollFailed(workerId, failure);
     this.options.onChange();
     const now = readClock();
--- a/packages/zone/src/holder/worker_pollers.ts
+++ b/packages/zone/src/holder/worker_pollers.ts
@@ -1,8 +1,8 @@
 /** Keeps one poller for each worker of a dispatcher. */
-import type {Dispatcher} from '@goldcrestpier/dispatch';
+import type {Dispatcher, WorkerRequestFailure} from '@goldcrestpier/dispatch';
 import type {Lifecycle, Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {WorkerRequestFailure, WorkerPort} from '../ports/index.js';
+import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
 import {WorkerPoller} from './worker_poller.js';
 
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -41,6 +41,11 @@
     'Runs of tasks, by how they ended; all but those that are done are retried.',
     ['end'],
   );
+  readonly lostRuns = this.createCounter(
+    'goldcrestpier_runs_lost_total',
+    'Runs whose worker never reported an end, by cause.',
+    ['cause'],
+  );
   readonly strikes = this.createCounter(
     'goldcrestpier_worker_strikes_total',
     'Faults recorded for workers, by reason.',
--- a/packages/zone/src/ports/worker_port.ts
+++ b/packages/zone/src/ports/worker_port.ts
@@ -4,24 +4,11 @@
   Run,
   StartAnswer,
   Worker,
+  WorkerRequestFailure,
 } from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Result} from 'ts-results-es';
 
-/** Why a request to poll a worker or to stop a run failed. */
-export enum WorkerRequestFailure {
-  /** The worker has seen a higher token. */
-  Fenced = 'fenced',
-  /** Another incarnation of the worker answers at the address. */
-  OtherIncarnation = 'other_life',
-  /** The connection was refused. */
-  NotListening = 'not_listening',
-  /** The worker answered with an error or an invalid response. */
-  Refused = 'refused',
-  /** No response arrived within the timeout. */
-  Unanswered = 'unanswered',
-}
-
 /** A request to start a run. */
 export interface StartRequest {
   readonly worker: Worker;
--- a/packages/zone/test/simulation/worker_port.ts
+++ b/packages/zone/test/simulation/worker_port.ts
@@ -1,9 +1,12 @@
 /** Sends requests of one process to workers over the simulated network. */
-import {StartAnswer, type WorkerReport} from '@goldcrestpier/dispatch';
+import {
+  StartAnswer,
+  WorkerRequestFailure,
+  type WorkerReport,
+} from '@goldcrestpier/dispatch';
 import {startTimeoutAfterReads, type Millis} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {
-  WorkerRequestFailure,
   type PollRequest,
   type StartRequest,
   type StartResponse,
--- a/packages/zone/test/worker_poller.test.ts
+++ b/packages/zone/test/worker_poller.test.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {WorkerRequestFailure} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {Err} from 'ts-results-es';
 import {LostResponses} from '../src/holder/lost_responses.js';
 import {WorkerPoller} from '../src/holder/worker_poller.js';
-import {WorkerRequestFailure, type PollRequest} from '../src/ports/index.js';
+import type {PollRequest} from '../src/ports/index.js';
 import {
   createDispatcher,
   createJob,
