Tests that fail: a task that crashes workers is started again and again

Cause (hypotheses 1 to 3 of docs/incidents/tasks_that_crash_workers.md): no count is kept of the runs of a task that ended with their worker.

--- a/packages/zone/test/simulation/callers.ts
+++ b/packages/zone/test/simulation/callers.ts
@@ -4,6 +4,7 @@
 import type {OwnerAnswer} from '../../src/owner/index.js';
 import type {RunningInstance, Machine, World} from './machine.js';
 import {CALLERS} from './network.js';
+import {CRASHING_PAYLOAD} from './crash_checker.js';
 import type {Random} from './random.js';
 
 /** Delay before a job is resent after a failed request, in ms. */
@@ -22,6 +23,7 @@
   readonly zone: string;
   readonly steps: readonly Step[];
   readonly timeoutMs: Millis;
+  readonly payload: string;
   sendCount: number;
 }
 
@@ -43,7 +45,11 @@
   };
   private readonly random: Random;
 
-  constructor(private readonly world: World) {
+  /** `crashingShare` of the jobs crash the workers that start them. */
+  constructor(
+    private readonly world: World,
+    private readonly crashingShare: number,
+  ) {
     this.random = world.random.fork();
   }
 
@@ -75,10 +81,17 @@
       zone: random.pick(this.world.zones),
       steps,
       timeoutMs: random.between(1_500, 4_000),
+      payload: this.drawPayload(),
       sendCount: 0,
     };
   }
 
+  private drawPayload(): string {
+    // Simulations without such jobs keep their sequence of random numbers.
+    if (this.crashingShare === 0) return '';
+    return this.random.chance(this.crashingShare) ? CRASHING_PAYLOAD : '';
+  }
+
   private send(sent: SentJob): void {
     if (sent.sendCount >= MAX_SENDS) return;
     sent.sendCount += 1;
@@ -191,7 +204,7 @@
   }
 }
 
-function toJob({id, steps, timeoutMs}: SentJob, now: Millis): Job {
+function toJob({id, steps, timeoutMs, payload}: SentJob, now: Millis): Job {
   return {
     id,
     queue: 'quotes',
@@ -200,7 +213,7 @@
     maxAttempts: 2,
     stretch: 1.6,
     targetMs: 300,
-    payload: '',
+    payload,
     steps,
     arrivedAt: now,
     deadlineAt: now + timeoutMs,
--- a/packages/zone/test/simulation/faults.ts
+++ b/packages/zone/test/simulation/faults.ts
@@ -231,7 +231,8 @@
     }
   }
 
-  private crash(worker: SimulatedWorker): void {
+  /** Crashes a worker and starts it again some time later. */
+  crash(worker: SimulatedWorker): void {
     const {random, world} = this;
     this.log(`${worker.id} crashes`);
     worker.crash();
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -4,6 +4,7 @@
  */
 import {OverlapChecker, type Violation} from './checker.js';
 import {Callers, type JobTally} from './callers.js';
+import {CrashChecker} from './crash_checker.js';
 import {Fault, FaultInjector, DelayedRequests} from './faults.js';
 import {drainPromises, withSimulatedTime} from './simulated_time.js';
 import {Machine, type World} from './machine.js';
@@ -28,6 +29,8 @@
   /** Instances of each zone; random when not given. */
   readonly instances?: number | undefined;
   readonly faultKinds: readonly Fault[];
+  /** Share of the jobs that crash the workers that start them; 0 by default. */
+  readonly crashingShare?: number;
 }
 
 /** The outcome of a simulation. */
@@ -35,6 +38,10 @@
   readonly violations: readonly Violation[];
   readonly tally: JobTally;
   readonly startCount: number;
+  /** Tasks that crashed workers and were started too often. */
+  readonly crashViolations: readonly string[];
+  /** Number of workers that tasks have crashed. */
+  readonly crashCount: number;
 }
 
 /** Runs the simulation of a seed to its end. */
@@ -46,13 +53,15 @@
   const scheduler = new Scheduler();
   const timeline = new Timeline(scheduler);
   const checker = new OverlapChecker(timeline);
+  const crashChecker = new CrashChecker(timeline);
+  const checkers = {checker, crashChecker};
   let tally: JobTally | undefined;
   const globalRandom = random.fork();
   await withSimulatedTime(
     scheduler,
     () => globalRandom.next(),
     async () => {
-      tally = setUpSimulation(options, scheduler, random, timeline, checker);
+      tally = setUpSimulation(options, scheduler, random, timeline, checkers);
       await scheduler.runUntil(DURATION_MS, drainPromises);
     },
   );
@@ -61,15 +70,27 @@
     violations: checker.violations,
     tally,
     startCount: checker.startCount,
+    crashViolations: crashChecker.violations,
+    crashCount: crashChecker.crashCount,
   };
 }
 
+interface Checkers {
+  readonly checker: OverlapChecker;
+  readonly crashChecker: CrashChecker;
+}
+
 function setUpSimulation(
-  {zones: zoneCount, instances, faultKinds}: SimulationOptions,
+  {
+    zones: zoneCount,
+    instances,
+    faultKinds,
+    crashingShare = 0,
+  }: SimulationOptions,
   scheduler: Scheduler,
   random: Random,
   timeline: Timeline,
-  checker: OverlapChecker,
+  checkers: Checkers,
 ): JobTally {
   const network = new Network(scheduler, random.fork());
   const zones = ['east', 'north', 'west'].slice(0, zoneCount);
@@ -79,7 +100,13 @@
     for (let index = 0; index < count; index += 1) {
       const id = `${zone}-w${index}`;
       const info = createWorkerInfo(id, zone);
-      const options = {info, scheduler, random: random.fork(), checker};
+      const options = {
+        info,
+        scheduler,
+        random: random.fork(),
+        ...checkers,
+        crash: (worker: SimulatedWorker) => faults.crash(worker),
+      };
       workers.set(id, new SimulatedWorker(options));
     }
   }
@@ -106,7 +133,7 @@
   for (const machine of machines) {
     scheduler.runAfter(random.between(0, 300), () => machine.start());
   }
-  const callers = new Callers(world);
+  const callers = new Callers(world, crashingShare);
   const meanIntervalMs = random.between(120, 400) / zones.length;
   scheduler.runAfter(1_000, () =>
     callers.start(meanIntervalMs, DURATION_MS - QUIET_END_MS),
--- a/packages/zone/test/simulation/worker.ts
+++ b/packages/zone/test/simulation/worker.ts
@@ -7,6 +7,12 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Worker} from '@goldcrestpier/dispatch';
 import type {OverlapChecker, ActiveRun} from './checker.js';
+import {isCrashingTask, type CrashChecker} from './crash_checker.js';
+import type {
+  PollMessage,
+  StartMessage,
+  StopMessage,
+} from './worker_messages.js';
 import {SIMULATION_START_MS} from './simulated_time.js';
 import type {Random} from './random.js';
 import type {ScheduledEvent, Scheduler} from './scheduler.js';
@@ -16,29 +22,8 @@
 /** The longest time that stopping a run takes, in ms. */
 export const STOP_MS = 50;
 
-/** A start request as it arrives over the network. */
-export interface StartMessage {
-  readonly task: string;
-  readonly run: number;
-  readonly needMillis: number;
-  readonly token: number;
-  readonly leaseUntil: Millis;
-}
-
-/** A stop request. */
-export interface StopMessage {
-  readonly task: string;
-  readonly run: number;
-  readonly token: number;
-}
-
-/** A poll of all runs, which may extend their lease. */
-export interface PollMessage {
-  readonly token: number;
-  readonly lastSeen: number;
-  readonly leaseUntil: Millis | undefined;
-  readonly waitMs: Millis;
-}
+/** Longest time from the start of a crashing task to the crash, in ms. */
+const MAX_CRASH_DELAY_MS = 40;
 
 interface SimulatedRun extends ActiveRun {
   readonly needMillis: number;
@@ -57,6 +42,9 @@
   readonly scheduler: Scheduler;
   readonly random: Random;
   readonly checker: OverlapChecker;
+  readonly crashChecker: CrashChecker;
+  /** Crashes the worker, which is started again later. */
+  readonly crash: (worker: SimulatedWorker) => void;
 }
 
 /** State of a worker process; it is lost when the process exits. */
@@ -196,7 +184,7 @@
 
   private startRun(
     process: WorkerProcess,
-    {task, run, needMillis}: StartMessage,
+    {task, run, needMillis, payload}: StartMessage,
   ): void {
     const {scheduler, random, checker} = this.options;
     const isLong = random.chance(0.15);
@@ -209,12 +197,23 @@
     const running: SimulatedRun = {...details, isStopping: false};
     process.running.set(task, running);
     checker.recordStart(task, running);
+    if (isCrashingTask(task, payload)) this.crashSoon(process, task);
     const outcome = random.chance(0.04) ? RunEnd.Failed : RunEnd.Done;
     scheduler.runAfter(durationMs, () =>
       this.endRun(process, task, running, outcome),
     );
   }
 
+  private crashSoon(process: WorkerProcess, task: string): void {
+    const {scheduler, random, crashChecker, crash} = this.options;
+    crashChecker.recordStart(task);
+    scheduler.runAfter(random.between(1, MAX_CRASH_DELAY_MS), () => {
+      if (process.hasExited) return;
+      crashChecker.recordCrash(task);
+      crash(this);
+    });
+  }
+
   private endRun(
     process: WorkerProcess,
     task: string,
--- a/packages/zone/test/simulation/worker_port.ts
+++ b/packages/zone/test/simulation/worker_port.ts
@@ -50,10 +50,11 @@
 
   /** Sends a start request. */
   async start(request: StartRequest): Promise<StartResponse> {
-    const {run, token, leaseUntil} = request;
+    const {run, token, leaseUntil, payload} = request;
     const {key: task, number: number} = run;
     const needMillis = run.need.cpuMillis;
-    const message = {task, run: number, needMillis, token, leaseUntil};
+    const details = {needMillis, token, leaseUntil, payload};
+    const message = {task, run: number, ...details};
     const result = await this.call<StartResponse>(
       request.worker.id,
       request.timeoutMs,
