A task that crashes its workers is given up after two crashes, and runs alone after the first

Cause: a run that ended with its worker was not counted at all. The task was started again for as long as its job had time, beside other tasks, which then shared the next crash; and each new holder, each other zone and each new submission of the job began anew.

Why this works: an instance keeps the crashes of workers by task for a minute, longer than any job or holder lasts. A crash is a lease that expired while the worker refused connections, or any loss after which another incarnation answers; a worker that answers as the same incarnation was only unreachable, and its crash is taken back. A worker that is silent is no crash until it is seen to have restarted. A task with a crash runs only on a worker without other runs, and none joins it, so that the next crash shows the cause: what merely ran beside it ends and is cleared. Up to a tenth of the workers are kept free for such tasks. After two crashes, one of them alone, the job fails. Instances tell each other: in heartbeats (at once when found, for 5 s), with a job that an owner submits, with the answer to a delegated task, and to a new holder that asks for its delegated tasks.

Ruled out: to count silent workers (they may run on); to give up at the first crash (the users allow two, and most such tasks are harmless); to place suspects together (they would share the next crash again).

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -11,12 +11,13 @@
   type Vacancy,
   type ZoneVacancies,
 } from '../remote_vacancies/index.js';
+import {CrashHistory} from '../crashes/index.js';
 import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
   RunPhase,
   StartAnswer,
-  WorkerRecord,
+  type WorkerRecord,
   type WorkerReport,
   type Run,
   type Worker,
@@ -34,6 +35,7 @@
   type DispatcherOptions,
 } from './options.js';
 import type {Command} from './commands.js';
+import {failCrashingJobs} from './crashing_tasks.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {recordStartRefusal} from './start_refusal.js';
 import {
@@ -46,6 +48,7 @@
 import {describeProgress} from './progress.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
+import {applyWorkerList} from './worker_list.js';
 
 /**
  * Time after which a former holder that is still alive has stopped starting
@@ -68,13 +71,17 @@
   private readonly intake: Intake;
   private readonly stopper: Stopper;
 
-  /** `heldSince` is the time at which this instance became the holder. */
+  /**
+   * `heldSince` is the time at which this instance became the holder; `crashes`
+   * are those that the instance knows.
+   */
   constructor(
     private readonly options: DispatcherOptions,
     heldSince: Millis,
     observer: DispatchObserver,
+    crashes = new CrashHistory(),
   ) {
-    this.registry = new Registry(observer);
+    this.registry = new Registry(observer, crashes);
     this.placer = new Placer(this.registry, this.remoteVacancies, {
       workersMs: computeLeaseExpiry(FORMER_HOLDER_STOP_MS, options.leaseMs),
       delegatedMs: DELEGATED_RUN_MAX_MS,
@@ -100,16 +107,7 @@
 
   /** Replaces the list of workers with the current one. */
   setWorkers(list: readonly Worker[], now: Millis): void {
-    const listed = new Set(list.map(({id}) => id));
-    this.registry.isPlacementDue = true;
-    for (const worker of list) this.setWorker(worker, now);
-    for (const [id, record] of this.registry.workers) {
-      if (listed.has(id)) continue;
-      // Its runs end when their leases expire; the record is removed after
-      // the last of them.
-      record.info = {...record.info, isDraining: true};
-      if (record.canBeRemoved(now)) this.registry.removeWorker(id);
-    }
+    applyWorkerList(this.registry, list, now);
   }
 
   /** Marks the list of workers as up to date, so that tasks may be placed. */
@@ -166,9 +164,11 @@
   /** Returns the commands that are due now. */
   tick(now: Millis): Command[] {
     this.registry.removeExpiredRunNumbers(now);
+    this.registry.crashes.removeExpired(now);
     endOverdueRuns(this.registry, now);
     endLostTasks(this.registry, this.placer, now);
     endOverdueJobs(this.registry, now);
+    failCrashingJobs(this.registry, now);
     const delegations = this.intake.takeCommands();
     const starts = this.placer.placeIfDue(now);
     return [...delegations, ...starts, ...this.stopper.stop(now)];
@@ -195,6 +195,7 @@
     // A refused connection may also be caused by a network partition.
     if (uncertainAnswers.has(answer)) {
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
+      run.isStartRefused = answer === StartAnswer.NotListening;
       this.registry.recordStrike(run, StrikeReason.StartUnanswered, now);
     } else if (answer !== StartAnswer.Started) {
       recordStartRefusal(this.registry, run, answer, now);
@@ -229,12 +230,16 @@
   }
 
   /** Handles a poll that failed. */
-  handlePollFailure(workerId: string, failure: WorkerRequestFailure): void {
+  handlePollFailure(
+    workerId: string,
+    failure: WorkerRequestFailure,
+    now: Millis,
+  ): void {
     const worker = this.registry.workers.get(workerId);
     if (worker === undefined) return;
     worker.pollFailure = failure;
     if (failure === WorkerRequestFailure.OtherIncarnation)
-      this.registry.explainLosses(worker, true);
+      this.registry.crashRecorder.explainLosses(worker, true, now);
   }
 
   /** Updates the free capacity that the holder of another zone reported. */
@@ -274,18 +279,4 @@
     run.phase = RunPhase.StopAccepted;
     run.latestEndAt = now + DELEGATED_RUN_MAX_MS;
   }
-
-  private setWorker(worker: Worker, now: Millis): void {
-    this.registry.runTimes.setKind(worker.id, worker.kind);
-    const known = this.registry.workers.get(worker.id);
-    if (known === undefined) {
-      this.registry.workers.set(worker.id, new WorkerRecord(worker));
-      return;
-    }
-    const {bornAt} = known.info;
-    known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
-    // The known runs may belong to the new incarnation, which only the next
-    // poll shows.
-    if (bornAt < worker.bornAt) known.beginIncarnation(now);
-  }
 }
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -75,6 +75,11 @@
     return this.job.id;
   }
 
+  /** ID under which its caller submitted the job. */
+  get submittedId(): string {
+    return this.job.delegated?.name.jobId ?? this.job.id;
+  }
+
   /** Whether it is a single task that another zone delegated to this one. */
   get isInbound(): boolean {
     return this.job.delegated !== undefined;
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -2,7 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {AbandonReason, RefusalReason} from '../work/index.js';
 import {createAbandoned, type Registry} from './registry.js';
-import {LossCause} from '../workers/index.js';
+import {LossCause, type Run, type WorkerRecord} from '../workers/index.js';
 import {startProbation} from './health.js';
 import type {JobRecord} from './job_record.js';
 import type {Placer} from './placer.js';
@@ -14,7 +14,7 @@
     for (const run of worker.runs.values()) {
       const isLeaseExpired =
         worker.isUnresponsive && now >= worker.leasesExpireAt;
-      if (isLeaseExpired) registry.loseRun(worker, run, now);
+      if (isLeaseExpired) loseRun(registry, worker, run, now);
       else if (now >= run.latestEndAt)
         registry.endRun(run, LossCause.Expired, now);
     }
@@ -29,6 +29,16 @@
   }
 }
 
+function loseRun(
+  registry: Registry,
+  worker: WorkerRecord,
+  run: Run,
+  now: Millis,
+): void {
+  worker.unexplainedLosses = [...worker.unexplainedLosses, run];
+  registry.endRun(run, worker.lossCause, now);
+}
+
 /** Ends resumed tasks of other zones if no run of theirs was found in time. */
 export function endLostTasks(
   registry: Registry,
--- a/packages/dispatch/src/dispatcher/placement_round.ts
+++ b/packages/dispatch/src/dispatcher/placement_round.ts
@@ -21,6 +21,15 @@
     this.upcoming = new UpcomingVacancies(now);
   }
 
+  /** Keeps a worker free of further tasks. */
+  exclude(worker: WorkerRecord): void {
+    const {service} = worker.info;
+    const others = this.usableWorkers(service).filter(
+      other => other !== worker,
+    );
+    this.byService.set(service, others);
+  }
+
   /** Returns the workers of a service that can be given tasks now. */
   usableWorkers(service: string): readonly WorkerRecord[] {
     const known = this.byService.get(service);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -6,6 +6,7 @@
 import type {WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import {createRun} from './create_run.js';
+import {mustRunAlone, placeSuspectedTasks} from './crashing_tasks.js';
 import {createDemand} from './create_demand.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
 import {findMinWorth} from './min_worth.js';
@@ -74,11 +75,14 @@
     );
     const round = new PlacementRound(this.registry, waiting, now);
     moveLateRuns(this.registry, round, now);
-    return sortJobs(waiting).flatMap(record =>
-      groupTasks(record).flatMap(tasks =>
+    const sorted = sortJobs(waiting);
+    const alone = placeSuspectedTasks(this.registry, sorted, round, now);
+    const others = sorted.flatMap(record =>
+      this.groupTasks(record).flatMap(tasks =>
         this.placeTasks(record, tasks, round, now),
       ),
     );
+    return [...alone, ...others];
   }
 
   /** Whether the job has waiting tasks and none of them may run already. */
@@ -119,6 +123,23 @@
     return firstReportAt !== undefined && now >= firstReportAt + durationMs;
   }
 
+  /**
+   * Groups the ready tasks by step and by the worker that they must avoid,
+   * without those that must run alone.
+   */
+  private groupTasks(record: JobRecord): readonly TaskRecord[][] {
+    const hasCrashes = this.registry.crashes.hasJob(record.submittedId);
+    const groups = new Map<string, TaskRecord[]>();
+    for (const task of record.readyTasks()) {
+      if (hasCrashes && mustRunAlone(this.registry, task)) continue;
+      const key = `${task.name.step} ${task.movedFrom ?? ''}`;
+      const group = groups.get(key);
+      if (group === undefined) groups.set(key, [task]);
+      else group.push(task);
+    }
+    return [...groups.values()];
+  }
+
   /** Places tasks with the same requirements. */
   private placeTasks(
     record: JobRecord,
@@ -207,15 +228,3 @@
     }
   }
 }
-
-/** Groups the ready tasks by step and by the worker that they must avoid. */
-function groupTasks(record: JobRecord): readonly TaskRecord[][] {
-  const groups = new Map<string, TaskRecord[]>();
-  for (const task of record.readyTasks()) {
-    const key = `${task.name.step} ${task.movedFrom ?? ''}`;
-    const group = groups.get(key);
-    if (group === undefined) groups.set(key, [task]);
-    else group.push(task);
-  }
-  return [...groups.values()];
-}
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -4,6 +4,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {chooseRetryAfter} from '../admission/index.js';
+import {CrashVerdict, type CrashHistory} from '../crashes/index.js';
 import {RunTimes} from '../run_times/index.js';
 import {
   AbandonReason,
@@ -14,12 +15,14 @@
 } from '../work/index.js';
 import {
   RunEnd,
+  isCrashLoss,
   RunPhase,
   type Run,
   type RunConclusion,
   type WorkerRecord,
 } from '../workers/index.js';
 import {adoptOrphans} from './adoption.js';
+import {CrashRecorder} from './crash_recorder.js';
 import {addSuccess, addStrike, StrikeReason} from './health.js';
 import {InboundTasks} from './inbound_tasks.js';
 import {JobRecord, type TaskRecord} from './job_record.js';
@@ -48,6 +51,14 @@
     reason: StrikeReason,
     isEjected: boolean,
   ): void;
+  /** A worker crashed while the run was there. */
+  crashRecorded(run: Run, verdict: CrashVerdict): void;
+  /** A job fails because these workers crashed under a task of it. */
+  jobFailedByCrashes(
+    jobId: string,
+    task: string,
+    workerIds: readonly string[],
+  ): void;
   /** `waitMs` is the time until the work ahead of the job has drained. */
   jobRefused(
     record: JobRecord,
@@ -80,7 +91,14 @@
   /** The job of each worker's last strike, by worker ID. */
   private readonly lastStrikeJobIds = new Map<string, string>();
 
-  constructor(private readonly observer: DispatchObserver) {}
+  readonly crashRecorder: CrashRecorder;
+
+  constructor(
+    readonly observer: DispatchObserver,
+    readonly crashes: CrashHistory,
+  ) {
+    this.crashRecorder = new CrashRecorder(crashes, observer);
+  }
 
   /** Adds a job; its run numbers continue those of an earlier submission. */
   addJob(job: Job): JobRecord {
@@ -106,7 +124,11 @@
     task.state = {kind: 'running', run};
     task.lastRun = Math.max(task.lastRun, run.number);
     record.hasStarted = true;
-    this.workers.get(run.workerId)?.addRun(run);
+    const worker = this.workers.get(run.workerId);
+    if (worker === undefined) return;
+    run.workerBornAt = worker.info.bornAt;
+    run.isIsolated = this.crashes.judge(run.key) !== CrashVerdict.Harmless;
+    worker.addRun(run);
   }
 
   /** Ends a run that has finished or can certainly never start. */
@@ -116,6 +138,7 @@
     this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
+    if (isCrashLoss(end)) this.crashRecorder.record(run, now);
     const record = this.jobs.get(run.recordId);
     const task = record?.findTask(run.key);
     if (record === undefined || task === undefined) return;
@@ -130,20 +153,6 @@
     if (end !== RunEnd.Done) adoptOrphans(this, record, now);
   }
 
-  /** Ends a run whose lease expired while its worker did not answer. */
-  loseRun(worker: WorkerRecord, run: Run, now: Millis): void {
-    worker.unexplainedLosses = [...worker.unexplainedLosses, run];
-    this.endRun(run, worker.lossCause, now);
-  }
-
-  /** Reports the runs lost with a worker that answers again. */
-  explainLosses(worker: WorkerRecord, hasRestarted: boolean): void {
-    const {unexplainedLosses: losses, info} = worker;
-    if (losses.length === 0) return;
-    worker.unexplainedLosses = [];
-    this.observer.lossesExplained(info.id, losses, hasRestarted);
-  }
-
   /** Ends a job with `outcome` once none of its tasks runs any more. */
   endJob(record: JobRecord, outcome: Outcome, now: Millis): void {
     record.pendingOutcome ??= outcome;
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/worker_list.ts
@@ -0,0 +1,38 @@
+/** Applies the platform's list of workers. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {WorkerRecord, type Worker} from '../workers/index.js';
+import type {Registry} from './registry.js';
+
+/** Replaces the list of workers with the current one. */
+export function applyWorkerList(
+  registry: Registry,
+  list: readonly Worker[],
+  now: Millis,
+): void {
+  const listed = new Set(list.map(({id}) => id));
+  registry.isPlacementDue = true;
+  for (const worker of list) applyWorker(registry, worker, now);
+  for (const [id, record] of registry.workers) {
+    if (listed.has(id)) continue;
+    // Its runs end when their leases expire; the record is removed after
+    // the last of them.
+    record.info = {...record.info, isDraining: true};
+    if (record.canBeRemoved(now)) registry.removeWorker(id);
+  }
+}
+
+function applyWorker(registry: Registry, worker: Worker, now: Millis): void {
+  registry.runTimes.setKind(worker.id, worker.kind);
+  const known = registry.workers.get(worker.id);
+  if (known === undefined) {
+    registry.workers.set(worker.id, new WorkerRecord(worker));
+    return;
+  }
+  const {bornAt} = known.info;
+  known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
+  if (bornAt >= worker.bornAt) return;
+  registry.crashRecorder.explainLosses(known, true, now);
+  // The known runs may belong to the new incarnation, which only the next
+  // poll shows.
+  known.beginIncarnation(now);
+}
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -39,7 +39,7 @@
     return;
   }
   const hasRestarted = report.bornAt !== worker.info.bornAt;
-  registry.explainLosses(worker, hasRestarted);
+  registry.crashRecorder.explainLosses(worker, hasRestarted, now);
   if (hasRestarted) beginIncarnation(worker, report, now);
   worker.recordClock(report.clockMs, now);
   if (!worker.hasAcceptedToken || worker.isUnresponsive)
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,6 +2,7 @@
  * Schedules tasks on the workers of one zone. The package does no I/O and reads
  * no clock: its caller passes in the time and executes the returned commands.
  */
+export * from './crashes/index.js';
 export * from './dispatcher/index.js';
 export * from './remote_vacancies/index.js';
 export * from './run_times/index.js';
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -34,6 +34,17 @@
 
 const lossCauses: ReadonlySet<string> = new Set(Object.values(LossCause));
 
+/** Causes that mean, or most likely mean, that the worker has crashed. */
+const crashCauses: ReadonlySet<string> = new Set([
+  LossCause.NotListening,
+  LossCause.Restarted,
+]);
+
+/** Whether the run was lost because its worker has probably crashed. */
+export function isCrashLoss(conclusion: RunConclusion): boolean {
+  return crashCauses.has(conclusion);
+}
+
 /** Whether the run's worker never reported its end. */
 export function isLoss(conclusion: RunConclusion): conclusion is LossCause {
   return lossCauses.has(conclusion);
@@ -57,6 +68,12 @@
   phase: RunPhase;
   /** Whether another run has been on its worker at the same time. */
   isShared: boolean;
+  /** Whether its task may run only alone on the worker. */
+  isIsolated: boolean;
+  /** Whether the start command met a refused connection. */
+  isStartRefused: boolean;
+  /** Unix time of the start of the worker's incarnation in ms; 0 if unknown. */
+  workerBornAt: number;
   /** The zone that runs it; undefined if it was not delegated. */
   delegatedTo: string | undefined;
   /** When the worker confirmed the start; later polls must list the run. */
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -58,9 +58,17 @@
 
   /** Why runs there are lost if their leases expire now. */
   get lossCause(): LossCause {
-    return this.pollFailure === WorkerRequestFailure.NotListening
-      ? LossCause.NotListening
-      : LossCause.Unresponsive;
+    switch (this.pollFailure) {
+      case WorkerRequestFailure.NotListening:
+        return LossCause.NotListening;
+      case WorkerRequestFailure.OtherIncarnation:
+        return LossCause.Restarted;
+      case WorkerRequestFailure.Fenced:
+      case WorkerRequestFailure.Refused:
+      case WorkerRequestFailure.Unanswered:
+      case undefined:
+        return LossCause.Unresponsive;
+    }
   }
 
   /** Runs that go on or may go on there, by task name. */
@@ -68,6 +76,13 @@
     return this.running;
   }
 
+  /** Whether it has a run that no other may join. */
+  private get hasIsolatedRun(): boolean {
+    for (const {isIsolated} of this.running.values())
+      if (isIsolated) return true;
+    return false;
+  }
+
   /** Whether the worker can be given a task now. */
   isUsable(now: Millis): boolean {
     if (!this.hasAcceptedToken || this.isUnresponsive || this.info.isDraining)
@@ -75,6 +90,7 @@
     if (now < this.fullUntil) return false;
     // A start command would also extend the lease of the orphaned runs.
     if (this.orphans.size > 0) return false;
+    if (this.hasIsolatedRun) return false;
     switch (this.health) {
       case Health.Healthy:
         return true;
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -58,6 +58,7 @@
       dispatchOptions,
       this.holderSince,
       observer,
+      options.crashes,
     );
     this.commandSender = new CommandSender({
       token: options.token,
@@ -79,12 +80,8 @@
       onFenced: workerId => this.stepDown(workerId),
     });
     this.delegator = new TaskDelegator({
-      zone: options.zone,
-      token: options.token,
+      ...options,
       dispatcher: this.dispatcher,
-      findZoneClient: options.findZoneClient,
-      logger,
-      metrics,
       onChange: () => this.scheduleTick(),
     });
     this.submissions = new SubmissionHandler({
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -54,6 +54,26 @@
         waitMs: Math.round(waitMs),
       });
     },
+    ...createCrashObserver(logger, metrics),
+    workerStruck(worker, reason, ejected) {
+      metrics.strikes.inc({reason});
+      if (ejected) metrics.ejections.inc({reason});
+      logger.info('worker strike recorded', {worker, reason, ejected});
+    },
+  };
+}
+
+type CrashObserver = Pick<
+  DispatchObserver,
+  'lossesExplained' | 'crashRecorded' | 'jobFailedByCrashes'
+>;
+
+/** Creates the part of an observer that concerns crashes of workers. */
+function createCrashObserver(
+  logger: Logger,
+  metrics: ZoneMetrics,
+): CrashObserver {
+  return {
     lossesExplained(worker, losses, hasRestarted) {
       const tasks = losses.map(({key}) => key).join(' ');
       logger.info('worker that lost runs answers again', {
@@ -62,10 +82,16 @@
         tasks,
       });
     },
-    workerStruck(worker, reason, ejected) {
-      metrics.strikes.inc({reason});
-      if (ejected) metrics.ejections.inc({reason});
-      logger.info('worker strike recorded', {worker, reason, ejected});
+    crashRecorded({key: task, workerId: worker, isShared}, verdict) {
+      metrics.taskCrashes.inc({verdict});
+      const fields = {task, worker, isShared, verdict};
+      logger.warn('worker crashed while it ran a task', fields);
+    },
+    jobFailedByCrashes(job, task, workerIds) {
+      metrics.crashingTasks.inc();
+      const workers = workerIds.join(' ');
+      const fields = {job, task, workers};
+      logger.error('job failed because its task crashes workers', fields);
     },
   };
 }
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -1,6 +1,7 @@
 /** Delegates tasks to the holders of other zones and tracks their runs. */
 import {
   RunEnd,
+  type CrashHistory,
   type Dispatcher,
   type JobProgress,
   type DelegateCommand,
@@ -42,6 +43,8 @@
   readonly zone: string;
   readonly token: number;
   readonly dispatcher: Dispatcher;
+  /** The crashes of workers that the instance knows. */
+  readonly crashes: CrashHistory;
   readonly findZoneClient: FindZoneClient;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
@@ -98,7 +101,12 @@
       run: run.number,
       ...reattachment,
     };
-    return client.delegateTask(message, job.remainingMs + ANSWER_MARGIN_MS);
+    const timeoutMs = job.remainingMs + ANSWER_MARGIN_MS;
+    const result = await client.delegateTask(message, timeoutMs);
+    // Whether the task is started again depends on the crashes there.
+    const reports = result.isOk() ? result.value.crashes : undefined;
+    this.options.crashes.merge(reports ?? [], readClock());
+    return result;
   }
 
   /**
@@ -174,7 +182,8 @@
         DISCOVERY_TIMEOUT_MS,
       );
       if (result?.isOk() === true) {
-        const {tasks, isComplete} = result.value;
+        const {tasks, isComplete, crashes = []} = result.value;
+        this.options.crashes.merge(crashes, readClock());
         dispatcher.handleDelegationReport(zone, result.value, readClock());
         logger.info('received the tasks that another zone runs for this one', {
           zone,
--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -145,7 +145,7 @@
       onFenced();
       return;
     }
-    dispatcher.handlePollFailure(workerId, failure);
+    dispatcher.handlePollFailure(workerId, failure, readClock());
     onPollFailed(workerId, failure);
     this.options.onChange();
     const now = readClock();
--- a/packages/zone/src/instance/delegation_handler.ts
+++ b/packages/zone/src/instance/delegation_handler.ts
@@ -1,4 +1,6 @@
 /** Handles the requests of other zones about the tasks they delegate here. */
+import type {CrashHistory} from '@goldcrestpier/dispatch';
+import {readClock} from '@goldcrestpier/runtime';
 import {outdatedRefusal, type Holder} from '../holder/index.js';
 import type {
   TaskDelegation,
@@ -15,6 +17,7 @@
   constructor(
     private readonly zones: OtherZones,
     private readonly findHolder: () => Holder | undefined,
+    private readonly crashes: CrashHistory,
   ) {}
 
   /** Runs a task that the holder of another zone delegates. */
@@ -29,7 +32,8 @@
       return {answer: outdatedRefusal};
     }
     const answer = await holder.runDelegatedTask(message);
-    return {answer, rooms: holder.findFreeCapacity()};
+    const crashes = this.crashes.reportJob(message.job.id, readClock());
+    return {answer, rooms: holder.findFreeCapacity(), crashes};
   }
 
   /** Stops a task that another zone recalls; false if not the holder. */
@@ -47,8 +51,8 @@
   }: DelegatedTasksQuery): Promise<DelegatedTaskList> {
     this.zones.recordToken(homeZone, token);
     const unknown = {isComplete: false, tasks: []};
-    return Promise.resolve(
-      this.findHolder()?.listDelegatedTasks(homeZone) ?? unknown,
-    );
+    const list = this.findHolder()?.listDelegatedTasks(homeZone) ?? unknown;
+    const crashes = this.crashes.reportAll(readClock());
+    return Promise.resolve({...list, crashes});
   }
 }
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -1,5 +1,5 @@
 /** One instance of a zone: owns its callers' jobs and may be the holder. */
-import {AbandonReason, type Job} from '@goldcrestpier/dispatch';
+import {AbandonReason, CrashHistory, type Job} from '@goldcrestpier/dispatch';
 import {LogPart, readClock, type Millis} from '@goldcrestpier/runtime';
 import {Owner, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration} from '../ports/index.js';
@@ -25,12 +25,13 @@
 import {DelegationHandler} from './delegation_handler.js';
 import {PeerLinks} from './links.js';
 import {LoopDelay} from './loop_delay.js';
-import {toZoneCapacity, type Holder} from '../holder/index.js';
+import {toZoneCapacity} from '../holder/index.js';
 import {OtherZones} from './other_zones.js';
 import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleManager} from './role_manager.js';
 import {StepScheduler} from './step_scheduler.js';
 import {StateChangeDetector} from './state_change_detector.js';
+import {cancelUnwantedWork} from './unwanted_work.js';
 import {ZoneView} from './zone_view.js';
 
 /** A running instance. */
@@ -47,6 +48,7 @@
   private readonly scheduler: StepScheduler;
   private readonly activity = new Activity();
   private readonly changes = new StateChangeDetector();
+  private readonly crashes = new CrashHistory();
   private isLeaving = false;
 
   constructor(private readonly options: InstanceOptions) {
@@ -57,11 +59,13 @@
     for (const seed of seeds) this.view.addAddress(seed);
     this.roles = new RoleManager({
       ...options,
+      crashes: this.crashes,
       findZoneClient: other => this.findZoneClient(other),
       // The role is chosen again in the next step, not within this one.
       onFenced: () => this.scheduler.wake(),
     });
-    this.inbound = new DelegationHandler(this.zones, () => this.roles.holder);
+    const findHolder = () => this.roles.holder;
+    this.inbound = new DelegationHandler(this.zones, findHolder, this.crashes);
     this.links = new PeerLinks({
       ...options,
       createHeartbeat: (now, isOther) => this.createHeartbeat(now, isOther),
@@ -74,6 +78,7 @@
     });
     this.owner = new Owner({
       selfId: id,
+      crashes: this.crashes,
       findHolder: () =>
         findHolderClient(this.roles, id, other => this.findClient(other)),
       waitForHolderChange: (from, signal) => this.notifier.wait(from, signal),
@@ -148,7 +153,9 @@
 
   /** Submits a job to the holder in this process. */
   submit(message: JobSubmission): Promise<JobAnswer> {
-    this.view.recordContact(message.ownerId, readClock());
+    const now = readClock();
+    this.view.recordContact(message.ownerId, now);
+    this.crashes.merge(message.crashes ?? [], now);
     const {holder} = this.roles;
     if (holder !== undefined) return holder.submit(message);
     return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
@@ -186,9 +193,8 @@
     const {directory} = this.options;
     const registrations = directory.registrations();
     this.activity.recordStep(now);
-    for (const {address, at} of this.links.listAnswers()) {
+    for (const {address, at} of this.links.listAnswers())
       this.view.recordAnswer(address, at);
-    }
     this.view.setRegistrations(registrations, now);
     this.zones.setRegistrations(registrations, now);
     if (this.owner.hasJobs) this.activity.recordJobs(now);
@@ -196,14 +202,17 @@
     directory.setCandidate(isCandidate);
     this.roles.update(this.view.listMembers(now), this.isLeaving, now);
     const version = directory.configuration()?.version;
-    const state = {claim: this.roles.claim, isLeaving: this.isLeaving, version};
+    const {isLeaving, view, zones} = this;
+    const {revision: crashRevision} = this.crashes;
+    const state = {claim: this.roles.claim, isLeaving, version, crashRevision};
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
     const {holderId, holder} = this.roles;
     if (holderId !== undefined) {
       this.activity.recordHolder(now);
       this.notifier.notify(holderId);
     }
-    if (holder !== undefined) this.cancelUnwanted(holder, now);
+    const parties = {id: this.options.id, view, zones};
+    if (holder !== undefined) cancelUnwantedWork(holder, parties, now);
     const isShort = isCandidate || this.isHolderUncertain(now);
     return this.activity.chooseInterval(isShort || holder !== undefined, now);
   }
@@ -236,17 +245,6 @@
     if (!wasUncertain) this.scheduler.wake();
   }
 
-  /** Cancels jobs and tasks that are no longer waited for. */
-  private cancelUnwanted(holder: Holder, now: Millis): void {
-    const {id} = this.options;
-    holder.cancelJobsOfLostOwners(
-      ownerId => ownerId === id || this.view.isAlive(ownerId, now),
-    );
-    holder.cancelUnwantedTasks((other, token) =>
-      this.zones.isTaskWanted(other, token, now),
-    );
-  }
-
   private findZoneClient(zone: string): ZoneClient | undefined {
     const address = this.zones.findAddress(zone);
     return address === undefined ? undefined : this.links.find(address);
@@ -263,6 +261,7 @@
 
   private handleHeartbeat(message: ZoneHeartbeat, now: Millis): void {
     this.view.recordHeartbeat(message, now);
+    this.crashes.merge(message.crashes ?? [], now);
     if (message.zone !== this.options.zone) this.handleOtherZone(message, now);
     else if (message.claim !== undefined) this.handleClaim(message.claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
@@ -286,11 +285,12 @@
   private createHeartbeat(now: Millis, withCapacity: boolean): ZoneHeartbeat {
     const {id, zone, processors, directory} = this.options;
     const {claim, holder} = this.roles;
-    const {address, isLeaving} = this;
+    const {address, isLeaving, crashes} = this;
     const holderHeardMs = claim && this.view.findSilence(claim.holderId, now);
     const rooms = withCapacity ? holder?.findFreeCapacity() : undefined;
     const self = {id, zone, address, processors, isLeaving, directory};
-    return createOwnHeartbeat({...self, claim, holderHeardMs, rooms}, now);
+    const known = {claim, holderHeardMs, rooms, crashes};
+    return createOwnHeartbeat({...self, ...known}, now);
   }
 
   private findClient(id: string): ZoneClient | undefined {
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -1,4 +1,5 @@
 /** Creates the heartbeat that an instance sends to its peers. */
+import type {CrashHistory} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Directory} from '../ports/index.js';
 import type {Claim, ZoneHeartbeat} from '../protocol/index.js';
@@ -17,13 +18,15 @@
   readonly holderHeardMs: Millis | undefined;
   /** Free capacity of the workers, if it is reported to the receiver. */
   readonly rooms: ZoneHeartbeat['rooms'];
+  readonly crashes: CrashHistory;
 }
 
 /** Creates the heartbeat to send now. */
 export function createOwnHeartbeat(
-  {directory, claim, holderHeardMs, rooms, ...self}: OwnState,
+  {directory, claim, holderHeardMs, rooms, crashes, ...self}: OwnState,
   now: Millis,
 ): ZoneHeartbeat {
+  const recentCrashes = crashes.reportRecent(now);
   const asOf = directory.configurationAsOf();
   return {
     ...self,
@@ -32,5 +35,6 @@
     ...(claim === undefined ? {} : {claim}),
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
+    ...(recentCrashes.length === 0 ? {} : {crashes: recentCrashes}),
   };
 }
--- a/packages/zone/src/instance/state_change_detector.ts
+++ b/packages/zone/src/instance/state_change_detector.ts
@@ -8,6 +8,8 @@
   readonly isLeaving: boolean;
   /** Version of the current configuration. */
   readonly version: number | undefined;
+  /** Revision of the known crashes of workers. */
+  readonly crashRevision: number;
 }
 
 /** Remembers the state that was announced last. */
@@ -21,6 +23,7 @@
     if (previous === undefined) return true;
     if (previous.isLeaving !== state.isLeaving) return true;
     if (previous.version !== state.version) return true;
+    if (previous.crashRevision !== state.crashRevision) return true;
     return previous.claim?.token !== state.claim?.token;
   }
 }
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -46,6 +46,16 @@
     'Runs whose worker never reported an end, by cause.',
     ['cause'],
   );
+  readonly taskCrashes = this.createCounter(
+    'goldcrestpier_task_crashes_total',
+    'Tasks that were running when their worker crashed, by what the crashes of a task say about it.',
+    ['verdict'],
+  );
+  readonly crashingTasks = this.createCounter(
+    'goldcrestpier_crashing_tasks_total',
+    'Jobs failed because several workers crashed under one of their tasks.',
+    [],
+  );
   readonly strikes = this.createCounter(
     'goldcrestpier_worker_strikes_total',
     'Faults recorded for workers, by reason.',
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -4,6 +4,7 @@
  */
 import {
   RefusalReason,
+  type CrashHistory,
   type Job,
   type JobProgress,
 } from '@goldcrestpier/dispatch';
@@ -68,6 +69,8 @@
 /** Dependencies of an owner. */
 export interface OwnerOptions {
   readonly selfId: string;
+  /** The crashes of workers that this instance knows. */
+  readonly crashes: CrashHistory;
   /** Finds the current holder, if it can be reached. */
   readonly findHolder: () => HolderClient | undefined;
   /** Resolves when another instance than `from` is the holder. */
@@ -198,11 +201,12 @@
     job: Job,
     history: History,
   ): Promise<Result<JobAnswer, ZoneCallFailure> | undefined> {
-    const {selfId, waitForHolderChange, isAlive} = this.options;
+    const {selfId, crashes, waitForHolderChange, isAlive} = this.options;
     const now = readClock();
     const message = {
       ...toSubmission(job, selfId, history.kind !== 'none', now),
       progress: history.kind === 'told' ? history.progress : undefined,
+      crashes: crashes.reportJob(job.id, now),
     };
     const timeoutMs = message.remainingMs + ANSWER_MARGIN_MS;
     const answer = holder.submit(message, timeoutMs);
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -22,6 +22,22 @@
   z.number().int().positive().max(MAX_WORKERS_PER_ROW),
 ]);
 
+/** A crash of a worker while a run of a task was there. */
+const crashReportSchema = z.object({
+  /** The formatted name of the task. */
+  task: z.string(),
+  workerId: z.string(),
+  /** Unix time of the start of the worker's incarnation, in ms. */
+  workerBornAt: z.number(),
+  /** Whether other tasks ran there as well. */
+  isShared: z.boolean(),
+  /** Time since the crash became known, in ms. */
+  ageMs: z.number(),
+});
+
+/** Crashes that the sender knows; left out if there are none. */
+const crashReportsSchema = z.array(crashReportSchema).readonly().optional();
+
 const freeCapacitySchema = z.object({
   service: z.string(),
   vacancies: z.array(vacancySchema),
@@ -44,6 +60,8 @@
   configurationAgeMs: z.number().optional(),
   /** Free capacity of the sender's workers, sent by holders to other zones. */
   rooms: z.array(freeCapacitySchema).optional(),
+  /** Crashes that the sender got to know recently. */
+  crashes: crashReportsSchema,
 });
 
 const requirementsSchema = z.object({
@@ -115,6 +133,8 @@
   remainingMs: z.number(),
   /** The progress that the previous holder reported when it stepped down. */
   progress: jobProgressSchema.optional(),
+  /** Crashes under tasks of the job, from earlier submissions as well. */
+  crashes: crashReportsSchema,
 });
 
 /** Delegates one task; answered when its run has ended. */
@@ -153,6 +173,8 @@
   /** Whether no other tasks can be running there for any zone. */
   isComplete: z.boolean(),
   tasks: z.array(z.object({key: z.string(), run: z.number()})),
+  /** All crashes that the peer knows, of any zone. */
+  crashes: crashReportsSchema,
 });
 
 /** How a job ended, or that this instance isn't the holder. */
@@ -180,6 +202,8 @@
 export const delegationAnswerSchema = z.object({
   answer: jobAnswerSchema,
   rooms: z.array(freeCapacitySchema).optional(),
+  /** Crashes under tasks of the job. */
+  crashes: crashReportsSchema,
 });
 
 /** Cancels a job: the caller disconnected or cancelled it. */
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -4,7 +4,12 @@
   setTimeout as sleep,
 } from 'node:timers/promises';
 import {test} from 'node:test';
-import {RunEnd, StartAnswer, type WorkerReport} from '@goldcrestpier/dispatch';
+import {
+  CrashHistory,
+  RunEnd,
+  StartAnswer,
+  type WorkerReport,
+} from '@goldcrestpier/dispatch';
 import {Lifecycle, readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {Holder} from '../src/holder/index.js';
@@ -52,6 +57,7 @@
     };
     this.holder = new Holder({
       zone: 'z',
+      crashes: new CrashHistory(),
       findZoneClient: () => undefined,
       token: 7,
       dispatchOptions,
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {JobProgress} from '@goldcrestpier/dispatch';
+import {CrashHistory, type JobProgress} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {ZoneMetrics} from '../src/metrics/index.js';
@@ -52,6 +52,7 @@
   {isFirstAlive}: {isFirstAlive: boolean},
 ): Promise<JobSubmission | undefined> {
   const owner = new Owner({
+    crashes: new CrashHistory(),
     selfId: 'owner',
     findHolder: () => (first.submissions.length === 0 ? first : next),
     waitForHolderChange: from =>
@@ -99,6 +100,7 @@
   holderExpectedAt: number | undefined,
 ): Promise<OwnerAnswer> {
   const owner = new Owner({
+    crashes: new CrashHistory(),
     selfId: 'owner',
     findHolder: () => undefined,
     waitForHolderChange: failOnCall,
--- a/packages/zone/test/task_delegator.test.ts
+++ b/packages/zone/test/task_delegator.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {
   AbandonReason,
+  CrashHistory,
   RefusalReason,
   type Dispatcher,
 } from '@goldcrestpier/dispatch';
@@ -56,6 +57,7 @@
     zone: 'west',
     token: 7,
     dispatcher,
+    crashes: new CrashHistory(),
     findZoneClient: () => client as ZoneClient,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
@@ -98,6 +100,7 @@
     zone: 'west',
     token: 7,
     dispatcher,
+    crashes: new CrashHistory(),
     findZoneClient: () => client,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
@@ -150,6 +153,7 @@
     zone: 'west',
     token: 7,
     dispatcher,
+    crashes: new CrashHistory(),
     findZoneClient: () => client as ZoneClient,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {test} from 'node:test';
-import {RunEnd, StartAnswer, type WorkerReport} from '@goldcrestpier/dispatch';
+import {
+  CrashHistory,
+  RunEnd,
+  StartAnswer,
+  type WorkerReport,
+} from '@goldcrestpier/dispatch';
 import {Lifecycle, readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {Holder} from '../src/holder/index.js';
@@ -46,6 +51,7 @@
   const metrics = new ZoneMetrics();
   const holder = new Holder({
     zone: 'z',
+    crashes: new CrashHistory(),
     findZoneClient: () => undefined,
     token: 7,
     dispatchOptions,
@@ -58,6 +64,7 @@
   const asOf = readClock();
   holder.setWorkers({workers: [worker], asOf, isReachable: true});
   return new Owner({
+    crashes: new CrashHistory(),
     selfId: OWNER_ID,
     findHolder: () => createLocalHolderClient(holder, OWNER_ID),
     waitForHolderChange: () => new Promise(() => undefined),
