A suspected task is not started again when its answer would be useless

Cause: nothing weighed what a start can still earn against what it may cost.

Now a task whose worker has crashed is started again only if it can end while its job is of use (three times its objective, or the deadline). Otherwise the job ends at once, as abandoned: 504 worker_crashed, or a refusal where nothing was started for this submission. Other tasks are started as before.

--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -6,12 +6,13 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {CrashVerdict} from '../crashes/index.js';
 import {canEverRun} from '../placement/index.js';
+import {AbandonReason, RefusalReason} from '../work/index.js';
 import type {Run, WorkerRecord} from '../workers/index.js';
 import type {StartCommand} from './commands.js';
 import {createRun} from './create_run.js';
 import type {JobRecord, TaskRecord} from './job_record.js';
 import type {PlacementRound} from './placement_round.js';
-import type {Registry} from './registry.js';
+import {createAbandoned, type Registry} from './registry.js';
 
 /** Largest share of a service's workers that are kept free at a time. */
 const MAX_RESERVED_SHARE = 0.1;
@@ -84,6 +85,12 @@
   now: Millis,
 ): Run | undefined {
   if (record.pendingOutcome !== undefined) return undefined;
+  const expectedMs = registry.predictTask(record, task);
+  // Its start may cost another worker, so it needs an answer that is of use.
+  if (now + expectedMs > record.usefulUntil) {
+    abandonAfterCrash(registry, record, now);
+    return undefined;
+  }
   const workers = round
     .usableWorkers(record.job.service)
     .filter(worker => canEverRun(task.step, worker));
@@ -101,6 +108,17 @@
   return run;
 }
 
+function abandonAfterCrash(
+  registry: Registry,
+  record: JobRecord,
+  now: Millis,
+): void {
+  if (!record.hasStarted)
+    registry.refuse(record, RefusalReason.TooLate, 0, now);
+  else
+    registry.endJob(record, createAbandoned(AbandonReason.WorkerCrashed), now);
+}
+
 /** Keeps a few workers free of other tasks until their runs have ended. */
 class Reservations {
   private readonly counts = new Map<string, number>();
--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -25,6 +25,8 @@
   Cancelled = 'cancelled',
   /** The run of a delegated task was lost; it does not run any more. */
   RunLost = 'run_lost',
+  /** The worker of a task crashed, and there is no time to run it again. */
+  WorkerCrashed = 'worker_crashed',
   /** The instance that submitted the job is gone. */
   OwnerLost = 'owner_lost',
 }
