A restarted worker gets no task before its own entry is listed

Cause: a poll shows that a worker has restarted before the list does, and the record then kept the capacity and the labels of the former incarnation, which may have been larger or of another kind.

Evidence: the new test a restarted worker gets no task by the capacity of its former incarnation started two tasks where one fits. Two more tests of a capacity that shrinks while its worker runs passed as the code was: runs, runs that are being stopped and a list that changes are counted.

Why this works: a record keeps which incarnation its entry describes, and the worker is usable only if that is the one that answers polls. Two tests that restarted a worker without a new entry now list one; what they check stays. A listing that repeats an old entry no longer counts as another restart.

--- a/packages/dispatch/src/dispatcher/worker_list.ts
+++ b/packages/dispatch/src/dispatcher/worker_list.ts
@@ -29,8 +29,11 @@
     return;
   }
   const {bornAt} = known.info;
-  known.info = {...worker, bornAt: Math.max(bornAt, worker.bornAt)};
-  if (bornAt >= worker.bornAt) return;
+  const isChanged = worker.bornAt !== known.listedBornAt;
+  const isRestart = isChanged && worker.bornAt > bornAt;
+  known.listedBornAt = worker.bornAt;
+  known.info = {...worker, bornAt: isRestart ? worker.bornAt : bornAt};
+  if (!isRestart) return;
   registry.crashRecorder.explainLosses(known, true, now);
   // The known runs may belong to the new incarnation, which only the next
   // poll shows.
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -49,7 +49,12 @@
   private readonly running = new Map<string, Run>();
   private usedResources = NO_RESOURCES;
 
-  constructor(public info: Worker) {}
+  /** `bornAt` of its latest entry, which may be that of a former incarnation. */
+  listedBornAt: number;
+
+  constructor(public info: Worker) {
+    this.listedBornAt = info.bornAt;
+  }
 
   /** Whether the last poll went unanswered. */
   get isUnresponsive(): boolean {
@@ -87,6 +92,8 @@
   isUsable(now: Millis): boolean {
     if (!this.hasAcceptedToken || this.isUnresponsive || this.info.isDraining)
       return false;
+    // A new incarnation may have less capacity than its former entry says.
+    if (this.listedBornAt !== this.info.bornAt) return false;
     if (now < this.fullUntil) return false;
     // A start command would also extend the lease of the orphaned runs.
     if (this.orphans.size > 0) return false;
--- /dev/null
+++ b/packages/dispatch/test/capacity.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  AbandonReason,
+  RunEnd,
+  StartAnswer,
+  type Dispatcher,
+  type StartCommand,
+  type Worker,
+} from '../src/index.js';
+import {
+  createDispatcher,
+  createJob,
+  createReport,
+  createWorker,
+  formatCommands,
+  longDeadline,
+  pollAllWorkers,
+} from './fixtures/dispatcher_setup.js';
+
+/** Capacity of a worker that fits one task of 27 processors. */
+const oneTask = {cpuMillis: 30_000, memoryMb: 100_000, accelerators: 0};
+
+function startDue(dispatcher: Dispatcher, now: number): StartCommand[] {
+  const starts = dispatcher
+    .tick(now)
+    .filter((command): command is StartCommand => command.kind === 'start');
+  for (const {run} of starts)
+    dispatcher.handleStartAnswer(run, StartAnswer.Started, now);
+  return starts;
+}
+
+function list(
+  dispatcher: Dispatcher,
+  changes: Partial<Worker>,
+  now: number,
+): void {
+  dispatcher.setWorkers([createWorker('w1', changes)], now);
+}
+
+/** Reports that one of the runs has ended, and the others go on. */
+function reportEnd(
+  dispatcher: Dispatcher,
+  [ended, ...others]: readonly StartCommand[],
+  end: RunEnd,
+  now: number,
+): void {
+  assert.ok(ended !== undefined);
+  const running = others.map(({run}) => ({
+    task: run.key,
+    run: run.number,
+    percent: 10,
+  }));
+  const {key: task, number: run} = ended.run;
+  const ends = [{sequence: 1, task, run, end}];
+  dispatcher.handleReport('w1', createReport(running, ends), now, now);
+}
+
+test('a worker whose capacity has shrunk gets a task only when its runs fit again', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  dispatcher.submit(createJob('a', 2, longDeadline), false, 0);
+  const starts = startDue(dispatcher, 0);
+  assert.equal(starts.length, 2);
+  list(dispatcher, {capacity: oneTask}, 10);
+  dispatcher.submit(createJob('b', 1, longDeadline), false, 10);
+  assert.deepEqual(formatCommands(dispatcher.tick(10)), []);
+  reportEnd(dispatcher, starts, RunEnd.Done, 20);
+  assert.deepEqual(formatCommands(dispatcher.tick(20)), []);
+  list(dispatcher, {}, 30);
+  assert.equal(startDue(dispatcher, 30).length, 1);
+});
+
+test('a run that is being stopped counts against a capacity that has shrunk', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  dispatcher.submit(createJob('a', 1, longDeadline), false, 0);
+  const starts = startDue(dispatcher, 0);
+  list(dispatcher, {capacity: oneTask}, 10);
+  dispatcher.cancel('a', AbandonReason.Cancelled, 10);
+  dispatcher.submit(createJob('b', 1, longDeadline), false, 10);
+  assert.deepEqual(formatCommands(dispatcher.tick(10)), [
+    'stop a.0.0.0/1 on w1',
+  ]);
+  const [stopped] = starts;
+  assert.ok(stopped !== undefined);
+  dispatcher.handleStopAccepted(stopped.run, 20);
+  assert.deepEqual(formatCommands(dispatcher.tick(20)), []);
+  reportEnd(dispatcher, starts, RunEnd.Stopped, 30);
+  assert.equal(startDue(dispatcher, 30).length, 1);
+});
+
+test('a restarted worker gets no task by the capacity of its former incarnation', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  dispatcher.handleReport('w1', createReport([], [], 2), 10, 11);
+  dispatcher.submit(createJob('a', 2, longDeadline), false, 20);
+  assert.deepEqual(formatCommands(dispatcher.tick(20)), []);
+  list(dispatcher, {}, 30);
+  assert.deepEqual(formatCommands(dispatcher.tick(30)), []);
+  list(dispatcher, {bornAt: 2, capacity: oneTask}, 40);
+  dispatcher.submit(createJob('b', 2, longDeadline), false, 40);
+  assert.equal(startDue(dispatcher, 40).length, 1);
+});
--- a/packages/dispatch/test/runs.test.ts
+++ b/packages/dispatch/test/runs.test.ts
@@ -147,6 +147,7 @@
   const {run} = startOne(dispatcher, 0);
   dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
   dispatcher.handleReport('w1', createReport([], [], 2), 10, 11);
+  dispatcher.setWorkers([createWorker('w1', {bornAt: 2})], 11);
   assert.deepEqual(formatCommands(dispatcher.tick(11)), [
     'start a.0.0.0/2 on w1',
   ]);
--- a/packages/dispatch/test/worker_incarnations.test.ts
+++ b/packages/dispatch/test/worker_incarnations.test.ts
@@ -77,6 +77,7 @@
 test('a report is accepted even if the start time of the worker goes back', () => {
   const dispatcher = createDispatcher([createWorker('w1', {bornAt: 2})]);
   dispatcher.handleReport('w1', createReport(), 4, 6);
+  dispatcher.setWorkers([createWorker('w1', {bornAt: 1})], 6);
   dispatcher.submit(createJob('a', 1), false, 6);
   assert.deepEqual(formatStartsAt(dispatcher, 6), ['start a.0.0.0/1 on w1']);
 });
