Tests: crashes reach the zone that delegated a task and the next holder

An age of a crash in a message can't be negative, so that a peer with a fault can't keep a crash for ever.

--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -32,7 +32,7 @@
   /** Whether other tasks ran there as well. */
   isShared: z.boolean(),
   /** Time since the crash became known, in ms. */
-  ageMs: z.number(),
+  ageMs: z.number().nonnegative(),
 });
 
 /** Crashes that the sender knows; left out if there are none. */
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -50,9 +50,10 @@
   first: FakeHolder,
   next: FakeHolder,
   {isFirstAlive}: {isFirstAlive: boolean},
+  crashes = new CrashHistory(),
 ): Promise<JobSubmission | undefined> {
   const owner = new Owner({
-    crashes: new CrashHistory(),
+    crashes,
     selfId: 'owner',
     findHolder: () => (first.submissions.length === 0 ? first : next),
     waitForHolderChange: from =>
@@ -131,3 +132,19 @@
   const long = {...short, steps: [{...step, estimateMs: 9_000}]};
   assert.equal(findHolderWaitEnd(long), 6_000);
 });
+
+test('the next holder is told of the crashes under the tasks of a job', async () => {
+  const crashes = new CrashHistory();
+  const at = readClock();
+  const crash = {workerId: 'w1', workerBornAt: 1, isShared: false};
+  crashes.record({...crash, task: 'a.0.0.0'}, at);
+  crashes.record({...crash, task: 'b.0.0.0'}, at);
+  const submission = await runWithHolders(
+    new FakeHolder('first', new Promise<JobAnswer>(() => undefined)),
+    new FakeHolder('next', completed),
+    {isFirstAlive: false},
+    crashes,
+  );
+  const told = submission?.crashes?.map(({task}) => task);
+  assert.deepEqual(told, ['a.0.0.0']);
+});
--- a/packages/zone/test/task_delegator.test.ts
+++ b/packages/zone/test/task_delegator.test.ts
@@ -31,8 +31,8 @@
 };
 
 /** Creates a dispatcher with a busy worker and known free capacity in `east`. */
-function createBusyDispatcher(now: number): Dispatcher {
-  const dispatcher = createDispatcher(now);
+function createBusyDispatcher(now: number, crashes: CrashHistory): Dispatcher {
+  const dispatcher = createDispatcher(now, crashes);
   dispatcher.submit(createJob('a', 2, now), false, now);
   dispatcher.tick(now);
   const vacancies = [{slowness: 1, cpuMillis: 30_000, memoryMb: 1_000}];
@@ -47,7 +47,8 @@
 /** Whether a task is delegated again after the first attempt got this answer. */
 async function isDelegatedAgain(answer: DelegationAnswer): Promise<boolean> {
   const now = readClock();
-  const dispatcher = createBusyDispatcher(now);
+  const crashes = new CrashHistory();
+  const dispatcher = createBusyDispatcher(now, crashes);
   const [command] = dispatcher.tick(now);
   assert.ok(command?.kind === 'lend');
   const client: Pick<ZoneClient, 'delegateTask'> = {
@@ -57,7 +58,7 @@
     zone: 'west',
     token: 7,
     dispatcher,
-    crashes: new CrashHistory(),
+    crashes,
     findZoneClient: () => client as ZoneClient,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
@@ -84,6 +85,26 @@
   );
 });
 
+test('a task whose worker crashed in another zone is not delegated again', async () => {
+  const answer = {
+    kind: 'abandoned',
+    reason: AbandonReason.RunLost,
+  } as const;
+  const rooms = [freeCapacity];
+  const crash = {
+    task: 'b.0.0.0',
+    workerId: 'east-w1',
+    workerBornAt: 1,
+    isShared: true,
+    ageMs: 0,
+  };
+  const results = [
+    await isDelegatedAgain({answer, rooms}),
+    await isDelegatedAgain({answer, rooms, crashes: [crash]}),
+  ];
+  assert.deepEqual(results, [true, false]);
+});
+
 /** Whether a task that an earlier holder delegated is started or delegated again. */
 async function isStartedAgain(
   client: ZoneClient | undefined,
@@ -136,7 +157,7 @@
 /** Loses a delegated task; its zone accepts the recall at `acceptedAttempt`. */
 async function loseDelegatedTask(acceptedAttempt: number) {
   const now = readClock();
-  const dispatcher = createBusyDispatcher(now);
+  const dispatcher = createBusyDispatcher(now, new CrashHistory());
   const [command] = dispatcher.tick(now);
   assert.ok(command?.kind === 'lend');
   const recalled: string[] = [];
