--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -48,6 +48,8 @@
   private clock: ClockReading | undefined;
   private readonly running = new Map<string, Run>();
   private usedResources = NO_RESOURCES;
+  /** Number of runs there that no other may join. */
+  private isolatedRuns = 0;
 
   /** `bornAt` of its latest entry, which may be that of a former incarnation. */
   listedBornAt: number;
@@ -81,13 +83,6 @@
     return this.running;
   }
 
-  /** Whether it has a run that no other may join. */
-  private get hasIsolatedRun(): boolean {
-    for (const {isIsolated} of this.running.values())
-      if (isIsolated) return true;
-    return false;
-  }
-
   /** Whether the worker can be given a task now. */
   isUsable(now: Millis): boolean {
     if (!this.hasAcceptedToken || this.isUnresponsive || this.info.isDraining)
@@ -97,7 +92,7 @@
     if (now < this.fullUntil) return false;
     // A start command would also extend the lease of the orphaned runs.
     if (this.orphans.size > 0) return false;
-    if (this.hasIsolatedRun) return false;
+    if (this.isolatedRuns > 0) return false;
     switch (this.health) {
       case Health.Healthy:
         return true;
@@ -127,6 +122,7 @@
       for (const other of this.running.values()) other.isShared = true;
     }
     this.running.set(run.key, run);
+    if (run.isIsolated) this.isolatedRuns += 1;
     this.usedResources = addResources(this.usedResources, run.need, 1);
   }
 
@@ -135,6 +131,7 @@
     const run = this.running.get(key);
     if (run === undefined) return;
     this.running.delete(key);
+    if (run.isIsolated) this.isolatedRuns -= 1;
     this.usedResources = addResources(this.usedResources, run.need, -1);
   }
 
