A suspected task goes to a worker that is fast enough; one silent observer for the dispatcher's tests

The smallest empty worker was taken also where it is too slow for the job, which then ended too late for nothing.

--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -91,18 +91,19 @@
     abandonAfterCrash(registry, record, now);
     return undefined;
   }
+  const {service, queue} = record.job;
+  const predictOn = ({info}: WorkerRecord) =>
+    registry.runTimes.predictOn(info.id, queue, task.step.estimateMs);
   const workers = round
-    .usableWorkers(record.job.service)
-    .filter(worker => canEverRun(task.step, worker));
+    .usableWorkers(service)
+    .filter(worker => canEverRun(task.step, worker))
+    .filter(worker => now + predictOn(worker) <= record.usefulUntil);
   const free = findSmallest(workers.filter(({runs}) => runs.size === 0));
   if (free === undefined) {
-    reservations.reserveNext(workers, record.job.service);
+    reservations.reserveNext(workers, service);
     return undefined;
   }
-  const {id} = free.info;
-  const {queue} = record.job;
-  const runMs = registry.runTimes.predictOn(id, queue, task.step.estimateMs);
-  const run = createRun(record, task, id, runMs, now);
+  const run = createRun(record, task, free.info.id, predictOn(free), now);
   registry.beginRun(record, task, run);
   round.exclude(free);
   return run;
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -16,6 +16,7 @@
   formatCommands,
   pollAllWorkers,
   longDeadline,
+  noopObserver,
 } from './fixtures/dispatcher_setup.js';
 
 test('a new holder adopts the runs of a job that its owner submits again', () => {
@@ -169,16 +170,11 @@
 });
 
 test('a new holder places and refuses nothing before the worker list is confirmed', () => {
-  const ignore = () => undefined;
-  const observer = {
-    runEnded: ignore,
-    lossesExplained: ignore,
-    crashRecorded: ignore,
-    jobFailedByCrashes: ignore,
-    workerStruck: ignore,
-    jobRefused: ignore,
-  };
-  const dispatcher = new Dispatcher({leaseMs: 1_000, stopMs: 50}, 0, observer);
+  const dispatcher = new Dispatcher(
+    {leaseMs: 1_000, stopMs: 50},
+    0,
+    noopObserver,
+  );
   dispatcher.submit(createJob('a', 1), false, 1);
   dispatcher.setWorkers([createWorker('w1')], 2);
   pollAllWorkers(dispatcher, 3);
