--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -35,6 +35,6 @@
     ...(claim === undefined ? {} : {claim}),
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
-    ...(recentCrashes.length === 0 ? {} : {crashes: recentCrashes}),
+    ...(recentCrashes === undefined ? {} : {crashes: recentCrashes}),
   };
 }
