A job whose earlier submission crashed a worker is not called refused

What callers would have been told: 429 for a job that is sent again without enough time for its suspected task, although a task of its earlier submission had been started; a refusal says that the job never runs.

Cause: the record of the new submission has started nothing yet, and only that was asked. The crash that makes its task a suspect shows that one was.

Evidence: the new test got 'refused' before. It is now 504 worker_crashed.

--- a/packages/dispatch/src/crashes/crash_history.ts
+++ b/packages/dispatch/src/crashes/crash_history.ts
@@ -11,7 +11,7 @@
 /** Time for which a crash is remembered, in ms. */
 const RETENTION_MS = 60_000;
 /** Time for which a crash that has become known is told to peers, in ms. */
-const TELLING_MS = 5_000;
+const GOSSIP_MS = 5_000;
 /** Maximum number of crashes in one report to a peer. */
 const MAX_REPORTED = 64;
 /** Maximum number of tasks with crashes; the oldest are forgotten first. */
@@ -95,7 +95,7 @@
 
   /** Reports the crashes that have become known recently, newest first. */
   reportRecent(now: Millis): CrashReport[] | undefined {
-    return this.report(now, ({learnedAt}) => now - learnedAt < TELLING_MS);
+    return this.report(now, ({learnedAt}) => now - learnedAt < GOSSIP_MS);
   }
 
   /** Reports all crashes that are remembered, newest first. */
--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -6,7 +6,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {CrashVerdict} from '../crashes/index.js';
 import {canEverRun} from '../placement/index.js';
-import {AbandonReason, RefusalReason} from '../work/index.js';
+import {AbandonReason} from '../work/index.js';
 import type {Run, WorkerRecord} from '../workers/index.js';
 import type {StartCommand} from './commands.js';
 import {createRun} from './create_run.js';
@@ -88,7 +88,9 @@
   const expectedMs = registry.predictTask(record, task);
   // Its start may cost another worker, so it needs an answer that is of use.
   if (now + expectedMs > record.usefulUntil) {
-    abandonAfterCrash(registry, record, now);
+    // The crash shows that a task was started, so the job is not refused.
+    const outcome = createAbandoned(AbandonReason.WorkerCrashed);
+    registry.endJob(record, outcome, now);
     return undefined;
   }
   const {service, queue} = record.job;
@@ -109,17 +111,6 @@
   return run;
 }
 
-function abandonAfterCrash(
-  registry: Registry,
-  record: JobRecord,
-  now: Millis,
-): void {
-  if (!record.hasStarted)
-    registry.refuse(record, RefusalReason.TooLate, 0, now);
-  else
-    registry.endJob(record, createAbandoned(AbandonReason.WorkerCrashed), now);
-}
-
 /** Keeps a few workers free of other tasks until their runs have ended. */
 class Reservations {
   private readonly counts = new Map<string, number>();
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -186,6 +186,24 @@
   });
 });
 
+test('a job submitted again without time for its suspected task is not called refused', () => {
+  const dispatcher = createIdleDispatcher(3);
+  dispatcher.submit(createJob('a', 1, {deadlineAt: 1_050}), false, 0);
+  const [start] = startDue(dispatcher, 0);
+  assert.ok(start !== undefined);
+  const now = crash(dispatcher, start.run.workerId, 0);
+  dispatcher.tick(now);
+  dispatcher.takeEndedJobs();
+  const deadlineAt = now + 100;
+  dispatcher.submit(createJob('a', 1, {deadlineAt}), false, now);
+  assert.deepEqual(formatCommands(dispatcher.tick(now)), []);
+  const [ended] = dispatcher.takeEndedJobs();
+  assert.deepEqual(ended?.outcome, {
+    kind: 'abandoned',
+    reason: 'worker_crashed',
+  });
+});
+
 test('tasks on a worker that was only silent are started again side by side', () => {
   const dispatcher = createSharedWorker([createLongJob('a', 2)], ['w1']);
   dispatcher.handlePollFailure('w0', WorkerRequestFailure.Unanswered, 1);
