--- a/packages/zone/test/one_run_at_a_time.test.ts
+++ b/packages/zone/test/one_run_at_a_time.test.ts
@@ -46,6 +46,24 @@
     instances: 6,
     cause: 'none; most instances are followers',
   },
+  {
+    seed: 73021,
+    zones: 3,
+    instances: 3,
+    cause: 'an overloaded instance submits a job after its caller has left',
+  },
+  {
+    seed: 73154,
+    zones: 3,
+    instances: 3,
+    cause: 'a lease is computed from the clock of a former incarnation',
+  },
+  {
+    seed: 73188,
+    zones: 3,
+    instances: 3,
+    cause: 'a job is resent to a zone that does not know of its unclaimed run',
+  },
 ];
 const {PLAY_SEED, PLAY_COUNT = '1', PLAY_ZONES, PLAY_HELD} = process.env;
 const {PLAY_INSTANCES} = process.env;
