--- a/packages/zone/test/one_run_at_a_time.test.ts
+++ b/packages/zone/test/one_run_at_a_time.test.ts
@@ -50,19 +50,19 @@
     seed: 73021,
     zones: 3,
     instances: 3,
-    cause: 'an overloaded instance submits a job after its caller has left',
+    cause: 'a job is read and started after its caller has left',
   },
   {
     seed: 73154,
     zones: 3,
     instances: 3,
-    cause: 'a lease is computed from the clock of a former incarnation',
+    cause: 'a start that is late by the clock of the worker before is valid',
   },
   {
     seed: 73188,
     zones: 3,
     instances: 3,
-    cause: 'a job is resent to a zone that does not know of its unclaimed run',
+    cause: 'a wanted run on its worker extends the lease of an unclaimed run',
   },
 ];
 const {PLAY_SEED, PLAY_COUNT = '1', PLAY_ZONES, PLAY_HELD} = process.env;
