A new holder starts no new job before other zones have told what they run for its zone

What callers saw: two runs of a task at a time; the second one by a new holder, for which the job was new, beside a run that its predecessor had delegated. Cause: a new holder polls its workers before it places a new job, but waited for the other zones' lists only with jobs that it knew to have begun.

--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -89,6 +89,7 @@
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.pendingOutcome !== undefined || !record.hasWaitingTasks)
       return false;
+    if (this.mayRunElsewhere(record, now)) return false;
     // Runs of its tasks that another zone delegated to this one must end first.
     if (this.registry.inboundTasks.has(record.id)) return false;
     // A job that its client submits again may run on a worker that has not
@@ -99,6 +100,12 @@
     return this.areAllRunsKnown(record, now);
   }
 
+  /** Whether another zone may run tasks of a job that is new here. */
+  private mayRunElsewhere(record: JobRecord, now: Millis): boolean {
+    const {delegationSurvey} = this.registry;
+    return !record.isInbound && delegationSurvey.isAwaitingReports(now);
+  }
+
   /** Whether every run of the job that may still go on is known here. */
   areAllRunsKnown(record: JobRecord, now: Millis): boolean {
     if (!record.mayHaveUnknownRuns) return true;
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -58,7 +58,7 @@
   /** Discovers the tasks that an earlier holder of this zone delegated. */
   async discover(zones: readonly string[]): Promise<void> {
     const {dispatcher, onChange} = this.options;
-    dispatcher.expectDelegationReports(zones);
+    dispatcher.expectDelegationReports(zones, readClock());
     await Promise.all(zones.map(zone => this.queryZone(zone)));
     onChange();
   }
