A job is not started while another zone says that it may still run there

What callers saw: two runs of a task at a time, in two zones. A caller whose connection broke, or that was told 504, sends its job again 1,300 ms later to any zone; the first one may still run it, as a stop or a recall was lost, as nobody has claimed its runs since a change of holder, or as the zone that had delegated the task is silent. Cause: zones knew nothing of each other's jobs, so that a second start rested on times alone. Its proof is now asked of those who can give it: a holder tells the other holders which jobs still run in its zone though nobody waits for them there (after 100 ms, in heartbeats, at once when there is another one, and in the answer to a new holder). A job that is new to a zone waits while it is on such a list, 2 s at most after the last word of a zone that is cut off, and is not refused as not run. Normal jobs cost no message. What remains: a zone that is cut off in the moment in which it should tell.

--- a/packages/dispatch/src/dispatcher/delegation_survey.ts
+++ b/packages/dispatch/src/dispatcher/delegation_survey.ts
@@ -63,6 +63,11 @@
     return now - this.expectedSince < FIRST_REPORT_WAIT_MS;
   }
 
+  /** Iterates over the names of the reported tasks that no job has claimed. */
+  unclaimedTasks(): Iterable<string> {
+    return this.unclaimedRuns.keys();
+  }
+
   /** Adds a zone's report. */
   addReport(
     zone: string,
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -12,6 +12,7 @@
   type ZoneVacancies,
 } from '../remote_vacancies/index.js';
 import {CrashHistory} from '../crashes/index.js';
+import type {AbandonedJobReport} from '../remote_runs/index.js';
 import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
@@ -23,6 +24,7 @@
   type Worker,
   WorkerRequestFailure,
 } from '../workers/index.js';
+import {findAbandonedJobs} from './abandoned_jobs.js';
 import {Registry, type DispatchObserver, type EndedJob} from './registry.js';
 import {StrikeReason} from './health.js';
 import {Intake} from './intake.js';
@@ -258,6 +260,21 @@
     this.registry.delegationSurvey.expect(zones, now);
   }
 
+  /** Finds the jobs that still run here though nobody waits for them. */
+  findAbandonedJobs(): Set<string> {
+    return findAbandonedJobs(this.registry);
+  }
+
+  /** Handles another zone's report of the jobs that nobody waits for there. */
+  handleAbandonedJobs(report: AbandonedJobReport, now: Millis): void {
+    this.intake.addAbandonedJobs(report, now);
+  }
+
+  /** Whether another zone may run tasks of the job. */
+  mayRunElsewhere(jobId: string, now: Millis): boolean {
+    return this.registry.remoteRuns.mayRun(jobId, now);
+  }
+
   /** Handles another zone's report of the tasks that it runs for this one. */
   handleDelegationReport(
     zone: string,
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -6,6 +6,7 @@
   type Job,
   type JobProgress,
 } from '../work/index.js';
+import type {AbandonedJobReport} from '../remote_runs/index.js';
 import type {Run} from '../workers/index.js';
 import {adoptDelegated, adoptOrphans} from './adoption.js';
 import {createAbandoned, type Registry} from './registry.js';
@@ -63,6 +64,17 @@
     this.applyHistory(record, history, now);
     adoptOrphans(this.registry, record, now);
     this.adoptDelegated(record, now);
+    if (this.registry.remoteRuns.mayRun(job.id, now)) holdBack(record);
+  }
+
+  /** Adds the abandoned jobs that another zone reports. */
+  addAbandonedJobs(report: AbandonedJobReport, now: Millis): void {
+    this.registry.remoteRuns.record(report, now);
+    this.registry.isPlacementDue = true;
+    for (const jobId of report.jobIds) {
+      const record = this.registry.jobs.get(jobId);
+      if (record !== undefined) holdBack(record);
+    }
   }
 
   /** Resumes a delegated task that an earlier holder of this zone started. */
@@ -139,3 +151,11 @@
     }
   }
 }
+
+/** Keeps a job from starting while another zone may run its tasks. */
+function holdBack(record: JobRecord): void {
+  if (record.hasStarted) return;
+  record.isHeldBack = true;
+  // It may have run elsewhere, so it must not be refused as not run.
+  record.hasStarted = true;
+}
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -57,6 +57,8 @@
   isResumed = false;
   /** Whether runs of an earlier holder may go on that are not known here. */
   mayHaveUnknownRuns = false;
+  /** Whether another zone might run it when it was submitted here. */
+  isHeldBack = false;
 
   /** `expectedMs` is the run time of the job if no task has to wait. */
   constructor(
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -102,7 +102,8 @@
 
   /** Whether another zone may run tasks of a job that is new here. */
   private mayRunElsewhere(record: JobRecord, now: Millis): boolean {
-    const {delegationSurvey} = this.registry;
+    const {remoteRuns, delegationSurvey} = this.registry;
+    if (record.isHeldBack && remoteRuns.mayRun(record.id, now)) return true;
     return !record.isInbound && delegationSurvey.isAwaitingReports(now);
   }
 
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -5,6 +5,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {chooseRetryAfter} from '../admission/index.js';
 import {CrashVerdict, type CrashHistory} from '../crashes/index.js';
+import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
 import {
   AbandonReason,
@@ -88,6 +89,8 @@
   private readonly runNumbers = new RunNumbers();
   /** Runs that an earlier holder delegated to other zones. */
   readonly delegationSurvey = new DelegationSurvey();
+  /** Jobs that other zones may still run. */
+  readonly remoteRuns = new RemoteRuns();
   /** The job of each worker's last strike, by worker ID. */
   private readonly lastStrikeJobIds = new Map<string, string>();
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './crashes/index.js';
 export * from './dispatcher/index.js';
+export * from './remote_runs/index.js';
 export * from './remote_vacancies/index.js';
 export * from './run_times/index.js';
 export * from './work/index.js';
--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -83,6 +83,21 @@
     }
   }
 
+  /** Finds the jobs of tasks whose zones may no longer wait for them. */
+  findUnconfirmed(isConfirmed: IsTaskWanted): string[] {
+    const jobIds: string[] = [];
+    for (const {
+      id,
+      job,
+      submittedId,
+    } of this.options.dispatcher.jobs.values()) {
+      const token = this.tokenByTask.get(id);
+      if (job.delegatedBy === undefined || token === undefined) continue;
+      if (!isConfirmed(job.delegatedBy, token)) jobIds.push(submittedId);
+    }
+    return jobIds;
+  }
+
   /** Removes a task that has ended. */
   remove(recordId: string): void {
     this.tokenByTask.delete(recordId);
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -2,12 +2,7 @@
  * The holder of a zone, that is, its elected leader: it executes the commands
  * of the dispatcher at the workers and returns the results to job owners.
  */
-import {
-  AbandonReason,
-  Dispatcher,
-  type Command,
-  type ZoneVacancies,
-} from '@goldcrestpier/dispatch';
+import {AbandonReason, Dispatcher, type Command} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import type {WorkerListing} from '../ports/index.js';
 import type {
@@ -26,7 +21,12 @@
 import {TaskDelegator} from './task_delegator.js';
 import {findListingAge, isListingAwaited} from './listing_age.js';
 import {countOrphans, countRuns} from './run_counts.js';
-import {formatFreeCapacity, clearVacancies} from './free_capacity.js';
+import {AbandonedJobs} from './abandoned_jobs.js';
+import {
+  clearVacancies,
+  formatFreeCapacity,
+  toZoneCapacity,
+} from './free_capacity.js';
 import {OverloadDetector} from './overload_detector.js';
 import {createObserver, logPlacements} from './observer.js';
 import {PendingAnswers} from './pending_answers.js';
@@ -37,6 +37,8 @@
 
 /** Dispatches to a zone's workers until a higher fencing token is seen. */
 export class Holder {
+  /** The jobs that still run here though nobody waits for them. */
+  readonly abandonedJobs = new AbandonedJobs();
   private readonly dispatcher: Dispatcher;
   private readonly commandSender: CommandSender;
   private readonly delegator: TaskDelegator;
@@ -44,6 +46,7 @@
   private readonly delegatedTasks: DelegatedTasks;
   private readonly pollers: WorkerPollers;
   private readonly pendingAnswers = new PendingAnswers();
+
   private readonly holderSince = readClock();
   private readonly overloadDetector = new OverloadDetector(TICK_INTERVAL_MS);
   private workerListing: WorkerListing | undefined;
@@ -148,12 +151,26 @@
     void this.delegator.discover(zones);
   }
 
-  /** Records the free capacity that the holder of another zone reports. */
-  recordFreeCapacity(capacity: ZoneVacancies): void {
+  /** Handles a heartbeat of the holder of another zone. */
+  handleZoneHeartbeat(message: ZoneHeartbeat): void {
+    const {zone, claim, rooms = [], abandonedJobs: jobIds = []} = message;
     const now = readClock();
+    if (claim !== undefined) {
+      const report = {zone, token: claim.token, jobIds};
+      this.dispatcher.handleAbandonedJobs(report, now);
+    }
     // Delegating a task costs more processor time than starting it here.
-    if (!this.overloadDetector.wasRecentlyOverloaded(now))
-      this.dispatcher.updateZoneVacancies(capacity, now);
+    if (this.overloadDetector.wasRecentlyOverloaded(now)) return;
+    for (const capacity of rooms)
+      this.dispatcher.updateZoneVacancies(toZoneCapacity(zone, capacity), now);
+  }
+
+  /** Finds these jobs anew; `isConfirmed`: a zone still waits for its task. */
+  updateAbandonedJobs(isConfirmed: IsTaskWanted): void {
+    const jobIds = this.dispatcher.findAbandonedJobs();
+    for (const jobId of this.delegatedTasks.findUnconfirmed(isConfirmed))
+      jobIds.add(jobId);
+    this.abandonedJobs.update(jobIds, readClock());
   }
 
   /** Finds the free capacity of each service, as reported to other zones. */
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -44,7 +44,7 @@
   submit(message: JobSubmission, now: Millis): Promise<JobAnswer> {
     const {overloadDetector, logger, metrics} = this.options;
     const {id} = message;
-    if (overloadDetector.isOverloaded(now) && this.isNew(message)) {
+    if (overloadDetector.isOverloaded(now) && this.isNew(message, now)) {
       logger.info('job refused', {job: id, reason: busyRefusal.reason});
       metrics.countOutcome(busyRefusal);
       return busyAnswer;
@@ -114,10 +114,11 @@
     }
   }
 
-  /** Whether the job has no record or run here, so that it may be refused. */
-  private isNew({id, isResumed}: JobSubmission): boolean {
+  /** Whether nothing is known to run of the job, so that it may be refused. */
+  private isNew({id, isResumed}: JobSubmission, now: Millis): boolean {
     const {dispatcher} = this.options;
     if (isResumed || dispatcher.jobs.has(id)) return false;
+    if (dispatcher.mayRunElsewhere(id, now)) return false;
     return !hasRunsOf(dispatcher, id);
   }
 
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -14,6 +14,7 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {
   JobAnswer,
+  DelegatedTaskList,
   DelegationAnswer,
   ZoneCallFailure,
   ZoneClient,
@@ -184,6 +185,7 @@
       if (result?.isOk() === true) {
         const {tasks, isComplete, crashes = []} = result.value;
         this.options.crashes.merge(crashes, readClock());
+        this.recordAbandonedJobs(zone, result.value);
         dispatcher.handleDelegationReport(zone, result.value, readClock());
         logger.info('received the tasks that another zone runs for this one', {
           zone,
@@ -201,6 +203,15 @@
     );
   }
 
+  private recordAbandonedJobs(
+    zone: string,
+    {holderToken, abandonedJobs = []}: DelegatedTaskList,
+  ): void {
+    if (holderToken === undefined) return;
+    const report = {zone, token: holderToken, jobIds: abandonedJobs};
+    this.options.dispatcher.handleAbandonedJobs(report, readClock());
+  }
+
   private async handleDelegationAnswer(
     command: DelegateCommand,
     {answer, rooms = []}: DelegationAnswer,
--- a/packages/zone/src/instance/delegation_handler.ts
+++ b/packages/zone/src/instance/delegation_handler.ts
@@ -51,8 +51,11 @@
   }: DelegatedTasksQuery): Promise<DelegatedTaskList> {
     this.zones.recordToken(homeZone, token);
     const unknown = {isComplete: false, tasks: []};
-    const list = this.findHolder()?.listDelegatedTasks(homeZone) ?? unknown;
+    const holder = this.findHolder();
+    const list = holder?.listDelegatedTasks(homeZone) ?? unknown;
     const crashes = this.crashes.reportAll(readClock());
-    return Promise.resolve({...list, crashes});
+    const abandonedJobs = holder?.abandonedJobs.told;
+    const holderToken = holder?.token;
+    return Promise.resolve({...list, crashes, holderToken, abandonedJobs});
   }
 }
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -25,13 +25,12 @@
 import {DelegationHandler} from './delegation_handler.js';
 import {PeerLinks} from './links.js';
 import {LoopDelay} from './loop_delay.js';
-import {toZoneCapacity} from '../holder/index.js';
 import {OtherZones} from './other_zones.js';
 import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleManager} from './role_manager.js';
 import {StepScheduler} from './step_scheduler.js';
 import {StateChangeDetector} from './state_change_detector.js';
-import {cancelUnwantedWork} from './unwanted_work.js';
+import {updateUnwantedWork} from './unwanted_work.js';
 import {ZoneView} from './zone_view.js';
 
 /** A running instance. */
@@ -203,16 +202,18 @@
     this.roles.update(this.view.listMembers(now), this.isLeaving, now);
     const version = directory.configuration()?.version;
     const {isLeaving, view, zones} = this;
+    const {holderId, holder, claim} = this.roles;
+    const parties = {id: this.options.id, view, zones};
+    if (holder !== undefined) updateUnwantedWork(holder, parties, now);
     const {revision: crashRevision} = this.crashes;
-    const state = {claim: this.roles.claim, isLeaving, version, crashRevision};
+    const abandonedRevision = holder?.abandonedJobs.revision;
+    const revisions = {crashRevision, abandonedRevision};
+    const state = {claim, isLeaving, version, ...revisions};
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
-    const {holderId, holder} = this.roles;
     if (holderId !== undefined) {
       this.activity.recordHolder(now);
       this.notifier.notify(holderId);
     }
-    const parties = {id: this.options.id, view, zones};
-    if (holder !== undefined) cancelUnwantedWork(holder, parties, now);
     const isShort = isCandidate || this.isHolderUncertain(now);
     return this.activity.chooseInterval(isShort || holder !== undefined, now);
   }
@@ -271,10 +272,8 @@
   }
 
   private handleOtherZone(message: ZoneHeartbeat, now: Millis): void {
-    this.zones.recordHeartbeat(message, now);
-    const {zone, rooms = []} = message;
-    for (const capacity of rooms)
-      this.roles.holder?.recordFreeCapacity(toZoneCapacity(zone, capacity));
+    if (this.zones.recordHeartbeat(message, now))
+      this.roles.holder?.handleZoneHeartbeat(message);
   }
 
   private handleClaim(claim: Claim, now: Millis): void {
@@ -288,8 +287,9 @@
     const {address, isLeaving, crashes} = this;
     const holderHeardMs = claim && this.view.findSilence(claim.holderId, now);
     const rooms = withCapacity ? holder?.findFreeCapacity() : undefined;
+    const abandonedJobs = withCapacity ? holder?.abandonedJobs.told : undefined;
     const self = {id, zone, address, processors, isLeaving, directory};
-    const known = {claim, holderHeardMs, rooms, crashes};
+    const known = {claim, holderHeardMs, rooms, crashes, abandonedJobs};
     return createOwnHeartbeat({...self, ...known}, now);
   }
 
--- a/packages/zone/src/instance/other_zones.ts
+++ b/packages/zone/src/instance/other_zones.ts
@@ -6,6 +6,9 @@
 /** Silence after which a zone's delegated tasks are cancelled, in ms. */
 const ZONE_SILENCE_MS = 1_000;
 
+/** Silence after which a zone may have lost its holder, in ms. */
+const ZONE_SUSPICION_MS = 500;
+
 /** Time in which a new holder reattaches to its zone's tasks here, in ms. */
 const REATTACH_WINDOW_MS = 1_000;
 
@@ -38,15 +41,17 @@
     }
   }
 
-  /** Records a heartbeat from an instance of another zone. */
+  /** Records a heartbeat; true if it is from the holder of another zone. */
   recordHeartbeat(
     {id, zone, address, claim}: ZoneHeartbeat,
     now: Millis,
-  ): void {
-    if (zone === this.zone || claim?.holderId !== id) return;
+  ): boolean {
+    if (zone === this.zone || claim?.holderId !== id) return false;
     this.recordHolder(zone, address, claim.token, now);
     const holder = this.holders.get(zone);
-    if (holder?.address === address) holder.heardAt = now;
+    if (holder?.address !== address) return false;
+    holder.heardAt = now;
+    return true;
   }
 
   /** Finds the address of a zone's holder. */
@@ -75,6 +80,13 @@
     return token >= holder.token || now - holder.since < REATTACH_WINDOW_MS;
   }
 
+  /** Whether the zone's current holder is known to wait for such a task. */
+  isTaskConfirmed(zone: string, token: number, now: Millis): boolean {
+    const holder = this.holders.get(zone);
+    if (holder === undefined || token < holder.token) return false;
+    return now - holder.heardAt < ZONE_SUSPICION_MS;
+  }
+
   private recordHolder(
     zone: string,
     address: string,
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -19,11 +19,21 @@
   /** Free capacity of the workers, if it is reported to the receiver. */
   readonly rooms: ZoneHeartbeat['rooms'];
   readonly crashes: CrashHistory;
+  /** Jobs that nobody waits for, if they are reported to the receiver. */
+  readonly abandonedJobs: readonly string[] | undefined;
 }
 
 /** Creates the heartbeat to send now. */
 export function createOwnHeartbeat(
-  {directory, claim, holderHeardMs, rooms, crashes, ...self}: OwnState,
+  {
+    directory,
+    claim,
+    holderHeardMs,
+    rooms,
+    crashes,
+    abandonedJobs = [],
+    ...self
+  }: OwnState,
   now: Millis,
 ): ZoneHeartbeat {
   const recentCrashes = crashes.reportRecent(now);
@@ -36,5 +46,6 @@
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
     ...(recentCrashes === undefined ? {} : {crashes: recentCrashes}),
+    ...(abandonedJobs.length === 0 ? {} : {abandonedJobs}),
   };
 }
--- a/packages/zone/src/instance/state_change_detector.ts
+++ b/packages/zone/src/instance/state_change_detector.ts
@@ -10,6 +10,8 @@
   readonly version: number | undefined;
   /** Revision of the known crashes of workers. */
   readonly crashRevision: number;
+  /** Revision of the jobs that nobody waits for; undefined if not holder. */
+  readonly abandonedRevision: number | undefined;
 }
 
 /** Remembers the state that was announced last. */
@@ -24,6 +26,7 @@
     if (previous.isLeaving !== state.isLeaving) return true;
     if (previous.version !== state.version) return true;
     if (previous.crashRevision !== state.crashRevision) return true;
+    if (previous.abandonedRevision !== state.abandonedRevision) return true;
     return previous.claim?.token !== state.claim?.token;
   }
 }
--- a/packages/zone/src/instance/unwanted_work.ts
+++ b/packages/zone/src/instance/unwanted_work.ts
@@ -12,8 +12,11 @@
   readonly zones: OtherZones;
 }
 
-/** Cancels the work of owners and zones that are gone or no longer want it. */
-export function cancelUnwantedWork(
+/**
+ * Cancels the work of owners and zones that are gone or no longer want it, and
+ * finds the jobs that go on meanwhile.
+ */
+export function updateUnwantedWork(
   holder: Holder,
   {id, view, zones}: WaitingParties,
   now: Millis,
@@ -24,4 +27,7 @@
   holder.cancelUnwantedTasks((zone, token) =>
     zones.isTaskWanted(zone, token, now),
   );
+  holder.updateAbandonedJobs((zone, token) =>
+    zones.isTaskConfirmed(zone, token, now),
+  );
 }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -38,6 +38,12 @@
 /** Crashes that the sender knows; left out if there are none. */
 const crashReportsSchema = z.array(crashReportSchema).readonly().optional();
 
+/**
+ * Jobs that still run in the sender's zone though nobody waits for them there;
+ * left out if there are none.
+ */
+const abandonedJobsSchema = z.array(z.string()).readonly().optional();
+
 const freeCapacitySchema = z.object({
   service: z.string(),
   vacancies: z.array(vacancySchema),
@@ -62,6 +68,8 @@
   rooms: z.array(freeCapacitySchema).optional(),
   /** Crashes that the sender got to know recently. */
   crashes: crashReportsSchema,
+  /** Sent by holders to other zones. */
+  abandonedJobs: abandonedJobsSchema,
 });
 
 const requirementsSchema = z.object({
@@ -175,6 +183,9 @@
   tasks: z.array(z.object({key: z.string(), run: z.number()})),
   /** All crashes that the peer knows, of any zone. */
   crashes: crashReportsSchema,
+  /** Fencing token of the peer; left out if it is not the holder. */
+  holderToken: z.number().optional(),
+  abandonedJobs: abandonedJobsSchema,
 });
 
 /** How a job ended, or that this instance isn't the holder. */
