The lease of a run that has to end is not extended for other runs on its worker

What callers saw: two runs of a task at a time. Cause: a worker has one lease for all that it runs. Why it works: no run there outlives the last lease that was given before it had to end. A stop is confirmed within milliseconds, a lease lasts a second, so the other runs lose theirs only if five stops in a row are lost. What remains: a start on such a worker still extends its lease.

--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -23,21 +23,21 @@
   ) {}
 
   /**
-   * Lease for a worker's runs until the next poll, in ms; undefined when none
-   * of them should go on. The lease of orphaned runs expires soon after they
-   * have to be stopped.
+   * Lease for a worker's runs until the next poll, in ms; undefined when any of
+   * them has to end, as a lease applies to all runs of a worker. The lease of
+   * orphaned runs expires soon after they have to be stopped.
    */
   chooseLease(
     {runs, orphans}: WorkerRecord,
     leaseMs: Millis,
     now: Millis,
   ): Millis | undefined {
-    if (orphans.size > 0 && this.isAdopting(now)) {
-      const leftMs = this.heldSince + ADOPTION_WINDOW_MS - now;
-      return Math.min(leaseMs, leftMs + ORPHAN_STOP_MARGIN_MS);
-    }
-    const isWanted = [...runs.values()].some(({phase}) => isWantedPhase(phase));
-    return isWanted ? leaseMs : undefined;
+    const phases = [...runs.values()].map(({phase}) => phase);
+    if (!phases.every(isWantedPhase)) return undefined;
+    if (orphans.size === 0) return runs.size > 0 ? leaseMs : undefined;
+    if (!this.isAdopting(now)) return undefined;
+    const leftMs = this.heldSince + ADOPTION_WINDOW_MS - now;
+    return Math.min(leaseMs, leftMs + ORPHAN_STOP_MARGIN_MS);
   }
 
   /** Returns the stop and recall commands that are due. */
