Log lines say more per byte: without what the collector and the message say as well

An incident's collector keeps 200 kB of each process's output. Left out are the program, host, process, part, date and usual level of each line, the owner and the history of a job that was never submitted before, an age of the list of workers under 1 s, and the answer and configuration of a job that was served.

--- a/packages/runtime/src/logger/index.ts
+++ b/packages/runtime/src/logger/index.ts
@@ -3,11 +3,9 @@
  * with the name of the component. Payloads are never logged.
  */
 import bunyan from 'bunyan';
+import {formatLine, type LogRecord} from './format_line.js';
 
-/**
- * The components that log. The value is the prefix of their messages and the
- * `part` field of their log lines.
- */
+/** The components that log. The value is the prefix of their messages. */
 export enum LogPart {
   Entry = 'entry',
   Callers = 'callers',
@@ -77,11 +75,18 @@
   }
 
   private createLogger(part: LogPart): bunyan {
+    const write = (record: LogRecord) => {
+      this.stream.write(formatLine(record));
+    };
     const logger = bunyan.createLogger({
       name: this.program,
-      part,
-      level: toBunyanLevel(this.level),
-      stream: this.stream,
+      streams: [
+        {
+          type: 'raw',
+          level: toBunyanLevel(this.level),
+          stream: {write} as unknown as NodeJS.WritableStream,
+        },
+      ],
     });
     this.loggers.set(part, logger);
     return logger;
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -10,6 +10,11 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {JobSubmission} from '../protocol/index.js';
 
+/** Age from which a list of workers is logged with the placed tasks, in ms. */
+const OLD_LIST_MS = 1_000;
+/** Age from which the age of a job is logged when it arrives, in ms. */
+const LATE_ARRIVAL_MS = 10;
+
 /** Creates the observer of one dispatcher. */
 export function createObserver(
   logger: Logger,
@@ -31,7 +36,8 @@
         worker,
         end,
         tookMs: Math.round(tookMs),
-        expectedMs: Math.round(expectedMs),
+        // A refused run has not begun, so its time says nothing.
+        expectedMs: end === 'refused' ? undefined : Math.round(expectedMs),
         ...loss,
       };
       if (end === RunEnd.Done) logger.debug('run ended', fields);
@@ -122,10 +128,10 @@
     const {key, recordId, number: run, workerId, expectedMs} = command.run;
     const texts = placed.get(recordId) ?? [];
     const placement = `${key.slice(key.indexOf('.') + 1)}/${run}@${workerId}`;
-    texts.push(`${placement}~${Math.round(expectedMs)}ms`);
+    texts.push(`${placement}~${Math.round(expectedMs)}`);
     placed.set(recordId, texts);
   }
-  const age = listAgeMs === undefined ? undefined : Math.round(listAgeMs);
+  const age = describeListAge(listAgeMs);
   for (const [job, texts] of placed) {
     const fields = {job, tasks: texts.join(' '), listAgeMs: age};
     const isResumed = dispatcher.jobs.get(job)?.isResumed === true;
@@ -134,6 +140,12 @@
   }
 }
 
+/** Returns the age of the list of workers if it is worth a field. */
+function describeListAge(ageMs: Millis | undefined): Millis | undefined {
+  const isCurrent = ageMs === undefined || ageMs < OLD_LIST_MS;
+  return isCurrent ? undefined : Math.round(ageMs);
+}
+
 /** Describes how many workers a new holder had polled for the job's runs. */
 function describeTakeover({workers}: Dispatcher, heldMs: Millis) {
   const polled = [...workers.values()].filter(
@@ -156,20 +168,22 @@
   readonly objectiveMs: Millis | undefined;
 }
 
-/** Logs an accepted job with the state that its outcome depends on. */
+/**
+ * Logs an accepted job with the state that its outcome depends on. The owner
+ * and the earlier history of a job that was never submitted before are left out.
+ */
 export function logAcceptedJob(
   message: JobSubmission,
   {isKnown, freeMillis, objectiveMs}: AcceptanceContext,
   logger: Logger,
 ): void {
   const {id, queue, ownerId, isResumed, ageMs, remainingMs} = message;
+  const isFirst = !isResumed && !isKnown;
   logger.info('job accepted', {
     job: id,
     queue,
-    ownerId,
-    isResumed,
-    isKnown,
-    ageMs: Math.round(ageMs),
+    ...(isFirst ? {} : {ownerId, isResumed, isKnown}),
+    ageMs: ageMs < LATE_ARRIVAL_MS ? undefined : Math.round(ageMs),
     remainingMs: Math.round(remainingMs),
     freeMillis,
     objectiveMs:
--- a/packages/zone/test/simulation/timeline.ts
+++ b/packages/zone/test/simulation/timeline.ts
@@ -53,7 +53,7 @@
 function formatText(text: string): string {
   if (!text.startsWith('{')) return text;
   const {msg, ...rest} = JSON.parse(text) as Record<string, unknown>;
-  const hidden = ['name', 'hostname', 'pid', 'part', 'level', 'time', 'v'];
+  const hidden = ['level', 'time'];
   const fields = Object.entries(rest)
     .filter(([key]) => !hidden.includes(key))
     .map(([key, value]) => `${key}=${String(value)}`);
--- a/scripts/explain_day.mjs
+++ b/scripts/explain_day.mjs
@@ -40,9 +40,9 @@
   return job ?? task?.split('.')[0] ?? path?.split('/').at(-1);
 }
 
-/** Reads `STEP.INDEX/RUN@WORKER~MSms`, separated by spaces. */
+/** Reads `STEP.INDEX/RUN@WORKER~MS`, separated by spaces. */
 function parsePlacements(text, at) {
-  return [...text.matchAll(/(\S+)\/(\d+)@(\S+)~(\d+)ms/g)].map(match => {
+  return [...text.matchAll(/(\S+)\/(\d+)@(\S+)~(\d+)/g)].map(match => {
     const [, task, run, worker, expectedMs] = match;
     return {at, task, run: Number(run), worker, expectedMs: Number(expectedMs)};
   });
