Log and count what tells the hypotheses on doubled runs apart

A new holder that places a job new to it names the zones that have not listed what they run for its zone (zonesPending). A join that finds no run says so. An owner says when its caller is told 504 while runs may go on, and a holder how many runs a cancelled job has left (runsLeft). Counters: early answers, joins that found nothing, recalls that no holder accepted. No decision changes.

--- a/packages/dispatch/src/dispatcher/delegation_survey.ts
+++ b/packages/dispatch/src/dispatcher/delegation_survey.ts
@@ -40,6 +40,11 @@
     return this.pendingZones.size === 0;
   }
 
+  /** The zones that were asked and have not sent a complete report. */
+  get zonesPending(): readonly string[] {
+    return [...this.pendingZones];
+  }
+
   /** Records that these zones are being asked. */
   expect(zones: readonly string[]): void {
     for (const zone of zones) this.pendingZones.add(zone);
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -129,6 +129,11 @@
     this.intake.submit(job, {isResumed, progress}, now);
   }
 
+  /** The zones that have not yet listed all that they run for this one. */
+  get zonesPending(): readonly string[] {
+    return this.registry.delegationSurvey.zonesPending;
+  }
+
   /** Whether every run that an earlier holder started has certainly ended. */
   haveEarlierRunsEnded(now: Millis): boolean {
     return this.placer.haveEarlierRunsEnded(now);
--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -4,13 +4,15 @@
   type Dispatcher,
   type Command,
 } from '@goldcrestpier/dispatch';
-import type {Millis} from '@goldcrestpier/runtime';
+import type {Logger, Millis} from '@goldcrestpier/runtime';
+import type {ZoneMetrics} from '../metrics/index.js';
 import type {
   JobAnswer,
   TaskDelegation,
   DelegatedTaskList,
 } from '../protocol/index.js';
 import {formatDelegatedTaskId, toDelegatedJob} from './job_conversion.js';
+import {recordJoin} from './observer.js';
 import type {PendingAnswers} from './pending_answers.js';
 
 /** Whether a zone still wants a task that it delegated under this token. */
@@ -20,6 +22,8 @@
 export interface DelegatedTasksOptions {
   readonly dispatcher: Dispatcher;
   readonly pendingAnswers: PendingAnswers;
+  readonly logger: Logger;
+  readonly metrics: ZoneMetrics;
   readonly onCommands: (commands: readonly Command[]) => void;
   /** Called when state that scheduling depends on has changed. */
   readonly onChange: () => void;
@@ -40,8 +44,10 @@
     return new Promise(answer => {
       pendingAnswers.add(job.id, {ownerId: message.homeZone, answer});
       this.tokenByTask.set(job.id, message.token);
-      if (message.isJoin) dispatcher.resumeDelegated(job, now, progress);
-      else onCommands(dispatcher.acceptDelegated(job, now));
+      if (message.isJoin) {
+        dispatcher.resumeDelegated(job, now, progress);
+        recordJoin(this.options, message, job.id, now);
+      } else onCommands(dispatcher.acceptDelegated(job, now));
       onChange();
     });
   }
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -95,6 +95,8 @@
     this.delegatedTasks = new DelegatedTasks({
       dispatcher: this.dispatcher,
       pendingAnswers: this.pendingAnswers,
+      logger,
+      metrics,
       onCommands: commands => this.executeAll(commands),
       onChange: () => this.scheduleTick(),
     });
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -8,13 +8,17 @@
 } from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {JobSubmission} from '../protocol/index.js';
+import type {JobSubmission, TaskDelegation} from '../protocol/index.js';
+import {countRunsOf} from './run_counts.js';
 
 /** Age from which a list of workers is logged with the placed tasks, in ms. */
 const OLD_LIST_MS = 1_000;
 /** Age from which the age of a job is logged when it arrives, in ms. */
 const LATE_ARRIVAL_MS = 10;
 
+/** Time after which no task that an earlier holder delegated runs on, in ms. */
+const UNLISTED_RUN_MAX_MS = 2_000;
+
 /** Creates the observer of one dispatcher. */
 export function createObserver(
   logger: Logger,
@@ -135,7 +139,9 @@
   for (const [job, texts] of placed) {
     const fields = {job, tasks: texts.join(' '), listAgeMs: age};
     const isResumed = dispatcher.jobs.get(job)?.isResumed === true;
-    const takeover = isResumed ? describeTakeover(dispatcher, heldMs) : {};
+    const takeover = isResumed
+      ? describeTakeover(dispatcher, heldMs)
+      : describePendingZones(dispatcher, heldMs);
     logger.info('tasks placed', {...fields, ...takeover});
   }
 }
@@ -158,6 +164,16 @@
   };
 }
 
+/**
+ * Names the zones that have not yet listed all that they run for this one, to
+ * a new holder that places a job new to it: they may run tasks of the job.
+ */
+function describePendingZones({zonesPending}: Dispatcher, heldMs: Millis) {
+  const isTold = zonesPending.length === 0 || heldMs >= UNLISTED_RUN_MAX_MS;
+  if (isTold) return {};
+  return {heldMs: Math.round(heldMs), zonesPending: zonesPending.join(' ')};
+}
+
 /** State of the holder that is logged with a job it accepts. */
 export interface AcceptanceContext {
   /** Whether the job was submitted before. */
@@ -190,3 +206,32 @@
       objectiveMs === undefined ? undefined : Math.round(objectiveMs),
   });
 }
+
+/** What the record of a join depends on. */
+export interface JoinContext {
+  readonly dispatcher: Dispatcher;
+  readonly logger: Logger;
+  readonly metrics: ZoneMetrics;
+}
+
+/** Logs and counts a join for which this zone knows no run of the task. */
+export function recordJoin(
+  {dispatcher, logger, metrics}: JoinContext,
+  {job, homeZone, run, progress}: TaskDelegation,
+  recordId: string,
+  now: Millis,
+): void {
+  const record = dispatcher.jobs.get(recordId);
+  // A record that is gone has ended by the progress that came with the join.
+  const isEnded = record === undefined && progress !== undefined;
+  const hasRuns = countRunsOf(dispatcher, recordId) > 0;
+  if (isEnded || hasRuns || record?.pendingOutcome !== undefined) return;
+  metrics.joinsNotFound.inc();
+  logger.info('delegated run not found', {
+    job: job.id,
+    task: recordId,
+    zone: homeZone,
+    run,
+    isCertain: dispatcher.haveEarlierRunsEnded(now),
+  });
+}
--- a/packages/zone/src/holder/run_counts.ts
+++ b/packages/zone/src/holder/run_counts.ts
@@ -8,6 +8,11 @@
   return count;
 }
 
+/** Counts the runs of one accepted job, here and in other zones. */
+export function countRunsOf({jobs}: Dispatcher, jobId: string): number {
+  return [...(jobs.get(jobId)?.runs() ?? [])].length;
+}
+
 /** Counts the runs found on workers whose jobs were not submitted here. */
 export function countOrphans({workers}: Dispatcher): number {
   let count = 0;
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -12,7 +12,7 @@
 import type {OverloadDetector} from './overload_detector.js';
 import {logAcceptedJob} from './observer.js';
 import {sumFreeMillis} from './free_capacity.js';
-import {hasRunsOf} from './run_counts.js';
+import {countRunsOf, hasRunsOf} from './run_counts.js';
 import {toJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
 
@@ -64,7 +64,8 @@
     const answer = {kind: 'abandoned', reason} as const;
     if (pendingAnswers.answerOwner(jobId, ownerId, answer) > 0) return;
     this.postponed.delete(jobId);
-    logger.info('job cancelled', {job: jobId, reason, ownerId});
+    const runsLeft = countRunsOf(dispatcher, jobId);
+    logger.info('job cancelled', {job: jobId, reason, ownerId, runsLeft});
     dispatcher.cancel(jobId, reason, now);
     onChange();
   }
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -20,6 +20,7 @@
 } from '../protocol/index.js';
 import {toZoneCapacity} from './free_capacity.js';
 import {toSubmission} from './job_conversion.js';
+import {nameRecallFailure} from './recall_failure.js';
 
 /** Timeout of a query for the tasks that a zone runs for this one, in ms. */
 const DISCOVERY_TIMEOUT_MS = 400;
@@ -168,7 +169,9 @@
     const {zone: homeZone, token} = this.options;
     const message = {homeZone, token, task};
     const result = await client?.recall(message, RECALL_TIMEOUT_MS);
-    return result?.isOk() === true && result.value;
+    if (result?.isOk() === true && result.value) return true;
+    this.options.metrics.failedRecalls.inc({reason: nameRecallFailure(result)});
+    return false;
   }
 
   private async queryZone(zone: string): Promise<void> {
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -81,6 +81,21 @@
     'Tasks delegated to other zones, by outcome.',
     ['outcome'],
   );
+  readonly earlyAnswers = this.createCounter(
+    'goldcrestpier_early_answers_total',
+    'Callers told 504 while runs of their job may go on, by reason.',
+    ['reason'],
+  );
+  readonly joinsNotFound = this.createCounter(
+    'goldcrestpier_joins_not_found_total',
+    'Requests of other zones for the result of a run that is unknown here.',
+    [],
+  );
+  readonly failedRecalls = this.createCounter(
+    'goldcrestpier_recalls_failed_total',
+    'Recalls of delegated tasks that no holder accepted, by reason.',
+    ['reason'],
+  );
   readonly retries = this.createCounter(
     'goldcrestpier_orders_retried_total',
     'Retried requests to workers, by kind of request and reason.',
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -24,6 +24,7 @@
   ZoneCallFailure,
 } from '../protocol/index.js';
 import {Callers} from './callers.js';
+import {findEarlyAnswerReason} from './early_answer.js';
 import {findHolderWaitEnd} from './holder_wait.js';
 
 /** Pause before the holder is looked up again, in ms. */
@@ -118,6 +119,8 @@
     signal.addEventListener('abort', abort, {once: true});
     if (signal.aborted) abort();
     const answer = await this.submitUntilAnswered(job, caller.signal);
+    // A caller that has left gets no answer.
+    if (!signal.aborted) this.recordAnswer(job, answer, caller.signal.aborted);
     signal.removeEventListener('abort', abort);
     this.callers.unregister(job.id, caller);
     return answer;
@@ -237,6 +240,20 @@
     });
   }
 
+  /** Logs an answer that is given while runs of the job may go on. */
+  private recordAnswer(
+    {id, deadlineAt}: Job,
+    answer: OwnerAnswer,
+    isCancelled: boolean,
+  ): void {
+    const reason = findEarlyAnswerReason(answer, isCancelled);
+    if (reason === undefined) return;
+    this.options.metrics.earlyAnswers.inc({reason});
+    const remainingMs = Math.round(deadlineAt - readClock());
+    const fields = {job: id, reason, remainingMs};
+    this.options.logger.info('answered while runs may go on', fields);
+  }
+
   private logResubmission(
     {id}: Job,
     holder: string,
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {CrashHistory, type JobProgress} from '@goldcrestpier/dispatch';
+import {
+  CrashHistory,
+  RefusalReason,
+  type JobProgress,
+} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {ZoneMetrics} from '../src/metrics/index.js';
@@ -51,6 +55,7 @@
   next: FakeHolder,
   {isFirstAlive}: {isFirstAlive: boolean},
   crashes = new CrashHistory(),
+  metrics = new ZoneMetrics(),
 ): Promise<JobSubmission | undefined> {
   const owner = new Owner({
     crashes,
@@ -62,7 +67,7 @@
     holderExpectedAt: () => undefined,
     onHolderUnavailable: () => undefined,
     logger: noopLogger,
-    metrics: new ZoneMetrics(),
+    metrics,
   });
   const job = createJob('a', 1, readClock());
   await owner.run(job, new AbortController().signal);
@@ -148,3 +153,34 @@
   const told = submission?.crashes?.map(({task}) => task);
   assert.deepEqual(told, ['a.0.0.0']);
 });
+
+/** Runs a job whose first holder falls silent; returns the owner's metrics. */
+async function formatMetricsAfterLoss(answer: JobAnswer): Promise<string> {
+  const first = new FakeHolder('first', new Promise(() => undefined));
+  const next = new FakeHolder('next', Promise.resolve(answer));
+  const metrics = new ZoneMetrics();
+  await runWithHolders(
+    first,
+    next,
+    {isFirstAlive: false},
+    new CrashHistory(),
+    metrics,
+  );
+  return metrics.format();
+}
+
+test('a caller that is told 504 while runs of its job may go on is counted', async () => {
+  const reason = RefusalReason.TooLate;
+  const refusal = {kind: 'refused', reason, retryAfterMs: 10} as const;
+  assert.match(
+    await formatMetricsAfterLoss(refusal),
+    /^goldcrestpier_early_answers_total\{reason="holder_lost"\} 1$/m,
+  );
+});
+
+test('a caller whose job has ended at a later holder is not counted', async () => {
+  assert.doesNotMatch(
+    await formatMetricsAfterLoss({kind: 'completed'}),
+    /^goldcrestpier_early_answers_total\{/m,
+  );
+});
