Tests of a capacity that shrinks and grows again

A delegated task, new and running; runs that a new holder adopts, and ones that nobody claims; the capacity that is offered to other zones; growth.

--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -5,6 +5,7 @@
   RunEnd,
   StartAnswer,
   type Dispatcher,
+  type Job,
   type StartCommand,
   type Worker,
 } from '../src/index.js';
@@ -12,6 +13,7 @@
   createDispatcher,
   createJob,
   createReport,
+  createRunningEntry,
   createWorker,
   formatCommands,
   longDeadline,
@@ -102,3 +104,85 @@
   dispatcher.submit(createJob('b', 2, longDeadline), false, 40);
   assert.equal(startDue(dispatcher, 40).length, 1);
 });
+
+/** Creates the only task of a job of zone `east`, which it delegates here. */
+function createDelegatedTask(jobId: string): Job {
+  const delegated = {name: {jobId, step: 0, index: 0}, run: 1};
+  const changes = {...longDeadline, delegated, delegatedBy: 'east'};
+  return createJob(`${jobId}.0.0.0@east`, 1, changes);
+}
+
+test('a delegated task is refused on a worker whose capacity has shrunk below its runs', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  dispatcher.submit(createJob('a', 1, longDeadline), false, 0);
+  startDue(dispatcher, 0);
+  list(dispatcher, {capacity: oneTask}, 10);
+  const commands = dispatcher.acceptDelegated(createDelegatedTask('b'), 10);
+  assert.deepEqual(formatCommands(commands), []);
+  const [ended] = dispatcher.takeEndedJobs();
+  assert.equal(ended?.outcome.kind, 'refused');
+});
+
+test('a delegated task that runs counts against a capacity that has shrunk', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  const commands = dispatcher.acceptDelegated(createDelegatedTask('a'), 0);
+  const [start] = commands;
+  assert.ok(start?.kind === 'start');
+  dispatcher.handleStartAnswer(start.run, StartAnswer.Started, 0);
+  list(dispatcher, {capacity: oneTask}, 10);
+  dispatcher.submit(createJob('b', 1, longDeadline), false, 10);
+  assert.deepEqual(formatCommands(dispatcher.tick(10)), []);
+  reportEnd(dispatcher, [start], RunEnd.Done, 20);
+  assert.equal(startDue(dispatcher, 20).length, 1);
+});
+
+test('a new holder counts the runs that it adopts against a capacity that has shrunk', () => {
+  const shrunk = createWorker('w1', {capacity: oneTask});
+  const dispatcher = createDispatcher([shrunk], 0);
+  dispatcher.handleReport('w1', createReport([createRunningEntry(0)]), 1, 2);
+  dispatcher.submit(createJob('a', 1, longDeadline), true, 5);
+  dispatcher.submit(createJob('b', 1, longDeadline), false, 5);
+  assert.deepEqual(formatCommands(dispatcher.tick(5)), []);
+  assert.deepEqual(formatCommands(dispatcher.tick(1_660)), []);
+  const end = {sequence: 1, task: 'a.0.0.0', run: 3, end: RunEnd.Done};
+  dispatcher.handleReport('w1', createReport([], [end]), 1_700, 1_701);
+  assert.deepEqual(formatCommands(dispatcher.tick(1_701)), [
+    'start b.0.0.0/1 on w1',
+  ]);
+});
+
+test('a new holder places nothing beside a run that nobody claims on a worker that has shrunk', () => {
+  const shrunk = createWorker('w1', {capacity: oneTask});
+  const dispatcher = createDispatcher([shrunk], 0);
+  dispatcher.handleReport('w1', createReport([createRunningEntry(0)]), 1, 2);
+  dispatcher.submit(createJob('b', 1, longDeadline), false, 5);
+  assert.deepEqual(formatCommands(dispatcher.tick(5)), []);
+  assert.deepEqual(formatCommands(dispatcher.tick(510)), [
+    'stop a.0.0.0/3 on w1',
+  ]);
+  assert.deepEqual(formatCommands(dispatcher.tick(600)), []);
+});
+
+test('a worker that has shrunk below its runs offers other zones no capacity until it has grown', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  dispatcher.submit(createJob('a', 2, longDeadline), false, 0);
+  startDue(dispatcher, 0);
+  list(dispatcher, {capacity: oneTask}, 10);
+  assert.deepEqual(dispatcher.findVacancies('pricing', 10), []);
+  list(dispatcher, {}, 20);
+  const [vacancy] = dispatcher.findVacancies('pricing', 20);
+  assert.equal(vacancy?.cpuMillis, 10_000);
+});
+
+test('a task that did not fit when its worker had shrunk starts as soon as it has grown', () => {
+  const shrunk = createWorker('w1', {capacity: oneTask});
+  const dispatcher = createDispatcher([shrunk]);
+  pollAllWorkers(dispatcher, 0);
+  dispatcher.submit(createJob('a', 2, longDeadline), false, 0);
+  assert.equal(startDue(dispatcher, 0).length, 1);
+  list(dispatcher, {}, 10);
+  assert.equal(startDue(dispatcher, 10).length, 1);
+});
