A reattachment to a delegated task never starts it

Cause: a reattachment adds a record, and that record was placed like any other once the holder had held for 1.65 s, or at once where its former holder had reported that it knew all runs: by `Placer.place`, which accepting the next delegated task calls before the tick that ends lost tasks.

A record that is reattached is never placeable, whatever is known of its runs. As it then has no other way to end, it ends as lost as soon as all runs are known and none goes on, also where the former holder's progress says so.

--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -85,6 +85,14 @@
     return this.job.delegated !== undefined;
   }
 
+  /**
+   * Whether it only waits for the run of a delegated task that was sent before;
+   * nothing is started for it.
+   */
+  get isReattached(): boolean {
+    return this.isInbound && this.isResumed;
+  }
+
   /** Finds a task by its name as text. */
   findTask(key: string): TaskRecord | undefined {
     return this.tasks.find(task => task.key === key);
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -39,14 +39,14 @@
   registry.endRun(run, worker.lossCause, now);
 }
 
-/** Ends resumed tasks of other zones if no run of theirs was found in time. */
+/** Ends reattached tasks that run nowhere, as soon as all runs are known. */
 export function endLostTasks(
   registry: Registry,
   placer: Placer,
   now: Millis,
 ): void {
   for (const record of registry.jobs.values()) {
-    if (!record.isInbound || !record.mayHaveUnknownRuns) continue;
+    if (!record.isReattached) continue;
     if (!placer.areAllRunsKnown(record, now)) continue;
     record.mayHaveUnknownRuns = false;
     if (record.isRunning) continue;
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -85,10 +85,11 @@
     return [...alone, ...others];
   }
 
-  /** Whether the job has waiting tasks and none of them may run already. */
+  /** Whether waiting tasks of the job may be started now. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.pendingOutcome !== undefined || !record.hasWaitingTasks)
       return false;
+    if (record.isReattached) return false;
     // Runs of its tasks that another zone delegated to this one must end first.
     if (this.registry.inboundTasks.has(record.id)) return false;
     // A job that its client submits again may run on a worker that has not
