The outcome of a delegated task outlasts the holder that asked for it

Cause: a delegated task that ends between the loss of its home holder and the reattachment of the next one is answered to the old holder, and its record is gone. The reattachment then finds no run and is told that the run is lost.

Evidence: both new tests of the holder failed: a reattachment after the end got `abandoned` where `completed` is wanted, and so did the second one where the first came in the turn in which the task ended.

A holder keeps how the last run of each delegated task ended, for 10 s, which is the longest that an instance waits before it claims, and at most 10,000 of them. A reattachment to just that run is answered with it; a run that was refused counts as one that does not go on. A new delegation of the task forgets it. Ends that wait for their answer are handled before a delegation is looked at, so that a reattachment cannot come between the two.

--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -3,6 +3,7 @@
   AbandonReason,
   type Dispatcher,
   type Command,
+  type EndedJob,
 } from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {
@@ -10,6 +11,7 @@
   TaskDelegation,
   DelegatedTaskList,
 } from '../protocol/index.js';
+import {EndedDelegations} from './ended_delegations.js';
 import {formatDelegatedTaskId, toDelegatedJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
 
@@ -25,21 +27,39 @@
   readonly onChange: () => void;
 }
 
+interface DelegatedRun {
+  /** Number of the run of the task's record. */
+  readonly run: number;
+  /** Token of the holder that last delegated the task or reattached to it. */
+  readonly token: number;
+}
+
 /** Runs, lists and stops delegated tasks. */
 export class DelegatedTasks {
-  /** Token of the holder that last delegated each task or reattached to it. */
-  private readonly tokenByTask = new Map<string, number>();
+  /** The tasks that have not ended, by the ids of their records. */
+  private readonly tasks = new Map<string, DelegatedRun>();
+  private readonly ended = new EndedDelegations();
 
   constructor(private readonly options: DelegatedTasksOptions) {}
 
-  /** Runs one task or refuses it at once; resolves when it has ended. */
+  /**
+   * Runs one task or refuses it at once, or reattaches to its run; resolves when
+   * it has ended.
+   */
   accept(message: TaskDelegation, now: Millis): Promise<JobAnswer> {
     const {dispatcher, pendingAnswers, onCommands, onChange} = this.options;
     const job = toDelegatedJob(message, now);
-    const {progress} = message;
+    const {progress, token} = message;
+    const known = dispatcher.jobs.get(job.id);
+    const run = known?.job.delegated?.run ?? message.run;
+    if (!message.isJoin) this.ended.forget(job.id);
+    else if (known === undefined) {
+      const outcome = this.ended.find(job.id, run, now);
+      if (outcome !== undefined) return Promise.resolve(outcome);
+    }
     return new Promise(answer => {
       pendingAnswers.add(job.id, {ownerId: message.homeZone, answer});
-      this.tokenByTask.set(job.id, message.token);
+      this.tasks.set(job.id, {run, token});
       if (message.isJoin) dispatcher.resumeDelegated(job, now, progress);
       else onCommands(dispatcher.acceptDelegated(job, now));
       onChange();
@@ -75,7 +95,7 @@
   /** Cancels tasks whose zone is unavailable or no longer wants them. */
   cancelUnwanted(isWanted: IsTaskWanted, now: Millis): void {
     for (const {id, job} of [...this.options.dispatcher.jobs.values()]) {
-      const token = this.tokenByTask.get(id);
+      const token = this.tasks.get(id)?.token;
       if (job.delegatedBy === undefined || token === undefined) continue;
       if (!isWanted(job.delegatedBy, token)) {
         this.cancel(id, AbandonReason.OwnerLost, now);
@@ -83,9 +103,11 @@
     }
   }
 
-  /** Removes a task that has ended. */
-  remove(recordId: string): void {
-    this.tokenByTask.delete(recordId);
+  /** Removes a task that has ended, and keeps its outcome. */
+  recordEnd({id, outcome}: EndedJob, now: Millis): void {
+    const task = this.tasks.get(id);
+    this.tasks.delete(id);
+    if (task !== undefined) this.ended.record(id, task.run, outcome, now);
   }
 
   private cancel(id: string, reason: AbandonReason, now: Millis): void {
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -171,6 +171,8 @@
     if (this.isClosed) {
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
+    // The outcome of a run that has just ended answers a reattachment to it.
+    this.answerEndedJobs();
     const now = readClock();
     const isAccepted =
       message.isJoin || !this.overloadDetector.wasRecentlyOverloaded(now);
@@ -252,9 +254,10 @@
   }
 
   private answerEndedJobs(): void {
+    const now = readClock();
     for (const endedJob of this.dispatcher.takeEndedJobs()) {
-      this.delegatedTasks.remove(endedJob.id);
-      this.submissions.answerEndedJob(endedJob, readClock());
+      this.delegatedTasks.recordEnd(endedJob, now);
+      this.submissions.answerEndedJob(endedJob, now);
     }
   }
 
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -16,7 +16,7 @@
 import {toSubmission} from '../src/holder/job_conversion.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {WorkerPort} from '../src/ports/index.js';
-import type {JobAnswer} from '../src/protocol/index.js';
+import type {JobAnswer, TaskDelegation} from '../src/protocol/index.js';
 import {
   dispatchOptions,
   createJob,
@@ -92,6 +92,14 @@
   }
 }
 
+/** Creates a delegation of the only task of job `a`. */
+function createDelegation(isJoin: boolean): TaskDelegation {
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'east', false, now);
+  const name = {step: 0, index: 0};
+  return {homeZone: 'east', token: 3, job, ...name, run: 1, isJoin};
+}
+
 /** Runs all pending promise callbacks within this turn of the event loop. */
 async function flushPromises(): Promise<void> {
   for (let round = 0; round < 50; round += 1) await Promise.resolve();
@@ -202,3 +210,29 @@
   void fixture.lifecycle.close();
   assert.notEqual((await answer).kind, 'refused');
 });
+
+/** Asks for a delegated task after it has ended; `wait` is the time between. */
+async function rejoinEndedTask(wait: () => Promise<void>): Promise<string[]> {
+  const fixture = new HolderFixture();
+  await nextTurn();
+  const {holder} = fixture;
+  const first = holder.runDelegatedTask(createDelegation(false));
+  await nextTurn();
+  fixture.endTask('a');
+  await wait();
+  const join = {...createDelegation(true), token: 4};
+  const answers = await Promise.all([first, holder.runDelegatedTask(join)]);
+  answers.push(await holder.runDelegatedTask(join));
+  void fixture.lifecycle.close();
+  return answers.map(({kind}) => kind);
+}
+
+test('a delegated task that ended while its zone had no holder is not lost', async () => {
+  const kinds = await rejoinEndedTask(() => sleep(50));
+  assert.deepEqual(kinds, ['completed', 'completed', 'completed']);
+});
+
+test('a delegated task is not lost when its end is about to be answered', async () => {
+  const kinds = await rejoinEndedTask(flushPromises);
+  assert.deepEqual(kinds, ['completed', 'completed', 'completed']);
+});
