A delegated task ends as abandoned only when its run can't go on

What callers saw: nothing so far, as the home zone counted a reattached task that was answered `abandoned` as running for 2 s more.

Cause: a new holder answered a reattachment before it knew of all runs when the task was recalled, its deadline passed, its job was submitted here, or an earlier run of it was lost. A holder that was replaced and did not know it yet answered at once that no run went on, which its successor may have started.

Before: `abandoned` (cancelled, and deadline) within 10 ms and at the deadline of a holder that had answered one poll; `start a.0.0.0/1 on w1` of the job itself at the same time; `run_lost` after the loss of run 2 where run 3 was asked for; `run_lost` 590 ms after a reattachment that found nothing, with progress that called itself complete.

A reattached record now ends when its task is done, when the run with its number has ended here, or when all runs are known: those of earlier holders, by the wait there was before, and those of a later one, as a holder that was replaced before the reattachment arrived has stepped down after 600 ms (the bound that the wait for runs of earlier holders rests on).

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -85,6 +85,7 @@
     this.placer = new Placer(this.registry, this.remoteVacancies, {
       workersMs: computeLeaseExpiry(FORMER_HOLDER_STOP_MS, options.leaseMs),
       delegatedMs: DELEGATED_RUN_MAX_MS,
+      replacementMs: FORMER_HOLDER_STOP_MS,
     });
     this.intake = new Intake(this.registry, this.placer, options.leaseMs);
     this.stopper = new Stopper(this.registry, heldSince);
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -111,6 +111,7 @@
     if (!isResumed) return;
     if (!record.isResumed) {
       record.isResumed = true;
+      record.resumedAt = now;
       record.hasStarted = true;
       record.mayHaveUnknownRuns = true;
     }
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -55,6 +55,8 @@
   pendingOutcome: Outcome | undefined;
   /** Whether an earlier holder may have started it. */
   isResumed = false;
+  /** When that became known; -Infinity if it is not resumed. */
+  resumedAt: Millis = -Infinity;
   /** Whether runs of an earlier holder may go on that are not known here. */
   mayHaveUnknownRuns = false;
 
@@ -113,6 +115,15 @@
     return this.tasks.some(({state}) => state.kind === 'running');
   }
 
+  /**
+   * Whether a run may still go on before whose end the job must not end. A zone
+   * that reattaches starts the task again once it is told that no run goes on.
+   */
+  get mayStillRun(): boolean {
+    if (this.isRunning) return true;
+    return this.isReattached && this.mayHaveUnknownRuns && !this.isDone;
+  }
+
   /** Whether any task is neither running nor done. */
   get hasWaitingTasks(): boolean {
     return this.tasks.some(({state}) => state.kind === 'waiting');
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -45,6 +45,12 @@
   readonly delegatedMs: Millis;
 }
 
+/** Time bounds of the holders and runs before and after this holder. */
+export interface PlacerTimeouts extends EarlierRunTimeouts {
+  /** Time after which a holder has learned that it was replaced, in ms. */
+  readonly replacementMs: Millis;
+}
+
 /** Places the waiting tasks of one registry. */
 export class Placer {
   private lastPlacedAt: Millis = -Infinity;
@@ -52,7 +58,7 @@
   constructor(
     private readonly registry: Registry,
     private readonly remoteVacancies: RemoteVacancies,
-    private readonly timeouts: EarlierRunTimeouts,
+    private readonly timeouts: PlacerTimeouts,
   ) {}
 
   /**
@@ -104,6 +110,7 @@
   areAllRunsKnown(record: JobRecord, now: Millis): boolean {
     if (!record.mayHaveUnknownRuns) return true;
     if (!this.haveEarlierRunsEnded(now)) return false;
+    if (!this.isOfCurrentHolder(record, now)) return false;
     return (
       this.registry.delegationSurvey.isComplete ||
       this.hasElapsed(this.timeouts.delegatedMs, now)
@@ -119,6 +126,17 @@
     return this.hasElapsed(this.timeouts.workersMs, now);
   }
 
+  /**
+   * Whether a reattachment reached the current holder. One that was replaced
+   * before would know by now; its successor may have started the run.
+   */
+  private isOfCurrentHolder(
+    {isReattached, resumedAt}: JobRecord,
+    now: Millis,
+  ): boolean {
+    return !isReattached || now >= resumedAt + this.timeouts.replacementMs;
+  }
+
   private hasElapsed(durationMs: Millis, now: Millis): boolean {
     const {firstReportAt} = this.registry;
     return firstReportAt !== undefined && now >= firstReportAt + durationMs;
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -144,6 +144,9 @@
     if (record === undefined || task === undefined) return;
     if (task.state.kind !== 'running' || task.state.run !== run) return;
     task.state = {kind: 'waiting'};
+    // A zone starts a delegated run once, so no other run has its number.
+    if (run.number === record.job.delegated?.run)
+      record.mayHaveUnknownRuns = false;
     if (end === RunEnd.Done) this.recordSuccess(record, task, run, tookMs);
     else if (end === RunEnd.Failed) this.recordFailure(record, task, run, now);
     else if (record.isInbound)
@@ -273,7 +276,7 @@
   finishIfPossible(record: JobRecord, now: Millis): void {
     if (record.isDone) record.pendingOutcome = {kind: 'completed'};
     if (record.pendingOutcome === undefined) return;
-    if (record.isRunning) return;
+    if (record.mayStillRun) return;
     const {id, job} = record;
     const {queue} = job;
     if (this.jobs.get(id) !== record) return;
--- a/packages/dispatch/test/reattachment.test.ts
+++ b/packages/dispatch/test/reattachment.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
+  AbandonReason,
   CrashHistory,
   Dispatcher,
   type Job,
@@ -102,3 +103,76 @@
   assert.deepEqual(formatCommands(dispatcher.tick(LATER)), []);
   assert.deepEqual(takeOutcomes(dispatcher), [lost]);
 });
+
+/** Creates a new holder that was asked for the task and has found no run. */
+function createNewHolder(job = createDelegated(0, 5)): Dispatcher {
+  const dispatcher = createDispatcher([createWorker('w1')], 0);
+  pollAllWorkers(dispatcher, 1);
+  dispatcher.resumeDelegated(job, 5);
+  return dispatcher;
+}
+
+/** Returns how the task ended before, and when, all earlier runs have ended. */
+function endBeforeAndAfter(dispatcher: Dispatcher) {
+  dispatcher.tick(1_640);
+  const before = takeOutcomes(dispatcher);
+  dispatcher.tick(1_660);
+  return {before, after: takeOutcomes(dispatcher)};
+}
+
+test('a recalled task does not end while a run that is not known here may go on', () => {
+  const dispatcher = createNewHolder();
+  dispatcher.cancel('a.0.0.0@east', AbandonReason.Cancelled, 10);
+  const after = [{kind: 'abandoned', reason: 'cancelled'}];
+  assert.deepEqual(endBeforeAndAfter(dispatcher), {before: [], after});
+});
+
+test('the deadline does not end a task while a run that is not known here may go on', () => {
+  const dispatcher = createNewHolder({
+    ...createDelegated(0, 5),
+    deadlineAt: 500,
+  });
+  const after = [{kind: 'abandoned', reason: 'deadline'}];
+  assert.deepEqual(endBeforeAndAfter(dispatcher), {before: [], after});
+});
+
+test('a job does not start while a run that another zone delegated may go on', () => {
+  const dispatcher = createNewHolder();
+  dispatcher.submit(createJob('a', 1, longDeadline), false, 10);
+  assert.deepEqual(formatCommands(dispatcher.tick(1_640)), []);
+  assert.deepEqual(formatCommands(dispatcher.tick(1_660)), [
+    'start a.0.0.0/1 on w1',
+  ]);
+});
+
+/** Returns how the task ended by 300 ms when a found run of it was lost. */
+function endAfterLossOf(run: number) {
+  const dispatcher = createDispatcher([createWorker('w1')], 0);
+  const entry = {...createRunningEntry(0), run};
+  dispatcher.handleReport('w1', createReport([entry]), 1, 2);
+  dispatcher.resumeDelegated(createDelegated(0, 5), 5);
+  dispatcher.handleReport('w1', createReport(), 200, 201);
+  dispatcher.tick(300);
+  return takeOutcomes(dispatcher);
+}
+
+test('the loss of an earlier run does not end a task whose own run may go on', () => {
+  assert.deepEqual(endAfterLossOf(2), []);
+});
+
+test('a reattached task whose own run is lost ends at once', () => {
+  assert.deepEqual(endAfterLossOf(3), [lost]);
+});
+
+test('a former holder that does not know it yet is not asked in vain for a run', () => {
+  const dispatcher = createDispatcher([createWorker('w1')], 0);
+  pollAllWorkers(dispatcher, 1);
+  const job = createDelegated(0, LATER);
+  dispatcher.resumeDelegated(job, LATER);
+  dispatcher.tick(LATER + 590);
+  const progress = dispatcher.describeProgress(job.id, LATER + 590);
+  assert.deepEqual(takeOutcomes(dispatcher), []);
+  assert.equal(progress?.isComplete, false);
+  dispatcher.tick(LATER + 600);
+  assert.deepEqual(takeOutcomes(dispatcher), [lost]);
+});
