A delegated task that runs nowhere starts again at once

What callers saw: 504 holder_lost after 2,020 ms, at a limit of 1,500 ms: a task whose reattachment was answered `abandoned` counted as running for 2 s more.

Cause: the answer was no proof that no run goes on or starts.

Why each case is a proof. A task that an earlier holder of this zone delegated: the reattachment shows the other holder a higher token, under which it refuses the earlier holder's request from then on (OtherZones.recordToken; a new test, which passed before as well, guards it); a request that came before it has a record there, to which the reattachment attaches. A request that was answered `not_holder`: it was received, once, by a holder that starts nothing any more, and what it had started is among the runs that the next holder waits for. A call that failed as unknown keeps the wait of 2 s, as its request may arrive after the reattachment with the token in use. So does `refused`: it says that this zone has a later holder, which may have delegated the task.

The call to reattach waits 2 s past the deadline, in which a holder that has just claimed knows of all runs.

--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -20,6 +20,7 @@
 } from '../protocol/index.js';
 import {toZoneCapacity} from './free_capacity.js';
 import {toSubmission} from './job_conversion.js';
+import {OriginalRequest, type Reattachment} from './reattachment.js';
 
 /** Timeout of a query for the tasks that a zone runs for this one, in ms. */
 const DISCOVERY_TIMEOUT_MS = 400;
@@ -28,6 +29,11 @@
 const DISCOVERY_INTERVAL_MS = 100;
 /** Added to a task's remaining time to send back its answer, in ms. */
 const ANSWER_MARGIN_MS = 500;
+/**
+ * The same for a reattachment, in ms: a holder that has just claimed answers
+ * when all runs of its predecessors have ended.
+ */
+const REATTACH_ANSWER_MARGIN_MS = 2_000;
 const RECALL_TIMEOUT_MS = 500;
 /** Pause before the recall of a lost task is retried, in ms. */
 const RECALL_RETRY_MS = 200;
@@ -65,8 +71,10 @@
 
   /** Delegates one task and waits until its run has ended. */
   async delegate(command: DelegateCommand): Promise<void> {
-    if (command.isAdopted) await this.reattach(command, undefined, 'adopted');
-    else await this.sendDelegation(command);
+    if (command.isAdopted) {
+      const original = OriginalRequest.Settled;
+      await this.reattach(command, {original, reason: 'adopted'});
+    } else await this.sendDelegation(command);
     this.options.onChange();
   }
 
@@ -75,7 +83,10 @@
     if (result.isOk()) await this.handleDelegationAnswer(command, result.value);
     else if (result.error.kind === PeerFailureKind.NotSent) {
       this.markRefused(command.run);
-    } else await this.reattach(command, undefined, result.error.kind);
+    } else {
+      const original = OriginalRequest.MayArrive;
+      await this.reattach(command, {original, reason: result.error.kind});
+    }
   }
 
   private async request(
@@ -101,7 +112,9 @@
       run: run.number,
       ...reattachment,
     };
-    const timeoutMs = job.remainingMs + ANSWER_MARGIN_MS;
+    const timeoutMs = reattachment.isJoin
+      ? Math.max(job.remainingMs, 0) + REATTACH_ANSWER_MARGIN_MS
+      : job.remainingMs + ANSWER_MARGIN_MS;
     const result = await client.delegateTask(message, timeoutMs);
     // Whether the task is started again depends on the crashes there.
     const reports = result.isOk() ? result.value.crashes : undefined;
@@ -111,12 +124,14 @@
 
   /**
    * Reattaches to a run that was delegated to the zone's holder or an earlier
-   * one. Only a completed or failed run proves that it is no longer running.
+   * one. The zone answers that a run was abandoned only when every run from
+   * before the answer has ended, so that the task may start again unless its
+   * original request may still arrive. A refusal means that this zone has a
+   * later holder, which may have delegated the task.
    */
   private async reattach(
     command: DelegateCommand,
-    progress: JobProgress | undefined,
-    reason: string,
+    {original, progress, reason}: Reattachment,
   ): Promise<void> {
     let latestProgress = progress;
     for (let attempt = 0; attempt < REATTACH_ATTEMPTS; attempt += 1) {
@@ -130,6 +145,9 @@
         case 'failed':
           return this.handleAnswer(command, answer);
         case 'abandoned':
+          return original === OriginalRequest.Settled
+            ? this.handleAnswer(command, answer)
+            : this.abandonRun(command.run, reason);
         case 'refused':
           return this.abandonRun(command.run, reason);
         case 'not_holder':
@@ -235,7 +253,11 @@
         return dispatcher.handleDelegatedEnd(run, RunEnd.Stopped, now);
       case 'not_holder':
         if (!answer.mayHaveStarted) return this.markRefused(run);
-        return this.reattach(command, answer.progress, answer.kind);
+        return this.reattach(command, {
+          original: OriginalRequest.Settled,
+          progress: answer.progress,
+          reason: answer.kind,
+        });
     }
   }
 
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -1,11 +1,14 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {test} from 'node:test';
-import {StartAnswer} from '@goldcrestpier/dispatch';
+import {AbandonReason, CrashHistory, StartAnswer} from '@goldcrestpier/dispatch';
 import {Lifecycle, Logs, LogLevel, readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
+import type {Holder} from '../src/holder/index.js';
 import {toSubmission} from '../src/holder/job_conversion.js';
+import {DelegationHandler} from '../src/instance/delegation_handler.js';
 import {Instance} from '../src/instance/instance.js';
+import {OtherZones} from '../src/instance/other_zones.js';
 import {createOpenLink} from '../src/instance/start_instance.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {WorkerPort} from '../src/ports/index.js';
@@ -110,3 +113,32 @@
   void lifecycle.close();
   assert.deepEqual(started, ['a.0.0.0']);
 });
+
+test('a task that a new holder was told to be over is not started by a late delegation', async () => {
+  const answer = {kind: 'abandoned', reason: AbandonReason.RunLost} as const;
+  const received: boolean[] = [];
+  const holder: Pick<Holder, 'runDelegatedTask' | 'findFreeCapacity'> = {
+    runDelegatedTask: ({isJoin}) => {
+      received.push(isJoin);
+      return Promise.resolve(answer);
+    },
+    findFreeCapacity: () => [],
+  };
+  const handler = new DelegationHandler(
+    new OtherZones('east'),
+    () => holder as Holder,
+    new CrashHistory(),
+  );
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'west', false, now);
+  const delegation = {homeZone: 'west', job, step: 0, index: 0, run: 1};
+  const join = {...delegation, token: 9, isJoin: true};
+  const late = {...delegation, token: 8, isJoin: false};
+  const answers = [
+    await handler.runDelegatedTask(join),
+    await handler.runDelegatedTask(late),
+  ];
+  const kinds = answers.map(({answer: {kind}}) => kind);
+  assert.deepEqual(kinds, ['abandoned', 'refused']);
+  assert.deepEqual(received, [true]);
+});
