--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -32,6 +32,7 @@
 import {applyReport} from './worker_reports.js';
 import {
   DELEGATED_RUN_MAX_MS,
+  FORMER_HOLDER_STOP_MS,
   computeLeaseExpiry,
   computeStopCompletion,
   type DispatcherOptions,
@@ -52,13 +53,6 @@
 import {listVacancies} from './vacancies.js';
 import {applyWorkerList} from './worker_list.js';
 
-/**
- * Time after which a former holder that is still alive has stopped starting
- * tasks, in ms: it has learned of the new holder, a worker has rejected its
- * fencing token, or it has abandoned the jobs of owners that it can't reach.
- */
-const FORMER_HOLDER_STOP_MS = 600;
-
 /** Answers after which the worker may still execute the start command. */
 const uncertainAnswers: ReadonlySet<StartAnswer> = new Set([
   StartAnswer.Unanswered,
@@ -87,6 +81,7 @@
     this.placer = new Placer(this.registry, this.remoteVacancies, {
       workersMs: computeLeaseExpiry(FORMER_HOLDER_STOP_MS, options.leaseMs),
       delegatedMs: DELEGATED_RUN_MAX_MS,
+      replacementMs: FORMER_HOLDER_STOP_MS,
     });
     this.intake = new Intake(this.registry, this.placer, options.leaseMs);
     this.stopper = new Stopper(this.registry, heldSince);
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -55,6 +55,8 @@
   pendingOutcome: Outcome | undefined;
   /** Whether an earlier holder may have started it. */
   isResumed = false;
+  /** When that became known; -Infinity if it is not resumed. */
+  resumedAt: Millis = -Infinity;
   /** Whether runs of an earlier holder may go on that are not known here. */
   mayHaveUnknownRuns = false;
   /** Whether another zone might run it when it was submitted here. */
@@ -87,6 +89,14 @@
     return this.job.delegated !== undefined;
   }
 
+  /**
+   * Whether it only waits for the run of a delegated task that was sent before;
+   * nothing is started for it.
+   */
+  get isReattached(): boolean {
+    return this.isInbound && this.isResumed;
+  }
+
   /** Finds a task by its name as text. */
   findTask(key: string): TaskRecord | undefined {
     return this.tasks.find(task => task.key === key);
@@ -107,6 +117,15 @@
     return this.tasks.some(({state}) => state.kind === 'running');
   }
 
+  /**
+   * Whether a run may still go on before whose end the job must not end. A zone
+   * that reattaches starts the task again once it is told that no run goes on.
+   */
+  get mayStillRun(): boolean {
+    if (this.isRunning) return true;
+    return this.isReattached && this.mayHaveUnknownRuns && !this.isDone;
+  }
+
   /** Whether any task is neither running nor done. */
   get hasWaitingTasks(): boolean {
     return this.tasks.some(({state}) => state.kind === 'waiting');
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -12,6 +12,13 @@
 /** Time after which a task of a lost delegate has certainly ended, in ms. */
 export const DELEGATED_RUN_MAX_MS = 2_000;
 
+/**
+ * Time after which a former holder that is still alive has stopped starting
+ * tasks, in ms: it has learned of the new holder, a worker has rejected its
+ * fencing token, or it has abandoned the jobs of owners that it can't reach.
+ */
+export const FORMER_HOLDER_STOP_MS = 600;
+
 /** Share by which a worker's clock may be slower than this one. */
 const MAX_CLOCK_DRIFT = 0.02;
 /** Added to the end of a lease or a stop for the round trip, in ms. */
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -45,6 +45,12 @@
   readonly delegatedMs: Millis;
 }
 
+/** Time bounds of the holders and runs before and after this holder. */
+export interface PlacerTimeouts extends EarlierRunTimeouts {
+  /** Time after which a holder has learned that it was replaced, in ms. */
+  readonly replacementMs: Millis;
+}
+
 /** Places the waiting tasks of one registry. */
 export class Placer {
   private lastPlacedAt: Millis = -Infinity;
@@ -52,7 +58,7 @@
   constructor(
     private readonly registry: Registry,
     private readonly remoteVacancies: RemoteVacancies,
-    private readonly timeouts: EarlierRunTimeouts,
+    private readonly timeouts: PlacerTimeouts,
   ) {}
 
   /**
@@ -85,10 +91,11 @@
     return [...alone, ...others];
   }
 
-  /** Whether the job has waiting tasks and none of them may run already. */
+  /** Whether waiting tasks of the job may be started now. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.pendingOutcome !== undefined || !record.hasWaitingTasks)
       return false;
+    if (record.isReattached) return false;
     if (this.mayRunElsewhere(record, now)) return false;
     // Runs of its tasks that another zone delegated to this one must end first.
     if (this.registry.inboundTasks.has(record.id)) return false;
@@ -111,6 +118,7 @@
   areAllRunsKnown(record: JobRecord, now: Millis): boolean {
     if (!record.mayHaveUnknownRuns) return true;
     if (!this.haveEarlierRunsEnded(now)) return false;
+    if (!this.isOfCurrentHolder(record, now)) return false;
     return (
       this.registry.delegationSurvey.isComplete ||
       this.hasElapsed(this.timeouts.delegatedMs, now)
@@ -126,6 +134,17 @@
     return this.hasElapsed(this.timeouts.workersMs, now);
   }
 
+  /**
+   * Whether a reattachment reached the current holder. One that was replaced
+   * before would know by now; its successor may have started the run.
+   */
+  private isOfCurrentHolder(
+    {isReattached, resumedAt}: JobRecord,
+    now: Millis,
+  ): boolean {
+    return !isReattached || now >= resumedAt + this.timeouts.replacementMs;
+  }
+
   private hasElapsed(durationMs: Millis, now: Millis): boolean {
     const {firstReportAt} = this.registry;
     return firstReportAt !== undefined && now >= firstReportAt + durationMs;
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -20,7 +20,7 @@
 import {SubmissionHandler} from './submission_handler.js';
 import {TaskDelegator} from './task_delegator.js';
 import {findListingAge, isListingAwaited} from './listing_age.js';
-import {countOrphans, countRuns} from './run_counts.js';
+import {countOrphans, countRuns, countWaitingJobs} from './run_counts.js';
 import {AbandonedJobs} from './abandoned_jobs.js';
 import {
   clearVacancies,
@@ -46,7 +46,6 @@
   private readonly delegatedTasks: DelegatedTasks;
   private readonly pollers: WorkerPollers;
   private readonly pendingAnswers = new PendingAnswers();
-
   private readonly holderSince = readClock();
   private readonly overloadDetector = new OverloadDetector(TICK_INTERVAL_MS);
   private workerListing: WorkerListing | undefined;
@@ -87,21 +86,20 @@
       dispatcher: this.dispatcher,
       onChange: () => this.scheduleTick(),
     });
-    this.submissions = new SubmissionHandler({
+    const shared = {
       dispatcher: this.dispatcher,
       pendingAnswers: this.pendingAnswers,
-      overloadDetector: this.overloadDetector,
       logger,
       metrics,
       onChange: () => this.scheduleTick(),
+    };
+    this.submissions = new SubmissionHandler({
+      ...shared,
+      overloadDetector: this.overloadDetector,
     });
     this.delegatedTasks = new DelegatedTasks({
-      dispatcher: this.dispatcher,
-      pendingAnswers: this.pendingAnswers,
-      logger,
-      metrics,
+      ...shared,
       onCommands: commands => this.executeAll(commands),
-      onChange: () => this.scheduleTick(),
     });
     const timer = setInterval(() => {
       this.overloadDetector.recordTick(readClock());
@@ -190,6 +188,8 @@
     if (this.isClosed) {
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
+    // The outcome of a run that has just ended answers a reattachment to it.
+    this.answerEndedJobs();
     const now = readClock();
     const isAccepted =
       message.isJoin || !this.overloadDetector.wasRecentlyOverloaded(now);
@@ -222,11 +222,7 @@
 
   /** Counts the jobs of a queue of which no task has started. */
   countWaiting(queue: string): number {
-    let count = 0;
-    for (const {job, hasStarted} of this.dispatcher.jobs.values()) {
-      if (job.queue === queue && !hasStarted) count += 1;
-    }
-    return count;
+    return countWaitingJobs(this.dispatcher, queue);
   }
 
   /** Stops, and tells all owners that this instance is no longer the holder. */
@@ -271,9 +267,10 @@
   }
 
   private answerEndedJobs(): void {
+    const now = readClock();
     for (const endedJob of this.dispatcher.takeEndedJobs()) {
-      this.delegatedTasks.remove(endedJob.id);
-      this.submissions.answerEndedJob(endedJob, readClock());
+      this.delegatedTasks.recordEnd(endedJob, now);
+      this.submissions.answerEndedJob(endedJob, now);
     }
   }
 
--- a/packages/zone/src/holder/run_counts.ts
+++ b/packages/zone/src/holder/run_counts.ts
@@ -1,4 +1,4 @@
-/** Counts the runs that a holder knows about. */
+/** Counts the runs and waiting jobs that a holder knows about. */
 import {parseTaskName, type Dispatcher} from '@goldcrestpier/dispatch';
 
 /** Counts the runs of accepted jobs, here and in other zones. */
@@ -29,3 +29,12 @@
   }
   return false;
 }
+
+/** Counts the jobs of a queue of which no task has started. */
+export function countWaitingJobs({jobs}: Dispatcher, queue: string): number {
+  let count = 0;
+  for (const {job, hasStarted} of jobs.values()) {
+    if (job.queue === queue && !hasStarted) count += 1;
+  }
+  return count;
+}
--- a/packages/zone/test/cancelled_delegations.test.ts
+++ b/packages/zone/test/cancelled_delegations.test.ts
@@ -96,6 +96,8 @@
   const tasks = new DelegatedTasks({
     dispatcher,
     pendingAnswers: new PendingAnswers(),
+    logger: noopLogger,
+    metrics: new ZoneMetrics(),
     onCommands: () => undefined,
     onChange: () => undefined,
   });
