A refusal of connections belongs to the process that was refused, not to its successor at the address

What callers saw: a job of an instance that had just been restarted was told 504 (owner_lost) after 70 ms, with its instance alive.

Cause: the holder's view kept `isRefused`, and all else it knew of the process before, when the registration list named the new id for the address.

Failing before, for 'an instance does not count as lost because its predecessor at the address was refused': isAlive expected true, actual false. Four more of the same class failed: refused before it was heard, isLeaving of the predecessor (expected false, actual true), and the entry of the predecessor beside the new one or after it (findAddress undefined), which hid the new instance.

Why this works: another id at an address gets a new record, so that nothing of its predecessor is kept. A link says when the refused attempt began, and one that began before the instance became known there, or before its last message, does not count. An id that a heartbeat showed to be replaced is not taken from a registration or heartbeat again for a minute. Of two entries for one address that of an instance in contact is taken, else the last.

--- a/packages/membership/src/heartbeat/heartbeat_loop.ts
+++ b/packages/membership/src/heartbeat/heartbeat_loop.ts
@@ -65,7 +65,7 @@
   while (!signal.aborted) {
     const connectedAt = link.connectedAt();
     if (connectedAt === undefined) {
-      if (link.isConnectionRefused())
+      if (link.refusedAt() !== undefined)
         delegate.recordConnectionRefused(link.address, options.clock());
       await sleep(CONNECT_POLL_MS, signal);
       continue;
--- a/packages/peers/src/link/link.ts
+++ b/packages/peers/src/link/link.ts
@@ -63,8 +63,11 @@
   heardAt(): Millis | undefined;
   /** Sends a WebSocket ping; the peer's pong updates `heardAt`. */
   ping(): void;
-  /** Whether the last attempt failed because nothing listens at the address. */
-  isConnectionRefused(): boolean;
+  /**
+   * When the last attempt to connect began, if it failed because nothing
+   * listens at the address; undefined otherwise.
+   */
+  refusedAt(): Millis | undefined;
   /** Closes the link; the outcome of calls in flight becomes unknown. */
   close(): Promise<void>;
 }
@@ -114,8 +117,8 @@
     this.link.ping();
   }
 
-  isConnectionRefused(): boolean {
-    return this.link.isConnectionRefused();
+  refusedAt(): Millis | undefined {
+    return this.link.refusedAt();
   }
 
   close(): Promise<void> {
@@ -132,7 +135,7 @@
   private socket: WebSocket | undefined;
   private connectStartedAt: Millis = 0;
   private lastHeardAt: Millis | undefined;
-  private openFailure: OpenFailure | undefined;
+  private lastRefusedAt: Millis | undefined;
 
   constructor(
     private readonly options: PeerLinkOptions,
@@ -178,8 +181,8 @@
     if (this.isConnected()) this.socket?.ping();
   }
 
-  isConnectionRefused(): boolean {
-    return !this.isConnected() && this.openFailure === OpenFailure.NotListening;
+  refusedAt(): Millis | undefined {
+    return this.isConnected() ? undefined : this.lastRefusedAt;
   }
 
   async close(): Promise<void> {
@@ -209,7 +212,7 @@
       const opened = await openSocket(this.options, limits, signal);
       if (opened.isOk()) {
         this.connectStartedAt = startedAt;
-        this.openFailure = undefined;
+        this.lastRefusedAt = undefined;
         await this.runConnection(opened.value, signal);
         // A connection that ends early counts as a failure; otherwise it
         // would be reopened in a tight loop.
@@ -217,7 +220,8 @@
         failures = uptimeMs >= limits.longestRetryMs ? 0 : failures + 1;
       } else if (!signal.aborted) {
         failures += 1;
-        this.openFailure = opened.error;
+        const isRefused = opened.error === OpenFailure.NotListening;
+        this.lastRefusedAt = isRefused ? startedAt : undefined;
         const fields = {address, reason: opened.error};
         this.log.warn(
           'failed to connect to peer; retrying',
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -70,7 +70,7 @@
       ...options,
       createHeartbeat: (now, isOther) => this.createHeartbeat(now, isOther),
       onAnswer: (message, sentAt) => this.handleAnswer(message, sentAt),
-      onRefused: address => this.view.recordConnectionRefused(address),
+      onRefused: (address, at) => this.view.recordRefusal(address, at),
     });
     this.fetcher = new ConfigurationFetcher({
       ...options,
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -26,7 +26,8 @@
   ) => ZoneHeartbeat;
   /** Called with the answer to a heartbeat that was sent at `sentAt`. */
   readonly onAnswer: (message: ZoneHeartbeat, sentAt: Millis) => void;
-  readonly onRefused: (address: string) => void;
+  /** Called with the start of the last attempt that a host refused. */
+  readonly onRefused: (address: string, attemptAt: Millis) => void;
 }
 
 /** For holders of other zones, which exchange free capacity with this one. */
@@ -97,7 +98,8 @@
     const due: PeerLink[] = [];
     for (const peer of this.peers.values()) {
       const {link} = peer;
-      if (link.isConnectionRefused()) onRefused(link.address);
+      const refusedAt = link.refusedAt();
+      if (refusedAt !== undefined) onRefused(link.address, refusedAt);
       if (!link.isConnected()) continue;
       const isDue = !peer.isHeartbeatPending && isHeartbeatDue(peer, now);
       if (isUrgent || isDue) due.push(peer);
--- a/packages/zone/src/instance/peer.ts
+++ b/packages/zone/src/instance/peer.ts
@@ -22,7 +22,10 @@
 /** One address in the zone, and the instance there. */
 export interface Peer {
   readonly address: string;
-  id: string;
+  /** Empty if unknown. */
+  readonly id: string;
+  /** When this instance became known at the address. */
+  readonly knownSince: Millis;
   /** From its registration or heartbeat; undefined before either. */
   processors: number | undefined;
   isRegistered: boolean;
@@ -37,10 +40,15 @@
 }
 
 /** Creates a peer with a known address; `id` is empty if unknown. */
-export function createPeer(address: string, id: string): Peer {
+export function createPeer(
+  address: string,
+  id: string,
+  knownSince: Millis,
+): Peer {
   return {
     address,
     id,
+    knownSince,
     processors: undefined,
     isRegistered: false,
     lastHeartbeat: undefined,
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -35,6 +35,8 @@
 const SUSPICION_MS = 300;
 /** How long a peer that is neither registered nor heard is kept, in ms. */
 const RETENTION_MS = 10_000;
+/** How long a stale message may name a replaced instance, in ms. */
+const REPLACED_RETENTION_MS = 60_000;
 
 /** A peer to keep a link to. */
 export interface LinkedPeer {
@@ -54,6 +56,11 @@
   private readonly peers = new Map<string, Peer>();
   /** When each instance last sent a message other than a heartbeat. */
   private readonly contacts = new Map<string, Millis>();
+  /**
+   * When a heartbeat showed that another instance is at the address of each of
+   * these, so that the process has exited.
+   */
+  private readonly replacedIds = new Map<string, Millis>();
 
   constructor(
     private readonly zone: string,
@@ -119,18 +126,13 @@
     for (const peer of this.peers.values()) {
       peer.isRegistered = false;
     }
-    for (const {id, zone, address, processors} of list) {
-      if (zone !== this.zone || address === this.selfAddress) continue;
-      const known = this.findOrAdd(address, id);
+    for (const registration of this.chooseRegistrations(list, now)) {
+      const known = this.applyRegistration(registration, now);
       known.isRegistered = true;
-      known.processors ??= processors;
-      if (!wasHeardWithin(known.heardAt, MAX_SILENCE_TIMEOUT_MS, now)) {
-        known.id = id;
-      }
-    }
-    for (const [id, at] of this.contacts) {
-      if (!wasHeardWithin(at, SILENCE_MS, now)) this.contacts.delete(id);
+      known.processors ??= registration.processors;
     }
+    removeOlder(this.contacts, now - SILENCE_MS);
+    removeOlder(this.replacedIds, now - REPLACED_RETENTION_MS);
     for (const [address, {isRegistered, heardAt}] of this.peers) {
       const isOld = now - (heardAt ?? 0) > RETENTION_MS;
       if (!isRegistered && isOld) this.peers.delete(address);
@@ -139,7 +141,8 @@
 
   /** Adds an address at which the instance is unknown. */
   addAddress(address: string): void {
-    if (address !== this.selfAddress) this.findOrAdd(address, '');
+    if (address === this.selfAddress || this.peers.has(address)) return;
+    this.setPeer(address, '', -Infinity);
   }
 
   /** Records a received heartbeat or the answer to a sent one. */
@@ -148,25 +151,39 @@
       this.peers.delete(message.address);
       return;
     }
-    const known = this.findOrAdd(message.address, message.id);
-    known.id = message.id;
+    const {id, address} = message;
+    if (this.replacedIds.has(id)) return;
+    const before = this.peers.get(address);
+    const known = before?.id === id ? before : this.setPeer(address, id, now);
+    if (before !== undefined && before.id !== id && before.id !== '')
+      this.replacedIds.set(before.id, now);
+    known.isRegistered = before?.isRegistered ?? false;
     known.processors = message.processors;
     known.lastHeartbeat = message;
     known.heardAt = now;
     known.isRefused = false;
   }
 
-  /** Records that the host refuses connections to the address. */
-  recordConnectionRefused(address: string): void {
+  /**
+   * Records that the host refused a connection to the address; the attempt
+   * began at `attemptAt`. It says nothing about an instance that became known
+   * there, or was heard, later.
+   */
+  recordRefusal(address: string, attemptAt: Millis): void {
     const known = this.peers.get(address);
-    if (known !== undefined) known.isRefused = true;
+    if (known === undefined) return;
+    const {id, knownSince, heardAt} = known;
+    const aliveAt = findLatest(knownSince, heardAt, this.contacts.get(id));
+    if (attemptAt >= aliveAt) known.isRefused = true;
   }
 
   /** Records another message than a heartbeat; its sender is alive too. */
   recordContact(id: string, now: Millis): void {
     this.contacts.set(id, now);
     const known = this.findById(id);
-    if (known?.heardAt !== undefined) known.heardAt = now;
+    if (known === undefined) return;
+    known.isRefused = false;
+    if (known.heardAt !== undefined) known.heardAt = now;
   }
 
   /** Records when the instance at an address last answered. */
@@ -181,7 +198,7 @@
     const known = this.findById(id);
     // Its host refuses connections, so the process has exited.
     if (known?.isRefused === true) return false;
-    if (wasHeardWithin(this.contacts.get(id), SILENCE_MS, now)) return true;
+    if (this.hadContact(id, now)) return true;
     return known !== undefined && isResponsive(known, now);
   }
 
@@ -224,14 +241,48 @@
     return members;
   }
 
-  private findOrAdd(address: string, id: string): Peer {
+  /**
+   * Chooses one registration for each address: of an instance that has been in
+   * contact, or else the last in the list. The entry of a process that was
+   * killed is listed beside that of its successor until it expires.
+   */
+  private chooseRegistrations(
+    list: readonly Registration[],
+    now: Millis,
+  ): Iterable<Registration> {
+    const chosen = new Map<string, Registration>();
+    for (const registration of list) {
+      const {id, zone, address} = registration;
+      if (zone !== this.zone || address === this.selfAddress) continue;
+      if (this.replacedIds.has(id)) continue;
+      const other = chosen.get(address);
+      if (other !== undefined && this.hadContact(other.id, now)) continue;
+      chosen.set(address, registration);
+    }
+    return chosen.values();
+  }
+
+  /** Returns the peer at the address; one heard recently is not replaced. */
+  private applyRegistration({id, address}: Registration, now: Millis): Peer {
     const known = this.peers.get(address);
-    if (known !== undefined) return known;
-    const added = createPeer(address, id);
+    if (known === undefined) return this.setPeer(address, id, now);
+    if (known.id === id) return known;
+    const isHeard = wasHeardWithin(known.heardAt, MAX_SILENCE_TIMEOUT_MS, now);
+    if (isHeard || this.hadContact(known.id, now)) return known;
+    return this.setPeer(address, id, now);
+  }
+
+  /** Sets the instance at an address; nothing of its predecessor is kept. */
+  private setPeer(address: string, id: string, now: Millis): Peer {
+    const added = createPeer(address, id, now);
     this.peers.set(address, added);
     return added;
   }
 
+  private hadContact(id: string, now: Millis): boolean {
+    return wasHeardWithin(this.contacts.get(id), SILENCE_MS, now);
+  }
+
   private findById(id: string): Peer | undefined {
     for (const peer of this.peers.values()) {
       if (peer.id === id) return peer;
@@ -239,3 +290,8 @@
     return undefined;
   }
 }
+
+/** Removes the entries whose time is at or before `until`. */
+function removeOlder(times: Map<string, Millis>, until: Millis): void {
+  for (const [id, at] of times) if (at <= until) times.delete(id);
+}
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -236,7 +236,7 @@
       isConnected: () => true,
       connectedAt: () => 0,
       heardAt: () => undefined,
-      isConnectionRefused: () => false,
+      refusedAt: () => undefined,
       close: () => Promise.resolve(),
     }),
     lifecycle,
--- a/packages/zone/test/peer_monitoring.test.ts
+++ b/packages/zone/test/peer_monitoring.test.ts
@@ -119,7 +119,7 @@
   view.chooseLinks({...following, hasJobs: true}, 0);
   receiveHeartbeats(view, 0);
   assert.equal(view.findSilence('b-0', 20), 20);
-  view.recordConnectionRefused('10.0.1.0:7000');
+  view.recordRefusal('10.0.1.0:7000', 10);
   assert.equal(view.isSuspected('b-0', 20), true);
   assert.equal(view.findSilence('b-0', 20), undefined);
 });
--- a/packages/zone/test/simulation/link.ts
+++ b/packages/zone/test/simulation/link.ts
@@ -90,7 +90,7 @@
 /** A link that reconnects whenever its connection is lost. */
 export class SimulatedLink implements CallLink {
   private connection: Connection | undefined;
-  private wasRefused = false;
+  private lastRefusedAt: Millis | undefined;
 
   constructor(
     readonly address: string,
@@ -123,9 +123,9 @@
     if (this.connection !== undefined) this.sendPing(this.connection);
   }
 
-  /** Whether the last attempt to connect was refused by the host. */
-  isConnectionRefused(): boolean {
-    return !this.isConnected() && this.wasRefused;
+  /** When the last attempt to connect began, if the host refused it. */
+  refusedAt(): Millis | undefined {
+    return this.isConnected() ? undefined : this.lastRefusedAt;
   }
 
   /** Closes the link and its connection. */
@@ -200,8 +200,7 @@
         await this.keepOpen(connection, signal);
       }
       const {random} = this.options;
-      const backoffMs = MIN_RETRY_MS * 2 ** failures;
-      const retryMs = Math.min(backoffMs, MAX_RETRY_MS);
+      const retryMs = Math.min(MIN_RETRY_MS * 2 ** failures, MAX_RETRY_MS);
       await sleep(retryMs * random.between(0.5, 1), signal);
     }
   }
@@ -209,6 +208,7 @@
   /** Opens a connection; the host refuses it at once when no process listens. */
   private connect(signal: AbortSignal): Promise<Connection | undefined> {
     const {machine, process, scheduler, network, findListener} = this.options;
+    const startedAt = readClock();
     return new Promise(resolve => {
       let isSettled = false;
       const end = (connection: Connection | undefined) => {
@@ -229,13 +229,13 @@
         const listener = findListener(this.address);
         if (listener === undefined) {
           return respond(() => {
-            this.wasRefused = true;
+            this.lastRefusedAt = startedAt;
             end(undefined);
           });
         }
         scheduler.deliver(scheduler.now, listener.process, () =>
           respond(() => {
-            this.wasRefused = false;
+            this.lastRefusedAt = undefined;
             end(new Connection(listener, readClock()));
           }),
         );
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -152,7 +152,7 @@
   view.chooseLinks(holderUncertain, 0);
   const early = election.chooseRole(view.listMembers(100), state, 100);
   assert.equal(early.kind, 'wait');
-  view.recordConnectionRefused('10.0.1.0:7000');
+  view.recordRefusal('10.0.1.0:7000', 105);
   const late = election.chooseRole(view.listMembers(110), state, 110);
   assert.equal(late.kind, 'claim');
 });
@@ -174,6 +174,77 @@
   const [{id} = {id: ''}] = [...view.listMembers(0)];
   view.recordContact(id, 100);
   assert.equal(view.isAlive(id, 110), true);
-  view.recordConnectionRefused(other);
+  view.recordRefusal(other, 115);
   assert.equal(view.isAlive(id, 120), false);
 });
+
+const registration = {
+  id: 'b-2',
+  zone: 'west',
+  address: '10.0.0.2:7000',
+  processors: 1,
+};
+
+/** Creates a view that has heard `b-1`, which then left and was refused. */
+function createViewOfRestart(): ZoneView {
+  const view = new ZoneView('west', '10.0.0.1:7000', {id: 'a', processors: 1});
+  const {address} = registration;
+  view.recordHeartbeat(createHeartbeat({isLeaving: true}), 100);
+  view.recordRefusal(address, 200);
+  return view;
+}
+
+test('an instance does not count as lost because its predecessor at the address was refused', () => {
+  const view = createViewOfRestart();
+  const {id, address} = registration;
+  assert.equal(view.isAlive('b-1', 210), false);
+  view.recordContact(id, 1_700);
+  view.setRegistrations([registration], 1_750);
+  // The link repeats its last refused attempt until the next one.
+  view.recordRefusal(address, 1_700);
+  assert.equal(view.isAlive(id, 1_760), true);
+  view.recordRefusal(address, 1_770);
+  assert.equal(view.isAlive(id, 1_780), false);
+});
+
+test('an instance that was heard after a refused attempt does not count as lost', () => {
+  const view = createViewOfRestart();
+  const {id, address} = registration;
+  view.setRegistrations([registration], 1_750);
+  view.recordRefusal(address, 1_760);
+  view.recordContact(id, 1_770);
+  view.recordRefusal(address, 1_760);
+  assert.equal(view.isAlive(id, 1_780), true);
+});
+
+test('an instance does not count as leaving because its predecessor at the address was', () => {
+  const view = createViewOfRestart();
+  view.setRegistrations([registration], 1_750);
+  view.recordContact(registration.id, 1_760);
+  view.chooseLinks(holderUncertain, 1_760);
+  const [member] = view.listMembers(1_760);
+  assert.equal(member?.id, registration.id);
+  assert.equal(member.isLeaving, false);
+  assert.equal(member.isResponsive, false);
+  assert.equal(member.isConnecting, true);
+});
+
+test('a registration that is out of date does not bring back an instance that was replaced', () => {
+  const view = createViewOfRestart();
+  const {id, address} = registration;
+  view.recordHeartbeat(createHeartbeat({id}), 1_000);
+  const outdated = {...registration, id: 'b-1'};
+  view.setRegistrations([registration, outdated], 3_000);
+  assert.equal(view.findAddress(id), address);
+  view.recordHeartbeat(createHeartbeat({id: 'b-1'}), 3_100);
+  assert.equal(view.findAddress(id), address);
+});
+
+test('an instance in contact is found although the entry of its predecessor has not expired', () => {
+  const view = createViewOfRestart();
+  const {id, address} = registration;
+  const outdated = {...registration, id: 'b-1'};
+  view.recordContact(id, 1_700);
+  view.setRegistrations([registration, outdated], 1_750);
+  assert.equal(view.findAddress(id), address);
+});
