An owner that counts as lost is answered only when nothing of its job runs

What callers saw: 504 (owner_lost) while runs of the job went on for 160 ms more, here or in another zone.

Cause: the holder answered an owner that it took for lost at once, although nobody reads that answer unless the owner is alive, which then passes it on.

Why this works: owners are marked as lost if no other one waits, and are answered with the end of the job's record. A marked owner doesn't keep the job wanted and isn't looked at again, so that the job is cancelled once. If the job is sent again meanwhile, the marked owner gets the answer of that run. A holder that steps down says that the job was being stopped, unless another owner waits; the owner then doesn't hand it to the next holder and tells its caller after 2 s, when every run is over. An owner that cancelled or left, and one of several of which others are alive, are answered as before.

--- a/packages/zone/src/holder/pending_answers.ts
+++ b/packages/zone/src/holder/pending_answers.ts
@@ -7,9 +7,14 @@
   readonly answer: (answer: JobAnswer) => void;
 }
 
+/** A pending answer, and whether its owner counts as lost. */
+interface Entry extends PendingAnswer {
+  isLost: boolean;
+}
+
 /** Pending answers, by the id of the job's record. */
 export class PendingAnswers {
-  private readonly byRecord = new Map<string, PendingAnswer[]>();
+  private readonly byRecord = new Map<string, Entry[]>();
 
   /** Ids of the records that an owner waits for. */
   get recordIds(): readonly string[] {
@@ -17,35 +22,47 @@
   }
 
   /** Adds an owner that waits for a record. */
-  add(recordId: string, pendingAnswer: PendingAnswer): void {
-    const pendingAnswers = this.byRecord.get(recordId) ?? [];
-    pendingAnswers.push(pendingAnswer);
-    this.byRecord.set(recordId, pendingAnswers);
+  add(recordId: string, {ownerId, answer}: PendingAnswer): void {
+    const entries = this.findEntries(recordId);
+    const entry = {ownerId, answer, isLost: false};
+    this.byRecord.set(recordId, [...entries, entry]);
   }
 
-  /** Finds the ids of the owners that wait for a record. */
+  /** Finds the ids of the owners that wait for a record and aren't lost. */
   findOwners(recordId: string): readonly string[] {
-    const pendingAnswers = this.byRecord.get(recordId) ?? [];
-    return pendingAnswers.map(({ownerId}) => ownerId);
+    const entries = this.findEntries(recordId);
+    return entries.filter(({isLost}) => !isLost).map(({ownerId}) => ownerId);
   }
 
-  /** Answers one owner; returns how many still wait. */
+  /**
+   * Marks an owner as lost. It is answered with all others, as it may be alive
+   * after all, but its job need not go on for it.
+   */
+  markLost(recordId: string, ownerId: string): void {
+    for (const entry of this.findEntries(recordId)) {
+      if (entry.ownerId === ownerId) entry.isLost = true;
+    }
+  }
+
+  /** Answers one owner; returns how many still wait and aren't lost. */
   answerOwner(recordId: string, ownerId: string, answer: JobAnswer): number {
-    const pendingAnswers = this.byRecord.get(recordId) ?? [];
-    const remaining = pendingAnswers.filter(
-      pendingAnswer => pendingAnswer.ownerId !== ownerId,
-    );
-    for (const pendingAnswer of pendingAnswers) {
-      if (pendingAnswer.ownerId === ownerId) pendingAnswer.answer(answer);
+    const entries = this.findEntries(recordId);
+    const remaining = entries.filter(entry => entry.ownerId !== ownerId);
+    for (const entry of entries) {
+      if (entry.ownerId === ownerId) entry.answer(answer);
     }
     this.byRecord.set(recordId, remaining);
-    return remaining.length;
+    return this.findOwners(recordId).length;
   }
 
   /** Answers all owners that wait for a record. */
   answerAll(recordId: string, answer: JobAnswer): void {
-    const pendingAnswers = this.byRecord.get(recordId) ?? [];
+    const entries = this.findEntries(recordId);
     this.byRecord.delete(recordId);
-    for (const pendingAnswer of pendingAnswers) pendingAnswer.answer(answer);
+    for (const entry of entries) entry.answer(answer);
+  }
+
+  private findEntries(recordId: string): readonly Entry[] {
+    return this.byRecord.get(recordId) ?? [];
   }
 }
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -59,17 +59,18 @@
     reason: AbandonReason,
     now: Millis,
   ): void {
-    const {dispatcher, pendingAnswers, logger, onChange} = this.options;
+    const {pendingAnswers} = this.options;
     if (!pendingAnswers.findOwners(jobId).includes(ownerId)) return;
     const answer = {kind: 'abandoned', reason} as const;
     if (pendingAnswers.answerOwner(jobId, ownerId, answer) > 0) return;
-    this.postponed.delete(jobId);
-    logger.info('job cancelled', {job: jobId, reason, ownerId});
-    dispatcher.cancel(jobId, reason, now);
-    onChange();
+    this.stopJob(ownerId, jobId, reason, now);
   }
 
-  /** Cancels the jobs of every owner for which `isAlive` is false. */
+  /**
+   * Cancels the jobs of every owner for which `isAlive` is false. One that is
+   * the last to wait is answered only when the runs of its job have ended: if
+   * it is alive after all, its caller may send the job again on the answer.
+   */
   cancelJobsOfLostOwners(
     isAlive: (ownerId: string) => boolean,
     now: Millis,
@@ -79,10 +80,11 @@
       const record = dispatcher.jobs.get(jobId);
       // A job without a record has just ended and is about to be answered.
       if (record === undefined || record.isInbound) continue;
-      for (const ownerId of pendingAnswers.findOwners(jobId)) {
-        if (isAlive(ownerId)) continue;
-        this.cancel(ownerId, jobId, AbandonReason.OwnerLost, now);
-      }
+      const owners = pendingAnswers.findOwners(jobId);
+      const lost = owners.filter(ownerId => !isAlive(ownerId));
+      if (lost.length === 0) continue;
+      if (lost.length === owners.length) this.loseAll(lost, jobId, now);
+      else this.cancelForSome(lost, jobId, now);
     }
   }
 
@@ -106,14 +108,45 @@
     for (const jobId of pendingAnswers.recordIds) {
       const mayHaveStarted = dispatcher.jobs.get(jobId)?.hasStarted ?? true;
       const progress = dispatcher.describeProgress(jobId, now);
+      const isCancelled = pendingAnswers.findOwners(jobId).length === 0;
       pendingAnswers.answerAll(jobId, {
         kind: 'not_holder',
         mayHaveStarted,
         progress,
+        ...(isCancelled && {isCancelled}),
       });
     }
   }
 
+  private cancelForSome(
+    owners: readonly string[],
+    jobId: string,
+    now: Millis,
+  ): void {
+    for (const ownerId of owners)
+      this.cancel(ownerId, jobId, AbandonReason.OwnerLost, now);
+  }
+
+  /** Cancels a job all of whose owners are lost. */
+  private loseAll(owners: readonly string[], jobId: string, now: Millis): void {
+    const {pendingAnswers} = this.options;
+    for (const ownerId of owners) pendingAnswers.markLost(jobId, ownerId);
+    this.stopJob(owners.join(), jobId, AbandonReason.OwnerLost, now);
+  }
+
+  private stopJob(
+    ownerId: string,
+    jobId: string,
+    reason: AbandonReason,
+    now: Millis,
+  ): void {
+    const {dispatcher, logger, onChange} = this.options;
+    this.postponed.delete(jobId);
+    logger.info('job cancelled', {job: jobId, reason, ownerId});
+    dispatcher.cancel(jobId, reason, now);
+    onChange();
+  }
+
   /** Whether the job has no record or run here, so that it may be refused. */
   private isNew({id, isResumed}: JobSubmission): boolean {
     const {dispatcher} = this.options;
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -3,6 +3,8 @@
  * the job to it, and resubmits the job if the holder is lost.
  */
 import {
+  AbandonReason,
+  DELEGATED_RUN_MAX_MS,
   RefusalReason,
   type CrashHistory,
   type Job,
@@ -98,7 +100,9 @@
 /** How one attempt to run a job at a holder ended. */
 type Attempt =
   | {readonly kind: 'answered'; readonly answer: OwnerAnswer}
-  | {readonly kind: 'lost'; readonly reason: string; readonly history: History};
+  | {readonly kind: 'lost'; readonly reason: string; readonly history: History}
+  /** The holder took this owner for lost and stepped down since. */
+  | {readonly kind: 'cancelled'};
 
 /** Submits jobs to the holder and returns the results. */
 export class Owner {
@@ -158,6 +162,7 @@
       }
       const attempt = await this.tryHolder(holder, job, history);
       if (attempt.kind === 'answered') return attempt.answer;
+      if (attempt.kind === 'cancelled') return this.awaitRunEnds(signal);
       history = attempt.history;
       this.options.onHolderUnavailable(readClock());
       this.logResubmission(job, holder.id, attempt.reason, history);
@@ -165,6 +170,12 @@
     }
   }
 
+  /** Waits until nothing of a cancelled job without a holder runs any more. */
+  private async awaitRunEnds(signal: AbortSignal): Promise<OwnerAnswer> {
+    await sleep(DELEGATED_RUN_MAX_MS, signal);
+    return {kind: 'abandoned', reason: AbandonReason.OwnerLost};
+  }
+
   /** The earliest time at which there may be a holder again. */
   private findHolderTime(now: Millis): Millis {
     return Math.max(now, this.options.holderExpectedAt(now) ?? now);
@@ -271,6 +282,7 @@
     const ownerAnswer: OwnerAnswer = isUnknown ? {kind: 'unknown'} : answer;
     return {kind: 'answered', answer: ownerAnswer};
   }
+  if (answer.isCancelled === true) return {kind: 'cancelled'};
   const {kind: reason, mayHaveStarted, progress} = answer;
   if (!mayHaveStarted) return {kind: 'lost', reason, history};
   if (progress === undefined) {
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -189,12 +189,14 @@
   z.object({kind: z.literal('abandoned'), reason: z.enum(AbandonReason)}),
   /**
    * Not the holder. `mayHaveStarted`: it was the holder and has been replaced
-   * since; `progress` is the job's progress at that time.
+   * since; `progress` is the job's progress at that time. `isCancelled`: no
+   * owner counted as alive any more, so that its runs are being stopped.
    */
   z.object({
     kind: z.literal('not_holder'),
     mayHaveStarted: z.boolean(),
     progress: jobProgressSchema.optional(),
+    isCancelled: z.boolean().optional(),
   }),
 ]);
 
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -148,3 +148,18 @@
   const told = submission?.crashes?.map(({task}) => task);
   assert.deepEqual(told, ['a.0.0.0']);
 });
+
+test('a job that its holder was stopping when it stepped down is not run again, and its caller is told only when all runs are over', async () => {
+  const answer = {
+    kind: 'not_holder',
+    mayHaveStarted: true,
+    progress,
+    isCancelled: true,
+  } as const;
+  const first = new FakeHolder('first', Promise.resolve(answer));
+  const next = new FakeHolder('next', completed);
+  const startedAt = readClock();
+  await runWithHolders(first, next, {isFirstAlive: true});
+  assert.equal(next.submissions.length, 0);
+  assert.ok(readClock() - startedAt >= 1_990);
+});
