The recall of a cancelled task is sent again until its zone accepts it

What callers saw: nothing by itself; a task of a job whose caller had left or was told 504 ran on in another zone to its deadline, beside the runs of the job that was sent again.

Cause: the first recall without an answer marked the run as lost, and a lost run is not recalled by the dispatcher. Only a run that was lost for another reason was recalled again. A cancelled task whose connection broke was requested again, which could start it in a zone that had already stopped it.

Evidence: failing before, for 'the recall of a cancelled task is sent again until its zone accepts it': recalls expected 3, actual 1; for 'the result of a cancelled task is not requested again ...': requests expected [false], actual [false, true].

The recalls of tasks that no job has claimed are repeated by the dispatcher, as before.

--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -1,6 +1,7 @@
 /** Delegates tasks to the holders of other zones and tracks their runs. */
 import {
   RunEnd,
+  RunPhase,
   type CrashHistory,
   type Dispatcher,
   type JobProgress,
@@ -120,6 +121,8 @@
   ): Promise<void> {
     let latestProgress = progress;
     for (let attempt = 0; attempt < REATTACH_ATTEMPTS; attempt += 1) {
+      // A task that was recalled could be started again by this request.
+      if (command.record.pendingOutcome !== undefined) break;
       const result = await this.request(command, {
         isJoin: true,
         progress: latestProgress,
@@ -144,23 +147,35 @@
 
   /** Marks a run as lost and recalls it, as it may still be running. */
   private abandonRun(run: Run, reason: string): void {
+    // It is already being recalled, or it has ended meanwhile.
+    if (run.phase === RunPhase.StopAccepted || !this.isActive(run)) return;
     this.markLost(run, reason);
     void this.recallUntilAccepted(run);
   }
 
-  /** Retries until the zone accepts the recall or the run has timed out. */
+  /** Whether the run is still the one of its task. */
+  private isActive(run: Run): boolean {
+    const record = this.options.dispatcher.jobs.get(run.recordId);
+    const state = record?.findTask(run.key)?.state;
+    return state?.kind === 'running' && state.run === run;
+  }
+
+  /** Retries until the zone accepts the recall or the run has ended. */
   private async recallUntilAccepted(run: Run): Promise<void> {
-    while (readClock() < run.latestEndAt) {
+    while (readClock() < run.latestEndAt && this.isActive(run)) {
       if (await this.sendRecall(run.workerId, run.key)) return;
       await sleep(RECALL_RETRY_MS);
     }
   }
 
-  /** Recalls a delegated task. */
+  /**
+   * Recalls a delegated task. If the zone accepts that, the pending delegation
+   * call returns how the run ended. The dispatcher repeats the recall of a run
+   * that no job has claimed.
+   */
   async recall({zone, key, run}: RecallCommand): Promise<void> {
     const isAccepted = await this.sendRecall(zone, key);
-    // On success, the pending delegation call returns how the run ended.
-    if (!isAccepted && run !== undefined) this.markLost(run, 'recall_failed');
+    if (!isAccepted && run !== undefined) this.abandonRun(run, 'recall_failed');
   }
 
   private async sendRecall(zone: string, task: string): Promise<boolean> {
