A delegated task that arrives after its recall does not start

What callers saw: nothing by itself; a task that was recalled could start in another zone and run to its deadline, beside the runs of the job that was sent again.

Cause: a recall of a task that is not known counts as accepted, so that it isn't sent again. The message that delegates the task may arrive after it, as the two can be on different connections; a request for the result of a run that was stopped made a new record of it likewise.

Failing before, for 'a delegated task that arrives after its recall does not start': started expected false, actual true; the same for the request for its result.

--- a/packages/dispatch/src/dispatcher/commands.ts
+++ b/packages/dispatch/src/dispatcher/commands.ts
@@ -35,6 +35,7 @@
   readonly zone: string;
   /** The task's name as text. */
   readonly key: string;
+  readonly runNumber: number;
   /** Undefined for a run of an earlier holder that no job has claimed. */
   readonly run: Run | undefined;
 }
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -98,20 +98,20 @@
     for (const record of this.registry.jobs.values()) {
       if (record.pendingOutcome === undefined) continue;
       for (const run of record.runs()) {
-        const {delegatedTo: zone} = run;
+        const {delegatedTo: zone, key, number: runNumber} = run;
         if (zone === undefined || run.phase !== RunPhase.Stopping) continue;
         if (now - run.stopSentAt < STOP_RETRY_MS) continue;
         run.stopSentAt = now;
-        commands.push({kind: 'recall', zone, key: run.key, run});
+        commands.push({kind: 'recall', zone, key, runNumber, run});
       }
     }
   }
 
   /** Recalls tasks that an earlier holder delegated and no job has claimed. */
   private recallOrphans(commands: Command[], now: Millis): void {
-    for (const {key, zone} of this.registry.delegationSurvey.takeRecalls(now)) {
-      commands.push({kind: 'recall', zone, key, run: undefined});
-    }
+    const {delegationSurvey} = this.registry;
+    for (const {key, zone, run: runNumber} of delegationSurvey.takeRecalls(now))
+      commands.push({kind: 'recall', zone, key, runNumber, run: undefined});
   }
 }
 
--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -9,9 +9,12 @@
   JobAnswer,
   TaskDelegation,
   DelegatedTaskList,
+  DelegationRecall,
 } from '../protocol/index.js';
 import {formatDelegatedTaskId, toDelegatedJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
+import {RecalledTasks} from './recalled_tasks.js';
+import {outdatedRefusal} from './refusals.js';
 
 /** Whether a zone still wants a task that it delegated under this token. */
 export type IsTaskWanted = (zone: string, token: number) => boolean;
@@ -29,6 +32,7 @@
 export class DelegatedTasks {
   /** Token of the holder that last delegated each task or reattached to it. */
   private readonly tokenByTask = new Map<string, number>();
+  private readonly recalled = new RecalledTasks();
 
   constructor(private readonly options: DelegatedTasksOptions) {}
 
@@ -37,6 +41,8 @@
     const {dispatcher, pendingAnswers, onCommands, onChange} = this.options;
     const job = toDelegatedJob(message, now);
     const {progress} = message;
+    if (!dispatcher.jobs.has(job.id) && this.isRecalled(job.id, message, now))
+      return Promise.resolve(outdatedRefusal);
     return new Promise(answer => {
       pendingAnswers.add(job.id, {ownerId: message.homeZone, answer});
       this.tokenByTask.set(job.id, message.token);
@@ -46,13 +52,11 @@
     });
   }
 
-  /** Stops a task that its zone recalls. */
-  recall(homeZone: string, task: string, now: Millis): void {
-    this.cancel(
-      formatDelegatedTaskId(homeZone, task),
-      AbandonReason.Cancelled,
-      now,
-    );
+  /** Stops a task that its zone recalls; it does not start later either. */
+  recall({homeZone, token, task, run}: DelegationRecall, now: Millis): void {
+    const id = formatDelegatedTaskId(homeZone, task);
+    if (run !== undefined) this.recalled.add(id, {token, run}, now);
+    this.cancel(id, AbandonReason.Cancelled, now);
   }
 
   /**
@@ -88,6 +92,16 @@
     this.tokenByTask.delete(recordId);
   }
 
+  private isRecalled(
+    id: string,
+    message: TaskDelegation,
+    now: Millis,
+  ): boolean {
+    return message.isJoin
+      ? this.recalled.wasRecalled(id, message.run, now)
+      : this.recalled.isRecalled(id, message, now);
+  }
+
   private cancel(id: string, reason: AbandonReason, now: Millis): void {
     this.options.dispatcher.cancel(id, reason, now);
     this.options.onChange();
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -15,6 +15,7 @@
   JobSubmission,
   TaskDelegation,
   DelegatedTaskList,
+  DelegationRecall,
   ZoneHeartbeat,
 } from '../protocol/index.js';
 import {LostResponses} from './lost_responses.js';
@@ -178,8 +179,8 @@
   }
 
   /** Stops a task that another zone recalls. */
-  recall(homeZone: string, task: string): void {
-    this.delegatedTasks.recall(homeZone, task, readClock());
+  recall(message: DelegationRecall): void {
+    this.delegatedTasks.recall(message, readClock());
   }
 
   /** Lists the tasks that run, or may run, here for another zone. */
--- a/packages/zone/src/holder/refusals.ts
+++ b/packages/zone/src/holder/refusals.ts
@@ -15,7 +15,7 @@
 /** The same refusal as a resolved promise. */
 export const busyAnswer: Promise<JobAnswer> = Promise.resolve(busyRefusal);
 
-/** Refuses a task from a former holder of another zone. */
+/** Refuses a recalled task or one from a former holder of another zone. */
 export const outdatedRefusal = {
   kind: 'refused',
   reason: RefusalReason.Outdated,
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -163,7 +163,7 @@
   /** Retries until the zone accepts the recall or the run has ended. */
   private async recallUntilAccepted(run: Run): Promise<void> {
     while (readClock() < run.latestEndAt && this.isActive(run)) {
-      if (await this.sendRecall(run.workerId, run.key)) return;
+      if (await this.sendRecall(run.workerId, run.key, run.number)) return;
       await sleep(RECALL_RETRY_MS);
     }
   }
@@ -173,15 +173,19 @@
    * call returns how the run ended. The dispatcher repeats the recall of a run
    * that no job has claimed.
    */
-  async recall({zone, key, run}: RecallCommand): Promise<void> {
-    const isAccepted = await this.sendRecall(zone, key);
+  async recall({zone, key, runNumber, run}: RecallCommand): Promise<void> {
+    const isAccepted = await this.sendRecall(zone, key, runNumber);
     if (!isAccepted && run !== undefined) this.abandonRun(run, 'recall_failed');
   }
 
-  private async sendRecall(zone: string, task: string): Promise<boolean> {
+  private async sendRecall(
+    zone: string,
+    task: string,
+    run: number,
+  ): Promise<boolean> {
     const client = this.options.findZoneClient(zone);
     const {zone: homeZone, token} = this.options;
-    const message = {homeZone, token, task};
+    const message = {homeZone, token, task, run};
     const result = await client?.recall(message, RECALL_TIMEOUT_MS);
     return result?.isOk() === true && result.value;
   }
--- a/packages/zone/src/instance/delegation_handler.ts
+++ b/packages/zone/src/instance/delegation_handler.ts
@@ -37,10 +37,11 @@
   }
 
   /** Stops a task that another zone recalls; false if not the holder. */
-  recall({homeZone, token, task}: DelegationRecall): Promise<boolean> {
+  recall(message: DelegationRecall): Promise<boolean> {
     const holder = this.findHolder();
+    const {homeZone, token} = message;
     const isCurrent = this.zones.recordToken(homeZone, token);
-    if (isCurrent) holder?.recall(homeZone, task);
+    if (isCurrent) holder?.recall(message);
     return Promise.resolve(holder !== undefined);
   }
 
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -159,6 +159,8 @@
   token: z.number(),
   /** The formatted name of the task. */
   task: z.string(),
+  /** The number of the run; none from an older version. */
+  run: z.number().int().positive().optional(),
 });
 
 /** Requests the tasks that the peer runs for a zone. */
