--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -11,11 +11,14 @@
   JobAnswer,
   TaskDelegation,
   DelegatedTaskList,
+  DelegationRecall,
 } from '../protocol/index.js';
 import {EndedDelegations} from './ended_delegations.js';
 import {formatDelegatedTaskId, toDelegatedJob} from './job_conversion.js';
 import {recordJoin} from './observer.js';
 import type {PendingAnswers} from './pending_answers.js';
+import {RecalledTasks} from './recalled_tasks.js';
+import {outdatedRefusal} from './refusals.js';
 
 /** Whether a zone still wants a task that it delegated under this token. */
 export type IsTaskWanted = (zone: string, token: number) => boolean;
@@ -43,6 +46,7 @@
   /** The tasks that have not ended, by the ids of their records. */
   private readonly tasks = new Map<string, DelegatedRun>();
   private readonly ended = new EndedDelegations();
+  private readonly recalled = new RecalledTasks();
 
   constructor(private readonly options: DelegatedTasksOptions) {}
 
@@ -61,6 +65,8 @@
       const outcome = this.ended.find(job.id, run, now);
       if (outcome !== undefined) return Promise.resolve(outcome);
     }
+    if (known === undefined && this.isRecalled(job.id, message, now))
+      return Promise.resolve(outdatedRefusal);
     return new Promise(answer => {
       pendingAnswers.add(job.id, {ownerId: message.homeZone, answer});
       this.tasks.set(job.id, {run, token});
@@ -72,13 +78,11 @@
     });
   }
 
-  /** Stops a task that its zone recalls. */
-  recall(homeZone: string, task: string, now: Millis): void {
-    this.cancel(
-      formatDelegatedTaskId(homeZone, task),
-      AbandonReason.Cancelled,
-      now,
-    );
+  /** Stops a task that its zone recalls; it does not start later either. */
+  recall({homeZone, token, task, run}: DelegationRecall, now: Millis): void {
+    const id = formatDelegatedTaskId(homeZone, task);
+    if (run !== undefined) this.recalled.add(id, {token, run}, now);
+    this.cancel(id, AbandonReason.Cancelled, now);
   }
 
   /**
@@ -128,6 +132,16 @@
     if (task !== undefined) this.ended.record(id, task.run, outcome, now);
   }
 
+  private isRecalled(
+    id: string,
+    message: TaskDelegation,
+    now: Millis,
+  ): boolean {
+    return message.isJoin
+      ? this.recalled.wasRecalled(id, message.run, now)
+      : this.recalled.isRecalled(id, message, now);
+  }
+
   private cancel(id: string, reason: AbandonReason, now: Millis): void {
     this.options.dispatcher.cancel(id, reason, now);
     this.options.onChange();
--- /dev/null
+++ b/packages/zone/src/holder/delegation_discovery.ts
@@ -0,0 +1,78 @@
+/**
+ * Asks the other zones, for a new holder, which tasks they run for its zone and
+ * which jobs still run there though nobody waits for them.
+ */
+import type {CrashHistory, Dispatcher} from '@goldcrestpier/dispatch';
+import {readClock, sleep, type Logger} from '@goldcrestpier/runtime';
+import type {DelegatedTaskList} from '../protocol/index.js';
+import type {FindZoneClient} from './task_delegator.js';
+
+/** Timeout of a query for the tasks that a zone runs for this one, in ms. */
+const DISCOVERY_TIMEOUT_MS = 400;
+/** Number of such queries to one zone, and the pause between them in ms. */
+const DISCOVERY_ATTEMPTS = 20;
+const DISCOVERY_INTERVAL_MS = 100;
+/** Dependencies of the discovery. */
+export interface DelegationDiscoveryOptions {
+  readonly zone: string;
+  readonly token: number;
+  readonly dispatcher: Dispatcher;
+  /** The crashes of workers that the instance knows. */
+  readonly crashes: CrashHistory;
+  readonly findZoneClient: FindZoneClient;
+  readonly logger: Logger;
+  readonly onChange: () => void;
+}
+
+/** Queries each zone until its answer is complete. */
+export class DelegationDiscovery {
+  constructor(private readonly options: DelegationDiscoveryOptions) {}
+
+  /** Discovers the tasks that an earlier holder of this zone delegated. */
+  async discover(zones: readonly string[]): Promise<void> {
+    const {dispatcher, onChange} = this.options;
+    dispatcher.expectDelegationReports(zones, readClock());
+    await Promise.all(zones.map(zone => this.queryZone(zone)));
+    onChange();
+  }
+
+  private async queryZone(zone: string): Promise<void> {
+    const {dispatcher, findZoneClient, logger} = this.options;
+    for (let attempt = 0; attempt < DISCOVERY_ATTEMPTS; attempt += 1) {
+      const client = findZoneClient(zone);
+      const {zone: homeZone, token} = this.options;
+      const taskQuery = {homeZone, token};
+      const result = await client?.listDelegatedTasks(
+        taskQuery,
+        DISCOVERY_TIMEOUT_MS,
+      );
+      if (result?.isOk() === true) {
+        const {tasks, isComplete, crashes = []} = result.value;
+        this.options.crashes.merge(crashes, readClock());
+        this.recordAbandonedJobs(zone, result.value);
+        dispatcher.handleDelegationReport(zone, result.value, readClock());
+        logger.info('received the tasks that another zone runs for this one', {
+          zone,
+          lent: tasks.length,
+          isComplete,
+        });
+        this.options.onChange();
+        if (isComplete) return;
+      }
+      await sleep(DISCOVERY_INTERVAL_MS);
+    }
+    logger.warn(
+      'no complete list of the tasks that another zone runs for this one',
+      {zone},
+    );
+  }
+
+  private recordAbandonedJobs(
+    zone: string,
+    {holderToken, abandonedJobs = []}: DelegatedTaskList,
+  ): void {
+    if (holderToken === undefined) return;
+    const report = {zone, token: holderToken, jobIds: abandonedJobs};
+    this.options.dispatcher.handleAbandonedJobs(report, readClock());
+  }
+}
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -10,11 +10,13 @@
   JobSubmission,
   TaskDelegation,
   DelegatedTaskList,
+  DelegationRecall,
   ZoneHeartbeat,
 } from '../protocol/index.js';
 import {LostResponses} from './lost_responses.js';
 import {busyAnswer} from './refusals.js';
 import {CommandSender} from './command_sender.js';
+import {DelegationDiscovery} from './delegation_discovery.js';
 import {DelegatedTasks, type IsTaskWanted} from './delegated_tasks.js';
 import type {HolderOptions} from './holder_options.js';
 import {SubmissionHandler} from './submission_handler.js';
@@ -42,6 +44,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly commandSender: CommandSender;
   private readonly delegator: TaskDelegator;
+  private readonly discovery: DelegationDiscovery;
   private readonly submissions: SubmissionHandler;
   private readonly delegatedTasks: DelegatedTasks;
   private readonly pollers: WorkerPollers;
@@ -81,18 +84,14 @@
       onChange: () => this.scheduleTick(),
       onFenced: workerId => this.stepDown(workerId),
     });
-    this.delegator = new TaskDelegator({
-      ...options,
-      dispatcher: this.dispatcher,
-      onChange: () => this.scheduleTick(),
-    });
     const shared = {
+      ...options,
       dispatcher: this.dispatcher,
       pendingAnswers: this.pendingAnswers,
-      logger,
-      metrics,
       onChange: () => this.scheduleTick(),
     };
+    this.delegator = new TaskDelegator(shared);
+    this.discovery = new DelegationDiscovery(shared);
     this.submissions = new SubmissionHandler({
       ...shared,
       overloadDetector: this.overloadDetector,
@@ -148,7 +147,7 @@
 
   /** Queries other zones for the tasks that they run for this one. */
   discoverDelegatedTasks(zones: readonly string[]): void {
-    void this.delegator.discover(zones);
+    void this.discovery.discover(zones);
   }
 
   /** Handles a heartbeat of the holder of another zone. */
@@ -197,8 +196,8 @@
   }
 
   /** Stops a task that another zone recalls. */
-  recall(homeZone: string, task: string): void {
-    this.delegatedTasks.recall(homeZone, task, readClock());
+  recall(message: DelegationRecall): void {
+    this.delegatedTasks.recall(message, readClock());
   }
 
   /** Lists the tasks that run, or may run, here for another zone. */
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -1,6 +1,7 @@
 /** Delegates tasks to the holders of other zones and tracks their runs. */
 import {
   RunEnd,
+  RunPhase,
   type CrashHistory,
   type Dispatcher,
   type JobProgress,
@@ -14,7 +15,6 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {
   JobAnswer,
-  DelegatedTaskList,
   DelegationAnswer,
   ZoneCallFailure,
   ZoneClient,
@@ -24,11 +24,6 @@
 import {nameRecallFailure} from './recall_failure.js';
 import {OriginalRequest, type Reattachment} from './reattachment.js';
 
-/** Timeout of a query for the tasks that a zone runs for this one, in ms. */
-const DISCOVERY_TIMEOUT_MS = 400;
-/** Number of such queries to one zone, and the pause between them in ms. */
-const DISCOVERY_ATTEMPTS = 20;
-const DISCOVERY_INTERVAL_MS = 100;
 /** Added to a task's remaining time to send back its answer, in ms. */
 const ANSWER_MARGIN_MS = 500;
 /**
@@ -63,14 +58,6 @@
 export class TaskDelegator {
   constructor(private readonly options: TaskDelegatorOptions) {}
 
-  /** Discovers the tasks that an earlier holder of this zone delegated. */
-  async discover(zones: readonly string[]): Promise<void> {
-    const {dispatcher, onChange} = this.options;
-    dispatcher.expectDelegationReports(zones, readClock());
-    await Promise.all(zones.map(zone => this.queryZone(zone)));
-    onChange();
-  }
-
   /** Delegates one task and waits until its run has ended. */
   async delegate(command: DelegateCommand): Promise<void> {
     if (command.isAdopted) {
@@ -137,6 +124,8 @@
   ): Promise<void> {
     let latestProgress = progress;
     for (let attempt = 0; attempt < REATTACH_ATTEMPTS; attempt += 1) {
+      // A task that was recalled could be started again by this request.
+      if (command.record.pendingOutcome !== undefined) break;
       const result = await this.request(command, {
         isJoin: true,
         progress: latestProgress,
@@ -164,75 +153,51 @@
 
   /** Marks a run as lost and recalls it, as it may still be running. */
   private abandonRun(run: Run, reason: string): void {
+    // It is already being recalled, or it has ended meanwhile.
+    if (run.phase === RunPhase.StopAccepted || !this.isActive(run)) return;
     this.markLost(run, reason);
     void this.recallUntilAccepted(run);
   }
 
-  /** Retries until the zone accepts the recall or the run has timed out. */
+  /** Whether the run is still the one of its task. */
+  private isActive(run: Run): boolean {
+    const record = this.options.dispatcher.jobs.get(run.recordId);
+    const state = record?.findTask(run.key)?.state;
+    return state?.kind === 'running' && state.run === run;
+  }
+
+  /** Retries until the zone accepts the recall or the run has ended. */
   private async recallUntilAccepted(run: Run): Promise<void> {
-    while (readClock() < run.latestEndAt) {
-      if (await this.sendRecall(run.workerId, run.key)) return;
+    while (readClock() < run.latestEndAt && this.isActive(run)) {
+      if (await this.sendRecall(run.workerId, run.key, run.number)) return;
       await sleep(RECALL_RETRY_MS);
     }
   }
 
-  /** Recalls a delegated task. */
-  async recall({zone, key, run}: RecallCommand): Promise<void> {
-    const isAccepted = await this.sendRecall(zone, key);
-    // On success, the pending delegation call returns how the run ended.
-    if (!isAccepted && run !== undefined) this.markLost(run, 'recall_failed');
+  /**
+   * Recalls a delegated task. If the zone accepts that, the pending delegation
+   * call returns how the run ended. The dispatcher repeats the recall of a run
+   * that no job has claimed.
+   */
+  async recall({zone, key, runNumber, run}: RecallCommand): Promise<void> {
+    const isAccepted = await this.sendRecall(zone, key, runNumber);
+    if (!isAccepted && run !== undefined) this.abandonRun(run, 'recall_failed');
   }
 
-  private async sendRecall(zone: string, task: string): Promise<boolean> {
+  private async sendRecall(
+    zone: string,
+    task: string,
+    run: number,
+  ): Promise<boolean> {
     const client = this.options.findZoneClient(zone);
     const {zone: homeZone, token} = this.options;
-    const message = {homeZone, token, task};
+    const message = {homeZone, token, task, run};
     const result = await client?.recall(message, RECALL_TIMEOUT_MS);
     if (result?.isOk() === true && result.value) return true;
     this.options.metrics.failedRecalls.inc({reason: nameRecallFailure(result)});
     return false;
   }
 
-  private async queryZone(zone: string): Promise<void> {
-    const {dispatcher, findZoneClient, logger} = this.options;
-    for (let attempt = 0; attempt < DISCOVERY_ATTEMPTS; attempt += 1) {
-      const client = findZoneClient(zone);
-      const {zone: homeZone, token} = this.options;
-      const taskQuery = {homeZone, token};
-      const result = await client?.listDelegatedTasks(
-        taskQuery,
-        DISCOVERY_TIMEOUT_MS,
-      );
-      if (result?.isOk() === true) {
-        const {tasks, isComplete, crashes = []} = result.value;
-        this.options.crashes.merge(crashes, readClock());
-        this.recordAbandonedJobs(zone, result.value);
-        dispatcher.handleDelegationReport(zone, result.value, readClock());
-        logger.info('received the tasks that another zone runs for this one', {
-          zone,
-          lent: tasks.length,
-          isComplete,
-        });
-        this.options.onChange();
-        if (isComplete) return;
-      }
-      await sleep(DISCOVERY_INTERVAL_MS);
-    }
-    logger.warn(
-      'no complete list of the tasks that another zone runs for this one',
-      {zone},
-    );
-  }
-
-  private recordAbandonedJobs(
-    zone: string,
-    {holderToken, abandonedJobs = []}: DelegatedTaskList,
-  ): void {
-    if (holderToken === undefined) return;
-    const report = {zone, token: holderToken, jobIds: abandonedJobs};
-    this.options.dispatcher.handleAbandonedJobs(report, readClock());
-  }
-
   private async handleDelegationAnswer(
     command: DelegateCommand,
     {answer, rooms = []}: DelegationAnswer,
--- a/packages/zone/src/owner/early_answer.ts
+++ b/packages/zone/src/owner/early_answer.ts
@@ -1,6 +1,6 @@
 /** Answers that callers get while runs of their job may go on. */
 import {AbandonReason} from '@goldcrestpier/dispatch';
-import type {OwnerAnswer} from './owner.js';
+import type {OwnerAnswer} from './attempt.js';
 
 /** Why a caller was answered before the runs of its job had certainly ended. */
 export enum EarlyAnswerReason {
--- a/packages/zone/src/owner/index.ts
+++ b/packages/zone/src/owner/index.ts
@@ -1,2 +1,3 @@
 /** The owner: runs callers' jobs at the holder and returns the results. */
+export * from './attempt.js';
 export * from './owner.js';
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -3,10 +3,10 @@
  * the job to it, and resubmits the job if the holder is lost.
  */
 import {
-  RefusalReason,
+  AbandonReason,
+  DELEGATED_RUN_MAX_MS,
   type CrashHistory,
   type Job,
-  type JobProgress,
 } from '@goldcrestpier/dispatch';
 import {PeerFailureKind} from '@goldcrestpier/peers';
 import {
@@ -23,6 +23,13 @@
   JobSubmission,
   ZoneCallFailure,
 } from '../protocol/index.js';
+import {
+  OwnerRefusal,
+  toAttempt,
+  type Attempt,
+  type History,
+  type OwnerAnswer,
+} from './attempt.js';
 import {Callers} from './callers.js';
 import {findEarlyAnswerReason} from './early_answer.js';
 import {findHolderWaitEnd} from './holder_wait.js';
@@ -39,23 +46,6 @@
 /** Abort reason of a finished attempt; a string avoids an error per job. */
 const ATTEMPT_ENDED = 'attempt ended';
 
-/** Why a job could not be submitted to a holder. */
-export enum OwnerRefusal {
-  /** The zone has no holder, or it can't be reached. */
-  NoHolder = 'no_holder',
-}
-
-/** The result of a job as returned to its caller. */
-export type OwnerAnswer =
-  | Exclude<JobAnswer, {kind: 'not_holder'}>
-  | {
-      readonly kind: 'refused';
-      readonly reason: RefusalReason | OwnerRefusal;
-      readonly retryAfterMs: Millis;
-    }
-  /** Submitted to a holder that was lost; runs end when leases expire. */
-  | {readonly kind: 'unknown'};
-
 /** A client of the holder, which is local or a peer. */
 export interface HolderClient {
   readonly id: string;
@@ -89,18 +79,6 @@
   readonly metrics: ZoneMetrics;
 }
 
-/** What is known about the tasks that earlier holders started for a job. */
-type History =
-  | {readonly kind: 'none'}
-  | {readonly kind: 'told'; readonly progress: JobProgress}
-  /** Any of its tasks may be running. */
-  | {readonly kind: 'unknown'};
-
-/** How one attempt to run a job at a holder ended. */
-type Attempt =
-  | {readonly kind: 'answered'; readonly answer: OwnerAnswer}
-  | {readonly kind: 'lost'; readonly reason: string; readonly history: History};
-
 /** Submits jobs to the holder and returns the results. */
 export class Owner {
   private readonly callers = new Callers();
@@ -161,6 +139,7 @@
       }
       const attempt = await this.tryHolder(holder, job, history);
       if (attempt.kind === 'answered') return attempt.answer;
+      if (attempt.kind === 'cancelled') return this.awaitRunEnds(signal);
       history = attempt.history;
       this.options.onHolderUnavailable(readClock());
       this.logResubmission(job, holder.id, attempt.reason, history);
@@ -168,6 +147,12 @@
     }
   }
 
+  /** Waits until nothing of a cancelled job without a holder runs any more. */
+  private async awaitRunEnds(signal: AbortSignal): Promise<OwnerAnswer> {
+    await sleep(DELEGATED_RUN_MAX_MS, signal);
+    return {kind: 'abandoned', reason: AbandonReason.OwnerLost};
+  }
+
   /** The earliest time at which there may be a holder again. */
   private findHolderTime(now: Millis): Millis {
     return Math.max(now, this.options.holderExpectedAt(now) ?? now);
@@ -280,18 +265,3 @@
     };
   }
 }
-
-function toAttempt(answer: JobAnswer, history: History): Attempt {
-  if (answer.kind !== 'not_holder') {
-    // A later holder's refusal doesn't exclude runs that earlier ones started.
-    const isUnknown = answer.kind === 'refused' && history.kind !== 'none';
-    const ownerAnswer: OwnerAnswer = isUnknown ? {kind: 'unknown'} : answer;
-    return {kind: 'answered', answer: ownerAnswer};
-  }
-  const {kind: reason, mayHaveStarted, progress} = answer;
-  if (!mayHaveStarted) return {kind: 'lost', reason, history};
-  if (progress === undefined) {
-    return {kind: 'lost', reason, history: {kind: 'unknown'}};
-  }
-  return {kind: 'lost', reason, history: {kind: 'told', progress}};
-}
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -167,6 +167,8 @@
   token: z.number(),
   /** The formatted name of the task. */
   task: z.string(),
+  /** The number of the run; none from an older version. */
+  run: z.number().int().positive().optional(),
 });
 
 /** Requests the tasks that the peer runs for a zone. */
@@ -200,12 +202,14 @@
   z.object({kind: z.literal('abandoned'), reason: z.enum(AbandonReason)}),
   /**
    * Not the holder. `mayHaveStarted`: it was the holder and has been replaced
-   * since; `progress` is the job's progress at that time.
+   * since; `progress` is the job's progress at that time. `isCancelled`: no
+   * owner counted as alive any more, so that its runs are being stopped.
    */
   z.object({
     kind: z.literal('not_holder'),
     mayHaveStarted: z.boolean(),
     progress: jobProgressSchema.optional(),
+    isCancelled: z.boolean().optional(),
   }),
 ]);
 
--- a/packages/zone/test/cancelled_delegations.test.ts
+++ b/packages/zone/test/cancelled_delegations.test.ts
@@ -111,7 +111,8 @@
     job,
     isJoin: true,
   };
-  tasks.recall('west', 'a.0.0.0', now);
+  const recall = {homeZone: 'west', token, task: 'a.0.0.0', run: 1};
+  tasks.recall(recall, now);
   void tasks.accept(join, now + 1);
   assert.equal(dispatcher.workers.get('w1')?.runs.size, 0);
 });
--- a/packages/zone/test/holder_log.test.ts
+++ b/packages/zone/test/holder_log.test.ts
@@ -150,7 +150,8 @@
     metrics,
     onChange: () => undefined,
   });
-  const command = {kind: 'recall', zone: 'east', key: 'a.0.0.0'} as const;
+  const recall = {kind: 'recall', zone: 'east', key: 'a.0.0.0'} as const;
+  const command = {...recall, runNumber: 1};
   for (let count = 0; count < 3; count += 1)
     await delegator.recall({...command, run: undefined});
   const lines = (await metrics.format())
--- a/packages/zone/test/owner.test.ts
+++ b/packages/zone/test/owner.test.ts
@@ -184,3 +184,18 @@
     /^goldcrestpier_early_answers_total\{/m,
   );
 });
+
+test('a job that its holder was stopping when it stepped down is not run again, and its caller is told only when all runs are over', async () => {
+  const answer = {
+    kind: 'not_holder',
+    mayHaveStarted: true,
+    progress,
+    isCancelled: true,
+  } as const;
+  const first = new FakeHolder('first', Promise.resolve(answer));
+  const next = new FakeHolder('next', completed);
+  const startedAt = readClock();
+  await runWithHolders(first, next, {isFirstAlive: true});
+  assert.equal(next.submissions.length, 0);
+  assert.ok(readClock() - startedAt >= 1_990);
+});
--- a/packages/zone/test/task_delegator.test.ts
+++ b/packages/zone/test/task_delegator.test.ts
@@ -5,7 +5,6 @@
   CrashHistory,
   RefusalReason,
   type Command,
-  type Dispatcher,
 } from '@goldcrestpier/dispatch';
 import {PeerFailureKind, UnknownReason} from '@goldcrestpier/peers';
 import {readClock, sleep} from '@goldcrestpier/runtime';
@@ -20,6 +19,7 @@
   ZoneClient,
 } from '../src/protocol/index.js';
 import {
+  createBusyDispatcher,
   createDispatcher,
   createJob,
   noopLogger,
@@ -33,20 +33,6 @@
   vacancies: Array<[number, number, number, number]>;
 };
 
-/** Creates a dispatcher with a busy worker and known free capacity in `east`. */
-function createBusyDispatcher(now: number, crashes: CrashHistory): Dispatcher {
-  const dispatcher = createDispatcher(now, crashes);
-  dispatcher.submit(createJob('a', 2, now), false, now);
-  dispatcher.tick(now);
-  const vacancies = [{slowness: 1, cpuMillis: 30_000, memoryMb: 1_000}];
-  dispatcher.updateZoneVacancies(
-    {zone: 'east', service: 'pricing', vacancies},
-    now,
-  );
-  dispatcher.submit(createJob('b', 1, now), false, now);
-  return dispatcher;
-}
-
 /** Whether a task is delegated again after the first attempt got this answer. */
 async function isDelegatedAgain(answer: DelegationAnswer): Promise<boolean> {
   const now = readClock();
