--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -96,6 +96,11 @@
     'Calls to the platform store, by call and result.',
     ['call', 'result'],
   );
+  readonly malformedEntries = this.createCounter(
+    'goldcrestpier_malformed_entries_total',
+    'Entries of the platform store that could not be decoded, by key prefix.',
+    ['prefix'],
+  );
   readonly isReady = new Gauge({
     name: 'goldcrestpier_ready',
     help: '1 while this instance accepts new connections, otherwise 0.',
