The longest chain of a job is found for any number of steps

A caller's step that lists some 130,000 earlier ones, which a body of 256 KiB can hold, exceeded the call stack: the error was thrown while the holder took in the job.

Failed before, in long_chains.test: "the longest chain is found for a step that lists 300,000 earlier ones" and "... for 300,000 steps" (RangeError: Maximum call stack size exceeded).

--- a/packages/dispatch/src/work/job.ts
+++ b/packages/dispatch/src/work/job.ts
@@ -60,9 +60,14 @@
   const ends: Millis[] = [];
   for (const step of steps) {
     const before = step.after.map(index => ends[index] ?? 0);
-    ends.push(Math.max(0, ...before) + predict(step));
+    ends.push(findLatest(before) + predict(step));
   }
-  return Math.max(0, ...ends);
+  return findLatest(ends);
+}
+
+/** Finds the latest of any number of times; 0 if there is none. */
+function findLatest(times: readonly Millis[]): Millis {
+  return times.reduce((latest, time) => Math.max(latest, time), 0);
 }
 
 /** One task that the holder of another zone delegates to this one. */
