A request to an invalid address fails instead of throwing

The pool's constructor throws on a URL with a port above 65535 or with a host such as '['. It was called outside the promise, so that sending threw although its comment says that it never rejects. Such a request proves that nothing was sent.

Failed before, in runner_client.test: "an address to which no request can be sent proves that the task did not run" (TypeError: Invalid URL).

--- a/packages/backends/src/exchange/server_pools.ts
+++ b/packages/backends/src/exchange/server_pools.ts
@@ -5,7 +5,7 @@
 import {readClock, type Lifecycle, type Millis} from '@goldcrestpier/runtime';
 import {Pool} from 'undici';
 import {ExchangeHandler} from './exchange_handler.js';
-import type {BackendRequest, Exchange} from './types.js';
+import {ExchangeKind, type BackendRequest, type Exchange} from './types.js';
 
 const CONNECT_TIMEOUT_MS = 2_000;
 /** Below the servers' timeouts, so that they rarely close during a write. */
@@ -40,9 +40,13 @@
     limits.lifecycle.own('backend connections', () => this.destroyAll());
   }
 
-  /** Sends one request at most once. Never rejects. */
+  /** Sends one request at most once. Never throws or rejects. */
   send(request: BackendRequest): Promise<Exchange> {
     const serverPool = this.getPool(request.address);
+    if (serverPool === undefined) {
+      const reason = `invalid address: ${request.address}`;
+      return Promise.resolve({kind: ExchangeKind.NotSent, reason});
+    }
     serverPool.inFlight += 1;
     return new Promise(resolve => {
       const handler = new ExchangeHandler(
@@ -65,11 +69,14 @@
     });
   }
 
-  private getPool(address: string): ServerPool {
+  /** Finds or creates a pool; undefined if the address is invalid. */
+  private getPool(address: string): ServerPool | undefined {
     const now = readClock();
     this.closeIdlePools(now);
     let serverPool = this.pools.get(address);
     if (serverPool === undefined) {
+      // The constructor throws on an invalid URL, such as a port above 65535.
+      if (!URL.canParse(`http://${address}`)) return undefined;
       const pool = createPool(address, this.limits);
       serverPool = {pool, inFlight: 0, lastUsedAt: now};
       this.pools.set(address, serverPool);
@@ -128,7 +135,7 @@
       handler,
     );
   } catch (cause) {
-    // Thrown before the request is queued: destroyed pool or invalid address.
+    // Thrown before the request is queued: the pool was destroyed.
     handler.fail(
       cause instanceof Error
         ? cause.message
--- a/packages/backends/test/runner_client.test.ts
+++ b/packages/backends/test/runner_client.test.ts
@@ -71,6 +71,14 @@
   assert.equal(outcome.kind, StartKind.Refused);
 });
 
+test('an address to which no request can be sent proves that the task did not run', async () => {
+  for (const address of ['127.0.0.1:65536', '[:1', '%:1', '']) {
+    const runner = {name: 'r1', address};
+    const outcome = await client.start(runner, task, LONG_TIMEOUT_MS, signal);
+    assert.equal(outcome.kind, StartKind.Refused, address);
+  }
+});
+
 test('a connection reset after a start is unknown and not retried', async () => {
   const {outcome, requests} = await startOn(request =>
     request.socket.resetAndDestroy(),
