A target with an address that can't be called is skipped

The instance list accepted ports of 0 and above 65535, and hosts that make an invalid URL or name another host than they seem to.

Failed before, in instance_list.test: "skips targets with an address or a number that cannot be used" (AssertionError: + 'odd-0', 'odd-1', 'odd-2', 'odd-5', ...: listed). Its odd numbers and the deeply nested targets were skipped before as well.

--- a/packages/platform/src/instance_list/parse.ts
+++ b/packages/platform/src/instance_list/parse.ts
@@ -46,12 +46,12 @@
 
 const MAX_AMOUNT = 1_000_000_000;
 
+const ADDRESS_PATTERN =
+  /^(?:\[[0-9a-fA-F:.]+\]|[0-9A-Za-z_][0-9A-Za-z._-]*):(?<port>[0-9]{1,5})$/;
+
 const addressSchema = z
   .string()
-  .regex(
-    /^(?:\[[0-9a-fA-F:.]+\]|[^\s:[\]/]+):[0-9]{1,5}$/,
-    'expected host:port',
-  );
+  .refine(isReachableAddress, 'expected host:port');
 const amountSchema = z
   .string()
   .regex(/^[0-9]+(?:\.[0-9]+)?$/, 'expected a number')
@@ -97,6 +97,12 @@
   ]),
 });
 
+function isReachableAddress(address: string): boolean {
+  const port = ADDRESS_PATTERN.exec(address)?.groups?.['port'];
+  // The URL's own rules reject a port above 65535 and an invalid IP address.
+  return Number(port) > 0 && URL.canParse(`http://${address}/`);
+}
+
 type Target = z.infer<typeof targetSchema>;
 
 /** Parses a list without its malformed targets; undefined if it is no array. */
--- a/packages/platform/test/instance_list.test.ts
+++ b/packages/platform/test/instance_list.test.ts
@@ -95,6 +95,41 @@
   );
 });
 
+test('skips targets with an address or a number that cannot be used', () => {
+  const addresses = ['h:0', 'h:65536', 'h:99999', '[:1', '[::g]:1', '%:1'];
+  const hosts = ['a@b:1', 'a?b:1', 'a#b:1', 'a\\b:1', '256.256.256.256:1'];
+  const odd = [
+    ...[...addresses, ...hosts].map(address => ({
+      ...RUNNER,
+      targets: [address],
+    })),
+    changeLabels(RUNNER, {slots: '1e400'}),
+    changeLabels(RUNNER, {slots: '9'.repeat(400)}),
+    changeLabels(RUNNER, {slots: '-1'}),
+    changeLabels(RUNNER, {slots: '1.5'}),
+  ].map((target, index) => changeLabels(target, {name: `odd-${index}`}));
+  const oddEntry = {
+    ...ENTRY,
+    labels: {...ENTRY.labels, peer_address: '127.0.0.1:65536'},
+  };
+  const parsed = parseInstanceList([...odd, oddEntry, RUNNER]);
+  const servers = parsed?.list.servers.map(({name}) => name);
+  assert.deepEqual(servers, ['runner-1']);
+  assert.deepEqual(parsed?.list.entries, []);
+  assert.equal(parsed?.skipped.length, odd.length + 1);
+});
+
+test('skips a deeply nested target and keeps the others', () => {
+  const levels = 300_000;
+  const deep = '['.repeat(levels) + ']'.repeat(levels);
+  const runner = JSON.stringify(RUNNER);
+  const label = `{"targets":["h:1"],"labels":{"name":${deep}}}`;
+  const list: unknown = JSON.parse(`[${deep},${label},${runner}]`);
+  const parsed = parseInstanceList(list);
+  assert.equal(parsed?.list.servers.length, 1);
+  assert.equal(parsed?.skipped.length, 2);
+});
+
 test('keeps the last valid list while polls fail, and its age grows', async () => {
   const served = {status: 200, text: JSON.stringify([ENTRY, RUNNER])};
   const reports: PollReport[] = [];
