A job that may have unknown runs is handed over as one that may have started

What callers saw: two runs of a task at a time, by reading. Cause: the progress of a job whose caller had left and sent it again was dropped at a change of holder, as its new record had started nothing; its runs of before, and their numbers, were unknown to the next holder. 'the next holder learns of unknown runs of a job that its caller left and sent again' failed (mayHaveStarted was false) and passes. In the same place the progress of a postponed job was dropped: 'a resumed job that waits for its earlier runs to stop keeps the progress of the former holder' failed (a second start in place of 'lend').

--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -126,6 +126,12 @@
     return this.isReattached && this.mayHaveUnknownRuns && !this.isDone;
   }
 
+  /** Whether it, or an earlier submission of it, may have started a run. */
+  get mayHaveRuns(): boolean {
+    if (this.hasStarted || this.mayHaveUnknownRuns) return true;
+    return this.tasks.some(({lastRun}) => lastRun > 0);
+  }
+
   /** Whether any task is neither running nor done. */
   get hasWaitingTasks(): boolean {
     return this.tasks.some(({state}) => state.kind === 'waiting');
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -4,6 +4,7 @@
   type Dispatcher,
   type EndedJob,
   type Job,
+  type JobProgress,
 } from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
@@ -31,6 +32,7 @@
 interface PostponedJob {
   readonly job: Job;
   readonly isResumed: boolean;
+  readonly progress: JobProgress | undefined;
 }
 
 /** Submits jobs to the dispatcher and returns the results to the owners. */
@@ -94,7 +96,8 @@
     const postponed = this.postponed.get(id);
     if (postponed !== undefined) {
       this.postponed.delete(id);
-      dispatcher.submit(postponed.job, postponed.isResumed, now);
+      const {job, isResumed, progress} = postponed;
+      dispatcher.submit(job, isResumed, now, progress);
       onChange();
       return;
     }
@@ -106,7 +109,7 @@
   answerNotHolder(now: Millis): void {
     const {dispatcher, pendingAnswers} = this.options;
     for (const jobId of pendingAnswers.recordIds) {
-      const mayHaveStarted = dispatcher.jobs.get(jobId)?.hasStarted ?? true;
+      const mayHaveStarted = dispatcher.jobs.get(jobId)?.mayHaveRuns ?? true;
       const progress = dispatcher.describeProgress(jobId, now);
       const isCancelled = pendingAnswers.findOwners(jobId).length === 0;
       pendingAnswers.answerAll(jobId, {
@@ -168,7 +171,7 @@
     // A message says how much time is left from its arrival on.
     const job = toJob(message, now);
     if (known?.pendingOutcome !== undefined)
-      this.postponed.set(id, {job, isResumed});
+      this.postponed.set(id, {job, isResumed, progress});
     else dispatcher.submit(job, isResumed, now, progress);
     const freeMillis = sumFreeMillis(dispatcher, now);
     const record = dispatcher.jobs.get(id);
