Submit no job whose caller has already closed or reset its connection

Callers saw: a job ran twice at a time. A process that had been frozen or busy read a request 2.4 to 2.9 s late and submitted it, though its caller had left and had sent the job again to another zone.

Cause: Node.js reads a request in one turn of the event loop and the end of its connection in the next one. The job was submitted in between.

Why it works: the server reads once more from all connections before it submits, by two immediates, of which the second follows a complete turn, and then looks at the socket. Nothing shows how long a request waited in the socket, so this is done for each one.

The simulation's caller calls the same function before it hands a request to the instance. It is as strict: an abort counts only if its message had arrived by the process's next turn; one that arrives later reaches a submitted job, as before.

--- a/packages/runtime/src/clock/index.ts
+++ b/packages/runtime/src/clock/index.ts
@@ -51,3 +51,15 @@
     if (immediate !== undefined) clearImmediate(immediate);
   };
 }
+
+/**
+ * Resolves after this process has once read all data, ends and resets of
+ * connections that have arrived by now. Node.js reads what a peer has sent and
+ * the end of its connection in two turns of the event loop. An immediate may run
+ * in the current turn, so that only the second one follows a complete turn.
+ */
+export function waitForPendingReads(): Promise<void> {
+  return new Promise(resolve => {
+    setImmediate(() => setImmediate(resolve));
+  });
+}
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -21,6 +21,11 @@
     'Jobs refused, by reason.',
     ['reason'],
   );
+  readonly unsubmitted = this.createCounter(
+    'goldcrestpier_unsubmitted_total',
+    'Jobs that were read but not submitted, by reason.',
+    ['reason'],
+  );
   readonly abandoned = this.createCounter(
     'goldcrestpier_abandoned_total',
     'Jobs abandoned after one of their tasks was started, by reason.',
--- a/packages/zone/test/simulation/callers.ts
+++ b/packages/zone/test/simulation/callers.ts
@@ -1,6 +1,10 @@
 /** Callers that send jobs, and resend them after a failed request. */
 import type {Job, Step} from '@goldcrestpier/dispatch';
-import {readClock, type Millis} from '@goldcrestpier/runtime';
+import {
+  readClock,
+  waitForPendingReads,
+  type Millis,
+} from '@goldcrestpier/runtime';
 import type {OwnerAnswer} from '../../src/owner/index.js';
 import type {RunningInstance, Machine, World} from './machine.js';
 import {CALLERS} from './network.js';
@@ -210,12 +214,13 @@
     const arrivesAt = network.drawArrival(CALLERS, machine.name);
     scheduler.deliver(arrivesAt, running.process, () => {
       const job = toJob(sent, readClock());
-      void running.instance.run(job, controller.signal).then(answer =>
+      void runIfWaiting(running, job, controller.signal).then(answer => {
+        if (answer === undefined) return;
         deliverToCaller(() => {
           finish(false);
           this.handleAnswer(sent, answer);
-        }),
-      );
+        });
+      });
     });
   }
 
@@ -244,6 +249,16 @@
   }
 }
 
+/** Runs a job as the callers' server does, unless its caller has left. */
+async function runIfWaiting(
+  {instance}: RunningInstance,
+  job: Job,
+  signal: AbortSignal,
+): Promise<OwnerAnswer | undefined> {
+  await waitForPendingReads();
+  return signal.aborted ? undefined : instance.run(job, signal);
+}
+
 function toJob({id, steps, timeoutMs, payload}: SentJob, now: Millis): Job {
   return {
     id,
