Don't count an unconfirmed start as over by the clock of a former worker process

Callers saw: a task ran twice at a time. A start got no answer, its run counted as lost when its lease was over, the task was started elsewhere, and 674 ms later the first start was executed after all.

Cause: the worker had restarted under its id. The lease named a time on the clock of the process before, which is in the future of the new clock.

Why it works: a run whose start was unanswered or refused ends with the leases only if the same incarnation has answered a poll that was sent after the start was given up. Else it stays to be stopped, each 200 ms, until a stop is accepted or an end is reported, at most for MAX_COMMAND_DELAY_MS (12 s, the longest that commands are known to be late, by any incarnation) and one lease, after which the run and the worker's record can go. That the leases are over still counts as evidence of a crash.

Owners are answered when they were: at the deadline, once the leases are over, while the record stays so that the job isn't started again in this zone. A job that was sent again and waits for it is answered at its own deadline.

Cost: a task whose start was not confirmed by a worker that stays silent isn't started elsewhere after 1.06 s any more.

--- a/packages/dispatch/src/dispatcher/create_run.ts
+++ b/packages/dispatch/src/dispatcher/create_run.ts
@@ -28,6 +28,7 @@
     workerBornAt: 0,
     delegatedTo: undefined,
     confirmedAt: Infinity,
+    startUnansweredAt: Infinity,
     stopSentAt: -Infinity,
     latestEndAt: Infinity,
   };
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -17,7 +17,7 @@
 import {
   RunEnd,
   RunPhase,
-  StartAnswer,
+  type StartAnswer,
   type WorkerRecord,
   type WorkerReport,
   type Run,
@@ -25,8 +25,8 @@
   WorkerRequestFailure,
 } from '../workers/index.js';
 import {findAbandonedJobs} from './abandoned_jobs.js';
+import {AnswerableJobs} from './answerable_jobs.js';
 import {Registry, type DispatchObserver, type EndedJob} from './registry.js';
-import {StrikeReason} from './health.js';
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {applyReport} from './worker_reports.js';
@@ -39,7 +39,7 @@
 import type {Command} from './commands.js';
 import {failCrashingJobs} from './crashing_tasks.js';
 import type {DelegationReport} from './delegation_survey.js';
-import {recordStartRefusal} from './start_refusal.js';
+import {applyStartAnswer} from './start_answer.js';
 import {
   endLostTasks,
   endOverdueJobs,
@@ -59,12 +59,6 @@
  */
 const FORMER_HOLDER_STOP_MS = 600;
 
-/** Answers after which the worker may still execute the start command. */
-const uncertainAnswers: ReadonlySet<StartAnswer> = new Set([
-  StartAnswer.Unanswered,
-  StartAnswer.NotListening,
-]);
-
 /** Schedules tasks on the workers of one zone, on behalf of its holder. */
 export class Dispatcher {
   private readonly registry: Registry;
@@ -72,6 +66,7 @@
   private readonly placer: Placer;
   private readonly intake: Intake;
   private readonly stopper: Stopper;
+  private readonly answerableJobs: AnswerableJobs;
 
   /**
    * `heldSince` is the time at which this instance became the holder; `crashes`
@@ -90,6 +85,7 @@
     });
     this.intake = new Intake(this.registry, this.placer, options.leaseMs);
     this.stopper = new Stopper(this.registry, heldSince);
+    this.answerableJobs = new AnswerableJobs(this.registry.workers);
   }
 
   /** The known workers and their runs, by worker ID. */
@@ -107,6 +103,15 @@
     return this.registry.takeEndedJobs();
   }
 
+  /**
+   * Returns the jobs that have been given up since the last call and can be
+   * answered, although a late start command may still be executed for them.
+   * Their records stay until that is excluded.
+   */
+  takeAnswerableJobs(): EndedJob[] {
+    return this.answerableJobs.take();
+  }
+
   /** Replaces the list of workers with the current one. */
   setWorkers(list: readonly Worker[], now: Millis): void {
     applyWorkerList(this.registry, list, now);
@@ -171,6 +176,7 @@
     endLostTasks(this.registry, this.placer, now);
     endOverdueJobs(this.registry, now);
     failCrashingJobs(this.registry, now);
+    this.answerableJobs.update(this.registry.jobs.values(), now);
     const delegations = this.intake.takeCommands();
     const starts = this.placer.placeIfDue(now);
     return [...delegations, ...starts, ...this.stopper.stop(now)];
@@ -194,18 +200,7 @@
 
   /** Handles the answer to a start command. */
   handleStartAnswer(run: Run, answer: StartAnswer, now: Millis): void {
-    // A refused connection may also be caused by a network partition.
-    if (uncertainAnswers.has(answer)) {
-      if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
-      run.isStartRefused = answer === StartAnswer.NotListening;
-      this.registry.recordStrike(run, StrikeReason.StartUnanswered, now);
-    } else if (answer !== StartAnswer.Started) {
-      recordStartRefusal(this.registry, run, answer, now);
-      this.registry.endRun(run, 'refused', now);
-    } else if (run.phase === RunPhase.Starting) {
-      run.phase = RunPhase.Running;
-      run.confirmedAt = now;
-    }
+    applyStartAnswer(this.registry, run, answer, this.options.leaseMs, now);
   }
 
   /** Handles a worker's confirmation of a stop command. */
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -12,6 +12,12 @@
 /** Time after which a task of a lost delegate has certainly ended, in ms. */
 export const DELEGATED_RUN_MAX_MS = 2_000;
 
+/**
+ * Longest time after which a worker may execute a command that it has not
+ * answered, in ms.
+ */
+export const MAX_COMMAND_DELAY_MS = 12_000;
+
 /** Share by which a worker's clock may be slower than this one. */
 const MAX_CLOCK_DRIFT = 0.02;
 /** Added to the end of a lease or a stop for the round trip, in ms. */
@@ -31,6 +37,14 @@
   return sentAt + maxLeaseMs / (1 - MAX_CLOCK_DRIFT) + ROUND_TRIP_MARGIN_MS;
 }
 
+/**
+ * When a run has certainly ended whose start command was sent for the last time
+ * before `now` and may be executed late, by any incarnation of the worker.
+ */
+export function computeLateRunEnd(now: Millis, leaseMs: Millis): Millis {
+  return computeLeaseExpiry(now + MAX_COMMAND_DELAY_MS, leaseMs);
+}
+
 /** When a stop that was confirmed at `confirmedAt` has certainly completed. */
 export function computeStopCompletion(
   confirmedAt: Millis,
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -2,7 +2,12 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {AbandonReason, RefusalReason} from '../work/index.js';
 import {createAbandoned, type Registry} from './registry.js';
-import {LossCause, type Run, type WorkerRecord} from '../workers/index.js';
+import {
+  LossCause,
+  isCrashLoss,
+  type Run,
+  type WorkerRecord,
+} from '../workers/index.js';
 import {startProbation} from './health.js';
 import type {JobRecord} from './job_record.js';
 import type {Placer} from './placer.js';
@@ -11,11 +16,11 @@
 export function endOverdueRuns(registry: Registry, now: Millis): void {
   for (const [id, worker] of registry.workers) {
     startProbation(worker, now);
+    const areLeasesOver = worker.areLeasesOver(now);
     for (const run of worker.runs.values()) {
-      const isLeaseExpired =
-        worker.isUnresponsive && now >= worker.leasesExpireAt;
-      if (isLeaseExpired) loseRun(registry, worker, run, now);
-      else if (now >= run.latestEndAt)
+      if (areLeasesOver) handleLeaseEnd(registry, worker, run, now);
+      const isOver = now >= run.latestEndAt;
+      if (isOver && worker.runs.get(run.key) === run)
         registry.endRun(run, LossCause.Expired, now);
     }
     const isGone = worker.info.isDraining && worker.isUnresponsive;
@@ -29,14 +34,21 @@
   }
 }
 
-function loseRun(
+/**
+ * Ends a run with the leases of its worker. One whose start command may be
+ * executed late only counts as evidence of a crash.
+ */
+function handleLeaseEnd(
   registry: Registry,
   worker: WorkerRecord,
   run: Run,
   now: Millis,
 ): void {
-  worker.unexplainedLosses = [...worker.unexplainedLosses, run];
-  registry.endRun(run, worker.lossCause, now);
+  const {lossCause, unexplainedLosses} = worker;
+  if (!unexplainedLosses.includes(run))
+    worker.unexplainedLosses = [...unexplainedLosses, run];
+  if (worker.isBoundByLease(run)) registry.endRun(run, lossCause, now);
+  else if (isCrashLoss(lossCause)) registry.crashRecorder.record(run, now);
 }
 
 /** Ends resumed tasks of other zones if no run of theirs was found in time. */
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -0,0 +1,44 @@
+/** Applies a worker's answer to a start command. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {RunPhase, StartAnswer, type Run} from '../workers/index.js';
+import {StrikeReason} from './health.js';
+import {computeLateRunEnd} from './options.js';
+import type {Registry} from './registry.js';
+import {recordStartRefusal} from './start_refusal.js';
+
+/** Answers after which the worker may still execute the start command. */
+const uncertainAnswers: ReadonlySet<StartAnswer> = new Set([
+  StartAnswer.Unanswered,
+  StartAnswer.NotListening,
+]);
+
+/** Applies an answer; `leaseMs` is the lease that the command named. */
+export function applyStartAnswer(
+  registry: Registry,
+  run: Run,
+  answer: StartAnswer,
+  leaseMs: Millis,
+  now: Millis,
+): void {
+  // A refused connection may also be caused by a network partition.
+  if (uncertainAnswers.has(answer)) {
+    if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
+    run.isStartRefused = answer === StartAnswer.NotListening;
+    boundUnconfirmedRun(run, leaseMs, now);
+    registry.recordStrike(run, StrikeReason.StartUnanswered, now);
+  } else if (answer !== StartAnswer.Started) {
+    recordStartRefusal(registry, run, answer, now);
+    registry.endRun(run, 'refused', now);
+  } else if (run.phase === RunPhase.Starting) {
+    run.phase = RunPhase.Running;
+    run.confirmedAt = now;
+  }
+}
+
+/** Limits for how long a run counts whose start command may be late. */
+function boundUnconfirmedRun(run: Run, leaseMs: Millis, now: Millis): void {
+  // A poll or an accepted stop has shown meanwhile what became of it.
+  if (run.confirmedAt !== Infinity) return;
+  run.startUnansweredAt = now;
+  run.latestEndAt = computeLateRunEnd(now, leaseMs);
+}
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -47,6 +47,7 @@
   worker.hasAcceptedToken = true;
   registry.firstReportAt ??= now;
   worker.pollFailure = undefined;
+  worker.answeredPollSentAt = Math.max(worker.answeredPollSentAt, sentAt);
   for (const {sequence} of report.ended) {
     worker.lastAckedEnd = Math.max(worker.lastAckedEnd, sequence);
   }
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -78,6 +78,11 @@
   delegatedTo: string | undefined;
   /** When the worker confirmed the start; later polls must list the run. */
   confirmedAt: Millis;
+  /**
+   * Time after which its start command was not sent any more, if none was
+   * confirmed; Infinity otherwise.
+   */
+  startUnansweredAt: Millis;
   /** When a stop command was last sent. */
   stopSentAt: Millis;
   /** When the run has certainly ended, after a stop or with its lease. */
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -27,6 +27,8 @@
   readonly orphans = new Map<string, number>();
   /** When the current incarnation became known, if not the first one. */
   incarnationKnownAt: Millis = -Infinity;
+  /** When the latest poll was sent that the current incarnation answered. */
+  answeredPollSentAt: Millis = -Infinity;
   /** Sequence of the last acknowledged end in the current incarnation. */
   lastAckedEnd = 0;
   /** Whether the worker has accepted this holder's fencing token. */
@@ -114,6 +116,27 @@
     };
   }
 
+  /**
+   * Whether all leases on the worker have expired, so that every run that it
+   * has confirmed is over.
+   */
+  areLeasesOver(now: Millis): boolean {
+    return this.isUnresponsive && now >= this.leasesExpireAt;
+  }
+
+  /**
+   * Whether a run is over when the worker's leases are. The lease of a start
+   * command names a time on the clock of the incarnation that is known here. If
+   * the worker has restarted unnoticed, its new clock proves nothing about a
+   * command that it may execute late. An answer of the same incarnation to a
+   * poll that was sent after the command shows that it has not.
+   */
+  isBoundByLease({confirmedAt, startUnansweredAt, workerBornAt}: Run): boolean {
+    if (confirmedAt !== Infinity) return true;
+    if (workerBornAt !== this.info.bornAt) return false;
+    return this.answeredPollSentAt >= startUnansweredAt;
+  }
+
   /** Adds a run, which replaces an earlier run of its task. */
   addRun(run: Run): void {
     this.removeRun(run.key);
@@ -155,8 +178,8 @@
   }
 
   /**
-   * Whether no run, known or orphaned, can go on there any more. The runs of an
-   * unresponsive worker end when their leases expire.
+   * Whether no run, known or orphaned, can go on there any more. The confirmed
+   * runs of an unresponsive worker end when their leases expire.
    */
   canBeRemoved(now: Millis): boolean {
     if (this.runs.size > 0 || now < this.leasesExpireAt) return false;
@@ -166,6 +189,7 @@
   /** Begins a new incarnation, whose runs are known after its next poll. */
   beginIncarnation(now: Millis): void {
     this.incarnationKnownAt = now;
+    this.answeredPollSentAt = -Infinity;
     this.lastAckedEnd = 0;
     this.clock = undefined;
     this.hasAcceptedToken = false;
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -122,8 +122,8 @@
     const now = readClock();
     this.workerListing = listing;
     this.dispatcher.setWorkers(listing.workers, now);
-    const isAwaited = isListingAwaited(listing, this.holderSince, now);
-    if (!isAwaited) this.dispatcher.confirmWorkerList();
+    if (!isListingAwaited(listing, this.holderSince, now))
+      this.dispatcher.confirmWorkerList();
     this.pollers.updatePollers();
     this.scheduleTick();
   }
@@ -269,10 +269,10 @@
   }
 
   private answerEndedJobs(): void {
-    for (const endedJob of this.dispatcher.takeEndedJobs()) {
-      this.delegatedTasks.remove(endedJob.id);
-      this.submissions.answerEndedJob(endedJob, readClock());
-    }
+    const now = readClock();
+    const endedJobs = this.dispatcher.takeEndedJobs();
+    for (const {id} of endedJobs) this.delegatedTasks.remove(id);
+    this.submissions.answerJobs(endedJobs, now);
   }
 
   private executeAll(commands: readonly Command[]): void {
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -86,6 +86,12 @@
     }
   }
 
+  /** Answers the owners of jobs that have ended or whose time is over. */
+  answerJobs(endedJobs: readonly EndedJob[], now: Millis): void {
+    for (const endedJob of endedJobs) this.answerEndedJob(endedJob, now);
+    this.answerOverdue(now);
+  }
+
   /** Answers all owners of an ended job, or submits it again if postponed. */
   answerEndedJob({id, outcome}: EndedJob, now: Millis): void {
     const {dispatcher, pendingAnswers, metrics, onChange} = this.options;
@@ -100,6 +106,23 @@
     pendingAnswers.answerAll(id, outcome);
   }
 
+  /**
+   * Answers the owners of jobs that have been given up although a run of them
+   * may still start, and of postponed jobs whose time is over.
+   */
+  private answerOverdue(now: Millis): void {
+    const {dispatcher, pendingAnswers} = this.options;
+    for (const {id, outcome} of dispatcher.takeAnswerableJobs()) {
+      if (!this.postponed.has(id)) pendingAnswers.answerAll(id, outcome);
+    }
+    for (const [id, {job}] of this.postponed) {
+      if (now < job.deadlineAt) continue;
+      this.postponed.delete(id);
+      const reason = AbandonReason.Deadline;
+      pendingAnswers.answerAll(id, {kind: 'abandoned', reason});
+    }
+  }
+
   /** Tells all owners that this instance is no longer the holder. */
   answerNotHolder(now: Millis): void {
     const {dispatcher, pendingAnswers} = this.options;
--- /dev/null
+++ b/packages/zone/test/unconfirmed_starts.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  StartAnswer,
+  WorkerRequestFailure,
+  type Dispatcher,
+} from '@goldcrestpier/dispatch';
+import {toSubmission} from '../src/holder/job_conversion.js';
+import {OverloadDetector} from '../src/holder/overload_detector.js';
+import {PendingAnswers} from '../src/holder/pending_answers.js';
+import {SubmissionHandler} from '../src/holder/submission_handler.js';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import type {JobAnswer} from '../src/protocol/index.js';
+import {
+  createDispatcher,
+  createJob,
+  noopLogger,
+  worker,
+} from './fixtures/dispatcher.js';
+
+/** The deadline of a job that arrives at time 0. */
+const {deadlineAt} = createJob('a', 1, 0);
+
+/** A submission handler whose only worker never answers a start command. */
+class HandlerFixture {
+  readonly answers: (JobAnswer & {owner: string})[] = [];
+  private readonly dispatcher: Dispatcher = createDispatcher(-10_000);
+  private readonly handler = new SubmissionHandler({
+    dispatcher: this.dispatcher,
+    pendingAnswers: new PendingAnswers(),
+    overloadDetector: new OverloadDetector(25),
+    logger: noopLogger,
+    metrics: new ZoneMetrics(),
+    onChange: () => undefined,
+  });
+
+  submit(owner: string, now: number): void {
+    const message = toSubmission(createJob('a', 1, now), owner, false, now);
+    void this.handler
+      .submit(message, now)
+      .then(answer => this.answers.push({...answer, owner}));
+  }
+
+  /** Runs the dispatcher while the worker stays silent. */
+  async tick(now: number): Promise<void> {
+    const {Unanswered} = WorkerRequestFailure;
+    for (const command of this.dispatcher.tick(now)) {
+      if (command.kind !== 'start') continue;
+      const {run} = command;
+      this.dispatcher.recordLease(worker.id, now);
+      this.dispatcher.handleStartAnswer(run, StartAnswer.Unanswered, now);
+      this.dispatcher.handlePollFailure(worker.id, Unanswered, now);
+    }
+    this.handler.answerJobs(this.dispatcher.takeEndedJobs(), now);
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+}
+
+const isOver = {kind: 'abandoned', reason: 'deadline'} as const;
+
+test('the owner of a job with an unconfirmed start is answered at the deadline', async () => {
+  const fixture = new HandlerFixture();
+  fixture.submit('owner-1', 0);
+  await fixture.tick(0);
+  await fixture.tick(deadlineAt - 1);
+  assert.deepEqual(fixture.answers, []);
+  await fixture.tick(deadlineAt);
+  assert.deepEqual(fixture.answers, [{...isOver, owner: 'owner-1'}]);
+});
+
+test('the owner of a job that waits for an unconfirmed start of it is answered at its deadline', async () => {
+  const fixture = new HandlerFixture();
+  fixture.submit('owner-1', 0);
+  await fixture.tick(0);
+  await fixture.tick(deadlineAt);
+  fixture.submit('owner-2', 2_000);
+  await fixture.tick(2_000 + deadlineAt - 1);
+  assert.equal(fixture.answers.length, 1);
+  await fixture.tick(2_000 + deadlineAt);
+  assert.deepEqual(fixture.answers[1], {...isOver, owner: 'owner-2'});
+});
