--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -121,8 +121,8 @@
     const now = readClock();
     this.workerListing = listing;
     this.dispatcher.setWorkers(listing.workers, now);
-    const isAwaited = isListingAwaited(listing, this.holderSince, now);
-    if (!isAwaited) this.dispatcher.confirmWorkerList();
+    if (!isListingAwaited(listing, this.holderSince, now))
+      this.dispatcher.confirmWorkerList();
     this.pollers.updatePollers();
     this.scheduleTick();
   }
@@ -267,10 +267,10 @@
 
   private answerEndedJobs(): void {
     const now = readClock();
-    for (const endedJob of this.dispatcher.takeEndedJobs()) {
+    const endedJobs = this.dispatcher.takeEndedJobs();
+    for (const endedJob of endedJobs)
       this.delegatedTasks.recordEnd(endedJob, now);
-      this.submissions.answerEndedJob(endedJob, now);
-    }
+    this.submissions.answerJobs(endedJobs, now);
   }
 
   private executeAll(commands: readonly Command[]): void {
