A new holder's wait for another zone ends only with the word of a holder that has polled its workers

What callers could see: two runs of a task at a time, where two zones change their holders together. Cause: an instance that is not the holder any more answers with an empty list, and so does a holder that has polled no worker yet; either ended the wait.

--- a/packages/dispatch/src/dispatcher/delegation_survey.ts
+++ b/packages/dispatch/src/dispatcher/delegation_survey.ts
@@ -18,6 +18,8 @@
 export interface DelegationReport {
   /** Whether the zone certainly runs no other tasks for this one. */
   readonly isComplete: boolean;
+  /** Whether the zone's holder knows what its workers run. */
+  readonly hasPolledWorkers?: boolean | undefined;
   readonly tasks: readonly DelegatedRun[];
 }
 
@@ -32,7 +34,7 @@
 /** Collects the reports of other zones to a new holder. */
 export class DelegationSurvey {
   private readonly pendingZones = new Set<string>();
-  /** Zones that have not reported anything yet. */
+  /** Zones of which no holder has said what runs there. */
   private readonly silentZones = new Set<string>();
   private expectedSince: Millis = -Infinity;
   /** Reported runs that no job has claimed yet, by task name. */
@@ -68,18 +70,13 @@
     return now - this.expectedSince < FIRST_REPORT_WAIT_MS;
   }
 
-  /** Iterates over the names of the reported tasks that no job has claimed. */
-  unclaimedTasks(): Iterable<string> {
-    return this.unclaimedRuns.keys();
-  }
-
   /** Adds a zone's report. */
   addReport(
     zone: string,
-    {isComplete, tasks}: DelegationReport,
+    {isComplete, hasPolledWorkers, tasks}: DelegationReport,
     now: Millis,
   ): void {
-    this.silentZones.delete(zone);
+    if (isComplete || hasPolledWorkers === true) this.silentZones.delete(zone);
     if (isComplete) this.pendingZones.delete(zone);
     for (const {key, run} of tasks) {
       const name = `${zone} ${key} ${run}`;
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -136,6 +136,11 @@
     return this.registry.delegationSurvey.zonesPending;
   }
 
+  /** Whether each listed worker has answered a poll, or left one unanswered. */
+  get hasPolledWorkers(): boolean {
+    return !this.registry.hasUnpolledWorkers;
+  }
+
   /** Whether every run that an earlier holder started has certainly ended. */
   haveEarlierRunsEnded(now: Millis): boolean {
     return this.placer.haveEarlierRunsEnded(now);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -111,7 +111,8 @@
   private mayRunElsewhere(record: JobRecord, now: Millis): boolean {
     const {remoteRuns, delegationSurvey} = this.registry;
     if (record.isHeldBack && remoteRuns.mayRun(record.id, now)) return true;
-    return !record.isInbound && delegationSurvey.isAwaitingReports(now);
+    if (record.isInbound || record.isResumed) return false;
+    return delegationSurvey.isAwaitingReports(now);
   }
 
   /** Whether every run of the job that may still go on is known here. */
--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -99,7 +99,9 @@
     for (const {orphans} of dispatcher.workers.values()) {
       for (const [key, run] of orphans) tasks.push({key, run});
     }
-    return {isComplete: dispatcher.haveEarlierRunsEnded(now), tasks};
+    const isComplete = dispatcher.haveEarlierRunsEnded(now);
+    const {hasPolledWorkers} = dispatcher;
+    return {isComplete, hasPolledWorkers, tasks};
   }
 
   /** Cancels tasks whose zone is unavailable or no longer wants them. */
--- a/packages/zone/src/holder/delegation_discovery.ts
+++ b/packages/zone/src/holder/delegation_discovery.ts
@@ -46,7 +46,8 @@
         taskQuery,
         DISCOVERY_TIMEOUT_MS,
       );
-      if (result?.isOk() === true) {
+      // An instance that isn't the holder knows nothing of what runs there.
+      if (result?.isOk() === true && result.value.holderToken !== undefined) {
         const {tasks, isComplete, crashes = []} = result.value;
         this.options.crashes.merge(crashes, readClock());
         this.recordAbandonedJobs(zone, result.value);
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -182,6 +182,8 @@
 export const delegatedTaskListSchema = z.object({
   /** Whether no other tasks can be running there for any zone. */
   isComplete: z.boolean(),
+  /** Whether the peer has polled its workers, so that it knows their runs. */
+  hasPolledWorkers: z.boolean().optional(),
   tasks: z.array(z.object({key: z.string(), run: z.number()})),
   /** All crashes that the peer knows, of any zone. */
   crashes: crashReportsSchema,
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -160,7 +160,8 @@
   const delegated = fixture.holder.listDelegatedTasks('east');
   void fixture.lifecycle.close();
   const tasks = [{key: 'a.0.0.0', run: 1}];
-  assert.deepEqual(delegated, {isComplete: false, tasks});
+  const known = {isComplete: false, hasPolledWorkers: true};
+  assert.deepEqual(delegated, {...known, tasks});
 });
 
 test('a holder that steps down reports the runs of each job', async () => {
