A job that is held back stays so at the next holder

Cause: holding a job back marked it as started, which a job that has started is excluded from; handed over as resumed it was started at the next holder beside the run in the other zone. What decides is now whether a task of it runs or has ended here. 'a job that is held back stays so at the next holder' failed (start a.0.0.0/1 on w1) and passes. A zone tells only of runs on its own workers: one that another zone had listed stayed named for 2 s after it had ended there, and kept its job from starting.

--- a/packages/dispatch/src/dispatcher/abandoned_jobs.ts
+++ b/packages/dispatch/src/dispatcher/abandoned_jobs.ts
@@ -12,15 +12,11 @@
     if (record.pendingOutcome === undefined || !record.isRunning) continue;
     jobIds.add(record.submittedId);
   }
-  for (const key of listUnclaimedTasks(registry)) {
-    const name = parseTaskName(key);
-    if (name !== undefined) jobIds.add(name.jobId);
+  for (const {orphans} of registry.workers.values()) {
+    for (const key of orphans.keys()) {
+      const name = parseTaskName(key);
+      if (name !== undefined) jobIds.add(name.jobId);
+    }
   }
   return jobIds;
 }
-
-/** Lists the tasks with runs, here or in other zones, that no job claimed. */
-function* listUnclaimedTasks(registry: Registry): Iterable<string> {
-  for (const {orphans} of registry.workers.values()) yield* orphans.keys();
-  yield* registry.delegationSurvey.unclaimedTasks();
-}
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -10,7 +10,7 @@
 import type {Run} from '../workers/index.js';
 import {adoptDelegated, adoptOrphans} from './adoption.js';
 import {createAbandoned, type Registry} from './registry.js';
-import type {JobRecord} from './job_record.js';
+import type {JobRecord, TaskRecord} from './job_record.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {computeLeaseExpiry} from './options.js';
 import type {Command} from './commands.js';
@@ -155,8 +155,12 @@
 
 /** Keeps a job from starting while another zone may run its tasks. */
 function holdBack(record: JobRecord): void {
-  if (record.hasStarted) return;
+  if (record.isRunning || record.tasks.some(isDone)) return;
   record.isHeldBack = true;
   // It may have run elsewhere, so it must not be refused as not run.
   record.hasStarted = true;
 }
+
+function isDone({state}: TaskRecord): boolean {
+  return state.kind === 'done';
+}
