A lost owner beside another one is answered with the job, and cancellations go on past the deadline

'one of two owners that counts as lost is not answered while the job runs' failed (it was told abandoned at once, which its caller is told as 504) and passes.

--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -69,9 +69,9 @@
   }
 
   /**
-   * Cancels the jobs of every owner for which `isAlive` is false. One that is
-   * the last to wait is answered only when the runs of its job have ended: if
-   * it is alive after all, its caller may send the job again on the answer.
+   * Cancels the jobs all of whose owners are lost, that is, `isAlive` is false.
+   * A lost owner is answered only when its job has ended: if it is alive after
+   * all, its caller may send the job again on the answer.
    */
   cancelJobsOfLostOwners(
     isAlive: (ownerId: string) => boolean,
@@ -85,8 +85,9 @@
       const owners = pendingAnswers.findOwners(jobId);
       const lost = owners.filter(ownerId => !isAlive(ownerId));
       if (lost.length === 0) continue;
-      if (lost.length === owners.length) this.loseAll(lost, jobId, now);
-      else this.cancelForSome(lost, jobId, now);
+      for (const ownerId of lost) pendingAnswers.markLost(jobId, ownerId);
+      if (lost.length < owners.length) continue;
+      this.stopJob(lost.join(), jobId, AbandonReason.OwnerLost, now);
     }
   }
 
@@ -144,22 +145,6 @@
     }
   }
 
-  private cancelForSome(
-    owners: readonly string[],
-    jobId: string,
-    now: Millis,
-  ): void {
-    for (const ownerId of owners)
-      this.cancel(ownerId, jobId, AbandonReason.OwnerLost, now);
-  }
-
-  /** Cancels a job all of whose owners are lost. */
-  private loseAll(owners: readonly string[], jobId: string, now: Millis): void {
-    const {pendingAnswers} = this.options;
-    for (const ownerId of owners) pendingAnswers.markLost(jobId, ownerId);
-    this.stopJob(owners.join(), jobId, AbandonReason.OwnerLost, now);
-  }
-
   private stopJob(
     ownerId: string,
     jobId: string,
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -42,6 +42,8 @@
 const FORMER_HOLDER_REPORT_MS = 250;
 /** Added to a job's remaining time to send back its answer, in ms. */
 const ANSWER_MARGIN_MS = 500;
+/** How long past its deadline a job's cancellation is repeated, in ms. */
+const CANCELLATION_MARGIN_MS = 2_000;
 
 /** Abort reason of a finished attempt; a string avoids an error per job. */
 const ATTEMPT_ENDED = 'attempt ended';
@@ -211,16 +213,16 @@
     ]);
   }
 
-  /** Cancels the job of a caller that left, retrying until its deadline. */
+  /** Cancels the job of a caller that left, retrying until it must be over. */
   private async cancelAtHolder({id, deadlineAt}: Job): Promise<void> {
-    while (readClock() < deadlineAt) {
+    while (readClock() < deadlineAt + CANCELLATION_MARGIN_MS) {
       // The job was sent again, so its runs are still needed.
       if (this.callers.has(id)) return;
       const holder = this.options.findHolder();
       if (holder !== undefined && (await holder.cancel(id))) return;
       await sleep(HOLDER_RETRY_MS);
     }
-    this.options.logger.warn('job could not be cancelled before its deadline', {
+    this.options.logger.warn('job could not be cancelled in time', {
       job: id,
     });
   }
--- /dev/null
+++ b/packages/zone/test/abandoned_submissions.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CrashHistory} from '@goldcrestpier/dispatch';
+import {readClock, sleep} from '@goldcrestpier/runtime';
+import {Ok} from 'ts-results-es';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import {Owner, type HolderClient} from '../src/owner/index.js';
+import type {JobAnswer} from '../src/protocol/index.js';
+import {createJob, noopLogger} from './fixtures/dispatcher.js';
+
+/** Time limit of the jobs in these tests, in ms. */
+const TIME_LIMIT_MS = 100;
+
+function createOwner(holder: HolderClient): Owner {
+  return new Owner({
+    selfId: 'owner',
+    crashes: new CrashHistory(),
+    findHolder: () => holder,
+    waitForHolderChange: () => new Promise(() => undefined),
+    isAlive: () => true,
+    holderExpectedAt: () => undefined,
+    onHolderUnavailable: () => undefined,
+    logger: noopLogger,
+    metrics: new ZoneMetrics(),
+  });
+}
+
+test('a cancellation that no holder accepts in time is repeated past the deadline of its job', async () => {
+  let cancelCount = 0;
+  const owner = createOwner({
+    id: 'holder',
+    submit: () => new Promise(() => undefined),
+    cancel: () => {
+      cancelCount += 1;
+      return Promise.resolve(cancelCount > 8);
+    },
+  });
+  const now = readClock();
+  const job = {...createJob('a', 1, now), deadlineAt: now + TIME_LIMIT_MS};
+  const controller = new AbortController();
+  void owner.run(job, controller.signal);
+  await sleep(50);
+  controller.abort();
+  await sleep(400);
+  assert.equal(cancelCount, 9);
+});
+
+test('a caller whose holder steps down at the deadline is not told 504 while runs go on', async () => {
+  const state = {
+    kind: 'running',
+    run: 1,
+    workerId: 'w1',
+    tookMs: 100,
+  } as const;
+  const task = {key: 'a.0.0.0', lastRun: 1, failures: 0, state};
+  const answer: JobAnswer = {
+    kind: 'not_holder',
+    mayHaveStarted: true,
+    progress: {isComplete: true, tasks: [task]},
+  };
+  const owner = createOwner({
+    id: 'holder',
+    submit: async () => {
+      await sleep(TIME_LIMIT_MS + 20);
+      return Ok(answer);
+    },
+    cancel: () => Promise.resolve(true),
+  });
+  const now = readClock();
+  const job = {...createJob('a', 1, now), deadlineAt: now + TIME_LIMIT_MS};
+  await owner.run(job, new AbortController().signal);
+  assert.ok(readClock() - now > 300);
+});
--- a/packages/zone/test/handed_over_jobs.test.ts
+++ b/packages/zone/test/handed_over_jobs.test.ts
@@ -97,3 +97,25 @@
   fixture.tick(3_052);
   assert.deepEqual(fixture.tick(3_053), ['lend']);
 });
+
+test('one of two owners that counts as lost is not answered while the job runs', async () => {
+  const fixture = new HandlerFixture();
+  const job = createJob('a', 1, 3_000);
+  void fixture.submit(job, 'owner-1', 3_000, isNew);
+  let isAnswered = false;
+  void fixture.submit(job, 'owner-2', 3_001, isNew).then(() => {
+    isAnswered = true;
+  });
+  fixture.tick(3_002);
+  fixture.handler.cancelJobsOfLostOwners(id => id !== 'owner-2', 3_700);
+  await Promise.resolve();
+  assert.equal(isAnswered, false);
+});
+
+test('a job is not started that was cancelled before its submission was read', () => {
+  const fixture = new HandlerFixture();
+  const {Cancelled} = AbandonReason;
+  fixture.handler.cancel('owner-1', 'a', Cancelled, 3_000);
+  void fixture.submit(createJob('a', 1, 3_000), 'owner-1', 3_001, isNew);
+  assert.deepEqual(fixture.tick(3_002), []);
+});
