--- a/packages/zone/src/holder/delegation_discovery.ts
+++ b/packages/zone/src/holder/delegation_discovery.ts
@@ -4,14 +4,16 @@
  */
 import type {CrashHistory, Dispatcher} from '@goldcrestpier/dispatch';
 import {readClock, sleep, type Logger} from '@goldcrestpier/runtime';
-import type {DelegatedTaskList} from '../protocol/index.js';
-import type {FindZoneClient} from './task_delegator.js';
+import type {DelegatedTaskList, ZoneClient} from '../protocol/index.js';
 
 /** Timeout of a query for the tasks that a zone runs for this one, in ms. */
 const DISCOVERY_TIMEOUT_MS = 400;
 /** Number of such queries to one zone, and the pause between them in ms. */
 const DISCOVERY_ATTEMPTS = 20;
 const DISCOVERY_INTERVAL_MS = 100;
+/** Finds a client for another zone's holder; undefined if unreachable. */
+export type FindZoneClient = (zone: string) => ZoneClient | undefined;
+
 /** Dependencies of the discovery. */
 export interface DelegationDiscoveryOptions {
   readonly zone: string;
--- a/packages/zone/src/holder/holder_options.ts
+++ b/packages/zone/src/holder/holder_options.ts
@@ -3,7 +3,7 @@
 import type {Lifecycle, Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
-import type {FindZoneClient} from './task_delegator.js';
+import type {FindZoneClient} from './delegation_discovery.js';
 
 /** Dependencies and settings of a holder. */
 export interface HolderOptions {
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -2,23 +2,21 @@
 import {
   RunEnd,
   RunPhase,
-  type CrashHistory,
-  type Dispatcher,
   type JobProgress,
   type DelegateCommand,
   type RecallCommand,
   type Run,
 } from '@goldcrestpier/dispatch';
 import {NotSentReason, PeerFailureKind} from '@goldcrestpier/peers';
-import {readClock, sleep, type Logger} from '@goldcrestpier/runtime';
+import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Err, type Result} from 'ts-results-es';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {
   JobAnswer,
   DelegationAnswer,
   ZoneCallFailure,
-  ZoneClient,
 } from '../protocol/index.js';
+import type {DelegationDiscoveryOptions} from './delegation_discovery.js';
 import {toZoneCapacity} from './free_capacity.js';
 import {toSubmission} from './job_conversion.js';
 import {nameRecallFailure} from './recall_failure.js';
@@ -38,20 +36,9 @@
 const REATTACH_ATTEMPTS = 5;
 const REATTACH_INTERVAL_MS = 80;
 
-/** Finds a client for another zone's holder; undefined if unreachable. */
-export type FindZoneClient = (zone: string) => ZoneClient | undefined;
-
 /** Dependencies of a task delegator. */
-export interface TaskDelegatorOptions {
-  readonly zone: string;
-  readonly token: number;
-  readonly dispatcher: Dispatcher;
-  /** The crashes of workers that the instance knows. */
-  readonly crashes: CrashHistory;
-  readonly findZoneClient: FindZoneClient;
-  readonly logger: Logger;
+export interface TaskDelegatorOptions extends DelegationDiscoveryOptions {
   readonly metrics: ZoneMetrics;
-  readonly onChange: () => void;
 }
 
 /** Delegates tasks of one dispatcher to the holders of other zones. */
