A new holder polls an idle worker on which its predecessor reported a run

What callers saw: 504 at their time limit, after a planned change of holder, of jobs whose tasks had ended in time. 'a new holder polls an idle worker on which its predecessor reported a run' failed (no answer within 300 ms) and passes.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -132,6 +132,7 @@
     if (this.isClosed) {
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
+    this.pollers.wakeReported(message.progress);
     return this.submissions.submit(message, readClock());
   }
 
@@ -192,6 +193,7 @@
     const now = readClock();
     const isAccepted =
       message.isJoin || !this.overloadDetector.wasRecentlyOverloaded(now);
+    this.pollers.wakeReported(message.progress);
     return isAccepted ? this.delegatedTasks.accept(message, now) : busyAnswer;
   }
 
--- a/packages/zone/src/holder/worker_pollers.ts
+++ b/packages/zone/src/holder/worker_pollers.ts
@@ -1,5 +1,9 @@
 /** Keeps one poller for each worker of a dispatcher. */
-import type {Dispatcher, WorkerRequestFailure} from '@goldcrestpier/dispatch';
+import type {
+  Dispatcher,
+  JobProgress,
+  WorkerRequestFailure,
+} from '@goldcrestpier/dispatch';
 import type {Lifecycle, Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
@@ -43,6 +47,13 @@
     this.pollers.get(workerId)?.wake();
   }
 
+  /** Wakes the pollers of workers on which a former holder reported runs. */
+  wakeReported(progress: JobProgress | undefined): void {
+    for (const {state} of progress?.tasks ?? []) {
+      if (state.kind === 'running') this.wake(state.workerId);
+    }
+  }
+
   private startPoller(workerId: string): void {
     const {lifecycle, logger, onFenced} = this.options;
     const poller = new WorkerPoller({
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -237,3 +237,18 @@
   const kinds = await rejoinEndedTask(flushPromises);
   assert.deepEqual(kinds, ['completed', 'completed', 'completed']);
 });
+
+test('a new holder polls an idle worker on which its predecessor reported a run', async () => {
+  const fixture = new HolderFixture();
+  await sleep(30);
+  const now = readClock();
+  const state = {kind: 'running', run: 1, workerId: 'w1', tookMs: 5} as const;
+  const task = {key: 'a.0.0.0', lastRun: 1, failures: 0, state};
+  const progress = {isComplete: true, tasks: [task]};
+  const job = toSubmission(createJob('a', 1, now), 'owner', true, now);
+  const answer = fixture.holder.submit({...job, progress});
+  fixture.endTask('a');
+  const result = await Promise.race([answer, sleep(300)]);
+  void fixture.lifecycle.close();
+  assert.equal(result?.kind, 'completed');
+});
