One expiring map for run numbers, recalls and outcomes; time bounds and flags stand once

RunNumbers, EndedDelegations and RecalledTasks each kept a map in the order of expiry of their own; the runtime's ExpiringMap serves all three. The 2 s bound of delegated runs stood twice, two interfaces named the placer's time bounds, and a resumed job had a flag and a time for the same. No behaviour changes.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -175,7 +175,6 @@
 
   /** Returns the commands that are due now. */
   tick(now: Millis): Command[] {
-    this.registry.removeExpiredRunNumbers(now);
     this.registry.crashes.removeExpired(now);
     endOverdueRuns(this.registry, now);
     endLostTasks(this.registry, this.placer, now);
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -51,7 +51,7 @@
     const refusal = history.isResumed
       ? undefined
       : findRefusal(this.registry, job);
-    const record = this.registry.addJob(job);
+    const record = this.registry.addJob(job, now);
     if (refusal !== undefined) {
       this.registry.refuse(record, refusal, 0, now);
       return;
@@ -84,7 +84,7 @@
     now: Millis,
   ): void {
     if (this.registry.jobs.has(job.id)) return;
-    const record = this.registry.addJob(job);
+    const record = this.registry.addJob(job, now);
     this.applyHistory(record, {isResumed: true, progress}, now);
     adoptOrphans(this.registry, record, now);
   }
@@ -95,7 +95,7 @@
     const isSubmittedHere = this.registry.jobs.has(
       job.delegated?.name.jobId ?? '',
     );
-    const record = this.registry.addJob(job);
+    const record = this.registry.addJob(job, now);
     const commands = isSubmittedHere ? [] : this.placer.place(now);
     if (!record.hasStarted) {
       this.registry.refuse(record, RefusalReason.TooLate, 0, now);
@@ -122,7 +122,6 @@
   ): void {
     if (!isResumed) return;
     if (!record.isResumed) {
-      record.isResumed = true;
       record.resumedAt = now;
       record.hasStarted = true;
       record.mayHaveUnknownRuns = true;
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -53,10 +53,8 @@
   planned: PlannedWorth | undefined;
   /** Outcome with which it ends once none of its tasks runs any more. */
   pendingOutcome: Outcome | undefined;
-  /** Whether an earlier holder may have started it. */
-  isResumed = false;
-  /** When that became known; -Infinity if it is not resumed. */
-  resumedAt: Millis = -Infinity;
+  /** When it became known that an earlier holder may have started it. */
+  resumedAt: Millis | undefined;
   /** Whether runs of an earlier holder may go on that are not known here. */
   mayHaveUnknownRuns = false;
   /** Whether another zone might run it when it was submitted here. */
@@ -89,6 +87,11 @@
     return this.job.delegated !== undefined;
   }
 
+  /** Whether an earlier holder may have started it. */
+  get isResumed(): boolean {
+    return this.resumedAt !== undefined;
+  }
+
   /**
    * Whether it only waits for the run of a delegated task that was sent before;
    * nothing is started for it.
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -32,22 +32,18 @@
   return others.length > 0 ? others : workers;
 }
 
-/**
- * Time after the first answer of a worker to this holder until unreported runs
- * of an earlier holder have certainly ended, in ms. An earlier holder may keep
- * starting tasks until a worker accepts this holder's token, even if this
- * holder claimed the zone long before.
- */
+/** Times after which runs and holders of before have certainly ended, in ms. */
 export interface EarlierRunTimeouts {
-  /** For runs on workers, including workers that are not listed. */
+  /**
+   * For runs on workers, including workers that are not listed, after the first
+   * answer of a worker to this holder. An earlier holder may keep starting tasks
+   * until a worker accepts this holder's token, even if this holder claimed the
+   * zone long before.
+   */
   readonly workersMs: Millis;
-  /** For runs that were delegated to zones that do not answer. */
+  /** The same for runs that were delegated to zones that do not answer. */
   readonly delegatedMs: Millis;
-}
-
-/** Time bounds of the holders and runs before and after this holder. */
-export interface PlacerTimeouts extends EarlierRunTimeouts {
-  /** Time after which a holder has learned that it was replaced, in ms. */
+  /** Until a holder has learned that it was replaced. */
   readonly replacementMs: Millis;
 }
 
@@ -58,7 +54,7 @@
   constructor(
     private readonly registry: Registry,
     private readonly remoteVacancies: RemoteVacancies,
-    private readonly timeouts: PlacerTimeouts,
+    private readonly timeouts: EarlierRunTimeouts,
   ) {}
 
   /**
@@ -143,7 +139,8 @@
     {isReattached, resumedAt}: JobRecord,
     now: Millis,
   ): boolean {
-    return !isReattached || now >= resumedAt + this.timeouts.replacementMs;
+    if (!isReattached || resumedAt === undefined) return true;
+    return now >= resumedAt + this.timeouts.replacementMs;
   }
 
   private hasElapsed(durationMs: Millis, now: Millis): boolean {
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -104,11 +104,11 @@
   }
 
   /** Adds a job; its run numbers continue those of an earlier submission. */
-  addJob(job: Job): JobRecord {
+  addJob(job: Job, now: Millis): JobRecord {
     const expectedMs = this.predictJob(job);
-    const lastRun = this.runNumbers.findLast(job.id);
+    const lastRun = this.runNumbers.findLast(job.id, now);
     const record = new JobRecord(job, expectedMs, lastRun);
-    record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id);
+    record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id, now);
     this.jobs.set(job.id, record);
     this.isPlacementDue = true;
     this.inboundTasks.add(record);
@@ -200,11 +200,6 @@
     return endedJobs;
   }
 
-  /** Removes run numbers whose retention time has passed. */
-  removeExpiredRunNumbers(now: Millis): void {
-    this.runNumbers.removeExpired(now);
-  }
-
   /** Expected run time of a task on a worker of typical speed. */
   predictTask({job}: JobRecord, {step}: TaskRecord): Millis {
     return this.runTimes.predict(job.queue, step.estimateMs);
--- a/packages/dispatch/src/dispatcher/run_numbers.ts
+++ b/packages/dispatch/src/dispatcher/run_numbers.ts
@@ -1,5 +1,5 @@
 /** Run numbers of ended jobs, which continue if a job is submitted again. */
-import type {Millis} from '@goldcrestpier/runtime';
+import {ExpiringMap, type Millis} from '@goldcrestpier/runtime';
 import type {JobRecord} from './job_record.js';
 
 /** Time for which the numbers of an ended job are retained, in ms. */
@@ -9,38 +9,29 @@
   readonly lastRun: number;
   /** Whether unknown runs of an earlier holder might go on when it ended. */
   readonly mayHaveUnknownRuns: boolean;
-  readonly until: Millis;
 }
 
 /** Retains the highest run number of each job that ended recently. */
 export class RunNumbers {
-  private readonly retained = new Map<string, RetainedNumbers>();
+  private readonly retained = new ExpiringMap<string, RetainedNumbers>(
+    RETENTION_MS,
+  );
 
   /** Returns the highest run number that the job has used; 0 if none. */
-  findLast(jobId: string): number {
-    return this.retained.get(jobId)?.lastRun ?? 0;
+  findLast(jobId: string, now: Millis): number {
+    return this.retained.get(jobId, now)?.lastRun ?? 0;
   }
 
   /** Whether runs of the job may go on that are not known here. */
-  mayHaveUnknownRuns(jobId: string): boolean {
-    return this.retained.get(jobId)?.mayHaveUnknownRuns ?? false;
+  mayHaveUnknownRuns(jobId: string, now: Millis): boolean {
+    return this.retained.get(jobId, now)?.mayHaveUnknownRuns ?? false;
   }
 
   /** Retains the run numbers of a job that has ended. */
   retain({id, tasks, mayHaveUnknownRuns}: JobRecord, now: Millis): void {
     let lastRun = 0;
     for (const task of tasks) lastRun = Math.max(lastRun, task.lastRun);
-    this.retained.delete(id);
-    if (lastRun === 0 && !mayHaveUnknownRuns) return;
-    const until = now + RETENTION_MS;
-    this.retained.set(id, {lastRun, mayHaveUnknownRuns, until});
-  }
-
-  /** Removes entries whose time has passed; the oldest come first. */
-  removeExpired(now: Millis): void {
-    for (const [id, {until}] of this.retained) {
-      if (until > now) return;
-      this.retained.delete(id);
-    }
+    if (lastRun === 0 && !mayHaveUnknownRuns) this.retained.delete(id);
+    else this.retained.set(id, {lastRun, mayHaveUnknownRuns}, now);
   }
 }
--- a/packages/zone/src/holder/ended_delegations.ts
+++ b/packages/zone/src/holder/ended_delegations.ts
@@ -3,7 +3,7 @@
  * delegated a task may be gone when the task ends; the next one asks for it.
  */
 import {AbandonReason, type Outcome} from '@goldcrestpier/dispatch';
-import type {Millis} from '@goldcrestpier/runtime';
+import {ExpiringMap, type Millis} from '@goldcrestpier/runtime';
 
 /**
  * Time in which a new holder may ask, in ms: an instance waits 10 s at most
@@ -19,24 +19,20 @@
 interface EndedDelegation {
   readonly run: number;
   readonly outcome: DelegatedOutcome;
-  readonly until: Millis;
 }
 
 /** Keeps the outcome of the last run of each delegated task. */
 export class EndedDelegations {
-  /** By the id of the task's record; the oldest come first. */
-  private readonly byRecord = new Map<string, EndedDelegation>();
+  /** By the id of the task's record. */
+  private readonly byRecord = new ExpiringMap<string, EndedDelegation>(
+    RETENTION_MS,
+    MAX_OUTCOMES,
+  );
 
   /** Records how a run ended. */
   record(recordId: string, run: number, outcome: Outcome, now: Millis): void {
-    this.byRecord.delete(recordId);
-    this.removeExpired(now);
-    this.byRecord.set(recordId, {
-      run,
-      outcome: toDelegatedOutcome(outcome),
-      until: now + RETENTION_MS,
-    });
-    this.removeExcess();
+    const ended = {run, outcome: toDelegatedOutcome(outcome)};
+    this.byRecord.set(recordId, ended, now);
   }
 
   /** Finds how a run ended, if it did so recently. */
@@ -45,29 +41,14 @@
     run: number,
     now: Millis,
   ): DelegatedOutcome | undefined {
-    const ended = this.byRecord.get(recordId);
-    if (ended === undefined || ended.run !== run) return undefined;
-    return now < ended.until ? ended.outcome : undefined;
+    const ended = this.byRecord.get(recordId, now);
+    return ended?.run === run ? ended.outcome : undefined;
   }
 
   /** Forgets a task that begins anew. */
   forget(recordId: string): void {
     this.byRecord.delete(recordId);
   }
-
-  private removeExpired(now: Millis): void {
-    for (const [recordId, {until}] of this.byRecord) {
-      if (until > now) return;
-      this.byRecord.delete(recordId);
-    }
-  }
-
-  private removeExcess(): void {
-    for (const recordId of this.byRecord.keys()) {
-      if (this.byRecord.size <= MAX_OUTCOMES) return;
-      this.byRecord.delete(recordId);
-    }
-  }
 }
 
 function toDelegatedOutcome(outcome: Outcome): DelegatedOutcome {
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -1,5 +1,6 @@
 /** Logs the events of a dispatcher and counts them as metrics. */
 import {
+  DELEGATED_RUN_MAX_MS,
   isLoss,
   RunEnd,
   type Dispatcher,
@@ -16,9 +17,6 @@
 /** Age from which the age of a job is logged when it arrives, in ms. */
 const LATE_ARRIVAL_MS = 10;
 
-/** Time after which no task that an earlier holder delegated runs on, in ms. */
-const UNLISTED_RUN_MAX_MS = 2_000;
-
 /** Creates the observer of one dispatcher. */
 export function createObserver(
   logger: Logger,
@@ -169,7 +167,7 @@
  * a new holder that places a job new to it: they may run tasks of the job.
  */
 function describePendingZones({zonesPending}: Dispatcher, heldMs: Millis) {
-  const isTold = zonesPending.length === 0 || heldMs >= UNLISTED_RUN_MAX_MS;
+  const isTold = zonesPending.length === 0 || heldMs >= DELEGATED_RUN_MAX_MS;
   if (isTold) return {};
   return {heldMs: Math.round(heldMs), zonesPending: zonesPending.join(' ')};
 }
--- a/packages/zone/src/holder/recalled_tasks.ts
+++ b/packages/zone/src/holder/recalled_tasks.ts
@@ -2,7 +2,7 @@
  * Remembers the tasks that other zones have recalled: a message that delegates
  * one may arrive after its recall, on an earlier connection.
  */
-import type {Millis} from '@goldcrestpier/runtime';
+import {ExpiringMap, type Millis} from '@goldcrestpier/runtime';
 
 /** How long a recall is remembered, in ms. */
 const RETENTION_MS = 10_000;
@@ -14,20 +14,13 @@
   readonly run: number;
 }
 
-interface Recall extends NumberedRun {
-  readonly at: Millis;
-}
-
 /** The recalled tasks, by the id of their record. */
 export class RecalledTasks {
-  private readonly recalls = new Map<string, Recall>();
+  private readonly recalls = new ExpiringMap<string, NumberedRun>(RETENTION_MS);
 
   /** Records a recall; the run may be one that has not arrived yet. */
   add(recordId: string, {token, run}: NumberedRun, now: Millis): void {
-    this.removeExpired(now);
-    // The entry that is set last expires last.
-    this.recalls.delete(recordId);
-    this.recalls.set(recordId, {token, run, at: now});
+    this.recalls.set(recordId, {token, run}, now);
   }
 
   /** Whether the run was recalled, so that it must not start. */
@@ -36,26 +29,14 @@
     {token, run}: NumberedRun,
     now: Millis,
   ): boolean {
-    const recall = this.find(recordId, now);
+    const recall = this.recalls.get(recordId, now);
     // A later holder numbers the runs of a job that is sent again anew.
     return recall !== undefined && token <= recall.token && run <= recall.run;
   }
 
   /** Whether the run was recalled by any holder of its zone. */
   wasRecalled(recordId: string, run: number, now: Millis): boolean {
-    const recall = this.find(recordId, now);
+    const recall = this.recalls.get(recordId, now);
     return recall !== undefined && run <= recall.run;
   }
-
-  private find(recordId: string, now: Millis): Recall | undefined {
-    this.removeExpired(now);
-    return this.recalls.get(recordId);
-  }
-
-  private removeExpired(now: Millis): void {
-    for (const [id, {at}] of this.recalls) {
-      if (now - at < RETENTION_MS) return;
-      this.recalls.delete(id);
-    }
-  }
 }
