--- a/packages/zone/test/handed_over_jobs.test.ts
+++ b/packages/zone/test/handed_over_jobs.test.ts
@@ -9,28 +9,14 @@
   type JobProgress,
 } from '@goldcrestpier/dispatch';
 import {toSubmission} from '../src/holder/job_conversion.js';
-import {OverloadDetector} from '../src/holder/overload_detector.js';
-import {PendingAnswers} from '../src/holder/pending_answers.js';
-import {SubmissionHandler} from '../src/holder/submission_handler.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
 import type {JobAnswer} from '../src/protocol/index.js';
-import {
-  createDispatcher,
-  createJob,
-  noopLogger,
-} from './fixtures/dispatcher.js';
+import {createDispatcher, createJob} from './fixtures/dispatcher.js';
+import {createSubmissionHandler} from './fixtures/submission_handler.js';
 
 /** A submission handler on a dispatcher that has held since time 0. */
 class HandlerFixture {
   readonly dispatcher: Dispatcher = createDispatcher(0);
-  readonly handler = new SubmissionHandler({
-    dispatcher: this.dispatcher,
-    pendingAnswers: new PendingAnswers(),
-    overloadDetector: new OverloadDetector(25),
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  readonly handler = createSubmissionHandler(this.dispatcher);
 
   /** Submits a job; `progress` is that of an earlier holder. */
   submit(
--- a/packages/zone/test/unconfirmed_starts.test.ts
+++ b/packages/zone/test/unconfirmed_starts.test.ts
@@ -6,17 +6,9 @@
   type Dispatcher,
 } from '@goldcrestpier/dispatch';
 import {toSubmission} from '../src/holder/job_conversion.js';
-import {OverloadDetector} from '../src/holder/overload_detector.js';
-import {PendingAnswers} from '../src/holder/pending_answers.js';
-import {SubmissionHandler} from '../src/holder/submission_handler.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
 import type {JobAnswer} from '../src/protocol/index.js';
-import {
-  createDispatcher,
-  createJob,
-  noopLogger,
-  worker,
-} from './fixtures/dispatcher.js';
+import {createDispatcher, createJob, worker} from './fixtures/dispatcher.js';
+import {createSubmissionHandler} from './fixtures/submission_handler.js';
 
 /** The deadline of a job that arrives at time 0. */
 const {deadlineAt} = createJob('a', 1, 0);
@@ -25,14 +17,7 @@
 class HandlerFixture {
   readonly answers: (JobAnswer & {owner: string})[] = [];
   private readonly dispatcher: Dispatcher = createDispatcher(-10_000);
-  private readonly handler = new SubmissionHandler({
-    dispatcher: this.dispatcher,
-    pendingAnswers: new PendingAnswers(),
-    overloadDetector: new OverloadDetector(25),
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  private readonly handler = createSubmissionHandler(this.dispatcher);
 
   submit(owner: string, now: number): void {
     const message = toSubmission(createJob('a', 1, now), owner, false, now);
