What proves that nothing of a resumed job runs is counted from its resumption

What callers could see: two runs of a task at a time, where an owner had followed another holder until a cut healed. Cause: a job that is resumed without progress was placed as soon as this holder had held for 1.65 s (2 s for other zones), although a worker that has never answered it, or a zone that has never reported, may obey the holder that the owner had followed until just now. Where all workers have taken this holder's token and all zones have reported, nothing waits longer than before.

--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -114,11 +114,17 @@
   /** Whether every run of the job that may still go on is known here. */
   areAllRunsKnown(record: JobRecord, now: Millis): boolean {
     if (!record.mayHaveUnknownRuns) return true;
-    if (!this.haveEarlierRunsEnded(now)) return false;
     if (!this.isOfCurrentHolder(record, now)) return false;
+    const {registry, timeouts} = this;
+    const areOnWorkersKnown =
+      !registry.hasUnfencedWorkers ||
+      hasElapsedSinceResumption(record, timeouts.workersMs, now);
+    const areDelegatedKnown =
+      registry.delegationSurvey.isComplete ||
+      (this.hasElapsed(timeouts.delegatedMs, now) &&
+        hasElapsedSinceResumption(record, timeouts.delegatedMs, now));
     return (
-      this.registry.delegationSurvey.isComplete ||
-      this.hasElapsed(this.timeouts.delegatedMs, now)
+      this.haveEarlierRunsEnded(now) && areOnWorkersKnown && areDelegatedKnown
     );
   }
 
@@ -135,12 +141,10 @@
    * Whether a reattachment reached the current holder. One that was replaced
    * before would know by now; its successor may have started the run.
    */
-  private isOfCurrentHolder(
-    {isReattached, resumedAt}: JobRecord,
-    now: Millis,
-  ): boolean {
-    if (!isReattached || resumedAt === undefined) return true;
-    return now >= resumedAt + this.timeouts.replacementMs;
+  private isOfCurrentHolder(record: JobRecord, now: Millis): boolean {
+    if (!record.isReattached) return true;
+    const {replacementMs} = this.timeouts;
+    return hasElapsedSinceResumption(record, replacementMs, now);
   }
 
   private hasElapsed(durationMs: Millis, now: Millis): boolean {
@@ -253,3 +257,16 @@
     }
   }
 }
+
+/**
+ * Whether this time has passed since the job was resumed. Until then the holder
+ * that its owner had followed may have started tasks where this one is not
+ * known: on workers, or in zones, that have not answered it.
+ */
+function hasElapsedSinceResumption(
+  {resumedAt}: JobRecord,
+  durationMs: Millis,
+  now: Millis,
+): boolean {
+  return resumedAt === undefined || now >= resumedAt + durationMs;
+}
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -236,6 +236,13 @@
     return false;
   }
 
+  /** Whether any worker may obey an earlier holder, as it has no later token. */
+  get hasUnfencedWorkers(): boolean {
+    return [...this.workers.values()].some(
+      ({hasAcceptedToken}) => !hasAcceptedToken,
+    );
+  }
+
   /** Removes a worker that is gone. */
   removeWorker(id: string): void {
     this.workers.delete(id);
