A cancellation that overtakes its submission is remembered for a second

What callers could see: two runs of a task at a time. Cause: a holder accepted a cancellation of a job that it didn't know and forgot it; the submission, read later (another connection, a busy holder), was started and ran to its deadline, while its caller had sent the job again. The second is shorter than the 1,300 ms after which a caller sends a job again, so that no wanted submission is taken for the cancelled one.

--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -6,7 +6,7 @@
   type Job,
   type JobProgress,
 } from '@goldcrestpier/dispatch';
-import type {Logger, Millis} from '@goldcrestpier/runtime';
+import {ExpiringMap, type Logger, type Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {JobAnswer, JobSubmission} from '../protocol/index.js';
 import {busyRefusal, busyAnswer} from './refusals.js';
@@ -17,6 +17,12 @@
 import {toJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
 
+/**
+ * Time in which a submission may arrive after its cancellation, in ms; shorter
+ * than that after which a caller sends its job again.
+ */
+const EARLY_CANCELLATION_MS = 1_000;
+
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
   readonly dispatcher: Dispatcher;
@@ -39,13 +45,22 @@
 export class SubmissionHandler {
   /** Resubmitted jobs whose earlier record is still being stopped. */
   private readonly postponed = new Map<string, PostponedJob>();
+  /** Cancellations that arrived before their submissions, by owner and job. */
+  private readonly earlyCancellations = new ExpiringMap<string, AbandonReason>(
+    EARLY_CANCELLATION_MS,
+  );
 
   constructor(private readonly options: SubmissionHandlerOptions) {}
 
   /** Accepts or refuses a job; resolves when it has ended. */
   submit(message: JobSubmission, now: Millis): Promise<JobAnswer> {
     const {overloadDetector, logger, metrics} = this.options;
-    const {id} = message;
+    const {id, ownerId} = message;
+    const reason = this.earlyCancellations.get(`${ownerId} ${id}`, now);
+    if (reason !== undefined) {
+      logger.info('job was cancelled before it arrived', {job: id, ownerId});
+      return Promise.resolve({kind: 'abandoned', reason});
+    }
     if (overloadDetector.isOverloaded(now) && this.isNew(message, now)) {
       logger.info('job refused', {job: id, reason: busyRefusal.reason});
       metrics.countOutcome(busyRefusal);
@@ -62,7 +77,10 @@
     now: Millis,
   ): void {
     const {pendingAnswers} = this.options;
-    if (!pendingAnswers.findOwners(jobId).includes(ownerId)) return;
+    if (!pendingAnswers.findOwners(jobId).includes(ownerId)) {
+      this.earlyCancellations.set(`${ownerId} ${jobId}`, reason, now);
+      return;
+    }
     const answer = {kind: 'abandoned', reason} as const;
     if (pendingAnswers.answerOwner(jobId, ownerId, answer) > 0) return;
     this.stopJob(ownerId, jobId, reason, now);
