--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -93,8 +93,6 @@
   async start(routes, services = {}) {
     if (!existsSync(join(ROOT, 'target', 'start.cjs')))
       throw new Unable('target/ is missing: run the build of the deploy file');
-    const storeHost = `${this.subnet}.250`;
-    this.storeAddress = await this.store.start(storeHost, 0);
     this.setManifest(routes, services);
     this.ports = await findPorts(`${this.subnet}.10`, 3);
     for (const zone of this.zones) {
@@ -103,7 +101,7 @@
     }
     for (const zone of this.zones) {
       for (let index = 1; index <= this.instancesEach; index += 1)
-        this.addInstance(zone, index);
+        await this.addInstance(zone, index);
     }
     this.heartbeats = setInterval(() => this.beat(), HEARTBEAT_MS);
     await this.waitUntilReady(this.instances);
@@ -229,7 +227,7 @@
     if (event === 'start') {
       this.record(`start ${name}`, at);
       const times = {startedAt: at, endedAt: Infinity};
-      const place = {worker: worker.id, life};
+      const place = {worker: worker.id, life, labels: worker.labels};
       this.runs.push({task, run, spec, used, ...place, ...times});
       this.onStart?.(worker, {task, run});
       return;
@@ -278,11 +276,12 @@
 
   // Instances.
 
-  addInstance(zone, index) {
+  async addInstance(zone, index) {
     const number = this.instances.length;
     const ip = `${this.subnet}.${10 + number}`;
     const name = `front-${zone}-${index}`;
-    const instance = {name, zone, ip, number, log: []};
+    const store = await this.store.listen(`${this.subnet}.250`, name);
+    const instance = {name, zone, ip, store, log: []};
     this.instances.push(instance);
     this.startInstance(instance);
     return instance;
@@ -310,7 +309,7 @@
     });
   }
 
-  formatSettings({name, ip, zone}) {
+  formatSettings({name, ip, zone, store}) {
     const [front, ready, peers] = this.ports;
     const seeds = this.instances
       .slice(0, 3)
@@ -347,7 +346,7 @@
       'stop_ms = 50',
       `resend_ms = ${RESEND_MS}`,
       '[platform]',
-      `address = "${this.storeAddress}"`,
+      `address = "${store}"`,
       'ttl_min_ms = 1000',
       '',
     ].join('\n');
@@ -383,6 +382,13 @@
     return this.instances.find(each => each.ip === ip);
   }
 
+  /** Makes the store refuse all calls of these instances, and of no others. */
+  turnAway(instances) {
+    const names = instances.map(({name}) => name).join(' ');
+    this.record(`the store turns away: ${names || 'none'}`);
+    this.store.refused = new Set(instances.map(({name}) => name));
+  }
+
   // Clients.
 
   /** Sends one request of a client; the answer has no status if none came. */
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -15,22 +15,29 @@
     this.leases = new Map();
     this.lastLease = 0;
     this.waiting = new Set();
+    this.servers = [];
+    /** Names of the callers whose calls get 503. */
+    this.refused = new Set();
   }
 
-  /** Starts to listen; returns `host:port`. */
-  async start(host, port) {
-    this.server = await startJsonServer(
-      request => this.handle(request),
+  /** Opens a listener for one caller; returns `host:port`. */
+  async listen(host, caller) {
+    const server = await startJsonServer(
+      request =>
+        this.refused.has(caller) ? {status: 503} : this.handle(request),
       host,
-      port,
+      0,
     );
-    return `${host}:${this.server.address().port}`;
+    this.servers.push(server);
+    return `${host}:${server.address().port}`;
   }
 
   close() {
     for (const {timer} of this.leases.values()) timer?.close();
-    this.server?.closeAllConnections();
-    this.server?.close();
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** Writes a key, as the operator or a runner does. */
