Show a job that runs on after its cancelling was acknowledged with 410

The channel of a DELETE is reset, and the DELETE is sent again to the other instance of the zone, the holder that runs the job. It answers 410, and tasks of the job start more than `cancel_ms` later: UNASKED.

--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -395,7 +395,7 @@
   async call(instance, method, path, body, timeoutMs = 1_500) {
     const answer = await exchange({
       host: instance.ip,
-      port: this.ports[0],
+      port: instance.port ?? this.ports[0],
       path,
       method,
       body,
