--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -18,14 +18,12 @@
 import {dirname, join} from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import {setInterval, clearInterval} from 'node:timers';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setInterval, clearInterval, setTimeout} from 'node:timers';
+import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {startProxy} from './proxy.mjs';
 import {Store} from './store.mjs';
 
-export {sleep};
-
 const LIBRARY = dirname(fileURLToPath(import.meta.url));
 const ROOT = join(LIBRARY, '..', '..');
 export const SERVICE = 'pricing';
@@ -36,9 +34,19 @@
 const HEARTBEAT_MS = 1_500;
 const MISSED_HEARTBEATS = 3;
 const START_TIMEOUT_MS = 20_000;
+/** Exit codes of a script. */
+const EXIT_HELD = 0;
+const EXIT_BROKEN = 1;
+const EXIT_UNABLE = 2;
 /** Of a runner of the small sites. */
 export const CAPACITY = {cpu: 64_000, mem_mb: 131_072, gpu: 0};
 
+/** A case that has not ended after this time could not run. */
+const MAX_CASE_MS = 112_000;
+
+/** Waits for a time in ms. */
+export const sleep = ms => delay(ms);
+
 /** Why a case could not run; the script then exits with 2. */
 export class Unable extends Error {}
 
@@ -82,6 +90,10 @@
     /** Every run: `{task, run, worker, life, startedAt, endedAt, how}`. */
     this.runs = [];
     this.version = 7;
+    this.isClosing = false;
+    /** Calls to runners, and those of them that were held back. */
+    this.callCount = 0;
+    this.lateCount = 0;
   }
 
   /** Adds a line to the record, with the seconds since the start. */
@@ -160,7 +172,7 @@
       host,
       port,
       target: {host, port: innerPort},
-      chooseDelay: call => worker.chooseDelay?.(call),
+      chooseDelay: call => this.countCall(worker.chooseDelay?.(call)),
       onLate: (call, answer) =>
         this.record(`late ${call.path} at ${id}: ${call.text} -> ${answer}`),
     });
@@ -169,8 +181,15 @@
     return worker;
   }
 
+  countCall(delayMs) {
+    this.callCount += 1;
+    if (delayMs !== undefined) this.lateCount += 1;
+    return delayMs;
+  }
+
   /** Starts a life of a runner, under the id that it has. */
   async startWorker(worker) {
+    if (this.isClosing) return;
     const {id, host, innerPort, capacity, isGuarded} = worker;
     const options = {
       id,
@@ -288,6 +307,7 @@
   }
 
   startInstance(instance) {
+    if (this.isClosing) return;
     const path = join(this.directory, `${instance.name}.toml`);
     writeFileSync(path, this.formatSettings(instance));
     const [program, ...rest] = readCommand();
@@ -431,6 +451,21 @@
     return answers;
   }
 
+  /** Sends small jobs to all zones until `isOver`, as the usual traffic. */
+  async sendOrdinary(queue, intervalMs, isOver) {
+    const spec = JSON.stringify({ms: 60, cpu: 2_000});
+    const step = {count: 2, cpu: 2_000, mem_mb: 64, estimate_ms: 60};
+    const body = {spec, steps: [step], best_effort: true};
+    while (!isOver()) {
+      for (const zone of this.zones) {
+        const instances = this.instances.filter(each => each.zone === zone);
+        const path = `/${queue}/${newId()}`;
+        void this.submit(instances, path, body, {attempts: 1});
+      }
+      await sleep(intervalMs);
+    }
+  }
+
   /** Pairs of runs of one task that overlapped by more than `slackMs`. */
   findOverlaps(slackMs = 20) {
     const pairs = [];
@@ -450,6 +485,7 @@
 
   /** Ends all processes and servers that the case started. */
   async close() {
+    this.isClosing = true;
     clearInterval(this.heartbeats);
     const children = [...this.instances, ...this.workers].map(
       ({child}) => child,
@@ -474,17 +510,30 @@
 /** Runs a case and exits with 1 if it found the rule broken, 0 or 2 else. */
 export async function runCase(options, body) {
   const cluster = new Cluster(options);
-  let code;
+  const end = async code => {
+    if (cluster.isClosing) return;
+    await cluster.close();
+    process.exit(code);
+  };
+  const fail = cause => {
+    cluster.record(`could not run: ${cause.stack}`);
+    void end(EXIT_UNABLE);
+  };
+  setTimeout(() => fail(new Unable('it took too long')), MAX_CASE_MS);
+  for (const signal of ['SIGTERM', 'SIGINT'])
+    process.once(signal, () => fail(new Unable(signal)));
+  process.on('unhandledRejection', fail);
   try {
     const problem = await body(cluster, process.env.TROUBLE !== '0');
+    const {callCount, lateCount} = cluster;
+    cluster.record(
+      `${lateCount} of ${callCount} calls to runners were held back`,
+    );
     cluster.record(problem === undefined ? 'held' : `BROKEN: ${problem}`);
-    code = problem === undefined ? 0 : 1;
+    await end(problem === undefined ? EXIT_HELD : EXIT_BROKEN);
   } catch (cause) {
-    cluster.record(`could not run: ${cause.stack}`);
-    code = 2;
+    fail(cause);
   }
-  await cluster.close();
-  process.exit(code);
 }
 
 /** The command of the deploy file, split at spaces. */
