Index the tasks of a job by step and state

Each end of a run searched all tasks of its job by name, asked of all whether they were done, and after a failure looked for each one's orphans on each worker; each turn of the event loop went through all tasks of all jobs. Nothing that happens to one task scans the others now.

--- a/packages/dispatch/src/dispatcher/adoption.ts
+++ b/packages/dispatch/src/dispatcher/adoption.ts
@@ -4,7 +4,8 @@
 import {RunPhase, type Run, type WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import {createRun} from './create_run.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
+import type {TaskRecord} from './task_record.js';
 
 /** Adopts a run that a worker reported; false when its job is not known. */
 export function adoptReported(
@@ -27,13 +28,21 @@
   record: JobRecord,
   now: Millis,
 ): void {
-  for (const task of record.tasks) {
-    for (const worker of registry.workers.values()) {
-      const run = worker.orphans.get(task.key);
-      if (run === undefined) continue;
-      const isAdopted = adoptRun(registry, record, task, worker, run, now);
-      if (isAdopted) worker.orphans.delete(task.key);
-    }
+  for (const task of record.tasks) adoptOrphansOf(registry, record, task, now);
+}
+
+/** Adopts the orphaned runs of one task. */
+export function adoptOrphansOf(
+  registry: Registry,
+  record: JobRecord,
+  task: TaskRecord,
+  now: Millis,
+): void {
+  for (const worker of registry.workers.values()) {
+    const run = worker.orphans.get(task.key);
+    if (run === undefined) continue;
+    const isAdopted = adoptRun(registry, record, task, worker, run, now);
+    if (isAdopted) worker.orphans.delete(task.key);
   }
 }
 
--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -10,7 +10,8 @@
 import type {Run, WorkerRecord} from '../workers/index.js';
 import type {StartCommand} from './commands.js';
 import {createRun} from './create_run.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
+import type {TaskRecord} from './task_record.js';
 import type {PlacementRound} from './placement_round.js';
 import {createAbandoned, type Registry} from './registry.js';
 
--- a/packages/dispatch/src/dispatcher/create_run.ts
+++ b/packages/dispatch/src/dispatcher/create_run.ts
@@ -1,7 +1,8 @@
 /** Creates the record of a run that is about to start or has been found. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {RunPhase, type Run} from '../workers/index.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
+import type {TaskRecord} from './task_record.js';
 
 /** Creates a run of a task, with the next run number by default. */
 export function createRun(
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -10,13 +10,14 @@
 import type {Run} from '../workers/index.js';
 import {adoptDelegated, adoptOrphans} from './adoption.js';
 import {createAbandoned, type Registry} from './registry.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {computeLeaseExpiry} from './options.js';
 import type {Command} from './commands.js';
 import type {Placer} from './placer.js';
 import {applyProgress} from './progress.js';
 import {findRefusal} from './refusal.js';
+import type {TaskRecord} from './task_record.js';
 
 /** What is known of a job from before it was submitted here. */
 export interface JobHistory {
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -1,39 +1,14 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {
-  formatTaskName,
-  type Job,
-  type DelegatedTask,
-  type Outcome,
-  type Step,
-  type TaskName,
-} from '../work/index.js';
 import type {DueTimes} from '../placement/index.js';
+import type {Job, Outcome} from '../work/index.js';
 import type {Run} from '../workers/index.js';
+import {TaskIndex, type StepTasks} from './task_index.js';
+import {createTasks, type TaskRecord, type TaskState} from './task_record.js';
 
 /** Multiple of its objective up to which a late job is still useful. */
 const USEFUL_OBJECTIVE_FACTOR = 3;
 
-/** State of a task as the holder knows it. */
-export type TaskState =
-  | {readonly kind: 'waiting'}
-  | {readonly kind: 'running'; readonly run: Run}
-  | {readonly kind: 'done'};
-
-/** One task of a job. */
-export interface TaskRecord {
-  readonly name: TaskName;
-  readonly key: string;
-  readonly step: Step;
-  state: TaskState;
-  /** Highest run number used so far. */
-  lastRun: number;
-  /** Runs that ended as failed. */
-  failures: number;
-  /** The worker on which a run was stopped because it was late or stalled. */
-  movedFrom: string | undefined;
-}
-
 /** Expected worth of a plan, and the minimum to accept it; both 0 to 1. */
 export interface PlannedWorth {
   readonly worth: number;
@@ -43,6 +18,7 @@
 /** A job with its tasks. */
 export class JobRecord {
   readonly tasks: readonly TaskRecord[];
+  private readonly index: TaskIndex;
   /** Time by which the job should end. */
   readonly dueAt: Millis;
   /** Time after which an answer is useless. */
@@ -67,6 +43,7 @@
     lastRun: number,
   ) {
     this.tasks = createTasks(job, lastRun);
+    this.index = new TaskIndex(this.tasks);
     const {dueAt, usefulUntil} = computeDueTimes(job, expectedMs);
     this.dueAt = dueAt;
     this.usefulUntil = usefulUntil;
@@ -102,7 +79,17 @@
 
   /** Finds a task by its name as text. */
   findTask(key: string): TaskRecord | undefined {
-    return this.tasks.find(task => task.key === key);
+    return this.index.find(key);
+  }
+
+  /** Changes the state of one of its tasks. */
+  setState(task: TaskRecord, state: TaskState): void {
+    this.index.setState(task, state);
+  }
+
+  /** The steps with their tasks that are not done. */
+  get steps(): Iterable<StepTasks> {
+    return this.index.steps;
   }
 
   /** The latest start time with which it is expected to end when due. */
@@ -112,12 +99,22 @@
 
   /** Whether all tasks are done. */
   get isDone(): boolean {
-    return this.tasks.every(({state}) => state.kind === 'done');
+    return this.waitingCount === 0 && !this.isRunning;
   }
 
   /** Whether a run of any task may still go on. */
   get isRunning(): boolean {
-    return this.tasks.some(({state}) => state.kind === 'running');
+    return this.index.runningCount > 0;
+  }
+
+  /** Number of tasks that neither run nor are done. */
+  get waitingCount(): number {
+    return this.index.waitingCount;
+  }
+
+  /** Number of tasks that run or are done. */
+  get startedCount(): number {
+    return this.tasks.length - this.index.waitingCount;
   }
 
   /**
@@ -135,43 +132,32 @@
     return this.tasks.some(({lastRun}) => lastRun > 0);
   }
 
-  /** Whether any task is neither running nor done. */
-  get hasWaitingTasks(): boolean {
-    return this.tasks.some(({state}) => state.kind === 'waiting');
-  }
-
   /** Iterates over the runs that may still go on. */
   *runs(): Iterable<Run> {
-    for (const {state} of this.tasks) {
+    for (const {state} of this.index.iterateRunning()) {
       if (state.kind === 'running') yield state.run;
     }
   }
 
+  /** Iterates over the tasks with a run that may still go on. */
+  runningTasks(): Iterable<TaskRecord> {
+    return this.index.iterateRunning();
+  }
+
   /** Iterates over waiting tasks whose earlier steps are done. */
-  *readyTasks(): Iterable<TaskRecord> {
-    for (const task of this.tasks) {
-      if (task.state.kind === 'waiting' && this.areEarlierStepsDone(task))
-        yield task;
-    }
+  readyTasks(): Iterable<TaskRecord> {
+    return this.index.readyTasks();
   }
 
   /** Counts the running tasks of a step on one worker. */
   countRunningOn(workerId: string, step: number): number {
     let count = 0;
-    for (const {name, state} of this.tasks) {
-      if (state.kind !== 'running' || name.step !== step) continue;
-      if (state.run.workerId === workerId) count += 1;
+    for (const {state} of this.index.findStep(step)?.running ?? []) {
+      if (state.kind === 'running' && state.run.workerId === workerId)
+        count += 1;
     }
     return count;
   }
-
-  private areEarlierStepsDone({step}: TaskRecord): boolean {
-    return step.after.every(index =>
-      this.tasks.every(
-        ({name, state}) => name.step !== index || state.kind === 'done',
-      ),
-    );
-  }
 }
 
 /** Computes when a job should end; `expectedMs` is its ideal run time. */
@@ -183,47 +169,3 @@
     usefulUntil: Math.min(job.arrivedAt + usefulMs, job.deadlineAt),
   };
 }
-
-function createTasks(job: Job, lastRun: number): TaskRecord[] {
-  const {delegated} = job;
-  if (delegated !== undefined) return createDelegatedTask(job, delegated);
-  const tasks: TaskRecord[] = [];
-  for (const [stepIndex, step] of job.steps.entries()) {
-    for (let index = 0; index < step.tasks; index += 1) {
-      const name = {jobId: job.id, step: stepIndex, index};
-      const key = formatTaskName(name);
-      const state = {kind: 'waiting'} as const;
-      tasks.push({
-        name,
-        key,
-        step,
-        state,
-        lastRun,
-        failures: 0,
-        movedFrom: undefined,
-      });
-    }
-  }
-  return tasks;
-}
-
-function createDelegatedTask(
-  job: Job,
-  {name, run}: DelegatedTask,
-): TaskRecord[] {
-  const [step] = job.steps;
-  if (step === undefined) return [];
-  const key = formatTaskName(name);
-  const state = {kind: 'waiting'} as const;
-  return [
-    {
-      name,
-      key,
-      step,
-      state,
-      lastRun: run - 1,
-      failures: 0,
-      movedFrom: undefined,
-    },
-  ];
-}
--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/move_late_runs.ts
@@ -8,8 +8,9 @@
 import {RunPhase, type Run} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import {createDemand} from './create_demand.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
 import type {PlacementRound} from './placement_round.js';
+import type {TaskRecord} from './task_record.js';
 
 /** Time a run must have taken before its progress is judged, in ms. */
 const MIN_RUN_TIME_MS = 150;
@@ -26,7 +27,7 @@
 ): void {
   for (const record of registry.jobs.values()) {
     if (record.pendingOutcome !== undefined || record.isInbound) continue;
-    for (const task of record.tasks) {
+    for (const task of record.runningTasks()) {
       const run = findLateRun(record, task, now);
       if (run === undefined) continue;
       if (!hasBetterPlace(registry, record, task, run, round, now)) continue;
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -27,9 +27,8 @@
     if (isGone && worker.canBeRemoved(now)) registry.removeWorker(id);
   }
   for (const record of registry.jobs.values()) {
-    for (const {state} of record.tasks) {
-      const isOver = state.kind === 'running' && now >= state.run.latestEndAt;
-      if (isOver) registry.endRun(state.run, LossCause.Expired, now);
+    for (const run of record.runs()) {
+      if (now >= run.latestEndAt) registry.endRun(run, LossCause.Expired, now);
     }
   }
 }
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -8,13 +8,14 @@
 import {createRun} from './create_run.js';
 import {mustRunAlone, placeSuspectedTasks} from './crashing_tasks.js';
 import {createDemand} from './create_demand.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
 import {findMinWorth} from './min_worth.js';
 import {moveLateRuns} from './move_late_runs.js';
 import {sortJobs} from './job_order.js';
 import type {Command} from './commands.js';
 import {estimateDrain} from './refusal.js';
 import {PlacementRound} from './placement_round.js';
+import type {TaskRecord} from './task_record.js';
 
 /**
  * Longest time between placements, in ms: expected ends and deadlines come
@@ -89,7 +90,7 @@
 
   /** Whether waiting tasks of the job may be started now. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
-    if (record.pendingOutcome !== undefined || !record.hasWaitingTasks)
+    if (record.pendingOutcome !== undefined || record.waitingCount === 0)
       return false;
     if (record.isReattached) return false;
     if (this.mayRunElsewhere(record, now)) return false;
--- a/packages/dispatch/src/dispatcher/progress.ts
+++ b/packages/dispatch/src/dispatcher/progress.ts
@@ -8,7 +8,8 @@
 import type {Run} from '../workers/index.js';
 import {addFoundRun, addDelegatedRun} from './adoption.js';
 import type {Registry} from './registry.js';
-import type {JobRecord, TaskRecord} from './job_record.js';
+import type {JobRecord} from './job_record.js';
+import type {TaskRecord} from './task_record.js';
 
 /** Describes the state of a job for the next holder. */
 export function describeProgress(
@@ -80,7 +81,7 @@
     case 'waiting':
       return undefined;
     case 'done':
-      task.state = {kind: 'done'};
+      record.setState(task, {kind: 'done'});
       return undefined;
     case 'running':
       return addRun(registry, record, task, state, latestEndAt, now);
--- a/packages/dispatch/src/dispatcher/refusal.ts
+++ b/packages/dispatch/src/dispatcher/refusal.ts
@@ -26,16 +26,15 @@
   now: Millis,
 ): Millis {
   let workAhead = 0;
-  for (const {job, tasks} of registry.jobs.values()) {
+  for (const {job, steps} of registry.jobs.values()) {
     if (job.service !== service || job.id === id) continue;
-    for (const {state, step} of tasks) {
-      const {cpuMillis} = step.need;
-      if (state.kind === 'waiting') {
-        workAhead +=
-          registry.runTimes.predict(job.queue, step.estimateMs) * cpuMillis;
-      } else if (state.kind === 'running') {
-        workAhead += Math.max(0, state.run.expectedEndAt - now) * cpuMillis;
-      }
+    for (const {step, waiting, running} of steps) {
+      const expectedMs = registry.runTimes.predict(job.queue, step.estimateMs);
+      let remainingMs = waiting.size * expectedMs;
+      for (const {state} of running)
+        if (state.kind === 'running')
+          remainingMs += Math.max(0, state.run.expectedEndAt - now);
+      workAhead += remainingMs * step.need.cpuMillis;
     }
   }
   return estimateWait(
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -22,13 +22,14 @@
   type RunConclusion,
   type WorkerRecord,
 } from '../workers/index.js';
-import {adoptOrphans} from './adoption.js';
+import {adoptOrphansOf} from './adoption.js';
 import {CrashRecorder} from './crash_recorder.js';
 import {addSuccess, addStrike, StrikeReason} from './health.js';
 import {InboundTasks} from './inbound_tasks.js';
-import {JobRecord, type TaskRecord} from './job_record.js';
+import {JobRecord} from './job_record.js';
 import {DelegationSurvey} from './delegation_survey.js';
 import {RunNumbers} from './run_numbers.js';
+import type {TaskRecord} from './task_record.js';
 
 /** A job that has ended, to be reported to the instance that submitted it. */
 export interface EndedJob {
@@ -124,7 +125,7 @@
 
   /** Assigns a run to its worker. */
   beginRun(record: JobRecord, task: TaskRecord, run: Run): void {
-    task.state = {kind: 'running', run};
+    record.setState(task, {kind: 'running', run});
     task.lastRun = Math.max(task.lastRun, run.number);
     record.hasStarted = true;
     const worker = this.workers.get(run.workerId);
@@ -146,7 +147,7 @@
     const task = record?.findTask(run.key);
     if (record === undefined || task === undefined) return;
     if (task.state.kind !== 'running' || task.state.run !== run) return;
-    task.state = {kind: 'waiting'};
+    record.setState(task, {kind: 'waiting'});
     // A zone starts a delegated run once, so no other run has its number.
     if (run.number === record.job.delegated?.run)
       record.mayHaveUnknownRuns = false;
@@ -156,7 +157,7 @@
       record.pendingOutcome ??= createAbandoned(AbandonReason.RunLost);
     this.finishIfPossible(record, now);
     // Another run of the task may have been found in the meantime.
-    if (end !== RunEnd.Done) adoptOrphans(this, record, now);
+    if (end !== RunEnd.Done) adoptOrphansOf(this, record, task, now);
   }
 
   /** Ends a job with `outcome` once none of its tasks runs any more. */
@@ -250,12 +251,13 @@
   }
 
   private recordSuccess(
-    {job}: JobRecord,
+    record: JobRecord,
     task: TaskRecord,
     run: Run,
     tookMs: Millis,
   ): void {
-    task.state = {kind: 'done'};
+    record.setState(task, {kind: 'done'});
+    const {job} = record;
     const {estimateMs} = task.step;
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -48,10 +48,10 @@
     step.dataRack !== undefined && !labels.includes(step.dataRack);
   const localMs = runTimes.predictOn(id, queue, step.estimateMs);
   const expectedMs = localMs * (isDataRemote ? REMOTE_DATA_FACTOR : 1);
-  const maxPlaces = Math.min(
-    count,
-    (step.maxPerWorker ?? Infinity) - countRunningOn(id),
-  );
+  const maxPlaces =
+    step.maxPerWorker === undefined
+      ? count
+      : Math.min(count, step.maxPerWorker - countRunningOn(id));
   const places = listFreePlaces(demand, worker, expectedMs, maxPlaces, now);
   const starts = places.map(() => now);
   const addLater = (at: Millis, isVacancy: boolean) => {
