--- a/packages/dispatch/src/dispatcher/task_index.ts
+++ b/packages/dispatch/src/dispatcher/task_index.ts
@@ -14,7 +14,9 @@
 
 /** A step, and which steps wait for it. */
 class StepEntry implements StepTasks {
-  readonly waiting = new Set<TaskRecord>();
+  private waitingTasks = new Set<TaskRecord>();
+  /** Whether a task that waits again stands behind later ones. */
+  private isOutOfOrder = false;
   readonly running = new Set<TaskRecord>();
   /** The steps that wait until this one is done. */
   readonly dependents: StepEntry[] = [];
@@ -24,8 +26,31 @@
   constructor(readonly step: Step) {}
 
   get isDone(): boolean {
-    return this.waiting.size === 0 && this.running.size === 0;
+    return this.waitingTasks.size === 0 && this.running.size === 0;
   }
+
+  /** The waiting tasks in the order of their indexes. */
+  get waiting(): ReadonlySet<TaskRecord> {
+    if (this.isOutOfOrder) {
+      const sorted = [...this.waitingTasks].sort(compareIndexes);
+      this.waitingTasks = new Set(sorted);
+      this.isOutOfOrder = false;
+    }
+    return this.waitingTasks;
+  }
+
+  addWaiting(task: TaskRecord, waitsAgain: boolean): void {
+    this.waitingTasks.add(task);
+    if (waitsAgain) this.isOutOfOrder = true;
+  }
+
+  removeWaiting(task: TaskRecord): boolean {
+    return this.waitingTasks.delete(task);
+  }
+}
+
+function compareIndexes(a: TaskRecord, b: TaskRecord): number {
+  return a.name.index - b.name.index;
 }
 
 /** Finds the tasks of a job by name, step and state. */
@@ -73,8 +98,8 @@
 
   /** Iterates over waiting tasks whose earlier steps are done. */
   *readyTasks(): Iterable<TaskRecord> {
-    for (const {blockers, waiting} of this.bySteps.values()) {
-      if (blockers === 0) yield* waiting;
+    for (const entry of this.bySteps.values()) {
+      if (entry.blockers === 0) yield* entry.waiting;
     }
   }
 
@@ -90,7 +115,7 @@
     if (entry === undefined || task.state.kind === 'done') return;
     this.remove(entry, task);
     task.state = state;
-    this.insert(entry, task);
+    this.insert(entry, task, true);
     if (!entry.isDone) return;
     for (const dependent of entry.dependents) dependent.blockers -= 1;
   }
@@ -100,7 +125,7 @@
     const entry = this.bySteps.get(index) ?? new StepEntry(task.step);
     this.bySteps.set(index, entry);
     this.byKey.set(task.key, task);
-    this.insert(entry, task);
+    this.insert(entry, task, false);
   }
 
   /** A single task of another zone's job has no other steps here. */
@@ -113,10 +138,14 @@
     }
   }
 
-  private insert(entry: StepEntry, task: TaskRecord): void {
+  private insert(
+    entry: StepEntry,
+    task: TaskRecord,
+    waitsAgain: boolean,
+  ): void {
     switch (task.state.kind) {
       case 'waiting':
-        entry.waiting.add(task);
+        entry.addWaiting(task, waitsAgain);
         this.waitingTasks += 1;
         return;
       case 'running':
@@ -129,7 +158,7 @@
   }
 
   private remove(entry: StepEntry, task: TaskRecord): void {
-    if (entry.waiting.delete(task)) this.waitingTasks -= 1;
+    if (entry.removeWaiting(task)) this.waitingTasks -= 1;
     if (entry.running.delete(task)) this.runningTasks -= 1;
   }
 }
