Limit the unanswered starts of each worker and let large jobs take turns

Cause: a round placed all tasks of a job that fit, all on one worker first, and each start command was sent at once. They waited in the queue of four connections, counted as unanswered after 100 ms, were sent again, then stopped: each task of a job cost up to four requests, at the moment when there was no room for one.

A worker now has at most 16 unanswered starts; places beyond are deferred, and rank before capacity of other zones. A job of which 64 tasks have started waits for jobs with fewer, and leaves half of each worker's window to them, so that an ordinary job is started beside it. At most 500 runs a worker, which lists all in each report.

The tests failed before: 1,000 starts in the first round, none of the ordinary job first, no turns.

--- a/packages/dispatch/src/dispatcher/crash_recorder.ts
+++ b/packages/dispatch/src/dispatcher/crash_recorder.ts
@@ -2,7 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Crash, CrashHistory} from '../crashes/index.js';
 import type {Run, WorkerRecord} from '../workers/index.js';
-import type {DispatchObserver} from './registry.js';
+import type {DispatchObserver} from './observer.js';
 
 /** Adds crashes to the history of an instance. */
 export class CrashRecorder {
--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -108,6 +108,7 @@
   }
   const run = createRun(record, task, free.info.id, predictOn(free), now);
   registry.beginRun(record, task, run);
+  free.startWindow.add(run);
   round.exclude(free);
   return run;
 }
--- a/packages/dispatch/src/dispatcher/create_demand.ts
+++ b/packages/dispatch/src/dispatcher/create_demand.ts
@@ -1,6 +1,7 @@
 /** Creates the planner's input for a job. */
 import type {Demand} from '../placement/index.js';
 import type {JobRecord} from './job_record.js';
+import {limitUnansweredStarts} from './job_slices.js';
 import type {TaskRecord} from './task_record.js';
 
 /** Creates a demand for `count` tasks like this one. */
@@ -12,5 +13,13 @@
   const {queue} = record.job;
   const countRunningOn = (workerId: string) =>
     record.countRunningOn(workerId, name.step);
-  return {queue, step, due: record, count, countRunningOn};
+  const maxUnansweredStarts = limitUnansweredStarts(record);
+  return {
+    queue,
+    step,
+    due: record,
+    count,
+    countRunningOn,
+    maxUnansweredStarts,
+  };
 }
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -26,7 +26,8 @@
 } from '../workers/index.js';
 import {findAbandonedJobs} from './abandoned_jobs.js';
 import {AnswerableJobs} from './answerable_jobs.js';
-import {Registry, type DispatchObserver, type EndedJob} from './registry.js';
+import type {DispatchObserver} from './observer.js';
+import {Registry, type EndedJob} from './registry.js';
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {applyReport} from './worker_reports.js';
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -1,5 +1,6 @@
 /** The scheduler that runs on the holder of a zone. */
-export type {DispatchObserver, EndedJob} from './registry.js';
+export type {DispatchObserver, RefusedJob} from './observer.js';
+export type {EndedJob} from './registry.js';
 export type {DelegatedRun, DelegationReport} from './delegation_survey.js';
 export {Dispatcher} from './dispatcher.js';
 export {findNextEndTime, findNextOverdueTime} from './worker_reports.js';
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -0,0 +1,41 @@
+/** Receives state changes of a dispatcher, for logs and metrics. */
+import type {Millis} from '@goldcrestpier/runtime';
+import type {CrashVerdict} from '../crashes/index.js';
+import type {RefusalReason} from '../work/index.js';
+import type {Run, RunConclusion} from '../workers/index.js';
+import type {StrikeReason} from './health.js';
+import type {JobRecord} from './job_record.js';
+
+/** What is known of a job that is refused. */
+export type RefusedJob = Pick<JobRecord, 'job' | 'isInbound' | 'planned'>;
+
+/** Receives state changes, for logs and metrics. */
+export interface DispatchObserver {
+  runEnded(run: Run, conclusion: RunConclusion, tookMs: Millis): void;
+  /** A worker answers again after its leases expired with these runs. */
+  lossesExplained(
+    workerId: string,
+    losses: readonly Run[],
+    hasRestarted: boolean,
+  ): void;
+  workerStruck(
+    workerId: string,
+    reason: StrikeReason,
+    isEjected: boolean,
+  ): void;
+  /** A worker crashed while the run was there. */
+  crashRecorded(run: Run, verdict: CrashVerdict): void;
+  /** A job fails because these workers crashed under a task of it. */
+  jobFailedByCrashes(
+    jobId: string,
+    task: string,
+    workerIds: readonly string[],
+  ): void;
+  /** `waitMs` is the time until the work ahead of the job has drained. */
+  jobRefused(
+    refused: RefusedJob,
+    reason: RefusalReason,
+    waitMs: Millis,
+    now: Millis,
+  ): void;
+}
--- a/packages/dispatch/src/dispatcher/placement_round.ts
+++ b/packages/dispatch/src/dispatcher/placement_round.ts
@@ -30,6 +30,14 @@
     this.byService.set(service, others);
   }
 
+  /** How many tasks may be started until `limit` starts are unanswered each. */
+  countStartRoom(service: string, limit: number): number {
+    let room = 0;
+    for (const {startWindow} of this.usableWorkers(service))
+      room += startWindow.countRoom(limit);
+    return room;
+  }
+
   /** Returns the workers of a service that can be given tasks now. */
   usableWorkers(service: string): readonly WorkerRecord[] {
     const known = this.byService.get(service);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -10,6 +10,7 @@
 import {createDemand} from './create_demand.js';
 import type {JobRecord} from './job_record.js';
 import {findMinWorth} from './min_worth.js';
+import {limitPlannedTasks, limitUnansweredStarts} from './job_slices.js';
 import {moveLateRuns} from './move_late_runs.js';
 import {sortJobs} from './job_order.js';
 import type {Command} from './commands.js';
@@ -70,6 +71,7 @@
   /** Places all tasks that fit somewhere now; returns the commands. */
   place(now: Millis): Command[] {
     this.registry.isPlacementDue = false;
+    this.registry.hasStartBacklog = false;
     this.lastPlacedAt = now;
     // With a stale list, tasks would start on workers that have left since.
     if (!this.registry.isListConfirmed) return [];
@@ -81,7 +83,7 @@
     const sorted = sortJobs(waiting);
     const alone = placeSuspectedTasks(this.registry, sorted, round, now);
     const others = sorted.flatMap(record =>
-      this.groupTasks(record).flatMap(tasks =>
+      this.groupTasks(record, round).flatMap(tasks =>
         this.placeTasks(record, tasks, round, now),
       ),
     );
@@ -155,13 +157,22 @@
 
   /**
    * Groups the ready tasks by step and by the worker that they must avoid,
-   * without those that must run alone.
+   * without those that must run alone and those that wait for their turn.
    */
-  private groupTasks(record: JobRecord): readonly TaskRecord[][] {
+  private groupTasks(
+    record: JobRecord,
+    round: PlacementRound,
+  ): readonly TaskRecord[][] {
     const hasCrashes = this.registry.crashes.hasJob(record.submittedId);
     const groups = new Map<string, TaskRecord[]>();
+    let left = this.limitTasks(record, round);
     for (const task of record.readyTasks()) {
       if (hasCrashes && mustRunAlone(this.registry, task)) continue;
+      if (left === 0) {
+        this.registry.hasStartBacklog = true;
+        break;
+      }
+      left -= 1;
       const key = `${task.name.step} ${task.movedFrom ?? ''}`;
       const group = groups.get(key);
       if (group === undefined) groups.set(key, [task]);
@@ -170,6 +181,12 @@
     return [...groups.values()];
   }
 
+  private limitTasks(record: JobRecord, round: PlacementRound): number {
+    const limit = limitUnansweredStarts(record);
+    const startRoom = round.countStartRoom(record.job.service, limit);
+    return limitPlannedTasks(record, startRoom);
+  }
+
   /** Places tasks with the same requirements. */
   private placeTasks(
     record: JobRecord,
@@ -242,8 +259,12 @@
         const {worker, expectedMs} = place;
         const run = createRun(record, task, worker.info.id, expectedMs, now);
         this.registry.beginRun(record, task, run);
+        worker.startWindow.add(run);
         return [{kind: 'start', run, payload: record.job.payload}];
       }
+      case 'deferred':
+        this.registry.hasStartBacklog = true;
+        return [];
       case 'remote': {
         const {zone, expectedMs, reserve} = place;
         reserve();
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -28,6 +28,7 @@
 import {InboundTasks} from './inbound_tasks.js';
 import {JobRecord} from './job_record.js';
 import {DelegationSurvey} from './delegation_survey.js';
+import type {DispatchObserver} from './observer.js';
 import {RunNumbers} from './run_numbers.js';
 import type {TaskRecord} from './task_record.js';
 
@@ -39,37 +40,6 @@
   readonly hasStarted: boolean;
 }
 
-/** Receives state changes, for logs and metrics. */
-export interface DispatchObserver {
-  runEnded(run: Run, conclusion: RunConclusion, tookMs: Millis): void;
-  /** A worker answers again after its leases expired with these runs. */
-  lossesExplained(
-    workerId: string,
-    losses: readonly Run[],
-    hasRestarted: boolean,
-  ): void;
-  workerStruck(
-    workerId: string,
-    reason: StrikeReason,
-    isEjected: boolean,
-  ): void;
-  /** A worker crashed while the run was there. */
-  crashRecorded(run: Run, verdict: CrashVerdict): void;
-  /** A job fails because these workers crashed under a task of it. */
-  jobFailedByCrashes(
-    jobId: string,
-    task: string,
-    workerIds: readonly string[],
-  ): void;
-  /** `waitMs` is the time until the work ahead of the job has drained. */
-  jobRefused(
-    record: JobRecord,
-    reason: RefusalReason,
-    waitMs: Millis,
-    now: Millis,
-  ): void;
-}
-
 /** Jobs, workers and runs that one holder knows. */
 export class Registry {
   readonly jobs = new Map<string, JobRecord>();
@@ -86,6 +56,8 @@
    * tasks were last placed.
    */
   isPlacementDue = true;
+  /** Whether tasks with capacity wait until workers have answered starts. */
+  hasStartBacklog = false;
   private endedJobs: EndedJob[] = [];
   private readonly runNumbers = new RunNumbers();
   /** Runs that an earlier holder delegated to other zones. */
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -20,6 +20,8 @@
   leaseMs: Millis,
   now: Millis,
 ): void {
+  registry.workers.get(run.workerId)?.startWindow.remove(run);
+  if (registry.hasStartBacklog) registry.isPlacementDue = true;
   // A refused connection may also be caused by a network partition.
   if (uncertainAnswers.has(answer)) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -12,6 +12,10 @@
 const REMOTE_DATA_FACTOR = 2;
 /** Number of tasks of a step that are planned in one place in sequence. */
 const MAX_WAVES = 4;
+/** Maximum number of runs on a worker, which lists them all in each report. */
+const MAX_RUNS_PER_WORKER = 500;
+/** Time in which a worker answers as many starts as may be unanswered, in ms. */
+const START_ROUND_MS = 10;
 
 /** Tasks of one step that wait together. */
 export interface Demand {
@@ -22,6 +26,8 @@
   readonly count: number;
   /** Counts the running tasks of the step on a worker, for its limit. */
   readonly countRunningOn: (workerId: string) => number;
+  /** Number of unanswered starts up to which a worker is sent another one. */
+  readonly maxUnansweredStarts: number;
 }
 
 /** Expected run times, and when current runs free their capacity. */
@@ -70,19 +76,30 @@
 }
 
 function listFreePlaces(
-  {step, due}: Demand,
+  {step, due, maxUnansweredStarts}: Demand,
   worker: WorkerRecord,
   expectedMs: Millis,
   maxPlaces: number,
   now: Millis,
 ): Place[] {
   const free = worker.computeFreeResources();
-  const count = Math.min(maxPlaces, countFitting(step.need, free));
+  const count = Math.min(
+    maxPlaces,
+    countFitting(step.need, free),
+    MAX_RUNS_PER_WORKER - worker.runs.size,
+  );
+  const startable = worker.startWindow.countRoom(maxUnansweredStarts);
   const worth = count > 0 ? estimateWorth(due, expectedMs, now) : 0;
   const places: Place[] = [];
-  for (let taken = 1; taken <= count; taken += 1) {
+  for (let taken = 1; taken <= Math.min(count, startable); taken += 1) {
     const remainingMillis = free.cpuMillis - taken * step.need.cpuMillis;
     places.push({kind: 'free', worker, worth, expectedMs, remainingMillis});
   }
+  for (let taken = startable + 1; taken <= count; taken += 1) {
+    const rounds = Math.ceil((taken - startable) / maxUnansweredStarts);
+    const startAt = now + rounds * START_ROUND_MS;
+    const laterWorth = estimateWorth(due, expectedMs, startAt);
+    places.push({kind: 'deferred', worth: laterWorth, expectedMs});
+  }
   return places;
 }
--- a/packages/dispatch/src/placement/place.ts
+++ b/packages/dispatch/src/placement/place.ts
@@ -13,6 +13,16 @@
   readonly remainingMillis: number;
 }
 
+/**
+ * Capacity on a worker of this zone that is free now, but can only be used when
+ * the worker has answered earlier start commands.
+ */
+export interface DeferredPlace {
+  readonly kind: 'deferred';
+  readonly worth: number;
+  readonly expectedMs: Millis;
+}
+
 /** Capacity on a worker of this zone that will be free later. */
 export interface LaterPlace {
   readonly kind: 'later';
@@ -34,7 +44,7 @@
 }
 
 /** Where a task may run. */
-export type Place = FreePlace | LaterPlace | RemotePlace;
+export type Place = FreePlace | DeferredPlace | LaterPlace | RemotePlace;
 
 /** Discounts relative to free places, as other tasks may take them first. */
 const REMOTE_DISCOUNT = 0.97;
@@ -47,6 +57,7 @@
 export function weighPlace({kind, worth}: Place): number {
   switch (kind) {
     case 'free':
+    case 'deferred':
       return worth;
     case 'remote':
       return worth * REMOTE_DISCOUNT;
@@ -87,10 +98,12 @@
   switch (kind) {
     case 'free':
       return 0;
-    case 'remote':
+    case 'deferred':
       return 1;
-    case 'later':
+    case 'remote':
       return 2;
+    case 'later':
+      return 3;
   }
 }
 
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Resources} from '../work/index.js';
 import {LossCause, type Run} from './run.js';
+import {StartWindow} from './start_window.js';
 import {WorkerRequestFailure, type Worker} from './worker.js';
 
 /** The last reading of the worker's clock. */
@@ -47,6 +48,7 @@
   strikes = 0;
   /** Time until which it gets no tasks because it reported to be full. */
   fullUntil: Millis = 0;
+  readonly startWindow = new StartWindow();
   private clock: ClockReading | undefined;
   private readonly running = new Map<string, Run>();
   private usedResources = NO_RESOURCES;
@@ -154,6 +156,7 @@
     const run = this.running.get(key);
     if (run === undefined) return;
     this.running.delete(key);
+    this.startWindow.remove(run);
     if (run.isIsolated) this.isolatedRuns -= 1;
     this.usedResources = addResources(this.usedResources, run.need, -1);
   }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -46,7 +46,7 @@
       else logger.info('run ended', fields);
     },
     jobRefused(
-      {id: job, isInbound, planned, job: {arrivedAt}},
+      {isInbound, planned, job: {id: job, arrivedAt}},
       reason,
       waitMs,
       now,
