--- a/packages/dispatch/src/workers/worker.ts
+++ b/packages/dispatch/src/workers/worker.ts
@@ -79,6 +79,8 @@
   OtherIncarnation = 'other_life',
   /** The connection was refused; no process listens there. */
   NotListening = 'not_listening',
+  /** The command waited too long for others to be answered; it was not sent. */
+  NotSent = 'not_sent',
   /** The worker rejected the command as malformed; it has not started. */
   Rejected = 'rejected',
   /** No answer; the command may still be executed, even later. */
--- a/packages/zone/test/command_sender.test.ts
+++ b/packages/zone/test/command_sender.test.ts
@@ -120,3 +120,13 @@
   await commandSender.start(command);
   assert.equal(command.run.phase, RunPhase.Stopping);
 });
+
+// Guards against stops of runs that were never started, beside the next start.
+test('a start request that was not sent is neither retried nor stopped', async () => {
+  const {commandSender, command, requests} = createFixture([
+    StartAnswer.NotSent,
+  ]);
+  await commandSender.start(command);
+  assert.equal(requests.length, 1);
+  assert.equal(command.run.phase, RunPhase.Starting);
+});
