Limit the unconfirmed stops, recalls and delegated runs of a holder

When a job of thousands of tasks was cancelled or met its deadline, one stop for each of its runs was sent in one turn of the event loop, and all of them again 200 ms later however many were still under way; the same for recalls, and a call to another zone stood open for each delegated task.

A worker gets at most 32 stops in 200 ms that it has not confirmed, those first that were never sent; what waits ends with its lease at the latest, as nothing renews it. At most 64 recalls likewise, and 256 runs in other zones.

What is known of runs of earlier holders is a module of its own now.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -33,7 +33,6 @@
 import {applyReport} from './worker_reports.js';
 import {
   DELEGATED_RUN_MAX_MS,
-  FORMER_HOLDER_STOP_MS,
   computeLeaseExpiry,
   computeStopCompletion,
   type DispatcherOptions,
@@ -41,6 +40,7 @@
 import type {Command} from './commands.js';
 import {failCrashingJobs} from './crashing_tasks.js';
 import type {DelegationReport} from './delegation_survey.js';
+import {EarlierRuns} from './earlier_runs.js';
 import {applyStartAnswer} from './start_answer.js';
 import {
   endLostTasks,
@@ -58,6 +58,7 @@
 export class Dispatcher {
   private readonly registry: Registry;
   private readonly remoteVacancies = new RemoteVacancies();
+  private readonly earlierRuns: EarlierRuns;
   private readonly placer: Placer;
   private readonly intake: Intake;
   private readonly stopper: Stopper;
@@ -74,13 +75,12 @@
     crashes = new CrashHistory(),
   ) {
     this.registry = new Registry(observer, crashes);
-    this.placer = new Placer(this.registry, this.remoteVacancies, {
-      workersMs: computeLeaseExpiry(FORMER_HOLDER_STOP_MS, options.leaseMs),
-      delegatedMs: DELEGATED_RUN_MAX_MS,
-      replacementMs: FORMER_HOLDER_STOP_MS,
-    });
-    this.intake = new Intake(this.registry, this.placer, options.leaseMs);
-    this.stopper = new Stopper(this.registry, heldSince);
+    const {leaseMs} = options;
+    this.earlierRuns = new EarlierRuns(this.registry, leaseMs);
+    const {registry, remoteVacancies, earlierRuns} = this;
+    this.placer = new Placer(registry, remoteVacancies, earlierRuns);
+    this.intake = new Intake(registry, this.placer, leaseMs);
+    this.stopper = new Stopper(registry, heldSince);
     this.answerableJobs = new AnswerableJobs(this.registry.workers);
   }
 
@@ -144,7 +144,7 @@
 
   /** Whether every run that an earlier holder started has certainly ended. */
   haveEarlierRunsEnded(now: Millis): boolean {
-    return this.placer.haveEarlierRunsEnded(now);
+    return this.earlierRuns.haveEnded(now);
   }
 
   /** Describes the state of a job for the next holder. */
@@ -153,7 +153,7 @@
     if (record === undefined) return undefined;
     return describeProgress(
       record,
-      this.placer.areAllRunsKnown(record, now),
+      this.earlierRuns.areAllKnown(record, now),
       now,
     );
   }
@@ -178,7 +178,7 @@
   tick(now: Millis): Command[] {
     this.registry.crashes.removeExpired(now);
     endOverdueRuns(this.registry, now);
-    endLostTasks(this.registry, this.placer, now);
+    endLostTasks(this.registry, this.earlierRuns, now);
     endOverdueJobs(this.registry, now);
     failCrashingJobs(this.registry, now);
     this.answerableJobs.update(this.registry.jobs.values(), now);
--- a/packages/dispatch/src/dispatcher/job_slices.ts
+++ b/packages/dispatch/src/dispatcher/job_slices.ts
@@ -26,14 +26,15 @@
 }
 
 /**
- * Limits how many tasks of a job are planned in one round: no more of a large
- * job than `startRoom`, the starts that may be sent now, once its plan as a
- * whole is of no interest.
+ * Limits how many tasks of a job are planned in one round: once its plan as a
+ * whole is of no interest, no more of a large job than `startRoom`, the starts
+ * that may be sent now. Without any, a few may be delegated.
  */
 export function limitPlannedTasks(
   {tasks, hasStarted}: JobRecord,
   startRoom: number,
 ): number {
   if (tasks.length <= SLICE_TASKS) return tasks.length;
-  return hasStarted ? startRoom : MAX_PLANNED_TASKS;
+  if (!hasStarted) return MAX_PLANNED_TASKS;
+  return startRoom > 0 ? startRoom : SLICE_TASKS;
 }
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -8,9 +8,9 @@
   type Run,
   type WorkerRecord,
 } from '../workers/index.js';
+import type {EarlierRuns} from './earlier_runs.js';
 import {startProbation} from './health.js';
 import type {JobRecord} from './job_record.js';
-import type {Placer} from './placer.js';
 
 /** Ends runs whose leases have expired or whose stops have completed. */
 export function endOverdueRuns(registry: Registry, now: Millis): void {
@@ -53,12 +53,12 @@
 /** Ends reattached tasks that run nowhere, as soon as all runs are known. */
 export function endLostTasks(
   registry: Registry,
-  placer: Placer,
+  earlierRuns: EarlierRuns,
   now: Millis,
 ): void {
   for (const record of registry.jobs.values()) {
     if (!record.isReattached) continue;
-    if (!placer.areAllRunsKnown(record, now)) continue;
+    if (!earlierRuns.areAllKnown(record, now)) continue;
     record.mayHaveUnknownRuns = false;
     if (record.isRunning) continue;
     registry.endJob(record, createAbandoned(AbandonReason.RunLost), now);
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -1,13 +1,20 @@
 /** Assigns waiting tasks to workers; refuses jobs that can't end in time. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {RemoteVacancies} from '../remote_vacancies/index.js';
-import {planStep, type Place, type StepPlan} from '../placement/index.js';
+import {
+  planStep,
+  type Demand,
+  type Place,
+  type RemotePlace,
+  type StepPlan,
+} from '../placement/index.js';
 import {RefusalReason} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import {createRun} from './create_run.js';
 import {mustRunAlone, placeSuspectedTasks} from './crashing_tasks.js';
 import {createDemand} from './create_demand.js';
+import type {EarlierRuns} from './earlier_runs.js';
 import type {JobRecord} from './job_record.js';
 import {findMinWorth} from './min_worth.js';
 import {limitPlannedTasks, limitUnansweredStarts} from './job_slices.js';
@@ -23,6 +30,8 @@
  * closer although nothing changes.
  */
 const MAX_PLACEMENT_INTERVAL_MS = 20;
+/** Maximum number of runs in other zones; each is a pending call to one. */
+const MAX_DELEGATED_RUNS = 256;
 
 /** Excludes one worker, unless it is the only one. */
 function excludeWorker(
@@ -34,21 +43,6 @@
   return others.length > 0 ? others : workers;
 }
 
-/** Times after which runs and holders of before have certainly ended, in ms. */
-export interface EarlierRunTimeouts {
-  /**
-   * For runs on workers, including workers that are not listed, after the first
-   * answer of a worker to this holder. An earlier holder may keep starting tasks
-   * until a worker accepts this holder's token, even if this holder claimed the
-   * zone long before.
-   */
-  readonly workersMs: Millis;
-  /** The same for runs that were delegated to zones that do not answer. */
-  readonly delegatedMs: Millis;
-  /** Until a holder has learned that it was replaced. */
-  readonly replacementMs: Millis;
-}
-
 /** Places the waiting tasks of one registry. */
 export class Placer {
   private lastPlacedAt: Millis = -Infinity;
@@ -56,7 +50,7 @@
   constructor(
     private readonly registry: Registry,
     private readonly remoteVacancies: RemoteVacancies,
-    private readonly timeouts: EarlierRunTimeouts,
+    private readonly earlierRuns: EarlierRuns,
   ) {}
 
   /**
@@ -100,10 +94,10 @@
     if (this.registry.inboundTasks.has(record.id)) return false;
     // A job that its client submits again may run on a worker that has not
     // been polled yet.
-    if (!this.haveEarlierRunsEnded(now) && this.registry.hasUnpolledWorkers) {
+    if (!this.earlierRuns.haveEnded(now) && this.registry.hasUnpolledWorkers) {
       return false;
     }
-    return this.areAllRunsKnown(record, now);
+    return this.earlierRuns.areAllKnown(record, now);
   }
 
   /** Whether another zone may run tasks of a job that is new here. */
@@ -114,47 +108,6 @@
     return delegationSurvey.isAwaitingReports(now);
   }
 
-  /** Whether every run of the job that may still go on is known here. */
-  areAllRunsKnown(record: JobRecord, now: Millis): boolean {
-    if (!record.mayHaveUnknownRuns) return true;
-    if (!this.isOfCurrentHolder(record, now)) return false;
-    const {registry, timeouts} = this;
-    const areOnWorkersKnown =
-      !registry.hasUnfencedWorkers ||
-      hasElapsedSinceResumption(record, timeouts.workersMs, now);
-    const areDelegatedKnown =
-      registry.delegationSurvey.isComplete ||
-      (this.hasElapsed(timeouts.delegatedMs, now) &&
-        hasElapsedSinceResumption(record, timeouts.delegatedMs, now));
-    return (
-      this.haveEarlierRunsEnded(now) && areOnWorkersKnown && areDelegatedKnown
-    );
-  }
-
-  /**
-   * Whether every run that an earlier holder started on a worker has certainly
-   * ended. It may run on a worker that is in no list, so only the elapsed time
-   * proves it.
-   */
-  haveEarlierRunsEnded(now: Millis): boolean {
-    return this.hasElapsed(this.timeouts.workersMs, now);
-  }
-
-  /**
-   * Whether a reattachment reached the current holder. One that was replaced
-   * before would know by now; its successor may have started the run.
-   */
-  private isOfCurrentHolder(record: JobRecord, now: Millis): boolean {
-    if (!record.isReattached) return true;
-    const {replacementMs} = this.timeouts;
-    return hasElapsedSinceResumption(record, replacementMs, now);
-  }
-
-  private hasElapsed(durationMs: Millis, now: Millis): boolean {
-    const {firstReportAt} = this.registry;
-    return firstReportAt !== undefined && now >= firstReportAt + durationMs;
-  }
-
   /**
    * Groups the ready tasks by step and by the worker that they must avoid,
    * without those that must run alone and those that wait for their turn.
@@ -224,13 +177,25 @@
       round.usableWorkers(service),
       first.movedFrom,
     );
-    const remotes = record.isInbound
-      ? []
-      : this.remoteVacancies.listPlaces(service, demand, runTimes, now);
+    const remotes = this.listRemotePlaces(record, demand, now);
     const forecast = {runTimes, upcoming: round.upcoming};
     return planStep(demand, workers, remotes, forecast, now);
   }
 
+  /** Lists places in other zones, for as many runs as may be delegated. */
+  private listRemotePlaces(
+    record: JobRecord,
+    demand: Demand,
+    now: Millis,
+  ): readonly RemotePlace[] {
+    if (record.isInbound) return [];
+    const {runTimes, delegatedRuns} = this.registry;
+    const {service} = record.job;
+    return this.remoteVacancies
+      .listPlaces(service, demand, runTimes, now)
+      .slice(0, Math.max(0, MAX_DELEGATED_RUNS - delegatedRuns.size));
+  }
+
   /** Whether the job has not started and its plan is worth too little. */
   private isNotWorthStarting(
     record: JobRecord,
@@ -279,16 +244,3 @@
     }
   }
 }
-
-/**
- * Whether this time has passed since the job was resumed. Until then the holder
- * that its owner had followed may have started tasks where this one is not
- * known: on workers, or in zones, that have not answered it.
- */
-function hasElapsedSinceResumption(
-  {resumedAt}: JobRecord,
-  durationMs: Millis,
-  now: Millis,
-): boolean {
-  return resumedAt === undefined || now >= resumedAt + durationMs;
-}
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -45,6 +45,8 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly runTimes = new RunTimes();
+  /** Runs in other zones that may go on. */
+  readonly delegatedRuns = new Set<Run>();
   /** Tasks that other zones have delegated to this one. */
   readonly inboundTasks = new InboundTasks();
   /** Whether the list of workers is up to date. */
@@ -100,6 +102,7 @@
     record.setState(task, {kind: 'running', run});
     task.lastRun = Math.max(task.lastRun, run.number);
     record.hasStarted = true;
+    if (run.delegatedTo !== undefined) this.delegatedRuns.add(run);
     const worker = this.workers.get(run.workerId);
     if (worker === undefined) return;
     run.workerBornAt = worker.info.bornAt;
@@ -111,6 +114,7 @@
   endRun(run: Run, end: RunConclusion, now: Millis): void {
     const worker = this.workers.get(run.workerId);
     if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
+    this.delegatedRuns.delete(run);
     this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -1,6 +1,6 @@
 /** Decides which stop and recall commands are due. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {RunPhase, type WorkerRecord} from '../workers/index.js';
+import {RunPhase, type Run, type WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import type {Command} from './commands.js';
 
@@ -11,10 +11,15 @@
 /** Added to the lease of orphaned runs, for the stop command, in ms. */
 const ORPHAN_STOP_MARGIN_MS = 100;
 
-/** Stops runs that are no longer wanted. */
+/** Maximum number of recent stops of a worker's runs that are unconfirmed. */
+const MAX_UNCONFIRMED_STOPS = 32;
+/** Maximum number of recent recalls of one round that are unconfirmed. */
+const MAX_UNCONFIRMED_RECALLS = 64;
+
+/** Stops runs that are no longer wanted, a limited number at a time. */
 export class Stopper {
-  /** When stops of orphaned runs were last sent, by worker and task. */
-  private readonly orphanStops = new Map<string, Millis>();
+  /** When stops of orphaned runs were last sent, by worker and task name. */
+  private readonly orphanStops = new Map<string, Map<string, Millis>>();
 
   /** `heldSince` is the time at which this instance became the holder. */
   constructor(
@@ -64,9 +69,8 @@
     now: Millis,
   ): void {
     const workerId = worker.info.id;
-    for (const run of worker.runs.values()) {
-      const isDue = now - run.stopSentAt >= STOP_RETRY_MS;
-      if (run.phase !== RunPhase.Stopping || !isDue) continue;
+    const stopping = selectStopping(worker.runs.values());
+    for (const run of selectDue(stopping, MAX_UNCONFIRMED_STOPS, now)) {
       run.stopSentAt = now;
       const {key, number: runNumber} = run;
       commands.push({kind: 'stop', workerId, key, runNumber, run});
@@ -78,32 +82,35 @@
     worker: WorkerRecord,
     now: Millis,
   ): void {
+    if (worker.orphans.size === 0) return;
     const workerId = worker.info.id;
+    const sent = this.orphanStops.get(workerId) ?? new Map<string, Millis>();
+    this.orphanStops.set(workerId, sent);
     for (const [key, runNumber] of worker.orphans) {
-      const stopKey = `${workerId} ${key}`;
-      if (this.orphanStops.has(stopKey)) continue;
-      this.orphanStops.set(stopKey, now);
+      if (sent.size >= MAX_UNCONFIRMED_STOPS) return;
+      if (sent.has(key)) continue;
+      sent.set(key, now);
       commands.push({kind: 'stop', workerId, key, runNumber, run: undefined});
     }
   }
 
   private expireOrphanStops(now: Millis): void {
-    for (const [key, sentAt] of this.orphanStops) {
-      if (now - sentAt >= STOP_RETRY_MS) this.orphanStops.delete(key);
+    for (const [workerId, sent] of this.orphanStops) {
+      for (const [key, sentAt] of sent) {
+        if (now - sentAt >= STOP_RETRY_MS) sent.delete(key);
+      }
+      if (sent.size === 0) this.orphanStops.delete(workerId);
     }
   }
 
   /** Recalls the delegated runs of jobs that are about to end. */
   private recallDelegatedRuns(commands: Command[], now: Millis): void {
-    for (const record of this.registry.jobs.values()) {
-      if (record.pendingOutcome === undefined) continue;
-      for (const run of record.runs()) {
-        const {delegatedTo: zone, key, number: runNumber} = run;
-        if (zone === undefined || run.phase !== RunPhase.Stopping) continue;
-        if (now - run.stopSentAt < STOP_RETRY_MS) continue;
-        run.stopSentAt = now;
-        commands.push({kind: 'recall', zone, key, runNumber, run});
-      }
+    const stopping = selectStopping(this.registry.delegatedRuns);
+    for (const run of selectDue(stopping, MAX_UNCONFIRMED_RECALLS, now)) {
+      const {delegatedTo: zone, key, number: runNumber} = run;
+      if (zone === undefined) continue;
+      run.stopSentAt = now;
+      commands.push({kind: 'recall', zone, key, runNumber, run});
     }
   }
 
@@ -115,6 +122,33 @@
   }
 }
 
+function selectStopping(runs: Iterable<Run>): Run[] {
+  const stopping: Run[] = [];
+  for (const run of runs) {
+    if (run.phase === RunPhase.Stopping) stopping.push(run);
+  }
+  return stopping;
+}
+
+/**
+ * Selects the runs whose stop is due, those first that have waited longest,
+ * until `limit` stops were sent within `STOP_RETRY_MS`. The others are stopped
+ * later, or end with their leases.
+ */
+function selectDue(
+  stopping: readonly Run[],
+  limit: number,
+  now: Millis,
+): Run[] {
+  const due = stopping.filter(
+    ({stopSentAt}) => now - stopSentAt >= STOP_RETRY_MS,
+  );
+  const room = Math.max(0, limit - (stopping.length - due.length));
+  if (due.length <= room) return due;
+  const sentAt = ({stopSentAt}: Run) => Math.max(stopSentAt, 0);
+  return due.sort((a, b) => sentAt(a) - sentAt(b)).slice(0, room);
+}
+
 function isWantedPhase(phase: RunPhase): boolean {
   switch (phase) {
     case RunPhase.Starting:
--- a/packages/dispatch/test/large_jobs.test.ts
+++ b/packages/dispatch/test/large_jobs.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
+  AbandonReason,
   RunEnd,
   StartAnswer,
   type Command,
   type Dispatcher,
   type Job,
   type StartCommand,
+  type StopCommand,
+  WorkerRequestFailure,
 } from '../src/index.js';
 import {
   createDispatcher,
@@ -125,3 +128,73 @@
   const halves = started.slice(0, 256).filter(id => id === 'a').length;
   assert.equal(halves, 128);
 });
+
+function selectStops(commands: readonly Command[]): StopCommand[] {
+  return commands.filter(
+    (command): command is StopCommand => command.kind === 'stop',
+  );
+}
+
+/** Submits a job of 300 tasks on one worker, whose starts are confirmed. */
+function startLargeJob(dispatcher: Dispatcher): void {
+  dispatcher.submit(createSmallTasks('a', 300), false, 0);
+  for (let now = 0; now < 100; now += 1) {
+    for (const {run} of selectStarts(dispatcher.tick(now)))
+      dispatcher.handleStartAnswer(run, StartAnswer.Started, now);
+  }
+}
+
+// Guards against stops that pile up in memory when a large job is cancelled.
+test('the runs of a cancelled large job are stopped a few at a time', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  startLargeJob(dispatcher);
+  dispatcher.cancel('a', AbandonReason.Cancelled, 100);
+  const stopped: string[] = [];
+  const sizes: number[] = [];
+  for (let now = 100; stopped.length < 300; now += 1) {
+    const stops = selectStops(dispatcher.tick(now));
+    assert.ok(stops.length > 0, 'no further stops');
+    sizes.push(stops.length);
+    for (const {key, run} of stops) {
+      stopped.push(key);
+      if (run !== undefined) dispatcher.handleStopAccepted(run, now);
+    }
+  }
+  assert.deepEqual(new Set(sizes), new Set([32, 300 % 32]));
+  assert.equal(new Set(stopped).size, 300);
+});
+
+test('unconfirmed stops are sent again after those that were never sent', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  startLargeJob(dispatcher);
+  dispatcher.cancel('a', AbandonReason.Cancelled, 100);
+  const first = selectStops(dispatcher.tick(100));
+  const meanwhile = selectStops(dispatcher.tick(299));
+  const second = selectStops(dispatcher.tick(300));
+  const keys = [...first, ...second].map(({key}) => key);
+  assert.deepEqual(
+    [first.length, meanwhile.length, second.length],
+    [32, 0, 32],
+  );
+  assert.equal(new Set(keys).size, 64);
+});
+
+// Guards against a call to another zone for each task of a large job.
+test('few runs of a large job are delegated to other zones at a time', () => {
+  const dispatcher = createDispatcher([createWorker('w1')]);
+  pollAllWorkers(dispatcher, 0);
+  const roomy = {slowness: 1, cpuMillis: 64_000, memoryMb: 100_000};
+  const reported = {zone: 'east', service: 'pricing', vacancies: [roomy]};
+  let delegated = 0;
+  const job = createSmallTasks('a', 2_000, {deadlineAt: 20_000});
+  dispatcher.submit(job, false, 0);
+  dispatcher.handlePollFailure('w1', WorkerRequestFailure.Unanswered, 0);
+  for (let now = 0; now < 100; now += 10) {
+    dispatcher.updateZoneVacancies(reported, now);
+    const commands = dispatcher.tick(now);
+    delegated += commands.filter(({kind}) => kind === 'lend').length;
+  }
+  assert.equal(delegated, 256);
+});
