Refuse on arrival what takes too many starts for its time

A job of thousands of tasks was accepted whenever the workers had capacity, though the holder could not start all of them before the deadline: callers were told 504 after 1.6 s, or 429 too_late after 1.1 s, and all that was started was stopped.

A new job is refused as too_many_starts when its tasks and those ahead can't all be started in its time, or when a large one would make another large one late; Retry-After is the time until the starts ahead are done or the estimate allows it. A longer deadline lets the same job in.

--- a/packages/dispatch/src/admission/index.ts
+++ b/packages/dispatch/src/admission/index.ts
@@ -1,2 +1,4 @@
-/** Capacity estimates, and retry delays for refused callers. */
+/** What a holder can take on, and retry delays for refused callers. */
 export * from './estimate.js';
+export * from './held_work.js';
+export * from './start_rate.js';
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -3,13 +3,19 @@
 import {
   AbandonReason,
   RefusalReason,
+  createAbandoned,
   type Job,
   type JobProgress,
 } from '../work/index.js';
 import type {AbandonedJobReport} from '../remote_runs/index.js';
 import type {Run} from '../workers/index.js';
 import {adoptDelegated, adoptOrphans} from './adoption.js';
-import {createAbandoned, type Registry} from './registry.js';
+import type {Registry} from './registry.js';
+import {
+  findRejection,
+  mayHaveOtherRuns,
+  type Rejection,
+} from './job_admission.js';
 import type {JobRecord} from './job_record.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {computeLeaseExpiry} from './options.js';
@@ -52,6 +58,9 @@
     const refusal = history.isResumed
       ? undefined
       : findRefusal(this.registry, job);
+    const rejection = this.findRejection(job, history, now);
+    if (rejection !== undefined && refusal === undefined)
+      return this.registry.reject(job, rejection, now);
     const record = this.registry.addJob(job, now);
     if (refusal !== undefined) {
       this.registry.refuse(record, refusal, 0, now);
@@ -68,6 +77,17 @@
     if (this.registry.remoteRuns.mayRun(job.id, now)) holdBack(record);
   }
 
+  /** Jobs of which a task may run are accepted, so that it can be stopped. */
+  private findRejection(
+    job: Job,
+    {isResumed}: JobHistory,
+    now: Millis,
+  ): Rejection | undefined {
+    if (isResumed || mayHaveOtherRuns(this.registry, job.id, now))
+      return undefined;
+    return findRejection(this.registry, job, now);
+  }
+
   /** Adds the abandoned jobs that another zone reports. */
   addAbandonedJobs(report: AbandonedJobReport, now: Millis): void {
     this.registry.remoteRuns.record(report, now);
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -1,5 +1,6 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
+import {measureJob, type JobSize} from '../admission/index.js';
 import type {DueTimes} from '../placement/index.js';
 import type {Job, Outcome} from '../work/index.js';
 import type {Run} from '../workers/index.js';
@@ -19,6 +20,8 @@
 export class JobRecord {
   readonly tasks: readonly TaskRecord[];
   private readonly index: TaskIndex;
+  /** What it takes of the holder's memory. */
+  readonly size: JobSize;
   /** Time by which the job should end. */
   readonly dueAt: Millis;
   /** Time after which an answer is useless. */
@@ -44,6 +47,7 @@
   ) {
     this.tasks = createTasks(job, lastRun);
     this.index = new TaskIndex(this.tasks);
+    this.size = measureJob(job);
     const {dueAt, usefulUntil} = computeDueTimes(job, expectedMs);
     this.dueAt = dueAt;
     this.usefulUntil = usefulUntil;
--- a/packages/dispatch/src/dispatcher/job_slices.ts
+++ b/packages/dispatch/src/dispatcher/job_slices.ts
@@ -13,6 +13,17 @@
 /** Limit of unanswered starts that leaves room for jobs of earlier slices. */
 const MAX_LATER_SLICE_STARTS = MAX_UNANSWERED_STARTS / 2;
 
+/** Whether a job of so many tasks has more than one slice. */
+export function isLargeJob(tasks: number): boolean {
+  return tasks > SLICE_TASKS;
+}
+
+/** Counts the waiting tasks of the job's first slice. */
+export function countFirstSliceTasks(record: JobRecord): number {
+  const {startedCount, waitingCount} = record;
+  return Math.min(waitingCount, Math.max(0, SLICE_TASKS - startedCount));
+}
+
 /** Returns how many slices of the job have started; 0 for ordinary jobs. */
 export function countStartedSlices({startedCount}: JobRecord): number {
   return Math.floor(startedCount / SLICE_TASKS);
@@ -34,7 +45,7 @@
   {tasks, hasStarted}: JobRecord,
   startRoom: number,
 ): number {
-  if (tasks.length <= SLICE_TASKS) return tasks.length;
+  if (!isLargeJob(tasks.length)) return tasks.length;
   if (!hasStarted) return MAX_PLANNED_TASKS;
   return startRoom > 0 ? startRoom : SLICE_TASKS;
 }
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -1,7 +1,7 @@
 /** Ends runs and jobs whose lease, stop time or deadline has passed. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {AbandonReason, RefusalReason} from '../work/index.js';
-import {createAbandoned, type Registry} from './registry.js';
+import {AbandonReason, RefusalReason, createAbandoned} from '../work/index.js';
+import type {Registry} from './registry.js';
 import {
   LossCause,
   isCrashLoss,
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -3,12 +3,13 @@
  * their states. The dispatcher decides when a transition takes place.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {chooseRetryAfter} from '../admission/index.js';
+import {HeldWork, StartRate, chooseRetryAfter} from '../admission/index.js';
 import {CrashVerdict, type CrashHistory} from '../crashes/index.js';
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
 import {
   AbandonReason,
+  createAbandoned,
   findLongestChain,
   type RefusalReason,
   type Job,
@@ -28,6 +29,7 @@
 import {InboundTasks} from './inbound_tasks.js';
 import {JobRecord} from './job_record.js';
 import {DelegationSurvey} from './delegation_survey.js';
+import type {Rejection} from './job_admission.js';
 import type {DispatchObserver} from './observer.js';
 import {RunNumbers} from './run_numbers.js';
 import type {TaskRecord} from './task_record.js';
@@ -60,6 +62,9 @@
   isPlacementDue = true;
   /** Whether tasks with capacity wait until workers have answered starts. */
   hasStartBacklog = false;
+  /** The jobs that are kept, in number and bytes. */
+  readonly heldWork = new HeldWork();
+  readonly startRate = new StartRate();
   private endedJobs: EndedJob[] = [];
   private readonly runNumbers = new RunNumbers();
   /** Runs that an earlier holder delegated to other zones. */
@@ -85,11 +90,17 @@
     const record = new JobRecord(job, expectedMs, lastRun);
     record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id, now);
     this.jobs.set(job.id, record);
+    this.heldWork.add(record.size);
     this.isPlacementDue = true;
     this.inboundTasks.add(record);
     return record;
   }
 
+  /** Whether runs of an ended submission of the job may go on. */
+  mayHaveUnknownRuns(jobId: string, now: Millis): boolean {
+    return this.runNumbers.mayHaveUnknownRuns(jobId, now);
+  }
+
   /** Expected time of a job's longest chain of steps at typical speed. */
   predictJob(job: Job): Millis {
     return findLongestChain(job.steps, ({estimateMs}) =>
@@ -159,6 +170,21 @@
     this.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
   }
 
+  /**
+   * Ends a job on arrival, of which nothing runs. It is refused unless an
+   * earlier submission of it has run.
+   */
+  reject(job: Job, {reason, waitMs}: Rejection, now: Millis): void {
+    const hasStarted = this.runNumbers.findLast(job.id, now) > 0;
+    const retryAfterMs = chooseRetryAfter(waitMs);
+    const outcome: Outcome = hasStarted
+      ? createAbandoned(AbandonReason.Deadline)
+      : {kind: 'refused', reason, retryAfterMs};
+    const refused = {job, isInbound: false, planned: undefined};
+    this.observer.jobRefused(refused, reason, waitMs, now);
+    this.endedJobs.push({id: job.id, queue: job.queue, outcome, hasStarted});
+  }
+
   /** Records a strike against a worker, once for consecutive runs of a job. */
   recordStrike(run: Run, reason: StrikeReason, now: Millis): void {
     const worker = this.workers.get(run.workerId);
@@ -264,14 +290,10 @@
     const {queue} = job;
     if (this.jobs.get(id) !== record) return;
     this.jobs.delete(id);
+    this.heldWork.remove(record.size);
     this.inboundTasks.remove(record);
     this.runNumbers.retain(record, now);
     const {pendingOutcome: outcome, hasStarted} = record;
     this.endedJobs.push({id, queue, outcome, hasStarted});
   }
 }
-
-/** Creates the outcome of an abandoned job. */
-export function createAbandoned(reason: AbandonReason): Outcome {
-  return {kind: 'abandoned', reason};
-}
--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -13,6 +13,10 @@
   NoWorkers = 'no_workers',
   /** The holder has no processor time left to accept more jobs. */
   HolderBusy = 'holder_busy',
+  /** Its tasks can't all be started in its time beside those of others. */
+  TooManyStarts = 'too_many_starts',
+  /** The holder keeps as many jobs, tasks or bytes as it may. */
+  HolderFull = 'holder_full',
   /** Another holder has replaced the one that delegates the task. */
   Outdated = 'outdated',
 }
@@ -41,3 +45,8 @@
       readonly retryAfterMs: Millis;
     }
   | {readonly kind: 'abandoned'; readonly reason: AbandonReason};
+
+/** Creates the outcome of an abandoned job. */
+export function createAbandoned(reason: AbandonReason): Outcome {
+  return {kind: 'abandoned', reason};
+}
