Pause between the polls of a worker with many runs

Each poll returned as soon as one run ended and listed all others again: with n runs on a worker, n polls of n rows. The poller pauses 0.2 ms for each listed run beyond 8, at most 50 ms, so that one poll collects several ends.

--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -8,6 +8,7 @@
   WorkerRequestFailure,
   type Dispatcher,
   type WorkerRecord,
+  type WorkerReport,
 } from '@goldcrestpier/dispatch';
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
 import type {WorkerPort} from '../ports/index.js';
@@ -30,6 +31,12 @@
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_000;
 
+/** Number of listed runs up to which a worker is polled again at once. */
+const FEW_LISTED_RUNS = 8;
+/** Pause before the next poll for each further run, and at most, in ms. */
+const PAUSE_PER_RUN_MS = 0.2;
+const MAX_PAUSE_MS = 50;
+
 /** Dependencies of a poller. */
 export interface WorkerPollerOptions {
   readonly workerId: string;
@@ -93,6 +100,8 @@
       this.consecutiveFailures = 0;
       dispatcher.handleReport(workerId, result.value, sentAt, now);
       onChange();
+      const pauseMs = choosePause(result.value);
+      if (pauseMs > 0) await sleep(pauseMs, signal);
       return;
     }
     await this.handleFailure(result.error, signal);
@@ -164,6 +173,15 @@
   }
 }
 
+/**
+ * Chooses the pause after a report, which lists all runs again whenever one of
+ * them ends: with many runs, the ends of several are collected by one poll.
+ */
+function choosePause({running, ended}: WorkerReport): Millis {
+  const others = Math.max(0, running.length + ended.length - FEW_LISTED_RUNS);
+  return Math.min(others * PAUSE_PER_RUN_MS, MAX_PAUSE_MS);
+}
+
 /**
  * Reads a worker's clock; undefined for an unresponsive worker, so that its
  * leases expire.
--- a/packages/zone/test/worker_poller.test.ts
+++ b/packages/zone/test/worker_poller.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {WorkerRequestFailure} from '@goldcrestpier/dispatch';
-import {readClock} from '@goldcrestpier/runtime';
-import {Err} from 'ts-results-es';
+import {readClock, sleep} from '@goldcrestpier/runtime';
+import {Err, Ok} from 'ts-results-es';
 import {LostResponses} from '../src/holder/lost_responses.js';
 import {WorkerPoller} from '../src/holder/worker_poller.js';
 import type {PollRequest} from '../src/ports/index.js';
@@ -80,3 +80,47 @@
   assert.equal(lostResponses.isWidespread(10, 33), true);
   assert.equal(lostResponses.isWidespread(10, 120), false);
 });
+
+/** Counts the polls in 300 ms of a worker that lists `count` runs at once. */
+async function countPolls(count: number): Promise<number> {
+  const dispatcher = createDispatcher(readClock());
+  const controller = new AbortController();
+  let polls = 0;
+  const running = Array.from({length: count}, (_, index) => ({
+    task: `a.0.0.${index}`,
+    run: 1,
+    percent: 10,
+  }));
+  const poll = async () => {
+    polls += 1;
+    await sleep(1);
+    return Ok({clockMs: 5, bornAt: 1, running, ended: []});
+  };
+  const poller = new WorkerPoller({
+    workerId: worker.id,
+    token: 7,
+    dispatcher,
+    workerPort: {poll, start: failOnCall, stop: failOnCall},
+    lostResponses: new LostResponses(),
+    onChange: () => undefined,
+    onFenced: failOnCall,
+    onPollFailed: failOnCall,
+  });
+  dispatcher.handleReport(
+    worker.id,
+    {clockMs: 5, bornAt: 1, running, ended: []},
+    0,
+    1,
+  );
+  void poller.run(controller.signal);
+  await sleep(300);
+  controller.abort();
+  return polls;
+}
+
+// Guards against the quadratic cost of polling for each end among many runs.
+test('a worker with hundreds of runs is polled less often than one with few', async () => {
+  const [few, many] = [await countPolls(2), await countPolls(400)];
+  assert.ok(many <= 7, `${many} polls`);
+  assert.ok(few > 2 * many, `${few} and ${many} polls`);
+});
