Delegate no task of a large job that this zone can start itself

Where only start commands had to wait, places in other zones ranked before: beside one job of 500 tasks in each zone, each holder sent 1,200 to 4,000 delegations in 20 s that were refused, each a call with the job in it and a placement of all jobs over there. They count only for what exceeds the capacity here now.

The test failed before: 'lend' beside 'start'.

--- a/packages/dispatch/src/dispatcher/start_refusal.ts
+++ b/packages/dispatch/src/dispatcher/start_refusal.ts
@@ -4,7 +4,7 @@
 import type {Registry} from './registry.js';
 import {StrikeReason} from './health.js';
 
-/** Time for which a worker that is full or slow to answer gets no task, in ms. */
+/** Time for which a worker that reported to be full gets no task, in ms. */
 const FULL_BACKOFF_MS = 50;
 /** Run numbers that are skipped after a worker rejected one as stale. */
 const RUN_NUMBERS_SKIPPED = 8;
@@ -20,7 +20,6 @@
   if (worker === undefined) return;
   switch (answer) {
     case StartAnswer.NoRoom:
-    case StartAnswer.NotSent:
       worker.fullUntil = now + FULL_BACKOFF_MS;
       return;
     case StartAnswer.StaleRun:
@@ -33,6 +32,8 @@
     case StartAnswer.OtherIncarnation:
       worker.hasAcceptedToken = false;
       return;
+    // It has waited for other commands, which limit further starts anyway.
+    case StartAnswer.NotSent:
     case StartAnswer.Started:
     case StartAnswer.Unanswered:
     case StartAnswer.NotListening:
--- a/packages/dispatch/src/placement/plan_step.ts
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -30,10 +30,11 @@
   forecast: Forecast,
   now: Millis,
 ): StepPlan {
-  const places: Place[] = [...remotes];
+  const places: Place[] = [];
   for (const worker of workers) {
     places.push(...listPlaces(demand, worker, forecast, now));
   }
+  if (!isStartable(places, demand.count)) places.push(...remotes);
   const last = findRanked(places, demand.count);
   if (last === undefined) {
     places.sort((a, b) => weighPlace(b) - weighPlace(a));
@@ -47,6 +48,15 @@
   };
 }
 
+/**
+ * Whether this zone has the capacity for all tasks and only their start commands
+ * have to wait. To delegate them would cost more than those commands.
+ */
+function isStartable(places: readonly Place[], count: number): boolean {
+  if (!places.some(({kind}) => kind === 'deferred')) return false;
+  return places.filter(({kind}) => kind !== 'later').length >= count;
+}
+
 /**
  * Returns the place at this rank, from 1, in a stable descending order by
  * weight. Only the weights are sorted, since there are many places and few
--- a/packages/dispatch/test/large_jobs.test.ts
+++ b/packages/dispatch/test/large_jobs.test.ts
@@ -198,3 +198,21 @@
   }
   assert.equal(delegated, 256);
 });
+
+// Guards against calls to other zones for what this zone can soon start itself.
+test('a large job for which this zone has the capacity is not delegated', () => {
+  const dispatcher = createTwoWorkers();
+  const roomy = {slowness: 1, cpuMillis: 64_000, memoryMb: 100_000};
+  const reported = {zone: 'east', service: 'pricing', vacancies: [roomy]};
+  dispatcher.submit(createSmallTasks('a', 300), false, 0);
+  const kinds = new Set<string>();
+  for (let now = 0; now < 300; now += 10) {
+    dispatcher.updateZoneVacancies(reported, now);
+    for (const command of dispatcher.tick(now)) {
+      kinds.add(command.kind);
+      if (command.kind === 'start')
+        dispatcher.handleStartAnswer(command.run, StartAnswer.Started, now);
+    }
+  }
+  assert.deepEqual([...kinds], ['start']);
+});
