Eight unanswered starts a worker, and other zones are listed only when needed

With 16 the first round of a large job put up to 64 requests into one turn of a cold process: 4 and 5 of 243 ordinary jobs were refused as holder_busy.

--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/move_late_runs.ts
@@ -37,6 +37,9 @@
   }
 }
 
+/** A late run is moved within its zone. */
+const listNone = () => [];
+
 function findLateRun(
   {usefulUntil}: JobRecord,
   {state, movedFrom}: TaskRecord,
@@ -65,7 +68,13 @@
   const demand = createDemand(record, task, 1);
   const {runTimes} = registry;
   const forecast = {runTimes, upcoming: round.upcoming};
-  const {places} = planStep(demand, others, [], forecast, now + MAX_STOP_MS);
+  const {places} = planStep(
+    demand,
+    others,
+    listNone,
+    forecast,
+    now + MAX_STOP_MS,
+  );
   const [place] = places;
   return place?.kind === 'free' && place.worth >= MIN_WORTH;
 }
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -177,9 +177,9 @@
       round.usableWorkers(service),
       first.movedFrom,
     );
-    const remotes = this.listRemotePlaces(record, demand, now);
+    const listRemotes = () => this.listRemotePlaces(record, demand, now);
     const forecast = {runTimes, upcoming: round.upcoming};
-    return planStep(demand, workers, remotes, forecast, now);
+    return planStep(demand, workers, listRemotes, forecast, now);
   }
 
   /** Lists places in other zones, for as many runs as may be delegated. */
--- a/packages/dispatch/src/placement/plan_step.ts
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -22,11 +22,11 @@
   readonly worth: number;
 }
 
-/** Plans all tasks of the demand. */
+/** Plans all tasks of the demand; `listRemotes` lists places in other zones. */
 export function planStep(
   demand: Demand,
   workers: readonly WorkerRecord[],
-  remotes: readonly RemotePlace[],
+  listRemotes: () => readonly RemotePlace[],
   forecast: Forecast,
   now: Millis,
 ): StepPlan {
@@ -34,7 +34,7 @@
   for (const worker of workers) {
     places.push(...listPlaces(demand, worker, forecast, now));
   }
-  if (!isStartable(places, demand.count)) places.push(...remotes);
+  if (!isStartable(places, demand.count)) places.push(...listRemotes());
   const last = findRanked(places, demand.count);
   if (last === undefined) {
     places.sort((a, b) => weighPlace(b) - weighPlace(a));
--- a/packages/dispatch/src/workers/start_window.ts
+++ b/packages/dispatch/src/workers/start_window.ts
@@ -6,7 +6,7 @@
 import type {Run} from './run.js';
 
 /** Maximum number of unanswered start commands to one worker. */
-export const MAX_UNANSWERED_STARTS = 16;
+export const MAX_UNANSWERED_STARTS = 8;
 
 /** Tracks the unanswered start commands of one worker. */
 export class StartWindow {
