Log a message at most 200 times a second, and no text over 2,000 characters

Each run of a large job that was stopped or refused is a line of its own; in 20 s the log of a holder grew by 1.2 MB, and the lines that other jobs needed were left out with the rest. The quota is taken before a line is formatted, and says what it left out.

The tests failed before: 1,000 lines, and a line of 100,000 characters.

--- a/packages/runtime/src/logger/index.ts
+++ b/packages/runtime/src/logger/index.ts
@@ -3,7 +3,9 @@
  * with the name of the component. Payloads are never logged.
  */
 import bunyan from 'bunyan';
-import {formatLine, type LogRecord} from './format_line.js';
+import {readClock} from '../clock/index.js';
+import {formatLine, formatOmission, type LogRecord} from './format_line.js';
+import {MessageQuota} from './message_quota.js';
 
 /** The components that log. The value is the prefix of their messages. */
 export enum LogPart {
@@ -46,6 +48,7 @@
 /** Creates the loggers of a process and changes their levels at run time. */
 export class Logs {
   private readonly loggers = new Map<LogPart, bunyan>();
+  private readonly quota = new MessageQuota();
 
   constructor(
     private readonly program: string,
@@ -74,10 +77,15 @@
     logger.level(toBunyanLevel(level));
   }
 
+  /** Formats a line only if it is written. */
+  private write(record: LogRecord): void {
+    for (const omitted of this.quota.refill(readClock()))
+      this.stream.write(formatOmission(record.time, omitted));
+    if (this.quota.take(record.msg)) this.stream.write(formatLine(record));
+  }
+
   private createLogger(part: LogPart): bunyan {
-    const write = (record: LogRecord) => {
-      this.stream.write(formatLine(record));
-    };
+    const write = (record: LogRecord) => this.write(record);
     const logger = bunyan.createLogger({
       name: this.program,
       streams: [
--- a/packages/runtime/test/logger.test.ts
+++ b/packages/runtime/test/logger.test.ts
@@ -67,3 +67,38 @@
     ['holding: two'],
   );
 });
+
+// Guards against a line for each task of a large job, which hide all others.
+test('a message that is logged too often is left out and counted, others are not', async () => {
+  const {logger, lines} = createFixture();
+  for (let count = 0; count < 1_000; count += 1)
+    logger.info('stop request finished');
+  logger.warn('worker poll failed');
+  const written = lines.length;
+  await new Promise(resolve => setTimeout(resolve, 1_050));
+  logger.info('job accepted');
+  assert.equal(written, 201);
+  assert.deepEqual(
+    lines.slice(200).map(({msg, of, count}) => ({msg, of, count})),
+    [
+      {
+        msg: 'holding: worker poll failed',
+        of: undefined,
+        count: undefined,
+      },
+      {
+        msg: 'log: lines left out',
+        of: 'holding: stop request finished',
+        count: 800,
+      },
+      {msg: 'holding: job accepted', of: undefined, count: undefined},
+    ],
+  );
+});
+
+test('a long text is cut', () => {
+  const {logger, lines} = createFixture();
+  logger.info('tasks placed', {tasks: 'x'.repeat(100_000)});
+  const tasks = String(lines[0]?.['tasks']);
+  assert.equal(tasks.length, 2_000 + '… 98000 more characters'.length);
+});
