--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -14,6 +14,7 @@
 import {
   findRejection,
   mayHaveOtherRuns,
+  rejectJob,
   type Rejection,
 } from './job_admission.js';
 import type {JobRecord} from './job_record.js';
@@ -60,7 +61,7 @@
       : findRefusal(this.registry, job);
     const rejection = this.findRejection(job, history, now);
     if (rejection !== undefined && refusal === undefined)
-      return this.registry.reject(job, rejection, now);
+      return rejectJob(this.registry, job, rejection, now);
     const record = this.registry.addJob(job, now);
     if (refusal !== undefined) {
       this.registry.refuse(record, refusal, 0, now);
--- a/packages/dispatch/src/dispatcher/job_admission.ts
+++ b/packages/dispatch/src/dispatcher/job_admission.ts
@@ -4,10 +4,20 @@
  * rate at which tasks are being started, and its time on the workers.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {measureJob, type JobSize} from '../admission/index.js';
-import {parseTaskName, RefusalReason, type Job} from '../work/index.js';
+import {
+  chooseRetryAfter,
+  measureJob,
+  type JobSize,
+} from '../admission/index.js';
+import {
+  AbandonReason,
+  createAbandoned,
+  parseTaskName,
+  RefusalReason,
+  type Job,
+} from '../work/index.js';
 import type {JobRecord} from './job_record.js';
-import {countTasksAhead, isLargeJob} from './job_slices.js';
+import {countTasksAhead, isLargeJob} from './start_sharing.js';
 import type {Registry} from './registry.js';
 
 /** Multiple of the estimated time in which all tasks of a job are started. */
@@ -48,13 +58,31 @@
   return {reason: RefusalReason.TooManyStarts, waitMs};
 }
 
+/** Refuses a job of which nothing runs; abandons it if it has run before. */
+export function rejectJob(
+  registry: Registry,
+  job: Job,
+  {reason, waitMs}: Rejection,
+  now: Millis,
+): void {
+  if (registry.runNumbers.findLast(job.id, now) > 0) {
+    const outcome = createAbandoned(AbandonReason.Deadline);
+    registry.endOnArrival(job, outcome, true);
+    return;
+  }
+  const refused = {job, isInbound: false, planned: undefined};
+  registry.observer.jobRefused(refused, reason, waitMs, now);
+  const retryAfterMs = chooseRetryAfter(waitMs);
+  registry.endOnArrival(job, {kind: 'refused', reason, retryAfterMs}, false);
+}
+
 /** Whether tasks of the job may run that are not known to end in time. */
 export function mayHaveOtherRuns(
   registry: Registry,
   jobId: string,
   now: Millis,
 ): boolean {
-  if (registry.mayHaveUnknownRuns(jobId, now)) return true;
+  if (registry.runNumbers.mayHaveUnknownRuns(jobId, now)) return true;
   if (registry.remoteRuns.mayRun(jobId, now)) return true;
   if (registry.inboundTasks.has(jobId)) return true;
   for (const {orphans} of registry.workers.values()) {
--- a/packages/dispatch/src/dispatcher/job_order.ts
+++ b/packages/dispatch/src/dispatcher/job_order.ts
@@ -7,7 +7,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {JobRecord} from './job_record.js';
-import {haveFirstStarted} from './job_slices.js';
+import {haveFirstStarted} from './start_sharing.js';
 
 /** Slack per level of priority, in ms. */
 const PRIORITY_SLACK_MS = 60;
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -17,7 +17,11 @@
 import type {EarlierRuns} from './earlier_runs.js';
 import type {JobRecord} from './job_record.js';
 import {findMinWorth} from './min_worth.js';
-import {limitPlannedTasks, limitUnansweredStarts} from './job_slices.js';
+import {
+  isLargeJob,
+  limitPlannedTasks,
+  limitUnansweredStarts,
+} from './start_sharing.js';
 import {moveLateRuns} from './move_late_runs.js';
 import {sortJobs} from './job_order.js';
 import type {Command} from './commands.js';
@@ -135,7 +139,9 @@
     return [...groups.values()];
   }
 
+  /** Limits how many tasks of the job are planned in this round. */
   private limitTasks(record: JobRecord, round: PlacementRound): number {
+    if (!isLargeJob(record.tasks.length)) return record.tasks.length;
     const limit = limitUnansweredStarts(record);
     const startRoom = round.countStartRoom(record.job.service, limit);
     return limitPlannedTasks(record, startRoom);
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -29,7 +29,6 @@
 import {InboundTasks} from './inbound_tasks.js';
 import {JobRecord} from './job_record.js';
 import {DelegationSurvey} from './delegation_survey.js';
-import type {Rejection} from './job_admission.js';
 import type {DispatchObserver} from './observer.js';
 import {RunNumbers} from './run_numbers.js';
 import type {TaskRecord} from './task_record.js';
@@ -66,7 +65,8 @@
   readonly heldWork = new HeldWork();
   readonly startRate = new StartRate();
   private endedJobs: EndedJob[] = [];
-  private readonly runNumbers = new RunNumbers();
+  /** Run numbers of jobs that have ended. */
+  readonly runNumbers = new RunNumbers();
   /** Runs that an earlier holder delegated to other zones. */
   readonly delegationSurvey = new DelegationSurvey();
   /** Jobs that other zones may still run. */
@@ -96,11 +96,6 @@
     return record;
   }
 
-  /** Whether runs of an ended submission of the job may go on. */
-  mayHaveUnknownRuns(jobId: string, now: Millis): boolean {
-    return this.runNumbers.mayHaveUnknownRuns(jobId, now);
-  }
-
   /** Expected time of a job's longest chain of steps at typical speed. */
   predictJob(job: Job): Millis {
     return findLongestChain(job.steps, ({estimateMs}) =>
@@ -170,19 +165,9 @@
     this.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
   }
 
-  /**
-   * Ends a job on arrival, of which nothing runs. It is refused unless an
-   * earlier submission of it has run.
-   */
-  reject(job: Job, {reason, waitMs}: Rejection, now: Millis): void {
-    const hasStarted = this.runNumbers.findLast(job.id, now) > 0;
-    const retryAfterMs = chooseRetryAfter(waitMs);
-    const outcome: Outcome = hasStarted
-      ? createAbandoned(AbandonReason.Deadline)
-      : {kind: 'refused', reason, retryAfterMs};
-    const refused = {job, isInbound: false, planned: undefined};
-    this.observer.jobRefused(refused, reason, waitMs, now);
-    this.endedJobs.push({id: job.id, queue: job.queue, outcome, hasStarted});
+  /** Ends a job on arrival, of which nothing runs. */
+  endOnArrival({id, queue}: Job, outcome: Outcome, hasStarted: boolean): void {
+    this.endedJobs.push({id, queue, outcome, hasStarted});
   }
 
   /** Records a strike against a worker, once for consecutive runs of a job. */
--- a/packages/dispatch/src/dispatcher/job_slices.ts
+++ b/packages/dispatch/src/dispatcher/start_sharing.ts
@@ -38,15 +38,14 @@
 }
 
 /**
- * Limits how many tasks of a job are planned in one round: once its plan as a
- * whole is of no interest, no more of a large job than `startRoom`, the starts
- * that may be sent now. Without any, a few may be delegated.
+ * Limits how many tasks of a large job are planned in one round: once its plan as
+ * a whole is of no interest, no more than `startRoom`, the starts that may be sent
+ * now. Without any, a few may be delegated.
  */
 export function limitPlannedTasks(
-  {tasks, hasStarted}: JobRecord,
+  {hasStarted}: JobRecord,
   startRoom: number,
 ): number {
-  if (!isLargeJob(tasks.length)) return tasks.length;
   if (!hasStarted) return MAX_PLANNED_TASKS;
   return startRoom > 0 ? startRoom : FIRST_TASKS;
 }
