--- a/packages/dispatch/test/large_jobs.test.ts
+++ b/packages/dispatch/test/large_jobs.test.ts
@@ -114,8 +114,8 @@
   );
 });
 
-// Guards against ordinary jobs that many middling ones crowd out.
-test('an ordinary job is started before the rest of many middling jobs', () => {
+// Guards against ordinary jobs that many jobs of some 60 tasks crowd out.
+test('an ordinary job is started before the rest of many jobs of 60 tasks', () => {
   const dispatcher = createTwoWorkers();
   for (let index = 0; index < 10; index += 1)
     dispatcher.submit(createSmallTasks(`m${index}`, 60), false, 0);
