--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -69,9 +69,8 @@
     now: Millis,
   ): void {
     const workerId = worker.info.id;
-    const stopping = selectStopping(worker.runs.values());
-    for (const run of selectDue(stopping, MAX_UNCONFIRMED_STOPS, now)) {
-      run.stopSentAt = now;
+    const {runs} = worker;
+    for (const run of takeDue(runs.values(), MAX_UNCONFIRMED_STOPS, now)) {
       const {key, number: runNumber} = run;
       commands.push({kind: 'stop', workerId, key, runNumber, run});
     }
@@ -105,11 +104,10 @@
 
   /** Recalls the delegated runs of jobs that are about to end. */
   private recallDelegatedRuns(commands: Command[], now: Millis): void {
-    const stopping = selectStopping(this.registry.delegatedRuns);
-    for (const run of selectDue(stopping, MAX_UNCONFIRMED_RECALLS, now)) {
+    const {delegatedRuns} = this.registry;
+    for (const run of takeDue(delegatedRuns, MAX_UNCONFIRMED_RECALLS, now)) {
       const {delegatedTo: zone, key, number: runNumber} = run;
       if (zone === undefined) continue;
-      run.stopSentAt = now;
       commands.push({kind: 'recall', zone, key, runNumber, run});
     }
   }
@@ -122,31 +120,35 @@
   }
 }
 
-function selectStopping(runs: Iterable<Run>): Run[] {
-  const stopping: Run[] = [];
-  for (const run of runs) {
-    if (run.phase === RunPhase.Stopping) stopping.push(run);
-  }
-  return stopping;
-}
-
 /**
- * Selects the runs whose stop is due, those first that have waited longest,
- * until `limit` stops were sent within `STOP_RETRY_MS`. The others are stopped
- * later, or end with their leases.
+ * Takes the runs whose stop is to be sent now, those first that have waited
+ * longest, until `limit` stops were sent within `STOP_RETRY_MS`. The others are
+ * stopped later, or end with their leases.
  */
-function selectDue(
-  stopping: readonly Run[],
+function takeDue(
+  runs: Iterable<Run>,
   limit: number,
   now: Millis,
-): Run[] {
+): readonly Run[] {
+  const stopping = selectStopping(runs);
+  if (stopping.length === 0) return stopping;
   const due = stopping.filter(
     ({stopSentAt}) => now - stopSentAt >= STOP_RETRY_MS,
   );
   const room = Math.max(0, limit - (stopping.length - due.length));
-  if (due.length <= room) return due;
   const sentAt = ({stopSentAt}: Run) => Math.max(stopSentAt, 0);
-  return due.sort((a, b) => sentAt(a) - sentAt(b)).slice(0, room);
+  if (due.length > room) due.sort((a, b) => sentAt(a) - sentAt(b));
+  const taken = due.slice(0, room);
+  for (const run of taken) run.stopSentAt = now;
+  return taken;
+}
+
+function selectStopping(runs: Iterable<Run>): Run[] {
+  const stopping: Run[] = [];
+  for (const run of runs) {
+    if (run.phase === RunPhase.Stopping) stopping.push(run);
+  }
+  return stopping;
 }
 
 function isWantedPhase(phase: RunPhase): boolean {
