Measure the rate of starts with the drain rate that limits has

packages/limits measures starts per second over the time with a backlog, and forgets them within seconds; what was written for holders was the same again. DrainRate now also says until when it reports a rate, from which Retry-After follows.

--- a/packages/dispatch/src/admission/index.ts
+++ b/packages/dispatch/src/admission/index.ts
@@ -1,4 +1,3 @@
 /** What a holder can take on, and retry delays for refused callers. */
 export * from './estimate.js';
 export * from './held_work.js';
-export * from './start_rate.js';
--- a/packages/dispatch/src/dispatcher/job_admission.ts
+++ b/packages/dispatch/src/dispatcher/job_admission.ts
@@ -24,8 +24,11 @@
 const START_TIME_MARGIN = 1.25;
 /** Largest share of a job's time that its expected run time is taken for. */
 const MAX_EXPECTED_SHARE = 0.5;
-/** Longest retry delay for a job that takes too many starts, in ms. */
-const MAX_RETRY_MS = 60_000;
+/** Time per start while none was measured, in ms. */
+const UNMEASURED_START_MS = 1;
+/** Retry delay for a job that takes too many starts at any time, in ms. */
+const LONG_RETRY_MS = 60_000;
+const MS_PER_SECOND = 1_000;
 
 /** Why a job is not accepted, and the time after which it may be, in ms. */
 export interface Rejection {
@@ -40,7 +43,7 @@
   now: Millis,
 ): Rejection | undefined {
   const size = measureJob(job);
-  const startMs = registry.startRate.estimateStart(now);
+  const startMs = estimateStart(registry, now);
   const startsAhead = countStartsAhead(registry, size);
   if (!registry.heldWork.hasRoom(size)) {
     const waitMs = countWaitingTasks(registry) * startMs;
@@ -53,11 +56,29 @@
   const neededMs = (startsAhead + size.tasks) * startMs * START_TIME_MARGIN;
   if (neededMs <= Math.min(ownMs, othersMs)) return undefined;
   const affordableMs = ownMs / (size.tasks * START_TIME_MARGIN);
-  const retryMs = registry.startRate.findTimeUntil(affordableMs, now);
-  const waitMs = Math.min(startsAhead * startMs + retryMs, MAX_RETRY_MS);
+  const aheadMs = startsAhead * startMs;
+  const waitMs = aheadMs + findRetryTime(registry, affordableMs, now);
   return {reason: RefusalReason.TooManyStarts, waitMs};
 }
 
+/** Estimates the time in which a task is started, in ms. */
+function estimateStart({startRate}: Registry, now: Millis): Millis {
+  const startsPerSecond = startRate.getStartsPerSecond(now);
+  if (startsPerSecond === undefined) return UNMEASURED_START_MS;
+  return MS_PER_SECOND / startsPerSecond;
+}
+
+/** Time until a start is estimated to take at most `affordableMs`, in ms. */
+function findRetryTime(
+  registry: Registry,
+  affordableMs: Millis,
+  now: Millis,
+): Millis {
+  if (estimateStart(registry, now) <= affordableMs) return 0;
+  if (affordableMs < UNMEASURED_START_MS) return LONG_RETRY_MS;
+  return registry.startRate.getTimeToExpiry(now);
+}
+
 /** Refuses a job of which nothing runs; abandons it if it has run before. */
 export function rejectJob(
   registry: Registry,
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -153,6 +153,12 @@
     return this.index.readyTasks();
   }
 
+  /** Whether any waiting task could start as far as its steps go. */
+  get hasReadyTasks(): boolean {
+    const [ready] = this.index.readyTasks();
+    return ready !== undefined;
+  }
+
   /** Counts the running tasks of a step on one worker. */
   countRunningOn(workerId: string, step: number): number {
     let count = 0;
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -81,14 +81,27 @@
     moveLateRuns(this.registry, round, now);
     const sorted = sortJobs(waiting, {hasStartBacklog});
     const alone = placeSuspectedTasks(this.registry, sorted, round, now);
-    const others = sorted.flatMap(record =>
-      this.groupTasks(record, round).flatMap(tasks =>
-        this.placeTasks(record, tasks, round, now),
-      ),
-    );
+    const others = sorted.flatMap(record => this.placeJob(record, round, now));
+    this.registry.startRate.record(0, this.registry.hasStartBacklog, now);
     return [...alone, ...others];
   }
 
+  /** Places as many tasks of a job as may be planned in this round. */
+  private placeJob(
+    record: JobRecord,
+    round: PlacementRound,
+    now: Millis,
+  ): Command[] {
+    const limit = this.limitTasks(record, round);
+    const commands = this.groupTasks(record, limit).flatMap(tasks =>
+      this.placeTasks(record, tasks, round, now),
+    );
+    // What is left has no place in the limit, though it may have one on a worker.
+    if (commands.length === limit && record.hasReadyTasks)
+      this.registry.hasStartBacklog = true;
+    return commands;
+  }
+
   /** Whether waiting tasks of the job may be started now. */
   private isPlaceable(record: JobRecord, now: Millis): boolean {
     if (record.pendingOutcome !== undefined || record.waitingCount === 0)
@@ -114,22 +127,19 @@
   }
 
   /**
-   * Groups the ready tasks by step and by the worker that they must avoid,
-   * without those that must run alone and those that wait for their turn.
+   * Groups the first ready tasks by step and by the worker that they must avoid,
+   * without those that must run alone.
    */
   private groupTasks(
     record: JobRecord,
-    round: PlacementRound,
+    limit: number,
   ): readonly TaskRecord[][] {
     const hasCrashes = this.registry.crashes.hasJob(record.submittedId);
     const groups = new Map<string, TaskRecord[]>();
-    let left = this.limitTasks(record, round);
+    let left = limit;
     for (const task of record.readyTasks()) {
       if (hasCrashes && mustRunAlone(this.registry, task)) continue;
-      if (left === 0) {
-        this.registry.hasStartBacklog = true;
-        break;
-      }
+      if (left === 0) break;
       left -= 1;
       const key = `${task.name.step} ${task.movedFrom ?? ''}`;
       const group = groups.get(key);
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -2,8 +2,9 @@
  * State of one holder: its jobs, workers and runs, and the transitions between
  * their states. The dispatcher decides when a transition takes place.
  */
+import {DrainRate} from '@goldcrestpier/limits';
 import type {Millis} from '@goldcrestpier/runtime';
-import {HeldWork, StartRate, chooseRetryAfter} from '../admission/index.js';
+import {HeldWork, chooseRetryAfter} from '../admission/index.js';
 import {CrashVerdict, type CrashHistory} from '../crashes/index.js';
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
@@ -63,7 +64,8 @@
   hasStartBacklog = false;
   /** The jobs that are kept, in number and bytes. */
   readonly heldWork = new HeldWork();
-  readonly startRate = new StartRate();
+  /** The rate at which tasks are started while others wait for it. */
+  readonly startRate = new DrainRate();
   private endedJobs: EndedJob[] = [];
   /** Run numbers of jobs that have ended. */
   readonly runNumbers = new RunNumbers();
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -21,7 +21,7 @@
   now: Millis,
 ): void {
   registry.workers.get(run.workerId)?.startWindow.remove(run);
-  registry.startRate.recordAnswer(registry.hasStartBacklog, now);
+  registry.startRate.record(1, registry.hasStartBacklog, now);
   if (registry.hasStartBacklog) registry.isPlacementDue = true;
   // A refused connection may also be caused by a network partition.
   if (uncertainAnswers.has(answer)) {
--- a/packages/dispatch/test/job_admission.test.ts
+++ b/packages/dispatch/test/job_admission.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {HeldWork, measureJob, StartRate} from '../src/admission/index.js';
+import {HeldWork, measureJob} from '../src/admission/index.js';
 import {
   StartAnswer,
   type Dispatcher,
@@ -57,22 +57,6 @@
   }
 }
 
-test('the time per start is learned while starts wait, and forgotten in time', () => {
-  const rate = new StartRate();
-  const estimates = [rate.estimateStart(0)];
-  for (let now = 0; now < 1_000; now += 1) rate.recordAnswer(false, now);
-  estimates.push(rate.estimateStart(1_000));
-  for (let now = 1_000; now < 3_000; now += 5) rate.recordAnswer(true, now);
-  const learnedMs = rate.estimateStart(3_000);
-  assert.deepEqual(estimates, [1, 1]);
-  assert.ok(learnedMs > 4.5 && learnedMs <= 5, `${learnedMs}`);
-  assert.ok(rate.estimateStart(13_000) < 1.5);
-  assert.ok(rate.estimateStart(63_000) < 1.1);
-  const untilMs = rate.findTimeUntil(2, 3_000);
-  assert.ok(Math.abs(rate.estimateStart(3_000 + untilMs) - 2) < 0.001);
-  assert.equal(rate.findTimeUntil(0.9, 3_000), Infinity);
-});
-
 // Guards against large jobs that are refused late, or by their size alone.
 test('a job that takes too many starts for its time is refused at once', () => {
   const dispatcher = createOneWorker();
--- a/packages/limits/src/rates/index.ts
+++ b/packages/limits/src/rates/index.ts
@@ -37,6 +37,16 @@
     return (this.starts * MS_PER_SECOND) / this.backlogMs;
   }
 
+  /**
+   * Time until the measurements are too old to be reported if there is no
+   * backlog until then, in ms.
+   */
+  getTimeToExpiry(now: Millis): Millis {
+    this.advance(now);
+    if (this.backlogMs < MIN_BACKLOG_MS) return 0;
+    return TIME_CONSTANT_MS * Math.log(this.backlogMs / MIN_BACKLOG_MS);
+  }
+
   private advance(now: Millis): void {
     const elapsed = Math.max(now - (this.updatedAt ?? now), 0);
     this.updatedAt = now;
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -127,6 +127,17 @@
   assert.ok(later > 95 && later < 105, `${later}`);
 });
 
+test('a drain rate is reported until its measurements expire', () => {
+  const rate = new DrainRate();
+  assert.equal(rate.getTimeToExpiry(0), 0);
+  rate.record(0, true, 0);
+  for (let now = 10; now <= 2_000; now += 10) rate.record(1, true, now);
+  rate.record(0, false, 2_000);
+  const expiresAt = 2_000 + rate.getTimeToExpiry(2_000);
+  assert.notEqual(rate.getStartsPerSecond(expiresAt - 1), undefined);
+  assert.equal(rate.getStartsPerSecond(expiresAt + 1), undefined);
+});
+
 test('a retry budget allows only a share of first starts', () => {
   const budget = new RetryBudget();
   let spent = 0;
