--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -22,6 +22,8 @@
  * than that after which a caller sends its job again.
  */
 const EARLY_CANCELLATION_MS = 1_000;
+/** Maximum number of such cancellations that are kept. */
+const MAX_EARLY_CANCELLATIONS = 10_000;
 
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
@@ -48,6 +50,7 @@
   /** Cancellations that arrived before their submissions, by owner and job. */
   private readonly earlyCancellations = new ExpiringMap<string, AbandonReason>(
     EARLY_CANCELLATION_MS,
+    MAX_EARLY_CANCELLATIONS,
   );
 
   constructor(private readonly options: SubmissionHandlerOptions) {}
