--- a/packages/dispatch/test/job_admission.test.ts
+++ b/packages/dispatch/test/job_admission.test.ts
@@ -10,21 +10,11 @@
 } from '../src/index.js';
 import {
   createDispatcher,
-  createJob,
+  createSmallTasks,
   createWorker,
   pollAllWorkers,
 } from './fixtures/dispatcher_setup.js';
 
-function createSmallTasks(
-  id: string,
-  tasks: number,
-  changes: Partial<Job> = {},
-): Job {
-  const need = {cpuMillis: 20, memoryMb: 1, accelerators: 0};
-  const steps = [{tasks, need, estimateMs: 60, after: []}];
-  return createJob(id, tasks, {steps, ...changes});
-}
-
 function createOneWorker(): Dispatcher {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
--- a/packages/dispatch/test/large_jobs.test.ts
+++ b/packages/dispatch/test/large_jobs.test.ts
@@ -6,32 +6,18 @@
   StartAnswer,
   type Command,
   type Dispatcher,
-  type Job,
   type StartCommand,
   type StopCommand,
   WorkerRequestFailure,
 } from '../src/index.js';
 import {
   createDispatcher,
-  createJob,
   createReport,
+  createSmallTasks,
   createWorker,
   pollAllWorkers,
 } from './fixtures/dispatcher_setup.js';
 
-/** A task of which each worker fits thousands. */
-const smallNeed = {cpuMillis: 20, memoryMb: 1, accelerators: 0};
-
-/** Creates a job of small tasks; each takes 60 ms. */
-function createSmallTasks(
-  id: string,
-  tasks: number,
-  changes: Partial<Job> = {},
-): Job {
-  const steps = [{tasks, need: smallNeed, estimateMs: 60, after: []}];
-  return createJob(id, tasks, {steps, ...changes});
-}
-
 function createTwoWorkers(): Dispatcher {
   const workers = [createWorker('w1'), createWorker('w2')];
   const dispatcher = createDispatcher(workers);
