Count the time of unclaimed runs over changes of holder

The holder and owner of a job is killed, two more instances take over within 1.2 s, and the caller sends the job to another zone 1,300 ms after its connection broke.

Cause: each new holder began a new window of 500 ms in which it extended the lease of runs that no job had claimed, so that such a run went on for 600 ms from the last change of holder, however many came before.

Change: an instance keeps since when the zone may have unclaimed runs. A claim that follows another within the time of a lease (1,050 ms with leases of 1 s) goes on with that time; claims carry it in heartbeats (`unsettledMs`), so that an instance that has just started knows it too. After the window no lease is extended; the runs of live owners keep the lease that the last holder gave them, and are stopped 200 ms after the claim at the soonest, so that the owners can submit again.

Why it works: an unclaimed run ends 600 ms after the first claim that followed a holder that stayed, or with the lease that it had when it was last wanted, whatever follows.

The test in short_lived_holder.test.ts failed before: leases until 600 ms after the second claim, now none later than 600 ms after the first.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -80,7 +80,7 @@
     const {registry, remoteVacancies, earlierRuns} = this;
     this.placer = new Placer(registry, remoteVacancies, earlierRuns);
     this.intake = new Intake(registry, this.placer, leaseMs);
-    this.stopper = new Stopper(registry, heldSince);
+    this.stopper = new Stopper(registry, heldSince, options.unclaimedSince);
     this.answerableJobs = new AnswerableJobs(this.registry.workers);
   }
 
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -7,4 +7,8 @@
 export {StrikeReason} from './health.js';
 export type {JobRecord} from './job_record.js';
 export type * from './commands.js';
-export {DELEGATED_RUN_MAX_MS, type DispatcherOptions} from './options.js';
+export {
+  DELEGATED_RUN_MAX_MS,
+  computeLeaseExpiry,
+  type DispatcherOptions,
+} from './options.js';
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -1,12 +1,17 @@
 /** Options of a dispatcher, and the time bounds derived from them. */
 import type {Millis} from '@goldcrestpier/runtime';
 
-/** Time bounds of the deployment, in ms. */
+/** Time bounds of the deployment, in ms, and what a holder follows. */
 export interface DispatcherOptions {
   /** Longest lease of a run on a worker. */
   readonly leaseMs: Millis;
   /** Longest time that a worker takes to stop a run. */
   readonly stopMs: Millis;
+  /**
+   * Since when runs are kept that no job has claimed, which is before this
+   * holder's time if it follows a short-lived one; else left out.
+   */
+  readonly unclaimedSince?: Millis | undefined;
 }
 
 /** Time after which a task of a lost delegate has certainly ended, in ms. */
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -8,6 +8,8 @@
 const STOP_RETRY_MS = 200;
 /** Time after a change of holder in which jobs can adopt runs, in ms. */
 const ADOPTION_WINDOW_MS = 500;
+/** Shortest time in which owners submit their jobs to a new holder, in ms. */
+const RESUBMISSION_MS = 200;
 /** Added to the lease of orphaned runs, for the stop command, in ms. */
 const ORPHAN_STOP_MARGIN_MS = 100;
 
@@ -21,16 +23,21 @@
   /** When stops of orphaned runs were last sent, by worker and task name. */
   private readonly orphanStops = new Map<string, Map<string, Millis>>();
 
-  /** `heldSince` is the time at which this instance became the holder. */
+  /**
+   * `heldSince` is the time at which this instance became the holder;
+   * `unclaimedSince`: since when unclaimed runs are kept, over several changes.
+   */
   constructor(
     private readonly registry: Registry,
     private readonly heldSince: Millis,
+    private readonly unclaimedSince = heldSince,
   ) {}
 
   /**
    * Lease for a worker's runs until the next poll, in ms; undefined when any of
    * them has to end, as a lease applies to all runs of a worker. The lease of
-   * orphaned runs expires soon after they have to be stopped.
+   * orphaned runs expires soon after they have to be stopped, and is not
+   * extended anew by each of several holders that follow each other.
    */
   chooseLease(
     {runs, orphans}: WorkerRecord,
@@ -40,8 +47,8 @@
     const phases = [...runs.values()].map(({phase}) => phase);
     if (!phases.every(isWantedPhase)) return undefined;
     if (orphans.size === 0) return runs.size > 0 ? leaseMs : undefined;
-    if (!this.isAdopting(now)) return undefined;
-    const leftMs = this.heldSince + ADOPTION_WINDOW_MS - now;
+    const leftMs = this.unclaimedSince + ADOPTION_WINDOW_MS - now;
+    if (leftMs <= 0) return undefined;
     return Math.min(leaseMs, leftMs + ORPHAN_STOP_MARGIN_MS);
   }
 
@@ -60,7 +67,8 @@
 
   /** Whether jobs may still adopt runs that an earlier holder started. */
   private isAdopting(now: Millis): boolean {
-    return now < this.heldSince + ADOPTION_WINDOW_MS;
+    const windowEnd = this.unclaimedSince + ADOPTION_WINDOW_MS;
+    return now < Math.max(windowEnd, this.heldSince + RESUBMISSION_MS);
   }
 
   private stopRuns(
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -264,3 +264,19 @@
   dispatcher.submit(createJob('a', 1), true, 110);
   assert.equal(dispatcher.chooseLease('w1', 120), options.leaseMs);
 });
+
+test('owners have time to submit to a holder that follows a short-lived one before it stops their runs', () => {
+  const successorOptions = {...options, unclaimedSince: 0};
+  const dispatcher = new Dispatcher(successorOptions, 800, noopObserver);
+  dispatcher.setWorkers([createWorker('w1')], 800);
+  dispatcher.confirmWorkerList();
+  const report = createReport([createRunningEntry(0)]);
+  dispatcher.handleReport('w1', report, 801, 802);
+  assert.equal(dispatcher.chooseLease('w1', 803), undefined);
+  assert.deepEqual(formatCommands(dispatcher.tick(900)), []);
+  assert.deepEqual(formatCommands(dispatcher.tick(1_010)), [
+    'stop a.0.0.0/3 on w1',
+  ]);
+  dispatcher.submit(createJob('a', 1, longDeadline), true, 1_020);
+  assert.equal(dispatcher.chooseLease('w1', 1_030), options.leaseMs);
+});
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -207,8 +207,7 @@
     if (holder !== undefined) updateUnwantedWork(holder, parties, now);
     const {revision: crashRevision} = this.crashes;
     const abandonedRevision = holder?.abandonedJobs.revision;
-    const revisions = {crashRevision, abandonedRevision};
-    const state = {claim, isLeaving, version, ...revisions};
+    const state = {claim, isLeaving, version, crashRevision, abandonedRevision};
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
     if (holderId !== undefined) {
       this.activity.recordHolder(now);
@@ -278,13 +277,14 @@
 
   private handleClaim(claim: Claim, now: Millis): void {
     // An immediate step shortens the time during which there are two holders.
-    if (this.roles.recordClaim(claim)) this.step(now);
+    if (this.roles.recordClaim(claim, now)) this.step(now);
   }
 
   private createHeartbeat(now: Millis, withCapacity: boolean): ZoneHeartbeat {
     const {id, zone, processors, directory} = this.options;
-    const {claim, holder} = this.roles;
-    const {address, isLeaving, crashes} = this;
+    const {address, isLeaving, crashes, roles} = this;
+    const {holder} = roles;
+    const claim = roles.describeClaim(now);
     const holderHeardMs = claim && this.view.findSilence(claim.holderId, now);
     const rooms = withCapacity ? holder?.findFreeCapacity() : undefined;
     const abandonedJobs = withCapacity ? holder?.abandonedJobs.told : undefined;
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -2,7 +2,11 @@
  * Manages an instance's role: follower or holder of its zone. Creates the
  * holder of this process and closes it when a higher claim is known.
  */
-import type {CrashHistory, DispatcherOptions} from '@goldcrestpier/dispatch';
+import {
+  computeLeaseExpiry,
+  type CrashHistory,
+  type DispatcherOptions,
+} from '@goldcrestpier/dispatch';
 import {
   LogPart,
   readClock,
@@ -14,6 +18,7 @@
 import {
   createToken,
   Election,
+  HolderSuccession,
   type Member,
   type Role,
   type SelfState,
@@ -50,6 +55,7 @@
 export class RoleManager {
   private readonly log: Logger;
   private readonly election: Election;
+  private readonly succession: HolderSuccession;
   private role: Role = {kind: 'wait'};
   private currentHolder: Holder | undefined;
   private holderLifecycle: Lifecycle | undefined;
@@ -58,6 +64,8 @@
   constructor(private readonly options: RoleManagerOptions) {
     this.log = options.logs.forPart(LogPart.Membership);
     this.election = new Election(options, this.startedAt);
+    const settleMs = computeLeaseExpiry(0, options.dispatchOptions.leaseMs);
+    this.succession = new HolderSuccession(settleMs);
   }
 
   /** The holder in this process, while there is one. */
@@ -88,8 +96,18 @@
     }
   }
 
+  /** Describes the highest claim known, as it is told to peers. */
+  describeClaim(now: Millis): Claim | undefined {
+    const {claim} = this;
+    if (claim === undefined) return undefined;
+    const {holderId, token} = claim;
+    const unsettledMs = this.succession.findUnsettledMs(now);
+    return {holderId, token, ...(unsettledMs !== undefined && {unsettledMs})};
+  }
+
   /** Records a claim; true if it is the highest so far. */
-  recordClaim(claim: Claim): boolean {
+  recordClaim(claim: Claim, now: Millis): boolean {
+    this.succession.record(claim, now);
     if (!this.election.recordClaim(claim)) return false;
     const {holderId, token} = claim;
     this.log.info('received a higher claim', {holder: holderId, token});
@@ -117,7 +135,7 @@
         break;
       case 'claim':
         this.logClaim(members, self, now);
-        this.takeOver(this.role.skip);
+        this.takeOver(this.role.skip, now);
         break;
       case 'follow':
       case 'wait':
@@ -132,13 +150,14 @@
     return {isLeaving, registrationsKnownSince};
   }
 
-  private takeOver(skip: number): void {
+  private takeOver(skip: number, now: Millis): void {
     const {id, nonce, otherZones, directory} = this.options;
     const highest = this.election.claim?.token ?? 0;
     // A wrong wall clock affects how high the token is, but not its safety.
     const token = createToken(highest, nonce, Date.now(), skip);
     this.closeHolder();
     this.election.recordClaim({holderId: id, token});
+    this.succession.record({holderId: id, token, unsettledMs: 0}, now);
     this.currentHolder = this.createHolder(token);
     this.currentHolder.discoverDelegatedTasks(otherZones);
     directory.announce(token);
@@ -181,13 +200,14 @@
       lifecycle,
       onFenced,
     } = this.options;
+    const {unclaimedSince} = this.succession;
     const child = lifecycle.createChild(`holder ${token}`);
     this.holderLifecycle = child;
     return new Holder({
       zone,
       findZoneClient,
       token,
-      dispatchOptions,
+      dispatchOptions: {...dispatchOptions, unclaimedSince},
       crashes,
       workerPort,
       logger: logs.forPart(LogPart.Holding),
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -9,6 +9,11 @@
   /** Id of the instance that is the holder of the zone. */
   holderId: z.string(),
   token: z.number(),
+  /**
+   * Time since the zone may have runs that no job has claimed, in ms; left out
+   * if all of them are over by now.
+   */
+  unsettledMs: z.number().nonnegative().optional(),
 });
 
 /**
--- /dev/null
+++ b/packages/zone/test/short_lived_holder.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  Lifecycle,
+  LogLevel,
+  Logs,
+  readClock,
+  sleep,
+} from '@goldcrestpier/runtime';
+import {Ok} from 'ts-results-es';
+import {Instance} from '../src/instance/instance.js';
+import {createOpenLink} from '../src/instance/start_instance.js';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import type {WorkerPort} from '../src/ports/index.js';
+import {
+  createDirectory,
+  dispatchOptions,
+  failOnCall,
+} from './fixtures/dispatcher.js';
+
+/** Longest time that an unclaimed run is kept after a change of holder, in ms. */
+const MAX_UNCLAIMED_MS = 600;
+/** Allowed difference between two readings of the clock, in ms. */
+const CLOCK_TOLERANCE_MS = 5;
+
+/** What a worker was sent. */
+interface Received {
+  /** Ends of the leases of polls. */
+  readonly leases: number[];
+  readonly stopped: string[];
+}
+
+/** Creates a worker with a run that no job claims. */
+function createWorkerPort({leases, stopped}: Received): WorkerPort {
+  const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
+  return {
+    poll: async ({leaseUntil, waitMs}) => {
+      if (leaseUntil !== undefined) leases.push(leaseUntil);
+      await sleep(waitMs);
+      return Ok({clockMs: readClock(), bornAt: 1, running, ended: []});
+    },
+    start: failOnCall,
+    stop: ({task}) => {
+      stopped.push(task);
+      return Promise.resolve(Ok(undefined));
+    },
+  };
+}
+
+function createInstance(
+  lifecycle: Lifecycle,
+  workerPort: WorkerPort,
+): Instance {
+  const id = 'z-1';
+  const logs = new Logs('test', LogLevel.Silent);
+  return new Instance({
+    id,
+    zone: 'z',
+    processors: 1,
+    listen: {host: '127.0.0.1', port: 1},
+    nonce: 1,
+    dispatchOptions,
+    directory: createDirectory(),
+    workerPort,
+    otherZones: [],
+    seeds: [],
+    logs,
+    openLink: createOpenLink({id, logs}),
+    metrics: new ZoneMetrics(),
+    lifecycle,
+  });
+}
+
+/** Creates a heartbeat of another holder of the zone. */
+function createHeartbeat(id: string, token: number, isLeaving = false) {
+  return {
+    id,
+    zone: 'z',
+    address: '127.0.0.1:2',
+    processors: 1,
+    isLeaving,
+    claim: {holderId: id, token},
+    configurationVersion: 0,
+  };
+}
+
+test('a holder that follows a short-lived one does not extend the lease of an unclaimed run once more', async () => {
+  const lifecycle = new Lifecycle('test');
+  const received: Received = {leases: [], stopped: []};
+  const instance = createInstance(lifecycle, createWorkerPort(received));
+  instance.start();
+  await instance.heartbeat(createHeartbeat('z-2', 5));
+  const claimedAt = readClock();
+  await instance.heartbeat(createHeartbeat('z-3', 9));
+  await sleep(350);
+  const isLeaving = true;
+  await instance.heartbeat(createHeartbeat('z-3', 9, isLeaving));
+  await sleep(900);
+  void lifecycle.close();
+  const latest = claimedAt + MAX_UNCLAIMED_MS + CLOCK_TOLERANCE_MS;
+  const late = received.leases.filter(leaseUntil => leaseUntil > latest);
+  assert.deepEqual(late, []);
+  assert.ok(received.stopped.includes('a.0.0.0'));
+});
