--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -20,7 +20,7 @@
 
 /** Fails the jobs that have a task which crashes its workers. */
 export function failCrashingJobs(registry: Registry, now: Millis): void {
-  for (const jobId of registry.crashes.jobIds) {
+  for (const jobId of registry.history.crashes.jobIds) {
     const record = registry.jobs.get(jobId);
     if (record !== undefined) failIfCrashing(registry, record, now);
   }
@@ -35,10 +35,10 @@
   const crashing = record.tasks.find(
     ({key, state}) =>
       state.kind !== 'done' &&
-      registry.crashes.judge(key) === CrashVerdict.Crashing,
+      registry.history.crashes.judge(key) === CrashVerdict.Crashing,
   );
   if (crashing === undefined) return;
-  const workers = registry.crashes.listWorkers(crashing.key);
+  const workers = registry.history.crashes.listWorkers(crashing.key);
   registry.observer.jobFailedByCrashes(record.id, crashing.key, workers);
   registry.endJob(record, {kind: 'failed'}, now);
 }
@@ -56,8 +56,8 @@
   const commands: StartCommand[] = [];
   const reservations = new Reservations(registry, round);
   for (const record of jobs) {
-    if (!registry.crashes.hasJob(record.submittedId)) continue;
-    for (const task of listSuspects(registry, record)) {
+    if (!registry.history.crashes.hasJob(record.submittedId)) continue;
+    for (const task of listSuspects(registry, record, now)) {
       const run = startAlone(registry, record, task, round, reservations, now);
       if (run === undefined) continue;
       commands.push({kind: 'start', run, payload: record.job.payload});
@@ -68,12 +68,18 @@
 
 /** Whether the task may only run alone. */
 export function mustRunAlone(registry: Registry, {key}: TaskRecord): boolean {
-  return registry.crashes.judge(key) !== CrashVerdict.Harmless;
+  return registry.history.crashes.judge(key) !== CrashVerdict.Harmless;
 }
 
-function listSuspects(registry: Registry, record: JobRecord): TaskRecord[] {
+function listSuspects(
+  {history}: Registry,
+  record: JobRecord,
+  now: Millis,
+): TaskRecord[] {
   return [...record.readyTasks()].filter(
-    ({key}) => registry.crashes.judge(key) === CrashVerdict.Suspected,
+    ({key}) =>
+      history.crashes.judge(key) === CrashVerdict.Suspected &&
+      history.unansweredStarts.findEnd(key, now) === undefined,
   );
 }
 
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -11,8 +11,8 @@
   type Vacancy,
   type ZoneVacancies,
 } from '../remote_vacancies/index.js';
-import {CrashHistory} from '../crashes/index.js';
 import type {AbandonedJobReport} from '../remote_runs/index.js';
+import {TaskHistory} from '../task_history/index.js';
 import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
@@ -22,7 +22,7 @@
   type WorkerReport,
   type Run,
   type Worker,
-  WorkerRequestFailure,
+  type WorkerRequestFailure,
 } from '../workers/index.js';
 import {findAbandonedJobs} from './abandoned_jobs.js';
 import {AnswerableJobs} from './answerable_jobs.js';
@@ -30,24 +30,19 @@
 import {Registry, type EndedJob} from './registry.js';
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
-import {applyReport} from './worker_reports.js';
+import {applyPollAnswer, applyPollFailure, recordLease} from './poll_answer.js';
 import {
   DELEGATED_RUN_MAX_MS,
-  computeLeaseExpiry,
   computeStopCompletion,
   type DispatcherOptions,
 } from './options.js';
 import type {Command} from './commands.js';
-import {failCrashingJobs} from './crashing_tasks.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {EarlierRuns} from './earlier_runs.js';
 import {applyStartAnswer} from './start_answer.js';
-import {
-  endLostTasks,
-  endOverdueJobs,
-  endOverdueRuns,
-  abandonJob,
-} from './overdue.js';
+import {endOverdue} from './end_overdue.js';
+import {isStartWanted, recordUnansweredStart} from './late_starts.js';
+import {abandonJob} from './overdue.js';
 import {Placer} from './placer.js';
 import {describeProgress} from './progress.js';
 import {Stopper} from './stopper.js';
@@ -65,16 +60,16 @@
   private readonly answerableJobs: AnswerableJobs;
 
   /**
-   * `heldSince` is the time at which this instance became the holder; `crashes`
-   * are those that the instance knows.
+   * `heldSince` is the time at which this instance became the holder; `history`
+   * is what the instance knows of tasks.
    */
   constructor(
     private readonly options: DispatcherOptions,
     heldSince: Millis,
     observer: DispatchObserver,
-    crashes = new CrashHistory(),
+    history = new TaskHistory(),
   ) {
-    this.registry = new Registry(observer, crashes);
+    this.registry = new Registry(observer, history);
     const {leaseMs} = options;
     this.earlierRuns = new EarlierRuns(this.registry, leaseMs);
     const {registry, remoteVacancies, earlierRuns} = this;
@@ -176,11 +171,8 @@
 
   /** Returns the commands that are due now. */
   tick(now: Millis): Command[] {
-    this.registry.crashes.removeExpired(now);
-    endOverdueRuns(this.registry, now);
-    endLostTasks(this.registry, this.earlierRuns, now);
-    endOverdueJobs(this.registry, now);
-    failCrashingJobs(this.registry, now);
+    this.registry.history.removeExpired(now);
+    endOverdue(this.registry, this.earlierRuns, now);
     this.answerableJobs.update(this.registry.jobs.values(), now);
     const delegations = this.intake.takeCommands();
     const starts = this.placer.placeIfDue(now);
@@ -197,10 +189,7 @@
   /** Records that a command that grants a lease is being sent. */
   recordLease(workerId: string, now: Millis): void {
     const worker = this.registry.workers.get(workerId);
-    if (worker === undefined) return;
-    const clockAgeMs = worker.computeClockAge(now);
-    const expiresAt = computeLeaseExpiry(now, this.options.leaseMs, clockAgeMs);
-    worker.leasesExpireAt = Math.max(worker.leasesExpireAt, expiresAt);
+    if (worker !== undefined) recordLease(worker, this.options, now);
   }
 
   /** Handles the answer to a start command. */
@@ -208,6 +197,16 @@
     applyStartAnswer(this.registry, run, answer, this.options.leaseMs, now);
   }
 
+  /** Whether a start command without an answer is to be sent again. */
+  isStartWanted(run: Run, now: Millis): boolean {
+    return isStartWanted(this.registry, run, now);
+  }
+
+  /** Handles a start command that has got no answer so far. */
+  handleUnansweredStart(run: Run, now: Millis): void {
+    recordUnansweredStart(this.registry, run, this.options.leaseMs, now);
+  }
+
   /** Handles a worker's confirmation of a stop command. */
   handleStopAccepted(run: Run, now: Millis): void {
     run.phase = RunPhase.StopAccepted;
@@ -224,11 +223,8 @@
   ): void {
     const worker = this.registry.workers.get(workerId);
     if (worker === undefined) return;
-    // Until this poll, an earlier holder may have granted leases there.
-    if (!worker.hasAcceptedToken && report.running.length > 0) {
-      this.recordLease(workerId, now);
-    }
-    applyReport(this.registry, worker, report, sentAt, now);
+    const {registry, options} = this;
+    applyPollAnswer(registry, worker, report, options, sentAt, now);
   }
 
   /** Handles a poll that failed. */
@@ -239,9 +235,7 @@
   ): void {
     const worker = this.registry.workers.get(workerId);
     if (worker === undefined) return;
-    worker.pollFailure = failure;
-    if (failure === WorkerRequestFailure.OtherIncarnation)
-      this.registry.crashRecorder.explainLosses(worker, true, now);
+    applyPollFailure(this.registry, worker, failure, now);
   }
 
   /** Updates the free capacity that the holder of another zone reported. */
@@ -270,9 +264,11 @@
     this.intake.addAbandonedJobs(report, now);
   }
 
-  /** Whether another zone may run tasks of the job. */
+  /** Whether another zone, or a late start command, may run tasks of the job. */
   mayRunElsewhere(jobId: string, now: Millis): boolean {
-    return this.registry.remoteRuns.mayRun(jobId, now);
+    const {remoteRuns, history} = this.registry;
+    if (history.unansweredStarts.hasJob(jobId)) return true;
+    return remoteRuns.mayRun(jobId, now);
   }
 
   /** Handles another zone's report of the tasks that it runs for this one. */
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -11,12 +11,7 @@
 import type {Run} from '../workers/index.js';
 import {adoptDelegated, adoptOrphans} from './adoption.js';
 import type {Registry} from './registry.js';
-import {
-  findRejection,
-  mayHaveOtherRuns,
-  rejectJob,
-  type Rejection,
-} from './job_admission.js';
+import {findRejection, mayHaveOtherRuns, rejectJob} from './job_admission.js';
 import type {JobRecord} from './job_record.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {computeLeaseExpiry} from './options.js';
@@ -56,13 +51,17 @@
   submit(job: Job, history: JobHistory, now: Millis): void {
     const known = this.registry.jobs.get(job.id);
     if (known !== undefined) return this.applyHistory(known, history, now);
-    const refusal = history.isResumed
+    const mayRun =
+      history.isResumed || mayHaveOtherRuns(this.registry, job.id, now);
+    const refusal = mayRun ? undefined : findRefusal(this.registry, job);
+    const rejection = mayRun
       ? undefined
-      : findRefusal(this.registry, job);
-    const rejection = this.findRejection(job, history, now);
+      : findRejection(this.registry, job, now);
     if (rejection !== undefined && refusal === undefined)
       return rejectJob(this.registry, job, rejection, now);
     const record = this.registry.addJob(job, now);
+    // A task of it may run, so it must not be refused as not run.
+    if (mayRun) record.hasStarted = true;
     if (refusal !== undefined) {
       this.registry.refuse(record, refusal, 0, now);
       return;
@@ -78,17 +77,6 @@
     if (this.registry.remoteRuns.mayRun(job.id, now)) holdBack(record);
   }
 
-  /** Jobs of which a task may run are accepted, so that it can be stopped. */
-  private findRejection(
-    job: Job,
-    {isResumed}: JobHistory,
-    now: Millis,
-  ): Rejection | undefined {
-    if (isResumed || mayHaveOtherRuns(this.registry, job.id, now))
-      return undefined;
-    return findRejection(this.registry, job, now);
-  }
-
   /** Adds the abandoned jobs that another zone reports. */
   addAbandonedJobs(report: AbandonedJobReport, now: Millis): void {
     this.registry.remoteRuns.record(report, now);
--- a/packages/dispatch/src/dispatcher/job_admission.ts
+++ b/packages/dispatch/src/dispatcher/job_admission.ts
@@ -105,6 +105,7 @@
 ): boolean {
   if (registry.runNumbers.mayHaveUnknownRuns(jobId, now)) return true;
   if (registry.remoteRuns.mayRun(jobId, now)) return true;
+  if (registry.history.unansweredStarts.hasJob(jobId)) return true;
   if (registry.inboundTasks.has(jobId)) return true;
   for (const {orphans} of registry.workers.values()) {
     for (const key of orphans.keys())
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -0,0 +1,106 @@
+/**
+ * Start commands that got no answer and may be executed late, by any later
+ * incarnation of their worker. A task with such a command is not started again,
+ * wherever its run ended; only the same command may be repeated, as a worker
+ * starts a run once.
+ */
+import type {Millis} from '@goldcrestpier/runtime';
+import {AbandonReason, createAbandoned} from '../work/index.js';
+import {RunPhase, type Run} from '../workers/index.js';
+import type {JobRecord} from './job_record.js';
+import {computeLateRunEnd} from './options.js';
+import type {Registry} from './registry.js';
+import type {TaskRecord} from './task_record.js';
+
+/** Records that a start command has got no answer so far. */
+export function recordUnansweredStart(
+  {history, observer}: Registry,
+  run: Run,
+  leaseMs: Millis,
+  now: Millis,
+): void {
+  const endsAt = computeLateRunEnd(now, leaseMs);
+  const dropped = history.unansweredStarts.record(run.key, endsAt, now);
+  if (dropped > 0) observer.startsForgotten(dropped);
+}
+
+/** When the task may be started again; undefined if it may be now. */
+export function findBlockEnd(
+  {history}: Registry,
+  {key}: TaskRecord,
+  now: Millis,
+): Millis | undefined {
+  return history.unansweredStarts.findEnd(key, now);
+}
+
+/** Whether the run is still to be started, and is expected to end in time. */
+export function isStartWanted(
+  {jobs}: Registry,
+  run: Run,
+  now: Millis,
+): boolean {
+  if (run.phase !== RunPhase.Starting) return false;
+  const record = jobs.get(run.recordId);
+  return record !== undefined && now + run.expectedMs <= record.job.deadlineAt;
+}
+
+/** Ends the jobs that wait for a run which can't be replaced in time. */
+export function endBlockedJobs(registry: Registry, now: Millis): void {
+  const {jobs, inboundTasks, history} = registry;
+  for (const jobId of history.unansweredStarts.jobIds) {
+    const record = jobs.get(jobId);
+    const records = record === undefined ? [] : [record];
+    for (const each of [...records, ...inboundTasks.listTasks(jobId)])
+      endIf(registry, each, hasEndingRun, now);
+  }
+}
+
+/** Ends a job with a waiting task that can't be started in time. */
+export function endIfBlocked(
+  registry: Registry,
+  record: JobRecord,
+  now: Millis,
+): boolean {
+  const {unansweredStarts} = registry.history;
+  if (!unansweredStarts.hasJob(record.submittedId)) return false;
+  return endIf(registry, record, isWaiting, now);
+}
+
+function endIf(
+  registry: Registry,
+  record: JobRecord,
+  isStuck: (task: TaskRecord) => boolean,
+  now: Millis,
+): boolean {
+  if (record.pendingOutcome !== undefined) return false;
+  const {unansweredStarts} = registry.history;
+  for (const key of unansweredStarts.listTasks(record.submittedId)) {
+    const task = record.findTask(key);
+    if (task === undefined || !isStuck(task)) continue;
+    const endsAt = findBlockEnd(registry, task, now) ?? now;
+    if (endsAt < record.job.deadlineAt) continue;
+    record.hasStarted = true;
+    registry.observer.jobBlocked(record.id, key, endsAt - now);
+    const outcome = createAbandoned(AbandonReason.StartUnanswered);
+    registry.endJob(record, outcome, now);
+    return true;
+  }
+  return false;
+}
+
+function isWaiting({state}: TaskRecord): boolean {
+  return state.kind === 'waiting';
+}
+
+/** Whether the task's run is being stopped. */
+function hasEndingRun({state}: TaskRecord): boolean {
+  if (state.kind !== 'running') return false;
+  switch (state.run.phase) {
+    case RunPhase.Starting:
+    case RunPhase.Running:
+      return false;
+    case RunPhase.Stopping:
+    case RunPhase.StopAccepted:
+      return true;
+  }
+}
--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/move_late_runs.ts
@@ -9,6 +9,7 @@
 import type {Registry} from './registry.js';
 import {createDemand} from './create_demand.js';
 import type {JobRecord} from './job_record.js';
+import {findBlockEnd} from './late_starts.js';
 import type {PlacementRound} from './placement_round.js';
 import type {TaskRecord} from './task_record.js';
 
@@ -30,6 +31,7 @@
     for (const task of record.runningTasks()) {
       const run = findLateRun(record, task, now);
       if (run === undefined) continue;
+      if (findBlockEnd(registry, task, now) !== undefined) continue;
       if (!hasBetterPlace(registry, record, task, run, round, now)) continue;
       task.movedFrom = run.workerId;
       run.phase = RunPhase.Stopping;
--- a/packages/dispatch/src/dispatcher/observer.ts
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -31,6 +31,13 @@
     task: string,
     workerIds: readonly string[],
   ): void;
+  /**
+   * A job ends because a start of this task got no answer, so that it can't be
+   * started again for `blockedMs`.
+   */
+  jobBlocked(jobId: string, task: string, blockedMs: Millis): void;
+  /** This many unanswered starts were forgotten, as there were too many. */
+  startsForgotten(count: number): void;
   /** `waitMs` is the time until the work ahead of the job has drained. */
   jobRefused(
     refused: RefusedJob,
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placer.ts
@@ -22,6 +22,7 @@
   limitPlannedTasks,
   limitUnansweredStarts,
 } from './start_sharing.js';
+import {findBlockEnd, endIfBlocked} from './late_starts.js';
 import {moveLateRuns} from './move_late_runs.js';
 import {sortJobs} from './job_order.js';
 import type {Command} from './commands.js';
@@ -74,9 +75,9 @@
     this.lastPlacedAt = now;
     // With a stale list, tasks would start on workers that have left since.
     if (!this.registry.isListConfirmed) return [];
-    const waiting = [...this.registry.jobs.values()].filter(record =>
-      this.isPlaceable(record, now),
-    );
+    const waiting = [...this.registry.jobs.values()]
+      .filter(record => this.isPlaceable(record, now))
+      .filter(record => !endIfBlocked(this.registry, record, now));
     const round = new PlacementRound(this.registry, waiting, now);
     moveLateRuns(this.registry, round, now);
     const sorted = sortJobs(waiting, {hasStartBacklog});
@@ -93,7 +94,7 @@
     now: Millis,
   ): Command[] {
     const limit = this.limitTasks(record, round);
-    const commands = this.groupTasks(record, limit).flatMap(tasks =>
+    const commands = this.groupTasks(record, limit, now).flatMap(tasks =>
       this.placeTasks(record, tasks, round, now),
     );
     // What is left has no place in the limit, though it may have one on a worker.
@@ -128,17 +129,22 @@
 
   /**
    * Groups the first ready tasks by step and by the worker that they must avoid,
-   * without those that must run alone.
+   * without those that must run alone or can't be started yet.
    */
   private groupTasks(
     record: JobRecord,
     limit: number,
+    now: Millis,
   ): readonly TaskRecord[][] {
-    const hasCrashes = this.registry.crashes.hasJob(record.submittedId);
+    const {crashes, unansweredStarts} = this.registry.history;
+    const hasCrashes = crashes.hasJob(record.submittedId);
+    const isBlocked = unansweredStarts.hasJob(record.submittedId);
     const groups = new Map<string, TaskRecord[]>();
     let left = limit;
     for (const task of record.readyTasks()) {
       if (hasCrashes && mustRunAlone(this.registry, task)) continue;
+      if (isBlocked && findBlockEnd(this.registry, task, now) !== undefined)
+        continue;
       if (left === 0) break;
       left -= 1;
       const key = `${task.name.step} ${task.movedFrom ?? ''}`;
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/poll_answer.ts
@@ -0,0 +1,55 @@
+/** Applies what a poll of a worker has shown, and the leases that it extends. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {
+  WorkerRequestFailure,
+  type WorkerRecord,
+  type WorkerReport,
+} from '../workers/index.js';
+import {computeLeaseExpiry, type DispatcherOptions} from './options.js';
+import type {Registry} from './registry.js';
+import {applyReport} from './worker_reports.js';
+
+/** Records that a command that grants a lease is being sent. */
+export function recordLease(
+  worker: WorkerRecord,
+  {leaseMs}: DispatcherOptions,
+  now: Millis,
+): void {
+  const clockAgeMs = worker.computeClockAge(now);
+  const expiresAt = computeLeaseExpiry(now, leaseMs, clockAgeMs);
+  worker.leasesExpireAt = Math.max(worker.leasesExpireAt, expiresAt);
+}
+
+/** Applies a worker's answer to the poll that was sent at `sentAt`. */
+export function applyPollAnswer(
+  registry: Registry,
+  worker: WorkerRecord,
+  report: WorkerReport,
+  options: DispatcherOptions,
+  sentAt: Millis,
+  now: Millis,
+): void {
+  // Until this poll, an earlier holder may have granted leases there.
+  if (!worker.hasAcceptedToken && report.running.length > 0)
+    recordLease(worker, options, now);
+  applyReport(registry, worker, report, sentAt, now);
+}
+
+/** Applies the failure of a poll. */
+export function applyPollFailure(
+  {crashRecorder}: Registry,
+  worker: WorkerRecord,
+  failure: WorkerRequestFailure,
+  now: Millis,
+): void {
+  worker.pollFailure = failure;
+  switch (failure) {
+    case WorkerRequestFailure.OtherIncarnation:
+      return crashRecorder.explainLosses(worker, true, now);
+    case WorkerRequestFailure.Fenced:
+    case WorkerRequestFailure.NotListening:
+    case WorkerRequestFailure.Refused:
+    case WorkerRequestFailure.Unanswered:
+      return;
+  }
+}
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -5,9 +5,10 @@
 import {DrainRate} from '@goldcrestpier/limits';
 import type {Millis} from '@goldcrestpier/runtime';
 import {HeldWork, chooseRetryAfter} from '../admission/index.js';
-import {CrashVerdict, type CrashHistory} from '../crashes/index.js';
+import {CrashVerdict} from '../crashes/index.js';
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
+import type {TaskHistory} from '../task_history/index.js';
 import {
   AbandonReason,
   createAbandoned,
@@ -80,9 +81,9 @@
 
   constructor(
     readonly observer: DispatchObserver,
-    readonly crashes: CrashHistory,
+    readonly history: TaskHistory,
   ) {
-    this.crashRecorder = new CrashRecorder(crashes, observer);
+    this.crashRecorder = new CrashRecorder(history.crashes, observer);
   }
 
   /** Adds a job; its run numbers continue those of an earlier submission. */
@@ -114,7 +115,8 @@
     const worker = this.workers.get(run.workerId);
     if (worker === undefined) return;
     run.workerBornAt = worker.info.bornAt;
-    run.isIsolated = this.crashes.judge(run.key) !== CrashVerdict.Harmless;
+    run.isIsolated =
+      this.history.crashes.judge(run.key) !== CrashVerdict.Harmless;
     worker.addRun(run);
   }
 
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {RunPhase, StartAnswer, type Run} from '../workers/index.js';
 import {StrikeReason} from './health.js';
+import {recordUnansweredStart} from './late_starts.js';
 import {computeLateRunEnd} from './options.js';
 import type {Registry} from './registry.js';
 import {recordStartRefusal} from './start_refusal.js';
@@ -24,6 +25,8 @@
   registry.startRate.record(1, registry.hasStartBacklog, now);
   if (registry.hasStartBacklog) registry.isPlacementDue = true;
   // A refused connection may also be caused by a network partition.
+  if (answer === StartAnswer.Unanswered)
+    recordUnansweredStart(registry, run, leaseMs, now);
   if (uncertainAnswers.has(answer)) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
     run.isStartRefused = answer === StartAnswer.NotListening;
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -11,6 +11,7 @@
 import {adoptReported} from './adoption.js';
 import type {Registry} from './registry.js';
 import {StrikeReason} from './health.js';
+import {findBlockEnd} from './late_starts.js';
 
 /** Maximum number of ended runs that a worker lists in one report. */
 const MAX_LISTED_ENDS = 500;
@@ -170,6 +171,7 @@
   // A task that seems to hang on a second worker as well just takes longer than
   // declared.
   if (task === undefined || task.movedFrom !== undefined) return;
+  if (findBlockEnd(registry, task, now) !== undefined) return;
   task.movedFrom = run.workerId;
   run.phase = RunPhase.Stopping;
   registry.recordStrike(run, StrikeReason.TaskStalled, now);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,5 +7,7 @@
 export * from './remote_runs/index.js';
 export * from './remote_vacancies/index.js';
 export * from './run_times/index.js';
+export * from './task_history/index.js';
+export * from './unanswered_starts/index.js';
 export * from './work/index.js';
 export * from './workers/index.js';
--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -31,6 +31,11 @@
   RunLost = 'run_lost',
   /** The worker of a task crashed, and there is no time to run it again. */
   WorkerCrashed = 'worker_crashed',
+  /**
+   * A start command of a task got no answer and may be executed late, so that
+   * the task can't be started again in time.
+   */
+  StartUnanswered = 'start_unanswered',
   /** The instance that submitted the job is gone. */
   OwnerLost = 'owner_lost',
 }
--- /dev/null
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -0,0 +1,208 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  Dispatcher,
+  RunEnd,
+  StartAnswer,
+  TaskHistory,
+  WorkerRequestFailure,
+  type Job,
+  type Run,
+} from '../src/index.js';
+import {
+  createJob,
+  createReport,
+  createWorker,
+  formatCommands,
+  noopObserver,
+  options,
+  pollAllWorkers,
+} from './fixtures/dispatcher_setup.js';
+
+/** When the first start command counts as unanswered, in ms. */
+const UNANSWERED_AT = 100;
+/** When its repetition is answered, or a stop is taken, in ms. */
+const ANSWERED_AT = 150;
+/** When the worker answers as its next incarnation, in ms. */
+const RESTARTED_AT = 900;
+/** Time by which the late command is executed and its lease is over. */
+const AFTER_LATE_RUN = UNANSWERED_AT + 12_000 + 1_100;
+/** A job that outlasts a late start command. */
+const longTimes = {deadlineAt: 60_000, targetMs: 60_000};
+
+/** Two workers, and a job whose first start command got no answer. */
+class UnansweredFixture {
+  readonly history = new TaskHistory();
+  readonly dispatcher: Dispatcher;
+  readonly run: Run;
+
+  constructor(changes: Partial<Job> = {}) {
+    this.dispatcher = createPolledDispatcher(this.history, 0);
+    this.dispatcher.submit(createJob('a', 1, changes), false, 0);
+    const [start] = this.dispatcher.tick(0);
+    assert.ok(start?.kind === 'start');
+    this.run = start.run;
+    this.dispatcher.recordLease(this.run.workerId, 0);
+    this.dispatcher.handleUnansweredStart(this.run, UNANSWERED_AT);
+  }
+
+  /** The repeated command is answered. */
+  confirm(): void {
+    const {Started} = StartAnswer;
+    this.dispatcher.handleStartAnswer(this.run, Started, ANSWERED_AT);
+  }
+
+  /** The worker answers a poll as its next incarnation, without any run. */
+  restart(at = RESTARTED_AT): void {
+    const report = createReport([], [], 2);
+    this.dispatcher.handleReport(this.run.workerId, report, at, at);
+  }
+
+  /** Submits the job again; returns the start commands. */
+  submitAgain(now: number, dispatcher = this.dispatcher): string[] {
+    const times = {arrivedAt: now, deadlineAt: now + 1_500};
+    dispatcher.submit(createJob('a', 1, times), false, now);
+    return listStarts(dispatcher, now);
+  }
+}
+
+function createPolledDispatcher(history: TaskHistory, now: number): Dispatcher {
+  const dispatcher = new Dispatcher(options, -10_000, noopObserver, history);
+  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], now);
+  dispatcher.confirmWorkerList();
+  pollAllWorkers(dispatcher, now);
+  return dispatcher;
+}
+
+function listStarts(dispatcher: Dispatcher, now: number): string[] {
+  return formatCommands(dispatcher.tick(now)).filter(line =>
+    line.startsWith('start'),
+  );
+}
+
+/** The reasons for which jobs have ended since the last call. */
+function listOutcomes(dispatcher: Dispatcher): string[] {
+  return dispatcher.takeEndedJobs().map(({outcome}) => {
+    if (outcome.kind !== 'abandoned') return outcome.kind;
+    return outcome.reason;
+  });
+}
+
+test('a run whose start was repeated is not replaced when its worker has restarted', () => {
+  const fixture = new UnansweredFixture();
+  const {dispatcher} = fixture;
+  fixture.confirm();
+  fixture.restart();
+  assert.deepEqual(listStarts(dispatcher, RESTARTED_AT), []);
+  assert.deepEqual(listOutcomes(dispatcher), ['start_unanswered']);
+  assert.deepEqual(fixture.submitAgain(2_800), []);
+  assert.deepEqual(listOutcomes(dispatcher), ['start_unanswered']);
+});
+
+test('a start is repeated only while its run can still end in time', () => {
+  const {dispatcher, run} = new UnansweredFixture();
+  const latestAt = 1_500 - run.expectedMs;
+  assert.ok(dispatcher.isStartWanted(run, latestAt));
+  assert.ok(!dispatcher.isStartWanted(run, latestAt + 1));
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, ANSWERED_AT);
+  assert.ok(!dispatcher.isStartWanted(run, ANSWERED_AT));
+});
+
+test('a run that a poll confirmed while its start was repeated is not replaced either', () => {
+  const fixture = new UnansweredFixture(longTimes);
+  const {dispatcher, run} = fixture;
+  const entry = {task: run.key, run: run.number, percent: 10};
+  const at = ANSWERED_AT;
+  dispatcher.handleReport(run.workerId, createReport([entry]), at, at);
+  fixture.restart();
+  assert.deepEqual(listStarts(dispatcher, RESTARTED_AT), []);
+});
+
+test('a run whose stop was taken is not replaced while its start may come late', () => {
+  const fixture = new UnansweredFixture(longTimes);
+  const {dispatcher, run} = fixture;
+  dispatcher.handleStartAnswer(run, StartAnswer.Unanswered, 300);
+  dispatcher.handleStopAccepted(run, 400);
+  assert.deepEqual(listStarts(dispatcher, 600), []);
+  assert.deepEqual(listStarts(dispatcher, 12_000), []);
+  const [start] = listStarts(dispatcher, AFTER_LATE_RUN + 200);
+  assert.match(start ?? '', /^start a\.0\.0\.0\/2 on w/);
+});
+
+test('a run that failed is not replaced while its first start may come late', () => {
+  const fixture = new UnansweredFixture(longTimes);
+  const {dispatcher, run} = fixture;
+  fixture.confirm();
+  const end = {sequence: 1, task: run.key, run: 1, end: RunEnd.Failed};
+  dispatcher.handleReport(run.workerId, createReport([], [end]), 300, 300);
+  assert.deepEqual(listStarts(dispatcher, 300), []);
+});
+
+test('a run whose worker refuses connections is not replaced while its start may come late', () => {
+  const fixture = new UnansweredFixture(longTimes);
+  const {dispatcher, run} = fixture;
+  const {NotListening} = WorkerRequestFailure;
+  fixture.confirm();
+  dispatcher.handlePollFailure(run.workerId, NotListening, 500);
+  assert.deepEqual(listStarts(dispatcher, 1_500), []);
+});
+
+test('a run whose first start may come late is not moved to a faster worker', () => {
+  const fixture = new UnansweredFixture();
+  const {dispatcher, run} = fixture;
+  fixture.confirm();
+  run.expectedEndAt = 5_000;
+  assert.deepEqual(formatCommands(dispatcher.tick(400)), []);
+});
+
+test('a caller whose job waits for a late start is answered at once, not at its deadline', () => {
+  const fixture = new UnansweredFixture();
+  const {dispatcher, run} = fixture;
+  dispatcher.handleStartAnswer(run, StartAnswer.Unanswered, 300);
+  dispatcher.tick(300);
+  dispatcher.handleStopAccepted(run, 320);
+  dispatcher.tick(420);
+  assert.deepEqual(listOutcomes(dispatcher), ['start_unanswered']);
+});
+
+test('a job that was told elsewhere to have a late start is neither started nor refused', () => {
+  const fixture = new UnansweredFixture();
+  const elsewhere = new TaskHistory();
+  elsewhere.merge(fixture.history.reportRecent(200), 200);
+  const dispatcher = createPolledDispatcher(elsewhere, 200);
+  assert.deepEqual(fixture.submitAgain(1_600, dispatcher), []);
+  assert.deepEqual(listOutcomes(dispatcher), ['start_unanswered']);
+});
+
+test('a job with a late start is not refused as not run when its zone has no worker', () => {
+  const {history} = new UnansweredFixture();
+  const dispatcher = new Dispatcher(options, -10_000, noopObserver, history);
+  dispatcher.confirmWorkerList();
+  const job = createJob('a', 1, {arrivedAt: 1_600, deadlineAt: 3_100});
+  dispatcher.submit(job, false, 1_600);
+  dispatcher.tick(1_600);
+  assert.ok(!listOutcomes(dispatcher).includes('refused'));
+});
+
+test('a late start that its worker executes in time is adopted by its job', () => {
+  const fixture = new UnansweredFixture(longTimes);
+  const {dispatcher, run} = fixture;
+  fixture.confirm();
+  fixture.restart();
+  dispatcher.tick(RESTARTED_AT);
+  const entry = {task: run.key, run: 1, percent: 10};
+  const report = createReport([entry], [], 2);
+  dispatcher.handleReport(run.workerId, report, 3_000, 3_000);
+  const done = {sequence: 1, task: run.key, run: 1, end: RunEnd.Done};
+  const ended = createReport([], [done], 2);
+  dispatcher.handleReport(run.workerId, ended, 3_200, 3_200);
+  assert.deepEqual(listOutcomes(dispatcher), ['completed']);
+});
+
+test('other tasks of a job go on while one of them waits for a late start', () => {
+  const fixture = new UnansweredFixture();
+  const {dispatcher} = fixture;
+  fixture.confirm();
+  dispatcher.submit(createJob('b', 1, {arrivedAt: 200}), false, 200);
+  assert.equal(listStarts(dispatcher, 200).length, 1);
+});
--- a/packages/dispatch/test/lost_runs.test.ts
+++ b/packages/dispatch/test/lost_runs.test.ts
@@ -30,6 +30,8 @@
     },
     crashRecorded: () => undefined,
     jobFailedByCrashes: () => undefined,
+    jobBlocked: () => undefined,
+    startsForgotten: () => undefined,
     workerStruck: () => undefined,
     jobRefused: () => undefined,
   });
--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -1,30 +1,33 @@
 /** Sends a dispatcher's commands to workers and reports the responses. */
 import {
-  RunPhase,
   StartAnswer,
   type Dispatcher,
   type DispatcherOptions,
+  type Run,
   type StartCommand,
   type StopCommand,
 } from '@goldcrestpier/dispatch';
-import {readClock, type Logger} from '@goldcrestpier/runtime';
+import {
+  readClock,
+  sleep,
+  type Logger,
+  type Millis,
+} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {StartRequest, StartResponse, WorkerPort} from '../ports/index.js';
+import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
 
 /** Timeout of the first request to start a run, in ms. */
 const START_TIMEOUT_MS = 100;
-/** Timeout when the request is retried, in ms. */
+/** Timeout when the request is repeated, in ms. */
 const START_RETRY_TIMEOUT_MS = 200;
+/** Pause before it is repeated again, in ms. */
+const START_RETRY_PAUSE_MS = 20;
 
-/**
- * Answers to a retried request that settle the first request as well. After any
- * other answer the first request may still take effect.
- */
-const conclusiveAnswers: ReadonlySet<StartAnswer> = new Set([
-  StartAnswer.Started,
-  StartAnswer.Fenced,
-  StartAnswer.OtherIncarnation,
+/** Answers to a request after which it is sent again. */
+const repeatedAnswers: ReadonlySet<StartAnswer> = new Set([
+  StartAnswer.Unanswered,
+  StartAnswer.NotSent,
 ]);
 
 /** Dependencies of a command sender. */
@@ -36,6 +39,8 @@
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
   readonly lostResponses: LostResponses;
+  /** Whether this instance is still the holder. */
+  readonly isActive: () => boolean;
   /** Called before a command is sent to a worker. */
   readonly onCommand: (workerId: string) => void;
   /** Called when state that scheduling depends on has changed. */
@@ -43,28 +48,57 @@
   readonly onFenced: (workerId: string) => void;
 }
 
-/** Sends commands; an unanswered request to start a run is retried once. */
+/** Sends commands; an unanswered request to start a run is repeated. */
 export class CommandSender {
   constructor(private readonly options: CommandSenderOptions) {}
 
   /** Starts a run and reports the answer to the dispatcher. */
-  async start({run, payload}: StartCommand): Promise<void> {
-    const {dispatchOptions, token, dispatcher, onCommand, onChange} =
+  async start(command: StartCommand): Promise<void> {
+    const {dispatcher, onChange} = this.options;
+    const {run} = command;
+    const answer = await this.sendStart(command);
+    this.recordStartAnswer(run.workerId, run.key, answer);
+    dispatcher.handleStartAnswer(run, answer, readClock());
+    onChange();
+  }
+
+  /**
+   * Sends a start request until it is answered; repeating it is safe, as a
+   * worker starts a run once. Another run of the task is not: the worker may
+   * execute any of the unanswered requests late.
+   */
+  private async sendStart(command: StartCommand): Promise<StartAnswer> {
+    const {run} = command;
+    const {dispatcher, metrics, isActive} = this.options;
+    let answer = await this.sendStartOnce(command, START_TIMEOUT_MS);
+    if (answer !== StartAnswer.Unanswered) return answer;
+    // A poll may report the run meanwhile, or its job may be cancelled.
+    while (isActive() && dispatcher.isStartWanted(run, readClock())) {
+      metrics.retries.inc({order: 'start', reason: answer});
+      answer = await this.sendStartOnce(command, START_RETRY_TIMEOUT_MS);
+      if (!repeatedAnswers.has(answer)) return toConclusiveAnswer(answer);
+      await sleep(START_RETRY_PAUSE_MS);
+    }
+    return StartAnswer.Unanswered;
+  }
+
+  /** Sends a start request once, with a lease from now on. */
+  private async sendStartOnce(
+    {run, payload}: StartCommand,
+    timeoutMs: Millis,
+  ): Promise<StartAnswer> {
+    const {dispatchOptions, token, dispatcher, workerPort, onCommand} =
       this.options;
     const record = dispatcher.workers.get(run.workerId);
     const sentAt = readClock();
     const workerTime = record?.estimateClock(sentAt);
-    if (record === undefined || workerTime === undefined) {
-      dispatcher.handleStartAnswer(run, StartAnswer.Rejected, sentAt);
-      return;
-    }
+    if (record === undefined || workerTime === undefined)
+      return StartAnswer.Rejected;
     dispatcher.recordLease(run.workerId, sentAt);
     const leaseUntil = Math.floor(workerTime + dispatchOptions.leaseMs);
-    const worker = record.info;
     onCommand(run.workerId);
-    const timeoutMs = START_TIMEOUT_MS;
-    const response = await this.sendStart({
-      worker,
+    const {answer, clockMs} = await workerPort.start({
+      worker: record.info,
       run,
       payload,
       token,
@@ -72,32 +106,17 @@
       timeoutMs,
     });
     const now = readClock();
-    if (response.clockMs !== undefined)
-      record.recordClock(response.clockMs, now);
-    this.recordStartAnswer(run.workerId, run.key, response.answer);
-    dispatcher.handleStartAnswer(run, response.answer, now);
-    onChange();
+    if (clockMs !== undefined) record.recordClock(clockMs, now);
+    if (answer === StartAnswer.Unanswered) this.recordUnanswered(run, now);
+    return answer;
   }
 
-  /** Sends a start request; a retry is safe, as workers start a run once. */
-  private async sendStart(request: StartRequest): Promise<StartResponse> {
-    const {workerPort, lostResponses, metrics} = this.options;
-    const {run, worker} = request;
-    const firstResponse = await workerPort.start(request);
-    if (firstResponse.answer !== StartAnswer.Unanswered) return firstResponse;
-    lostResponses.recordLoss(worker.id, readClock());
-    // A poll may have reported the run meanwhile, or its job was cancelled.
-    if (run.phase !== RunPhase.Starting) return firstResponse;
-    metrics.retries.inc({order: 'start', reason: firstResponse.answer});
-    const retryResponse = await workerPort.start({
-      ...request,
-      timeoutMs: START_RETRY_TIMEOUT_MS,
-    });
-    if (conclusiveAnswers.has(retryResponse.answer)) return retryResponse;
-    // `StaleRun` means that the first request started the run and it has ended.
-    const hasEnded = retryResponse.answer === StartAnswer.StaleRun;
-    const answer = hasEnded ? StartAnswer.Started : firstResponse.answer;
-    return {...retryResponse, answer};
+  private recordUnanswered(run: Run, now: Millis): void {
+    const {dispatcher, lostResponses, logger} = this.options;
+    const {workerId: worker, key: task, number} = run;
+    logger.warn('start request got no answer', {worker, task, run: number});
+    lostResponses.recordLoss(worker, now);
+    dispatcher.handleUnansweredStart(run, now);
   }
 
   private recordStartAnswer(
@@ -132,3 +151,27 @@
     onChange();
   }
 }
+
+/**
+ * What the answer to a repeated request says of the run. After a refusal the
+ * earlier requests may still take effect.
+ */
+function toConclusiveAnswer(answer: StartAnswer): StartAnswer {
+  switch (answer) {
+    case StartAnswer.Started:
+    case StartAnswer.Fenced:
+    case StartAnswer.OtherIncarnation:
+      return answer;
+    // An earlier request started the run, and it has ended.
+    case StartAnswer.StaleRun:
+      return StartAnswer.Started;
+    case StartAnswer.Late:
+    case StartAnswer.NoRoom:
+    case StartAnswer.Unavailable:
+    case StartAnswer.NotListening:
+    case StartAnswer.NotSent:
+    case StartAnswer.Rejected:
+    case StartAnswer.Unanswered:
+      return StartAnswer.Unanswered;
+  }
+}
--- a/packages/zone/src/holder/delegation_discovery.ts
+++ b/packages/zone/src/holder/delegation_discovery.ts
@@ -2,7 +2,7 @@
  * Asks the other zones, for a new holder, which tasks they run for its zone and
  * which jobs still run there though nobody waits for them.
  */
-import type {CrashHistory, Dispatcher} from '@goldcrestpier/dispatch';
+import type {Dispatcher, TaskHistory} from '@goldcrestpier/dispatch';
 import {readClock, sleep, type Logger} from '@goldcrestpier/runtime';
 import type {DelegatedTaskList, ZoneClient} from '../protocol/index.js';
 
@@ -19,8 +19,8 @@
   readonly zone: string;
   readonly token: number;
   readonly dispatcher: Dispatcher;
-  /** The crashes of workers that the instance knows. */
-  readonly crashes: CrashHistory;
+  /** What the instance knows of tasks. */
+  readonly history: TaskHistory;
   readonly findZoneClient: FindZoneClient;
   readonly logger: Logger;
   readonly onChange: () => void;
@@ -50,8 +50,8 @@
       );
       // An instance that isn't the holder knows nothing of what runs there.
       if (result?.isOk() === true && result.value.holderToken !== undefined) {
-        const {tasks, isComplete, crashes = []} = result.value;
-        this.options.crashes.merge(crashes, readClock());
+        const {tasks, isComplete} = result.value;
+        this.options.history.merge(result.value, readClock());
         this.recordAbandonedJobs(zone, result.value);
         dispatcher.handleDelegationReport(zone, result.value, readClock());
         logger.info('received the tasks that another zone runs for this one', {
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -56,14 +56,13 @@
   private isClosed = false;
 
   constructor(private readonly options: HolderOptions) {
-    const {dispatchOptions, logger, metrics, lifecycle} = options;
-    const observer = createObserver(logger, metrics);
+    const {dispatchOptions, history, logger, metrics, lifecycle} = options;
     const lostResponses = new LostResponses();
     this.dispatcher = new Dispatcher(
       dispatchOptions,
       this.holderSince,
-      observer,
-      options.crashes,
+      createObserver(logger, metrics),
+      history,
     );
     this.commandSender = new CommandSender({
       token: options.token,
@@ -73,6 +72,7 @@
       logger,
       metrics,
       lostResponses,
+      isActive: () => !this.isClosed,
       onCommand: workerId => this.pollers.wake(workerId),
       onChange: () => this.scheduleTick(),
       onFenced: workerId => this.stepDown(workerId),
@@ -117,8 +117,8 @@
 
   /** Updates the list of workers. */
   setWorkers(listing: WorkerListing): void {
-    if (this.isClosed) return;
     const now = readClock();
+    if (this.isClosed) return;
     this.workerListing = listing;
     this.dispatcher.setWorkers(listing.workers, now);
     if (!isListingAwaited(listing, this.holderSince, now))
@@ -188,9 +188,9 @@
     if (this.isClosed) {
       return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
     }
+    const now = readClock();
     // The outcome of a run that has just ended answers a reattachment to it.
     this.answerEndedJobs();
-    const now = readClock();
     const isAccepted =
       message.isJoin || !this.overloadDetector.wasRecentlyOverloaded(now);
     this.pollers.wakeReported(message.progress);
--- a/packages/zone/src/holder/holder_options.ts
+++ b/packages/zone/src/holder/holder_options.ts
@@ -1,5 +1,5 @@
 /** Options of a holder. */
-import type {CrashHistory, DispatcherOptions} from '@goldcrestpier/dispatch';
+import type {DispatcherOptions, TaskHistory} from '@goldcrestpier/dispatch';
 import type {Lifecycle, Logger} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
@@ -12,8 +12,8 @@
   readonly findZoneClient: FindZoneClient;
   readonly token: number;
   readonly dispatchOptions: DispatcherOptions;
-  /** The crashes of workers that the instance knows. */
-  readonly crashes: CrashHistory;
+  /** What the instance knows of tasks. */
+  readonly history: TaskHistory;
   readonly workerPort: WorkerPort;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -73,10 +73,14 @@
 
 type CrashObserver = Pick<
   DispatchObserver,
-  'lossesExplained' | 'crashRecorded' | 'jobFailedByCrashes'
+  | 'lossesExplained'
+  | 'crashRecorded'
+  | 'jobFailedByCrashes'
+  | 'jobBlocked'
+  | 'startsForgotten'
 >;
 
-/** Creates the part of an observer that concerns crashes of workers. */
+/** Creates the part that concerns workers which crash or don't answer. */
 function createCrashObserver(
   logger: Logger,
   metrics: ZoneMetrics,
@@ -95,6 +99,15 @@
       const fields = {task, worker, isShared, verdict};
       logger.warn('worker crashed while it ran a task', fields);
     },
+    jobBlocked(job, task, blockedMs) {
+      metrics.blockedJobs.inc();
+      const fields = {job, task, blockedMs: Math.round(blockedMs)};
+      logger.warn('job ends as a start of it may be executed late', fields);
+    },
+    startsForgotten(count) {
+      metrics.forgottenStarts.inc(count);
+      logger.error('forgot unanswered starts, as there are too many', {count});
+    },
     jobFailedByCrashes(job, task, workerIds) {
       metrics.crashingTasks.inc();
       const workers = workerIds.join(' ');
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -5,6 +5,7 @@
   type EndedJob,
   type Job,
   type JobProgress,
+  type TaskHistory,
 } from '@goldcrestpier/dispatch';
 import {ExpiringMap, type Logger, type Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
@@ -28,6 +29,8 @@
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
   readonly dispatcher: Dispatcher;
+  /** What the instance knows of tasks. */
+  readonly history: TaskHistory;
   readonly pendingAnswers: PendingAnswers;
   readonly overloadDetector: OverloadDetector;
   readonly logger: Logger;
@@ -143,16 +146,28 @@
       if (!this.postponed.has(id)) pendingAnswers.answerAll(id, outcome);
     }
     for (const [id, {job}] of this.postponed) {
-      if (now < job.deadlineAt) continue;
+      const reason = this.findAbandonReason(job, now);
+      if (reason === undefined) continue;
       this.postponed.delete(id);
-      const reason = AbandonReason.Deadline;
       pendingAnswers.answerAll(id, {kind: 'abandoned', reason});
     }
   }
 
+  /** Why a postponed job can't be served any more; undefined if it can. */
+  private findAbandonReason(
+    {id, deadlineAt}: Job,
+    now: Millis,
+  ): AbandonReason | undefined {
+    const {unansweredStarts} = this.options.history;
+    if (now >= deadlineAt) return AbandonReason.Deadline;
+    return unansweredStarts.findJobEnd(id, now) >= deadlineAt
+      ? AbandonReason.StartUnanswered
+      : undefined;
+  }
+
   /** Tells all owners that this instance is no longer the holder. */
   answerNotHolder(now: Millis): void {
-    const {dispatcher, pendingAnswers} = this.options;
+    const {dispatcher, pendingAnswers, history} = this.options;
     for (const jobId of pendingAnswers.recordIds) {
       const mayHaveStarted = dispatcher.jobs.get(jobId)?.mayHaveRuns ?? true;
       const progress = dispatcher.describeProgress(jobId, now);
@@ -162,6 +177,7 @@
         mayHaveStarted,
         progress,
         ...(isCancelled && {isCancelled}),
+        ...history.reportJob(jobId, now),
       });
     }
   }
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -92,9 +92,8 @@
       ? Math.max(job.remainingMs, 0) + REATTACH_ANSWER_MARGIN_MS
       : job.remainingMs + ANSWER_MARGIN_MS;
     const result = await client.delegateTask(message, timeoutMs);
-    // Whether the task is started again depends on the crashes there.
-    const reports = result.isOk() ? result.value.crashes : undefined;
-    this.options.crashes.merge(reports ?? [], readClock());
+    // Whether the task may be started again depends on what happened there.
+    if (result.isOk()) this.options.history.merge(result.value, readClock());
     return result;
   }
 
--- a/packages/zone/src/instance/delegation_handler.ts
+++ b/packages/zone/src/instance/delegation_handler.ts
@@ -1,5 +1,5 @@
 /** Handles the requests of other zones about the tasks they delegate here. */
-import type {CrashHistory} from '@goldcrestpier/dispatch';
+import type {TaskHistory} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {outdatedRefusal, type Holder} from '../holder/index.js';
 import type {
@@ -17,7 +17,7 @@
   constructor(
     private readonly zones: OtherZones,
     private readonly findHolder: () => Holder | undefined,
-    private readonly crashes: CrashHistory,
+    private readonly history: TaskHistory,
   ) {}
 
   /** Runs a task that the holder of another zone delegates. */
@@ -32,8 +32,9 @@
       return {answer: outdatedRefusal};
     }
     const answer = await holder.runDelegatedTask(message);
-    const crashes = this.crashes.reportJob(message.job.id, readClock());
-    return {answer, rooms: holder.findFreeCapacity(), crashes};
+    const rooms = holder.findFreeCapacity();
+    const known = this.history.reportJob(message.job.id, readClock());
+    return {answer, rooms, ...known};
   }
 
   /** Stops a task that another zone recalls; false if not the holder. */
@@ -54,9 +55,9 @@
     const unknown = {isComplete: false, tasks: []};
     const holder = this.findHolder();
     const list = holder?.listDelegatedTasks(homeZone) ?? unknown;
-    const crashes = this.crashes.reportAll(readClock());
+    const known = this.history.reportAll(readClock());
     const abandonedJobs = holder?.abandonedJobs.told;
     const holderToken = holder?.token;
-    return Promise.resolve({...list, crashes, holderToken, abandonedJobs});
+    return Promise.resolve({...list, ...known, holderToken, abandonedJobs});
   }
 }
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -1,5 +1,5 @@
 /** One instance of a zone: owns its callers' jobs and may be the holder. */
-import {AbandonReason, CrashHistory, type Job} from '@goldcrestpier/dispatch';
+import {AbandonReason, TaskHistory, type Job} from '@goldcrestpier/dispatch';
 import {LogPart, readClock, type Millis} from '@goldcrestpier/runtime';
 import {Owner, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration} from '../ports/index.js';
@@ -47,7 +47,7 @@
   private readonly scheduler: StepScheduler;
   private readonly activity = new Activity();
   private readonly changes = new StateChangeDetector();
-  private readonly crashes = new CrashHistory();
+  private readonly history = new TaskHistory();
   private isLeaving = false;
 
   constructor(private readonly options: InstanceOptions) {
@@ -58,13 +58,13 @@
     for (const seed of seeds) this.view.addAddress(seed);
     this.roles = new RoleManager({
       ...options,
-      crashes: this.crashes,
+      history: this.history,
       findZoneClient: other => this.findZoneClient(other),
       // The role is chosen again in the next step, not within this one.
       onFenced: () => this.scheduler.wake(),
     });
     const findHolder = () => this.roles.holder;
-    this.inbound = new DelegationHandler(this.zones, findHolder, this.crashes);
+    this.inbound = new DelegationHandler(this.zones, findHolder, this.history);
     this.links = new PeerLinks({
       ...options,
       createHeartbeat: (now, isOther) => this.createHeartbeat(now, isOther),
@@ -77,7 +77,7 @@
     });
     this.owner = new Owner({
       selfId: id,
-      crashes: this.crashes,
+      history: this.history,
       findHolder: () =>
         findHolderClient(this.roles, id, other => this.findClient(other)),
       waitForHolderChange: (from, signal) => this.notifier.wait(from, signal),
@@ -154,7 +154,7 @@
   submit(message: JobSubmission): Promise<JobAnswer> {
     const now = readClock();
     this.view.recordContact(message.ownerId, now);
-    this.crashes.merge(message.crashes ?? [], now);
+    this.history.merge(message, now);
     const {holder} = this.roles;
     if (holder !== undefined) return holder.submit(message);
     return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
@@ -205,7 +205,7 @@
     const {holderId, holder, claim} = this.roles;
     const parties = {id: this.options.id, view, zones};
     if (holder !== undefined) updateUnwantedWork(holder, parties, now);
-    const {revision: crashRevision} = this.crashes;
+    const {revision: crashRevision} = this.history.crashes;
     const abandonedRevision = holder?.abandonedJobs.revision;
     const revisions = {crashRevision, abandonedRevision};
     const state = {claim, isLeaving, version, ...revisions};
@@ -262,7 +262,7 @@
 
   private handleHeartbeat(message: ZoneHeartbeat, now: Millis): void {
     this.view.recordHeartbeat(message, now);
-    this.crashes.merge(message.crashes ?? [], now);
+    this.history.merge(message, now);
     if (message.zone !== this.options.zone) this.handleOtherZone(message, now);
     else if (message.claim !== undefined) this.handleClaim(message.claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
@@ -284,12 +284,12 @@
   private createHeartbeat(now: Millis, withCapacity: boolean): ZoneHeartbeat {
     const {id, zone, processors, directory} = this.options;
     const {claim, holder} = this.roles;
-    const {address, isLeaving, crashes} = this;
+    const {address, isLeaving, history} = this;
     const holderHeardMs = claim && this.view.findSilence(claim.holderId, now);
     const rooms = withCapacity ? holder?.findFreeCapacity() : undefined;
     const abandonedJobs = withCapacity ? holder?.abandonedJobs.told : undefined;
     const self = {id, zone, address, processors, isLeaving, directory};
-    const known = {claim, holderHeardMs, rooms, crashes, abandonedJobs};
+    const known = {claim, holderHeardMs, rooms, history, abandonedJobs};
     return createOwnHeartbeat({...self, ...known}, now);
   }
 
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -1,5 +1,5 @@
 /** Creates the heartbeat that an instance sends to its peers. */
-import type {CrashHistory} from '@goldcrestpier/dispatch';
+import type {TaskHistory} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Directory} from '../ports/index.js';
 import type {Claim, ZoneHeartbeat} from '../protocol/index.js';
@@ -18,7 +18,7 @@
   readonly holderHeardMs: Millis | undefined;
   /** Free capacity of the workers, if it is reported to the receiver. */
   readonly rooms: ZoneHeartbeat['rooms'];
-  readonly crashes: CrashHistory;
+  readonly history: TaskHistory;
   /** Jobs that nobody waits for, if they are reported to the receiver. */
   readonly abandonedJobs: readonly string[] | undefined;
 }
@@ -30,13 +30,12 @@
     claim,
     holderHeardMs,
     rooms,
-    crashes,
+    history,
     abandonedJobs = [],
     ...self
   }: OwnState,
   now: Millis,
 ): ZoneHeartbeat {
-  const recentCrashes = crashes.reportRecent(now);
   const asOf = directory.configurationAsOf();
   return {
     ...self,
@@ -45,7 +44,7 @@
     ...(claim === undefined ? {} : {claim}),
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
-    ...(recentCrashes === undefined ? {} : {crashes: recentCrashes}),
+    ...history.reportRecent(now),
     ...(abandonedJobs.length === 0 ? {} : {abandonedJobs}),
   };
 }
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -2,7 +2,7 @@
  * Manages an instance's role: follower or holder of its zone. Creates the
  * holder of this process and closes it when a higher claim is known.
  */
-import type {CrashHistory, DispatcherOptions} from '@goldcrestpier/dispatch';
+import type {DispatcherOptions, TaskHistory} from '@goldcrestpier/dispatch';
 import {
   LogPart,
   readClock,
@@ -32,8 +32,8 @@
   /** The part of its fencing tokens that is unique to this process. */
   readonly nonce: number;
   readonly dispatchOptions: DispatcherOptions;
-  /** The crashes of workers that this instance knows. */
-  readonly crashes: CrashHistory;
+  /** What this instance knows of tasks. */
+  readonly history: TaskHistory;
   readonly directory: Directory;
   readonly workerPort: WorkerPort;
   readonly findZoneClient: HolderOptions['findZoneClient'];
@@ -174,7 +174,7 @@
       zone,
       findZoneClient,
       dispatchOptions,
-      crashes,
+      history,
       workerPort,
       logs,
       metrics,
@@ -188,7 +188,7 @@
       findZoneClient,
       token,
       dispatchOptions,
-      crashes,
+      history,
       workerPort,
       logger: logs.forPart(LogPart.Holding),
       metrics,
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -61,6 +61,16 @@
     'Jobs failed because several workers crashed under one of their tasks.',
     [],
   );
+  readonly blockedJobs = this.createCounter(
+    'goldcrestpier_blocked_jobs_total',
+    'Jobs ended because a start of a task got no answer and may come late.',
+    [],
+  );
+  readonly forgottenStarts = this.createCounter(
+    'goldcrestpier_forgotten_starts_total',
+    'Unanswered starts forgotten too early, as there were too many.',
+    [],
+  );
   readonly strikes = this.createCounter(
     'goldcrestpier_worker_strikes_total',
     'Faults recorded for workers, by reason.',
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -5,8 +5,8 @@
 import {
   AbandonReason,
   DELEGATED_RUN_MAX_MS,
-  type CrashHistory,
   type Job,
+  type TaskHistory,
 } from '@goldcrestpier/dispatch';
 import {PeerFailureKind} from '@goldcrestpier/peers';
 import {
@@ -62,8 +62,8 @@
 /** Dependencies of an owner. */
 export interface OwnerOptions {
   readonly selfId: string;
-  /** The crashes of workers that this instance knows. */
-  readonly crashes: CrashHistory;
+  /** What this instance knows of tasks. */
+  readonly history: TaskHistory;
   /** Finds the current holder, if it can be reached. */
   readonly findHolder: () => HolderClient | undefined;
   /** Resolves when another instance than `from` is the holder. */
@@ -182,7 +182,10 @@
         history: wasSent ? {kind: 'unknown'} : history,
       };
     }
-    return toAttempt(result.value, history);
+    const answer = result.value;
+    if (answer.kind === 'not_holder')
+      this.options.history.merge(answer, readClock());
+    return toAttempt(answer, history);
   }
 
   /** Returns the answer; undefined if the holder was replaced without one. */
@@ -191,12 +194,12 @@
     job: Job,
     history: History,
   ): Promise<Result<JobAnswer, ZoneCallFailure> | undefined> {
-    const {selfId, crashes, waitForHolderChange, isAlive} = this.options;
+    const {selfId, history: known, waitForHolderChange, isAlive} = this.options;
     const now = readClock();
     const message = {
       ...toSubmission(job, selfId, history.kind !== 'none', now),
       progress: history.kind === 'told' ? history.progress : undefined,
-      crashes: crashes.reportJob(job.id, now),
+      ...known.reportJob(job.id, now),
     };
     const timeoutMs = message.remainingMs + ANSWER_MARGIN_MS;
     const answer = holder.submit(message, timeoutMs);
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -35,8 +35,19 @@
   ageMs: z.number().nonnegative(),
 });
 
-/** Crashes that the sender knows; left out if there are none. */
-const crashReportsSchema = z.array(crashReportSchema).readonly().optional();
+/** A task with a start command that its worker may execute late. */
+const unansweredStartSchema = z.object({
+  /** The formatted name of the task. */
+  task: z.string(),
+  /** Time until a run that the command starts late has ended, in ms. */
+  remainingMs: z.number().nonnegative(),
+});
+
+/** What the sender knows of tasks; empty lists are left out. */
+const taskHistoryShape = {
+  crashes: z.array(crashReportSchema).readonly().optional(),
+  unansweredStarts: z.array(unansweredStartSchema).readonly().optional(),
+};
 
 /**
  * Jobs that still run in the sender's zone though nobody waits for them there;
@@ -66,8 +77,8 @@
   configurationAgeMs: z.number().optional(),
   /** Free capacity of the sender's workers, sent by holders to other zones. */
   rooms: z.array(freeCapacitySchema).optional(),
-  /** Crashes that the sender got to know recently. */
-  crashes: crashReportsSchema,
+  /** What the sender got to know recently. */
+  ...taskHistoryShape,
   /** Sent by holders to other zones. */
   abandonedJobs: abandonedJobsSchema,
 });
@@ -141,8 +152,8 @@
   remainingMs: z.number(),
   /** The progress that the previous holder reported when it stepped down. */
   progress: jobProgressSchema.optional(),
-  /** Crashes under tasks of the job, from earlier submissions as well. */
-  crashes: crashReportsSchema,
+  /** The history of the job's tasks, from earlier submissions as well. */
+  ...taskHistoryShape,
 });
 
 /** Delegates one task; answered when its run has ended. */
@@ -185,8 +196,8 @@
   /** Whether the peer has polled its workers, so that it knows their runs. */
   hasPolledWorkers: z.boolean().optional(),
   tasks: z.array(z.object({key: z.string(), run: z.number()})),
-  /** All crashes that the peer knows, of any zone. */
-  crashes: crashReportsSchema,
+  /** All that the peer knows, of any zone. */
+  ...taskHistoryShape,
   /** Fencing token of the peer; left out if it is not the holder. */
   holderToken: z.number().optional(),
   abandonedJobs: abandonedJobsSchema,
@@ -212,6 +223,8 @@
     mayHaveStarted: z.boolean(),
     progress: jobProgressSchema.optional(),
     isCancelled: z.boolean().optional(),
+    /** The history of the job's tasks. */
+    ...taskHistoryShape,
   }),
 ]);
 
@@ -219,8 +232,8 @@
 export const delegationAnswerSchema = z.object({
   answer: jobAnswerSchema,
   rooms: z.array(freeCapacitySchema).optional(),
-  /** Crashes under tasks of the job. */
-  crashes: crashReportsSchema,
+  /** The history of the job's tasks. */
+  ...taskHistoryShape,
 });
 
 /** Cancels a job: the caller disconnected or cancelled it. */
--- a/packages/zone/test/lost_owner.test.ts
+++ b/packages/zone/test/lost_owner.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {test} from 'node:test';
-import {AbandonReason, RunEnd, type Dispatcher} from '@goldcrestpier/dispatch';
+import {
+  AbandonReason,
+  RunEnd,
+  TaskHistory,
+  type Dispatcher,
+} from '@goldcrestpier/dispatch';
 import {OverloadDetector} from '../src/holder/overload_detector.js';
 import {PendingAnswers} from '../src/holder/pending_answers.js';
 import {SubmissionHandler} from '../src/holder/submission_handler.js';
@@ -30,6 +35,7 @@
   constructor() {
     this.handler = new SubmissionHandler({
       dispatcher: this.dispatcher,
+      history: new TaskHistory(),
       pendingAnswers: this.pendingAnswers,
       overloadDetector: new OverloadDetector(TICK_MS),
       logger: {...noopLogger, info: message => this.logged.push(message)},
