Leases of a restarted worker last as long as its predecessor's late commands

A poll or a start that names a lease and gets no answer may be carried out late as well. Its lease is a time on the clock of the process that was meant; the next one begins anew, so that the time lies ahead there whenever the command arrives, and all runs of the worker get a lease of up to `leaseMs` from then on. The dispatcher counted only the leases that it had granted to the new process. A run of a worker that had restarted and then fell silent was taken for over while it may have gone on, and started again elsewhere.

The latest end of such leases is kept with the worker and counts from the next incarnation on. The test `the leases of a silent worker that has restarted last as long as a late poll extends them` failed before: the task was started again at 3 s.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -235,7 +235,7 @@
   ): void {
     const worker = this.registry.workers.get(workerId);
     if (worker === undefined) return;
-    applyPollFailure(this.registry, worker, failure, now);
+    applyPollFailure(this.registry, worker, failure, this.options, now);
   }
 
   /** Updates the free capacity that the holder of another zone reported. */
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -14,7 +14,7 @@
 
 /** Records that a start command has got no answer so far. */
 export function recordUnansweredStart(
-  {history, observer}: Registry,
+  {history, workers, observer}: Registry,
   run: Run,
   leaseMs: Millis,
   now: Millis,
@@ -22,6 +22,7 @@
   const endsAt = computeLateRunEnd(now, leaseMs);
   const dropped = history.unansweredStarts.record(run.key, endsAt, now);
   if (dropped > 0) observer.startsForgotten(dropped);
+  workers.get(run.workerId)?.recordUnansweredLease(endsAt);
 }
 
 /** When the task may be started again; undefined if it may be now. */
--- a/packages/dispatch/src/dispatcher/poll_answer.ts
+++ b/packages/dispatch/src/dispatcher/poll_answer.ts
@@ -5,7 +5,11 @@
   type WorkerRecord,
   type WorkerReport,
 } from '../workers/index.js';
-import {computeLeaseExpiry, type DispatcherOptions} from './options.js';
+import {
+  computeLateRunEnd,
+  computeLeaseExpiry,
+  type DispatcherOptions,
+} from './options.js';
 import type {Registry} from './registry.js';
 import {applyReport} from './worker_reports.js';
 
@@ -40,16 +44,22 @@
   {crashRecorder}: Registry,
   worker: WorkerRecord,
   failure: WorkerRequestFailure,
+  {leaseMs}: DispatcherOptions,
   now: Millis,
 ): void {
+  // Polls of an unresponsive worker extend no lease.
+  const hasLease = worker.hasAcceptedToken && !worker.isUnresponsive;
   worker.pollFailure = failure;
   switch (failure) {
+    case WorkerRequestFailure.Unanswered:
+      if (hasLease)
+        worker.recordUnansweredLease(computeLateRunEnd(now, leaseMs));
+      return;
     case WorkerRequestFailure.OtherIncarnation:
       return crashRecorder.explainLosses(worker, true, now);
     case WorkerRequestFailure.Fenced:
     case WorkerRequestFailure.NotListening:
     case WorkerRequestFailure.Refused:
-    case WorkerRequestFailure.Unanswered:
       return;
   }
 }
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -40,6 +40,8 @@
   unexplainedLosses: readonly Run[] = [];
   /** When every lease granted on the worker has certainly expired. */
   leasesExpireAt: Millis = 0;
+  /** The same for leases that the next incarnation may grant late. */
+  private lateLeasesExpireAt: Millis = 0;
   health = Health.Healthy;
   ejectedUntil: Millis = 0;
   /** Consecutive ejections; each one doubles the ejection time. */
@@ -189,8 +191,21 @@
     return this.isUnresponsive || this.orphans.size === 0;
   }
 
+  /**
+   * Records that a command which names a lease got no answer. On the clock of
+   * the next incarnation that lease is valid whenever it executes the command;
+   * a run under it ends by `expiresAt`.
+   */
+  recordUnansweredLease(expiresAt: Millis): void {
+    this.lateLeasesExpireAt = Math.max(this.lateLeasesExpireAt, expiresAt);
+  }
+
   /** Begins a new incarnation, whose runs are known after its next poll. */
   beginIncarnation(now: Millis): void {
+    this.leasesExpireAt = Math.max(
+      this.leasesExpireAt,
+      this.lateLeasesExpireAt,
+    );
     this.incarnationKnownAt = now;
     this.answeredPollSentAt = -Infinity;
     this.lastAckedEnd = 0;
--- a/packages/dispatch/test/late_starts.test.ts
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -206,3 +206,24 @@
   dispatcher.submit(createJob('b', 1, {arrivedAt: 200}), false, 200);
   assert.equal(listStarts(dispatcher, 200).length, 1);
 });
+
+test('the leases of a silent worker that has restarted last as long as a late poll extends them', () => {
+  const history = new TaskHistory();
+  const dispatcher = createPolledDispatcher(history, 0);
+  const {Unanswered} = WorkerRequestFailure;
+  const restarted = ['w1', 'w2'].map(id => createWorker(id, {bornAt: 2}));
+  for (const {id} of restarted) {
+    dispatcher.handlePollFailure(id, Unanswered, 100);
+    dispatcher.handleReport(id, createReport([], [], 2), 800, 800);
+  }
+  dispatcher.setWorkers(restarted, 850);
+  dispatcher.submit(createJob('b', 1, longTimes), false, 900);
+  const [start] = dispatcher.tick(900);
+  assert.ok(start?.kind === 'start');
+  const {run} = start;
+  dispatcher.recordLease(run.workerId, 900);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 910);
+  dispatcher.handlePollFailure(run.workerId, Unanswered, 1_000);
+  assert.deepEqual(listStarts(dispatcher, 3_000), []);
+  assert.equal(listStarts(dispatcher, 100 + 13_200).length, 1);
+});
