Simulate late commands that the next process of a worker executes

A command that got no answer may be executed up to 12 s later by the next process of the worker, which has the same id, has seen no fencing token, no stop and no run number, and starts its clock anew. The simulation could not show it: its requests never reached the next process of a worker, and were at most 4 s late.

Two new kinds of faults, left out unless requested, like stale deliveries, so that the draws of existing seeds stay as they are: - late_requests: a share of the requests to some workers (starts, stops, polls) gets no answer and is executed 0.1 to 12 s later by whatever process runs then; - quick_restarts: workers restart within 50 to 700 ms, with or without an early entry in the store, 30% of them with other labels and another capacity. The duration of a simulation is an option, jobs can require a label, and starts that were sent to a known process without the label are reported (ROUTE).

--- a/packages/zone/test/crashing_tasks.test.ts
+++ b/packages/zone/test/crashing_tasks.test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Fault} from './simulation/faults.js';
+import {Fault} from './simulation/fault_kinds.js';
 import {simulate} from './simulation/simulate.js';
 
 const CRASHING_SHARE = 0.1;
--- a/packages/zone/test/one_run_at_a_time.test.ts
+++ b/packages/zone/test/one_run_at_a_time.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Fault} from './simulation/faults.js';
+import {Fault, listFaults} from './simulation/fault_kinds.js';
 import {simulate} from './simulation/simulate.js';
 
 /** A simulation, and why two runs of a task overlapped in it before the fix. */
@@ -66,11 +66,15 @@
   },
 ];
 const {PLAY_SEED, PLAY_COUNT = '1', PLAY_ZONES, PLAY_HELD} = process.env;
-const {PLAY_INSTANCES} = process.env;
-/** `PLAY_HELD` adds messages that arrive after their connection was closed. */
-const faultKinds = Object.values(Fault).filter(
-  kind => kind !== Fault.DeliverStale || PLAY_HELD !== undefined,
-);
+const {PLAY_INSTANCES, PLAY_LATE} = process.env;
+/**
+ * `PLAY_HELD` adds messages that arrive after their connection was closed,
+ * `PLAY_LATE` late requests that reach the next process of a worker.
+ */
+const faultKinds = listFaults([
+  ...(PLAY_HELD === undefined ? [] : [Fault.DeliverStale]),
+  ...(PLAY_LATE === undefined ? [] : [Fault.LateRequests, Fault.QuickRestarts]),
+]);
 
 /** Creates the simulations that are requested by environment variables. */
 function createRequestedCases(firstSeed: number): readonly SimulationCase[] {
--- a/packages/zone/test/rolling_stops.test.ts
+++ b/packages/zone/test/rolling_stops.test.ts
@@ -6,9 +6,9 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {crowdedWorkload} from './simulation/callers.js';
-import {Fault} from './simulation/faults.js';
+import {Fault} from './simulation/fault_kinds.js';
 import {simulate} from './simulation/simulate.js';
+import {crowdedWorkload} from './simulation/workload.js';
 
 const ZONES = 3;
 const INSTANCES = 3;
--- a/packages/zone/test/simulation/callers.ts
+++ b/packages/zone/test/simulation/callers.ts
@@ -9,8 +9,10 @@
 import type {RunningInstance, Machine, World} from './machine.js';
 import {CALLERS} from './network.js';
 import {CRASHING_PAYLOAD} from './crash_checker.js';
+import {LABELLED_PAYLOAD, REQUIRED_LABEL} from './label_checker.js';
 import type {Random} from './random.js';
 import {USUAL_TASK_MS} from './worker.js';
+import type {Workload} from './workload.js';
 
 /** Delay before a job is resent after a failed request, in ms. */
 const RESEND_DELAY_MS = 1_300;
@@ -23,27 +25,6 @@
 /** Share of callers that disconnect before the answer. */
 const EARLY_DISCONNECT_SHARE = 0.04;
 
-/** What distinguishes the jobs of a simulation from the usual ones. */
-export interface Workload {
-  /** Share of the jobs that are sent to the first zone. */
-  readonly firstZoneShare: number;
-  /** Share of first sends that use a connection to any machine of the zone. */
-  readonly keptConnectionShare: number;
-  /** Mean time between two jobs, in ms. */
-  readonly meanIntervalMs: Millis;
-  readonly estimateMs: Millis;
-  readonly timeoutMs: Millis;
-}
-
-/** Jobs of one zone that need the workers of the others. */
-export const crowdedWorkload: Workload = {
-  firstZoneShare: 0.6,
-  keptConnectionShare: 0.4,
-  meanIntervalMs: 110,
-  estimateMs: 600,
-  timeoutMs: 1_500,
-};
-
 interface SentJob {
   readonly id: string;
   readonly zone: string;
@@ -104,14 +85,14 @@
       const tasks = random.integer(1, 5);
       steps.push({tasks, need, estimateMs, after});
     }
-    return {
-      id: random.hex(16),
-      zone: this.drawZone(),
-      steps,
-      timeoutMs: workload?.timeoutMs ?? random.between(1_500, 4_000),
-      payload: this.drawPayload(),
-      sendCount: 0,
-    };
+    const id = random.hex(16);
+    const zone = this.drawZone();
+    const timeoutMs = workload?.timeoutMs ?? random.between(1_500, 4_000);
+    const payload = this.drawPayload();
+    const requiredLabel =
+      payload === LABELLED_PAYLOAD ? REQUIRED_LABEL : undefined;
+    const labelled = steps.map(step => ({...step, requiredLabel}));
+    return {id, zone, steps: labelled, timeoutMs, payload, sendCount: 0};
   }
 
   private drawZone(): string {
@@ -125,9 +106,13 @@
   }
 
   private drawPayload(): string {
+    const {random, crashingShare, workload} = this;
+    const labelledShare = workload?.labelledShare ?? 0;
     // Simulations without such jobs keep their sequence of random numbers.
-    if (this.crashingShare === 0) return '';
-    return this.random.chance(this.crashingShare) ? CRASHING_PAYLOAD : '';
+    if (labelledShare > 0 && random.chance(labelledShare))
+      return LABELLED_PAYLOAD;
+    if (crashingShare === 0) return '';
+    return random.chance(crashingShare) ? CRASHING_PAYLOAD : '';
   }
 
   private send(sent: SentJob): void {
--- a/packages/zone/test/simulation/checker.ts
+++ b/packages/zone/test/simulation/checker.ts
@@ -3,7 +3,7 @@
 import type {Timeline} from './timeline.js';
 
 /** How far back the timeline of a violation goes, in ms. */
-const TIMELINE_WINDOW_MS = 8_000;
+const TIMELINE_WINDOW_MS = 15_000;
 
 /** An active run on a worker. */
 export interface ActiveRun {
--- a/packages/zone/test/simulation/faults.ts
+++ b/packages/zone/test/simulation/faults.ts
@@ -1,59 +1,24 @@
 /** Injects random faults from a seed, most of them in groups close in time. */
 import type {Millis} from '@goldcrestpier/runtime';
+import {Fault} from './fault_kinds.js';
 import type {Machine, World} from './machine.js';
 import {CALLERS, STORE, type Nodes} from './network.js';
 import type {Random} from './random.js';
+import type {DelayedRequests} from './request_delays.js';
 import type {SimulatedWorker} from './worker.js';
-import type {RequestDelays} from './worker_port.js';
-
-/** A worker's entry is in the store at most this long after its start. */
-const MAX_REGISTRATION_DELAY_MS = 800;
-
-/** Kinds of faults. */
-export enum Fault {
-  Kill = 'kill',
-  Freeze = 'freeze',
-  Overload = 'strain',
-  PlannedStop = 'leave',
-  StoreOutage = 'store_away',
-  PartitionMachine = 'cut_machine',
-  PartitionZones = 'cut_zones',
-  PartitionFromWorkers = 'cut_from_workers',
-  PartitionFromStore = 'cut_from_store',
-  DelayMachine = 'delay_machine',
-  PartitionWorkers = 'cut_workers',
-  CrashWorkers = 'crash_workers',
-  DrainWorkers = 'drain_workers',
-  DelayRequests = 'late_orders',
-  ResetCallers = 'reset_callers',
-  /** Messages may arrive after their sender has closed the connection. */
-  DeliverStale = 'held_messages',
-}
-
-/** The share of requests that each worker executes late at the moment. */
-export class DelayedRequests implements RequestDelays {
-  private readonly shares = new Map<string, number>();
-
-  /** Sets the share of a worker's requests that is delayed. */
-  set(workerId: string, share: number): void {
-    this.shares.set(workerId, share);
-  }
-
-  /** Finds the share of a worker's requests that is delayed. */
-  findDelayedShare(workerId: string): number {
-    return this.shares.get(workerId) ?? 0;
-  }
-}
+import {WorkerFaults} from './worker_faults.js';
 
 /** Injects faults into a simulation. */
 export class FaultInjector {
   private readonly random: Random;
+  private readonly workerFaults: WorkerFaults;
 
   constructor(
     private readonly world: World,
-    private readonly delayedRequests: DelayedRequests,
+    delayedRequests: DelayedRequests,
   ) {
     this.random = world.random.fork();
+    this.workerFaults = new WorkerFaults(world, delayedRequests, this.random);
   }
 
   /** Schedules random groups of faults between two times. */
@@ -102,16 +67,20 @@
       case Fault.PartitionWorkers:
         return this.partitionWorkers(ms);
       case Fault.CrashWorkers:
-        return this.crashWorkers();
+        return this.workerFaults.crashWorkers();
       case Fault.DrainWorkers:
-        return this.drainWorkers();
+        return this.workerFaults.drainWorkers();
       case Fault.ResetCallers:
         return this.resetCallers(machine);
       case Fault.DelayRequests:
-        return this.delayRequests(ms);
+        return this.workerFaults.delayRequests(ms);
       case Fault.DeliverStale:
         this.log('messages of closed connections may still arrive');
         return world.network.allowStaleDelivery();
+      case Fault.LateRequests:
+        return this.workerFaults.makeRequestsLate(ms);
+      case Fault.QuickRestarts:
+        return this.workerFaults.restartQuickly();
     }
   }
 
@@ -207,7 +176,7 @@
 
   private partitionWorkers(ms: Millis): void {
     const {random} = this;
-    const chosen = this.chooseWorkers(0.5);
+    const chosen = this.workerFaults.chooseWorkers(0.5);
     const ids = new Set(chosen.map(({id}) => id));
     const includesStore = random.chance(0.5);
     const others = (name: string) =>
@@ -215,33 +184,9 @@
     this.partition('workers alone', name => ids.has(name), others, ms);
   }
 
-  private crashWorkers(): void {
-    for (const worker of this.chooseWorkers(0.4)) this.crash(worker);
-  }
-
-  /** Drains workers, which exit some time later. */
-  private drainWorkers(): void {
-    const {random, world} = this;
-    for (const worker of this.chooseWorkers(0.3)) {
-      this.log(`${worker.id} drains`);
-      worker.drain();
-      world.store.putWorker(worker);
-      const exitDelayMs = random.between(300, 3_000);
-      world.scheduler.runAfter(exitDelayMs, () => this.crash(worker));
-    }
-  }
-
   /** Crashes a worker and starts it again some time later. */
   crash(worker: SimulatedWorker): void {
-    const {random, world} = this;
-    this.log(`${worker.id} crashes`);
-    worker.crash();
-    world.scheduler.runAfter(random.between(50, 2_500), () => {
-      worker.startProcess();
-      const delayMs = random.between(0, MAX_REGISTRATION_DELAY_MS);
-      world.scheduler.runAfter(delayMs, () => world.store.putWorker(worker));
-      this.log(`${worker.id} is running again`);
-    });
+    this.workerFaults.crash(worker);
   }
 
   /** Resets the connections of a machine's callers; both ends notice it. */
@@ -251,24 +196,6 @@
     for (const reset of [...running.resetCallbacks]) reset();
   }
 
-  private delayRequests(ms: Millis): void {
-    const {random, world} = this;
-    const share = random.between(0.1, 0.6);
-    for (const {id} of this.chooseWorkers(0.6)) {
-      this.log(`${id} delays some requests`);
-      this.delayedRequests.set(id, share);
-      world.scheduler.runAfter(ms, () => this.delayedRequests.set(id, 0));
-    }
-  }
-
-  private chooseWorkers(maxShare: number): SimulatedWorker[] {
-    const {random, world} = this;
-    const share = random.between(0, maxShare);
-    const all = [...world.workers.values()];
-    const chosen = all.filter(() => random.chance(share));
-    return chosen.length > 0 ? chosen : [random.pick(all)];
-  }
-
   /** Blocks messages in both directions or in one of them. */
   private partition(label: string, one: Nodes, other: Nodes, ms: Millis): void {
     const {random, world} = this;
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -2,26 +2,34 @@
  * Simulates zones of instances, workers and callers in one process. The same
  * seed always gives the same simulation.
  */
+import type {Millis} from '@goldcrestpier/runtime';
 import {OverlapChecker, type Violation} from './checker.js';
-import {Callers, type JobTally, type Workload} from './callers.js';
+import {Callers, type JobTally} from './callers.js';
 import {CrashChecker} from './crash_checker.js';
-import {Fault, FaultInjector, DelayedRequests} from './faults.js';
+import type {Fault} from './fault_kinds.js';
+import {FaultInjector} from './faults.js';
+import {LabelChecker} from './label_checker.js';
 import {drainPromises, withSimulatedTime} from './simulated_time.js';
 import {Machine, type World} from './machine.js';
 import {Network} from './network.js';
 import {Random} from './random.js';
+import {DelayedRequests} from './request_delays.js';
 import {scheduleRollingStops} from './rolling_stops.js';
 import {Scheduler} from './scheduler.js';
 import {SimulatedStore} from './store.js';
 import {Timeline} from './timeline.js';
 import {SimulatedWorker, USUAL_TASK_MS} from './worker.js';
+import {createUsualKind} from './worker_kinds.js';
+import type {Workload} from './workload.js';
 
-/** Simulated time that a simulation covers. */
-const DURATION_MS = 16_000;
+/** Simulated time that a simulation covers by default. */
+const USUAL_DURATION_MS = 16_000;
 /** Faults are injected from this time on. */
 const FAULTS_START_MS = 3_000;
 /** No new faults and no new jobs come in this time before the end. */
 const QUIET_END_MS = 4_000;
+/** Share of the workers with the label that some jobs require. */
+const LABELLED_WORKERS_SHARE = 0.5;
 
 /** Parameters of a simulation. */
 export interface SimulationOptions {
@@ -36,6 +44,8 @@
   readonly hasRollingStops?: boolean;
   /** Random jobs by default. */
   readonly workload?: Workload | undefined;
+  /** Simulated time that the simulation covers. */
+  readonly durationMs?: Millis;
 }
 
 /** The outcome of a simulation. */
@@ -47,19 +57,24 @@
   readonly crashViolations: readonly string[];
   /** Number of workers that tasks have crashed. */
   readonly crashCount: number;
+  /** Tasks that were started on workers without the label they require. */
+  readonly labelViolations: readonly string[];
+  /** Number of starts of tasks that require a label. */
+  readonly labelledStartCount: number;
 }
 
 /** Runs the simulation of a seed to its end. */
 export async function simulate(
   options: SimulationOptions,
 ): Promise<SimulationResult> {
-  const {seed} = options;
+  const {seed, durationMs = USUAL_DURATION_MS} = options;
   const random = new Random(seed);
   const scheduler = new Scheduler();
   const timeline = new Timeline(scheduler);
   const checker = new OverlapChecker(timeline);
   const crashChecker = new CrashChecker(timeline);
-  const checkers = {checker, crashChecker};
+  const labelChecker = new LabelChecker(timeline);
+  const checkers = {checker, crashChecker, labelChecker};
   let tally: JobTally | undefined;
   const globalRandom = random.fork();
   await withSimulatedTime(
@@ -67,7 +82,7 @@
     () => globalRandom.next(),
     async () => {
       tally = setUpSimulation(options, scheduler, random, timeline, checkers);
-      await scheduler.runUntil(DURATION_MS, drainPromises);
+      await scheduler.runUntil(durationMs, drainPromises);
     },
   );
   if (tally === undefined) throw new Error('the simulation was not set up');
@@ -77,12 +92,15 @@
     startCount: checker.startCount,
     crashViolations: crashChecker.violations,
     crashCount: crashChecker.crashCount,
+    labelViolations: labelChecker.violations,
+    labelledStartCount: labelChecker.startCount,
   };
 }
 
 interface Checkers {
   readonly checker: OverlapChecker;
   readonly crashChecker: CrashChecker;
+  readonly labelChecker: LabelChecker;
 }
 
 function setUpSimulation(
@@ -93,12 +111,14 @@
     crashingShare = 0,
     hasRollingStops = false,
     workload,
+    durationMs = USUAL_DURATION_MS,
   }: SimulationOptions,
   scheduler: Scheduler,
   random: Random,
   timeline: Timeline,
   checkers: Checkers,
 ): JobTally {
+  const quietFrom = durationMs - QUIET_END_MS;
   const network = new Network(scheduler, random.fork());
   const zones = ['east', 'north', 'west'].slice(0, zoneCount);
   const workers = new Map<string, SimulatedWorker>();
@@ -106,7 +126,8 @@
     const count = random.integer(4, 7);
     for (let index = 0; index < count; index += 1) {
       const id = `${zone}-w${index}`;
-      const info = createWorkerInfo(id, zone);
+      const hasLabel = drawLabel(random, workload);
+      const info = createWorkerInfo(id, zone, hasLabel);
       const options = {
         info,
         scheduler,
@@ -144,29 +165,21 @@
   const callers = new Callers(world, crashingShare, workload);
   const meanIntervalMs =
     workload?.meanIntervalMs ?? random.between(120, 400) / zones.length;
-  scheduler.runAfter(1_000, () =>
-    callers.start(meanIntervalMs, DURATION_MS - QUIET_END_MS),
-  );
+  scheduler.runAfter(1_000, () => callers.start(meanIntervalMs, quietFrom));
   const faults = new FaultInjector(world, delayedRequests);
-  faults.scheduleFaults(
-    FAULTS_START_MS,
-    DURATION_MS - QUIET_END_MS,
-    faultKinds,
-  );
-  if (hasRollingStops) {
-    const until = DURATION_MS - QUIET_END_MS;
-    scheduleRollingStops(world, {from: FAULTS_START_MS, until});
-  }
+  faults.scheduleFaults(FAULTS_START_MS, quietFrom, faultKinds);
+  if (hasRollingStops)
+    scheduleRollingStops(world, {from: FAULTS_START_MS, until: quietFrom});
   return callers.tally;
 }
 
-function createWorkerInfo(id: string, zone: string) {
-  return {
-    id,
-    zone,
-    service: 'pricing',
-    address: `${id}:1`,
-    capacity: {cpuMillis: 64_000, memoryMb: 100_000, accelerators: 0},
-    labels: [],
-  };
+/** Simulations without labels keep their sequence of random numbers. */
+function drawLabel(random: Random, workload: Workload | undefined): boolean {
+  const share = workload?.labelledShare ?? 0;
+  return share > 0 && random.chance(LABELLED_WORKERS_SHARE);
+}
+
+function createWorkerInfo(id: string, zone: string, hasLabel: boolean) {
+  const kind = createUsualKind(hasLabel);
+  return {id, zone, service: 'pricing', address: `${id}:1`, ...kind};
 }
--- a/packages/zone/test/simulation/timeline.ts
+++ b/packages/zone/test/simulation/timeline.ts
@@ -26,6 +26,11 @@
 
   constructor(private readonly scheduler: Scheduler) {}
 
+  /** The current time. */
+  get now(): Millis {
+    return this.scheduler.now;
+  }
+
   /** Adds a line at the current time. */
   add(source: string, text: string): void {
     this.lines.push({at: this.scheduler.now, source, text});
--- a/packages/zone/test/simulation/worker.ts
+++ b/packages/zone/test/simulation/worker.ts
@@ -6,16 +6,21 @@
 import {RunEnd, StartAnswer, type WorkerReport} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Worker} from '@goldcrestpier/dispatch';
-import type {OverlapChecker, ActiveRun} from './checker.js';
+import type {OverlapChecker} from './checker.js';
 import {isCrashingTask, type CrashChecker} from './crash_checker.js';
 import type {
   PollMessage,
   StartMessage,
   StopMessage,
 } from './worker_messages.js';
-import {SIMULATION_START_MS} from './simulated_time.js';
+import type {LabelChecker} from './label_checker.js';
 import type {Random} from './random.js';
-import type {ScheduledEvent, Scheduler} from './scheduler.js';
+import type {Scheduler} from './scheduler.js';
+import {
+  WorkerProcess,
+  type SimulatedRun,
+  type WorkerKind,
+} from './worker_process.js';
 
 /** The longest lease that a worker grants, on its own clock, in ms. */
 export const LEASE_MS = 1_000;
@@ -27,17 +32,6 @@
 /** Longest time from the start of a crashing task to the crash, in ms. */
 const MAX_CRASH_DELAY_MS = 40;
 
-interface SimulatedRun extends ActiveRun {
-  readonly needMillis: number;
-  readonly durationMs: Millis;
-  isStopping: boolean;
-}
-
-interface PendingPoll {
-  readonly answer: (status: WorkerReport) => void;
-  readonly timer: ScheduledEvent;
-}
-
 /** Parameters of a worker. */
 export interface SimulatedWorkerOptions {
   readonly info: Omit<Worker, 'bornAt' | 'isDraining'>;
@@ -47,49 +41,19 @@
   readonly taskMs: Millis;
   readonly checker: OverlapChecker;
   readonly crashChecker: CrashChecker;
+  readonly labelChecker: LabelChecker;
   /** Crashes the worker, which is started again later. */
   readonly crash: (worker: SimulatedWorker) => void;
 }
 
-/** State of a worker process; it is lost when the process exits. */
-class WorkerProcess {
-  readonly bornAt: number;
-  readonly running = new Map<string, SimulatedRun>();
-  /** The highest run number of each task that has ended or was stopped here. */
-  readonly lastRuns = new Map<string, number>();
-  /** Ended runs that no poll has acknowledged yet. */
-  ends: WorkerReport['ended'][number][] = [];
-  sequence = 0;
-  token = 0;
-  leaseUntil: Millis = 0;
-  polls: PendingPoll[] = [];
-  /** Rate of its clock, and the simulated time at which that showed 0. */
-  readonly clockRate: number;
-  readonly clockZero: Millis;
-  hasExited = false;
-  isDraining = false;
-
-  constructor(now: Millis, random: Random) {
-    this.bornAt = SIMULATION_START_MS + Math.floor(now);
-    this.clockRate = random.between(0.98, 1);
-    this.clockZero = now;
-  }
-
-  clockAt(now: Millis): Millis {
-    return (now - this.clockZero) * this.clockRate;
-  }
-
-  /** The simulated time at which its clock shows `clock`. */
-  findTime(clock: Millis): Millis {
-    return this.clockZero + clock / this.clockRate;
-  }
-}
-
 /** A worker whose process can crash and start again. */
 export class SimulatedWorker {
   private process: WorkerProcess | undefined;
+  /** The kind of its next processes. */
+  nextKind: WorkerKind;
 
   constructor(private readonly options: SimulatedWorkerOptions) {
+    this.nextKind = options.info;
     this.startProcess();
   }
 
@@ -106,8 +70,9 @@
   /** Its entry in the store; undefined when no process runs. */
   get entry(): Worker | undefined {
     if (this.process === undefined) return undefined;
-    const {bornAt, isDraining} = this.process;
-    return {...this.options.info, bornAt, isDraining};
+    const {bornAt, isDraining, kind} = this.process;
+    const {labels, capacity} = kind;
+    return {...this.options.info, labels, capacity, bornAt, isDraining};
   }
 
   /** Ends the process and all its runs. */
@@ -129,7 +94,7 @@
   /** Starts a new process, unless one runs. */
   startProcess(): void {
     const {scheduler, random} = this.options;
-    this.process ??= new WorkerProcess(scheduler.now, random);
+    this.process ??= new WorkerProcess(scheduler.now, random, this.nextKind);
   }
 
   /** Handles a start request. */
@@ -186,11 +151,9 @@
     return StartAnswer.Started;
   }
 
-  private startRun(
-    process: WorkerProcess,
-    {task, run, needMillis, payload}: StartMessage,
-  ): void {
-    const {scheduler, random, checker, taskMs} = this.options;
+  private startRun(process: WorkerProcess, message: StartMessage): void {
+    const {task, run, needMillis, payload} = message;
+    const {scheduler, random, checker, labelChecker, taskMs} = this.options;
     const isLong = random.chance(0.15);
     const usualMs = isLong
       ? random.between(600, 2_500)
@@ -202,6 +165,7 @@
     const running: SimulatedRun = {...details, isStopping: false};
     process.running.set(task, running);
     checker.recordStart(task, running);
+    labelChecker.recordStart(worker, process, message);
     if (isCrashingTask(task, payload)) this.crashSoon(process, task);
     const outcome = random.chance(0.04) ? RunEnd.Failed : RunEnd.Done;
     scheduler.runAfter(durationMs, () =>
@@ -285,7 +249,7 @@
   }
 
   private findFreeCpuMillis(process: WorkerProcess): number {
-    let free = this.options.info.capacity.cpuMillis;
+    let free = process.kind.capacity.cpuMillis;
     for (const {needMillis} of process.running.values()) free -= needMillis;
     return free;
   }
--- a/packages/zone/test/simulation/worker_messages.ts
+++ b/packages/zone/test/simulation/worker_messages.ts
@@ -9,6 +9,8 @@
   readonly token: number;
   readonly leaseUntil: Millis;
   readonly payload: string;
+  /** `bornAt` of the process that the sender knew when it sent the request. */
+  readonly knownBornAt: number;
 }
 
 /** A stop request. */
--- a/packages/zone/test/simulation/worker_port.ts
+++ b/packages/zone/test/simulation/worker_port.ts
@@ -16,6 +16,7 @@
 import type {Network} from './network.js';
 import type {Random} from './random.js';
 import type {SimulatedProcess, Scheduler} from './scheduler.js';
+import type {Timeline} from './timeline.js';
 import type {SimulatedWorker} from './worker.js';
 
 /** Timeout of a stop request, in ms. */
@@ -25,9 +26,16 @@
 /** Maximum delay of a request that is executed late, in ms. */
 const MAX_REQUEST_DELAY_MS = 4_000;
 
+/** Bounds of the delay of a request that any process may execute, in ms. */
+const MIN_LATE_MS = 100;
+const MAX_LATE_MS = 12_000;
+
 /** The share of each worker's requests that is executed late. */
 export interface RequestDelays {
+  /** The share that is executed late by the process they were sent to. */
   findDelayedShare(workerId: string): number;
+  /** The share that is executed late by whichever process runs then. */
+  findLateShare(workerId: string): number;
 }
 
 /** Parameters of a port. */
@@ -40,26 +48,37 @@
   readonly random: Random;
   readonly workers: ReadonlyMap<string, SimulatedWorker>;
   readonly requestDelays: RequestDelays;
+  readonly timeline: Timeline;
 }
 
 type Respond<Answer> = (answer: Answer) => void;
 
+interface WorkerRequest<Answer> {
+  readonly workerId: string;
+  /** Describes the request in the timeline. */
+  readonly label: string;
+  readonly timeoutMs: Millis;
+  readonly apply: (worker: SimulatedWorker, respond: Respond<Answer>) => void;
+}
+
 /** Sends requests to workers, each once. */
 export class SimulatedWorkerPort implements WorkerPort {
   constructor(private readonly options: SimulatedWorkerPortOptions) {}
 
   /** Sends a start request. */
   async start(request: StartRequest): Promise<StartResponse> {
-    const {run, token, leaseUntil, payload} = request;
+    const {run, token, leaseUntil, payload, worker: known} = request;
     const {key: task, number: number} = run;
     const needMillis = run.need.cpuMillis;
-    const details = {needMillis, token, leaseUntil, payload};
+    const knownBornAt = known.bornAt;
+    const details = {needMillis, token, leaseUntil, payload, knownBornAt};
     const message = {task, run: number, ...details};
-    const result = await this.call<StartResponse>(
-      request.worker.id,
-      request.timeoutMs,
-      (worker, respond) => respond(worker.start(message)),
-    );
+    const result = await this.call<StartResponse>({
+      workerId: known.id,
+      label: `start ${task}/${number}`,
+      timeoutMs: request.timeoutMs,
+      apply: (worker, respond) => respond(worker.start(message)),
+    });
     if (result.isOk()) return result.value;
     const isRefused = result.error === WorkerRequestFailure.NotListening;
     const answer = isRefused
@@ -73,11 +92,12 @@
     request: StopRequest,
   ): Promise<Result<void, WorkerRequestFailure>> {
     const {task, run, token} = request;
-    const result = await this.call<boolean>(
-      request.worker.id,
-      STOP_TIMEOUT_MS,
-      (worker, respond) => respond(worker.stop({task, run, token})),
-    );
+    const result = await this.call<boolean>({
+      workerId: request.worker.id,
+      label: `stop ${task}/${run}`,
+      timeoutMs: STOP_TIMEOUT_MS,
+      apply: (worker, respond) => respond(worker.stop({task, run, token})),
+    });
     if (result.isErr()) return result;
     return result.value ? Ok(undefined) : Err(WorkerRequestFailure.Fenced);
   }
@@ -89,21 +109,20 @@
   ): Promise<Result<WorkerReport, WorkerRequestFailure>> {
     const {token, lastSeen, leaseUntil, waitMs, marginMs} = request;
     const message = {token, lastSeen, leaseUntil, waitMs};
-    const result = await this.call<WorkerReport | undefined>(
-      request.worker.id,
-      waitMs + marginMs,
-      (worker, respond) => worker.poll(message, respond),
-      signal,
-    );
+    const pollRequest: WorkerRequest<WorkerReport | undefined> = {
+      workerId: request.worker.id,
+      label: 'poll',
+      timeoutMs: waitMs + marginMs,
+      apply: (worker, respond) => worker.poll(message, respond),
+    };
+    const result = await this.call(pollRequest, signal);
     if (result.isErr()) return result;
     const report = result.value;
     return report === undefined ? Err(WorkerRequestFailure.Fenced) : Ok(report);
   }
 
   private call<Answer>(
-    workerId: string,
-    timeoutMs: Millis,
-    apply: (worker: SimulatedWorker, respond: Respond<Answer>) => void,
+    request: WorkerRequest<Answer>,
     signal?: AbortSignal,
   ): Promise<Result<Answer, WorkerRequestFailure>> {
     return new Promise(resolve => {
@@ -112,22 +131,26 @@
         resolve(result);
       };
       const endUnanswered = () => settle(Err(WorkerRequestFailure.Unanswered));
-      const cancelTimeout = startTimeoutAfterReads(endUnanswered, timeoutMs);
+      const cancelTimeout = startTimeoutAfterReads(
+        endUnanswered,
+        request.timeoutMs,
+      );
       signal?.addEventListener('abort', endUnanswered, {once: true});
-      this.send(workerId, apply, settle);
+      this.send(request, settle);
     });
   }
 
   /** Delivers the request to the worker, unless it is lost. */
   private send<Answer>(
-    workerId: string,
-    apply: (worker: SimulatedWorker, respond: Respond<Answer>) => void,
+    request: WorkerRequest<Answer>,
     settle: (result: Result<Answer, WorkerRequestFailure>) => void,
   ): void {
     const {machine, scheduler, network, random, requestDelays, workers} =
       this.options;
+    const {workerId, apply} = request;
+    if (this.drawLateness(workerId)) return this.sendLate(request);
     const arrivesAt = network.drawArrival(machine, workerId);
-    // A request to one worker process never reaches the next one.
+    // Only late requests reach the next process of a worker.
     const bornAt = workers.get(workerId)?.bornAt;
     const isDelayed = random.chance(requestDelays.findDelayedShare(workerId));
     if (isDelayed) {
@@ -154,6 +177,29 @@
     });
   }
 
+  /** Draws whether a request is executed by whichever process runs later. */
+  private drawLateness(workerId: string): boolean {
+    const {machine, network, random, requestDelays} = this.options;
+    const share = requestDelays.findLateShare(workerId);
+    // Simulations without such requests keep their sequence of random numbers.
+    if (share === 0 || !network.isOpen(machine, workerId)) return false;
+    return random.chance(share);
+  }
+
+  /** Delivers a request late, and to any process; it gets no answer. */
+  private sendLate<Answer>(request: WorkerRequest<Answer>): void {
+    const {machine, scheduler, random, workers, timeline} = this.options;
+    const {workerId, label, apply} = request;
+    const lateMs = random.between(MIN_LATE_MS, MAX_LATE_MS);
+    const text = `late by ${Math.round(lateMs)} ms: ${label}`;
+    timeline.add(machine, `sends, ${text}`);
+    scheduler.deliver(scheduler.now + lateMs, undefined, () => {
+      const worker = workers.get(workerId);
+      timeline.add(workerId, `receives, ${text} of ${machine}`);
+      if (worker?.bornAt !== undefined) apply(worker, () => undefined);
+    });
+  }
+
   private deliverRequest<Answer>(
     workerId: string,
     bornAt: number | undefined,
