--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -4,8 +4,8 @@
  */
 import {
   computeLeaseExpiry,
-  type CrashHistory,
   type DispatcherOptions,
+  type TaskHistory,
 } from '@goldcrestpier/dispatch';
 import {
   LogPart,
@@ -37,8 +37,8 @@
   /** The part of its fencing tokens that is unique to this process. */
   readonly nonce: number;
   readonly dispatchOptions: DispatcherOptions;
-  /** The crashes of workers that this instance knows. */
-  readonly crashes: CrashHistory;
+  /** What this instance knows of tasks. */
+  readonly history: TaskHistory;
   readonly directory: Directory;
   readonly workerPort: WorkerPort;
   readonly findZoneClient: HolderOptions['findZoneClient'];
@@ -193,7 +193,7 @@
       zone,
       findZoneClient,
       dispatchOptions,
-      crashes,
+      history,
       workerPort,
       logs,
       metrics,
@@ -208,7 +208,7 @@
       findZoneClient,
       token,
       dispatchOptions: {...dispatchOptions, unclaimedSince},
-      crashes,
+      history,
       workerPort,
       logger: logs.forPart(LogPart.Holding),
       metrics,
