Count how long a run is unclaimed from the change of holder on

A job that comes again in another zone is held back there only if the zone that runs it has told of it; each new holder told a run that no job had claimed 100 ms after it had found the run itself, and a holder that lived shorter told nothing.

Cause: the 100 ms in which live owners claim their runs began anew with each holder and each first report of a worker.

Change: such a run counts as abandoned since the holder that started it was lost (`unclaimedSince` of the dispatcher). A holder that follows a short-lived one tells it with the first report of its worker; a first new holder 100 ms after its claim, as before, or with the report if that comes later. Jobs that are being stopped are told as before.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -254,9 +254,10 @@
     this.registry.delegationSurvey.expect(zones, now);
   }
 
-  /** Finds the jobs that still run here though nobody waits for them. */
-  findAbandonedJobs(): Set<string> {
-    return findAbandonedJobs(this.registry);
+  /** Finds since when jobs run here though nobody waits for them. */
+  findAbandonedJobs(now: Millis): Map<string, Millis> {
+    const {unclaimedSince} = this.stopper;
+    return findAbandonedJobs(this.registry, unclaimedSince, now);
   }
 
   /** Handles another zone's report of the jobs that nobody waits for there. */
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -30,7 +30,7 @@
   constructor(
     private readonly registry: Registry,
     private readonly heldSince: Millis,
-    private readonly unclaimedSince = heldSince,
+    readonly unclaimedSince = heldSince,
   ) {}
 
   /**
--- a/packages/dispatch/test/remote_runs.test.ts
+++ b/packages/dispatch/test/remote_runs.test.ts
@@ -103,12 +103,12 @@
   const dispatcher = createIdleDispatcher();
   dispatcher.submit(jobOfOneTask, false, 0);
   dispatcher.tick(0);
-  assert.deepEqual([...dispatcher.findAbandonedJobs()], []);
+  assert.deepEqual([...dispatcher.findAbandonedJobs(0)], []);
   dispatcher.cancel('a', AbandonReason.Cancelled, 10);
-  assert.deepEqual([...dispatcher.findAbandonedJobs()], ['a']);
+  assert.deepEqual([...dispatcher.findAbandonedJobs(0).keys()], ['a']);
   const end = {sequence: 1, task: 'a.0.0.0', run: 1, end: 'stopped'} as never;
   dispatcher.handleReport('w1', createReport([], [end]), 20, 30);
-  assert.deepEqual([...dispatcher.findAbandonedJobs()], []);
+  assert.deepEqual([...dispatcher.findAbandonedJobs(0)], []);
 });
 
 test('runs here that nobody has claimed are reported, and not those that other zones report', () => {
@@ -117,7 +117,7 @@
   dispatcher.handleReport('w1', createReport(running), 1, 2);
   const report = {isComplete: true, tasks: [{key: 'b.0.0.0', run: 1}]};
   dispatcher.handleDelegationReport('east', report, 3);
-  assert.deepEqual([...dispatcher.findAbandonedJobs()], ['a']);
+  assert.deepEqual([...dispatcher.findAbandonedJobs(0).keys()], ['a']);
 });
 
 test('a job that is held back stays so at the next holder', () => {
@@ -151,3 +151,10 @@
   dispatcher.submit(jobOfOneTask, true, 5, progress);
   assert.deepEqual(formatCommands(dispatcher.tick(10)), startOfTask);
 });
+
+test('runs that nobody has claimed count as abandoned since the change of holder, not since they were found', () => {
+  const dispatcher = createDispatcher([createWorker('w1')], 0);
+  const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
+  dispatcher.handleReport('w1', createReport(running), 298, 300);
+  assert.deepEqual([...dispatcher.findAbandonedJobs(300)], [['a', 0]]);
+});
--- a/packages/zone/src/holder/abandoned_jobs.ts
+++ b/packages/zone/src/holder/abandoned_jobs.ts
@@ -25,13 +25,14 @@
     return this.toldJobIds;
   }
 
-  /** Replaces the jobs that are abandoned now. */
-  update(jobIds: ReadonlySet<string>, now: Millis): void {
+  /** Replaces the jobs that are abandoned now, with the times since when. */
+  update(jobs: ReadonlyMap<string, Millis>, now: Millis): void {
     for (const jobId of this.abandonedSince.keys()) {
-      if (!jobIds.has(jobId)) this.abandonedSince.delete(jobId);
+      if (!jobs.has(jobId)) this.abandonedSince.delete(jobId);
     }
-    for (const jobId of jobIds) {
-      if (!this.abandonedSince.has(jobId)) this.abandonedSince.set(jobId, now);
+    for (const [jobId, since] of jobs) {
+      const knownSince = this.abandonedSince.get(jobId) ?? now;
+      this.abandonedSince.set(jobId, Math.min(knownSince, since));
     }
     const before = new Set(this.toldJobIds);
     this.toldJobIds = [...this.abandonedSince]
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -65,12 +65,8 @@
       history,
     );
     this.commandSender = new CommandSender({
-      token: options.token,
-      dispatchOptions,
-      workerPort: options.workerPort,
+      ...options,
       dispatcher: this.dispatcher,
-      logger,
-      metrics,
       lostResponses,
       isActive: () => !this.isClosed,
       onCommand: workerId => this.pollers.wake(workerId),
@@ -167,10 +163,12 @@
 
   /** Finds these jobs anew; `isConfirmed`: a zone still waits for its task. */
   updateAbandonedJobs(isConfirmed: IsTaskWanted): void {
-    const jobIds = this.dispatcher.findAbandonedJobs();
-    for (const jobId of this.delegatedTasks.findUnconfirmed(isConfirmed))
-      jobIds.add(jobId);
-    this.abandonedJobs.update(jobIds, readClock());
+    const now = readClock();
+    const jobs = this.dispatcher.findAbandonedJobs(now);
+    for (const jobId of this.delegatedTasks.findUnconfirmed(isConfirmed)) {
+      if (!jobs.has(jobId)) jobs.set(jobId, now);
+    }
+    this.abandonedJobs.update(jobs, now);
   }
 
   /** Finds the free capacity of each service, as reported to other zones. */
