Stop what a holder left of a job at its deadline before its caller is told 504

Cause: an instance that owns a job gave up at the deadline, with the report of the former holder in its hands, and told nobody which runs to stop.

Change: the owner hands such a job to the next holder past its deadline as well, for 2,000 ms at most (the time after which all runs are over, as nobody extends the leases of a job past its deadline). A holder abandons a job that arrives past its deadline at once: the runs that were reported are stopped without the wait for a claim, none is started, and the owner is answered when they have ended.

What it costs: a caller may be answered later than its time limit by the time that its runs take to stop, and by 2,000 ms if the zone has no holder.

What remains: runs that no report names and that the next holder has not found yet when the job arrives are not waited for.

--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake.ts
@@ -17,6 +17,7 @@
 import {computeLeaseExpiry} from './options.js';
 import type {Command} from './commands.js';
 import type {Placer} from './placer.js';
+import {abandonJob} from './overdue.js';
 import {applyProgress} from './progress.js';
 import {findRefusal} from './refusal.js';
 import type {TaskRecord} from './task_record.js';
@@ -75,6 +76,9 @@
     adoptOrphans(this.registry, record, now);
     this.adoptDelegated(record, now);
     if (this.registry.remoteRuns.mayRun(job.id, now)) holdBack(record);
+    // Its owner waits until the runs that an earlier holder left have ended.
+    if (now >= job.deadlineAt)
+      abandonJob(this.registry, record, AbandonReason.Deadline, now);
   }
 
   /** Adds the abandoned jobs that another zone reports. */
--- a/packages/dispatch/test/unknown_runs.test.ts
+++ b/packages/dispatch/test/unknown_runs.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {
   AbandonReason,
+  RunEnd,
   StartAnswer,
   WorkerRequestFailure,
 } from '../src/index.js';
@@ -244,3 +245,24 @@
   ]);
   assert.equal(dispatcher.chooseLease('w1', 20), undefined);
 });
+
+test('the runs of a job that is handed over past its deadline are stopped at once, and it ends with them', () => {
+  const dispatcher = createDispatcher([first], 0);
+  dispatcher.handleReport('w1', createReport([running]), 1, 2);
+  const state = {kind: 'running', run: 3, workerId: 'w1', tookMs: 50} as const;
+  const task = {key: 'a.0.0.0', lastRun: 3, failures: 0, state};
+  const progress = {isComplete: true, tasks: [task]};
+  const late = {arrivedAt: -500, deadlineAt: 0};
+  dispatcher.submit(createJob('a', 2, late), true, 5, progress);
+  const record = dispatcher.jobs.get('a');
+  assert.equal(record?.pendingOutcome?.kind, 'abandoned');
+  assert.equal(dispatcher.chooseLease('w1', 6), undefined);
+  assert.deepEqual(formatCommands(dispatcher.tick(6)), [
+    'stop a.0.0.0/3 on w1',
+  ]);
+  assert.deepEqual(dispatcher.takeEndedJobs(), []);
+  const ended = {sequence: 1, task: 'a.0.0.0', run: 3, end: RunEnd.Stopped};
+  dispatcher.handleReport('w1', createReport([], [ended]), 60, 70);
+  const [endedJob] = dispatcher.takeEndedJobs();
+  assert.equal(endedJob?.outcome.kind, 'abandoned');
+});
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -130,7 +130,8 @@
       const now = readClock();
       const holder = this.options.findHolder();
       if (signal.aborted) return {kind: 'unknown'};
-      if (now >= job.deadlineAt) return this.answerWithoutHolder(job, history);
+      if (now >= findLastSubmission(job, history))
+        return this.answerWithoutHolder(job, history);
       if (holder === undefined) {
         this.options.onHolderUnavailable(now);
         const isLate = this.findHolderTime(now) > findHolderWaitEnd(job);
@@ -201,7 +202,7 @@
       progress: history.kind === 'told' ? history.progress : undefined,
       ...known.reportJob(job.id, now),
     };
-    const timeoutMs = message.remainingMs + ANSWER_MARGIN_MS;
+    const timeoutMs = findLastSubmission(job, history) - now + ANSWER_MARGIN_MS;
     const answer = holder.submit(message, timeoutMs);
     const attempt = new AbortController();
     const change = waitForHolderChange(holder.id, attempt.signal);
@@ -270,3 +271,12 @@
     };
   }
 }
+
+/**
+ * The latest time to submit a job. The runs that an earlier holder has left of
+ * it may go on past its deadline; the next holder stops them and answers when
+ * they have ended.
+ */
+function findLastSubmission({deadlineAt}: Job, {kind}: History): Millis {
+  return kind === 'none' ? deadlineAt : deadlineAt + DELEGATED_RUN_MAX_MS;
+}
--- a/packages/zone/test/abandoned_submissions.test.ts
+++ b/packages/zone/test/abandoned_submissions.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {TaskHistory} from '@goldcrestpier/dispatch';
+import {AbandonReason, TaskHistory} from '@goldcrestpier/dispatch';
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import {Owner, type HolderClient} from '../src/owner/index.js';
-import type {JobAnswer} from '../src/protocol/index.js';
+import type {JobAnswer, JobSubmission} from '../src/protocol/index.js';
 import {createJob, noopLogger} from './fixtures/dispatcher.js';
 
 /** Time limit of the jobs in these tests, in ms. */
@@ -71,3 +71,31 @@
   await owner.run(job, new AbortController().signal);
   assert.ok(readClock() - now > 300);
 });
+
+test('a caller whose holder steps down at the deadline is answered when the next one has stopped its runs', async () => {
+  const progress = {isComplete: true, tasks: []};
+  const notHolder = {
+    kind: 'not_holder',
+    mayHaveStarted: true,
+    progress,
+  } as const;
+  const abandoned = {
+    kind: 'abandoned',
+    reason: AbandonReason.Deadline,
+  } as const;
+  const received: JobSubmission[] = [];
+  const owner = createOwner({
+    id: 'holder',
+    submit: async message => {
+      received.push(message);
+      await sleep(TIME_LIMIT_MS + 20);
+      return Ok(received.length === 1 ? notHolder : abandoned);
+    },
+    cancel: () => Promise.resolve(true),
+  });
+  const now = readClock();
+  const job = {...createJob('a', 1, now), deadlineAt: now + TIME_LIMIT_MS};
+  const answer = await owner.run(job, new AbortController().signal);
+  assert.deepEqual(answer, abandoned);
+  assert.deepEqual(received[1]?.progress, progress);
+});
