Stop at once what a former holder was cancelling when it stepped down

Cause: the owner's cancellation was done once a holder had accepted it. The next holder took the runs for those of a job that would still be claimed, and stopped them after 500 ms.

Change: the owner watches for a change of holder for 250 ms after its cancellation was accepted, the time in which runs are normally stopped, and sends it to the new holder as well.

What remains: a holder that is lost by silence (600 ms) is followed later than that; then the runs end with the lease that they had.

Three new tests failed before: owner, stop and recall at the next holder.

--- a/packages/dispatch/src/dispatcher/delegation_survey.ts
+++ b/packages/dispatch/src/dispatcher/delegation_survey.ts
@@ -92,13 +92,17 @@
    * stays known until it has certainly ended, because its job may still be
    * submitted.
    */
-  takeRecalls(now: Millis): OutboundRun[] {
+  takeRecalls(
+    isUnwanted: (key: string) => boolean,
+    now: Millis,
+  ): OutboundRun[] {
     for (const [key, {reportedAt}] of this.unclaimedRuns) {
       if (now - reportedAt >= DELEGATED_RUN_MAX_MS)
         this.unclaimedRuns.delete(key);
     }
     const due = [...this.unclaimedRuns.values()].filter(
-      ({recalledAt}) => now - recalledAt >= RECALL_RETRY_MS,
+      ({key, recalledAt}) =>
+        now - recalledAt >= RECALL_RETRY_MS && isUnwanted(key),
     );
     for (const run of due) run.recalledAt = now;
     return due;
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -163,10 +163,14 @@
     return this.intake.acceptDelegated(job, now);
   }
 
-  /** Abandons a job, which ends once none of its tasks runs any more. */
+  /**
+   * Abandons a job, which ends once none of its tasks runs any more. Of a job
+   * that is not known here, the runs that an earlier holder left are stopped.
+   */
   cancel(recordId: string, reason: AbandonReason, now: Millis): void {
     const record = this.registry.jobs.get(recordId);
     if (record) abandonJob(this.registry, record, reason, now);
+    else this.stopper.disown(recordId, now);
   }
 
   /** Returns the commands that are due now. */
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -1,5 +1,6 @@
 /** Decides which stop and recall commands are due. */
-import type {Millis} from '@goldcrestpier/runtime';
+import {ExpiringMap, type Millis} from '@goldcrestpier/runtime';
+import {parseTaskName} from '../work/index.js';
 import {RunPhase, type Run, type WorkerRecord} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import type {Command} from './commands.js';
@@ -13,6 +14,11 @@
 /** Added to the lease of orphaned runs, for the stop command, in ms. */
 const ORPHAN_STOP_MARGIN_MS = 100;
 
+/** How long unclaimed runs of a cancelled job are looked for, in ms. */
+const DISOWNED_RETENTION_MS = 1_000;
+/** Maximum number of such jobs. */
+const MAX_DISOWNED_JOBS = 10_000;
+
 /** Maximum number of recent stops of a worker's runs that are unconfirmed. */
 const MAX_UNCONFIRMED_STOPS = 32;
 /** Maximum number of recent recalls of one round that are unconfirmed. */
@@ -23,6 +29,12 @@
   /** When stops of orphaned runs were last sent, by worker and task name. */
   private readonly orphanStops = new Map<string, Map<string, Millis>>();
 
+  /** Cancelled jobs, of which an earlier holder may have left runs. */
+  private readonly disownedJobs = new ExpiringMap<string, true>(
+    DISOWNED_RETENTION_MS,
+    MAX_DISOWNED_JOBS,
+  );
+
   /**
    * `heldSince` is the time at which this instance became the holder;
    * `unclaimedSince`: since when unclaimed runs are kept, over several changes.
@@ -47,21 +59,28 @@
     const phases = [...runs.values()].map(({phase}) => phase);
     if (!phases.every(isWantedPhase)) return undefined;
     if (orphans.size === 0) return runs.size > 0 ? leaseMs : undefined;
+    if ([...orphans.keys()].some(key => this.isUnwanted(key, now)))
+      return undefined;
     const leftMs = this.unclaimedSince + ADOPTION_WINDOW_MS - now;
     if (leftMs <= 0) return undefined;
     return Math.min(leaseMs, leftMs + ORPHAN_STOP_MARGIN_MS);
   }
 
+  /** Stops the runs of a job that an earlier holder left, without a wait. */
+  disown(jobId: string, now: Millis): void {
+    this.disownedJobs.set(jobId, true, now);
+  }
+
   /** Returns the stop and recall commands that are due. */
   stop(now: Millis): Command[] {
     const commands: Command[] = [];
     this.expireOrphanStops(now);
     for (const worker of this.registry.workers.values()) {
       this.stopRuns(commands, worker, now);
-      if (!this.isAdopting(now)) this.stopOrphans(commands, worker, now);
+      this.stopOrphans(commands, worker, now);
     }
     this.recallDelegatedRuns(commands, now);
-    if (!this.isAdopting(now)) this.recallOrphans(commands, now);
+    this.recallOrphans(commands, now);
     return commands;
   }
 
@@ -71,6 +90,15 @@
     return now < Math.max(windowEnd, this.heldSince + RESUBMISSION_MS);
   }
 
+  /** Whether no job may adopt the run of this task any more. */
+  private isUnwanted(key: string, now: Millis): boolean {
+    if (!this.isAdopting(now)) return true;
+    const name = parseTaskName(key);
+    return (
+      name !== undefined && this.disownedJobs.get(name.jobId, now) === true
+    );
+  }
+
   private stopRuns(
     commands: Command[],
     worker: WorkerRecord,
@@ -95,7 +123,7 @@
     this.orphanStops.set(workerId, sent);
     for (const [key, runNumber] of worker.orphans) {
       if (sent.size >= MAX_UNCONFIRMED_STOPS) return;
-      if (sent.has(key)) continue;
+      if (sent.has(key) || !this.isUnwanted(key, now)) continue;
       sent.set(key, now);
       commands.push({kind: 'stop', workerId, key, runNumber, run: undefined});
     }
@@ -123,7 +151,9 @@
   /** Recalls tasks that an earlier holder delegated and no job has claimed. */
   private recallOrphans(commands: Command[], now: Millis): void {
     const {delegationSurvey} = this.registry;
-    for (const {key, zone, run: runNumber} of delegationSurvey.takeRecalls(now))
+    const isUnwanted = (key: string) => this.isUnwanted(key, now);
+    const due = delegationSurvey.takeRecalls(isUnwanted, now);
+    for (const {key, zone, run: runNumber} of due)
       commands.push({kind: 'recall', zone, key, runNumber, run: undefined});
   }
 }
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -82,9 +82,12 @@
     reason: AbandonReason,
     now: Millis,
   ): void {
-    const {pendingAnswers} = this.options;
+    const {dispatcher, pendingAnswers, onChange} = this.options;
     if (!pendingAnswers.findOwners(jobId).includes(ownerId)) {
       this.earlyCancellations.set(`${ownerId} ${jobId}`, reason, now);
+      // An earlier holder may have left runs of it.
+      if (!dispatcher.jobs.has(jobId)) dispatcher.cancel(jobId, reason, now);
+      onChange();
       return;
     }
     const answer = {kind: 'abandoned', reason} as const;
--- a/packages/zone/src/owner/attempt.ts
+++ b/packages/zone/src/owner/attempt.ts
@@ -1,5 +1,10 @@
 /** Attempts to run a job at a holder, and what they leave to the next one. */
-import type {JobProgress, RefusalReason} from '@goldcrestpier/dispatch';
+import {
+  DELEGATED_RUN_MAX_MS,
+  type Job,
+  type JobProgress,
+  type RefusalReason,
+} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {JobAnswer} from '../protocol/index.js';
 
@@ -50,3 +55,12 @@
   }
   return {kind: 'lost', reason, history: {kind: 'told', progress}};
 }
+
+/**
+ * The latest time to submit a job. The runs that an earlier holder has left of
+ * it may go on past its deadline; the next holder stops them and answers when
+ * they have ended.
+ */
+export function findLastSubmission({deadlineAt}: Job, {kind}: History): Millis {
+  return kind === 'none' ? deadlineAt : deadlineAt + DELEGATED_RUN_MAX_MS;
+}
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -25,6 +25,7 @@
 } from '../protocol/index.js';
 import {
   OwnerRefusal,
+  findLastSubmission,
   toAttempt,
   type Attempt,
   type History,
@@ -45,6 +46,9 @@
 /** How long past its deadline a job's cancellation is repeated, in ms. */
 const CANCELLATION_MARGIN_MS = 2_000;
 
+/** Time in which a holder normally stops the runs of a job, in ms. */
+const USUAL_STOP_MS = 250;
+
 /** Abort reason of a finished attempt; a string avoids an error per job. */
 const ATTEMPT_ENDED = 'attempt ended';
 
@@ -217,13 +221,19 @@
     ]);
   }
 
-  /** Cancels the job of a caller that left, retrying until it must be over. */
+  /**
+   * Cancels the job of a caller that left, retrying until it must be over. A
+   * holder that follows while its runs are being stopped has to stop them, too.
+   */
   private async cancelAtHolder({id, deadlineAt}: Job): Promise<void> {
     while (readClock() < deadlineAt + CANCELLATION_MARGIN_MS) {
       // The job was sent again, so its runs are still needed.
       if (this.callers.has(id)) return;
       const holder = this.options.findHolder();
-      if (holder !== undefined && (await holder.cancel(id))) return;
+      if (holder !== undefined && (await holder.cancel(id))) {
+        if (await this.isHolderKept(holder.id)) return;
+        continue;
+      }
       await sleep(HOLDER_RETRY_MS);
     }
     this.options.logger.warn('job could not be cancelled in time', {
@@ -231,6 +241,18 @@
     });
   }
 
+  /** Whether an instance is still the holder when it has stopped the runs. */
+  private async isHolderKept(id: string): Promise<boolean> {
+    const attempt = new AbortController();
+    const change = this.options.waitForHolderChange(id, attempt.signal);
+    const isKept = await Promise.race([
+      change.then(() => false),
+      sleep(USUAL_STOP_MS).then(() => true),
+    ]);
+    attempt.abort(ATTEMPT_ENDED);
+    return isKept;
+  }
+
   /** Logs an answer that is given while runs of the job may go on. */
   private recordAnswer(
     {id, deadlineAt}: Job,
@@ -271,12 +293,3 @@
     };
   }
 }
-
-/**
- * The latest time to submit a job. The runs that an earlier holder has left of
- * it may go on past its deadline; the next holder stops them and answers when
- * they have ended.
- */
-function findLastSubmission({deadlineAt}: Job, {kind}: History): Millis {
-  return kind === 'none' ? deadlineAt : deadlineAt + DELEGATED_RUN_MAX_MS;
-}
--- a/packages/zone/test/abandoned_submissions.test.ts
+++ b/packages/zone/test/abandoned_submissions.test.ts
@@ -4,14 +4,21 @@
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import {Owner, type HolderClient} from '../src/owner/index.js';
+import {
+  Owner,
+  type HolderClient,
+  type OwnerOptions,
+} from '../src/owner/index.js';
 import type {JobAnswer, JobSubmission} from '../src/protocol/index.js';
 import {createJob, noopLogger} from './fixtures/dispatcher.js';
 
 /** Time limit of the jobs in these tests, in ms. */
 const TIME_LIMIT_MS = 100;
 
-function createOwner(holder: HolderClient): Owner {
+function createOwner(
+  holder: HolderClient,
+  options: Partial<OwnerOptions> = {},
+): Owner {
   return new Owner({
     selfId: 'owner',
     history: new TaskHistory(),
@@ -22,6 +29,7 @@
     onHolderUnavailable: () => undefined,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
+    ...options,
   });
 }
 
@@ -99,3 +107,29 @@
   assert.deepEqual(answer, abandoned);
   assert.deepEqual(received[1]?.progress, progress);
 });
+
+test('a holder that follows while the runs of a cancelled job are being stopped is told to stop them', async () => {
+  const cancelledAt: string[] = [];
+  const createHolder = (id: string): HolderClient => ({
+    id,
+    submit: () => new Promise(() => undefined),
+    cancel: () => {
+      cancelledAt.push(id);
+      return Promise.resolve(true);
+    },
+  });
+  const holders = [createHolder('first'), createHolder('second')];
+  const findHolder = () => holders[Math.min(cancelledAt.length, 1)];
+  const waitForHolderChange = (from: string) =>
+    from === 'first' ? sleep(20) : new Promise<void>(() => undefined);
+  const owner = createOwner(createHolder('none'), {
+    findHolder,
+    waitForHolderChange,
+  });
+  const now = readClock();
+  const controller = new AbortController();
+  void owner.run(createJob('a', 1, now), controller.signal);
+  controller.abort();
+  await sleep(600);
+  assert.deepEqual(cancelledAt, ['first', 'second']);
+});
--- a/packages/zone/test/handed_over_jobs.test.ts
+++ b/packages/zone/test/handed_over_jobs.test.ts
@@ -105,3 +105,31 @@
   void fixture.submit(createJob('a', 1, 3_000), 'owner-1', 3_001, isNew);
   assert.deepEqual(fixture.tick(3_002), []);
 });
+
+test('a new holder stops what the one before left of a cancelled job at once', () => {
+  const fixture = new HandlerFixture();
+  const running = ['a', 'b'].map(id => {
+    return {task: `${id}.0.0.0`, run: 1, percent: 10};
+  });
+  const report = {clockMs: 50, bornAt: 1, running, ended: []};
+  fixture.dispatcher.handleReport('w1', report, 1, 2);
+  assert.deepEqual(fixture.tick(3), []);
+  const {Cancelled} = AbandonReason;
+  fixture.handler.cancel('owner-1', 'a', Cancelled, 10);
+  assert.equal(fixture.dispatcher.chooseLease('w1', 11), undefined);
+  const [stop, ...others] = fixture.dispatcher.tick(12);
+  assert.ok(stop?.kind === 'stop' && stop.key === 'a.0.0.0');
+  assert.deepEqual(others, []);
+});
+
+test('a new holder recalls what the one before delegated of a cancelled job at once', () => {
+  const fixture = new HandlerFixture();
+  const tasks = ['a', 'b'].map(id => ({key: `${id}.0.0.0`, run: 1}));
+  const report = {isComplete: true, tasks};
+  fixture.dispatcher.handleDelegationReport('east', report, 2);
+  const {Cancelled} = AbandonReason;
+  fixture.handler.cancel('owner-1', 'a', Cancelled, 10);
+  const [recall, ...others] = fixture.dispatcher.tick(12);
+  assert.ok(recall?.kind === 'recall' && recall.key === 'a.0.0.0');
+  assert.deepEqual(others, []);
+});
