A task whose delegate is lost is not started again while a late start may follow

The holder to which a task was delegated may be killed or cut off before it tells that its start command got no answer. The delegating zone took the run for over after 2 s, the time in which the other zone gives it up; a worker there may carry the command out up to 12 s later, without any restart if the stop was lost as well. The lost run now blocks its task like a start without an answer, from the end of those 2 s on.

A task of a job of 1.5 s could not start again before either, as 2 s had to pass; its caller, if it comes again, is told so at once.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -31,17 +31,17 @@
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {applyPollAnswer, applyPollFailure, recordLease} from './poll_answer.js';
-import {
-  DELEGATED_RUN_MAX_MS,
-  computeStopCompletion,
-  type DispatcherOptions,
-} from './options.js';
+import {computeStopCompletion, type DispatcherOptions} from './options.js';
 import type {Command} from './commands.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {EarlierRuns} from './earlier_runs.js';
 import {applyStartAnswer} from './start_answer.js';
 import {endOverdue} from './end_overdue.js';
-import {isStartWanted, recordUnansweredStart} from './late_starts.js';
+import {
+  isStartWanted,
+  loseDelegatedRun,
+  recordUnansweredStart,
+} from './late_starts.js';
 import {abandonJob} from './overdue.js';
 import {Placer} from './placer.js';
 import {describeProgress} from './progress.js';
@@ -289,7 +289,6 @@
   /** Handles the loss of the holder to which a task was delegated. */
   handleDelegateLost(run: Run, now: Millis): void {
     this.remoteVacancies.clearZone(run.workerId);
-    run.phase = RunPhase.StopAccepted;
-    run.latestEndAt = now + DELEGATED_RUN_MAX_MS;
+    loseDelegatedRun(this.registry, run, this.options.leaseMs, now);
   }
 }
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -8,21 +8,46 @@
 import {AbandonReason, createAbandoned} from '../work/index.js';
 import {RunPhase, type Run} from '../workers/index.js';
 import type {JobRecord} from './job_record.js';
-import {computeLateRunEnd} from './options.js';
+import {DELEGATED_RUN_MAX_MS, computeLateRunEnd} from './options.js';
 import type {Registry} from './registry.js';
 import type {TaskRecord} from './task_record.js';
 
 /** Records that a start command has got no answer so far. */
 export function recordUnansweredStart(
-  {history, workers, observer}: Registry,
+  registry: Registry,
   run: Run,
   leaseMs: Millis,
   now: Millis,
 ): void {
   const endsAt = computeLateRunEnd(now, leaseMs);
-  const dropped = history.unansweredStarts.record(run.key, endsAt, now);
+  blockTask(registry, run.key, endsAt, now);
+  registry.workers.get(run.workerId)?.recordUnansweredLease(endsAt);
+}
+
+/**
+ * Records that the holder to which a task was delegated is lost. It stops the
+ * run, but its start command may have got no answer without its telling so.
+ */
+export function loseDelegatedRun(
+  registry: Registry,
+  run: Run,
+  leaseMs: Millis,
+  now: Millis,
+): void {
+  run.phase = RunPhase.StopAccepted;
+  run.latestEndAt = now + DELEGATED_RUN_MAX_MS;
+  const endsAt = computeLateRunEnd(run.latestEndAt, leaseMs);
+  blockTask(registry, run.key, endsAt, now);
+}
+
+function blockTask(
+  {history, observer}: Registry,
+  task: string,
+  endsAt: Millis,
+  now: Millis,
+): void {
+  const dropped = history.unansweredStarts.record(task, endsAt, now);
   if (dropped > 0) observer.startsForgotten(dropped);
-  workers.get(run.workerId)?.recordUnansweredLease(endsAt);
 }
 
 /** When the task may be started again; undefined if it may be now. */
