Tests of takeovers share one delegated task and one reported progress

Three test files built the job of a task that zone east delegated, each in its own way, and every test of reported progress spelled out the same submission. They now differ only in what each test is about: createDelegatedTask stands in the fixture, resumeJob in progress.test.ts.

--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -5,11 +5,11 @@
   RunEnd,
   StartAnswer,
   type Dispatcher,
-  type Job,
   type StartCommand,
   type Worker,
 } from '../src/index.js';
 import {
+  createDelegatedTask,
   createDispatcher,
   createJob,
   createReport,
@@ -105,20 +105,16 @@
   assert.equal(startDue(dispatcher, 40).length, 1);
 });
 
-/** Creates the only task of a job of zone `east`, which it delegates here. */
-function createDelegatedTask(jobId: string): Job {
-  const delegated = {name: {jobId, step: 0, index: 0}, run: 1};
-  const changes = {...longDeadline, delegated, delegatedBy: 'east'};
-  return createJob(`${jobId}.0.0.0@east`, 1, changes);
-}
-
 test('a delegated task is refused on a worker whose capacity has shrunk below its runs', () => {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
   dispatcher.submit(createJob('a', 1, longDeadline), false, 0);
   startDue(dispatcher, 0);
   list(dispatcher, {capacity: oneTask}, 10);
-  const commands = dispatcher.acceptDelegated(createDelegatedTask('b'), 10);
+  const commands = dispatcher.acceptDelegated(
+    createDelegatedTask('b', longDeadline, {run: 1}),
+    10,
+  );
   assert.deepEqual(formatCommands(commands), []);
   const [ended] = dispatcher.takeEndedJobs();
   assert.equal(ended?.outcome.kind, 'refused');
@@ -127,7 +123,10 @@
 test('a delegated task that runs counts against a capacity that has shrunk', () => {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
-  const commands = dispatcher.acceptDelegated(createDelegatedTask('a'), 0);
+  const commands = dispatcher.acceptDelegated(
+    createDelegatedTask('a', longDeadline, {run: 1}),
+    0,
+  );
   const [start] = commands;
   assert.ok(start?.kind === 'start');
   dispatcher.handleStartAnswer(start.run, StartAnswer.Started, 0);
--- a/packages/dispatch/test/progress.test.ts
+++ b/packages/dispatch/test/progress.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {
   WorkerRequestFailure,
-  type JobProgress,
+  type Dispatcher,
   type TaskProgressState,
 } from '../src/index.js';
 import {
@@ -16,22 +16,26 @@
   longDeadline,
 } from './fixtures/dispatcher_setup.js';
 
-/** Progress of the first task of a job, as the previous holder reported it. */
-const createProgress = (state: TaskProgressState): JobProgress => ({
-  isComplete: true,
-  tasks: [{key: 'a.0.0.0', lastRun: 3, failures: 0, state}],
-});
+/** Submits job `a` again with what the previous holder reported of its first task. */
+function resumeJob(
+  dispatcher: Dispatcher,
+  state: TaskProgressState,
+  tasks = 1,
+): void {
+  const job = createJob('a', tasks, longDeadline);
+  const task = {key: 'a.0.0.0', lastRun: 3, failures: 0, state};
+  dispatcher.submit(job, true, 5, {isComplete: true, tasks: [task]});
+}
+
+/** The state of a task whose run 3 started on a worker 50 ms ago. */
+function createRunningState(workerId: string): TaskProgressState {
+  return {kind: 'running', run: 3, workerId, tookMs: 50};
+}
 
 test('a task goes on where the previous holder reported it, even on an unlisted worker', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const state = {kind: 'running', run: 3, workerId: 'w2', tookMs: 50} as const;
-  dispatcher.submit(
-    createJob('a', 2, longDeadline),
-    true,
-    5,
-    createProgress(state),
-  );
+  resumeJob(dispatcher, createRunningState('w2'), 2);
   assert.deepEqual(formatCommands(dispatcher.tick(5)), [
     'start a.0.0.1/1 on w1',
   ]);
@@ -49,13 +53,7 @@
 test('a run on a worker that never returns ends when its lease expires', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const state = {kind: 'running', run: 3, workerId: 'w2', tookMs: 50} as const;
-  dispatcher.submit(
-    createJob('a', 1, longDeadline),
-    true,
-    5,
-    createProgress(state),
-  );
+  resumeJob(dispatcher, createRunningState('w2'));
   assert.deepEqual(formatCommands(dispatcher.tick(1_050)), []);
   assert.deepEqual(formatCommands(dispatcher.tick(1_060)), [
     'start a.0.0.0/4 on w1',
@@ -65,13 +63,7 @@
 test('a task whose run its worker no longer reports starts again immediately', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const state = {kind: 'running', run: 3, workerId: 'w1', tookMs: 50} as const;
-  dispatcher.submit(
-    createJob('a', 1, longDeadline),
-    true,
-    5,
-    createProgress(state),
-  );
+  resumeJob(dispatcher, createRunningState('w1'));
   assert.deepEqual(formatCommands(dispatcher.tick(5)), []);
   dispatcher.handleReport('w1', createReport(), 6, 7);
   assert.deepEqual(formatCommands(dispatcher.tick(7)), [
@@ -84,13 +76,7 @@
   const dispatcher = createDispatcher(workers, 0);
   dispatcher.handleReport('w1', createReport(), 1, 1);
   dispatcher.handlePollFailure('w2', WorkerRequestFailure.Unanswered, 1);
-  const state = {kind: 'running', run: 3, workerId: 'w2', tookMs: 50} as const;
-  dispatcher.submit(
-    createJob('a', 1, longDeadline),
-    true,
-    5,
-    createProgress(state),
-  );
+  resumeJob(dispatcher, createRunningState('w2'));
   assert.deepEqual(formatCommands(dispatcher.tick(1_050)), []);
   assert.deepEqual(formatCommands(dispatcher.tick(1_060)), [
     'start a.0.0.0/4 on w1',
@@ -100,8 +86,7 @@
 test('a task that the previous holder reported as done does not run again', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const progress = createProgress({kind: 'done'});
-  dispatcher.submit(createJob('a', 1, longDeadline), true, 5, progress);
+  resumeJob(dispatcher, {kind: 'done'});
   const [ended] = dispatcher.takeEndedJobs();
   assert.deepEqual(ended?.outcome, {kind: 'completed'});
 });
@@ -109,13 +94,7 @@
 test('the result of a task that the previous holder delegated is requested', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const state = {kind: 'lent', run: 3, zone: 'east', tookMs: 50} as const;
-  dispatcher.submit(
-    createJob('a', 1, longDeadline),
-    true,
-    5,
-    createProgress(state),
-  );
+  resumeJob(dispatcher, {kind: 'lent', run: 3, zone: 'east', tookMs: 50});
   assert.deepEqual(formatCommands(dispatcher.tick(5)), [
     'delegate a.0.0.0/3 to east',
   ]);
--- a/packages/dispatch/test/reattachment.test.ts
+++ b/packages/dispatch/test/reattachment.test.ts
@@ -10,6 +10,7 @@
 } from '../src/index.js';
 import {
   options,
+  createDelegatedTask,
   createDispatcher,
   createJob,
   createReport,
@@ -27,14 +28,9 @@
 
 /** Creates the task of job `a` in zone `east`, delegated as run 3. */
 function createDelegated(index: number, now: number): Job {
-  const delegated = {name: {jobId: 'a', step: 0, index}, run: 3};
-  return createJob(`a.0.0.${index}@east`, 1, {
-    arrivedAt: now,
-    targetMs: longDeadline.targetMs,
-    deadlineAt: now + longDeadline.deadlineAt,
-    delegated,
-    delegatedBy: 'east',
-  });
+  const {targetMs, deadlineAt} = longDeadline;
+  const times = {arrivedAt: now, targetMs, deadlineAt: now + deadlineAt};
+  return createDelegatedTask('a', times, {index});
 }
 
 /** Creates the report of a holder that knows all runs of the task. */
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -8,6 +8,7 @@
 } from '../src/index.js';
 import {
   options,
+  createDelegatedTask,
   createJob,
   createReport,
   createRunningEntry,
@@ -19,6 +20,17 @@
   noopObserver,
 } from './fixtures/dispatcher_setup.js';
 
+/** Reports that zone `east` can take tasks of 64 processors together. */
+function reportVacancyInEast(
+  dispatcher: Dispatcher,
+  slowness: number,
+  now: number,
+): void {
+  const vacancies = [{slowness, cpuMillis: 64_000, memoryMb: 1_000}];
+  const reported = {zone: 'east', service: 'pricing', vacancies};
+  dispatcher.updateZoneVacancies(reported, now);
+}
+
 test('a new holder adopts the runs of a job that its owner submits again', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   dispatcher.handleReport('w1', createReport([createRunningEntry(0)]), 1, 2);
@@ -80,9 +92,7 @@
 test('a task is delegated when another zone has capacity and this one has none', () => {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
-  const vacancy = {slowness: 1, cpuMillis: 64_000, memoryMb: 1_000};
-  const reported = {zone: 'east', service: 'pricing', vacancies: [vacancy]};
-  dispatcher.updateZoneVacancies(reported, 0);
+  reportVacancyInEast(dispatcher, 1, 0);
   dispatcher.submit(createJob('a', 4), false, 0);
   const commands = dispatcher.tick(0);
   assert.deepEqual(formatCommands(commands), [
@@ -100,15 +110,13 @@
 test('a task delegated to a lost holder starts again after it has certainly ended', () => {
   const dispatcher = createDispatcher([createWorker('w1')]);
   pollAllWorkers(dispatcher, 0);
-  const vacancy = {slowness: 0.2, cpuMillis: 64_000, memoryMb: 1_000};
-  const reported = {zone: 'east', service: 'pricing', vacancies: [vacancy]};
   const long = {targetMs: 20_000, deadlineAt: 20_000};
   dispatcher.submit(createJob('b', 2, long), false, 0);
   for (const command of dispatcher.tick(0)) {
     if (command.kind !== 'start') continue;
     dispatcher.handleStartAnswer(command.run, StartAnswer.Started, 1);
   }
-  dispatcher.updateZoneVacancies(reported, 0);
+  reportVacancyInEast(dispatcher, 0.2, 0);
   dispatcher.submit(createJob('a', 1, {deadlineAt: 20_000}), false, 0);
   const [delegated] = dispatcher.tick(0);
   assert.ok(delegated?.kind === 'lend');
@@ -129,9 +137,7 @@
 test('a new holder resumes a task that was delegated to its predecessor', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   dispatcher.handleReport('w1', createReport([createRunningEntry(0)]), 1, 2);
-  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
-  const job = createJob('a.0.0.0@east', 1, {delegated, delegatedBy: 'east'});
-  dispatcher.resumeDelegated(job, 5);
+  dispatcher.resumeDelegated(createDelegatedTask('a'), 5);
   assert.deepEqual(formatCommands(dispatcher.tick(600)), []);
   const end = {sequence: 1, task: 'a.0.0.0', run: 3, end: RunEnd.Done};
   dispatcher.handleReport('w1', createReport([], [end]), 700, 701);
@@ -142,13 +148,7 @@
 test('a delegated task that is not found is reported as lost', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
-  const job = createJob('a.0.0.0@east', 1, {
-    ...longDeadline,
-    delegated,
-    delegatedBy: 'east',
-  });
-  dispatcher.resumeDelegated(job, 5);
+  dispatcher.resumeDelegated(createDelegatedTask('a', longDeadline), 5);
   dispatcher.tick(1_660);
   const [ended] = dispatcher.takeEndedJobs();
   assert.equal(ended?.outcome.kind, 'abandoned');
@@ -189,11 +189,7 @@
 
 test('a resumed job is not delegated while no worker of the zone is known', () => {
   const dispatcher = createDispatcher([], 0);
-  const vacancies = [{slowness: 1, cpuMillis: 64_000, memoryMb: 1_000}];
-  dispatcher.updateZoneVacancies(
-    {zone: 'east', service: 'pricing', vacancies},
-    10,
-  );
+  reportVacancyInEast(dispatcher, 1, 10);
   dispatcher.submit(createJob('a', 1, longDeadline), true, 10);
   assert.deepEqual(formatCommands(dispatcher.tick(20)), []);
 });
@@ -217,13 +213,7 @@
 test('a delegated task may go on until the leases of the previous holder expire', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
   pollAllWorkers(dispatcher, 1);
-  const delegated = {name: {jobId: 'a', step: 0, index: 0}, run: 3};
-  const job = createJob('a.0.0.0@east', 1, {
-    ...longDeadline,
-    delegated,
-    delegatedBy: 'east',
-  });
-  dispatcher.resumeDelegated(job, 5);
+  dispatcher.resumeDelegated(createDelegatedTask('a', longDeadline), 5);
   dispatcher.tick(1_000);
   assert.deepEqual(dispatcher.takeEndedJobs(), []);
   dispatcher.tick(2_000);
