Tests of the holder share one holder whose worker ends tasks on request

holder.test.ts and two_callers.test.ts each built the same holder, the same worker that answers its first poll at once and its second on request, and the same empty report. They stand in fixtures/controlled_holder.ts now; the two tests that spelled out a delegation use createDelegation, which stood beside them.

--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -4,76 +4,14 @@
   setTimeout as sleep,
 } from 'node:timers/promises';
 import {test} from 'node:test';
-import {
-  CrashHistory,
-  RunEnd,
-  StartAnswer,
-  type WorkerReport,
-} from '@goldcrestpier/dispatch';
-import {Lifecycle, readClock} from '@goldcrestpier/runtime';
-import {Ok} from 'ts-results-es';
-import {Holder} from '../src/holder/index.js';
+import {readClock} from '@goldcrestpier/runtime';
 import {toSubmission} from '../src/holder/job_conversion.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
-import type {WorkerPort} from '../src/ports/index.js';
 import type {JobAnswer, TaskDelegation} from '../src/protocol/index.js';
-import {
-  dispatchOptions,
-  createJob,
-  failOnCall,
-  noopLogger,
-  worker,
-} from './fixtures/dispatcher.js';
-
-const idleReport: WorkerReport = {
-  clockMs: 5,
-  bornAt: 1,
-  running: [],
-  ended: [],
-};
-
-/** A holder with one worker that reports the end of a task on request. */
-class HolderFixture {
-  readonly lifecycle = new Lifecycle('test');
-  readonly holder: Holder;
-  private sendReport: (status: WorkerReport) => void = failOnCall;
-
-  constructor(firstReport: WorkerReport = idleReport) {
-    const nextReport = new Promise<WorkerReport>(
-      resolve => (this.sendReport = resolve),
-    );
-    let pollCount = 0;
-    const workerPort: WorkerPort = {
-      start: () => Promise.resolve({answer: StartAnswer.Started, clockMs: 5}),
-      stop: failOnCall,
-      poll: async (_order, signal) => {
-        pollCount += 1;
-        if (pollCount === 1) return Ok(firstReport);
-        const aborted = new Promise<WorkerReport>(resolve => {
-          signal.addEventListener('abort', () => resolve(idleReport));
-        });
-        return Ok(await Promise.race([nextReport, aborted]));
-      },
-    };
-    this.holder = new Holder({
-      zone: 'z',
-      crashes: new CrashHistory(),
-      findZoneClient: () => undefined,
-      token: 7,
-      dispatchOptions,
-      workerPort,
-      logger: noopLogger,
-      metrics: new ZoneMetrics(),
-      lifecycle: this.lifecycle,
-      onFenced: failOnCall,
-    });
-    this.holder.setWorkers({
-      workers: [worker],
-      asOf: readClock(),
-      isReachable: true,
-    });
-  }
+import {ControlledHolder, idleReport} from './fixtures/controlled_holder.js';
+import {createJob} from './fixtures/dispatcher.js';
 
+/** A holder whose worker ends tasks on request, with the jobs of one owner. */
+class HolderFixture extends ControlledHolder {
   /** Submits a job with one task and waits until the task is started. */
   async submitAndStart(jobId: string): Promise<{end: Promise<JobAnswer>}> {
     await nextTurn();
@@ -83,13 +21,6 @@
     while (this.holder.countWaiting('quotes') > 0) await nextTurn();
     return {end};
   }
-
-  /** Makes the worker report that the job's only task is done. */
-  endTask(jobId: string): void {
-    const task = `${jobId}.0.0.0`;
-    const ended = [{sequence: 1, task, run: 1, end: RunEnd.Done}];
-    this.sendReport({...idleReport, ended});
-  }
 }
 
 /** Creates a delegation of the only task of job `a`. */
@@ -130,20 +61,7 @@
 test('the end of a delegated task is reported although the home zone is not an owner', async () => {
   const fixture = new HolderFixture();
   await nextTurn();
-  const now = readClock();
-  const job = toSubmission(createJob('a', 1, now), 'east', false, now);
-  const delegation = {
-    homeZone: 'east',
-    token: 3,
-    job,
-    step: 0,
-    index: 0,
-    run: 1,
-  };
-  const answer = fixture.holder.runDelegatedTask({
-    ...delegation,
-    isJoin: false,
-  });
+  const answer = fixture.holder.runDelegatedTask(createDelegation(false));
   await nextTurn();
   fixture.endTask('a');
   await flushPromises();
@@ -154,7 +72,7 @@
 
 test('a new holder reports the runs that its predecessor started for other zones', async () => {
   const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
-  const fixture = new HolderFixture({...idleReport, running});
+  const fixture = new HolderFixture({firstReport: {...idleReport, running}});
   await nextTurn();
   await flushPromises();
   const delegated = fixture.holder.listDelegatedTasks('east');
@@ -175,7 +93,7 @@
 
 test('an overloaded holder does not refuse a job that still has an active run', async () => {
   const running = [{task: 'a.0.0.0', run: 1, percent: 10}];
-  const fixture = new HolderFixture({...idleReport, running});
+  const fixture = new HolderFixture({firstReport: {...idleReport, running}});
   await sleep(60);
   const blockedSince = readClock();
   while (readClock() - blockedSince < 150);
@@ -189,19 +107,7 @@
 test('an overloaded holder does not refuse a job with a task delegated to it', async () => {
   const fixture = new HolderFixture();
   await nextTurn();
-  const delegatedAt = readClock();
-  const delegated = toSubmission(
-    createJob('a', 1, delegatedAt),
-    'east',
-    false,
-    delegatedAt,
-  );
-  const delegation = {homeZone: 'east', token: 3, step: 0, index: 0, run: 1};
-  void fixture.holder.runDelegatedTask({
-    ...delegation,
-    job: delegated,
-    isJoin: false,
-  });
+  void fixture.holder.runDelegatedTask(createDelegation(false));
   await sleep(60);
   const blockedSince = readClock();
   while (readClock() - blockedSince < 150);
