Proofs: one plan of three zones, one wait for starts and one for a stop

Four proofs planned the same three zones with two instances each and differed in their servers only; three waited in their own words until all tasks of a job had started, three until a stopping instance was unready. ClusterFixture has waitForStarts and waitUntilUnready, and planThreeZones takes the servers alone.

--- a/packages/proofs/test/counterexamples.test.ts
+++ b/packages/proofs/test/counterexamples.test.ts
@@ -21,7 +21,6 @@
   ReplyKind,
   createSetEdit,
   ClusterFixture,
-  waitUntil,
   type JobBody,
 } from '../src/index.js';
 
@@ -149,9 +148,7 @@
   const owner = fixture.cluster.entry('e2-2');
   const session = await fixture.createCaller(owner).openSession();
   const waiting = fixture.createCaller(owner).submit(session, 'started', job);
-  await waitUntil('all tasks to start', async () => {
-    return (await countStarts(fixture.cluster, session, 'started')) === 4;
-  });
+  await fixture.waitForStarts(session, 'started', 4);
   owner.pause();
   const others = fixture.entries.filter(entry => entry !== owner);
   for (const entry of others) {
@@ -216,10 +213,7 @@
   const long = createJob(2, 3_000);
   expectAnswer(await caller.submit(session, 'long', long, {waitMs: 0}));
   const stopped = leaving.stop();
-  await waitUntil(
-    'the instance to be unready',
-    async () => !(await leaving.isReady()),
-  );
+  await fixture.waitUntilUnready(leaving);
   const reply = await caller.submitWithIdempotencyKey('tag-0816', job);
   assert.equal(expectFailure(reply).ran, RunStatus.MayHaveRun);
   assert.equal((await stopped).code, 0);
--- a/packages/proofs/test/idempotency_keys_and_leases.test.ts
+++ b/packages/proofs/test/idempotency_keys_and_leases.test.ts
@@ -2,7 +2,6 @@
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {FailureCode, JobState, RunStatus} from '@goldcrestpier/protocol';
-import {planZones} from '@goldcrestpier/standins';
 import {
   assertNoDuplicateStarts,
   assertAnswerMatchesRecords,
@@ -13,6 +12,7 @@
   expectFailure,
   ReplyKind,
   createSetEdit,
+  planThreeZones,
   ClusterFixture,
   waitUntil,
   type JobBody,
@@ -21,9 +21,7 @@
 let fixture: ClusterFixture;
 
 before(async () => {
-  const zones = planZones({
-    zones: ['batangas-1', 'batangas-2', 'batangas-3'],
-    entriesPerZone: 2,
+  const zones = planThreeZones({
     runnersPerZone: 2,
     workersPerZone: 2,
     worker: {processors: 8, memoryMb: 16_384, accelerators: 1},
@@ -145,9 +143,7 @@
   const session = await caller.openSession();
   const job = {...createWorkerJob(12, 1_500), deadlineMs: 8_000};
   const reply = caller.submit(session, 'frozen', job, {attempt: 1});
-  await waitUntil('all tasks to be started', async () => {
-    return (await countStarts(fixture.cluster, session, 'frozen')) === 12;
-  });
+  await fixture.waitForStarts(session, 'frozen', 12);
   const starts = await fixture.cluster.readStarts();
   const started = starts.find(each => each.job === `${session}/frozen`);
   const frozen = fixture.cluster.server(started?.server ?? '');
@@ -166,9 +162,7 @@
   await fixture
     .createCaller(owner)
     .submit(session, 'lapse', job, {waitMs: 300});
-  await waitUntil('all tasks to start', async () => {
-    return (await countStarts(fixture.cluster, session, 'lapse')) === 6;
-  });
+  await fixture.waitForStarts(session, 'lapse', 6);
   await owner.kill();
   await fixture.cluster.instanceLists.remove(owner.name);
   const starts = await fixture.cluster.readStarts();
--- a/packages/proofs/test/lost_replies_and_crashes.test.ts
+++ b/packages/proofs/test/lost_replies_and_crashes.test.ts
@@ -8,13 +8,13 @@
   TaskState,
   type JobAnswer,
 } from '@goldcrestpier/protocol';
-import {planZones} from '@goldcrestpier/standins';
 import {
   assertNoDuplicateStarts,
   assertAnswerMatchesRecords,
   assertComplete,
   createJob,
   expectAnswer,
+  planThreeZones,
   ClusterFixture,
   type JobBody,
 } from '../src/index.js';
@@ -22,9 +22,7 @@
 let fixture: ClusterFixture;
 
 before(async () => {
-  const zones = planZones({
-    zones: ['batangas-1', 'batangas-2', 'batangas-3'],
-    entriesPerZone: 2,
+  const zones = planThreeZones({
     runnersPerZone: 2,
     workersPerZone: 1,
     worker: {processors: 8, memoryMb: 16_384, accelerators: 0},
--- a/packages/proofs/test/not_run_is_true.test.ts
+++ b/packages/proofs/test/not_run_is_true.test.ts
@@ -2,7 +2,6 @@
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {FailureCode, RunStatus, type Failure} from '@goldcrestpier/protocol';
-import {planZones} from '@goldcrestpier/standins';
 import {
   countStarts,
   createJob,
@@ -10,8 +9,8 @@
   expectFailure,
   ReplyKind,
   createSetEdit,
+  planThreeZones,
   ClusterFixture,
-  waitUntil,
   type JobBody,
 } from '../src/index.js';
 
@@ -28,9 +27,7 @@
 const refused: Refused[] = [];
 
 before(async () => {
-  const zones = planZones({
-    zones: ['batangas-1', 'batangas-2', 'batangas-3'],
-    entriesPerZone: 2,
+  const zones = planThreeZones({
     runnersPerZone: 1,
     workersPerZone: 1,
     worker: {processors: 8, memoryMb: 16_384, accelerators: 1},
@@ -192,10 +189,7 @@
   const load = caller.submit(session, 'load', createJob(8, 1_500));
   await pause(100);
   const stopped = leaving.stop();
-  await waitUntil(
-    'the instance to be unready',
-    async () => !(await leaving.isReady()),
-  );
+  await fixture.waitUntilUnready(leaving);
   const reply = await caller.submit(session, 'late', createJob(3, 5));
   const failure = expectFailure(reply);
   assert.equal(failure.code, FailureCode.Leaving);
--- a/packages/proofs/test/planned_stop.test.ts
+++ b/packages/proofs/test/planned_stop.test.ts
@@ -8,7 +8,6 @@
   expectAnswer,
   expectFailure,
   ClusterFixture,
-  waitUntil,
 } from '../src/index.js';
 
 let fixture: ClusterFixture;
@@ -30,9 +29,7 @@
   const left = await caller.submit(session, 'uncollected', job, {waitMs: 0});
   expectAnswer(left);
   const stopped = leaving.stop();
-  await waitUntil('the instance to be unready', async () => {
-    return !(await leaving.isReady());
-  });
+  await fixture.waitUntilUnready(leaving);
   const late = await caller.submit(session, 'late', job, {attempt: 1});
   const refusal = expectFailure(late);
   assert.equal(refusal.code, FailureCode.Leaving);
--- a/packages/proofs/test/settings_in_force.test.ts
+++ b/packages/proofs/test/settings_in_force.test.ts
@@ -2,21 +2,20 @@
 import {after, before, test} from 'node:test';
 import {failureSchema, FailureCode} from '@goldcrestpier/protocol';
 import {readClock} from '@goldcrestpier/runtime';
+import {PartitionKind, type EntryProcess} from '@goldcrestpier/standins';
 import {
-  PartitionKind,
-  planZones,
-  type EntryProcess,
-} from '@goldcrestpier/standins';
-import {createSetEdit, ClusterFixture, waitUntil} from '../src/index.js';
+  createSetEdit,
+  planThreeZones,
+  ClusterFixture,
+  waitUntil,
+} from '../src/index.js';
 
 const REVISION = 'goldcrestpier_settings_revision';
 
 let fixture: ClusterFixture;
 
 before(async () => {
-  const zones = planZones({
-    zones: ['batangas-1', 'batangas-2', 'batangas-3'],
-    entriesPerZone: 2,
+  const zones = planThreeZones({
     runnersPerZone: 1,
   }).map(zone => ({
     ...zone,
