--- a/packages/settings/src/edits/layout.ts
+++ b/packages/settings/src/edits/layout.ts
@@ -20,6 +20,9 @@
 /** Number of edits whose records are kept. */
 export const MAX_HISTORY_RECORDS = 500;
 
+/** After a failure of the service, a caller retries after this time. */
+export const RETRY_AFTER_MS = 1_000;
+
 /** The tree as read from the key-value service. */
 export interface StoredTree {
   /** Number of accepted edits; 0 before the first one. */
--- a/packages/settings/src/edits/store.ts
+++ b/packages/settings/src/edits/store.ts
@@ -1,3 +1,4 @@
+/** Reads and edits the settings tree, one transaction for each edit. */
 import {
   StepKind,
   toFailure,
@@ -18,19 +19,17 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {SettingsTree} from '../tree/tree.js';
 import {applyEdits, EditKind, type EditRequest} from './edit.js';
+import {EditHistory, parseNewestRecord} from './history.js';
 import {
   MAX_HISTORY_RECORDS,
-  parseRecord,
   parseTree,
-  REVISION_KEY,
+  RETRY_AFTER_MS,
   toEditKey,
-  toHistoryKey,
   TREE_PREFIX,
   type StoredTree,
 } from './layout.js';
 import {planEdit, type EditPlan} from './plan.js';
 
-const RETRY_AFTER_MS = 1_000;
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY_MS = 100;
 const MAX_CONFLICT_REVISIONS = 20;
@@ -45,6 +44,8 @@
 
 /** Reads and edits the tree in the platform's key-value service. */
 export class SettingsStore {
+  private readonly records: EditHistory;
+
   constructor(
     private readonly client: KeyValueClient,
     private readonly logger: Logger,
@@ -54,7 +55,9 @@
      * continues from it, as instances ignore lower revisions.
      */
     private readonly readAppliedRevision: () => number = () => 0,
-  ) {}
+  ) {
+    this.records = new EditHistory(client);
+  }
 
   /** Reads the latest tree. */
   async read(): Promise<Result<SettingsTree, Failure>> {
@@ -88,7 +91,9 @@
       .andThen(() => applyEdits(stored.nodes, request.edits))
       .andThen(after => createTree(revision, after));
     if (checked.isErr()) return checked;
-    const expiredRecord = await this.readRecord(revision - MAX_HISTORY_RECORDS);
+    const expiredRecord = await this.records.read(
+      revision - MAX_HISTORY_RECORDS,
+    );
     if (expiredRecord.isErr()) return expiredRecord;
     const tree = checked.value;
     const plan = planEdit(
@@ -105,13 +110,10 @@
   }
 
   /** Returns the records of the latest edits, newest first. */
-  async history(
+  history(
     limit: number,
   ): Promise<Result<readonly SettingsRevision[], Failure>> {
-    const newest = await this.client.range({key: REVISION_KEY});
-    if (newest.isErr()) return Err(toFailure(newest.error, RETRY_AFTER_MS));
-    const {revision} = parseNewestRecord(newest.value.values) ?? {revision: 0};
-    return this.readRecords(Math.max(revision - limit, 0), revision);
+    return this.records.readLatest(limit);
   }
 
   private async readEditState(
@@ -173,7 +175,7 @@
   private async readAcceptedEdit(
     revision: number,
   ): Promise<Result<EditAnswer, Failure>> {
-    const record = await this.readRecord(revision);
+    const record = await this.records.read(revision);
     return record.map(found => ({
       revision,
       changes: found?.changes ?? [],
@@ -186,35 +188,12 @@
     found: number,
   ): Promise<Err<Failure>> {
     const afterRevision = Math.max(expected, found - MAX_CONFLICT_REVISIONS);
-    const newer = (await this.readRecords(afterRevision, found)).unwrapOr([]);
+    const read = await this.records.readRange(afterRevision, found);
+    const newer = read.unwrapOr([]);
     const args = {expected, found};
     return Err(createFailure(FailureCode.SettingsConflict, args, {newer}));
   }
 
-  /** Reads the records after `after` up to `last`, inclusive, newest first. */
-  private async readRecords(
-    after: number,
-    last: number,
-  ): Promise<Result<readonly SettingsRevision[], Failure>> {
-    const values = await this.client.range({
-      key: toHistoryKey(after + 1),
-      before: toHistoryKey(last + 1),
-    });
-    return values
-      .map(answer => parseRecords(answer.values))
-      .mapErr(failure => toFailure(failure, RETRY_AFTER_MS));
-  }
-
-  private async readRecord(
-    revision: number,
-  ): Promise<Result<SettingsRevision | undefined, Failure>> {
-    if (revision <= 0) return Ok(undefined);
-    const values = await this.client.range({key: toHistoryKey(revision)});
-    return values
-      .map(({values: [found]}) => found && parseRecord(found.value))
-      .mapErr(failure => toFailure(failure, RETRY_AFTER_MS));
-  }
-
   private logUnknownOutcome(
     {editId, revision}: SettingsRevision,
     attempt: number,
@@ -239,20 +218,6 @@
   return Number.isSafeInteger(revision) ? revision : undefined;
 }
 
-function parseNewestRecord(
-  values: readonly KeyValue[],
-): SettingsRevision | undefined {
-  const [found] = values;
-  return found && parseRecord(found.value);
-}
-
-function parseRecords(values: readonly KeyValue[]): SettingsRevision[] {
-  return values
-    .map(({value}) => parseRecord(value))
-    .filter(record => record !== undefined)
-    .reverse();
-}
-
 /** Rejects edits of an unreadable tree, except one that replaces all of it. */
 function checkReadable(
   {unreadable}: StoredTree,
