--- a/packages/jobs/src/owner/attempts.ts
+++ b/packages/jobs/src/owner/attempts.ts
@@ -10,12 +10,7 @@
   type Failure,
 } from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
-import {
-  KeyKind,
-  type ClosedAttempts,
-  type KeyEntry,
-  type Session,
-} from '../sessions/index.js';
+import {KeyKind, type KeyEntry, type Session} from '../sessions/index.js';
 import type {ReceivedSubmission} from './types.js';
 
 /** The attempt number of a submission, or the reason why it is refused. */
@@ -75,16 +70,33 @@
   }
 }
 
+/** An attempt that is about to be answered "not run", and why. */
+export interface RefusedAttempt {
+  readonly attempt: number;
+  readonly failure: Failure;
+}
+
 /**
- * Creates the entry that closes `attempt` and all lower attempts. Submissions
- * without an attempt number are refused until `closedUntil`.
+ * Closes a refused attempt and all lower ones, before the "not run" answer is
+ * sent. Returns the failure to answer with: without attempt numbers, a retry
+ * has to wait until every copy is stale.
  */
-export function createClosedAttempts(
-  attempt: number,
-  failure: Failure,
-  closedUntil: Millis,
-): ClosedAttempts {
-  return {kind: KeyKind.Closed, upTo: attempt, closedUntil, failure};
+export function closeRefusedAttempt(
+  session: Session,
+  submission: ReceivedSubmission,
+  {attempt, failure}: RefusedAttempt,
+  now: Millis,
+  maxCopyAgeMs: Millis,
+): Failure {
+  const closedPeriodMs = Math.max(failure.retryAfterMs ?? 0, maxCopyAgeMs);
+  session.set(submission.key, {
+    kind: KeyKind.Closed,
+    upTo: attempt,
+    closedUntil: now + closedPeriodMs,
+    failure,
+  });
+  if (submission.attempt !== undefined || failure.final) return failure;
+  return {...failure, retryAfterMs: Math.ceil(closedPeriodMs)};
 }
 
 /**
--- a/packages/jobs/src/owner/index.ts
+++ b/packages/jobs/src/owner/index.ts
@@ -16,34 +16,29 @@
 import {digestJob} from '../digest/index.js';
 import {JobRecord} from '../record/index.js';
 import {KeyKind, type KeyEntry, type Session} from '../sessions/index.js';
+import {JobAcceptance} from './acceptance.js';
 import {
-  createClosedAttempts,
+  canRetryKey,
   checkAttempt,
+  closeRefusedAttempt,
   extendClosure,
-  canRetryKey,
   getClosedUpTo,
 } from './attempts.js';
 import {listOpenTaskIds, OpenJobIndex} from './open_job_index.js';
-import {createPlacementTasks} from './placement_tasks.js';
 import {SessionRegistry} from './session_registry.js';
 import type {ReceivedSubmission, JobOwnerOptions} from './types.js';
 
 export * from './types.js';
 
-/**
- * After this process was paused, the age of a submission cannot be determined
- * for about this long, so an earlier retry would be refused as well.
- */
-const STALE_RETRY_MS = 1_000;
-
 /** Accepts, tracks and ends the sessions and jobs of this incarnation. */
 export class JobOwner {
   private readonly sessions: SessionRegistry;
   private readonly openJobs = new OpenJobIndex();
-  private isLeaving = false;
+  private readonly acceptance: JobAcceptance;
 
   constructor(private readonly options: JobOwnerOptions) {
     this.sessions = new SessionRegistry(options.self, options.limits);
+    this.acceptance = new JobAcceptance(options, this.openJobs);
   }
 
   /** Number of jobs that have not ended. */
@@ -68,12 +63,13 @@
 
   /** Refuses new sessions and jobs from now on; accepted jobs continue. */
   leave(): void {
-    this.isLeaving = true;
+    this.acceptance.leave();
   }
 
   /** Opens a session. Starts no task, so losing the response is harmless. */
   openSession(now: Millis): Result<SessionAnswer, Failure> {
-    if (this.isLeaving) return Err(this.refuse(this.createLeavingFailure()));
+    const checked = this.acceptance.checkNotLeaving();
+    if (checked.isErr()) return Err(this.refuse(checked.error));
     const {sessionIdleMs} = this.options.limits;
     return this.sessions
       .open(now)
@@ -190,19 +186,21 @@
       },
       submission.job.tasks.length,
     );
-    const accepted = this.acceptJob(submission, job, now);
+    const accepted = this.acceptance.accept(submission, job, now);
     if (accepted.isErr()) {
       this.options.logger.info('submission refused', {
         job: formatJobId(submission.session, submission.key),
         attempt,
         code: accepted.error.code,
       });
-      const failure = this.closeRefusedAttempt(
+      const {maxCopyAgeMs} = this.options.limits;
+      const refused = {attempt, failure: accepted.error};
+      const failure = closeRefusedAttempt(
         session,
         submission,
-        attempt,
-        accepted.error,
+        refused,
         now,
+        maxCopyAgeMs,
       );
       return Err(this.refuse(failure));
     }
@@ -210,48 +208,6 @@
     return Ok(job);
   }
 
-  private acceptJob(
-    submission: ReceivedSubmission,
-    job: JobRecord,
-    now: Millis,
-  ): Result<void, Failure> {
-    const {limits, checkJob, sink} = this.options;
-    if (submission.ageMs >= limits.maxCopyAgeMs) {
-      const limit = {limitMs: limits.maxCopyAgeMs};
-      return Err(
-        createFailure(FailureCode.StaleSubmission, limit, {
-          retryAfterMs: STALE_RETRY_MS,
-        }),
-      );
-    }
-    if (this.isLeaving) return Err(this.createLeavingFailure());
-    const checked = checkJob(submission.job);
-    if (checked.isErr()) return checked;
-    const tasks = createPlacementTasks(submission, now);
-    // Indexed before being enqueued, because a task may end during the call.
-    this.openJobs.addJob(job, tasks);
-    const queued = sink.enqueue(tasks, now);
-    if (queued.isErr()) this.openJobs.removeJob(job, tasks);
-    return queued;
-  }
-
-  /** Closes a refused attempt before the "not run" answer is sent. */
-  private closeRefusedAttempt(
-    session: Session,
-    submission: ReceivedSubmission,
-    attempt: number,
-    failure: Failure,
-    now: Millis,
-  ): Failure {
-    const {maxCopyAgeMs} = this.options.limits;
-    const closedPeriodMs = Math.max(failure.retryAfterMs ?? 0, maxCopyAgeMs);
-    const closed = createClosedAttempts(attempt, failure, now + closedPeriodMs);
-    session.set(submission.key, closed);
-    // Without attempt numbers, a retry has to wait until every copy is stale.
-    if (submission.attempt !== undefined || failure.final) return failure;
-    return {...failure, retryAfterMs: Math.ceil(closedPeriodMs)};
-  }
-
   private cancelJob(job: JobRecord, now: Millis): void {
     const ids = listOpenTaskIds(job);
     if (ids.length === 0) return;
@@ -276,15 +232,6 @@
     return session.keyCount >= this.options.limits.maxKeysPerSession;
   }
 
-  private createLeavingFailure(): Failure {
-    const {instance} = this.options.self;
-    return createFailure(
-      FailureCode.Leaving,
-      {instance},
-      {retryAfterMs: 0, ran: RunStatus.NotRun},
-    );
-  }
-
   private refuse(failure: Failure): Failure {
     this.options.counters.countRefusal(failure);
     return failure;
