Membership: when an incarnation is replaced is read in one place

They are two functions without state in replacement.ts. Behaviour is unchanged; the tests of packages/membership pass.

--- a/packages/membership/src/view/index.ts
+++ b/packages/membership/src/view/index.ts
@@ -6,4 +6,5 @@
   type ViewChange,
 } from './instance.js';
 export {ListedState, type ListedInstance} from './listing.js';
-export {View, type HeartbeatAck, type ViewTiming} from './view.js';
+export type {HeartbeatAck} from './replacement.js';
+export {View, type ViewTiming} from './view.js';
--- a/packages/membership/src/view/view.ts
+++ b/packages/membership/src/view/view.ts
@@ -11,13 +11,16 @@
 import {
   createRecord,
   InstanceState,
-  isSameInstance,
-  startedBefore,
   type InstanceRecord,
   type KnownInstance,
   type ViewChange,
 } from './instance.js';
 import {isDelisted, updatePresence, type ListedInstance} from './listing.js';
+import {
+  isReplacedAtAddress,
+  isSuperseded,
+  type HeartbeatAck,
+} from './replacement.js';
 import {UnknownIncarnations, type UnknownTiming} from './unknown.js';
 
 /** Maximum number of ended incarnations that are remembered. */
@@ -33,15 +36,6 @@
   heartbeatTimeout(member: Member): Millis;
 }
 
-/** Describes a heartbeat of this instance that was answered at an address. */
-export interface HeartbeatAck {
-  readonly address: string;
-  /** When the connection that carried the heartbeat was opened. */
-  readonly connectedAt: Millis;
-  /** When this instance sent the heartbeat. */
-  readonly sentAt: Millis;
-}
-
 /** One instance's view of all instances. */
 export class View {
   private readonly records = new Map<string, InstanceRecord>();
@@ -117,7 +111,7 @@
     record.isConnectionRefused = false;
     if (ack !== undefined) {
       record.answeredSentAt = ack.sentAt;
-      this.markReplacedGone(ack, member, now);
+      this.markReplacedGone(member, ack, now);
     }
     if (isChanged) this.publish([toKnown(record)], now);
     this.updateStates(now);
@@ -202,23 +196,13 @@
     this.addRecord({incarnation, ...member}, now);
   }
 
-  /**
-   * Marks earlier incarnations at an address as gone. Only one process listens
-   * there: the one that accepted the newest connection. An incarnation recorded
-   * after this connection is kept: it may be newer, while the other one drains.
-   */
   private markReplacedGone(
-    {address, connectedAt}: HeartbeatAck,
     answeringMember: Member,
+    ack: HeartbeatAck,
     now: Millis,
   ): void {
     for (const record of this.records.values()) {
-      const {member, createdAt, lastSeenAt} = record;
-      if (member.incarnation === answeringMember.incarnation) continue;
-      // The list may contain an incarnation that is not listening yet.
-      if (lastSeenAt === undefined) continue;
-      if (member.peerAddress !== address || createdAt >= connectedAt) continue;
-      if (startedBefore(answeringMember, member)) continue;
+      if (!isReplacedAtAddress(record, answeringMember, ack)) continue;
       this.markGone(record, now);
     }
   }
@@ -237,7 +221,9 @@
         record.isListedLeaving || member.state === MemberState.Leaving;
       return isLeaving ? InstanceState.Leaving : InstanceState.Live;
     }
-    if (this.isSuperseded(record, now)) {
+    const isOtherUnresponsive = (other: InstanceRecord) =>
+      this.isUnresponsive(other, now);
+    if (isSuperseded(record, this.records.values(), isOtherUnresponsive)) {
       this.markGone(record, now);
       return InstanceState.Gone;
     }
@@ -253,21 +239,6 @@
     return now - silentSince > this.timing.heartbeatTimeout(member);
   }
 
-  /** Whether a later incarnation answers while this one does not. */
-  private isSuperseded(record: InstanceRecord, now: Millis): boolean {
-    const silentSince = record.lastSeenAt ?? record.createdAt;
-    for (const other of this.records.values()) {
-      const {member, answeredSentAt} = other;
-      if (other === record || !isSameInstance(member, record.member)) continue;
-      if (answeredSentAt === undefined || answeredSentAt <= silentSince) {
-        continue;
-      }
-      if (this.isUnresponsive(other, now)) continue;
-      if (!startedBefore(member, record.member)) return true;
-    }
-    return false;
-  }
-
   private removeExpired(now: Millis): void {
     for (const [incarnation, record] of this.records) {
       const silentSince = record.lastSeenAt ?? record.createdAt;
