Placement: the held pools and servers are kept in a class of their own

slot_allocator.ts had 298 lines: it answered the owners, and kept which servers are held, since when, and which peers have left. HeldPools keeps these; SlotAllocator is what owners see. Behaviour is unchanged; the tests of packages/placement pass.

--- a/packages/placement/src/holding/slot_allocator.ts
+++ b/packages/placement/src/holding/slot_allocator.ts
@@ -13,17 +13,14 @@
   type ServerSummary,
   type Settlement,
 } from '@goldcrestpier/peers';
-import type {Server} from '@goldcrestpier/platform';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import {MessageKind, WasteKind, type PlacementCounters} from '../counters.js';
 import type {PlacementPeers, PlacementView} from '../view.js';
-import {PoolAllocator} from './pool_allocator.js';
-import type {HeldGrant, HeldServer} from './held_server.js';
+import {HeldPools} from './held_pools.js';
+import type {HeldGrant} from './held_server.js';
 
 /** A grant that its owner does not report after this time is not in use. */
 const UNLISTED_MS = 1_000;
-/** Longest time a new holder waits for the heartbeats of its peers. */
-const REPORT_TIMEOUT_MS = 5_000;
 
 /** Options of `SlotAllocator`. */
 export interface SlotAllocatorOptions {
@@ -42,11 +39,11 @@
 
 /** Grants the slots of the servers that this instance holds. */
 export class SlotAllocator {
-  private readonly pools = new Map<string, PoolAllocator>();
-  private readonly heldAt = new Map<string, Millis>();
-  private grantSequence = 0;
+  private readonly pools: HeldPools;
 
-  constructor(private readonly options: SlotAllocatorOptions) {}
+  constructor(private readonly options: SlotAllocatorOptions) {
+    this.pools = new HeldPools(options);
+  }
 
   /** Records an owner's demand and answers with grants of free slots. */
   demand(message: Demand, now: Millis): Grants {
@@ -59,13 +56,12 @@
   settle(message: Settlement, now: Millis): Grants {
     const pools = new Set<string>();
     for (const end of message.ends) {
-      const pool = this.poolOfServer(end.server);
-      if (pool === undefined) continue;
-      pools.add(pool[0]);
-      pool[1].settle(
-        {...end, runMs: end.runMs, expectedMs: end.expectedMs},
-        now,
-      );
+      const found = this.pools.findByServer(end.server);
+      if (found === undefined) continue;
+      const [name, pool] = found;
+      const {runMs, expectedMs} = end;
+      pools.add(name);
+      pool.settle({...end, runMs, expectedMs}, now);
     }
     for (const item of message.demand ?? []) {
       this.setDemand(message.owner, item, now);
@@ -84,7 +80,7 @@
     now: Millis,
   ): void {
     const listed = new Map(inUse.map(({grant, server}) => [grant, server]));
-    for (const pool of this.pools.values()) {
+    for (const pool of this.pools) {
       for (const held of pool.servers.values()) {
         held.unreportedPeers.delete(peer);
         for (const grant of held.grants.values()) {
@@ -99,37 +95,13 @@
 
   /** Applies changes of members, servers and settings. */
   refresh(now: Millis): void {
-    const {view} = this.options;
-    const self = view.self.incarnation;
-    const peers = this.peerIncarnations();
-    const heldServers = new Map<string, Server>();
-    for (const server of view.servers()) {
-      if (view.holderOf(server) === self) heldServers.set(server.name, server);
-    }
-    for (const server of heldServers.values()) {
-      if (!this.heldAt.has(server.name)) this.heldAt.set(server.name, now);
-      this.ensurePool(server.pool).upsertServer(server, peers, now);
-    }
-    for (const pool of this.pools.values()) {
-      for (const name of pool.servers.keys()) {
-        if (heldServers.has(name)) continue;
-        pool.servers.delete(name);
-        this.heldAt.delete(name);
-      }
-    }
-    this.removeDeparted(new Set([self, ...peers]));
+    this.pools.refresh(now);
     this.allocateAll(now);
   }
 
   /** Releases expired grants and allocates again; called periodically. */
   tick(now: Millis): void {
-    for (const pool of this.pools.values()) {
-      pool.expireGrants(now);
-      for (const [name, held] of pool.servers) {
-        const heldAt = this.heldAt.get(name) ?? now;
-        if (now - heldAt > REPORT_TIMEOUT_MS) held.unreportedPeers.clear();
-      }
-    }
+    this.pools.expire(now);
     this.allocateAll(now);
   }
 
@@ -140,8 +112,8 @@
 
   /** Free capacity and prospects by pool, for the heartbeats. */
   spare(now: Millis): Heartbeat['spare'] {
-    return this.createProspects(this.pools.keys(), now).map(prospect => {
-      const held = this.ensurePool(prospect.pool);
+    return this.createProspects(this.pools.names(), now).map(prospect => {
+      const held = this.pools.ensure(prospect.pool);
       // Slots that are already requested are not spare.
       const free = Math.max(held.freeSlots(now) - held.demand.waiting, 0);
       return {...prospect, free};
@@ -151,7 +123,7 @@
   /** Summarizes the held servers for the operators' interface. */
   summarize(now: Millis): ServerSummary[] {
     const holder = this.options.view.self.incarnation;
-    return [...this.pools.values()].flatMap(pool =>
+    return [...this.pools].flatMap(pool =>
       [...pool.servers.values()].map(held => ({
         server: held.server.name,
         kind: held.server.kind,
@@ -167,7 +139,7 @@
   }
 
   private setDemand(owner: string, demand: PoolDemand, now: Millis): void {
-    this.ensurePool(demand.pool).demand.replace(owner, demand, now);
+    this.pools.ensure(demand.pool).demand.replace(owner, demand, now);
   }
 
   /**
@@ -182,7 +154,7 @@
     const answer: Grant[] = [];
     const pushed = new Map<string, Grant[]>();
     for (const name of pools) {
-      const pool = this.pools.get(name);
+      const pool = this.pools.find(name);
       if (pool === undefined) continue;
       const granted = pool.allocate(now);
       if (pool.hasDeferredDemand(now)) this.options.scheduleReview();
@@ -197,13 +169,13 @@
 
   private allocateAll(now: Millis): void {
     // The requester matches no owner, so all grants are sent as offers.
-    this.allocate(this.pools.keys(), '', now);
+    this.allocate(this.pools.names(), '', now);
   }
 
   /** What one more task can expect in each pool with held servers. */
   private createProspects(pools: Iterable<string>, now: Millis): Prospect[] {
     return [...pools]
-      .map(name => this.ensurePool(name))
+      .map(name => this.pools.ensure(name))
       .filter(({servers}) => servers.size > 0)
       .map(pool => pool.prospect(now));
   }
@@ -228,7 +200,7 @@
     server: string,
     now: Millis,
   ): void {
-    const held = this.findServer(server);
+    const held = this.pools.findServer(server);
     if (held === undefined || held.grants.has(grant)) return;
     const adopted: HeldGrant = {
       id: grant,
@@ -242,57 +214,4 @@
     };
     held.grants.set(grant, adopted);
   }
-
-  private removeDeparted(present: ReadonlySet<string>): void {
-    for (const pool of this.pools.values()) {
-      for (const owner of pool.demand.knownOwners) {
-        if (!present.has(owner)) pool.demand.removeOwner(owner);
-      }
-      for (const held of pool.servers.values()) {
-        for (const peer of held.unreportedPeers) {
-          if (!present.has(peer)) held.unreportedPeers.delete(peer);
-        }
-        for (const grant of held.grants.values()) {
-          if (!present.has(grant.owner)) held.grants.delete(grant.id);
-        }
-      }
-    }
-  }
-
-  private peerIncarnations(): string[] {
-    const {view} = this.options;
-    return view
-      .members()
-      .map(({incarnation}) => incarnation)
-      .filter(incarnation => incarnation !== view.self.incarnation);
-  }
-
-  private poolOfServer(server: string): [string, PoolAllocator] | undefined {
-    for (const entry of this.pools) {
-      if (entry[1].servers.has(server)) return entry;
-    }
-    return undefined;
-  }
-
-  private findServer(server: string): HeldServer | undefined {
-    return this.poolOfServer(server)?.[1].servers.get(server);
-  }
-
-  private ensurePool(name: string): PoolAllocator {
-    const known = this.pools.get(name);
-    if (known !== undefined) return known;
-    const {view, counters, logger} = this.options;
-    const pool = new PoolAllocator({
-      pool: name,
-      holder: view.self.incarnation,
-      counters,
-      logger,
-      settings: () => view.settingsOf(name),
-      instanceCount: () => view.members().length,
-      createGrantId: () =>
-        `${view.self.incarnation}/${(this.grantSequence += 1)}`,
-    });
-    this.pools.set(name, pool);
-    return pool;
-  }
 }
