Stand-ins: refusals, health state and failed tasks are replied in one place

The runner and the guarded worker each had their own refuse, their own reply for a failed task, and read the state of the health route from the fault document; the instance list counted its refusal by hand. StandinServer has refuse and state now.

--- a/packages/standins/src/instance_list/index.ts
+++ b/packages/standins/src/instance_list/index.ts
@@ -121,10 +121,10 @@
   private handle({method, path}: JsonRequest): Reply | undefined {
     if (method !== 'GET' || path.join('/') !== 'targets') return undefined;
     if (this.server.faults.current.listOut) {
-      this.server.records.countRefusal(ReplyCode.Unavailable);
-      return createReply(HttpStatus.ServiceUnavailable, {
-        code: ReplyCode.Unavailable,
-      });
+      return this.server.refuse(
+        HttpStatus.ServiceUnavailable,
+        ReplyCode.Unavailable,
+      );
     }
     return createReply(HttpStatus.Ok, [...this.visibleTargets.values()]);
   }
--- a/packages/standins/src/runner/index.ts
+++ b/packages/standins/src/runner/index.ts
@@ -8,8 +8,10 @@
   HttpStatus,
   createReply,
   createBadRequestReply,
+  createFailedTaskReply,
   ReplyCode,
   ReplyKind,
+  ServerState,
   StandinServer,
   type Standin,
   type JsonRequest,
@@ -89,7 +91,7 @@
 
   private createHealthReply(): Reply {
     return createReply(HttpStatus.Ok, {
-      state: this.server.faults.current.leaving ? 'leaving' : 'live',
+      state: this.server.state,
       slots: this.options.slots,
       inUse: this.inUse,
     });
@@ -101,11 +103,14 @@
   }: JsonRequest): Promise<Reply> | Reply {
     const task = taskSchema.safeParse(body);
     if (!task.success) return createBadRequestReply(task.error.message);
-    if (this.server.faults.current.leaving) {
-      return this.refuse(HttpStatus.ServiceUnavailable, ReplyCode.Leaving);
+    if (this.server.state === ServerState.Leaving) {
+      return this.server.refuse(
+        HttpStatus.ServiceUnavailable,
+        ReplyCode.Leaving,
+      );
     }
     if (this.inUse >= this.options.slots) {
-      return this.refuse(HttpStatus.TooManyRequests, ReplyCode.Busy);
+      return this.server.refuse(HttpStatus.TooManyRequests, ReplyCode.Busy);
     }
     const {records, faults} = this.server;
     records.recordStart(task.data.job, task.data.task, Date.now());
@@ -120,11 +125,6 @@
     );
   }
 
-  private refuse(status: HttpStatus, code: ReplyCode): Reply {
-    this.server.records.countRefusal(code);
-    return createReply(status, {code});
-  }
-
   private async runTask(
     plan: WorkPlan,
     stopSignal: AbortSignal,
@@ -137,16 +137,8 @@
     }
     await this.server.faults.waitWhileFrozen();
     this.inUse -= 1;
-    if (failAll || plan.fail) return createFailedReply();
+    if (failAll || plan.fail) return createFailedTaskReply();
     const result = createResult(plan, this.options.name);
     return {...createReply(HttpStatus.Ok, {result}), hasStartedTask: true};
   }
 }
-
-function createFailedReply(): Reply {
-  const body = {code: ReplyCode.Failed, reason: 'the task failed'};
-  return {
-    ...createReply(HttpStatus.InternalServerError, body),
-    hasStartedTask: true,
-  };
-}
--- a/packages/standins/src/server/messages.ts
+++ b/packages/standins/src/server/messages.ts
@@ -82,6 +82,15 @@
   });
 }
 
+/** Reply of a server that started a task, which then failed. */
+export function createFailedTaskReply(): Reply {
+  const body = {code: ReplyCode.Failed, reason: 'the task failed'};
+  return {
+    ...createReply(HttpStatus.InternalServerError, body),
+    hasStartedTask: true,
+  };
+}
+
 /** Reads a request with its whole body. */
 export async function readRequest(
   message: IncomingMessage,
--- a/packages/standins/src/server/standin_server.ts
+++ b/packages/standins/src/server/standin_server.ts
@@ -23,6 +23,12 @@
 
 const NO_LIMIT = Number.POSITIVE_INFINITY;
 
+/** State of a stand-in's server, as its health route reports it. */
+export enum ServerState {
+  Live = 'live',
+  Leaving = 'leaving',
+}
+
 /** Options of a `StandinServer`. */
 export interface StandinServerOptions {
   readonly name: string;
@@ -95,6 +101,17 @@
     );
   }
 
+  /** The state that the health route reports. */
+  get state(): ServerState {
+    return this.faults.current.leaving ? ServerState.Leaving : ServerState.Live;
+  }
+
+  /** Counts a refusal and creates the reply. */
+  refuse(status: HttpStatus, code: ReplyCode): Reply {
+    this.records.countRefusal(code);
+    return createReply(status, {code});
+  }
+
   /** Returns what users of a running stand-in need. */
   toStandin(): Standin {
     const {address, adminAddress, faults, records} = this;
--- a/packages/standins/src/worker/worker_server.ts
+++ b/packages/standins/src/worker/worker_server.ts
@@ -5,8 +5,10 @@
   HttpStatus,
   createReply,
   createBadRequestReply,
+  createFailedTaskReply,
   ReplyCode,
   ReplyKind,
+  ServerState,
   StandinServer,
   type JsonRequest,
   type Reply,
@@ -85,7 +87,7 @@
 
   private createHealthReply(): Reply {
     return createReply(HttpStatus.Ok, {
-      state: this.server.faults.current.leaving ? 'leaving' : 'live',
+      state: this.server.state,
       free: this.computeFreeResources(),
     });
   }
@@ -94,14 +96,17 @@
     const request = leaseRequestSchema.safeParse(body);
     if (!request.success) return createBadRequestReply(request.error.message);
     const {records, faults} = this.server;
-    if (faults.current.leaving) {
-      return this.refuse(HttpStatus.ServiceUnavailable, ReplyCode.Leaving);
+    if (this.server.state === ServerState.Leaving) {
+      return this.server.refuse(
+        HttpStatus.ServiceUnavailable,
+        ReplyCode.Leaving,
+      );
     }
     if (!fits(request.data, this.computeFreeResources())) {
-      return this.refuse(HttpStatus.Conflict, ReplyCode.Busy);
+      return this.server.refuse(HttpStatus.Conflict, ReplyCode.Busy);
     }
     records.recordStart(request.data.job, request.data.task, Date.now());
-    if (faults.current.failAll) return createFailedReply();
+    if (faults.current.failAll) return createFailedTaskReply();
     const id = this.openLease(request.data);
     if (faults.current.resetAfterStart) return {kind: ReplyKind.Reset};
     return {
@@ -194,13 +199,8 @@
     return subtractResources(this.options, this.inUse);
   }
 
-  private refuse(status: HttpStatus, code: ReplyCode): Reply {
-    this.server.records.countRefusal(code);
-    return createReply(status, {code});
-  }
-
   private createExpiredReply(): Reply {
-    return this.refuse(HttpStatus.NotFound, ReplyCode.LeaseExpired);
+    return this.server.refuse(HttpStatus.NotFound, ReplyCode.LeaseExpired);
   }
 }
 
@@ -218,11 +218,3 @@
   lease.throttle(parsed.data.share);
   return createReply(HttpStatus.Ok, {});
 }
-
-function createFailedReply(): Reply {
-  const body = {code: ReplyCode.Failed, reason: 'the task failed'};
-  return {
-    ...createReply(HttpStatus.InternalServerError, body),
-    hasStartedTask: true,
-  };
-}
