Membership: five tests start their two instances in one way

Each started a and b and waited until a saw b, in three to five lines of its own. startTwoInstances stands in the fixtures; the titles and the assertions are the same, and the tests of packages/membership pass.

--- a/packages/membership/test/faults.test.ts
+++ b/packages/membership/test/faults.test.ts
@@ -9,6 +9,7 @@
   createLifecycle,
   liveMembersSeenBy,
   startInstance,
+  startTwoInstances,
   stateSeenBy,
   waitFor,
   type RunningInstance,
@@ -139,11 +140,8 @@
 });
 
 test('a killed instance is suspect as soon as its host refuses connections', async context => {
-  const lifecycle = createLifecycle(context);
   const longTimeout = {minTimeoutMs: 10 * 60 * 1000};
-  const a = await startInstance({lifecycle, name: 'a', heartbeat: longTimeout});
-  const b = await startInstance({lifecycle, name: 'b', seeds: [a.address]});
-  await waitFor('b to be live', () => liveMembersSeenBy(a) === 'east/a east/b');
+  const {a, b} = await startTwoInstances(context, longTimeout);
   await b.stop();
   await waitFor(
     'the refused connection',
--- a/packages/membership/test/fixtures.ts
+++ b/packages/membership/test/fixtures.ts
@@ -136,6 +136,22 @@
   };
 }
 
+/**
+ * Starts instances `a` and `b`, and waits until `a` sees that `b` is live.
+ * `heartbeat` are the settings of `a`.
+ */
+export async function startTwoInstances(
+  context: TestContext,
+  heartbeat: Partial<HeartbeatSettings> = {},
+) {
+  const lifecycle = createLifecycle(context);
+  const a = await startInstance({lifecycle, name: 'a', heartbeat});
+  const seeds = [a.address];
+  const b = await startInstance({lifecycle, name: 'b', seeds});
+  await waitFor('b to be live', () => liveMembersSeenBy(a) === 'east/a east/b');
+  return {lifecycle, a, b, seeds};
+}
+
 /** Waits until `condition` holds; throws after `TIMEOUT_MS`. */
 export async function waitFor(
   description: string,
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -6,6 +6,7 @@
   createLifecycle,
   liveMembersSeenBy,
   startInstance,
+  startTwoInstances,
   stateSeenBy,
   waitFor,
   type RunningInstance,
@@ -43,10 +44,7 @@
 });
 
 test('a stopped instance is suspect and not gone until the list removes it', async context => {
-  const lifecycle = createLifecycle(context);
-  const a = await startInstance({lifecycle, name: 'a'});
-  const b = await startInstance({lifecycle, name: 'b', seeds: [a.address]});
-  await waitFor('b to be live', () => liveMembersSeenBy(a) === 'east/a east/b');
+  const {a, b} = await startTwoInstances(context);
   const entry = (each: RunningInstance, name: string) => ({
     name,
     zone: 'east',
@@ -68,11 +66,7 @@
 });
 
 test('after a restart at the same address the earlier incarnation is gone', async context => {
-  const lifecycle = createLifecycle(context);
-  const a = await startInstance({lifecycle, name: 'a'});
-  const seeds = [a.address];
-  const b = await startInstance({lifecycle, name: 'b', seeds});
-  await waitFor('b to be live', () => liveMembersSeenBy(a) === 'east/a east/b');
+  const {lifecycle, a, b, seeds} = await startTwoInstances(context);
   await b.stop();
   const {port} = b;
   const later = await startInstance({lifecycle, name: 'b', seeds, port});
@@ -87,11 +81,7 @@
 });
 
 test('after a restart at another address the earlier incarnation is gone once unresponsive', async context => {
-  const lifecycle = createLifecycle(context);
-  const a = await startInstance({lifecycle, name: 'a'});
-  const seeds = [a.address];
-  const b = await startInstance({lifecycle, name: 'b', seeds});
-  await waitFor('b to be live', () => liveMembersSeenBy(a) === 'east/a east/b');
+  const {lifecycle, a, b, seeds} = await startTwoInstances(context);
   await b.stop();
   const later = await startInstance({lifecycle, name: 'b', seeds});
   await waitFor('the earlier b to be gone', () =>
@@ -101,10 +91,7 @@
 });
 
 test('an earlier incarnation never seen here is gone once a later one answers', async context => {
-  const lifecycle = createLifecycle(context);
-  const a = await startInstance({lifecycle, name: 'a'});
-  const b = await startInstance({lifecycle, name: 'b', seeds: [a.address]});
-  await waitFor('b to be live', () => liveMembersSeenBy(a) === 'east/a east/b');
+  const {a, b} = await startTwoInstances(context);
   const earlier = 'east.b.000000000000';
   const unknownIncarnation = 'east.x.000000000000';
   assert.equal(a.membership.isGone(earlier, readClock()), false);
