A new holder counts the late leases of its predecessors' commands

What mends for a holder's own commands holds for those of the holder before as well: a poll of it that got no answer may be carried out up to 12 s later, and extends the leases of a worker that has restarted meanwhile and has not heard the new fencing token, or has heard only that of the former holder. The new holder took a run there for over with the leases that it had granted itself.

The test `the leases of a restarted worker last as long as a late poll of an earlier holder extends them` failed before: the task was started again at 4 s, 1.9 s after its first start.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -31,7 +31,11 @@
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {applyPollAnswer, applyPollFailure, recordLease} from './poll_answer.js';
-import {computeStopCompletion, type DispatcherOptions} from './options.js';
+import {
+  computeFormerLeaseExpiry,
+  computeStopCompletion,
+  type DispatcherOptions,
+} from './options.js';
 import type {Command} from './commands.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {EarlierRuns} from './earlier_runs.js';
@@ -65,7 +69,7 @@
    */
   constructor(
     private readonly options: DispatcherOptions,
-    heldSince: Millis,
+    private readonly heldSince: Millis,
     observer: DispatchObserver,
     history = new TaskHistory(),
   ) {
@@ -105,7 +109,9 @@
 
   /** Replaces the list of workers with the current one. */
   setWorkers(list: readonly Worker[], now: Millis): void {
-    applyWorkerList(this.registry, list, now);
+    const {registry, heldSince, options} = this;
+    const formerLeasesExpireAt = computeFormerLeaseExpiry(heldSince, options);
+    applyWorkerList(registry, list, formerLeasesExpireAt, now);
   }
 
   /** Marks the list of workers as up to date, so that tasks may be placed. */
