Revert "A new holder counts the late leases of its predecessors' commands"

The case can't happen: a worker that runs a task of the new holder, or has answered its poll, has accepted its fencing token, and does nothing for a late poll with the lower token of the former holder. The test had given the worker a run of the new holder and assumed the contrary.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -31,11 +31,7 @@
 import {Intake} from './intake.js';
 import type {JobRecord} from './job_record.js';
 import {applyPollAnswer, applyPollFailure, recordLease} from './poll_answer.js';
-import {
-  computeFormerLeaseExpiry,
-  computeStopCompletion,
-  type DispatcherOptions,
-} from './options.js';
+import {computeStopCompletion, type DispatcherOptions} from './options.js';
 import type {Command} from './commands.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {EarlierRuns} from './earlier_runs.js';
@@ -69,7 +65,7 @@
    */
   constructor(
     private readonly options: DispatcherOptions,
-    private readonly heldSince: Millis,
+    heldSince: Millis,
     observer: DispatchObserver,
     history = new TaskHistory(),
   ) {
@@ -109,9 +105,7 @@
 
   /** Replaces the list of workers with the current one. */
   setWorkers(list: readonly Worker[], now: Millis): void {
-    const {registry, heldSince, options} = this;
-    const formerLeasesExpireAt = computeFormerLeaseExpiry(heldSince, options);
-    applyWorkerList(registry, list, formerLeasesExpireAt, now);
+    applyWorkerList(this.registry, list, now);
   }
 
   /** Marks the list of workers as up to date, so that tasks may be placed. */
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -52,17 +52,6 @@
   return computeLeaseExpiry(now + MAX_COMMAND_DELAY_MS, leaseMs);
 }
 
-/**
- * When the leases are over that commands of earlier holders may grant late, if
- * this instance became the holder at `heldSince`.
- */
-export function computeFormerLeaseExpiry(
-  heldSince: Millis,
-  {leaseMs}: DispatcherOptions,
-): Millis {
-  return computeLateRunEnd(heldSince + FORMER_HOLDER_STOP_MS, leaseMs);
-}
-
 /** When a stop that was confirmed at `confirmedAt` has certainly completed. */
 export function computeStopCompletion(
   confirmedAt: Millis,
--- a/packages/dispatch/src/dispatcher/worker_list.ts
+++ b/packages/dispatch/src/dispatcher/worker_list.ts
@@ -3,20 +3,15 @@
 import {WorkerRecord, type Worker} from '../workers/index.js';
 import type {Registry} from './registry.js';
 
-/**
- * Replaces the list of workers with the current one. `lateLeasesExpireAt` is
- * when the leases are over that commands of earlier holders may grant late.
- */
+/** Replaces the list of workers with the current one. */
 export function applyWorkerList(
   registry: Registry,
   list: readonly Worker[],
-  lateLeasesExpireAt: Millis,
   now: Millis,
 ): void {
   const listed = new Set(list.map(({id}) => id));
   registry.isPlacementDue = true;
-  for (const worker of list)
-    applyWorker(registry, worker, lateLeasesExpireAt, now);
+  for (const worker of list) applyWorker(registry, worker, now);
   for (const [id, record] of registry.workers) {
     if (listed.has(id)) continue;
     // Its runs end when their leases expire; the record is removed after
@@ -26,18 +21,11 @@
   }
 }
 
-function applyWorker(
-  registry: Registry,
-  worker: Worker,
-  lateLeasesExpireAt: Millis,
-  now: Millis,
-): void {
+function applyWorker(registry: Registry, worker: Worker, now: Millis): void {
   registry.runTimes.setKind(worker.id, worker.kind);
   const known = registry.workers.get(worker.id);
   if (known === undefined) {
-    const record = new WorkerRecord(worker);
-    record.recordUnansweredLease(lateLeasesExpireAt);
-    registry.workers.set(worker.id, record);
+    registry.workers.set(worker.id, new WorkerRecord(worker));
     return;
   }
   const {bornAt} = known.info;
