Poll a worker before a start once a connection to it has closed

Cause: an idle worker isn't polled, so that a holder learns of its next process from the list of workers only; the end of the connections to it was not noticed, and the first start was sent beside the poll that shows the process.

Change: the workers' client records when a connection to each address closed. A worker that was not polled since is polled before a run is started there, once for all starts at a time. If the poll shows another process, or gets no answer, the start is not sent and the task is placed again. The same holds before a start without an answer is repeated.

--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -4,6 +4,7 @@
   StartAnswer,
   type Dispatcher,
   type DispatcherOptions,
+  type Run,
   type StartCommand,
   type StopCommand,
 } from '@goldcrestpier/dispatch';
@@ -11,6 +12,7 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {StartRequest, StartResponse, WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
+import type {WorkerProcesses} from './process_confirmation.js';
 
 /** Timeout of the first request to start a run, in ms. */
 const START_TIMEOUT_MS = 100;
@@ -36,6 +38,9 @@
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
   readonly lostResponses: LostResponses;
+  readonly processes: WorkerProcesses;
+  /** Whether this instance is still the holder. */
+  readonly isActive: () => boolean;
   /** Called before a command is sent to a worker. */
   readonly onCommand: (workerId: string) => void;
   /** Called when state that scheduling depends on has changed. */
@@ -48,7 +53,24 @@
   constructor(private readonly options: CommandSenderOptions) {}
 
   /** Starts a run and reports the answer to the dispatcher. */
-  async start({run, payload}: StartCommand): Promise<void> {
+  async start(command: StartCommand): Promise<void> {
+    const {run} = command;
+    const {dispatcher, processes, onChange} = this.options;
+    if (processes.isConfirmed(run) || (await this.confirm(run)))
+      return this.startConfirmed(command);
+    this.recordStartAnswer(run.workerId, run.key, StartAnswer.NotSent);
+    dispatcher.handleStartAnswer(run, StartAnswer.NotSent, readClock());
+    onChange();
+  }
+
+  /** Polls the run's worker; whether the run is to be started there still. */
+  private async confirm(run: Run): Promise<boolean> {
+    const {processes, isActive} = this.options;
+    const isConfirmed = await processes.confirm(run);
+    return isConfirmed && isActive() && run.phase === RunPhase.Starting;
+  }
+
+  private async startConfirmed({run, payload}: StartCommand): Promise<void> {
     const {dispatchOptions, token, dispatcher, onCommand, onChange} =
       this.options;
     const record = dispatcher.workers.get(run.workerId);
@@ -81,13 +103,15 @@
 
   /** Sends a start request; a retry is safe, as workers start a run once. */
   private async sendStart(request: StartRequest): Promise<StartResponse> {
-    const {workerPort, lostResponses, metrics} = this.options;
+    const {workerPort, processes, lostResponses, metrics} = this.options;
     const {run, worker} = request;
     const firstResponse = await workerPort.start(request);
     if (firstResponse.answer !== StartAnswer.Unanswered) return firstResponse;
     lostResponses.recordLoss(worker.id, readClock());
     // A poll may have reported the run meanwhile, or its job was cancelled.
     if (run.phase !== RunPhase.Starting) return firstResponse;
+    if (!processes.isConfirmed(run) && !(await this.confirm(run)))
+      return firstResponse;
     metrics.retries.inc({order: 'start', reason: firstResponse.answer});
     const retryResponse = await workerPort.start({
       ...request,
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -58,38 +58,28 @@
   constructor(private readonly options: HolderOptions) {
     const {dispatchOptions, logger, metrics, lifecycle} = options;
     const observer = createObserver(logger, metrics);
-    const lostResponses = new LostResponses();
     this.dispatcher = new Dispatcher(
       dispatchOptions,
       this.holderSince,
       observer,
       options.crashes,
     );
-    this.commandSender = new CommandSender({
-      token: options.token,
-      dispatchOptions,
-      workerPort: options.workerPort,
-      dispatcher: this.dispatcher,
-      logger,
-      metrics,
-      lostResponses,
-      onCommand: workerId => this.pollers.wake(workerId),
-      onChange: () => this.scheduleTick(),
-      onFenced: workerId => this.stepDown(workerId),
-    });
-    this.pollers = new WorkerPollers({
-      ...options,
-      lostResponses,
-      dispatcher: this.dispatcher,
-      onChange: () => this.scheduleTick(),
-      onFenced: workerId => this.stepDown(workerId),
-    });
     const shared = {
       ...options,
       dispatcher: this.dispatcher,
       pendingAnswers: this.pendingAnswers,
+      lostResponses: new LostResponses(),
       onChange: () => this.scheduleTick(),
     };
+    const onFenced = (workerId: string) => this.stepDown(workerId);
+    this.pollers = new WorkerPollers({...shared, onFenced});
+    this.commandSender = new CommandSender({
+      ...shared,
+      processes: this.pollers.processes,
+      isActive: () => !this.isClosed,
+      onCommand: workerId => this.pollers.wake(workerId),
+      onFenced,
+    });
     this.delegator = new TaskDelegator(shared);
     this.discovery = new DelegationDiscovery(shared);
     this.submissions = new SubmissionHandler({
--- a/packages/zone/src/holder/worker_pollers.ts
+++ b/packages/zone/src/holder/worker_pollers.ts
@@ -8,6 +8,10 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
+import {
+  ProcessConfirmation,
+  type WorkerProcesses,
+} from './process_confirmation.js';
 import {WorkerPoller} from './worker_poller.js';
 
 /** Dependencies of the pollers. */
@@ -26,9 +30,20 @@
 
 /** Starts a poller for each new worker; it ends when the worker is removed. */
 export class WorkerPollers {
+  /** Confirms the processes of workers before runs are started there. */
+  readonly processes: WorkerProcesses;
   private readonly pollers = new Map<string, WorkerPoller>();
 
-  constructor(private readonly options: WorkerPollersOptions) {}
+  constructor(private readonly options: WorkerPollersOptions) {
+    this.processes = new ProcessConfirmation({
+      ...options,
+      onPollFailed: (worker, failure) => {
+        this.handleFailure(worker, failure);
+        this.wake(worker);
+        options.onChange();
+      },
+    });
+  }
 
   /** Makes the pollers match the dispatcher's list of workers. */
   updatePollers(): void {
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -76,6 +76,11 @@
     'Failed polls of workers, by reason.',
     ['reason'],
   );
+  readonly confirmations = this.createCounter(
+    'goldcrestpier_workers_confirmed_total',
+    'Polls of idle workers before a start because a connection had closed, by result.',
+    ['result'],
+  );
   readonly resubmissions = this.createCounter(
     'goldcrestpier_resubmissions_total',
     'Jobs resubmitted to a holder, by reason.',
--- a/packages/zone/src/ports/worker_port.ts
+++ b/packages/zone/src/ports/worker_port.ts
@@ -58,4 +58,9 @@
     request: PollRequest,
     signal: AbortSignal,
   ): Promise<Result<WorkerReport, WorkerRequestFailure>>;
+  /**
+   * When a connection to the worker's address last closed; -Infinity if none
+   * has. A later answer comes from a process that has been there since.
+   */
+  lastDisconnectAt(worker: Worker): Millis;
 }
--- a/packages/zone/test/holder.test.ts
+++ b/packages/zone/test/holder.test.ts
@@ -46,6 +46,7 @@
     const workerPort: WorkerPort = {
       start: () => Promise.resolve({answer: StartAnswer.Started, clockMs: 5}),
       stop: failOnCall,
+      lastDisconnectAt: () => -Infinity,
       poll: async (_order, signal) => {
         pollCount += 1;
         if (pollCount === 1) return Ok(firstReport);
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -27,6 +27,7 @@
 /** Creates the only instance of its zone; adds started tasks to `started`. */
 function createInstance(lifecycle: Lifecycle, started: string[]): Instance {
   const workerPort: WorkerPort = {
+    lastDisconnectAt: () => -Infinity,
     start: ({run}) => {
       started.push(run.key);
       return Promise.resolve({answer: StartAnswer.Started, clockMs: 5});
--- /dev/null
+++ b/packages/zone/test/process_confirmation.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {test} from 'node:test';
+import {
+  RunPhase,
+  StartAnswer,
+  WorkerRequestFailure,
+  type Dispatcher,
+  type StartCommand,
+  type WorkerReport,
+} from '@goldcrestpier/dispatch';
+import {Lifecycle, readClock, type Millis} from '@goldcrestpier/runtime';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {CommandSender} from '../src/holder/command_sender.js';
+import {LostResponses} from '../src/holder/lost_responses.js';
+import {WorkerPollers} from '../src/holder/worker_pollers.js';
+import {ZoneMetrics} from '../src/metrics/index.js';
+import type {WorkerPort} from '../src/ports/index.js';
+import {
+  createDispatcher,
+  createJob,
+  dispatchOptions,
+  failOnCall,
+  noopLogger,
+  worker,
+} from './fixtures/dispatcher.js';
+
+type PollResult = Result<WorkerReport, WorkerRequestFailure>;
+
+/** What the holder sent to its worker, in order. */
+type Sent = 'poll' | 'start';
+
+interface Fixture {
+  readonly dispatcher: Dispatcher;
+  readonly commands: readonly StartCommand[];
+  readonly sent: readonly Sent[];
+  startAll(): Promise<void>;
+}
+
+interface FixtureOptions {
+  /** Time since the last connection to the idle worker closed. */
+  readonly closedForMs: Millis;
+  readonly pollResult?: PollResult;
+  readonly startAnswers?: readonly StartAnswer[];
+  readonly onPoll?: (dispatcher: Dispatcher) => void;
+}
+
+function createReport(bornAt: number): PollResult {
+  return Ok({clockMs: 5, bornAt, running: [], ended: []});
+}
+
+/** Creates a holder's parts with a job of two tasks for a worker idle for 1 s. */
+function createFixture({
+  closedForMs,
+  pollResult = createReport(worker.bornAt),
+  startAnswers = [],
+  onPoll = () => undefined,
+}: FixtureOptions): Fixture {
+  const now = readClock();
+  const dispatcher = createDispatcher(now - 1_000);
+  dispatcher.submit(createJob('a', 2, now), false, now);
+  const commands = dispatcher.tick(now).filter(({kind}) => kind === 'start');
+  assert.equal(commands.length, 2);
+  const sent: Sent[] = [];
+  let closedAt = now - closedForMs;
+  let startCount = 0;
+  const workerPort: WorkerPort = {
+    start: async () => {
+      sent.push('start');
+      const answer = startAnswers[startCount] ?? StartAnswer.Started;
+      startCount += 1;
+      await nextTurn();
+      if (answer === StartAnswer.Unanswered) closedAt = readClock();
+      return {answer, clockMs: 5};
+    },
+    stop: failOnCall,
+    poll: () => {
+      sent.push('poll');
+      onPoll(dispatcher);
+      return Promise.resolve(pollResult);
+    },
+    lastDisconnectAt: () => closedAt,
+  };
+  const shared = {
+    token: 7,
+    dispatchOptions,
+    dispatcher,
+    workerPort,
+    logger: noopLogger,
+    metrics: new ZoneMetrics(),
+    lostResponses: new LostResponses(),
+    lifecycle: new Lifecycle('test'),
+    onChange: () => undefined,
+    onFenced: failOnCall,
+  };
+  const {processes} = new WorkerPollers(shared);
+  const commandSender = new CommandSender({
+    ...shared,
+    processes,
+    isActive: () => true,
+    onCommand: () => undefined,
+  });
+  const starts = commands as StartCommand[];
+  const startAll = async () => {
+    await Promise.all(starts.map(command => commandSender.start(command)));
+  };
+  return {dispatcher, commands: starts, sent, startAll};
+}
+
+function findPhases({commands}: Fixture): readonly RunPhase[] {
+  return commands.map(({run}) => run.phase);
+}
+
+const bothRun = [RunPhase.Running, RunPhase.Running];
+
+test('an idle worker whose connections stayed open is not polled before a start', async () => {
+  const fixture = createFixture({closedForMs: 2_000});
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['start', 'start']);
+});
+
+test('one poll confirms a worker whose connection closed, for all starts at a time', async () => {
+  const fixture = createFixture({closedForMs: 500});
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['poll', 'start', 'start']);
+  assert.deepEqual(findPhases(fixture), bothRun);
+});
+
+// Guards against starts at the next process, which may be of another kind.
+test('no run is started at the next process of a worker before its entry is read', async () => {
+  const pollResult = createReport(worker.bornAt + 1);
+  const fixture = createFixture({closedForMs: 500, pollResult});
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['poll']);
+  const {dispatcher} = fixture;
+  const record = dispatcher.workers.get(worker.id);
+  assert.equal(record?.runs.size, 0);
+  assert.equal(record.isUsable(readClock()), false);
+  assert.deepEqual(dispatcher.tick(readClock()), []);
+});
+
+test('no run is started at a process whose entry was read only during the poll', async () => {
+  const next = {...worker, bornAt: worker.bornAt + 1, labels: ['other']};
+  const fixture = createFixture({
+    closedForMs: 500,
+    pollResult: createReport(next.bornAt),
+    onPoll: dispatcher => dispatcher.setWorkers([next], readClock()),
+  });
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['poll']);
+});
+
+test('no run is started at a worker that does not answer the poll before', async () => {
+  const {Unanswered} = WorkerRequestFailure;
+  const pollResult = Err(Unanswered);
+  const fixture = createFixture({closedForMs: 500, pollResult});
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['poll']);
+  const record = fixture.dispatcher.workers.get(worker.id);
+  assert.equal(record?.runs.size, 0);
+  assert.equal(record.pollFailure, Unanswered);
+});
+
+test('a run that is cancelled during the poll before its start is not started', async () => {
+  const fixture = createFixture({
+    closedForMs: 500,
+    onPoll: ({workers}) => {
+      for (const run of workers.get(worker.id)?.runs.values() ?? [])
+        run.phase = RunPhase.Stopping;
+    },
+  });
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['poll']);
+});
+
+test('a start without an answer is not repeated at the next process', async () => {
+  const {Unanswered} = StartAnswer;
+  const fixture = createFixture({
+    closedForMs: 2_000,
+    pollResult: createReport(worker.bornAt + 1),
+    startAnswers: [Unanswered, Unanswered],
+  });
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['start', 'start', 'poll']);
+});
--- a/packages/zone/test/silent_peer.test.ts
+++ b/packages/zone/test/silent_peer.test.ts
@@ -48,7 +48,12 @@
     nonce: 1,
     dispatchOptions,
     directory: createDirectory(),
-    workerPort: {start: failOnCall, stop: failOnCall, poll: failOnCall},
+    workerPort: {
+      start: failOnCall,
+      stop: failOnCall,
+      poll: failOnCall,
+      lastDisconnectAt: failOnCall,
+    },
     otherZones: [],
     seeds: [],
     logs: new Logs('test', LogLevel.Silent),
--- a/packages/zone/test/simulation/worker.ts
+++ b/packages/zone/test/simulation/worker.ts
@@ -87,6 +87,8 @@
 
 /** A worker whose process can crash and start again. */
 export class SimulatedWorker {
+  /** When a process of it last exited, which closes its connections. */
+  exitedAt: Millis = -Infinity;
   private process: WorkerProcess | undefined;
 
   constructor(private readonly options: SimulatedWorkerOptions) {
@@ -116,6 +118,7 @@
     if (process === undefined) return;
     process.hasExited = true;
     this.process = undefined;
+    this.exitedAt = this.options.scheduler.now;
     for (const [task, run] of process.running) {
       this.options.checker.recordEnd(task, run, 'crashed');
     }
--- a/packages/zone/test/simulation/worker_port.ts
+++ b/packages/zone/test/simulation/worker_port.ts
@@ -2,6 +2,7 @@
 import {
   StartAnswer,
   WorkerRequestFailure,
+  type Worker,
   type WorkerReport,
 } from '@goldcrestpier/dispatch';
 import {startTimeoutAfterReads, type Millis} from '@goldcrestpier/runtime';
@@ -100,6 +101,11 @@
     return report === undefined ? Err(WorkerRequestFailure.Fenced) : Ok(report);
   }
 
+  /** Returns when the worker last closed its connections by exiting. */
+  lastDisconnectAt({id}: Worker): Millis {
+    return this.options.workers.get(id)?.exitedAt ?? -Infinity;
+  }
+
   private call<Answer>(
     workerId: string,
     timeoutMs: Millis,
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -37,6 +37,7 @@
 ): Owner {
   let pollCount = 0;
   const workerPort: WorkerPort = {
+    lastDisconnectAt: () => -Infinity,
     start: () => Promise.resolve({answer: StartAnswer.Started, clockMs: 5}),
     stop: () => Promise.resolve(Ok(undefined)),
     poll: async (_order, signal) => {
--- a/packages/zone/test/unwanted_runs.test.ts
+++ b/packages/zone/test/unwanted_runs.test.ts
@@ -32,6 +32,7 @@
       },
       start: failOnCall,
       stop: failOnCall,
+      lastDisconnectAt: failOnCall,
     },
     lostResponses: new LostResponses(),
     onChange: () => undefined,
--- a/packages/zone/test/worker_pollers.test.ts
+++ b/packages/zone/test/worker_pollers.test.ts
@@ -28,7 +28,12 @@
   const pollers = new WorkerPollers({
     token: 7,
     dispatcher,
-    workerPort: {poll, start: failOnCall, stop: failOnCall},
+    workerPort: {
+      poll,
+      start: failOnCall,
+      stop: failOnCall,
+      lastDisconnectAt: failOnCall,
+    },
     lostResponses: new LostResponses(),
     logger: noopLogger,
     metrics: new ZoneMetrics(),
