--- a/packages/zone/src/holder/process_confirmation.ts
+++ b/packages/zone/src/holder/process_confirmation.ts
@@ -2,12 +2,14 @@
  * Confirms that the process at a worker's address is the one that a task was
  * placed on. The next process of a worker may have other labels and less
  * capacity, and an idle worker isn't polled. A process that exits closes its
- * connections, so that a worker is polled before a start only after one closed.
+ * connections, so that a worker is polled before a start after one closed.
  */
+import {isDeepStrictEqual} from 'node:util';
 import {
   WorkerRequestFailure,
   type Dispatcher,
   type Run,
+  type Worker,
   type WorkerRecord,
 } from '@goldcrestpier/dispatch';
 import {readClock, type Lifecycle} from '@goldcrestpier/runtime';
@@ -31,12 +33,12 @@
   ) => void;
 }
 
-/** Tells whether a run's worker is still the process that it was placed on. */
+/** Tells whether a worker is still of the kind that a run was placed on. */
 export interface WorkerProcesses {
   /** Whether the run may be started without a poll. */
-  isConfirmed(run: Run): boolean;
-  /** Polls the run's worker; whether the run may be started after that. */
-  confirm(run: Run): Promise<boolean>;
+  isConfirmed(run: Run, placedOn: Worker): boolean;
+  /** Polls the worker; whether a run may be started there after that. */
+  confirm(placedOn: Worker): Promise<boolean>;
 }
 
 /** Polls workers before starts; starts at a time share one poll. */
@@ -46,27 +48,27 @@
   constructor(private readonly options: ProcessConfirmationOptions) {}
 
   /** Whether the run may be started without a poll. */
-  isConfirmed(run: Run): boolean {
-    const record = this.findRecord(run);
-    if (record === undefined || !isExpected(record, run)) return false;
+  isConfirmed(_run: Run, placedOn: Worker): boolean {
+    const record = this.findRecord(placedOn);
+    if (record === undefined || !isExpected(record, placedOn)) return false;
     const {workerPort} = this.options;
     return record.answeredPollSentAt > workerPort.lastDisconnectAt(record.info);
   }
 
-  /** Polls the run's worker; whether the run may be started after that. */
-  async confirm(run: Run): Promise<boolean> {
-    const record = this.findRecord(run);
-    // A poll shows nothing new of a process that is known to have been replaced.
-    if (record === undefined || !isSameProcess(record, run)) return false;
+  /** Polls the worker; whether a run may be started there after that. */
+  async confirm(placedOn: Worker): Promise<boolean> {
+    const record = this.findRecord(placedOn);
+    // Only the list of workers shows of what kind another process is.
+    if (record === undefined || !isSameKind(record, placedOn)) return false;
     const isAnswered = await this.pollOnce(record);
-    const answered = isAnswered ? this.findRecord(run) : undefined;
-    const result = describe(answered, run);
+    const answered = isAnswered ? this.findRecord(placedOn) : undefined;
+    const result = describe(answered, placedOn);
     this.options.metrics.confirmations.inc({result});
     return result === 'confirmed';
   }
 
-  private findRecord({workerId}: Run): WorkerRecord | undefined {
-    return this.options.dispatcher.workers.get(workerId);
+  private findRecord({id}: Worker): WorkerRecord | undefined {
+    return this.options.dispatcher.workers.get(id);
   }
 
   private pollOnce(record: WorkerRecord): Promise<boolean> {
@@ -107,24 +109,30 @@
   }
 }
 
-/** Describes what a poll showed of the process that a run was placed on. */
+/** Describes what a poll showed of the worker that a run was placed on. */
 function describe(
   record: WorkerRecord | undefined,
-  run: Run,
+  placedOn: Worker,
 ): 'confirmed' | 'replaced' | 'unanswered' {
   if (record === undefined) return 'unanswered';
-  return isExpected(record, run) ? 'confirmed' : 'replaced';
+  return isExpected(record, placedOn) ? 'confirmed' : 'replaced';
 }
 
-/** Whether the run's process answers, and its entry in the list is known. */
-function isExpected(record: WorkerRecord, run: Run): boolean {
+/** Whether the worker answers, and is known to be of the expected kind. */
+function isExpected(record: WorkerRecord, placedOn: Worker): boolean {
   const {hasAcceptedToken, isUnresponsive} = record;
-  return hasAcceptedToken && !isUnresponsive && isSameProcess(record, run);
+  return hasAcceptedToken && !isUnresponsive && isSameKind(record, placedOn);
 }
 
-function isSameProcess(
+/** Whether the entry of the worker's process was read and names this kind. */
+function isSameKind(
   {info, listedBornAt}: WorkerRecord,
-  {workerBornAt}: Run,
+  {service, address, capacity, labels}: Worker,
 ): boolean {
-  return workerBornAt === info.bornAt && listedBornAt === info.bornAt;
+  if (listedBornAt !== info.bornAt || service !== info.service) return false;
+  return (
+    address === info.address &&
+    isDeepStrictEqual(capacity, info.capacity) &&
+    isDeepStrictEqual(labels, info.labels)
+  );
 }
