Poll an idle worker before a task that requires a label

Cause: a holder knows of an idle worker what its last task showed. The first start was sent beside the poll that shows the next process.

Change: a run whose task requires a label is started only at a worker that answered a poll within 200 ms, or whose poll that was sent within that time still waits; an idle worker is polled first. If that shows another process, or gets no answer, the start is not sent and the task is placed again. Other tasks and idle workers cost nothing more.

`an idle worker is polled before a task that requires a label, though its connections stayed open` fails without the check: both starts are sent and no poll.

--- a/packages/dispatch/src/dispatcher/create_run.ts
+++ b/packages/dispatch/src/dispatcher/create_run.ts
@@ -19,6 +19,7 @@
     number: number,
     workerId,
     need: task.step.need,
+    isBoundToKind: task.step.requiredLabel !== undefined,
     startedAt: now,
     expectedMs,
     expectedEndAt: now + expectedMs,
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -48,7 +48,7 @@
   worker.hasAcceptedToken = true;
   registry.firstReportAt ??= now;
   worker.pollFailure = undefined;
-  worker.answeredPollSentAt = Math.max(worker.answeredPollSentAt, sentAt);
+  worker.recordAnswer(sentAt, now);
   for (const {sequence} of report.ended) {
     worker.lastAckedEnd = Math.max(worker.lastAckedEnd, sequence);
   }
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -60,6 +60,8 @@
   readonly number: number;
   readonly workerId: string;
   readonly need: Resources;
+  /** Whether its task needs a label, which the worker's kind decides. */
+  readonly isBoundToKind: boolean;
   readonly startedAt: Millis;
   /** Expected run time on this worker, in ms. */
   readonly expectedMs: Millis;
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -20,6 +20,9 @@
   Probation = 'on_trial',
 }
 
+/** Time that a worker takes at least to end and to start again, in ms. */
+const MIN_RESTART_MS = 200;
+
 const NO_RESOURCES: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
 /** A worker with its runs, clock, leases and health. */
@@ -30,6 +33,10 @@
   incarnationKnownAt: Millis = -Infinity;
   /** When the latest poll was sent that the current incarnation answered. */
   answeredPollSentAt: Millis = -Infinity;
+  /** When it answered a poll last. */
+  private answeredAt: Millis = -Infinity;
+  /** When the poll was sent that waits for its answer, if any does. */
+  pendingPollSentAt: Millis | undefined;
   /** Sequence of the last acknowledged end in the current incarnation. */
   lastAckedEnd = 0;
   /** Whether the worker has accepted this holder's fencing token. */
@@ -141,6 +148,21 @@
     return this.answeredPollSentAt >= startUnansweredAt;
   }
 
+  /** Records the answer of the current incarnation to a poll. */
+  recordAnswer(pollSentAt: Millis, now: Millis): void {
+    this.answeredPollSentAt = Math.max(this.answeredPollSentAt, pollSentAt);
+    this.answeredAt = now;
+  }
+
+  /**
+   * Whether the process that answered last is there still: it takes a process
+   * some time to start, and its end ends a poll that waits for an answer.
+   */
+  isProcessKnown(now: Millis): boolean {
+    const askedAt = this.pendingPollSentAt ?? now;
+    return askedAt - this.answeredAt <= MIN_RESTART_MS;
+  }
+
   /** Adds a run, which replaces an earlier run of its task. */
   addRun(run: Run): void {
     this.removeRun(run.key);
@@ -208,6 +230,7 @@
     );
     this.incarnationKnownAt = now;
     this.answeredPollSentAt = -Infinity;
+    this.answeredAt = -Infinity;
     this.lastAckedEnd = 0;
     this.clock = undefined;
     this.hasAcceptedToken = false;
--- a/packages/dispatch/test/worker_incarnations.test.ts
+++ b/packages/dispatch/test/worker_incarnations.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {RunEnd, StartAnswer, type Dispatcher, type Run} from '../src/index.js';
+import {WorkerRecord} from '../src/workers/index.js';
 import {
   createJob,
   createReport,
@@ -81,3 +82,15 @@
   dispatcher.submit(createJob('a', 1), false, 6);
   assert.deepEqual(formatStartsAt(dispatcher, 6), ['start a.0.0.0/1 on w1']);
 });
+
+test('the process of a worker is known while a poll waits that followed an answer at once', () => {
+  const record = new WorkerRecord(createWorker('w1'));
+  assert.equal(record.isProcessKnown(0), false);
+  record.recordAnswer(900, 1_000);
+  assert.equal(record.isProcessKnown(1_100), true);
+  assert.equal(record.isProcessKnown(1_400), false);
+  record.pendingPollSentAt = 1_050;
+  assert.equal(record.isProcessKnown(1_400), true);
+  record.pendingPollSentAt = 1_350;
+  assert.equal(record.isProcessKnown(1_400), false);
+});
--- a/packages/zone/src/holder/process_confirmation.ts
+++ b/packages/zone/src/holder/process_confirmation.ts
@@ -2,7 +2,9 @@
  * Confirms that the process at a worker's address is the one that a task was
  * placed on. The next process of a worker may have other labels and less
  * capacity, and an idle worker isn't polled. A process that exits closes its
- * connections, so that a worker is polled before a start after one closed.
+ * connections, so that a worker is polled before a start after one closed. A
+ * proxy in between may keep them open: before a task that needs a label, a
+ * worker that was idle is polled in any case.
  */
 import {isDeepStrictEqual} from 'node:util';
 import {
@@ -48,9 +50,10 @@
   constructor(private readonly options: ProcessConfirmationOptions) {}
 
   /** Whether the run may be started without a poll. */
-  isConfirmed(_run: Run, placedOn: Worker): boolean {
+  isConfirmed(run: Run, placedOn: Worker): boolean {
     const record = this.findRecord(placedOn);
     if (record === undefined || !isExpected(record, placedOn)) return false;
+    if (run.isBoundToKind && !record.isProcessKnown(readClock())) return false;
     const {workerPort} = this.options;
     return record.answeredPollSentAt > workerPort.lastDisconnectAt(record.info);
   }
--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -93,7 +93,9 @@
     const isLossy = lostResponses.isWidespread(sentAt, dispatcher.workers.size);
     const marginMs = isLossy ? LOSSY_RESPONSE_MARGIN_MS : RESPONSE_MARGIN_MS;
     const request = {worker, token, lastSeen, leaseUntil, waitMs, marginMs};
+    record.pendingPollSentAt = sentAt;
     const result = await workerPort.poll(request, signal);
+    record.pendingPollSentAt = undefined;
     const now = readClock();
     if (signal.aborted) return;
     if (result.isOk()) {
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -88,7 +88,7 @@
   );
   readonly confirmations = this.createCounter(
     'goldcrestpier_workers_confirmed_total',
-    'Polls of idle workers before a start because a connection had closed, by result.',
+    'Polls of idle workers before a start, by what they showed.',
     ['result'],
   );
   readonly resubmissions = this.createCounter(
--- a/packages/zone/test/process_confirmation.test.ts
+++ b/packages/zone/test/process_confirmation.test.ts
@@ -6,6 +6,7 @@
   StartAnswer,
   WorkerRequestFailure,
   type Dispatcher,
+  type Job,
   type StartCommand,
   type WorkerReport,
 } from '@goldcrestpier/dispatch';
@@ -43,22 +44,38 @@
   readonly pollResult?: PollResult;
   readonly startAnswers?: readonly StartAnswer[];
   readonly onPoll?: (dispatcher: Dispatcher) => void;
+  /** Time since the worker answered its last poll, in ms. */
+  readonly idleMs?: Millis;
+  /** The label that the tasks require, if any. */
+  readonly requiredLabel?: string;
 }
 
 function createReport(bornAt: number): PollResult {
   return Ok({clockMs: 5, bornAt, running: [], ended: []});
 }
 
-/** Creates a holder's parts with a job of two tasks for a worker idle for 1 s. */
+const LABEL = 'a';
+
+/** Creates a job of two tasks that require a label, if one is given. */
+function createLabelledJob(now: Millis, requiredLabel?: string): Job {
+  const job = createJob('a', 2, now);
+  if (requiredLabel === undefined) return job;
+  return {...job, steps: job.steps.map(step => ({...step, requiredLabel}))};
+}
+
+/** Creates a holder's parts with a job of two tasks for an idle worker. */
 function createFixture({
   closedForMs,
   pollResult = createReport(worker.bornAt),
   startAnswers = [],
   onPoll = () => undefined,
+  idleMs = 1_000,
+  requiredLabel,
 }: FixtureOptions): Fixture {
   const now = readClock();
-  const dispatcher = createDispatcher(now - 1_000);
-  dispatcher.submit(createJob('a', 2, now), false, now);
+  const dispatcher = createDispatcher(now - idleMs);
+  dispatcher.setWorkers([{...worker, labels: [LABEL]}], now);
+  dispatcher.submit(createLabelledJob(now, requiredLabel), false, now);
   const commands = dispatcher.tick(now).filter(({kind}) => kind === 'start');
   assert.equal(commands.length, 2);
   const sent: Sent[] = [];
@@ -70,7 +87,7 @@
       const answer = startAnswers[startCount] ?? StartAnswer.Started;
       startCount += 1;
       await nextTurn();
-      if (answer === StartAnswer.Unanswered) closedAt = readClock();
+      if (answer === StartAnswer.Unanswered) closedAt = Math.max(closedAt, now);
       return {answer, clockMs: 5};
     },
     stop: failOnCall,
@@ -140,7 +157,7 @@
 });
 
 test('no run is started at a process whose entry was read only during the poll', async () => {
-  const next = {...worker, bornAt: worker.bornAt + 1, labels: ['other']};
+  const next = {...worker, bornAt: worker.bornAt + 1, labels: ['b']};
   const fixture = createFixture({
     closedForMs: 500,
     pollResult: createReport(next.bornAt),
@@ -183,3 +200,35 @@
   await fixture.startAll();
   assert.deepEqual(fixture.sent, ['start', 'start', 'poll']);
 });
+
+test('a start without an answer is repeated at the next process once that is of the same kind', async () => {
+  const next = {...worker, bornAt: worker.bornAt + 1, labels: [LABEL]};
+  const {Unanswered} = StartAnswer;
+  const fixture = createFixture({
+    closedForMs: 2_000,
+    pollResult: createReport(next.bornAt),
+    onPoll: dispatcher => dispatcher.setWorkers([next], readClock()),
+    startAnswers: [Unanswered, Unanswered],
+  });
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['start', 'start', 'poll', 'start', 'start']);
+});
+
+// Guards against a proxy that keeps the connections to a former process open.
+test('an idle worker is polled before a task that requires a label, though its connections stayed open', async () => {
+  const pollResult = createReport(worker.bornAt + 1);
+  const options = {closedForMs: 2_000, requiredLabel: LABEL};
+  const same = createFixture(options);
+  await same.startAll();
+  assert.deepEqual(same.sent, ['poll', 'start', 'start']);
+  const next = createFixture({...options, pollResult});
+  await next.startAll();
+  assert.deepEqual(next.sent, ['poll']);
+});
+
+test('a worker that has just answered is not polled again before a task that requires a label', async () => {
+  const options = {closedForMs: 2_000, idleMs: 50, requiredLabel: LABEL};
+  const fixture = createFixture(options);
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['start', 'start']);
+});
