--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -1,11 +1,13 @@
 /** Sends a dispatcher's commands to workers and reports the responses. */
 import {
+  RunPhase,
   StartAnswer,
   type Dispatcher,
   type DispatcherOptions,
   type Run,
   type StartCommand,
   type StopCommand,
+  type Worker,
 } from '@goldcrestpier/dispatch';
 import {
   readClock,
@@ -16,6 +18,7 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
+import type {WorkerProcesses} from './process_confirmation.js';
 
 /** Timeout of the first request to start a run, in ms. */
 const START_TIMEOUT_MS = 100;
@@ -39,6 +42,7 @@
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
   readonly lostResponses: LostResponses;
+  readonly processes: WorkerProcesses;
   /** Whether this instance is still the holder. */
   readonly isActive: () => boolean;
   /** Called before a command is sent to a worker. */
@@ -70,18 +74,38 @@
   private async sendStart(command: StartCommand): Promise<StartAnswer> {
     const {run} = command;
     const {dispatcher, metrics, isActive} = this.options;
-    let answer = await this.sendStartOnce(command, START_TIMEOUT_MS);
+    const placedOn = dispatcher.workers.get(run.workerId)?.info;
+    if (placedOn === undefined) return StartAnswer.Rejected;
+    if (placedOn.bornAt !== run.workerBornAt) return StartAnswer.NotSent;
+    let answer = await this.sendIfSame(command, placedOn, START_TIMEOUT_MS);
     if (answer !== StartAnswer.Unanswered) return answer;
     // A poll may report the run meanwhile, or its job may be cancelled.
     while (isActive() && dispatcher.isStartWanted(run, readClock())) {
       metrics.retries.inc({order: 'start', reason: answer});
-      answer = await this.sendStartOnce(command, START_RETRY_TIMEOUT_MS);
+      const timeoutMs = START_RETRY_TIMEOUT_MS;
+      answer = await this.sendIfSame(command, placedOn, timeoutMs);
       if (!repeatedAnswers.has(answer)) return toConclusiveAnswer(answer);
       await sleep(START_RETRY_PAUSE_MS);
     }
     return StartAnswer.Unanswered;
   }
 
+  /** Sends a start request if the worker is still what it was placed on. */
+  private async sendIfSame(
+    command: StartCommand,
+    placedOn: Worker,
+    timeoutMs: Millis,
+  ): Promise<StartAnswer> {
+    const {processes, isActive} = this.options;
+    const {run} = command;
+    if (!processes.isConfirmed(run, placedOn)) {
+      const isConfirmed = await processes.confirm(placedOn);
+      const isWanted = isActive() && run.phase === RunPhase.Starting;
+      if (!isConfirmed || !isWanted) return StartAnswer.NotSent;
+    }
+    return this.sendStartOnce(command, timeoutMs);
+  }
+
   /** Sends a start request once, with a lease from now on. */
   private async sendStartOnce(
     {run, payload}: StartCommand,
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -86,6 +86,11 @@
     'Failed polls of workers, by reason.',
     ['reason'],
   );
+  readonly confirmations = this.createCounter(
+    'goldcrestpier_workers_confirmed_total',
+    'Polls of idle workers before a start, by what they showed.',
+    ['result'],
+  );
   readonly resubmissions = this.createCounter(
     'goldcrestpier_resubmissions_total',
     'Jobs resubmitted to a holder, by reason.',
--- a/packages/zone/test/command_sender.test.ts
+++ b/packages/zone/test/command_sender.test.ts
@@ -51,11 +51,17 @@
   const commandSender = new CommandSender({
     token: 7,
     dispatchOptions,
-    workerPort: {...workerPort, stop: failOnCall, poll: failOnCall},
+    workerPort: {
+      ...workerPort,
+      stop: failOnCall,
+      poll: failOnCall,
+      lastDisconnectAt: failOnCall,
+    },
     dispatcher,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
     lostResponses: new LostResponses(),
+    processes: {isConfirmed: () => true, confirm: failOnCall},
     isActive: () => isActive,
     onCommand: () => undefined,
     onChange: () => undefined,
--- a/packages/zone/test/short_lived_holder.test.ts
+++ b/packages/zone/test/short_lived_holder.test.ts
@@ -40,6 +40,7 @@
       return Ok({clockMs: readClock(), bornAt: 1, running, ended: []});
     },
     start: failOnCall,
+    lastDisconnectAt: () => -Infinity,
     stop: ({task}) => {
       stopped.push(task);
       return Promise.resolve(Ok(undefined));
--- a/packages/zone/test/simulation/worker.ts
+++ b/packages/zone/test/simulation/worker.ts
@@ -48,6 +48,8 @@
 
 /** A worker whose process can crash and start again. */
 export class SimulatedWorker {
+  /** When a process of it last exited, which closes its connections. */
+  exitedAt: Millis = -Infinity;
   private process: WorkerProcess | undefined;
   /** The kind of its next processes. */
   nextKind: WorkerKind;
@@ -81,6 +83,7 @@
     if (process === undefined) return;
     process.hasExited = true;
     this.process = undefined;
+    this.exitedAt = this.options.scheduler.now;
     for (const [task, run] of process.running) {
       this.options.checker.recordEnd(task, run, 'crashed');
     }
