Placement: which servers get no grants is decided in one module

pool_allocator.ts had 294 lines, and leaving, ejected and frozen servers were dealt with in five of its methods. ServerExclusions says who is excluded, why, and reports it; the allocator asks. Behaviour is unchanged; the 47 tests of packages/placement pass.

--- a/packages/placement/src/holding/pool_allocator.ts
+++ b/packages/placement/src/holding/pool_allocator.ts
@@ -1,21 +1,18 @@
 /** Allocates the slots of one pool's held servers to the waiting owners. */
 import {GrantEnd, type Grant, type Prospect} from '@goldcrestpier/peers';
-import {ServerState, type Server} from '@goldcrestpier/platform';
+import type {Server, ServerState} from '@goldcrestpier/platform';
 import {BackendKind} from '@goldcrestpier/protocol';
 import type {Millis} from '@goldcrestpier/runtime';
-import {EjectionReason, WasteKind} from '../counters.js';
-import {HealthState, PoolEjections} from '../ejection/index.js';
+import {WasteKind} from '../counters.js';
+import type {HealthState} from '../ejection/index.js';
 import {fits, type Resources} from '../fit/index.js';
 import {chooseServer, isWorthStarting} from './choose_server.js';
 import {DemandQueue, type Claim} from './demand_queue.js';
 import {HeldServer, type HeldGrant} from './held_server.js';
 import {PoolThroughput} from './pool_throughput.js';
+import {ServerExclusions} from './server_exclusions.js';
 import type {GrantReport, PoolAllocatorOptions} from './types.js';
 
-/** A server counts as frozen after this many mean run times. */
-const FROZEN_AFTER_RUN_TIMES = 8;
-/** Minimum time before a server counts as frozen. */
-const MIN_FROZEN_MS = 1_500;
 /** Connections per runner, divided evenly between the entry instances. */
 const MAX_RUNNER_CONNECTIONS = 56;
 /** Upper bound of the estimated wait. */
@@ -33,14 +30,15 @@
 export class PoolAllocator {
   readonly servers = new Map<string, HeldServer>();
   readonly demand = new DemandQueue();
-  private readonly ejections: PoolEjections;
   private readonly throughput = new PoolThroughput(this.servers);
+  private readonly exclusions: ServerExclusions;
 
   constructor(private readonly options: PoolAllocatorOptions) {
-    this.ejections = new PoolEjections({
-      healths: () => [...this.servers.values()].map(({health}) => health),
-      rules: () => options.settings().ejection,
-    });
+    this.exclusions = new ServerExclusions(
+      options,
+      this.servers,
+      this.throughput,
+    );
   }
 
   /** Grants free slots in fair order. Returns the new grants by owner. */
@@ -71,8 +69,7 @@
     if (held === undefined) return;
     held.endGrant(report.grant, now);
     this.recordOutcome(held, report, now);
-    const reason = this.ejections.record(held.health, report.end, now);
-    if (reason !== undefined) this.reportEjection(held, reason);
+    this.exclusions.recordEnd(held, report.end, now);
   }
 
   /** Adds a server, or updates its description. */
@@ -88,7 +85,7 @@
   /** Releases grants that were neither used nor returned before they expired. */
   expireGrants(now: Millis): void {
     for (const held of this.servers.values()) {
-      this.updateFrozen(held, now);
+      this.exclusions.reportFrozen(held, now);
       for (const grant of held.grants.values()) {
         if (!grant.confirmed && now >= grant.expiresAt) this.drop(held, grant);
       }
@@ -106,15 +103,14 @@
 
   /** The state of a server, as shown to operators. */
   stateOf(held: HeldServer, now: Millis): HealthState | ServerState.Leaving {
-    if (held.isLeaving(now)) return ServerState.Leaving;
-    return held.health.stateAt(now);
+    return this.exclusions.stateOf(held, now);
   }
 
   /** Number of slots that can be granted now. */
   freeSlots(now: Millis): number {
     let free = 0;
     for (const held of this.servers.values()) {
-      if (this.acceptsGrants(held, now)) free += held.freeSlots(now);
+      if (this.exclusions.acceptsGrants(held, now)) free += held.freeSlots(now);
     }
     return Math.floor(free);
   }
@@ -150,7 +146,8 @@
   private isStarved({needs: [needs], waitedMs}: Claim, now: Millis): boolean {
     if (needs === undefined || waitedMs < STARVATION_MS) return false;
     return [...this.servers.values()].some(
-      held => this.acceptsGrants(held, now) && fits(needs, held.server),
+      held =>
+        this.exclusions.acceptsGrants(held, now) && fits(needs, held.server),
     );
   }
 
@@ -215,7 +212,7 @@
       servers: this.servers.values(),
       needs,
       accepts: server =>
-        this.acceptsGrants(server, now) &&
+        this.exclusions.acceptsGrants(server, now) &&
         server.hasCapacity(needs, instanceCount, now) &&
         (server.server.kind === BackendKind.Worker ||
           owner === undefined ||
@@ -241,34 +238,6 @@
     });
   }
 
-  private acceptsGrants(held: HeldServer, now: Millis): boolean {
-    if (held.isLeaving(now)) return false;
-    if (held.isFrozen(this.frozenMs, now)) return false;
-    switch (held.health.stateAt(now)) {
-      case HealthState.Live:
-        return true;
-      case HealthState.Probing:
-        return held.grants.size === 0;
-      case HealthState.Ejected:
-        return false;
-    }
-  }
-
-  private updateFrozen(held: HeldServer, now: Millis): void {
-    const isFrozen = held.isFrozen(this.frozenMs, now);
-    if (isFrozen && !held.wasFrozen) {
-      this.reportEjection(held, EjectionReason.Frozen);
-    }
-    held.wasFrozen = isFrozen;
-  }
-
-  private reportEjection(held: HeldServer, reason: EjectionReason): void {
-    const {counters, logger, pool} = this.options;
-    counters.ejected(reason, pool);
-    const {name: server} = held.server;
-    logger.warn('server excluded from new grants', {server, pool, reason});
-  }
-
   private recordOutcome(
     held: HeldServer,
     report: GrantReport,
@@ -284,11 +253,4 @@
     if (end !== GrantEnd.Done || runMs === undefined) return;
     if (expectedMs !== undefined) held.speed.record(runMs, expectedMs);
   }
-
-  private get frozenMs(): Millis {
-    return Math.max(
-      FROZEN_AFTER_RUN_TIMES * this.throughput.meanRunMs,
-      MIN_FROZEN_MS,
-    );
-  }
 }
