Placement: the owner's map of holders is a class of its own

ServerHolders keeps it; useGrants stands beside its only caller, and piggybackedDemand is collectChangedDemand, which says what it collects.

--- a/packages/placement/src/owner/grant_binding.ts
+++ b/packages/placement/src/owner/grant_binding.ts
@@ -21,6 +21,7 @@
 import type {PoolHolder} from './pool_holder.js';
 import {DemandBalancer} from './demand_balancer.js';
 import type {PoolQueue} from './pool_queue.js';
+import {ServerHolders} from './server_holders.js';
 
 /** How often demand is rebalanced between holders while tasks wait. */
 const REVIEW_INTERVAL_MS = 5;
@@ -45,12 +46,12 @@
   private readonly pendingBalancers = new Set<DemandBalancer>();
   /** Ended grants to report, by holder. */
   private readonly ended = new Map<string, EndedGrant[]>();
-  /** Incarnation of the holder by server name. */
-  private readonly holders = new Map<string, string>();
+  private readonly holders: ServerHolders;
   private flushImmediate: NodeJS.Immediate | undefined;
   private reviewTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GrantBindingOptions) {
+    this.holders = new ServerHolders(options.view);
     options.lifecycle.own('grant binding', () => {
       clearImmediate(this.flushImmediate);
       clearTimeout(this.reviewTimer);
@@ -77,25 +78,11 @@
     return 0;
   }
 
-  private useGrants(grants: Grants, now: Millis): void {
-    for (const grant of grants.grants) {
-      this.balancers.get(grant.pool)?.findHolder(grant.holder)?.recordGrant();
-      if (this.options.tryStart(grant, now)) continue;
-      this.options.counters.wasted(WasteKind.ReturnedGrant, 1);
-      this.settle(createReturn(grant));
-    }
-  }
-
   /** Applies changes in which instance holds which server. */
   refresh(): void {
-    const {view} = this.options;
-    this.holders.clear();
-    for (const server of view.servers()) {
-      const holder = view.holderOf(server);
-      if (holder !== undefined) this.holders.set(server.name, holder);
-    }
+    this.holders.refresh();
     for (const balancer of this.balancers.values()) {
-      balancer.refresh(this.holdersOf(balancer.queue.pool));
+      balancer.refresh(this.holders.holdersOf(balancer.queue.pool));
       this.pendingBalancers.add(balancer);
     }
     this.scheduleFlush();
@@ -123,7 +110,7 @@
 
   /** The current holder of a grant's server. */
   holderOf(grant: Grant): string {
-    return this.holders.get(grant.server) ?? grant.holder;
+    return this.holders.holderOf(grant);
   }
 
   private scheduleFlush(): void {
@@ -203,7 +190,7 @@
     now: Millis,
   ): Promise<void> {
     const {view, counters} = this.options;
-    const demand = this.piggybackedDemand(holder, now);
+    const demand = this.collectChangedDemand(holder, now);
     const message: Settlement = {
       owner: view.self.incarnation,
       ends: ended.map(toEnd),
@@ -227,19 +214,19 @@
   }
 
   /** Changed demand to be sent along with a settlement. */
-  private piggybackedDemand(
+  private collectChangedDemand(
     holder: string,
     now: Millis,
   ): NonNullable<Settlement['demand']> {
-    const piggybacked = [];
+    const changed = [];
     for (const balancer of this.balancers.values()) {
       const poolHolder = balancer.findHolder(holder);
       if (poolHolder === undefined || poolHolder.isRequestPending) continue;
       if (poolHolder.assigned === poolHolder.requested) continue;
-      piggybacked.push(balancer.createDemand(poolHolder, now));
+      changed.push(balancer.createDemand(poolHolder, now));
       poolHolder.markRequested(now);
     }
-    return piggybacked;
+    return changed;
   }
 
   /** Applies a holder's answer: its prospects and its grants. */
@@ -248,28 +235,23 @@
     this.useGrants(answer, now);
   }
 
+  private useGrants(grants: Grants, now: Millis): void {
+    for (const grant of grants.grants) {
+      this.balancers.get(grant.pool)?.findHolder(grant.holder)?.recordGrant();
+      if (this.options.tryStart(grant, now)) continue;
+      this.options.counters.wasted(WasteKind.ReturnedGrant, 1);
+      this.settle(createReturn(grant));
+    }
+  }
+
   private balancerOf(queue: PoolQueue): DemandBalancer {
     const known = this.balancers.get(queue.pool);
     if (known !== undefined) return known;
     const balancer = new DemandBalancer(queue, this.options.needsOf);
-    balancer.refresh(this.holdersOf(queue.pool));
+    balancer.refresh(this.holders.holdersOf(queue.pool));
     this.balancers.set(queue.pool, balancer);
     return balancer;
   }
-
-  /** The holders of a pool's servers, and whether they are in this zone. */
-  private holdersOf(pool: string): Map<string, boolean> {
-    const {view} = this.options;
-    const holders = new Map<string, boolean>();
-    for (const server of view.servers()) {
-      if (server.pool !== pool) continue;
-      const holder = this.holders.get(server.name);
-      if (holder === undefined) continue;
-      const isSameZone = server.zone === view.self.zone;
-      holders.set(holder, isSameZone || (holders.get(holder) ?? false));
-    }
-    return holders;
-  }
 }
 
 function createReturn(grant: Grant): EndedGrant {
