Platform: what a failed call may have done is decided in one module

transport.ts had 283 lines, half of them on failures: was the call sent, is the outcome known, which reason is given. They stand in call_failure.ts, and the call itself in service_call.ts; the transport is left with endpoints and time.

--- a/packages/platform/src/key_value/client.ts
+++ b/packages/platform/src/key_value/client.ts
@@ -10,7 +10,8 @@
   type Transaction,
   type TxnResponse,
 } from './transaction.js';
-import {CallEffect, Transport, type ServiceCall} from './transport.js';
+import {CallEffect, type ServiceCall} from './service_call.js';
+import {Transport} from './transport.js';
 import {
   encodeKeys,
   encodeText,
--- a/packages/platform/src/key_value/transport.ts
+++ b/packages/platform/src/key_value/transport.ts
@@ -5,33 +5,21 @@
 import {Readable} from 'node:stream';
 import {readClock, type Logger, type Millis} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {Agent, request, type Dispatcher} from 'undici';
-import {PlatformFailureReason, type PlatformFailure} from '../failure.js';
+import {Agent, request} from 'undici';
+import type {PlatformFailure} from '../failure.js';
+import {
+  createConnectionFailure,
+  createErrorResponseFailure,
+  createUnreachableFailure,
+  describeCause,
+  readErrorText,
+} from './call_failure.js';
+import {CallEffect, type ServiceCall} from './service_call.js';
 
 const MAX_CONNECTIONS = 8;
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-const MAX_ERROR_CHARACTERS = 200;
 const TCP_KEEP_ALIVE_DELAY_MS = 5_000;
 
-/** The gRPC status code `NOT_FOUND`. */
-const GRPC_NOT_FOUND = 5;
-/** Client errors of a gateway that gave up on a request after forwarding it. */
-const AMBIGUOUS_STATUSES: ReadonlySet<number> = new Set([408, 499]);
-
-/** Whether a call is safe to repeat (`Read`) or not (`Write`). */
-export enum CallEffect {
-  Read = 'read',
-  Write = 'write',
-}
-
-/** One call to the service. */
-export interface ServiceCall {
-  /** The path below `/v3/`. */
-  readonly path: string;
-  readonly effect: CallEffect;
-  readonly body: object;
-}
-
 /** An open streaming response. */
 export interface ResponseStream {
   readonly endpoint: string;
@@ -206,78 +194,3 @@
     connect: {keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS},
   });
 }
-
-function createConnectionFailure(
-  call: ServiceCall,
-  wasSent: boolean,
-  cause: unknown,
-): PlatformFailure {
-  const detail = describeCause(cause);
-  if (!wasSent) return createUnreachableFailure(call, detail);
-  const isWrite = call.effect === CallEffect.Write;
-  const isMalformed = cause instanceof SyntaxError;
-  const lossReason = isWrite
-    ? PlatformFailureReason.OutcomeUnknown
-    : PlatformFailureReason.TimedOut;
-  return {
-    reason: isMalformed ? PlatformFailureReason.Malformed : lossReason,
-    call: call.path,
-    detail: isMalformed ? 'answer is not JSON' : detail,
-    mayHaveTakenEffect: isWrite,
-  };
-}
-
-function createUnreachableFailure(
-  call: ServiceCall,
-  detail: string,
-): PlatformFailure {
-  return {
-    reason: PlatformFailureReason.Unreachable,
-    call: call.path,
-    detail,
-    mayHaveTakenEffect: false,
-  };
-}
-
-function createErrorResponseFailure(
-  call: ServiceCall,
-  status: number,
-  text: string,
-): PlatformFailure {
-  const {message, code} = readError(text);
-  const isLeaseGone = code === GRPC_NOT_FOUND && message.includes('lease');
-  const isOutcomeKnown = status < 500 && !AMBIGUOUS_STATUSES.has(status);
-  return {
-    reason: isLeaseGone
-      ? PlatformFailureReason.LeaseGone
-      : PlatformFailureReason.Refused,
-    call: call.path,
-    detail: `status ${status}: ${message}`,
-    mayHaveTakenEffect: call.effect === CallEffect.Write && !isOutcomeKnown,
-  };
-}
-
-function readError(text: string): {message: string; code: number | undefined} {
-  try {
-    const {message, code} = JSON.parse(text) as Record<string, unknown>;
-    return {
-      message: typeof message === 'string' ? message : 'no message',
-      code: typeof code === 'number' ? code : undefined,
-    };
-  } catch {
-    return {message: 'no message', code: undefined};
-  }
-}
-
-async function readErrorText(
-  body: Dispatcher.ResponseData['body'],
-): Promise<string> {
-  const text = await body.text();
-  return text.slice(0, MAX_ERROR_CHARACTERS);
-}
-
-function describeCause(cause: unknown): string {
-  if (!(cause instanceof Error)) return 'unknown cause';
-  const {code} = cause as NodeJS.ErrnoException;
-  return typeof code === 'string' ? code : cause.name;
-}
--- a/packages/platform/src/key_value/watch.ts
+++ b/packages/platform/src/key_value/watch.ts
@@ -6,7 +6,8 @@
 import {sleep, type Logger, type Millis} from '@goldcrestpier/runtime';
 import {z} from 'zod';
 import {PlatformFailureReason, type PlatformFailure} from '../failure.js';
-import {CallEffect, type ServiceCall, type Transport} from './transport.js';
+import {CallEffect, type ServiceCall} from './service_call.js';
+import type {Transport} from './transport.js';
 import {
   encodeKeys,
   int64Schema,
