Measure: a round of a policy is a function of its own

measureResponses ended in a function nested below its return, with four arguments in a row of which two are numbers. runPolicyRound takes them by name.

--- a/packages/measure/src/modes/response.ts
+++ b/packages/measure/src/modes/response.ts
@@ -68,19 +68,24 @@
     policies.map(each => [each, []]),
   );
   let edits = 0;
-  await run('warm-up', 0, WARM_UP_SECONDS, false);
+  await runPolicyRound(options, measuredCluster, {
+    name: 'warm-up',
+    round: 0,
+    seconds: WARM_UP_SECONDS,
+    hasFaults: false,
+  });
   for (let round = 1; round <= options.rounds; round += 1) {
     // Each policy is first in every second round.
     const order = round % 2 === 1 ? policies : [...policies].reverse();
     for (const policy of order) {
       edits += 1;
       await setPolicy(measuredCluster, policy, `policy-${edits}`);
-      const done = await run(
-        `${policy}, round ${round}`,
+      const done = await runPolicyRound(options, measuredCluster, {
+        name: `${policy}, round ${round}`,
         round,
-        options.seconds,
-        options.hasFaults,
-      );
+        seconds: options.seconds,
+        hasFaults: options.hasFaults,
+      });
       rounds.get(policy)?.push(done);
     }
   }
@@ -91,28 +96,29 @@
   const [first, second] = reports;
   if (first !== undefined && second !== undefined) printRatios(first, second);
   return {reports};
+}
 
-  function run(
-    name: string,
-    round: number,
-    seconds: number,
-    hasFaults: boolean,
-  ): Promise<RoundResult> {
-    // Rounds of runs with neighbouring seeds get different seeds.
-    const load = drawLoad(
-      options,
-      measuredCluster,
-      options.seed * 100 + round,
-      seconds,
-    );
-    const deadlineMs = DEADLINE_MS;
-    const choice = {
-      name,
-      seconds,
-      hasFaults,
-      isSingleAttempt: false,
-      deadlineMs,
-    };
-    return runRound(measuredCluster, load, choice);
-  }
+interface PolicyRound {
+  readonly name: string;
+  readonly round: number;
+  readonly seconds: number;
+  readonly hasFaults: boolean;
+}
+
+/** Runs one round under the policy that is in force. */
+function runPolicyRound(
+  options: MeasureOptions,
+  measuredCluster: MeasuredCluster,
+  {name, round, seconds, hasFaults}: PolicyRound,
+): Promise<RoundResult> {
+  // Rounds of runs with neighbouring seeds get different seeds.
+  const seed = options.seed * 100 + round;
+  const load = drawLoad(options, measuredCluster, seed, seconds);
+  return runRound(measuredCluster, load, {
+    name,
+    seconds,
+    hasFaults,
+    isSingleAttempt: false,
+    deadlineMs: DEADLINE_MS,
+  });
 }
