--- a/packages/standins/src/cluster/launch.ts
+++ b/packages/standins/src/cluster/launch.ts
@@ -61,12 +61,7 @@
   lifecycle.own('entries', async () => {
     await Promise.all(entries.map(entry => entry.terminate()));
   });
-  const initialEntries = selectInitialEntries(plan, entries);
-  for (const entry of initialEntries) entry.launch();
-  await Promise.all(initialEntries.map(entry => entry.waitUntilReady()));
-  await Promise.all(
-    initialEntries.map(entry => instanceLists.put(describeEntry(entry))),
-  );
+  await launchAndPublish(selectInitialEntries(plan, entries), instanceLists);
   return new Cluster({
     zones,
     folder,
@@ -108,6 +103,17 @@
   }
 }
 
+async function launchAndPublish(
+  entries: readonly EntryProcess[],
+  instanceLists: InstanceLists,
+): Promise<void> {
+  for (const entry of entries) entry.launch();
+  await Promise.all(entries.map(entry => entry.waitUntilReady()));
+  await Promise.all(
+    entries.map(entry => instanceLists.put(describeEntry(entry))),
+  );
+}
+
 /** Entry instances that are started together with the cluster. */
 function selectInitialEntries(
   plan: ClusterPlan,
