Platform: three test files share their service and its client

Each started the stand-in of the key-value service and a client of it in its own words, three times the same. service_fixture.ts does, as in packages/settings; titles, time limits and assertions are the same, and the tests of packages/platform pass.

--- a/packages/platform/test/claims.test.ts
+++ b/packages/platform/test/claims.test.ts
@@ -1,42 +1,18 @@
 import assert from 'node:assert/strict';
-import {after, test} from 'node:test';
+import {test} from 'node:test';
 import {FailureCode, RunStatus} from '@goldcrestpier/protocol';
-import {
-  Lifecycle,
-  readClock,
-  silentLogger,
-  sleep,
-} from '@goldcrestpier/runtime';
-import {startKeyValue} from '@goldcrestpier/standins';
+import {readClock, silentLogger, sleep} from '@goldcrestpier/runtime';
 import fc from 'fast-check';
-import {
-  ClaimOutcomeKind,
-  ClaimStore,
-  KeyValueClient,
-  type ClaimOutcome,
-} from '../src/index.js';
-
-const lifecycle = new Lifecycle('test');
-after(() => lifecycle.close());
-
-async function startService() {
-  const service = await startKeyValue({host: '127.0.0.1', port: 0});
-  lifecycle.own('service', () => service.close());
-  return service;
-}
+import {ClaimOutcomeKind, ClaimStore, type ClaimOutcome} from '../src/index.js';
+import {createClient, lifecycle, startService} from './service_fixture.js';
 
 function createStore(address: string, owner = lifecycle): ClaimStore {
-  const common = {logger: silentLogger, lifecycle: owner};
-  const client = new KeyValueClient({
-    endpoints: [address],
-    timeoutMs: 5_000,
-    ...common,
-  });
   return new ClaimStore({
-    client,
+    client: createClient([address], {owner}),
     retentionMs: 60_000,
     readFleetSize: () => 1,
-    ...common,
+    logger: silentLogger,
+    lifecycle: owner,
   });
 }
 
@@ -169,8 +145,7 @@
   await fc.assert(
     fc.asyncProperty(steps, async drawn => {
       const child = lifecycle.createChild('drawn');
-      const service = await startKeyValue({host: '127.0.0.1', port: 0});
-      child.own('service', () => service.close());
+      const service = await startService(child);
       const stores = [0, 1, 2].map(() => createStore(service.address, child));
       const granted: string[] = [];
       for (const {fault, keys} of drawn) {
--- a/packages/platform/test/journal.test.ts
+++ b/packages/platform/test/journal.test.ts
@@ -1,21 +1,18 @@
 import assert from 'node:assert/strict';
-import {after, test} from 'node:test';
+import {test} from 'node:test';
 import {FailureCode, JobState} from '@goldcrestpier/protocol';
-import {Lifecycle, silentLogger, sleep} from '@goldcrestpier/runtime';
-import {startKeyValue} from '@goldcrestpier/standins';
+import {silentLogger, sleep} from '@goldcrestpier/runtime';
 import {
   computeWriteIntervalMs,
   JournalState,
   JournalWriter,
-  KeyValueClient,
+  type KeyValueClient,
   PlatformFailureReason,
   readJournals,
   type JournalContent,
   type JournalEntry,
 } from '../src/index.js';
-
-const lifecycle = new Lifecycle('test');
-after(() => lifecycle.close());
+import {createClient, lifecycle, startService} from './service_fixture.js';
 
 const WRITTEN_AT = new Date('2024-05-06T07:08:09Z');
 const OPEN_JOB: JournalEntry = {
@@ -33,16 +30,9 @@
   failure: FailureCode.TaskFailed,
 };
 
-async function startService() {
-  const service = await startKeyValue({host: '127.0.0.1', port: 0});
-  lifecycle.own('service', () => service.close());
-  const client = new KeyValueClient({
-    endpoints: [service.address],
-    timeoutMs: 5_000,
-    logger: silentLogger,
-    lifecycle,
-  });
-  return {service, client};
+async function startServiceAndClient() {
+  const service = await startService();
+  return {service, client: createClient([service.address])};
 }
 
 function createWriter(
@@ -63,7 +53,7 @@
 }
 
 test('the journal of an incarnation that crashed lists the jobs it held', async () => {
-  const {client} = await startService();
+  const {client} = await startServiceAndClient();
   const content = {openJobs: [OPEN_JOB], recentFailures: [FAILED_JOB]};
   await createWriter(client, content).write(0, WRITTEN_AT);
   const [record] = (await readJournals(client)).unwrap();
@@ -77,7 +67,7 @@
 });
 
 test('unchanged content is not written again', async () => {
-  const {service, client} = await startService();
+  const {service, client} = await startServiceAndClient();
   const content = {openJobs: [OPEN_JOB], recentFailures: []};
   const writer = createWriter(client, content);
   for (const now of [0, 1, 2]) await writer.write(now, WRITTEN_AT);
@@ -86,7 +76,7 @@
 });
 
 test('writes resume after an expired lease and after an outage', async () => {
-  const {service, client} = await startService();
+  const {service, client} = await startServiceAndClient();
   const content = {openJobs: [OPEN_JOB], recentFailures: [] as JournalEntry[]};
   const writer = createWriter(client, content);
   await writer.write(0, WRITTEN_AT);
@@ -103,7 +93,7 @@
 });
 
 test('a graceful stop marks the journal as stopped, or deletes an empty one', async () => {
-  const {client} = await startService();
+  const {client} = await startServiceAndClient();
   const child = lifecycle.createChild('instances');
   const held = {openJobs: [], recentFailures: [FAILED_JOB]};
   createWriter(client, held, 'zone-1.entry-1.000000000001', child).start();
@@ -124,7 +114,7 @@
 });
 
 test('jobs beyond the limit are counted instead of listed', async () => {
-  const {client} = await startService();
+  const {client} = await startServiceAndClient();
   const openJobs = Array.from({length: 1_000}, () => OPEN_JOB);
   await createWriter(client, {openJobs, recentFailures: []}).write(
     0,
@@ -135,7 +125,7 @@
 });
 
 test('reads the journals of a large fleet page by page and skips malformed ones', async () => {
-  const {client} = await startService();
+  const {client} = await startServiceAndClient();
   const content = {openJobs: [OPEN_JOB], recentFailures: []};
   const names = Array.from(
     {length: 120},
--- a/packages/platform/test/key_value.test.ts
+++ b/packages/platform/test/key_value.test.ts
@@ -1,33 +1,19 @@
 import assert from 'node:assert/strict';
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {after, test} from 'node:test';
-import {Lifecycle, silentLogger, sleep} from '@goldcrestpier/runtime';
+import {test} from 'node:test';
+import {sleep} from '@goldcrestpier/runtime';
 import {startKeyValue} from '@goldcrestpier/standins';
 import fc from 'fast-check';
 import {
   ComparisonKind,
-  KeyValueClient,
   PlatformFailureReason,
   StepKind,
   WatchKind,
   type Transaction,
   type WatchMessage,
 } from '../src/index.js';
-
-const lifecycle = new Lifecycle('test');
-after(() => lifecycle.close());
-
-async function startService() {
-  const service = await startKeyValue({host: '127.0.0.1', port: 0});
-  lifecycle.own('service', () => service.close());
-  return service;
-}
-
-function createClient(endpoints: readonly string[], timeoutMs = 5_000) {
-  const options = {endpoints, timeoutMs, logger: silentLogger, lifecycle};
-  return new KeyValueClient(options);
-}
+import {createClient, lifecycle, startService} from './service_fixture.js';
 
 async function listen(server: Server): Promise<string> {
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
@@ -112,7 +98,7 @@
   const client = createClient([gone.address, service.address]);
   assert.ok((await client.put('key', 'value')).isOk());
   const frozen = await listen(createServer(() => undefined));
-  const stuck = createClient([frozen, service.address], 2_000);
+  const stuck = createClient([frozen, service.address], {timeoutMs: 2_000});
   const failure = (await stuck.put('key', 'again')).unwrapErr();
   assert.equal(failure.reason, PlatformFailureReason.OutcomeUnknown);
   assert.equal(service.readCounts().put, 1);
@@ -126,7 +112,7 @@
 test('a read is retried at the next endpoint if the first one is frozen', async () => {
   const service = await startService();
   const frozen = await listen(createServer(() => undefined));
-  const client = createClient([frozen, service.address], 3_000);
+  const client = createClient([frozen, service.address], {timeoutMs: 3_000});
   assert.ok((await client.range({key: 'key'})).isOk());
 });
 
