--- a/packages/placement/test/multi_instance.test.ts
+++ b/packages/placement/test/multi_instance.test.ts
@@ -1,11 +1,24 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {FailureCode} from '@goldcrestpier/protocol';
 import {readClock} from '@goldcrestpier/runtime';
 import {openRunner} from './fixtures/fake_runner.js';
 import {codeOf, createTasks} from './fixtures/fleet.js';
 import {openRunnerFleet, runAll, startsOf} from './fixtures/runner_fleet.js';
 
+/** Opens a runner in each of two zones; instances 1 and 2 hold them. */
+async function openTwoZones(context: TestContext) {
+  const runners = [
+    await openRunner('r1', 2, 'zone-a'),
+    await openRunner('r2', 2, 'zone-b'),
+  ];
+  const fleet = await openRunnerFleet(context, runners, {
+    zones: ['zone-a', 'zone-a', 'zone-b'],
+    holderOf: ({zone}) => (zone === 'zone-a' ? 1 : 2),
+  });
+  return {fleet, runners};
+}
+
 test('two owners share the slots that one of them holds without busy answers', async context => {
   const runners = [await openRunner('r1', 2), await openRunner('r2', 2)];
   const fleet = await openRunnerFleet(context, runners, {
@@ -37,14 +50,7 @@
 });
 
 test('an owner disconnected from its zone is served by another zone', async context => {
-  const runners = [
-    await openRunner('r1', 2, 'zone-a'),
-    await openRunner('r2', 2, 'zone-b'),
-  ];
-  const fleet = await openRunnerFleet(context, runners, {
-    zones: ['zone-a', 'zone-a', 'zone-b'],
-    holderOf: ({zone}) => (zone === 'zone-a' ? 1 : 2),
-  });
+  const {fleet, runners} = await openTwoZones(context);
   fleet.disconnected.add(1);
   const tasks = createTasks(6);
   await runAll(fleet, tasks);
@@ -52,14 +58,7 @@
 });
 
 test('moves tasks away from a holder that freezes', async context => {
-  const runners = [
-    await openRunner('r1', 2, 'zone-a'),
-    await openRunner('r2', 2, 'zone-b'),
-  ];
-  const fleet = await openRunnerFleet(context, runners, {
-    zones: ['zone-a', 'zone-a', 'zone-b'],
-    holderOf: ({zone}) => (zone === 'zone-a' ? 1 : 2),
-  });
+  const {fleet} = await openTwoZones(context);
   await runAll(fleet, createTasks(6, {job: 's/a'}));
   fleet.frozen.add(1);
   await runAll(fleet, createTasks(6, {job: 's/b'}));
