Cancel a job wherever it was submitted, and answer 410 only if no zone knows it

A GET was answered 410 in the same way.

Cause: GET and DELETE were answered by the callers that wait at the instance that they reach. Neither the holder of the zone nor another zone was asked.

Change: the instance asks the holder of its zone (`inquire`), which asks the holders of the other zones that it knows. A holder that knows the job cancels it for all its owners, which answer their callers `cancelled`; an owner that submits the job within the next second is answered so too. 410 needs the answer of all; else the inquiry is repeated within the caller's time, and the answer is 503 `zone_unreachable` with Retry-After.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -6,6 +6,8 @@
 import {readClock} from '@goldcrestpier/runtime';
 import type {WorkerListing} from '../ports/index.js';
 import type {
+  JobAction,
+  JobPresence,
   JobAnswer,
   JobSubmission,
   TaskDelegation,
@@ -13,6 +15,7 @@
   DelegationRecall,
   ZoneHeartbeat,
 } from '../protocol/index.js';
+import {judgePresence} from './job_presence.js';
 import {LostResponses} from './lost_responses.js';
 import {busyAnswer} from './refusals.js';
 import {CommandSender} from './command_sender.js';
@@ -130,6 +133,13 @@
     this.submissions.cancel(ownerId, jobId, reason, readClock());
   }
 
+  /** Finds a job, or cancels it for all its owners. */
+  inquire(jobId: string, action: JobAction): JobPresence {
+    const now = readClock();
+    const isKnown = this.submissions.inquire(jobId, action, now);
+    return judgePresence(isKnown, this.isClosed ? 0 : now - this.holderSince);
+  }
+
   /** Cancels the jobs of every owner for which `isAlive` is false. */
   cancelJobsOfLostOwners(isAlive: (ownerId: string) => boolean): void {
     this.submissions.cancelJobsOfLostOwners(isAlive, readClock());
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -9,7 +9,11 @@
 } from '@goldcrestpier/dispatch';
 import {ExpiringMap, type Logger, type Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {JobAnswer, JobSubmission} from '../protocol/index.js';
+import {
+  JobAction,
+  type JobAnswer,
+  type JobSubmission,
+} from '../protocol/index.js';
 import {busyRefusal, busyAnswer} from './refusals.js';
 import type {OverloadDetector} from './overload_detector.js';
 import {logAcceptedJob} from './observer.js';
@@ -50,7 +54,7 @@
 export class SubmissionHandler {
   /** Resubmitted jobs whose earlier record is still being stopped. */
   private readonly postponed = new Map<string, PostponedJob>();
-  /** Cancellations that arrived before their submissions, by owner and job. */
+  /** Cancellations that may arrive before submissions, by owner and job. */
   private readonly earlyCancellations = new ExpiringMap<string, AbandonReason>(
     EARLY_CANCELLATION_MS,
     MAX_EARLY_CANCELLATIONS,
@@ -62,7 +66,7 @@
   submit(message: JobSubmission, now: Millis): Promise<JobAnswer> {
     const {overloadDetector, logger, metrics} = this.options;
     const {id, ownerId} = message;
-    const reason = this.earlyCancellations.get(`${ownerId} ${id}`, now);
+    const reason = this.findEarlyCancellation(message, now);
     if (reason !== undefined) {
       logger.info('job was cancelled before it arrived', {job: id, ownerId});
       return Promise.resolve({kind: 'abandoned', reason});
@@ -92,6 +96,39 @@
     this.stopJob(ownerId, jobId, reason, now);
   }
 
+  /**
+   * Finds a job, or cancels it for all its owners, also for one that submits it
+   * soon; whether an owner waits for the job, or it goes on for none.
+   */
+  inquire(jobId: string, action: JobAction, now: Millis): boolean {
+    const isKnown = this.isKnown(jobId);
+    switch (action) {
+      case JobAction.Find:
+        break;
+      case JobAction.Cancel:
+        this.cancelForAllOwners(jobId, now);
+    }
+    return isKnown;
+  }
+
+  private isKnown(jobId: string): boolean {
+    const {dispatcher, pendingAnswers} = this.options;
+    if (pendingAnswers.findOwners(jobId).length > 0) return true;
+    const record = dispatcher.jobs.get(jobId);
+    if (record === undefined || record.isInbound) return false;
+    return record.pendingOutcome === undefined;
+  }
+
+  private cancelForAllOwners(jobId: string, now: Millis): void {
+    const {pendingAnswers} = this.options;
+    const reason = AbandonReason.Cancelled;
+    this.earlyCancellations.set(formatAnyOwner(jobId), reason, now);
+    if (!this.isKnown(jobId)) return;
+    const owners = pendingAnswers.findOwners(jobId);
+    pendingAnswers.answerAll(jobId, {kind: 'abandoned', reason});
+    this.stopJob(owners.join(), jobId, reason, now);
+  }
+
   /**
    * Cancels the jobs all of whose owners are lost, that is, `isAlive` is false.
    * A lost owner is answered only when its job has ended: if it is alive after
@@ -182,6 +219,14 @@
     }
   }
 
+  private findEarlyCancellation(
+    {ownerId, id}: JobSubmission,
+    now: Millis,
+  ): AbandonReason | undefined {
+    const byOwner = this.earlyCancellations.get(`${ownerId} ${id}`, now);
+    return byOwner ?? this.earlyCancellations.get(formatAnyOwner(id), now);
+  }
+
   private stopJob(
     ownerId: string,
     jobId: string,
@@ -226,3 +271,8 @@
     onChange();
   }
 }
+
+/** The key of a cancellation for all owners; no owner has an empty id. */
+function formatAnyOwner(jobId: string): string {
+  return ` ${jobId}`;
+}
--- a/packages/zone/src/index.ts
+++ b/packages/zone/src/index.ts
@@ -9,3 +9,4 @@
 export * from './owner/index.js';
 export * from './ports/index.js';
 export {generateNonce} from './election/index.js';
+export {JobPresence} from './protocol/index.js';
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -6,6 +6,7 @@
 import {
   type Claim,
   type JobAnswer,
+  type JobInquiry,
   type JobCancellation,
   type JobSubmission,
   type TaskDelegation,
@@ -23,6 +24,7 @@
 import type {InstanceOptions} from './instance_options.js';
 import {findHolderClient} from './holder_client.js';
 import {DelegationHandler} from './delegation_handler.js';
+import {JobInquiries} from './job_inquiries.js';
 import {PeerLinks} from './links.js';
 import {LoopDelay} from './loop_delay.js';
 import {OtherZones} from './other_zones.js';
@@ -35,6 +37,10 @@
 
 /** A running instance. */
 export class Instance implements ZoneHandlers {
+  /** Finds and cancels jobs for callers. */
+  readonly inquiries: JobInquiries;
+  /** Finds or cancels a job for a peer. */
+  readonly inquire = (message: JobInquiry) => this.inquiries.answer(message);
   private readonly address: string;
   private readonly view: ZoneView;
   private readonly zones: OtherZones;
@@ -90,6 +96,12 @@
       logger: logs.forPart(LogPart.Jobs),
       metrics,
     });
+    this.inquiries = new JobInquiries({
+      owner: this.owner,
+      findHolder,
+      findHolderClient: () => this.findClient(this.roles.holderId),
+      listZoneClients: () => this.links.findAll(this.zones.addresses),
+    });
     this.scheduler = new StepScheduler({
       step: now => this.step(now),
       loopDelay: new LoopDelay(logs.forPart(LogPart.Membership), metrics),
@@ -110,16 +122,6 @@
     return answer;
   }
 
-  /** Whether a caller of this instance waits for the job. */
-  hasCallers(jobId: string): boolean {
-    return this.owner.hasCallers(jobId);
-  }
-
-  /** Cancels a job for all its callers; false if it has none here. */
-  cancelForAllCallers(jobId: string): boolean {
-    return this.owner.cancelForAllCallers(jobId);
-  }
-
   /** Whether this instance should receive new connections. */
   isReady(now: Millis): boolean {
     if (this.isLeaving) return false;
@@ -247,8 +249,7 @@
   }
 
   private findZoneClient(zone: string): ZoneClient | undefined {
-    const address = this.zones.findAddress(zone);
-    return address === undefined ? undefined : this.links.find(address);
+    return this.links.find(this.zones.findAddress(zone));
   }
 
   private handleAnswer(message: ZoneHeartbeat, sentAt: Millis): void {
@@ -293,8 +294,7 @@
     return createOwnHeartbeat({...self, ...known}, now);
   }
 
-  private findClient(id: string): ZoneClient | undefined {
-    const address = this.view.findAddress(id);
-    return address === undefined ? undefined : this.links.find(address);
+  private findClient(id: string | undefined): ZoneClient | undefined {
+    return this.links.find(id === undefined ? id : this.view.findAddress(id));
   }
 }
--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -115,12 +115,17 @@
     }
   }
 
-  /** Finds the client of a connected peer. */
-  find(address: string): ZoneClient | undefined {
-    const peer = this.peers.get(address);
+  /** Finds the client of a connected peer; none has an undefined address. */
+  find(address: string | undefined): ZoneClient | undefined {
+    const peer = address === undefined ? undefined : this.peers.get(address);
     return peer?.link.isConnected() ? peer.client : undefined;
   }
 
+  /** Finds the client at each of these addresses, if it is connected. */
+  findAll(addresses: readonly string[]): readonly (ZoneClient | undefined)[] {
+    return addresses.map(address => this.find(address));
+  }
+
   private ensureLink(
     address: string,
     monitoring: PeerMonitoring,
--- a/packages/zone/src/protocol/index.ts
+++ b/packages/zone/src/protocol/index.ts
@@ -1,3 +1,4 @@
 /** The RPC protocol between instances. */
+export * from './job_inquiry.js';
 export * from './messages.js';
 export * from './router.js';
--- a/packages/zone/src/protocol/router.ts
+++ b/packages/zone/src/protocol/router.ts
@@ -10,6 +10,12 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
 import type {Configuration} from '../ports/index.js';
+import {
+  jobInquirySchema,
+  jobPresenceSchema,
+  type JobInquiry,
+  type JobPresence,
+} from './job_inquiry.js';
 import {
   configurationSchema,
   heartbeatSchema,
@@ -37,6 +43,7 @@
   heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat>;
   submit(message: JobSubmission): Promise<JobAnswer>;
   cancel(message: JobCancellation): Promise<boolean>;
+  inquire(message: JobInquiry): Promise<JobPresence>;
   readConfiguration(): Promise<Configuration | null>;
   runDelegatedTask(message: TaskDelegation): Promise<DelegationAnswer>;
   recall(message: DelegationRecall): Promise<boolean>;
@@ -50,6 +57,7 @@
   heartbeat: 'mutation',
   submit: 'mutation',
   cancel: 'mutation',
+  inquire: 'mutation',
   readConfiguration: 'query',
   lend: 'mutation',
   recall: 'mutation',
@@ -68,6 +76,9 @@
     cancel: procedure
       .input(jobCancellationSchema)
       .mutation(withCallLimit(input => handlers.cancel(input))),
+    inquire: procedure
+      .input(jobInquirySchema)
+      .mutation(withCallLimit(input => handlers.inquire(input))),
     readConfiguration: procedure.query(
       withCallLimit(() => handlers.readConfiguration()),
     ),
@@ -119,6 +130,14 @@
     return this.request(z.boolean(), 'cancel', message, timeoutMs);
   }
 
+  /** Finds or cancels a job for all its owners. */
+  inquire(
+    message: JobInquiry,
+    timeoutMs: number,
+  ): Promise<Result<JobPresence, ZoneCallFailure>> {
+    return this.request(jobPresenceSchema, 'inquire', message, timeoutMs);
+  }
+
   /** Reads the configuration that the peer knows; null if none. */
   readConfiguration(
     timeoutMs: number,
--- a/packages/zone/test/links.test.ts
+++ b/packages/zone/test/links.test.ts
@@ -47,6 +47,7 @@
       heartbeat: message => this.answer(message),
       submit: failOnCall,
       cancel: failOnCall,
+      inquire: failOnCall,
       readConfiguration: failOnCall,
       runDelegatedTask: failOnCall,
       recall: failOnCall,
