--- /dev/null
+++ b/packages/dispatch/test/late_starts_review.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  Dispatcher,
+  RunEnd,
+  StartAnswer,
+  TaskHistory,
+  WorkerRequestFailure,
+  type Run,
+} from '../src/index.js';
+import {
+  createJob,
+  createReport,
+  createWorker,
+  formatCommands,
+  noopObserver,
+  options,
+  pollAllWorkers,
+} from './fixtures/dispatcher_setup.js';
+
+const {Unanswered} = WorkerRequestFailure;
+/** A job that outlasts a late start command. */
+const longTimes = {deadlineAt: 60_000, targetMs: 60_000};
+
+function createPolledDispatcher(): Dispatcher {
+  const dispatcher = new Dispatcher(
+    options,
+    -10_000,
+    noopObserver,
+    new TaskHistory(),
+  );
+  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 0);
+  dispatcher.confirmWorkerList();
+  pollAllWorkers(dispatcher, 0);
+  return dispatcher;
+}
+
+function listStarts(dispatcher: Dispatcher, now: number): string[] {
+  return formatCommands(dispatcher.tick(now)).filter(line =>
+    line.startsWith('start'),
+  );
+}
+
+/** Starts the only task of a job; the start is sent but not answered yet. */
+function start(dispatcher: Dispatcher, jobId: string, now: number): Run {
+  const job = createJob(jobId, 1, {...longTimes, arrivedAt: now});
+  dispatcher.submit(job, false, now);
+  const [command] = dispatcher.tick(now);
+  assert.ok(command?.kind === 'start');
+  dispatcher.recordLease(command.run.workerId, now);
+  return command.run;
+}
+
+/** A run of job `b` on a restarted worker that falls silent at 1,000 ms. */
+function loseRunOnRestarted(dispatcher: Dispatcher): void {
+  const run = start(dispatcher, 'b', 900);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 910);
+  dispatcher.handlePollFailure(run.workerId, Unanswered, 1_000);
+}
+
+const restarted = ['w1', 'w2'].map(id => createWorker(id, {bornAt: 2}));
+
+test('a start is not repeated after a poll has reported the end of its run', () => {
+  const dispatcher = createPolledDispatcher();
+  const run = start(dispatcher, 'a', 0);
+  dispatcher.handleUnansweredStart(run, 100);
+  const end = {sequence: 1, task: run.key, run: 1, end: RunEnd.Failed};
+  dispatcher.handleReport(run.workerId, createReport([], [end]), 120, 130);
+  assert.ok(!dispatcher.isStartWanted(run, 140));
+});
+
+test('a late poll is remembered when its worker has left the list and comes back', () => {
+  const dispatcher = createPolledDispatcher();
+  for (const {id} of restarted)
+    dispatcher.handlePollFailure(id, Unanswered, 100);
+  dispatcher.setWorkers([], 500);
+  dispatcher.tick(700);
+  dispatcher.setWorkers(restarted, 800);
+  for (const {id} of restarted)
+    dispatcher.handleReport(id, createReport([], [], 2), 800, 810);
+  loseRunOnRestarted(dispatcher);
+  assert.deepEqual(listStarts(dispatcher, 3_000), []);
+});
+
+test('a poll that fails after its worker is known to have restarted may extend leases late', () => {
+  const dispatcher = createPolledDispatcher();
+  dispatcher.setWorkers(restarted, 400);
+  for (const {id} of restarted) {
+    dispatcher.handlePollFailure(id, Unanswered, 600);
+    dispatcher.handleReport(id, createReport([], [], 2), 800, 810);
+  }
+  loseRunOnRestarted(dispatcher);
+  assert.deepEqual(listStarts(dispatcher, 3_000), []);
+});
+
+test('a start that is repeated at a silent worker does not keep the other runs there from being replaced', () => {
+  const dispatcher = createPolledDispatcher();
+  dispatcher.setWorkers([createWorker('w1')], 0);
+  const confirmed = start(dispatcher, 'a', 0);
+  dispatcher.handleStartAnswer(confirmed, StartAnswer.Started, 10);
+  const repeated = start(dispatcher, 'b', 20);
+  assert.equal(repeated.workerId, confirmed.workerId);
+  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 30);
+  dispatcher.handleReport('w2', createReport(), 40, 41);
+  const silent = confirmed.workerId;
+  dispatcher.handleUnansweredStart(repeated, 120);
+  dispatcher.handlePollFailure(silent, Unanswered, 300);
+  for (let now = 320; now < 3_000; now += 220) {
+    if (!dispatcher.isStartWanted(repeated, now)) continue;
+    dispatcher.recordLease(silent, now);
+    dispatcher.handleUnansweredStart(repeated, now + 200);
+  }
+  dispatcher.handleReport('w2', createReport(), 2_000, 2_010);
+  assert.deepEqual(listStarts(dispatcher, 3_000), ['start a.0.0.0/2 on w2']);
+});
