The next holder learns of starts that are outstanding; a start is not repeated after its run's end

Before: 'a closing holder tells the starts that have got no answer yet' and 'a start is not repeated after a poll has reported the end of its run' failed; they pass.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -40,6 +40,7 @@
 import {
   isStartWanted,
   loseDelegatedRun,
+  recordOutstandingStarts,
   recordUnansweredStart,
 } from './late_starts.js';
 import {abandonJob} from './overdue.js';
@@ -207,6 +208,11 @@
     recordUnansweredStart(this.registry, run, this.options.leaseMs, now);
   }
 
+  /** Records the starts without an answer, for the next holder. */
+  recordOutstandingStarts(now: Millis): void {
+    recordOutstandingStarts(this.registry, this.options.leaseMs, now);
+  }
+
   /** Handles a worker's confirmation of a stop command. */
   handleStopAccepted(run: Run, now: Millis): void {
     run.phase = RunPhase.StopAccepted;
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -24,6 +24,23 @@
   registry.workers.get(run.workerId)?.recordUnansweredLease(endsAt);
 }
 
+/**
+ * Records the start commands that have got no answer yet when the holder steps
+ * down: the next one learns of them with the jobs.
+ */
+export function recordOutstandingStarts(
+  registry: Registry,
+  leaseMs: Millis,
+  now: Millis,
+): void {
+  for (const {runs} of registry.workers.values()) {
+    for (const run of runs.values()) {
+      if (run.confirmedAt === Infinity)
+        recordUnansweredStart(registry, run, leaseMs, now);
+    }
+  }
+}
+
 /**
  * Records that the holder to which a task was delegated is lost. It stops the
  * run, but its start command may have got no answer without its telling so.
@@ -67,6 +84,9 @@
 ): boolean {
   if (run.phase !== RunPhase.Starting) return false;
   const record = jobs.get(run.recordId);
+  const state = record?.findTask(run.key)?.state;
+  // A poll may have reported its end.
+  if (state?.kind !== 'running' || state.run !== run) return false;
   return record !== undefined && now + run.expectedMs <= record.job.deadlineAt;
 }
 
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -168,6 +168,7 @@
   /** Tells all owners that this instance is no longer the holder. */
   answerNotHolder(now: Millis): void {
     const {dispatcher, pendingAnswers, history} = this.options;
+    dispatcher.recordOutstandingStarts(now);
     for (const jobId of pendingAnswers.recordIds) {
       const mayHaveStarted = dispatcher.jobs.get(jobId)?.mayHaveRuns ?? true;
       const progress = dispatcher.describeProgress(jobId, now);
