A stop that is taken while its start is outstanding blocks the task as well

Before: 'a job that is sent again while the start of its stopped run is outstanding is not started' failed; it passes.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -38,6 +38,7 @@
 import {applyStartAnswer} from './start_answer.js';
 import {endOverdue} from './end_overdue.js';
 import {
+  isStartOutstanding,
   isStartWanted,
   loseDelegatedRun,
   recordOutstandingStarts,
@@ -215,6 +216,8 @@
 
   /** Handles a worker's confirmation of a stop command. */
   handleStopAccepted(run: Run, now: Millis): void {
+    if (isStartOutstanding(run))
+      recordUnansweredStart(this.registry, run, this.options.leaseMs, now);
     run.phase = RunPhase.StopAccepted;
     run.confirmedAt = now;
     run.latestEndAt = computeStopCompletion(now, this.options.stopMs);
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -35,7 +35,7 @@
 ): void {
   for (const {runs} of registry.workers.values()) {
     for (const run of runs.values()) {
-      if (run.confirmedAt === Infinity)
+      if (isStartOutstanding(run))
         recordUnansweredStart(registry, run, leaseMs, now);
     }
   }
@@ -67,6 +67,16 @@
   if (dropped > 0) observer.startsForgotten(dropped);
 }
 
+/** Whether a start command was sent whose answer, or lack of one, is open. */
+export function isStartOutstanding({
+  confirmedAt,
+  startUnansweredAt,
+  isStartRefused,
+}: Run): boolean {
+  if (isStartRefused || startUnansweredAt !== Infinity) return false;
+  return confirmedAt === Infinity;
+}
+
 /** When the task may be started again; undefined if it may be now. */
 export function findBlockEnd(
   {history}: Registry,
