--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -38,8 +38,10 @@
 import {applyStartAnswer} from './start_answer.js';
 import {endOverdue} from './end_overdue.js';
 import {
+  isStartOutstanding,
   isStartWanted,
   loseDelegatedRun,
+  recordOutstandingStarts,
   recordUnansweredStart,
 } from './late_starts.js';
 import {abandonJob} from './overdue.js';
@@ -211,8 +213,15 @@
     recordUnansweredStart(this.registry, run, this.options.leaseMs, now);
   }
 
+  /** Records the starts without an answer, for the next holder. */
+  recordOutstandingStarts(now: Millis): void {
+    recordOutstandingStarts(this.registry, this.options.leaseMs, now);
+  }
+
   /** Handles a worker's confirmation of a stop command. */
   handleStopAccepted(run: Run, now: Millis): void {
+    if (isStartOutstanding(run))
+      recordUnansweredStart(this.registry, run, this.options.leaseMs, now);
     run.phase = RunPhase.StopAccepted;
     run.confirmedAt = now;
     run.latestEndAt = computeStopCompletion(now, this.options.stopMs);
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -24,6 +24,23 @@
   registry.workers.get(run.workerId)?.recordUnansweredLease(endsAt);
 }
 
+/**
+ * Records the start commands that have got no answer yet when the holder steps
+ * down: the next one learns of them with the jobs.
+ */
+export function recordOutstandingStarts(
+  registry: Registry,
+  leaseMs: Millis,
+  now: Millis,
+): void {
+  for (const {runs} of registry.workers.values()) {
+    for (const run of runs.values()) {
+      if (isStartOutstanding(run))
+        recordUnansweredStart(registry, run, leaseMs, now);
+    }
+  }
+}
+
 /**
  * Records that the holder to which a task was delegated is lost. It stops the
  * run, but its start command may have got no answer without its telling so.
@@ -50,6 +67,16 @@
   if (dropped > 0) observer.startsForgotten(dropped);
 }
 
+/** Whether a start command was sent whose answer, or lack of one, is open. */
+export function isStartOutstanding({
+  confirmedAt,
+  startUnansweredAt,
+  isStartRefused,
+}: Run): boolean {
+  if (isStartRefused || startUnansweredAt !== Infinity) return false;
+  return confirmedAt === Infinity;
+}
+
 /** When the task may be started again; undefined if it may be now. */
 export function findBlockEnd(
   {history}: Registry,
@@ -67,6 +94,9 @@
 ): boolean {
   if (run.phase !== RunPhase.Starting) return false;
   const record = jobs.get(run.recordId);
+  const state = record?.findTask(run.key)?.state;
+  // A poll may have reported its end.
+  if (state?.kind !== 'running' || state.run !== run) return false;
   return record !== undefined && now + run.expectedMs <= record.job.deadlineAt;
 }
 
