A holder that has stepped down neither recalls delegated tasks nor marks them lost

Found by a review, by reading: when two zones change their holders at once, the former holder of the delegating zone was refused, marked its task as lost and recalled it. Since that blocked the task for 15 s at all instances, although the next holder takes care of it, and the recall stopped a run that the next holder wants if the other zone did not know its token yet.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -17,7 +17,7 @@
 } from '../protocol/index.js';
 import {judgePresence} from './job_presence.js';
 import {LostResponses} from './lost_responses.js';
-import {busyAnswer} from './refusals.js';
+import {busyAnswer, notHolderAnswer} from './refusals.js';
 import {CommandSender} from './command_sender.js';
 import {DelegationDiscovery} from './delegation_discovery.js';
 import {DelegatedTasks, type IsTaskWanted} from './delegated_tasks.js';
@@ -72,6 +72,7 @@
       dispatcher: this.dispatcher,
       pendingAnswers: this.pendingAnswers,
       lostResponses: new LostResponses(),
+      isActive: () => !this.isClosed,
       onChange: () => this.scheduleTick(),
     };
     const onFenced = (workerId: string) => this.stepDown(workerId);
@@ -79,7 +80,6 @@
     this.commandSender = new CommandSender({
       ...shared,
       processes: this.pollers.processes,
-      isActive: () => !this.isClosed,
       onCommand: workerId => this.pollers.wake(workerId),
       onFenced,
     });
@@ -122,9 +122,7 @@
 
   /** Accepts a job; resolves when it has ended. */
   submit(message: JobSubmission): Promise<JobAnswer> {
-    if (this.isClosed) {
-      return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
-    }
+    if (this.isClosed) return notHolderAnswer;
     this.pollers.wakeReported(message.progress);
     return this.submissions.submit(message, readClock());
   }
@@ -188,9 +186,7 @@
 
   /** Runs one task for another zone; refuses it if it can't start now. */
   runDelegatedTask(message: TaskDelegation): Promise<JobAnswer> {
-    if (this.isClosed) {
-      return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
-    }
+    if (this.isClosed) return notHolderAnswer;
     const now = readClock();
     // The outcome of a run that has just ended answers a reattachment to it.
     this.answerEndedJobs();
--- a/packages/zone/src/holder/refusals.ts
+++ b/packages/zone/src/holder/refusals.ts
@@ -21,3 +21,9 @@
   reason: RefusalReason.Outdated,
   retryAfterMs: 0,
 } as const;
+
+/** The answer of an instance that is not the holder any more. */
+export const notHolderAnswer: Promise<JobAnswer> = Promise.resolve({
+  kind: 'not_holder',
+  mayHaveStarted: false,
+});
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -39,6 +39,8 @@
 /** Dependencies of a task delegator. */
 export interface TaskDelegatorOptions extends DelegationDiscoveryOptions {
   readonly metrics: ZoneMetrics;
+  /** Whether this instance is still the holder. */
+  readonly isActive: () => boolean;
 }
 
 /** Delegates tasks of one dispatcher to the holders of other zones. */
@@ -139,6 +141,8 @@
 
   /** Marks a run as lost and recalls it, as it may still be running. */
   private abandonRun(run: Run, reason: string): void {
+    // The next holder of this zone takes care of it.
+    if (!this.options.isActive()) return;
     // It is already being recalled, or it has ended meanwhile.
     if (run.phase === RunPhase.StopAccepted || !this.isActive(run)) return;
     this.markLost(run, reason);
--- a/packages/zone/test/cancelled_delegations.test.ts
+++ b/packages/zone/test/cancelled_delegations.test.ts
@@ -52,6 +52,7 @@
     },
   };
   const delegator = new TaskDelegator({
+    isActive: () => true,
     zone: 'west',
     token: 7,
     dispatcher,
--- a/packages/zone/test/cancelled_recalls.test.ts
+++ b/packages/zone/test/cancelled_recalls.test.ts
@@ -47,6 +47,7 @@
       },
     };
     this.delegator = new TaskDelegator({
+      isActive: () => true,
       zone: 'west',
       token: 7,
       dispatcher: this.dispatcher,
--- a/packages/zone/test/holder_log.test.ts
+++ b/packages/zone/test/holder_log.test.ts
@@ -134,6 +134,7 @@
   const metrics = new ZoneMetrics();
   const answers = [undefined, Ok(false), Ok(true)];
   const delegator = new TaskDelegator({
+    isActive: () => true,
     zone: 'west',
     token: 7,
     dispatcher: createDispatcher(0),
--- a/packages/zone/test/task_delegator.test.ts
+++ b/packages/zone/test/task_delegator.test.ts
@@ -44,6 +44,7 @@
     delegateTask: () => Promise.resolve(Ok(answer)),
   };
   const delegator = new TaskDelegator({
+    isActive: () => true,
     zone: 'west',
     token: 7,
     dispatcher,
@@ -110,6 +111,7 @@
   const [command] = dispatcher.tick(now);
   assert.ok(command?.kind === 'lend' && command.isAdopted);
   const delegator = new TaskDelegator({
+    isActive: () => true,
     zone: 'west',
     token: 7,
     dispatcher,
@@ -189,6 +191,7 @@
     isJoin ? Ok({answer: runLost}) : first,
   );
   const delegator = new TaskDelegator({
+    isActive: () => true,
     zone: 'west',
     token: 7,
     dispatcher,
@@ -231,6 +234,7 @@
     },
   };
   const delegator = new TaskDelegator({
+    isActive: () => true,
     zone: 'west',
     token: 7,
     dispatcher,
