Repeated starts pause longer each time, and a start that a poll has found counts

Found by a review: a worker that refuses connections, or has come back as another kind, is confirmed or refused at once, so that the loop of repeated starts polled it every 20 ms until the job's time was over; the pause now doubles up to 200 ms. The poll that confirms a worker before a start may list this very run, which an earlier command has started; the run was then ended as refused while it went on, and counts as started now.

--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -24,8 +24,9 @@
 const START_TIMEOUT_MS = 100;
 /** Timeout when the request is repeated, in ms. */
 const START_RETRY_TIMEOUT_MS = 200;
-/** Pause before it is repeated again, in ms. */
-const START_RETRY_PAUSE_MS = 20;
+/** First pause before it is repeated again, which doubles, and the longest. */
+const MIN_START_PAUSE_MS = 20;
+const MAX_START_PAUSE_MS = 200;
 
 /** Answers to a request after which it is sent again. */
 const repeatedAnswers: ReadonlySet<StartAnswer> = new Set([
@@ -79,13 +80,15 @@
     if (placedOn.bornAt !== run.workerBornAt) return StartAnswer.NotSent;
     let answer = await this.sendIfSame(command, placedOn, START_TIMEOUT_MS);
     if (answer !== StartAnswer.Unanswered) return answer;
+    let pauseMs = MIN_START_PAUSE_MS;
     // A poll may report the run meanwhile, or its job may be cancelled.
     while (isActive() && dispatcher.isStartWanted(run, readClock())) {
       metrics.retries.inc({order: 'start', reason: answer});
       const timeoutMs = START_RETRY_TIMEOUT_MS;
       answer = await this.sendIfSame(command, placedOn, timeoutMs);
       if (!repeatedAnswers.has(answer)) return toConclusiveAnswer(answer);
-      await sleep(START_RETRY_PAUSE_MS);
+      await sleep(pauseMs);
+      pauseMs = Math.min(2 * pauseMs, MAX_START_PAUSE_MS);
     }
     return StartAnswer.Unanswered;
   }
@@ -100,6 +103,8 @@
     const {run} = command;
     if (!processes.isConfirmed(run, placedOn)) {
       const isConfirmed = await processes.confirm(placedOn);
+      // The poll has listed it: an earlier command has started it.
+      if (run.phase === RunPhase.Running) return StartAnswer.Started;
       const isWanted = isActive() && run.phase === RunPhase.Starting;
       if (!isConfirmed || !isWanted) return StartAnswer.NotSent;
     }
