Instances are told of an unanswered start at once, not with the next heartbeat

Found by a review: crashes cause a heartbeat at once, unanswered starts waited for the regular one, up to 340 ms (1 s to instances of the own zone that are no candidates). A holder that was killed in that time had told nobody. They now cause one too, ten times a second at most.

--- a/packages/dispatch/src/task_history/task_history.ts
+++ b/packages/dispatch/src/task_history/task_history.ts
@@ -21,6 +21,11 @@
   readonly crashes = new CrashHistory();
   readonly unansweredStarts = new UnansweredStarts();
 
+  /** Changes whenever peers have to be told of something new. */
+  get revision(): number {
+    return this.crashes.revision + this.unansweredStarts.revision;
+  }
+
   /** Adds what a peer reported. */
   merge(report: TaskHistoryReport, now: Millis): void {
     this.crashes.merge(report.crashes ?? [], now);
--- a/packages/dispatch/src/unanswered_starts/unanswered_starts.ts
+++ b/packages/dispatch/src/unanswered_starts/unanswered_starts.ts
@@ -12,6 +12,8 @@
 
 /** Time for which a command is told to peers, in ms. */
 const GOSSIP_MS = 3_000;
+/** Shortest time between two changes of the revision, in ms. */
+const MIN_REVISION_MS = 100;
 /** Maximum number of tasks in one report to a peer. */
 const MAX_REPORTED = 256;
 /** Interval at which what is over is removed, in ms. */
@@ -32,6 +34,13 @@
   private readonly byJob = new Map<string, Map<string, KnownStart>>();
   private taskCount = 0;
   private cleanedAt: Millis = -Infinity;
+  private revisedAt: Millis = -Infinity;
+  private revisionNumber = 0;
+
+  /** Changes when this instance has sent a command, some times a second. */
+  get revision(): number {
+    return this.revisionNumber;
+  }
 
   /** IDs of the jobs that have such tasks. */
   get jobIds(): Iterable<string> {
@@ -54,6 +63,10 @@
    */
   record(task: string, endsAt: Millis, now: Millis): number {
     this.removeExpired(now);
+    if (now - this.revisedAt >= MIN_REVISION_MS) {
+      this.revisedAt = now;
+      this.revisionNumber += 1;
+    }
     return this.add(task, {endsAt, sentAt: now});
   }
 
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -207,9 +207,15 @@
     const {holderId, holder, claim} = this.roles;
     const parties = {id: this.options.id, view, zones};
     if (holder !== undefined) updateUnwantedWork(holder, parties, now);
-    const {revision: crashRevision} = this.history.crashes;
+    const {revision: historyRevision} = this.history;
     const abandonedRevision = holder?.abandonedJobs.revision;
-    const state = {claim, isLeaving, version, crashRevision, abandonedRevision};
+    const state = {
+      claim,
+      isLeaving,
+      version,
+      historyRevision,
+      abandonedRevision,
+    };
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
     if (holderId !== undefined) {
       this.activity.recordHolder(now);
--- a/packages/zone/src/instance/state_change_detector.ts
+++ b/packages/zone/src/instance/state_change_detector.ts
@@ -8,8 +8,8 @@
   readonly isLeaving: boolean;
   /** Version of the current configuration. */
   readonly version: number | undefined;
-  /** Revision of the known crashes of workers. */
-  readonly crashRevision: number;
+  /** Revision of the known history of tasks. */
+  readonly historyRevision: number;
   /** Revision of the jobs that nobody waits for; undefined if not holder. */
   readonly abandonedRevision: number | undefined;
 }
@@ -25,7 +25,7 @@
     if (previous === undefined) return true;
     if (previous.isLeaving !== state.isLeaving) return true;
     if (previous.version !== state.version) return true;
-    if (previous.crashRevision !== state.crashRevision) return true;
+    if (previous.historyRevision !== state.historyRevision) return true;
     if (previous.abandonedRevision !== state.abandonedRevision) return true;
     return previous.claim?.token !== state.claim?.token;
   }
