Late leases are kept when a restarted worker was out of the list, or its poll failed late

A worker that is away long enough to leave the list gets a new record, which had forgotten the late leases of: they are kept by its ID until they have expired. A poll that fails after the restart has become known through the list was sent to the former incarnation; its lease now counts for the present one at once, and whether it had one is no longer judged when it fails.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -1,9 +1,8 @@
 /**
  * Schedules the tasks of one zone: which jobs are refused, which task starts on
  * which worker, and which runs are stopped. It does no I/O. The holder, the
- * instance that its zone has elected to command the workers, executes the
- * commands returned by `tick` and passes the workers' answers to the
- * `handle...` methods.
+ * instance elected to command the zone's workers, executes the commands of
+ * `tick` and passes the workers' answers to the `handle...` methods.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {
@@ -16,7 +15,6 @@
 import type {AbandonReason, Job, JobProgress} from '../work/index.js';
 import {
   RunEnd,
-  RunPhase,
   type StartAnswer,
   type WorkerRecord,
   type WorkerReport,
@@ -29,16 +27,16 @@
 import type {DispatchObserver} from './observer.js';
 import {Registry, type EndedJob} from './registry.js';
 import {Intake} from './intake.js';
+import {mayRunElsewhere} from './job_admission.js';
 import type {JobRecord} from './job_record.js';
 import {applyPollAnswer, applyPollFailure, recordLease} from './poll_answer.js';
-import {computeStopCompletion, type DispatcherOptions} from './options.js';
+import type {DispatcherOptions} from './options.js';
 import type {Command} from './commands.js';
 import type {DelegationReport} from './delegation_survey.js';
 import {EarlierRuns} from './earlier_runs.js';
-import {applyStartAnswer} from './start_answer.js';
+import {applyStartAnswer, applyStopAccepted} from './start_answer.js';
 import {endOverdue} from './end_overdue.js';
 import {
-  isStartOutstanding,
   isStartWanted,
   loseDelegatedRun,
   recordOutstandingStarts,
@@ -72,11 +70,10 @@
     history = new TaskHistory(),
   ) {
     this.registry = new Registry(observer, history);
-    const {leaseMs} = options;
-    this.earlierRuns = new EarlierRuns(this.registry, leaseMs);
+    this.earlierRuns = new EarlierRuns(this.registry, options.leaseMs);
     const {registry, remoteVacancies, earlierRuns} = this;
     this.placer = new Placer(registry, remoteVacancies, earlierRuns);
-    this.intake = new Intake(registry, this.placer, leaseMs);
+    this.intake = new Intake(registry, this.placer, options.leaseMs);
     this.stopper = new Stopper(registry, heldSince, options.unclaimedSince);
     this.answerableJobs = new AnswerableJobs(this.registry.workers);
   }
@@ -220,11 +217,7 @@
 
   /** Handles a worker's confirmation of a stop command. */
   handleStopAccepted(run: Run, now: Millis): void {
-    if (isStartOutstanding(run))
-      recordUnansweredStart(this.registry, run, this.options.leaseMs, now);
-    run.phase = RunPhase.StopAccepted;
-    run.confirmedAt = now;
-    run.latestEndAt = computeStopCompletion(now, this.options.stopMs);
+    applyStopAccepted(this.registry, run, this.options, now);
   }
 
   /** Handles a worker's answer to the poll that was sent at `sentAt`. */
@@ -234,10 +227,10 @@
     sentAt: Millis,
     now: Millis,
   ): void {
-    const worker = this.registry.workers.get(workerId);
-    if (worker === undefined) return;
     const {registry, options} = this;
-    applyPollAnswer(registry, worker, report, options, sentAt, now);
+    const worker = registry.workers.get(workerId);
+    if (worker !== undefined)
+      applyPollAnswer(registry, worker, report, options, sentAt, now);
   }
 
   /** Handles a poll that failed. */
@@ -246,9 +239,10 @@
     failure: WorkerRequestFailure,
     now: Millis,
   ): void {
-    const worker = this.registry.workers.get(workerId);
-    if (worker === undefined) return;
-    applyPollFailure(this.registry, worker, failure, this.options, now);
+    const {registry, options} = this;
+    const worker = registry.workers.get(workerId);
+    if (worker !== undefined)
+      applyPollFailure(registry, worker, failure, options, now);
   }
 
   /** Updates the free capacity that the holder of another zone reported. */
@@ -280,9 +274,7 @@
 
   /** Whether another zone, or a late start command, may run tasks of the job. */
   mayRunElsewhere(jobId: string, now: Millis): boolean {
-    const {remoteRuns, history} = this.registry;
-    if (history.unansweredStarts.hasJob(jobId)) return true;
-    return remoteRuns.mayRun(jobId, now);
+    return mayRunElsewhere(this.registry, jobId, now);
   }
 
   /** Handles another zone's report of the tasks that it runs for this one. */
--- a/packages/dispatch/src/dispatcher/job_admission.ts
+++ b/packages/dispatch/src/dispatcher/job_admission.ts
@@ -104,8 +104,7 @@
   now: Millis,
 ): boolean {
   if (registry.runNumbers.mayHaveUnknownRuns(jobId, now)) return true;
-  if (registry.remoteRuns.mayRun(jobId, now)) return true;
-  if (registry.history.unansweredStarts.hasJob(jobId)) return true;
+  if (mayRunElsewhere(registry, jobId, now)) return true;
   if (registry.inboundTasks.has(jobId)) return true;
   for (const {orphans} of registry.workers.values()) {
     for (const key of orphans.keys())
@@ -114,6 +113,16 @@
   return false;
 }
 
+/** Whether another zone, or a late start command, may run tasks of the job. */
+export function mayRunElsewhere(
+  {remoteRuns, history}: Registry,
+  jobId: string,
+  now: Millis,
+): boolean {
+  if (history.unansweredStarts.hasJob(jobId)) return true;
+  return remoteRuns.mayRun(jobId, now);
+}
+
 /** A large job may delay others, which must not miss their deadlines. */
 function findLatestStartOfOthers(registry: Registry, size: JobSize): Millis {
   let earliestAt = Infinity;
--- a/packages/dispatch/src/dispatcher/poll_answer.ts
+++ b/packages/dispatch/src/dispatcher/poll_answer.ts
@@ -48,11 +48,11 @@
   now: Millis,
 ): void {
   // Polls of an unresponsive worker extend no lease.
-  const hasLease = worker.hasAcceptedToken && !worker.isUnresponsive;
+  const mayHaveLease = !worker.isUnresponsive;
   worker.pollFailure = failure;
   switch (failure) {
     case WorkerRequestFailure.Unanswered:
-      if (hasLease)
+      if (mayHaveLease)
         worker.recordUnansweredLease(computeLateRunEnd(now, leaseMs));
       return;
     case WorkerRequestFailure.OtherIncarnation:
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -72,6 +72,8 @@
   readonly runNumbers = new RunNumbers();
   /** Runs that an earlier holder delegated to other zones. */
   readonly delegationSurvey = new DelegationSurvey();
+  /** When late leases on workers that were removed have expired, by their ID. */
+  readonly lateLeases = new Map<string, Millis>();
   /** Jobs that other zones may still run. */
   readonly remoteRuns = new RemoteRuns();
   /** The job of each worker's last strike, by worker ID. */
@@ -237,6 +239,8 @@
 
   /** Removes a worker that is gone. */
   removeWorker(id: string): void {
+    const worker = this.workers.get(id);
+    if (worker !== undefined) this.lateLeases.set(id, worker.lateLeasesEndAt);
     this.workers.delete(id);
     this.runTimes.forget(id);
   }
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -1,9 +1,13 @@
-/** Applies a worker's answer to a start command. */
+/** Applies a worker's answers to commands that start or stop a run. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {RunPhase, StartAnswer, type Run} from '../workers/index.js';
 import {StrikeReason} from './health.js';
-import {recordUnansweredStart} from './late_starts.js';
-import {computeLateRunEnd} from './options.js';
+import {isStartOutstanding, recordUnansweredStart} from './late_starts.js';
+import {
+  computeLateRunEnd,
+  computeStopCompletion,
+  type DispatcherOptions,
+} from './options.js';
 import type {Registry} from './registry.js';
 import {recordStartRefusal} from './start_refusal.js';
 
@@ -41,6 +45,20 @@
   }
 }
 
+/** Applies a worker's confirmation of a stop command. */
+export function applyStopAccepted(
+  registry: Registry,
+  run: Run,
+  {leaseMs, stopMs}: DispatcherOptions,
+  now: Millis,
+): void {
+  if (isStartOutstanding(run))
+    recordUnansweredStart(registry, run, leaseMs, now);
+  run.phase = RunPhase.StopAccepted;
+  run.confirmedAt = now;
+  run.latestEndAt = computeStopCompletion(now, stopMs);
+}
+
 /** Limits for how long a run counts whose start command may be late. */
 function boundUnconfirmedRun(run: Run, leaseMs: Millis, now: Millis): void {
   // A poll or an accepted stop has shown meanwhile what became of it.
--- a/packages/dispatch/src/dispatcher/worker_list.ts
+++ b/packages/dispatch/src/dispatcher/worker_list.ts
@@ -10,6 +10,7 @@
   now: Millis,
 ): void {
   const listed = new Set(list.map(({id}) => id));
+  removeExpiredLeases(registry, now);
   registry.isPlacementDue = true;
   for (const worker of list) applyWorker(registry, worker, now);
   for (const [id, record] of registry.workers) {
@@ -21,11 +22,19 @@
   }
 }
 
+function removeExpiredLeases({lateLeases}: Registry, now: Millis): void {
+  for (const [id, expiresAt] of lateLeases)
+    if (now >= expiresAt) lateLeases.delete(id);
+}
+
 function applyWorker(registry: Registry, worker: Worker, now: Millis): void {
   registry.runTimes.setKind(worker.id, worker.kind);
   const known = registry.workers.get(worker.id);
   if (known === undefined) {
-    registry.workers.set(worker.id, new WorkerRecord(worker));
+    const record = new WorkerRecord(worker);
+    record.leasesExpireAt = registry.lateLeases.get(worker.id) ?? 0;
+    registry.lateLeases.delete(worker.id);
+    registry.workers.set(worker.id, record);
     return;
   }
   const {bornAt} = known.info;
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -220,14 +220,30 @@
    */
   recordUnansweredLease(expiresAt: Millis): void {
     this.lateLeasesExpireAt = Math.max(this.lateLeasesExpireAt, expiresAt);
+    // It was meant for the incarnation before the one that has become known.
+    const isOutdated = this.isRestarted && !this.hasAcceptedToken;
+    if (isOutdated) this.applyLateLeases();
   }
 
-  /** Begins a new incarnation, whose runs are known after its next poll. */
-  beginIncarnation(now: Millis): void {
+  /** When leases that the next incarnation may grant late have expired. */
+  get lateLeasesEndAt(): Millis {
+    return this.lateLeasesExpireAt;
+  }
+
+  private get isRestarted(): boolean {
+    return this.incarnationKnownAt !== -Infinity;
+  }
+
+  private applyLateLeases(): void {
     this.leasesExpireAt = Math.max(
       this.leasesExpireAt,
       this.lateLeasesExpireAt,
     );
+  }
+
+  /** Begins a new incarnation, whose runs are known after its next poll. */
+  beginIncarnation(now: Millis): void {
+    this.applyLateLeases();
     this.incarnationKnownAt = now;
     this.answeredPollSentAt = -Infinity;
     this.answeredAt = -Infinity;
