--- a/packages/zone/src/holder/index.ts
+++ b/packages/zone/src/holder/index.ts
@@ -2,5 +2,5 @@
 export {Holder} from './holder.js';
 export type {HolderOptions} from './holder_options.js';
 export {toSubmission} from './job_conversion.js';
-export {outdatedRefusal} from './refusals.js';
+export {notHolderAnswer, outdatedRefusal} from './refusals.js';
 export {toZoneCapacity} from './free_capacity.js';
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -1,6 +1,7 @@
 /** One instance of a zone: owns its callers' jobs and may be the holder. */
 import {AbandonReason, TaskHistory, type Job} from '@goldcrestpier/dispatch';
 import {LogPart, readClock, type Millis} from '@goldcrestpier/runtime';
+import {notHolderAnswer} from '../holder/index.js';
 import {Owner, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration} from '../ports/index.js';
 import {
@@ -31,7 +32,7 @@
 import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleManager} from './role_manager.js';
 import {StepScheduler} from './step_scheduler.js';
-import {StateChangeDetector} from './state_change_detector.js';
+import {StateChangeDetector, describeState} from './state_change_detector.js';
 import {updateUnwantedWork} from './unwanted_work.js';
 import {ZoneView} from './zone_view.js';
 
@@ -124,9 +125,8 @@
 
   /** Whether this instance should receive new connections. */
   isReady(now: Millis): boolean {
-    if (this.isLeaving) return false;
-    if (this.options.directory.configuration() === undefined) return false;
-    return this.activity.hasHolder(now);
+    const isConfigured = this.options.directory.configuration() !== undefined;
+    return !this.isLeaving && isConfigured && this.activity.hasHolder(now);
   }
 
   /** Starts a planned stop, so that another instance takes over. */
@@ -148,8 +148,8 @@
   heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat> {
     const now = readClock();
     this.handleHeartbeat(message, now);
-    const isFromOtherZone = message.zone !== this.options.zone;
-    return Promise.resolve(this.createHeartbeat(now, isFromOtherZone));
+    const isOther = message.zone !== this.options.zone;
+    return Promise.resolve(this.createHeartbeat(now, isOther));
   }
 
   /** Submits a job to the holder in this process. */
@@ -157,9 +157,7 @@
     const now = readClock();
     this.view.recordContact(message.ownerId, now);
     this.history.merge(message, now);
-    const {holder} = this.roles;
-    if (holder !== undefined) return holder.submit(message);
-    return Promise.resolve({kind: 'not_holder', mayHaveStarted: false});
+    return this.roles.holder?.submit(message) ?? notHolderAnswer;
   }
 
   /** Cancels a job that a peer submitted. */
@@ -202,20 +200,12 @@
     const isCandidate = this.chooseLinks(now);
     directory.setCandidate(isCandidate);
     this.roles.update(this.view.listMembers(now), this.isLeaving, now);
-    const version = directory.configuration()?.version;
-    const {isLeaving, view, zones} = this;
-    const {holderId, holder, claim} = this.roles;
+    const {view, zones} = this;
+    const {holderId, holder} = this.roles;
     const parties = {id: this.options.id, view, zones};
     if (holder !== undefined) updateUnwantedWork(holder, parties, now);
-    const {revision: historyRevision} = this.history;
-    const abandonedRevision = holder?.abandonedJobs.revision;
-    const state = {
-      claim,
-      isLeaving,
-      version,
-      historyRevision,
-      abandonedRevision,
-    };
+    const {roles, history, isLeaving} = this;
+    const state = describeState({roles, history, directory, isLeaving});
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
     if (holderId !== undefined) {
       this.activity.recordHolder(now);
@@ -248,9 +238,8 @@
   }
 
   private recordHolderUnavailable(now: Millis): void {
-    const wasUncertain = this.isHolderUncertain(now);
+    if (!this.isHolderUncertain(now)) this.scheduler.wake();
     this.activity.recordHolderUnavailable(now);
-    if (!wasUncertain) this.scheduler.wake();
   }
 
   private findZoneClient(zone: string): ZoneClient | undefined {
@@ -272,9 +261,8 @@
     if (message.zone !== this.options.zone) this.handleOtherZone(message, now);
     else if (message.claim !== undefined) this.handleClaim(message.claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
-    if (message.configurationVersion > own) {
+    if (message.configurationVersion > own)
       void this.fetcher.fetchFrom(message.address);
-    }
   }
 
   private handleOtherZone(message: ZoneHeartbeat, now: Millis): void {
--- a/packages/zone/src/instance/state_change_detector.ts
+++ b/packages/zone/src/instance/state_change_detector.ts
@@ -1,5 +1,8 @@
 /** Detects state changes that peers have to receive at once. */
+import type {TaskHistory} from '@goldcrestpier/dispatch';
+import type {Directory} from '../ports/index.js';
 import type {Claim} from '../protocol/index.js';
+import type {RoleManager} from './role_manager.js';
 
 /** The part of an instance's state that peers act on. */
 export interface AnnouncedState {
@@ -14,6 +17,30 @@
   readonly abandonedRevision: number | undefined;
 }
 
+/** What an instance's state is read from. */
+export interface StateSources {
+  readonly roles: Pick<RoleManager, 'claim' | 'holder'>;
+  readonly directory: Directory;
+  readonly history: TaskHistory;
+  readonly isLeaving: boolean;
+}
+
+/** Describes the state that peers act on. */
+export function describeState({
+  roles: {claim, holder},
+  directory,
+  history,
+  isLeaving,
+}: StateSources): AnnouncedState {
+  return {
+    claim,
+    isLeaving,
+    version: directory.configuration()?.version,
+    historyRevision: history.revision,
+    abandonedRevision: holder?.abandonedJobs.revision,
+  };
+}
+
 /** Remembers the state that was announced last. */
 export class StateChangeDetector {
   private previous: AnnouncedState | undefined;
