Count the time to reattach to delegated tasks from the first change of holder

What callers could see: two runs of a task at a time. A zone that runs a task for another one keeps it for 1,000 ms after a change of that zone's holder, in which the new one can reattach to it. Each further change began those 1,000 ms anew, so that the run could outlast the 2,000 ms after which a task of a lost delegate counts as over (DELEGATED_RUN_MAX_MS).

Change: the time counts from when the first holder became known that followed the one whose token the task carries. A reattachment gives it the token of the new holder, as before.

--- a/packages/zone/src/instance/other_zones.ts
+++ b/packages/zone/src/instance/other_zones.ts
@@ -9,14 +9,22 @@
 /** Silence after which a zone may have lost its holder, in ms. */
 const ZONE_SUSPICION_MS = 500;
 
-/** Time in which a new holder reattaches to its zone's tasks here, in ms. */
+/**
+ * Time in which the holders that follow one reattach to its tasks here, in ms;
+ * it doesn't begin anew with each of them.
+ */
 const REATTACH_WINDOW_MS = 1_000;
 
+interface KnownToken {
+  readonly token: number;
+  readonly since: Millis;
+}
+
 interface OtherZoneHolder {
   readonly address: string;
   readonly token: number;
-  /** When it first became known with this token. */
-  readonly since: Millis;
+  /** When the tokens of the zone's recent holders became known, in order. */
+  readonly succession: readonly KnownToken[];
   heardAt: Millis;
 }
 
@@ -77,7 +85,9 @@
     const holder = this.holders.get(zone);
     if (holder === undefined || !this.isAlive(zone, now)) return false;
     // A new holder reattaches to earlier tasks, which then carry its token.
-    return token >= holder.token || now - holder.since < REATTACH_WINDOW_MS;
+    if (token >= holder.token) return true;
+    const follower = holder.succession.find(known => known.token > token);
+    return now - (follower?.since ?? now) < REATTACH_WINDOW_MS;
   }
 
   /** Whether the zone's current holder is known to wait for such a task. */
@@ -97,6 +107,21 @@
     const known = this.holders.get(zone);
     if (known !== undefined && known.token >= token) return;
     const heardAt = known?.heardAt ?? -Infinity;
-    this.holders.set(zone, {address, token, since: now, heardAt});
+    const succession = [
+      ...dropOutdated(known?.succession ?? [], now),
+      {token, since: now},
+    ];
+    this.holders.set(zone, {address, token, succession, heardAt});
   }
 }
+
+/** Drops the tokens that are not needed to tell which tasks are unwanted. */
+function dropOutdated(
+  succession: readonly KnownToken[],
+  now: Millis,
+): readonly KnownToken[] {
+  const lastOutdated = succession.findLastIndex(
+    ({since}) => now - since >= REATTACH_WINDOW_MS,
+  );
+  return succession.slice(Math.max(lastOutdated, 0));
+}
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -142,3 +142,21 @@
   assert.deepEqual(kinds, ['abandoned', 'refused']);
   assert.deepEqual(received, [true]);
 });
+
+test('a task that a former holder of another zone delegated does not go on over several changes of holder', () => {
+  const zones = new OtherZones('east');
+  for (const [token, at] of [
+    [1, 0],
+    [2, 500],
+    [3, 1_400],
+  ] as const)
+    zones.recordHeartbeat(createHeartbeat(token), at);
+  const wanted = [1, 2, 3].map(token =>
+    zones.isTaskWanted('west', token, 1_490),
+  );
+  assert.deepEqual(wanted, [true, true, true]);
+  const wantedLater = [1, 2, 3].map(token =>
+    zones.isTaskWanted('west', token, 1_510),
+  );
+  assert.deepEqual(wantedLater, [false, true, true]);
+});
