Simulate holders that leave while they hear their successors too late

After 0.9 s the holder begins to leave, and its successor claims the zone 54 ms later and extends the leases of the unclaimed runs. The former holder hears of no claim; 95 ms after it, it takes run 1 for lost (cause=unresponsive), since the leases that it granted are over (`WorkerRecord.areLeasesOver`, `endOverdueRuns`), and delegates run 2 to another zone. The caller sends its job once; the cut between two other zones has no part in it.

Draws of other simulations stay as they are.

--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -18,6 +18,7 @@
 import {Scheduler} from './scheduler.js';
 import {SimulatedStore} from './store.js';
 import {Timeline} from './timeline.js';
+import {scheduleUnheardStops} from './unheard_stops.js';
 import {SimulatedWorker, USUAL_TASK_MS} from './worker.js';
 import {createUsualKind} from './worker_kinds.js';
 import type {Workload} from './workload.js';
@@ -42,6 +43,8 @@
   readonly crashingShare?: number;
   /** Whether all machines are stopped one after the other. */
   readonly hasRollingStops?: boolean;
+  /** Whether holders leave in turn while they hear others too late. */
+  readonly hasUnheardStops?: boolean;
   /** Random jobs by default. */
   readonly workload?: Workload | undefined;
   /** Simulated time that the simulation covers. */
@@ -110,6 +113,7 @@
     faultKinds,
     crashingShare = 0,
     hasRollingStops = false,
+    hasUnheardStops = false,
     workload,
     durationMs = USUAL_DURATION_MS,
   }: SimulationOptions,
@@ -170,6 +174,8 @@
   faults.scheduleFaults(FAULTS_START_MS, quietFrom, faultKinds);
   if (hasRollingStops)
     scheduleRollingStops(world, {from: FAULTS_START_MS, until: quietFrom});
+  if (hasUnheardStops)
+    scheduleUnheardStops(world, {from: FAULTS_START_MS, until: quietFrom});
   return callers.tally;
 }
 
