--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -1,8 +1,7 @@
 /**
  * Schedules the tasks of one zone: which jobs are refused, which task starts on
- * which worker, and which runs are stopped. It does no I/O. The holder, the
- * instance elected to command the zone's workers, executes the commands of
- * `tick` and passes the workers' answers to the `handle...` methods.
+ * which worker, and which runs are stopped. It does no I/O. The holder executes
+ * the commands of `tick` and passes the workers' answers to the `handle...` methods.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {
@@ -93,11 +92,7 @@
     return this.registry.takeEndedJobs();
   }
 
-  /**
-   * Returns the jobs that have been given up since the last call and can be
-   * answered, although a late start command may still be executed for them.
-   * Their records stay until that is excluded.
-   */
+  /** Returns jobs to be answered now whose start may still come late. */
   takeAnswerableJobs(): EndedJob[] {
     return this.answerableJobs.take();
   }
@@ -107,6 +102,11 @@
     applyWorkerList(this.registry, list, now);
   }
 
+  /** Marks that another instance may hold the zone without this one's knowing. */
+  markLeaving(): void {
+    this.registry.isLeaving = true;
+  }
+
   /** Marks the list of workers as up to date, so that tasks may be placed. */
   confirmWorkerList(): void {
     this.registry.isListConfirmed = true;
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -43,6 +43,8 @@
   run: Run,
   now: Millis,
 ): void {
+  // The next holder may have extended the leases.
+  if (registry.isLeaving) return;
   const {lossCause, unexplainedLosses} = worker;
   if (!unexplainedLosses.includes(run))
     worker.unexplainedLosses = [...unexplainedLosses, run];
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -52,6 +52,8 @@
   readonly delegatedRuns = new Set<Run>();
   /** Tasks that other zones have delegated to this one. */
   readonly inboundTasks = new InboundTasks();
+  /** Whether this instance stops, so that the next holder may have claimed. */
+  isLeaving = false;
   /** Whether the list of workers is up to date. */
   isListConfirmed = false;
   /** When a worker first answered this holder, and so accepted its token. */
--- a/packages/dispatch/test/late_starts.test.ts
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -227,3 +227,18 @@
   assert.deepEqual(listStarts(dispatcher, 3_000), []);
   assert.equal(listStarts(dispatcher, 100 + 13_200).length, 1);
 });
+
+test('a holder that is stopping does not take a run for over, as the next one may extend its lease', () => {
+  const dispatcher = createPolledDispatcher(new TaskHistory(), 0);
+  dispatcher.submit(createJob('a', 1, longTimes), false, 0);
+  const [start] = dispatcher.tick(0);
+  assert.ok(start?.kind === 'start');
+  const {run} = start;
+  dispatcher.recordLease(run.workerId, 0);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  const {Unanswered} = WorkerRequestFailure;
+  dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
+  dispatcher.markLeaving();
+  assert.deepEqual(listStarts(dispatcher, 2_000), []);
+  assert.ok(dispatcher.workers.get(run.workerId)?.runs.has(run.key));
+});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -108,10 +108,11 @@
     return this.options.token;
   }
 
-  /** Updates the list of workers. */
-  setWorkers(listing: WorkerListing): void {
+  /** Updates the list of workers; `isLeaving`: another instance takes over. */
+  setWorkers(listing: WorkerListing, isLeaving = false): void {
     const now = readClock();
     if (this.isClosed) return;
+    if (isLeaving) this.dispatcher.markLeaving();
     this.workerListing = listing;
     this.dispatcher.setWorkers(listing.workers, now);
     if (!isListingAwaited(listing, this.holderSince, now))
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -141,7 +141,7 @@
       case 'wait':
         this.closeHolder();
     }
-    this.currentHolder?.setWorkers(this.listZoneWorkers());
+    this.currentHolder?.setWorkers(this.listZoneWorkers(), isLeaving);
     if (before !== this.role.kind) this.logRoleChange(before);
   }
 
