A late answer before a start does not make a busy worker count as unresponsive

The poll before a start has 100 ms, the regular one 250 ms more than it may wait. A worker whose regular poll still waited counted as unresponsive after the former, and the next poll renewed no leases. Now only the regular poll decides while it waits.

The test fails before: the worker is unresponsive.

--- a/packages/zone/src/holder/process_confirmation.ts
+++ b/packages/zone/src/holder/process_confirmation.ts
@@ -94,15 +94,21 @@
     const result = await workerPort.poll(request, signal);
     if (signal.aborted) return false;
     if (result.isErr()) {
-      this.handleFailure(worker.id, result.error);
+      this.handleFailure(record, result.error);
       return false;
     }
     dispatcher.handleReport(worker.id, result.value, sentAt, readClock());
     return true;
   }
 
-  private handleFailure(workerId: string, failure: WorkerRequestFailure): void {
+  private handleFailure(
+    {info: {id: workerId}, pendingPollSentAt}: WorkerRecord,
+    failure: WorkerRequestFailure,
+  ): void {
     const {dispatcher, onFenced, onPollFailed} = this.options;
+    const isPolled = pendingPollSentAt !== undefined;
+    // The poll that waits has more time, and renews the leases of the runs.
+    if (isPolled && failure === WorkerRequestFailure.Unanswered) return;
     if (failure === WorkerRequestFailure.Fenced) {
       onFenced(workerId);
       return;
--- a/packages/zone/test/process_confirmation.test.ts
+++ b/packages/zone/test/process_confirmation.test.ts
@@ -232,3 +232,18 @@
   await fixture.startAll();
   assert.deepEqual(fixture.sent, ['start', 'start']);
 });
+
+// Guards against leases that aren't renewed because a busy worker is slow.
+test('a worker that is being polled stays responsive if it does not answer a poll before a start', async () => {
+  const {Unanswered} = WorkerRequestFailure;
+  const fixture = createFixture({
+    closedForMs: 500,
+    pollResult: Err(Unanswered),
+  });
+  const record = fixture.dispatcher.workers.get(worker.id);
+  assert.ok(record !== undefined);
+  record.pendingPollSentAt = readClock();
+  await fixture.startAll();
+  assert.deepEqual(fixture.sent, ['poll']);
+  assert.equal(record.isUnresponsive, false);
+});
