Instances tell on what unanswered starts they have heard of

What came from a peer was not told on, so that nothing was told for ever. It is now, for 3 s from when an instance first hears of it, which later reports do not renew: followers hear it from their holder.

The test of the heartbeats' reports demands both. The test of other tasks of a blocked job used another job and would have passed before; it uses tasks of one job now.

--- a/packages/dispatch/src/unanswered_starts/unanswered_starts.ts
+++ b/packages/dispatch/src/unanswered_starts/unanswered_starts.ts
@@ -24,8 +24,8 @@
 interface KnownStart {
   /** When a run that the command starts late has certainly ended. */
   readonly endsAt: Millis;
-  /** When this instance sent it; undefined if a peer did. */
-  readonly sentAt: Millis | undefined;
+  /** When this instance sent it, or first heard of it from a peer. */
+  readonly learnedAt: Millis;
 }
 
 /** Tasks that must not be started again for now, by job and by name. */
@@ -67,7 +67,7 @@
       this.revisedAt = now;
       this.revisionNumber += 1;
     }
-    return this.add(task, {endsAt, sentAt: now});
+    return this.add(task, {endsAt, learnedAt: now});
   }
 
   /** Adds the commands that a peer reported; returns how many were dropped. */
@@ -75,8 +75,10 @@
     this.removeExpired(now);
     let dropped = 0;
     for (const {task, remainingMs} of reports) {
-      const endsAt = now + remainingMs;
-      dropped += this.add(task, {endsAt, sentAt: undefined});
+      const known = this.byJob.get(findJobId(task))?.get(task);
+      // Peers tell each other, so that what is known is not new.
+      const learnedAt = known?.learnedAt ?? now;
+      dropped += this.add(task, {endsAt: now + remainingMs, learnedAt});
     }
     return dropped;
   }
@@ -100,10 +102,10 @@
     return describe(this.byJob.get(jobId) ?? [], now);
   }
 
-  /** Reports those that this instance has sent recently. */
+  /** Reports those that have become known recently. */
   reportRecent(now: Millis): UnansweredStart[] | undefined {
     const recent = [...this.list()].filter(
-      ([, {sentAt}]) => sentAt !== undefined && now - sentAt < GOSSIP_MS,
+      ([, {learnedAt}]) => now - learnedAt < GOSSIP_MS,
     );
     return describe(recent.slice(-MAX_REPORTED), now);
   }
@@ -124,13 +126,13 @@
     }
   }
 
-  private add(task: string, {endsAt, sentAt}: KnownStart): number {
+  private add(task: string, start: KnownStart): number {
     const jobId = findJobId(task);
     const tasks = this.byJob.get(jobId) ?? new Map<string, KnownStart>();
     const known = tasks.get(task);
-    if (known !== undefined && known.endsAt >= endsAt) return 0;
+    if (known !== undefined && known.endsAt >= start.endsAt) return 0;
     if (known === undefined) this.taskCount += 1;
-    tasks.set(task, {endsAt, sentAt: sentAt ?? known?.sentAt});
+    tasks.set(task, start);
     this.byJob.set(jobId, tasks);
     return this.taskCount > MAX_TASKS ? this.dropOldestJob() : 0;
   }
--- a/packages/dispatch/test/late_starts.test.ts
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -200,11 +200,23 @@
 });
 
 test('other tasks of a job go on while one of them waits for a late start', () => {
-  const fixture = new UnansweredFixture();
-  const {dispatcher} = fixture;
-  fixture.confirm();
-  dispatcher.submit(createJob('b', 1, {arrivedAt: 200}), false, 200);
-  assert.equal(listStarts(dispatcher, 200).length, 1);
+  const dispatcher = createPolledDispatcher(new TaskHistory(), 0);
+  const [step] = createJob('a', 1).steps;
+  assert.ok(step !== undefined);
+  const steps = [step, {...step, after: []}, {...step, after: [1]}];
+  dispatcher.submit(createJob('a', 1, {...longTimes, steps}), false, 0);
+  const [first, second] = dispatcher.tick(0);
+  assert.ok(first?.kind === 'start' && second?.kind === 'start');
+  dispatcher.handleUnansweredStart(first.run, UNANSWERED_AT);
+  dispatcher.handleStartAnswer(first.run, StartAnswer.Started, ANSWERED_AT);
+  const {workerId, key: task} = second.run;
+  const done = {sequence: 1, task, run: 1, end: RunEnd.Done};
+  const entry = {task: first.run.key, run: 1, percent: 10};
+  const running = first.run.workerId === workerId ? [entry] : [];
+  dispatcher.handleStartAnswer(second.run, StartAnswer.Started, ANSWERED_AT);
+  const report = createReport(running, [done]);
+  dispatcher.handleReport(workerId, report, 300, 300);
+  assert.match(listStarts(dispatcher, 300).join(), /^start a\.0\.2\.0\/1 on w/);
 });
 
 test('the leases of a silent worker that has restarted last as long as a late poll extends them', () => {
--- a/packages/dispatch/test/unanswered_starts.test.ts
+++ b/packages/dispatch/test/unanswered_starts.test.ts
@@ -22,7 +22,7 @@
   assert.equal(starts.findEnd(TASK, 20), 5_000);
 });
 
-test('instances tell only their own unanswered starts, so that none is told for ever', () => {
+test('an unanswered start is told on by those who hear of it, but not for ever', () => {
   const own = new UnansweredStarts();
   const peer = new UnansweredStarts();
   own.record(TASK, 5_000, 0);
@@ -30,7 +30,10 @@
   assert.deepEqual(report, [{task: TASK, remainingMs: 4_900}]);
   peer.merge(report ?? [], 150);
   assert.equal(peer.findEnd(TASK, 150), 5_050);
-  assert.equal(peer.reportRecent(150), undefined);
+  assert.equal(peer.reportRecent(150)?.length, 1);
+  own.merge(peer.reportRecent(2_900) ?? [], 2_950);
+  peer.merge(own.reportRecent(2_950) ?? [], 3_000);
+  assert.equal(peer.reportRecent(3_150), undefined);
   assert.equal(own.reportRecent(3_000), undefined);
   assert.equal(own.reportJob('a', 3_000)?.length, 1);
   assert.equal(own.reportJob('b', 3_000), undefined);
