--- a/packages/zone/test/late_starts.test.ts
+++ b/packages/zone/test/late_starts.test.ts
@@ -25,7 +25,15 @@
   Fault.ResetCallers,
 ];
 
+/** Processes are killed in place of other faults. */
+const killFaultKinds = [
+  ...[Fault.LateRequests, Fault.LateRequests],
+  ...[Fault.QuickRestarts, Fault.QuickRestarts],
+  ...[Fault.Kill, Fault.Kill],
+];
+
 interface SimulationCase {
+  readonly faultKinds?: readonly Fault[];
   readonly seed: number;
   readonly zones: number;
   readonly instances: number;
@@ -48,6 +56,11 @@
     seed: 11,
     cause: 'a run that ends settles the first of its start requests',
   },
+  {
+    seed: 95003,
+    cause: 'the instances that knew of a start are killed',
+    faultKinds: killFaultKinds,
+  },
 ].map(entry => ({...entry, zones: 3, instances: 3}));
 
 const {PLAY_LATE_SEED, PLAY_LATE_COUNT = '1'} = process.env;
@@ -89,12 +102,12 @@
   });
 }
 
-function run({seed, zones, instances}: SimulationCase) {
+function run({seed, zones, instances, ...options}: SimulationCase) {
   return simulate({
     seed,
     zones,
     instances,
-    faultKinds,
+    faultKinds: options.faultKinds ?? faultKinds,
     workload: lateStartsWorkload,
     durationMs: DURATION_MS,
   });
