--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -107,7 +107,7 @@
     const record = jobs.get(jobId);
     const records = record === undefined ? [] : [record];
     for (const each of [...records, ...inboundTasks.listTasks(jobId)])
-      endIf(registry, each, hasEndingRun, now);
+      endIfStuck(registry, each, hasEndingRun, now);
   }
 }
 
@@ -119,10 +119,11 @@
 ): boolean {
   const {unansweredStarts} = registry.history;
   if (!unansweredStarts.hasJob(record.submittedId)) return false;
-  return endIf(registry, record, isWaiting, now);
+  return endIfStuck(registry, record, isWaiting, now);
 }
 
-function endIf(
+/** Ends a job with a blocked task for which `isStuck` holds. */
+function endIfStuck(
   registry: Registry,
   record: JobRecord,
   isStuck: (task: TaskRecord) => boolean,
@@ -133,8 +134,8 @@
   for (const key of unansweredStarts.listTasks(record.submittedId)) {
     const task = record.findTask(key);
     if (task === undefined || !isStuck(task)) continue;
-    const endsAt = findBlockEnd(registry, task, now) ?? now;
-    if (endsAt < record.job.deadlineAt) continue;
+    const endsAt = findBlockEnd(registry, task, now);
+    if (endsAt === undefined || endsAt < record.job.deadlineAt) continue;
     record.hasStarted = true;
     registry.observer.jobBlocked(record.id, key, endsAt - now);
     const outcome = createAbandoned(AbandonReason.StartUnanswered);
