A zone rejects what a replaced holder of another zone delegates, also after its own holder has changed

Seen by callers: none known. A task may run twice: the new holder of a zone has asked another zone for its list, so that the holder there rejects delegations of the former one; the next holder there has never heard of it.

Cause: the knowledge of a token ended with the process that was asked.

'a task from a former holder of another zone is not started by a new holder that never heard of its successor' failed before (the task was started) and passes now.

--- a/packages/zone/src/instance/delegation_handler.ts
+++ b/packages/zone/src/instance/delegation_handler.ts
@@ -28,7 +28,7 @@
     }
     const {homeZone, token} = message;
     // The newer holder has already listed its tasks, without this one.
-    if (!this.zones.recordToken(homeZone, token)) {
+    if (!this.zones.recordToken(homeZone, token, readClock())) {
       return {answer: outdatedRefusal};
     }
     const answer = await holder.runDelegatedTask(message);
@@ -41,7 +41,7 @@
   recall(message: DelegationRecall): Promise<boolean> {
     const holder = this.findHolder();
     const {homeZone, token} = message;
-    const isCurrent = this.zones.recordToken(homeZone, token);
+    const isCurrent = this.zones.recordToken(homeZone, token, readClock());
     if (isCurrent) holder?.recall(message);
     return Promise.resolve(holder !== undefined);
   }
@@ -51,7 +51,7 @@
     homeZone,
     token,
   }: DelegatedTasksQuery): Promise<DelegatedTaskList> {
-    this.zones.recordToken(homeZone, token);
+    this.zones.recordToken(homeZone, token, readClock());
     const unknown = {isComplete: false, tasks: []};
     const holder = this.findHolder();
     const list = holder?.listDelegatedTasks(homeZone) ?? unknown;
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -205,7 +205,7 @@
     const parties = {id: this.options.id, view, zones};
     if (holder !== undefined) updateUnwantedWork(holder, parties, now);
     const {roles, history, isLeaving} = this;
-    const state = describeState({roles, history, directory, isLeaving});
+    const state = describeState({roles, history, zones, directory, isLeaving});
     this.links.sendHeartbeats(now, {isUrgent: this.changes.hasChanged(state)});
     if (holderId !== undefined) {
       this.activity.recordHolder(now);
@@ -258,6 +258,7 @@
   private handleHeartbeat(message: ZoneHeartbeat, now: Millis): void {
     this.view.recordHeartbeat(message, now);
     this.history.merge(message, now);
+    this.zones.mergeTokens(message.zoneTokens ?? [], now);
     if (message.zone !== this.options.zone) this.handleOtherZone(message, now);
     else if (message.claim !== undefined) this.handleClaim(message.claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
@@ -284,7 +285,8 @@
     const rooms = withCapacity ? holder?.findFreeCapacity() : undefined;
     const abandoned = withCapacity ? holder?.abandonedJobs.report() : undefined;
     const self = {id, zone, address, processors, isLeaving, directory};
-    const known = {claim, holderHeardMs, rooms, history, abandoned};
+    const zoneTokens = this.zones.reportTokens(now);
+    const known = {claim, holderHeardMs, rooms, history, abandoned, zoneTokens};
     return createOwnHeartbeat({...self, ...known}, now);
   }
 
--- a/packages/zone/src/instance/other_zones.ts
+++ b/packages/zone/src/instance/other_zones.ts
@@ -1,7 +1,8 @@
 /** Tracks the holders of other zones by registrations and heartbeats. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Registration} from '../ports/index.js';
-import type {ZoneHeartbeat} from '../protocol/index.js';
+import type {ZoneHeartbeat, ZoneToken} from '../protocol/index.js';
+import {ZoneTokens} from './zone_tokens.js';
 
 /** Silence after which a zone's delegated tasks are cancelled, in ms. */
 const ZONE_SILENCE_MS = 1_000;
@@ -31,8 +32,7 @@
 /** Keeps the holder with the highest token for each other zone. */
 export class OtherZones {
   private readonly holders = new Map<string, OtherZoneHolder>();
-  /** The highest token seen from each zone's holders. */
-  private readonly tokens = new Map<string, number>();
+  private readonly tokens = new ZoneTokens();
 
   constructor(private readonly zone: string) {}
 
@@ -68,10 +68,23 @@
   }
 
   /** Records the token of a zone's holder; false if a higher one is known. */
-  recordToken(zone: string, token: number): boolean {
-    const highest = this.tokens.get(zone) ?? 0;
-    if (token > highest) this.tokens.set(zone, token);
-    return token >= highest;
+  recordToken(zone: string, token: number, now: Millis): boolean {
+    return this.tokens.record(zone, token, now);
+  }
+
+  /** Changes when peers have to be told of a token. */
+  get tokensRevision(): number {
+    return this.tokens.revision;
+  }
+
+  /** Reports the tokens that have become known recently. */
+  reportTokens(now: Millis): readonly ZoneToken[] | undefined {
+    return this.tokens.reportRecent(now);
+  }
+
+  /** Adds the tokens that a peer reported. */
+  mergeTokens(reports: readonly ZoneToken[], now: Millis): void {
+    for (const {zone, token} of reports) this.tokens.record(zone, token, now);
   }
 
   /** Whether the zone's holder was heard within `ZONE_SILENCE_MS`. */
@@ -103,7 +116,7 @@
     token: number,
     now: Millis,
   ): void {
-    this.recordToken(zone, token);
+    this.recordToken(zone, token, now);
     const known = this.holders.get(zone);
     if (known !== undefined && known.token >= token) return;
     const heardAt = known?.heardAt ?? -Infinity;
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -23,6 +23,8 @@
   /** Free capacity of the workers, if it is reported to the receiver. */
   readonly rooms: ZoneHeartbeat['rooms'];
   readonly history: TaskHistory;
+  /** Tokens of other zones' holders that have become known recently. */
+  readonly zoneTokens: ZoneHeartbeat['zoneTokens'];
   /** Jobs that nobody waits for, if they are reported to the receiver. */
   readonly abandoned: AbandonedJobList | undefined;
 }
@@ -35,6 +37,7 @@
     holderHeardMs,
     rooms,
     history,
+    zoneTokens,
     abandoned,
     ...self
   }: OwnState,
@@ -49,6 +52,7 @@
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
     ...history.reportRecent(now),
+    ...(zoneTokens === undefined ? {} : {zoneTokens}),
     ...abandoned,
   };
 }
--- a/packages/zone/src/instance/state_change_detector.ts
+++ b/packages/zone/src/instance/state_change_detector.ts
@@ -2,6 +2,7 @@
 import type {TaskHistory} from '@goldcrestpier/dispatch';
 import type {Directory} from '../ports/index.js';
 import type {Claim} from '../protocol/index.js';
+import type {OtherZones} from './other_zones.js';
 import type {RoleManager} from './role_manager.js';
 
 /** The part of an instance's state that peers act on. */
@@ -15,6 +16,8 @@
   readonly historyRevision: number;
   /** Revision of the jobs that nobody waits for; undefined if not holder. */
   readonly abandonedRevision: number | undefined;
+  /** Revision of the known tokens of other zones' holders. */
+  readonly tokensRevision: number;
 }
 
 /** What an instance's state is read from. */
@@ -22,6 +25,7 @@
   readonly roles: Pick<RoleManager, 'claim' | 'holder'>;
   readonly directory: Directory;
   readonly history: TaskHistory;
+  readonly zones: Pick<OtherZones, 'tokensRevision'>;
   readonly isLeaving: boolean;
 }
 
@@ -30,6 +34,7 @@
   roles: {claim, holder},
   directory,
   history,
+  zones,
   isLeaving,
 }: StateSources): AnnouncedState {
   return {
@@ -38,6 +43,7 @@
     version: directory.configuration()?.version,
     historyRevision: history.revision,
     abandonedRevision: holder?.abandonedJobs.revision,
+    tokensRevision: zones.tokensRevision,
   };
 }
 
@@ -54,6 +60,7 @@
     if (previous.version !== state.version) return true;
     if (previous.historyRevision !== state.historyRevision) return true;
     if (previous.abandonedRevision !== state.abandonedRevision) return true;
+    if (previous.tokensRevision !== state.tokensRevision) return true;
     return previous.claim?.token !== state.claim?.token;
   }
 }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -64,6 +64,9 @@
   abandonedJobsLeftOut: z.number().int().nonnegative().optional(),
 });
 
+/** The fencing token of the holder of a zone. */
+const zoneTokenSchema = z.object({zone: z.string(), token: z.number()});
+
 const freeCapacitySchema = z.object({
   service: z.string(),
   vacancies: z.array(vacancySchema),
@@ -88,6 +91,8 @@
   rooms: z.array(freeCapacitySchema).optional(),
   /** What the sender got to know recently. */
   ...taskHistoryShape,
+  /** Tokens of other zones' holders that the sender got to know recently. */
+  zoneTokens: z.array(zoneTokenSchema).readonly().optional(),
   /** Sent by holders to other zones. */
   ...abandonedJobsSchema.shape,
 });
@@ -251,32 +256,10 @@
   jobId: z.string(),
 });
 
-const queueSchema = z.object({
-  name: z.string(),
-  host: z.string(),
-  prefix: z.string(),
-  service: z.string(),
-  priority: z.number(),
-  maxAttempts: z.number(),
-  stretch: z.number(),
-  targetMs: z.number(),
-  timeoutMs: z.number(),
-});
-
-/** The configuration that a peer knows. */
-export const configurationSchema = z.object({
-  version: z.number(),
-  queues: z.array(queueSchema),
-  limits: z.object({
-    maxHeaderBytes: z.number(),
-    maxBodyBytes: z.number(),
-    headerTimeoutMs: z.number(),
-    idleTimeoutMs: z.number(),
-  }),
-});
-
 /** The claim of an instance to be the holder of a zone, with its token. */
 export type Claim = z.infer<typeof claimSchema>;
+/** The fencing token of the holder of a zone. */
+export type ZoneToken = z.infer<typeof zoneTokenSchema>;
 /** Jobs that still run though nobody waits for them. */
 export type AbandonedJobList = z.infer<typeof abandonedJobsSchema>;
 /** Sent to peers periodically. */
--- a/packages/zone/src/protocol/router.ts
+++ b/packages/zone/src/protocol/router.ts
@@ -10,6 +10,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
 import type {Configuration} from '../ports/index.js';
+import {configurationSchema} from './configuration.js';
 import {
   jobInquirySchema,
   jobPresenceSchema,
@@ -17,7 +18,6 @@
   type JobPresence,
 } from './job_inquiry.js';
 import {
-  configurationSchema,
   heartbeatSchema,
   jobAnswerSchema,
   jobCancellationSchema,
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -54,6 +54,20 @@
   });
 }
 
+/** Starts an instance and waits until it holds its zone with free workers. */
+async function waitForCapacity(
+  instance: Instance,
+  heartbeat: ReturnType<typeof createHeartbeat>,
+): Promise<void> {
+  instance.start();
+  for (let turn = 0; turn < 80; turn += 1) {
+    const {claim, rooms} = await instance.heartbeat(heartbeat);
+    const hasRoom = rooms?.some(({vacancies}) => vacancies.length > 0);
+    if (claim?.holderId === 'east-1' && hasRoom === true) return;
+    await sleep(50);
+  }
+}
+
 /** Creates a heartbeat of the holder of another zone. */
 function createHeartbeat(token: number) {
   const id = 'west-2';
@@ -95,13 +109,7 @@
   const lifecycle = new Lifecycle('test');
   const started: string[] = [];
   const instance = createInstance(lifecycle, started);
-  instance.start();
-  for (let turn = 0; turn < 40; turn += 1) {
-    const {claim, rooms} = await instance.heartbeat(createHeartbeat(9));
-    const hasRoom = rooms?.some(({vacancies}) => vacancies.length > 0);
-    if (claim?.holderId === 'east-1' && hasRoom === true) break;
-    await sleep(50);
-  }
+  await waitForCapacity(instance, createHeartbeat(9));
   const now = readClock();
   const job = toSubmission(createJob('a', 1, now), 'west', false, now);
   const delegation = {homeZone: 'west', job, step: 0, index: 0, run: 1};
@@ -161,3 +169,24 @@
   );
   assert.deepEqual(wantedLater, [false, true, true]);
 });
+
+test('a task from a former holder of another zone is not started by a new holder that never heard of its successor', async () => {
+  const lifecycle = new Lifecycle('test');
+  const started: string[] = [];
+  const formerHolder = createInstance(lifecycle, []);
+  await formerHolder.listDelegatedTasks({homeZone: 'west', token: 9});
+  const instance = createInstance(lifecycle, started);
+  const told = await formerHolder.heartbeat(createHeartbeat(8));
+  await instance.heartbeat({...told, id: 'east-2', address: '127.0.0.1:3'});
+  await waitForCapacity(instance, createHeartbeat(8));
+  const now = readClock();
+  const job = toSubmission(createJob('a', 1, now), 'west', false, now);
+  const delegation = {homeZone: 'west', job, step: 0, index: 0, run: 1};
+  const late = {...delegation, token: 8, isJoin: false};
+  const unanswered = sleep(50).then(() => undefined);
+  const answer = instance.runDelegatedTask(late);
+  const first = await Promise.race([answer, unanswered]);
+  void lifecycle.close();
+  assert.deepEqual(started, []);
+  assert.equal(first?.answer.kind, 'refused');
+});
