Simulation of zones: cuts that close and refuse connections

The simulation knew silent cuts only, while the platform's cuts may refuse or reset connections. A new, optional fault closes the connections of an instance with its peers, with one of them, with workers, with all of them, or those between two zones; new ones are refused or reset, in both directions or in one, for 60 ms to 4 s. The processes at both ends live.

--- a/packages/zone/test/simulation/fault_kinds.ts
+++ b/packages/zone/test/simulation/fault_kinds.ts
@@ -23,6 +23,8 @@
   LateRequests = 'late_requests',
   /** Workers restart at once under their ids, some as another kind. */
   QuickRestarts = 'quick_restarts',
+  /** Connections are closed and refused, though the processes live. */
+  CutConnections = 'cut_connections',
 }
 
 /** Kinds that are left out unless they are requested. */
@@ -30,6 +32,7 @@
   Fault.DeliverStale,
   Fault.LateRequests,
   Fault.QuickRestarts,
+  Fault.CutConnections,
 ];
 
 /** All kinds but the optional ones that are not requested. */
--- a/packages/zone/test/simulation/faults.ts
+++ b/packages/zone/test/simulation/faults.ts
@@ -1,5 +1,6 @@
 /** Injects random faults from a seed, most of them in groups close in time. */
 import type {Millis} from '@goldcrestpier/runtime';
+import {ConnectionFaults} from './connection_faults.js';
 import {Fault} from './fault_kinds.js';
 import type {Machine, World} from './machine.js';
 import {CALLERS, STORE, type Nodes} from './network.js';
@@ -12,6 +13,7 @@
 export class FaultInjector {
   private readonly random: Random;
   private readonly workerFaults: WorkerFaults;
+  private readonly connectionFaults: ConnectionFaults;
 
   constructor(
     private readonly world: World,
@@ -19,6 +21,7 @@
   ) {
     this.random = world.random.fork();
     this.workerFaults = new WorkerFaults(world, delayedRequests, this.random);
+    this.connectionFaults = new ConnectionFaults(world, this.random);
   }
 
   /** Schedules random groups of faults between two times. */
@@ -81,6 +84,8 @@
         return this.workerFaults.makeRequestsLate(ms);
       case Fault.QuickRestarts:
         return this.workerFaults.restartQuickly();
+      case Fault.CutConnections:
+        return this.connectionFaults.cut(machine);
     }
   }
 
--- a/packages/zone/test/simulation/link.ts
+++ b/packages/zone/test/simulation/link.ts
@@ -14,6 +14,8 @@
   type Millis,
 } from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {CUT_NOTICE_MS, CutKind} from './connection_cuts.js';
+import {Connection, type Listener} from './connection.js';
 import type {Network} from './network.js';
 import type {Random} from './random.js';
 import type {SimulatedProcess, Scheduler} from './scheduler.js';
@@ -29,27 +31,11 @@
   kind: PeerFailureKind.NotSent,
   reason: NotSentReason.Disconnected,
 };
-const disconnected: PeerFailure = {
-  kind: PeerFailureKind.Unknown,
-  reason: UnknownReason.Disconnected,
-};
 const timedOut: PeerFailure = {
   kind: PeerFailureKind.Unknown,
   reason: UnknownReason.TimedOut,
 };
 
-/** A process that listens for peers. */
-export interface Listener {
-  readonly machine: string;
-  readonly process: SimulatedProcess;
-  /** Calls a method of the router by name. */
-  readonly call: (name: string, input: unknown) => Promise<unknown>;
-  /** Handles a ping from the instance with this id. */
-  readonly onPing: (id: string) => void;
-  /** Callbacks of the peers for the exit of the process. */
-  readonly exitCallbacks: Set<() => void>;
-}
-
 /** Parameters of links. */
 export interface SimulatedLinkOptions {
   /** The id of the instance at this end. */
@@ -63,30 +49,6 @@
   readonly findListener: (address: string) => Listener | undefined;
 }
 
-/** A connection; messages in one direction arrive in order. */
-class Connection {
-  isOpen = true;
-  silentChecks = 0;
-  heardAt: Millis | undefined;
-  /** When the last message in each direction arrives. */
-  lastRequestAt: Millis = 0;
-  lastAnswerAt: Millis = 0;
-  readonly pendingCalls = new Set<(failure: PeerFailure) => void>();
-  onClosed: () => void = () => undefined;
-
-  constructor(
-    readonly listener: Listener,
-    readonly openedAt: Millis,
-  ) {}
-
-  close(): void {
-    if (!this.isOpen) return;
-    this.isOpen = false;
-    for (const fail of [...this.pendingCalls]) fail(disconnected);
-    this.onClosed();
-  }
-}
-
 /** A link that reconnects whenever its connection is lost. */
 export class SimulatedLink implements CallLink {
   private connection: Connection | undefined;
@@ -225,6 +187,15 @@
         scheduler.deliver(network.drawArrival(host, machine), process, () => {
           if (!isSettled) onArrival();
         });
+      const cut = network.cuts.find(machine, host);
+      if (cut !== undefined) {
+        const failAt = scheduler.now + CUT_NOTICE_MS;
+        return scheduler.deliver(failAt, process, () => {
+          if (isSettled) return;
+          this.lastRefusedAt = cut === CutKind.Refuse ? startedAt : undefined;
+          end(undefined);
+        });
+      }
       scheduler.deliver(network.drawArrival(machine, host), undefined, () => {
         const listener = findListener(this.address);
         if (listener === undefined) {
@@ -252,6 +223,7 @@
     const drop = () => this.deliverAnswer(connection, () => connection.close());
     listener.exitCallbacks.add(drop);
     if (listener.process.hasExited) drop();
+    const stopWatching = this.watchCuts(connection);
     this.connection = connection;
     await new Promise<void>(resolve => {
       const timer = setInterval(
@@ -268,9 +240,23 @@
       if (signal.aborted) close();
     });
     listener.exitCallbacks.delete(drop);
+    stopWatching();
     this.connection = undefined;
   }
 
+  /** Closes the connection when a cut begins; returns how to stop that. */
+  private watchCuts(connection: Connection): () => void {
+    const {machine, process, scheduler, network} = this.options;
+    const close = () =>
+      scheduler.deliver(scheduler.now + CUT_NOTICE_MS, process, () =>
+        connection.close(),
+      );
+    const to = connection.listener.machine;
+    // It may have been opened across a cut that began meanwhile.
+    if (network.cuts.find(machine, to) !== undefined) close();
+    return network.cuts.watch(machine, to, close);
+  }
+
   private checkSilence(connection: Connection): void {
     connection.silentChecks += 1;
     if (connection.silentChecks > MAX_SILENT_CHECKS) return connection.close();
--- a/packages/zone/test/simulation/network.ts
+++ b/packages/zone/test/simulation/network.ts
@@ -3,6 +3,7 @@
  * delays and partitions. Each of them is a node with a name.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import {ConnectionCuts} from './connection_cuts.js';
 import type {Random} from './random.js';
 import type {Scheduler} from './scheduler.js';
 
@@ -35,13 +36,17 @@
 
 /** Computes arrival times and keeps the current disturbances. */
 export class Network {
+  /** Cuts that end connections, beside those that only block messages. */
+  readonly cuts: ConnectionCuts;
   private canDeliverStale = false;
   private disturbances: Disturbance[] = [];
 
   constructor(
     private readonly scheduler: Scheduler,
     private readonly random: Random,
-  ) {}
+  ) {
+    this.cuts = new ConnectionCuts(scheduler);
+  }
 
   /** Blocks all messages from some nodes to others, in this direction only. */
   partition(from: Nodes, to: Nodes, ms: Millis): void {
--- a/packages/zone/test/simulation/worker_port.ts
+++ b/packages/zone/test/simulation/worker_port.ts
@@ -5,7 +5,11 @@
   type Worker,
   type WorkerReport,
 } from '@goldcrestpier/dispatch';
-import {startTimeoutAfterReads, type Millis} from '@goldcrestpier/runtime';
+import {
+  readClock,
+  startTimeoutAfterReads,
+  type Millis,
+} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {
   type PollRequest,
@@ -14,6 +18,7 @@
   type StopRequest,
   type WorkerPort,
 } from '../../src/ports/index.js';
+import {CUT_NOTICE_MS, CutKind} from './connection_cuts.js';
 import type {Network} from './network.js';
 import type {Random} from './random.js';
 import type {SimulatedProcess, Scheduler} from './scheduler.js';
@@ -64,6 +69,9 @@
 
 /** Sends requests to workers, each once. */
 export class SimulatedWorkerPort implements WorkerPort {
+  /** When a cut last closed a connection with a request, by worker. */
+  private readonly cutAt = new Map<string, Millis>();
+
   constructor(private readonly options: SimulatedWorkerPortOptions) {}
 
   /** Sends a start request. */
@@ -124,7 +132,8 @@
 
   /** Returns when the worker last closed its connections by exiting. */
   lastDisconnectAt({id}: Worker): Millis {
-    return this.options.workers.get(id)?.exitedAt ?? -Infinity;
+    const exitedAt = this.options.workers.get(id)?.exitedAt ?? -Infinity;
+    return Math.max(exitedAt, this.cutAt.get(id) ?? -Infinity);
   }
 
   private call<Answer>(
@@ -134,9 +143,11 @@
     return new Promise(resolve => {
       const settle = (result: Result<Answer, WorkerRequestFailure>) => {
         cancelTimeout();
+        stopWatching();
         resolve(result);
       };
       const endUnanswered = () => settle(Err(WorkerRequestFailure.Unanswered));
+      const stopWatching = this.watchCuts(request.workerId, endUnanswered);
       const cancelTimeout = startTimeoutAfterReads(
         endUnanswered,
         request.timeoutMs,
@@ -154,6 +165,8 @@
     const {machine, scheduler, network, random, requestDelays, workers} =
       this.options;
     const {workerId, apply} = request;
+    const cut = network.cuts.find(machine, workerId);
+    if (cut !== undefined) return this.failAtCut(cut, settle);
     if (this.drawLateness(workerId)) return this.sendLate(request);
     const arrivesAt = network.drawArrival(machine, workerId);
     // Only late requests reach the next process of a worker.
@@ -183,6 +196,30 @@
     });
   }
 
+  /** Ends a request when a cut closes its connection. */
+  private watchCuts(workerId: string, endUnanswered: () => void): () => void {
+    const {machine, process, scheduler, network} = this.options;
+    return network.cuts.watch(machine, workerId, () =>
+      scheduler.deliver(scheduler.now + CUT_NOTICE_MS, process, () => {
+        this.cutAt.set(workerId, readClock());
+        endUnanswered();
+      }),
+    );
+  }
+
+  /** Ends a request whose connection can't be opened; it is not sent. */
+  private failAtCut<Answer>(
+    cut: CutKind,
+    settle: (result: Result<Answer, WorkerRequestFailure>) => void,
+  ): void {
+    const {process, scheduler} = this.options;
+    const {NotListening, Unanswered} = WorkerRequestFailure;
+    const failure = cut === CutKind.Refuse ? NotListening : Unanswered;
+    scheduler.deliver(scheduler.now + CUT_NOTICE_MS, process, () =>
+      settle(Err(failure)),
+    );
+  }
+
   /** Draws whether a request is executed by whichever process runs later. */
   private drawLateness(workerId: string): boolean {
     const {machine, network, random, requestDelays} = this.options;
