A refused connection is no exit while the peer's own connection is open

Seen: the new test "an owner whose own connection is open does not count as lost when connections to it are refused" failed before the change (isAlive was false 5 ms after the refused attempt, 20 ms after a heartbeat).

For callers: while connections to an instance were refused in one direction, each refused attempt made the holder cancel the jobs of that instance, though its heartbeats and pings kept arriving. In a zone of two, a follower that could not connect to its holder took the zone over from it, though it heard it.

Cause: ZoneView took a refused attempt that was newer than the last message for the exit of the process, and the next message came 140 ms later.

Why this works: a process that exits closes its connections. So the listener for peers reports which instances have one open, and a refusal counts only for an instance that has none. A killed owner counts as lost as soon as before. The simulation tells listeners of the ends of connections, without new random numbers.

--- a/packages/peers/src/server/server.ts
+++ b/packages/peers/src/server/server.ts
@@ -55,6 +55,10 @@
   readonly methods: CallMethods;
   /** Called on each ping with the incarnation header that the peer sent. */
   readonly onPing?: (incarnation: string) => void;
+  /** Called with that header when a peer has opened a connection. */
+  readonly onOpened?: (incarnation: string) => void;
+  /** Called with that header when such a connection has closed. */
+  readonly onClosed?: (incarnation: string) => void;
   readonly logger: Logger;
   readonly lifecycle: Lifecycle;
   readonly limits?: Partial<PeerServerLimits>;
@@ -189,11 +193,7 @@
     this.connections.add(connection);
     socket.once('close', () => this.connections.delete(connection));
     this.livenessMonitor.add(socket);
-    const incarnation = request.headers[INCARNATION_HEADER];
-    const {onPing} = this.options;
-    if (onPing !== undefined && typeof incarnation === 'string') {
-      socket.on('ping', () => onPing(incarnation));
-    }
+    this.reportEvents(socket, request);
     const handle = getWSConnectionHandler({
       wss: this.wsServer,
       router: this.options.router,
@@ -207,6 +207,16 @@
     });
     handle(socket, request);
   }
+
+  /** Calls the callbacks for a connection whose peer sent its incarnation. */
+  private reportEvents(socket: WebSocket, request: IncomingMessage): void {
+    const {onPing, onOpened, onClosed} = this.options;
+    const incarnation = request.headers[INCARNATION_HEADER];
+    if (typeof incarnation !== 'string') return;
+    if (onPing !== undefined) socket.on('ping', () => onPing(incarnation));
+    onOpened?.(incarnation);
+    socket.once('close', () => onClosed?.(incarnation));
+  }
 }
 
 function parsePeerHeader(request: IncomingMessage): string | undefined {
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -25,6 +25,7 @@
 import type {InstanceOptions} from './instance_options.js';
 import {findHolderClient} from './holder_client.js';
 import {DelegationHandler} from './delegation_handler.js';
+import {InboundConnections} from './inbound_connections.js';
 import {JobInquiries} from './job_inquiries.js';
 import {PeerLinks} from './links.js';
 import {LoopDelay} from './loop_delay.js';
@@ -40,6 +41,8 @@
 export class Instance implements ZoneHandlers {
   /** Finds and cancels jobs for callers. */
   readonly inquiries: JobInquiries;
+  /** The open connections of peers to this instance. */
+  readonly connections = new InboundConnections();
   /** Finds or cancels a job for a peer. */
   readonly inquire = (message: JobInquiry) => this.inquiries.answer(message);
   private readonly address: string;
@@ -60,7 +63,8 @@
   constructor(private readonly options: InstanceOptions) {
     const {id, zone, processors, listen, logs, metrics, seeds} = options;
     this.address = `${listen.host}:${listen.port}`;
-    this.view = new ZoneView(zone, this.address, {id, processors});
+    const self = {id, processors};
+    this.view = new ZoneView(zone, this.address, self, this.connections);
     this.zones = new OtherZones(zone);
     for (const seed of seeds) this.view.addAddress(seed);
     this.roles = new RoleManager({
--- a/packages/zone/src/instance/start_instance.ts
+++ b/packages/zone/src/instance/start_instance.ts
@@ -49,6 +49,8 @@
     router: createZoneRouter(instance),
     methods: zoneMethods,
     onPing: id => instance.recordPing(id),
+    onOpened: id => instance.connections.recordOpened(id),
+    onClosed: id => instance.connections.recordClosed(id),
     logger: options.logs.forPart(LogPart.Peers),
     lifecycle: options.lifecycle,
     limits: {silenceTimeoutMs: PEER_SILENCE_TIMEOUT_MS},
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -8,6 +8,7 @@
 } from '../election/index.js';
 import type {Registration} from '../ports/index.js';
 import type {ZoneHeartbeat} from '../protocol/index.js';
+import {InboundConnections} from './inbound_connections.js';
 import {
   createPeer,
   isResponsive,
@@ -66,6 +67,7 @@
     private readonly zone: string,
     private readonly selfAddress: string,
     private readonly self: Candidate,
+    private readonly connections = new InboundConnections(),
   ) {}
 
   /**
@@ -167,11 +169,11 @@
   /**
    * Records that the host refused a connection to the address; the attempt
    * began at `attemptAt`. It says nothing about an instance that became known
-   * there, or was heard, later.
+   * there, or was heard, later, nor about one with an open connection here.
    */
   recordRefusal(address: string, attemptAt: Millis): void {
     const known = this.peers.get(address);
-    if (known === undefined) return;
+    if (known === undefined || this.connections.isOpen(known.id)) return;
     const {id, knownSince, heardAt} = known;
     const aliveAt = findLatest(knownSince, heardAt, this.contacts.get(id));
     if (attemptAt >= aliveAt) known.isRefused = true;
@@ -196,7 +198,7 @@
   /** Whether the instance was heard recently and isn't refused. */
   isAlive(id: string, now: Millis): boolean {
     const known = this.findById(id);
-    // Its host refuses connections, so the process has exited.
+    // Its host refuses connections, and it has none to this instance.
     if (known?.isRefused === true) return false;
     if (this.hadContact(id, now)) return true;
     return known !== undefined && isResponsive(known, now);
--- a/packages/zone/test/simulation/link.ts
+++ b/packages/zone/test/simulation/link.ts
@@ -15,10 +15,11 @@
 } from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {CUT_NOTICE_MS, CutKind} from './connection_cuts.js';
-import {Connection, type Listener} from './connection.js';
-import type {Network} from './network.js';
-import type {Random} from './random.js';
-import type {SimulatedProcess, Scheduler} from './scheduler.js';
+import {
+  Connection,
+  ListenerEnd,
+  type SimulatedLinkOptions,
+} from './connection.js';
 
 const CONNECT_MS = 400;
 /** A connection without a message for more than this many checks is closed. */
@@ -36,19 +37,6 @@
   reason: UnknownReason.TimedOut,
 };
 
-/** Parameters of links. */
-export interface SimulatedLinkOptions {
-  /** The id of the instance at this end. */
-  readonly id: string;
-  readonly machine: string;
-  readonly process: SimulatedProcess;
-  readonly scheduler: Scheduler;
-  readonly network: Network;
-  readonly random: Random;
-  /** Finds the process that listens at an address. */
-  readonly findListener: (address: string) => Listener | undefined;
-}
-
 /** A link that reconnects whenever its connection is lost. */
 export class SimulatedLink implements CallLink {
   private connection: Connection | undefined;
@@ -173,13 +161,17 @@
     const startedAt = readClock();
     return new Promise(resolve => {
       let isSettled = false;
+      let accepted: ListenerEnd | undefined;
       const end = (connection: Connection | undefined) => {
         isSettled = true;
         cancelTimeout();
         signal.removeEventListener('abort', endUnconnected);
         resolve(connection);
       };
-      const endUnconnected = () => end(undefined);
+      const endUnconnected = () => {
+        accepted?.close();
+        end(undefined);
+      };
       const cancelTimeout = startTimeoutAfterReads(endUnconnected, CONNECT_MS);
       signal.addEventListener('abort', endUnconnected, {once: true});
       const host = parseMachineName(this.address);
@@ -204,12 +196,15 @@
             end(undefined);
           });
         }
-        scheduler.deliver(scheduler.now, listener.process, () =>
+        scheduler.deliver(scheduler.now, listener.process, () => {
+          const opened = new ListenerEnd(listener, this.options);
+          accepted = opened;
+          if (isSettled || process.hasExited) opened.close();
           respond(() => {
             this.lastRefusedAt = undefined;
-            end(new Connection(listener, readClock()));
-          }),
-        );
+            end(new Connection(opened, readClock()));
+          });
+        });
       });
     });
   }
@@ -247,10 +242,12 @@
   /** Closes the connection when a cut begins; returns how to stop that. */
   private watchCuts(connection: Connection): () => void {
     const {machine, process, scheduler, network} = this.options;
-    const close = () =>
+    const close = () => {
+      connection.closeAtListener();
       scheduler.deliver(scheduler.now + CUT_NOTICE_MS, process, () =>
         connection.close(),
       );
+    };
     const to = connection.listener.machine;
     // It may have been opened across a cut that began meanwhile.
     if (network.cuts.find(machine, to) !== undefined) close();
--- a/packages/zone/test/simulation/machine.ts
+++ b/packages/zone/test/simulation/machine.ts
@@ -77,7 +77,7 @@
     const {running} = this;
     if (running === undefined) return;
     this.running = undefined;
-    running.process.hasExited = true;
+    running.process.exit();
     for (const notify of [...running.exitCallbacks]) notify();
   }
 
@@ -159,8 +159,11 @@
       resetCallbacks: new Set<() => void>(),
     };
     const parts = {id, machine, process, instance, lifecycle, directory};
+    const {connections} = instance;
     const onPing = (other: string) => instance.recordPing(other);
-    return {...parts, call, onPing, ...callbacks};
+    const onOpened = (other: string) => connections.recordOpened(other);
+    const onClosed = (other: string) => connections.recordClosed(other);
+    return {...parts, call, onPing, onOpened, onClosed, ...callbacks};
   }
 }
 
--- a/packages/zone/test/simulation/scheduler.ts
+++ b/packages/zone/test/simulation/scheduler.ts
@@ -15,6 +15,8 @@
 /** A simulated process. Its events are dropped once it has exited. */
 export class SimulatedProcess {
   hasExited = false;
+  /** Called when it exits. */
+  readonly exitCallbacks = new Set<() => void>();
   /** Its events are postponed to this time. */
   pausedUntil: Millis = 0;
   /** CPU time that each of its events takes, in ms. */
@@ -25,6 +27,12 @@
     readonly name: string,
     readonly clockZero: Millis,
   ) {}
+
+  /** Ends the process. */
+  exit(): void {
+    this.hasExited = true;
+    for (const notify of [...this.exitCallbacks]) notify();
+  }
 }
 
 /** A callback that is scheduled for a time. */
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Election} from '../src/election/index.js';
+import {Election, SILENCE_MS} from '../src/election/index.js';
+import {InboundConnections} from '../src/instance/inbound_connections.js';
 import {OtherZones} from '../src/instance/other_zones.js';
 import type {MonitoringContext} from '../src/instance/peer_monitoring.js';
 import {ZoneView} from '../src/instance/zone_view.js';
@@ -178,6 +179,32 @@
   assert.equal(view.isAlive(id, 120), false);
 });
 
+test('an owner whose own connection is open does not count as lost when connections to it are refused', () => {
+  const connections = new InboundConnections();
+  const self = {id: 'a', processors: 1};
+  const view = new ZoneView('west', '10.0.0.1:7000', self, connections);
+  connections.recordOpened('b-1');
+  const {address, id} = createHeartbeat();
+  view.recordHeartbeat(createHeartbeat(), 100);
+  view.recordRefusal(address, 115);
+  assert.equal(view.isAlive(id, 120), true);
+  assert.equal(view.isSuspected(id, 120), false);
+  connections.recordClosed(id);
+  view.recordRefusal(address, 125);
+  assert.equal(view.isAlive(id, 130), false);
+});
+
+test('an instance that is silent on its open connection counts as lost', () => {
+  const connections = new InboundConnections();
+  const self = {id: 'a', processors: 1};
+  const view = new ZoneView('west', '10.0.0.1:7000', self, connections);
+  connections.recordOpened('b-1');
+  const {address, id} = createHeartbeat();
+  view.recordHeartbeat(createHeartbeat(), 100);
+  view.recordRefusal(address, 115);
+  assert.equal(view.isAlive(id, 100 + SILENCE_MS), false);
+});
+
 const registration = {
   id: 'b-2',
   zone: 'west',
