--- a/packages/zone/test/simulation/machine.ts
+++ b/packages/zone/test/simulation/machine.ts
@@ -4,7 +4,8 @@
 import {ZoneMetrics} from '../../src/metrics/index.js';
 import {createZoneRouter} from '../../src/protocol/index.js';
 import {SimulatedDirectory} from './directory.js';
-import {SimulatedLink, type Listener} from './link.js';
+import type {Listener} from './connection.js';
+import {SimulatedLink} from './link.js';
 import type {Network} from './network.js';
 import type {Random} from './random.js';
 import {SimulatedProcess, type Scheduler} from './scheduler.js';
@@ -76,7 +77,7 @@
     const {running} = this;
     if (running === undefined) return;
     this.running = undefined;
-    running.process.hasExited = true;
+    running.process.exit();
     for (const notify of [...running.exitCallbacks]) notify();
   }
 
@@ -158,8 +159,11 @@
       resetCallbacks: new Set<() => void>(),
     };
     const parts = {id, machine, process, instance, lifecycle, directory};
+    const {connections} = instance;
     const onPing = (other: string) => instance.recordPing(other);
-    return {...parts, call, onPing, ...callbacks};
+    const onOpened = (other: string) => connections.recordOpened(other);
+    const onClosed = (other: string) => connections.recordClosed(other);
+    return {...parts, call, onPing, onOpened, onClosed, ...callbacks};
   }
 }
 
