A drain rate needs ten starts before it refuses a job

Cause, measured with the inputs of the rate written to a file (a trial): 1 start in 916 ms of backlog, 85 tasks ahead. The first task of the first job gets the first slot, while the process is still reading hundreds of jobs; DrainRate took that one start for a rate of 1.09 a second. Without any start it already said that the rate is unknown; one start shows as little.

The same cause on a second path: after a long quiet time what is left of the old starts is near 0 but not 0, so that the check for "no start yet" did not hold, and 250 ms of a new backlog without a start gave a rate near 0, which refuses each job whatever its time.

Now a rate is reported from ten starts on (the error of a rate of n starts is 1/sqrt(n)). They are forgotten in time without a backlog only: a queue that stops draining keeps its rate, which falls as before. getTimeToExpiry follows, so that Retry-After stays true. Dispatch uses DrainRate as well: ten starts instead of one count as unmeasured there.

Tests, in limits.test.ts: "a first start alone is no drain rate, and a job is admitted" and "an expired measurement is not part of the next drain rate" failed before, both refused with wait_too_long. "a queue that starts a task each 2 s has a drain rate after its tenth" and "a drain rate of few starts is reported until these expire" bound the fix. No test was changed.

--- a/packages/limits/src/rates/index.ts
+++ b/packages/limits/src/rates/index.ts
@@ -11,12 +11,19 @@
 const TIME_CONSTANT_MS = 3_000;
 /** Minimum backlog time before a rate is reported. */
 const MIN_BACKLOG_MS = 250;
+/** Minimum number of starts of which a rate is reported. */
+const MIN_STARTS = 10;
 const MS_PER_SECOND = 1_000;
 
 /** Measures task starts per second over the time with a backlog. */
 export class DrainRate {
   private starts = 0;
   private backlogMs = 0;
+  /**
+   * Starts that support the rate. Decays only without a backlog, as a queue that
+   * stops draining has a rate, and one that begins to drain has none yet.
+   */
+  private supportingStarts = 0;
   private hasBacklog = false;
   private updatedAt: Millis | undefined;
 
@@ -24,16 +31,17 @@
   record(starts: number, hasBacklog: boolean, now: Millis): void {
     this.advance(now);
     // A start that emptied the queue still belongs to the preceding backlog.
-    if (this.hasBacklog) this.starts += starts;
+    if (this.hasBacklog) {
+      this.starts += starts;
+      this.supportingStarts += starts;
+    }
     this.hasBacklog = hasBacklog;
   }
 
   /** Starts per second; undefined without enough measurements. */
   getStartsPerSecond(now: Millis): number | undefined {
     this.advance(now);
-    if (this.backlogMs < MIN_BACKLOG_MS) return undefined;
-    // The first start may be late: without starts, the rate is unknown, not 0.
-    if (this.starts === 0) return undefined;
+    if (!this.hasEnoughMeasurements()) return undefined;
     return (this.starts * MS_PER_SECOND) / this.backlogMs;
   }
 
@@ -43,8 +51,17 @@
    */
   getTimeToExpiry(now: Millis): Millis {
     this.advance(now);
-    if (this.backlogMs < MIN_BACKLOG_MS) return 0;
-    return TIME_CONSTANT_MS * Math.log(this.backlogMs / MIN_BACKLOG_MS);
+    if (!this.hasEnoughMeasurements()) return 0;
+    const excess = Math.min(
+      this.backlogMs / MIN_BACKLOG_MS,
+      this.supportingStarts / MIN_STARTS,
+    );
+    return TIME_CONSTANT_MS * Math.log(excess);
+  }
+
+  private hasEnoughMeasurements(): boolean {
+    if (this.backlogMs < MIN_BACKLOG_MS) return false;
+    return this.supportingStarts >= MIN_STARTS;
   }
 
   private advance(now: Millis): void {
@@ -55,5 +72,6 @@
     this.starts *= factor;
     this.backlogMs *= factor;
     if (this.hasBacklog) this.backlogMs += TIME_CONSTANT_MS * (1 - factor);
+    else this.supportingStarts *= factor;
   }
 }
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -138,6 +138,16 @@
   assert.equal(rate.getStartsPerSecond(expiresAt + 1), undefined);
 });
 
+test('a drain rate of few starts is reported until these expire', () => {
+  const rate = new DrainRate();
+  rate.record(0, true, 0);
+  for (let now = 100; now <= 1_200; now += 100) rate.record(1, true, now);
+  rate.record(0, false, 1_200);
+  const expiresAt = 1_200 + rate.getTimeToExpiry(1_200);
+  assert.notEqual(rate.getStartsPerSecond(expiresAt - 1), undefined);
+  assert.equal(rate.getStartsPerSecond(expiresAt + 1), undefined);
+});
+
 test('a retry budget allows only a share of first starts', () => {
   const budget = new RetryBudget();
   let spent = 0;
@@ -199,6 +209,42 @@
   assert.ok(checkAdmission(patient).isOk());
 });
 
+// Guards against "wait_too_long" of 78 s after one start in the first second.
+test('a first start alone is no drain rate, and a job is admitted', () => {
+  const rate = new DrainRate();
+  rate.record(0, true, 0);
+  rate.record(1, true, 10);
+  const startsPerSecond = rate.getStartsPerSecond(920);
+  const backlog = [{team: 'a', waiting: 85}];
+  const patient = {...input, backlog, startsPerSecond, deadlineMs: 60_000};
+  assert.ok(checkAdmission(patient).isOk());
+});
+
+// Guards against a rate near 0 at the first backlog after a long quiet time.
+test('an expired measurement is not part of the next drain rate', () => {
+  const rate = new DrainRate();
+  rate.record(0, true, 0);
+  for (let now = 10; now <= 2_000; now += 10) rate.record(1, true, now);
+  rate.record(0, false, 2_000);
+  rate.record(0, true, 30_000);
+  const startsPerSecond = rate.getStartsPerSecond(30_500);
+  const patient = {...input, startsPerSecond, deadlineMs: 60_000};
+  assert.ok(checkAdmission(patient).isOk());
+  for (let now = 30_510; now <= 31_000; now += 10) rate.record(1, true, now);
+  const starts = rate.getStartsPerSecond(31_000) ?? 0;
+  assert.ok(starts > 40 && starts < 60, `${starts}`);
+});
+
+// Guards against a queue that never refuses as it starts its tasks slowly.
+test('a queue that starts a task each 2 s has a drain rate after its tenth', () => {
+  const rate = new DrainRate();
+  rate.record(0, true, 0);
+  for (let start = 1; start <= 10; start += 1)
+    rate.record(1, true, start * 2_000);
+  const startsPerSecond = rate.getStartsPerSecond(20_001);
+  assert.ok(checkAdmission({...input, startsPerSecond}).isErr());
+});
+
 test('the drain rate falls when a queue stops draining', () => {
   const rate = new DrainRate();
   rate.record(0, true, 0);
