A new holder polls an idle worker at once when its process may have been replaced

Failing before: packages/zone/test/worker_pollers.test.ts, "a new holder polls an idle worker that restarts before its entry shows it" (one poll in place of two) and "a new holder polls the next process of an idle worker soon after its start" (no poll in 600 ms).

What callers saw: nothing but a task that ran twice.

Cause: a holder that was killed took its knowledge of a start without an answer with it. The next one polls all workers with its token, and workers that have seen it refuse the old command; but the process that follows on a worker has seen no token, and an idle worker was polled only when its entry showed the restart or it was used. A worker that refused connections was polled less and less often, up to once a second.

Change: for as long as commands of a former holder may arrive (12.6 s after a claim), a closed connection to an idle worker has it polled within 25 ms, without a lease, and a worker that refuses connections or doesn't answer is polled every 50 ms. After these 12.6 s nothing changes. A process that has answered refuses what former holders sent. What is left is the time from the birth of a process to its first poll.

--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -9,6 +9,8 @@
 export type * from './commands.js';
 export {
   DELEGATED_RUN_MAX_MS,
+  FORMER_HOLDER_STOP_MS,
+  MAX_COMMAND_DELAY_MS,
   computeLeaseExpiry,
   type DispatcherOptions,
 } from './options.js';
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -95,6 +95,7 @@
     });
     const timer = setInterval(() => {
       this.overloadDetector.recordTick(readClock());
+      this.pollers.pollUnfenced(readClock());
       this.runTick();
     }, TICK_INTERVAL_MS);
     lifecycle.own('holder', () => {
@@ -270,8 +271,7 @@
   private answerEndedJobs(): void {
     const now = readClock();
     const endedJobs = this.dispatcher.takeEndedJobs();
-    for (const endedJob of endedJobs)
-      this.delegatedTasks.recordEnd(endedJob, now);
+    for (const job of endedJobs) this.delegatedTasks.recordEnd(job, now);
     this.submissions.answerJobs(endedJobs, now);
   }
 
--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -13,6 +13,7 @@
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
 import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
+import type {ProcessWatch} from './process_watch.js';
 
 /** Longest time a worker may hold a poll until a run ends, in ms. */
 const MAX_WAIT_MS = 400;
@@ -27,6 +28,8 @@
 const LOSSY_MIN_WAIT_MS = 60;
 /** Allowed delay of a run's end while responses get lost, in ms. */
 const LOSSY_END_DELAY_MS = 30;
+/** The margin of a poll that only confirms the process of an idle worker, in ms. */
+const CONFIRMATION_MARGIN_MS = 100;
 /** Bounds of the backoff before a silent worker is polled again, in ms. */
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_000;
@@ -44,6 +47,7 @@
   readonly dispatcher: Dispatcher;
   readonly workerPort: WorkerPort;
   readonly lostResponses: LostResponses;
+  readonly watch: Pick<ProcessWatch, 'mayCommandsArrive'>;
   /** Called when state that scheduling depends on has changed. */
   readonly onChange: () => void;
   readonly onFenced: () => void;
@@ -57,6 +61,9 @@
 export class WorkerPoller {
   private readonly wakeup = new Wakeup();
   private consecutiveFailures = 0;
+  /** Whether the process of an idle worker is to be confirmed by a poll. */
+  private isConfirmationDue = false;
+  private confirmedAt: Millis = -Infinity;
 
   constructor(private readonly options: WorkerPollerOptions) {}
 
@@ -65,14 +72,24 @@
     this.wakeup.notify();
   }
 
+  /** Polls an idle worker once, as its process may have been replaced. */
+  confirmProcess(now: Millis): void {
+    const record = this.options.dispatcher.workers.get(this.options.workerId);
+    if (record === undefined || !isIdle(record)) return;
+    // A server may close each connection after its answer.
+    if (now - this.confirmedAt < MIN_BACKOFF_MS) return;
+    this.confirmedAt = now;
+    this.isConfirmationDue = true;
+    this.wakeup.notify();
+  }
+
   /** Polls until `signal` aborts or the dispatcher removes the worker. */
   async run(signal: AbortSignal): Promise<void> {
     const {workerId, dispatcher} = this.options;
     while (!signal.aborted) {
       const record = dispatcher.workers.get(workerId);
       if (record === undefined) return;
-      const isIdle = record.runs.size === 0 && record.orphans.size === 0;
-      if (record.hasAcceptedToken && !record.isUnresponsive && isIdle) {
+      if (isIdle(record) && !this.isConfirmationDue) {
         await this.wakeup.wait(signal);
         continue;
       }
@@ -81,17 +98,20 @@
   }
 
   private async poll(signal: AbortSignal): Promise<void> {
-    const {workerId, dispatcher, workerPort, token, lostResponses, onChange} =
-      this.options;
+    const {workerId, dispatcher, workerPort, token, onChange} = this.options;
     const record = dispatcher.workers.get(workerId);
     if (record === undefined) return;
     const sentAt = readClock();
-    const workerTime = readWorkerClock(record, sentAt);
+    // The clock of another process is not known.
+    const isConfirmation = this.isConfirmationDue && isIdle(record);
+    this.isConfirmationDue = false;
+    const workerTime = isConfirmation
+      ? undefined
+      : readWorkerClock(record, sentAt);
     const waitMs = workerTime === undefined ? 0 : this.chooseWait(sentAt);
     const leaseUntil = this.chooseLease(workerTime, sentAt);
     const {info: worker, lastAckedEnd: lastSeen} = record;
-    const isLossy = lostResponses.isWidespread(sentAt, dispatcher.workers.size);
-    const marginMs = isLossy ? LOSSY_RESPONSE_MARGIN_MS : RESPONSE_MARGIN_MS;
+    const marginMs = this.chooseMargin(isConfirmation, sentAt);
     const request = {worker, token, lastSeen, leaseUntil, waitMs, marginMs};
     record.pendingPollSentAt = sentAt;
     const result = await workerPort.poll(request, signal);
@@ -125,6 +145,13 @@
     return Math.floor(workerTime + leaseMs);
   }
 
+  private chooseMargin(isConfirmation: boolean, now: Millis): Millis {
+    const {dispatcher, lostResponses} = this.options;
+    if (lostResponses.isWidespread(now, dispatcher.workers.size))
+      return LOSSY_RESPONSE_MARGIN_MS;
+    return isConfirmation ? CONFIRMATION_MARGIN_MS : RESPONSE_MARGIN_MS;
+  }
+
   private chooseWait(now: Millis): Millis {
     const {workerId, dispatcher, lostResponses} = this.options;
     const record = dispatcher.workers.get(workerId);
@@ -150,8 +177,8 @@
     failure: WorkerRequestFailure,
     signal: AbortSignal,
   ): Promise<void> {
-    const {workerId, dispatcher, lostResponses, onFenced, onPollFailed} =
-      this.options;
+    const {workerId, dispatcher, lostResponses} = this.options;
+    const {onFenced, onPollFailed} = this.options;
     if (failure === WorkerRequestFailure.Fenced) {
       onFenced();
       return;
@@ -171,8 +198,29 @@
     }
     const backoffMs = MIN_BACKOFF_MS * 2 ** this.consecutiveFailures;
     this.consecutiveFailures += 1;
-    await sleep(Math.min(backoffMs, MAX_BACKOFF_MS), signal);
+    const maxBackoffMs = this.chooseMaxBackoff(failure, now);
+    await sleep(Math.min(backoffMs, maxBackoffMs), signal);
   }
+
+  private chooseMaxBackoff(failure: WorkerRequestFailure, now: Millis): Millis {
+    // Its next process may execute a command of a former holder.
+    const mayCommandsArrive = this.options.watch.mayCommandsArrive(now);
+    switch (failure) {
+      case WorkerRequestFailure.NotListening:
+      case WorkerRequestFailure.Unanswered:
+        return mayCommandsArrive ? MIN_BACKOFF_MS : MAX_BACKOFF_MS;
+      case WorkerRequestFailure.OtherIncarnation:
+      case WorkerRequestFailure.Refused:
+      case WorkerRequestFailure.Fenced:
+        return MAX_BACKOFF_MS;
+    }
+  }
+}
+
+/** Whether the worker answers, and has nothing to be polled for. */
+function isIdle(record: WorkerRecord): boolean {
+  if (!record.hasAcceptedToken || record.isUnresponsive) return false;
+  return record.runs.size === 0 && record.orphans.size === 0;
 }
 
 /**
--- a/packages/zone/src/holder/worker_pollers.ts
+++ b/packages/zone/src/holder/worker_pollers.ts
@@ -4,7 +4,12 @@
   JobProgress,
   WorkerRequestFailure,
 } from '@goldcrestpier/dispatch';
-import type {Lifecycle, Logger} from '@goldcrestpier/runtime';
+import {
+  readClock,
+  type Lifecycle,
+  type Logger,
+  type Millis,
+} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
 import type {LostResponses} from './lost_responses.js';
@@ -12,6 +17,7 @@
   ProcessConfirmation,
   type WorkerProcesses,
 } from './process_confirmation.js';
+import {ProcessWatch} from './process_watch.js';
 import {WorkerPoller} from './worker_poller.js';
 
 /** Dependencies of the pollers. */
@@ -33,8 +39,10 @@
   /** Confirms the processes of workers before runs are started there. */
   readonly processes: WorkerProcesses;
   private readonly pollers = new Map<string, WorkerPoller>();
+  private readonly watch: ProcessWatch;
 
   constructor(private readonly options: WorkerPollersOptions) {
+    this.watch = new ProcessWatch(options.workerPort, readClock());
     this.processes = new ProcessConfirmation({
       ...options,
       onPollFailed: (worker, failure) => {
@@ -57,6 +65,17 @@
     }
   }
 
+  /** Polls the idle workers whose process may have seen no fencing token. */
+  pollUnfenced(now: Millis): void {
+    if (!this.watch.mayCommandsArrive(now)) return;
+    const {workers} = this.options.dispatcher;
+    for (const [id, poller] of this.pollers) {
+      const record = workers.get(id);
+      if (record !== undefined && this.watch.mayBeUnfenced(record, now))
+        poller.confirmProcess(now);
+    }
+  }
+
   /** Wakes the poller of a worker that was sent a command. */
   wake(workerId: string): void {
     this.pollers.get(workerId)?.wake();
@@ -74,6 +93,7 @@
     const poller = new WorkerPoller({
       ...this.options,
       workerId,
+      watch: this.watch,
       onFenced: () => onFenced(workerId),
       onPollFailed: (worker, failure) => this.handleFailure(worker, failure),
     });
--- a/packages/zone/test/late_starts.test.ts
+++ b/packages/zone/test/late_starts.test.ts
@@ -2,7 +2,8 @@
  * Simulates commands that got no answer and are executed up to 12 s later,
  * often by the next process of the worker, which knows nothing of before.
  * `PLAY_LATE_SEED` and `PLAY_LATE_COUNT` choose other seeds, `PLAY_ZONES` and
- * `PLAY_INSTANCES` the numbers of zones and of instances in each of them.
+ * `PLAY_INSTANCES` the numbers of zones and of instances in each of them;
+ * `PLAY_LATE_KILLS=1` kills processes in place of other faults.
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
@@ -65,6 +66,8 @@
 
 const {PLAY_LATE_SEED, PLAY_LATE_COUNT = '1'} = process.env;
 const {PLAY_ZONES = '3', PLAY_INSTANCES = '3'} = process.env;
+const requestedFaultKinds =
+  process.env['PLAY_LATE_KILLS'] === '1' ? killFaultKinds : faultKinds;
 
 /** Creates the simulations that are requested by environment variables. */
 function createRequestedCases(firstSeed: number): readonly SimulationCase[] {
@@ -73,6 +76,7 @@
     zones: Number(PLAY_ZONES),
     instances: Number(PLAY_INSTANCES),
     cause: 'requested',
+    faultKinds: requestedFaultKinds,
   }));
 }
 
--- a/packages/zone/test/unwanted_runs.test.ts
+++ b/packages/zone/test/unwanted_runs.test.ts
@@ -35,6 +35,7 @@
       lastDisconnectAt: failOnCall,
     },
     lostResponses: new LostResponses(),
+    watch: {mayCommandsArrive: () => false},
     onChange: () => undefined,
     onFenced: failOnCall,
     onPollFailed: failOnCall,
--- a/packages/zone/test/worker_poller.test.ts
+++ b/packages/zone/test/worker_poller.test.ts
@@ -41,6 +41,7 @@
       lastDisconnectAt: failOnCall,
     },
     lostResponses,
+    watch: {mayCommandsArrive: () => false},
     onChange: () => undefined,
     onFenced: failOnCall,
     onPollFailed: (id, failure) =>
@@ -112,6 +113,7 @@
       lastDisconnectAt: failOnCall,
     },
     lostResponses: new LostResponses(),
+    watch: {mayCommandsArrive: () => false},
     onChange: () => undefined,
     onFenced: failOnCall,
     onPollFailed: failOnCall,
--- a/packages/zone/test/worker_pollers.test.ts
+++ b/packages/zone/test/worker_pollers.test.ts
@@ -1,14 +1,21 @@
 import assert from 'node:assert/strict';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {test} from 'node:test';
-import type {Dispatcher} from '@goldcrestpier/dispatch';
-import {Lifecycle, readClock} from '@goldcrestpier/runtime';
-import {Ok} from 'ts-results-es';
+import {
+  TaskHistory,
+  WorkerRequestFailure,
+  type Dispatcher,
+} from '@goldcrestpier/dispatch';
+import {Lifecycle, readClock, sleep, type Millis} from '@goldcrestpier/runtime';
+import {Err, Ok} from 'ts-results-es';
+import {Holder} from '../src/holder/index.js';
 import {LostResponses} from '../src/holder/lost_responses.js';
 import {WorkerPollers} from '../src/holder/worker_pollers.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
+import type {PollRequest, WorkerPort} from '../src/ports/index.js';
 import {
   createDispatcher,
+  dispatchOptions,
   failOnCall,
   noopLogger,
   worker,
@@ -67,3 +74,93 @@
   });
   assert.equal(pollCount, 1);
 });
+
+/** A worker that is idle, and whose process exits and starts again. */
+class RestartingWorker {
+  readonly polls: PollRequest[] = [];
+  isListening = true;
+  bornAt = 1;
+  private exitedAt: Millis = -Infinity;
+
+  /** The port to it, which can only poll. */
+  readonly port: WorkerPort = {
+    poll: request => {
+      this.polls.push(request);
+      const report = {clockMs: 5, running: [], ended: []};
+      return Promise.resolve(
+        this.isListening
+          ? Ok({...report, bornAt: this.bornAt})
+          : Err(WorkerRequestFailure.NotListening),
+      );
+    },
+    start: failOnCall,
+    stop: failOnCall,
+    lastDisconnectAt: () => this.exitedAt,
+  };
+
+  /** Its process exits. */
+  exit(): void {
+    this.isListening = false;
+    this.exitedAt = readClock();
+  }
+
+  /** Its next process starts. */
+  restart(): void {
+    this.isListening = true;
+    this.bornAt += 1;
+  }
+}
+
+async function withRestartingWorker(
+  run: (worker: RestartingWorker) => Promise<void>,
+): Promise<void> {
+  const restarting = new RestartingWorker();
+  const lifecycle = new Lifecycle('test');
+  const holder = new Holder({
+    zone: 'z',
+    history: new TaskHistory(),
+    findZoneClient: () => undefined,
+    token: 7,
+    dispatchOptions,
+    workerPort: restarting.port,
+    logger: noopLogger,
+    metrics: new ZoneMetrics(),
+    lifecycle,
+    onFenced: failOnCall,
+  });
+  holder.setWorkers({workers: [worker], asOf: readClock(), isReachable: true});
+  try {
+    await sleep(60);
+    assert.equal(restarting.polls.length, 1);
+    await run(restarting);
+  } finally {
+    await lifecycle.close();
+  }
+}
+
+// Guards against a late start by a process that knows no fencing token.
+test('a new holder polls an idle worker that restarts before its entry shows it', async () => {
+  await withRestartingWorker(async restarting => {
+    restarting.exit();
+    restarting.restart();
+    await sleep(100);
+    assert.equal(restarting.polls.length, 2);
+    const [, second] = restarting.polls;
+    assert.equal(second?.token, 7);
+    assert.equal(second.leaseUntil, undefined);
+    assert.equal(second.waitMs, 0);
+  });
+});
+
+// Guards against a late start by a process that knows no fencing token.
+test('a new holder polls the next process of an idle worker soon after its start', async () => {
+  await withRestartingWorker(async restarting => {
+    restarting.exit();
+    await sleep(600);
+    assert.ok(restarting.polls.length > 1);
+    const pollCount = restarting.polls.length;
+    restarting.restart();
+    await sleep(120);
+    assert.ok(restarting.polls.length > pollCount);
+  });
+});
