A poll acknowledges no ends of a process that may have been replaced

Failing before: packages/zone/test/worker_poller.test.ts, "a poll acknowledges no ends of a process that may have been replaced" (last_seen 57, wanted 0), and process_confirmation.test.ts, "the poll before a start acknowledges no ends of a former process" (57, wanted 0). Both ran on the code before.

Cause: ends are numbered anew by each process of a worker. A poll of a worker that was silent, or whose connection has closed, named the last number of the process that was known; the next process forgot its first ends, which nobody had read. What callers saw: a task that had ended there, of a late start, was lost and ran once more, or its caller was told 504.

Change: a poll acknowledges ends only while the worker answers and no connection to it is known to have closed. To acknowledge nothing is always safe: what was acknowledged before stays forgotten, and what is listed again is known. A poll that is itself carried out late by the next process still acknowledges by number.

--- a/packages/zone/src/holder/process_confirmation.ts
+++ b/packages/zone/src/holder/process_confirmation.ts
@@ -86,10 +86,12 @@
   /** Sends one poll that renews no lease; false if it wasn't answered. */
   private async poll(record: WorkerRecord): Promise<boolean> {
     const {token, dispatcher, workerPort, lifecycle} = this.options;
-    const {info: worker, lastAckedEnd: lastSeen} = record;
+    const {info: worker} = record;
     const {signal} = lifecycle;
     const times = {waitMs: 0, marginMs: CONFIRMATION_TIMEOUT_MS};
-    const request = {worker, token, lastSeen, leaseUntil: undefined, ...times};
+    // The next process numbers its ends anew; it forgets those it is told of.
+    const known = {lastSeen: 0, leaseUntil: undefined};
+    const request = {worker, token, ...known, ...times};
     const sentAt = readClock();
     const result = await workerPort.poll(request, signal);
     if (signal.aborted) return false;
--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -110,7 +110,9 @@
       : readWorkerClock(record, sentAt);
     const waitMs = workerTime === undefined ? 0 : this.chooseWait(sentAt);
     const leaseUntil = this.chooseLease(workerTime, sentAt);
-    const {info: worker, lastAckedEnd: lastSeen} = record;
+    const {info: worker, lastAckedEnd} = record;
+    // The next process numbers its ends anew; it forgets those it is told of.
+    const lastSeen = workerTime === undefined ? 0 : lastAckedEnd;
     const marginMs = this.chooseMargin(isConfirmation, sentAt);
     const request = {worker, token, lastSeen, leaseUntil, waitMs, marginMs};
     record.pendingPollSentAt = sentAt;
--- a/packages/zone/test/process_confirmation.test.ts
+++ b/packages/zone/test/process_confirmation.test.ts
@@ -2,6 +2,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {test} from 'node:test';
 import {
+  RunEnd,
   RunPhase,
   StartAnswer,
   WorkerRequestFailure,
@@ -16,7 +17,7 @@
 import {LostResponses} from '../src/holder/lost_responses.js';
 import {WorkerPollers} from '../src/holder/worker_pollers.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
-import type {WorkerPort} from '../src/ports/index.js';
+import type {PollRequest, WorkerPort} from '../src/ports/index.js';
 import {
   createDispatcher,
   createJob,
@@ -35,6 +36,7 @@
   readonly dispatcher: Dispatcher;
   readonly commands: readonly StartCommand[];
   readonly sent: readonly Sent[];
+  readonly polls: readonly PollRequest[];
   startAll(): Promise<void>;
 }
 
@@ -79,6 +81,7 @@
   const commands = dispatcher.tick(now).filter(({kind}) => kind === 'start');
   assert.equal(commands.length, 2);
   const sent: Sent[] = [];
+  const polls: PollRequest[] = [];
   let closedAt = now - closedForMs;
   let startCount = 0;
   const workerPort: WorkerPort = {
@@ -91,8 +94,9 @@
       return {answer, clockMs: 5};
     },
     stop: failOnCall,
-    poll: () => {
+    poll: request => {
       sent.push('poll');
+      polls.push(request);
       onPoll(dispatcher);
       return Promise.resolve(pollResult);
     },
@@ -121,7 +125,7 @@
   const startAll = async () => {
     await Promise.all(starts.map(command => commandSender.start(command)));
   };
-  return {dispatcher, commands: starts, sent, startAll};
+  return {dispatcher, commands: starts, sent, polls, startAll};
 }
 
 function findPhases({commands}: Fixture): readonly RunPhase[] {
@@ -143,6 +147,19 @@
   assert.deepEqual(findPhases(fixture), bothRun);
 });
 
+// Guards against ends that the next process forgets before anybody reads them.
+test('the poll before a start acknowledges no ends of a former process', async () => {
+  const fixture = createFixture({closedForMs: 500});
+  const ended = [{sequence: 57, task: 'b.0.0.0', run: 1, end: RunEnd.Done}];
+  const report = {clockMs: 5, bornAt: worker.bornAt, running: [], ended};
+  fixture.dispatcher.handleReport(worker.id, report, 0, readClock());
+  await fixture.startAll();
+  assert.deepEqual(
+    fixture.polls.map(({lastSeen}) => lastSeen),
+    [0],
+  );
+});
+
 // Guards against starts at the next process, which may be of another kind.
 test('no run is started at the next process of a worker before its entry is read', async () => {
   const pollResult = createReport(worker.bornAt + 1);
--- a/packages/zone/test/worker_poller.test.ts
+++ b/packages/zone/test/worker_poller.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {WorkerRequestFailure} from '@goldcrestpier/dispatch';
+import {
+  RunEnd,
+  WorkerRequestFailure,
+  type WorkerReport,
+} from '@goldcrestpier/dispatch';
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Err, Ok} from 'ts-results-es';
 import {LostResponses} from '../src/holder/lost_responses.js';
@@ -18,9 +22,12 @@
 async function pollSilentWorker(
   lostResponses: LostResponses,
   count: number,
+  ended: WorkerReport['ended'] = [],
 ): Promise<PollRequest[]> {
   const now = readClock();
   const dispatcher = createDispatcher(now);
+  const report = {clockMs: 5, bornAt: 1, running: [], ended};
+  dispatcher.handleReport(worker.id, report, now, now);
   dispatcher.submit(createJob('a', 1, now), false, now);
   dispatcher.tick(now);
   const controller = new AbortController();
@@ -51,6 +58,16 @@
   return requests;
 }
 
+// Guards against ends that the next process forgets before anybody reads them.
+test('a poll acknowledges no ends of a process that may have been replaced', async () => {
+  const ended = [{sequence: 57, task: 'b.0.0.0', run: 1, end: RunEnd.Done}];
+  const requests = await pollSilentWorker(new LostResponses(), 2, ended);
+  assert.deepEqual(
+    requests.map(({lastSeen}) => lastSeen),
+    [57, 0],
+  );
+});
+
 test('a poll uses the long wait while no responses get lost', async () => {
   const [first] = await pollSilentWorker(new LostResponses(), 1);
   assert.equal(first?.waitMs, 400);
