A holder that may have been replaced does not take runs for over by its own leases

What callers saw: a task ran twice at a time while the holder of its zone was cut off from its peers and from its workers alike. Its successor claims the zone after the time of silence (600 ms), polls the workers and extends the leases of their runs. The cut-off holder counts only the leases that it granted itself, takes such a run for over (1.1 s after its last poll) and starts the task again in another zone, or answers the caller. Its own lease was taken for proof while a successor could extend it.

A holder now takes its own leases for proof only while no peer can have claimed the zone: each of them has answered a heartbeat, sent less than the time of silence ago, with the claim of this holder (SoleHolder). What a holder hears is no proof that it is heard, nor is a message that arrives late, so the time at which the heartbeat was sent counts. The permission ends at a time, so that a holder that was frozen has none when it wakes. Peers are asked for it only while a worker with runs is silent. Peers that refuse connections, and a zone without other instances, need no proof. Without one, a run counts as over once its job's deadline and a lease have passed, as a successor extends none beyond; its job is answered then at the latest. Starts, and runs on workers that answer, are not affected. A holder that is stopping keeps jobs unanswered in the same way: it hands them over, and its callers were told of their end by its own leases so far.

The new tests of the dispatcher and of the view use what is new and can't be built before. A test of late starts calls the renamed markLeaving; it asserts what it did.

--- a/packages/dispatch/src/dispatcher/answerable_jobs.ts
+++ b/packages/dispatch/src/dispatcher/answerable_jobs.ts
@@ -5,16 +5,15 @@
  * of its end only then.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {WorkerRecord} from '../workers/index.js';
 import type {JobRecord} from './job_record.js';
-import type {EndedJob} from './registry.js';
+import type {EndedJob, Registry} from './registry.js';
 
 /** Reports each such job once. */
 export class AnswerableJobs {
   private readonly reported = new WeakSet<JobRecord>();
   private answerable: EndedJob[] = [];
 
-  constructor(private readonly workers: ReadonlyMap<string, WorkerRecord>) {}
+  constructor(private readonly registry: Registry) {}
 
   /** Returns the jobs that have become answerable since the last call. */
   take(): EndedJob[] {
@@ -34,8 +33,12 @@
 
   /** Whether all leases on the workers of its runs are over. */
   private areLeasesOver(record: JobRecord, now: Millis): boolean {
-    return [...record.runs()].every(
-      ({workerId}) => this.workers.get(workerId)?.areLeasesOver(now) === true,
+    const {workers, soleHolder} = this.registry;
+    const runs = [...record.runs()];
+    if (runs.length === 0) return true;
+    if (soleHolder.mayBeExtended(record.job.deadlineAt, now)) return false;
+    return runs.every(
+      ({workerId}) => workers.get(workerId)?.areLeasesOver(now) === true,
     );
   }
 
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -44,12 +44,15 @@
 import {abandonJob} from './overdue.js';
 import {Placer} from './placer.js';
 import {describeProgress} from './progress.js';
+import {SoleHolder} from './sole_holder.js';
 import {Stopper} from './stopper.js';
 import {listVacancies} from './vacancies.js';
 import {applyWorkerList} from './worker_list.js';
 
 /** Schedules tasks on the workers of one zone, on behalf of its holder. */
 export class Dispatcher {
+  /** Until when no other instance can be the holder. */
+  readonly soleHolder: SoleHolder;
   private readonly registry: Registry;
   private readonly remoteVacancies = new RemoteVacancies();
   private readonly earlierRuns: EarlierRuns;
@@ -68,13 +71,14 @@
     observer: DispatchObserver,
     history = new TaskHistory(),
   ) {
-    this.registry = new Registry(observer, history);
+    this.soleHolder = new SoleHolder(options.leaseMs);
+    this.registry = new Registry(observer, history, this.soleHolder);
     this.earlierRuns = new EarlierRuns(this.registry, options.leaseMs);
     const {registry, remoteVacancies, earlierRuns} = this;
     this.placer = new Placer(registry, remoteVacancies, earlierRuns);
     this.intake = new Intake(registry, this.placer, options.leaseMs);
     this.stopper = new Stopper(registry, heldSince, options.unclaimedSince);
-    this.answerableJobs = new AnswerableJobs(this.registry.workers);
+    this.answerableJobs = new AnswerableJobs(this.registry);
   }
 
   /** The known workers and their runs, by worker ID. */
@@ -102,11 +106,6 @@
     applyWorkerList(this.registry, list, now);
   }
 
-  /** Marks that another instance may hold the zone without this one's knowing. */
-  markLeaving(): void {
-    this.registry.isLeaving = true;
-  }
-
   /** Marks the list of workers as up to date, so that tasks may be placed. */
   confirmWorkerList(): void {
     this.registry.isListConfirmed = true;
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -4,6 +4,7 @@
 export type {DelegatedRun, DelegationReport} from './delegation_survey.js';
 export {Dispatcher} from './dispatcher.js';
 export {findNextEndTime, findNextOverdueTime} from './worker_reports.js';
+export type {SoleHolder} from './sole_holder.js';
 export {StrikeReason} from './health.js';
 export type {JobRecord} from './job_record.js';
 export type * from './commands.js';
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -14,9 +14,11 @@
 
 /** Ends runs whose leases have expired or whose stops have completed. */
 export function endOverdueRuns(registry: Registry, now: Millis): void {
+  let isProofNeeded = false;
   for (const [id, worker] of registry.workers) {
     startProbation(worker, now);
     const areLeasesOver = worker.areLeasesOver(now);
+    if (worker.isUnresponsive && worker.runs.size > 0) isProofNeeded = true;
     for (const run of worker.runs.values()) {
       if (areLeasesOver) handleLeaseEnd(registry, worker, run, now);
       const isOver = now >= run.latestEndAt;
@@ -26,6 +28,7 @@
     const isGone = worker.info.isDraining && worker.isUnresponsive;
     if (isGone && worker.canBeRemoved(now)) registry.removeWorker(id);
   }
+  registry.soleHolder.isProofNeeded = isProofNeeded;
   for (const record of registry.jobs.values()) {
     for (const run of record.runs()) {
       if (now >= run.latestEndAt) registry.endRun(run, LossCause.Expired, now);
@@ -43,8 +46,9 @@
   run: Run,
   now: Millis,
 ): void {
-  // The next holder may have extended the leases.
-  if (registry.isLeaving) return;
+  const {soleHolder, jobs} = registry;
+  const deadlineAt = jobs.get(run.recordId)?.job.deadlineAt ?? -Infinity;
+  if (soleHolder.mayBeExtended(deadlineAt, now)) return;
   const {lossCause, unexplainedLosses} = worker;
   if (!unexplainedLosses.includes(run))
     worker.unexplainedLosses = [...unexplainedLosses, run];
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -33,6 +33,7 @@
 import {DelegationSurvey} from './delegation_survey.js';
 import type {DispatchObserver} from './observer.js';
 import {RunNumbers} from './run_numbers.js';
+import type {SoleHolder} from './sole_holder.js';
 import type {TaskRecord} from './task_record.js';
 
 /** A job that has ended, to be reported to the instance that submitted it. */
@@ -52,8 +53,6 @@
   readonly delegatedRuns = new Set<Run>();
   /** Tasks that other zones have delegated to this one. */
   readonly inboundTasks = new InboundTasks();
-  /** Whether this instance stops, so that the next holder may have claimed. */
-  isLeaving = false;
   /** Whether the list of workers is up to date. */
   isListConfirmed = false;
   /** When a worker first answered this holder, and so accepted its token. */
@@ -86,6 +85,7 @@
   constructor(
     readonly observer: DispatchObserver,
     readonly history: TaskHistory,
+    readonly soleHolder: SoleHolder,
   ) {
     this.crashRecorder = new CrashRecorder(history.crashes, observer);
   }
--- a/packages/dispatch/test/late_starts.test.ts
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -250,7 +250,46 @@
   dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
   const {Unanswered} = WorkerRequestFailure;
   dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
-  dispatcher.markLeaving();
+  dispatcher.soleHolder.markLeaving();
   assert.deepEqual(listStarts(dispatcher, 2_000), []);
   assert.ok(dispatcher.workers.get(run.workerId)?.runs.has(run.key));
 });
+
+test('a holder that may have been replaced does not take a run for over by its own lease before the deadline', () => {
+  const dispatcher = createPolledDispatcher(new TaskHistory(), 0);
+  const times = {deadlineAt: 6_000};
+  dispatcher.submit(createJob('a', 1, times), false, 0);
+  const [start] = dispatcher.tick(0);
+  assert.ok(start?.kind === 'start');
+  const {run} = start;
+  dispatcher.recordLease(run.workerId, 0);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  dispatcher.soleHolder.proveUntil(900);
+  const {Unanswered} = WorkerRequestFailure;
+  dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
+  assert.deepEqual(listStarts(dispatcher, 2_000), []);
+  assert.equal(dispatcher.soleHolder.isProofNeeded, true);
+  dispatcher.soleHolder.proveUntil(2_600);
+  assert.equal(listStarts(dispatcher, 2_500).length, 1);
+});
+
+test('a holder that may have been replaced answers a job after its deadline and a lease', () => {
+  const dispatcher = createPolledDispatcher(new TaskHistory(), 0);
+  dispatcher.submit(createJob('a', 1), false, 0);
+  const [start] = dispatcher.tick(0);
+  assert.ok(start?.kind === 'start');
+  const {run} = start;
+  dispatcher.recordLease(run.workerId, 0);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  dispatcher.soleHolder.proveUntil(600);
+  const {Unanswered} = WorkerRequestFailure;
+  dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
+  dispatcher.tick(2_400);
+  const early = [
+    ...dispatcher.takeAnswerableJobs(),
+    ...dispatcher.takeEndedJobs(),
+  ];
+  assert.deepEqual(early, []);
+  dispatcher.tick(2_600);
+  assert.equal(dispatcher.takeEndedJobs().length, 1);
+});
--- a/packages/zone/src/holder/abandoned_jobs.ts
+++ b/packages/zone/src/holder/abandoned_jobs.ts
@@ -2,9 +2,10 @@
  * The jobs that still run here though nobody waits for them, as they are told to
  * other zones, to which their callers may send them again.
  */
+import type {Dispatcher} from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {AbandonedJobList} from '../protocol/index.js';
+import type {AbandonedJobList, ZoneHeartbeat} from '../protocol/index.js';
 
 /** Runs are normally stopped within this time and are not told, in ms. */
 const TELL_AFTER_MS = 100;
@@ -75,3 +76,16 @@
     return true;
   }
 }
+
+/** Passes on the jobs in another zone's heartbeat that nobody waits for there. */
+export function reportAbandonedJobs(
+  dispatcher: Dispatcher,
+  message: ZoneHeartbeat,
+  now: Millis,
+): void {
+  const {zone, claim, abandonedJobs: jobIds = []} = message;
+  if (claim === undefined) return;
+  const isCut = (message.abandonedJobsLeftOut ?? 0) > 0;
+  const report = {zone, token: claim.token, jobIds, isCut};
+  dispatcher.handleAbandonedJobs(report, now);
+}
--- a/packages/zone/src/holder/free_capacity.ts
+++ b/packages/zone/src/holder/free_capacity.ts
@@ -64,3 +64,13 @@
   }
   return free;
 }
+
+/** Updates the free capacity of another zone from its holder's heartbeat. */
+export function updateZoneVacancies(
+  dispatcher: Dispatcher,
+  {zone, rooms = []}: ZoneHeartbeat,
+  now: Millis,
+): void {
+  for (const capacity of rooms)
+    dispatcher.updateZoneVacancies(toZoneCapacity(zone, capacity), now);
+}
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -26,11 +26,11 @@
 import {TaskDelegator} from './task_delegator.js';
 import {findListingAge, isListingAwaited} from './listing_age.js';
 import {countOrphans, countRuns, countWaitingJobs} from './run_counts.js';
-import {AbandonedJobs} from './abandoned_jobs.js';
+import {AbandonedJobs, reportAbandonedJobs} from './abandoned_jobs.js';
 import {
   clearVacancies,
   formatFreeCapacity,
-  toZoneCapacity,
+  updateZoneVacancies,
 } from './free_capacity.js';
 import {OverloadDetector} from './overload_detector.js';
 import {createObserver, logPlacements} from './observer.js';
@@ -108,11 +108,15 @@
     return this.options.token;
   }
 
-  /** Updates the list of workers; `isLeaving`: another instance takes over. */
-  setWorkers(listing: WorkerListing, isLeaving = false): void {
+  /** What it knows of other instances that may have claimed the zone. */
+  get soleHolder(): Dispatcher['soleHolder'] {
+    return this.dispatcher.soleHolder;
+  }
+
+  /** Updates the list of workers. */
+  setWorkers(listing: WorkerListing): void {
     const now = readClock();
     if (this.isClosed) return;
-    if (isLeaving) this.dispatcher.markLeaving();
     this.workerListing = listing;
     this.dispatcher.setWorkers(listing.workers, now);
     if (!isListingAwaited(listing, this.holderSince, now))
@@ -152,17 +156,11 @@
 
   /** Handles a heartbeat of the holder of another zone. */
   handleZoneHeartbeat(message: ZoneHeartbeat): void {
-    const {zone, claim, rooms = [], abandonedJobs: jobIds = []} = message;
-    const isCut = (message.abandonedJobsLeftOut ?? 0) > 0;
     const now = readClock();
-    if (claim !== undefined) {
-      const report = {zone, token: claim.token, jobIds, isCut};
-      this.dispatcher.handleAbandonedJobs(report, now);
-    }
+    reportAbandonedJobs(this.dispatcher, message, now);
     // Delegating a task costs more processor time than starting it here.
     if (this.overloadDetector.wasRecentlyOverloaded(now)) return;
-    for (const capacity of rooms)
-      this.dispatcher.updateZoneVacancies(toZoneCapacity(zone, capacity), now);
+    updateZoneVacancies(this.dispatcher, message, now);
   }
 
   /** Finds these jobs anew; `isConfirmed`: a zone still waits for its task. */
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -203,6 +203,7 @@
     const {view, zones} = this;
     const {holderId, holder} = this.roles;
     const parties = {id: this.options.id, view, zones};
+    holder?.soleHolder.proveUntil(view.findProofEnd());
     if (holder !== undefined) updateUnwantedWork(holder, parties, now);
     const {roles, history, isLeaving} = this;
     const state = describeState({roles, history, directory, isLeaving});
@@ -217,10 +218,12 @@
 
   /** Updates the links; returns whether this instance is a candidate. */
   private chooseLinks(now: Millis): boolean {
-    const isHolder = this.roles.holder !== undefined;
+    const {holder, claim} = this.roles;
+    const isHolder = holder !== undefined;
+    const isProofNeeded = holder?.soleHolder.isProofNeeded === true;
     const context = {
-      holderId: this.roles.claim?.holderId,
-      isHolderUncertain: this.isHolderUncertain(now),
+      holderId: claim?.holderId,
+      isHolderUncertain: isProofNeeded || this.isHolderUncertain(now),
       hasJobs: this.activity.isBusy(now),
       isHolder,
     };
@@ -248,6 +251,8 @@
 
   private handleAnswer(message: ZoneHeartbeat, sentAt: Millis): void {
     this.handleHeartbeat(message, readClock());
+    if (message.claim?.holderId === this.options.id)
+      this.view.recordFollower(message.id, sentAt);
     const {configurationVersion, configurationAgeMs} = message;
     if (configurationAgeMs === undefined) return;
     // The peer measured the age after `sentAt`, so this is a lower bound.
--- a/packages/zone/src/instance/peer.ts
+++ b/packages/zone/src/instance/peer.ts
@@ -1,6 +1,6 @@
 /** What an instance knows about one peer, another instance of its zone. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {SILENCE_MS, type Candidate} from '../election/index.js';
+import {SILENCE_MS, type Candidate, type Member} from '../election/index.js';
 import type {ZoneHeartbeat} from '../protocol/index.js';
 import {
   HeartbeatRate,
@@ -32,6 +32,11 @@
   lastHeartbeat: ZoneHeartbeat | undefined;
   heardAt: Millis | undefined;
   isRefused: boolean;
+  /**
+   * When the last heartbeat was sent to it whose answer named this instance as
+   * the holder, or when it became known.
+   */
+  followedAt: Millis;
   /** When the link to it was opened; undefined without one. */
   linkedAt: Millis | undefined;
   monitoring: PeerMonitoring;
@@ -54,6 +59,7 @@
     lastHeartbeat: undefined,
     heardAt: undefined,
     isRefused: false,
+    followedAt: knownSince,
     linkedAt: undefined,
     monitoring: initialMonitoring,
     monitoredSince: undefined,
@@ -115,3 +121,37 @@
   if (linkedAt === undefined || isRefused) return false;
   return !isResponsive(peer, now) && now - linkedAt < SILENCE_MS;
 }
+
+/**
+ * Until when no peer can have claimed the zone, if this instance holds it: each
+ * has heard it, and waits for its own time of silence before it claims. Nothing
+ * is expected of a peer without a link: it ranks below the candidates, which have
+ * links and are silent before it claims, or refuses connections.
+ */
+export function findProofEnd(peers: Iterable<Peer>): Millis {
+  let earliest = Infinity;
+  for (const {id, isRefused, linkedAt, followedAt} of peers) {
+    if (id === '' || isRefused || linkedAt === undefined) continue;
+    earliest = Math.min(earliest, followedAt + SILENCE_MS);
+  }
+  return earliest;
+}
+
+/** Describes a peer for the election. */
+export function toMember(peer: Peer, now: Millis): Member {
+  const {lastHeartbeat, heardAt, isRefused} = peer;
+  const holderHeardMs = lastHeartbeat?.holderHeardMs;
+  return {
+    ...toCandidate(peer),
+    isConnecting: isConnecting(peer, now),
+    isLeaving: lastHeartbeat?.isLeaving ?? false,
+    heardAt,
+    isResponsive: isResponsive(peer, now),
+    isRefused,
+    holderId: lastHeartbeat?.claim?.holderId,
+    holderHeardAt:
+      heardAt === undefined || holderHeardMs === undefined
+        ? undefined
+        : heardAt - holderHeardMs,
+  };
+}
--- a/packages/zone/src/instance/peer_monitoring.ts
+++ b/packages/zone/src/instance/peer_monitoring.ts
@@ -57,7 +57,10 @@
 export interface MonitoringContext {
   /** The holder, if one is known. */
   readonly holderId: string | undefined;
-  /** No holder is known, or it may have failed, so that all peers are asked. */
+  /**
+   * No holder is known, or it may have failed or been replaced, so that all
+   * peers are asked.
+   */
   readonly isHolderUncertain: boolean;
   /** Callers here wait for jobs that the holder runs. */
   readonly hasJobs: boolean;
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -141,7 +141,8 @@
       case 'wait':
         this.closeHolder();
     }
-    this.currentHolder?.setWorkers(this.listZoneWorkers(), isLeaving);
+    if (isLeaving) this.currentHolder?.soleHolder.markLeaving();
+    this.currentHolder?.setWorkers(this.listZoneWorkers());
     if (before !== this.role.kind) this.logRoleChange(before);
   }
 
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -13,11 +13,12 @@
   isResponsive,
   wasHeardWithin,
   isPresumedAlive,
-  isConnecting,
   findLatest,
+  findProofEnd,
   MAX_SILENCE_TIMEOUT_MS,
   setMonitoring,
   toCandidate,
+  toMember,
   type Peer,
 } from './peer.js';
 import {
@@ -193,6 +194,18 @@
     known.heardAt = Math.max(known.heardAt, at);
   }
 
+  /** Records that a peer answered a heartbeat as a follower of this instance. */
+  recordFollower(id: string, sentAt: Millis): void {
+    const known = this.findById(id);
+    if (known === undefined) return;
+    known.followedAt = Math.max(known.followedAt, sentAt);
+  }
+
+  /** Until when no peer can have claimed the zone, if this instance holds it. */
+  findProofEnd(): Millis {
+    return findProofEnd(this.peers.values());
+  }
+
   /** Whether the instance was heard recently and isn't refused. */
   isAlive(id: string, now: Millis): boolean {
     const known = this.findById(id);
@@ -219,24 +232,11 @@
   listMembers(now: Millis): Member[] {
     const members: Member[] = [];
     for (const peer of this.peers.values()) {
-      const {id, lastHeartbeat, heardAt, isRefused, linkedAt} = peer;
+      const {id, linkedAt} = peer;
       if (id === '') continue;
       // Silence of a peer without a link says nothing about its state.
       if (linkedAt === undefined && !isResponsive(peer, now)) continue;
-      const holderHeardMs = lastHeartbeat?.holderHeardMs;
-      members.push({
-        ...toCandidate(peer),
-        isConnecting: isConnecting(peer, now),
-        isLeaving: lastHeartbeat?.isLeaving ?? false,
-        heardAt,
-        isResponsive: isResponsive(peer, now),
-        isRefused,
-        holderId: lastHeartbeat?.claim?.holderId,
-        holderHeardAt:
-          heardAt === undefined || holderHeardMs === undefined
-            ? undefined
-            : heardAt - holderHeardMs,
-      });
+      members.push(toMember(peer, now));
     }
     return members;
   }
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -6,6 +6,7 @@
 import {OverlapChecker, type Violation} from './checker.js';
 import {Callers, type JobTally} from './callers.js';
 import {CrashChecker} from './crash_checker.js';
+import {scheduleCutOffHolders} from './cut_off_holders.js';
 import type {Fault} from './fault_kinds.js';
 import {FaultInjector} from './faults.js';
 import {LabelChecker} from './label_checker.js';
@@ -45,6 +46,8 @@
   readonly hasRollingStops?: boolean;
   /** Whether holders leave in turn while they hear others too late. */
   readonly hasUnheardStops?: boolean;
+  /** Whether holders are cut off in turn from their peers and some workers. */
+  readonly hasCutOffHolders?: boolean;
   /** Random jobs by default. */
   readonly workload?: Workload | undefined;
   /** Simulated time that the simulation covers. */
@@ -114,6 +117,7 @@
     crashingShare = 0,
     hasRollingStops = false,
     hasUnheardStops = false,
+    hasCutOffHolders = false,
     workload,
     durationMs = USUAL_DURATION_MS,
   }: SimulationOptions,
@@ -176,6 +180,8 @@
     scheduleRollingStops(world, {from: FAULTS_START_MS, until: quietFrom});
   if (hasUnheardStops)
     scheduleUnheardStops(world, {from: FAULTS_START_MS, until: quietFrom});
+  if (hasCutOffHolders)
+    scheduleCutOffHolders(world, {from: FAULTS_START_MS, until: quietFrom});
   return callers.tally;
 }
 
--- a/packages/zone/test/simulation/workload.ts
+++ b/packages/zone/test/simulation/workload.ts
@@ -33,3 +33,12 @@
   timeoutMs: 3_000,
   labelledShare: 0.3,
 };
+
+/** Jobs whose tasks outlast a lease, with time for a second run. */
+export const longTasksWorkload: Workload = {
+  firstZoneShare: 0.4,
+  keptConnectionShare: 0.3,
+  meanIntervalMs: 250,
+  estimateMs: 1_800,
+  timeoutMs: 6_000,
+};
