An instance that is new to a peer is told all unanswered starts, not only the recent ones

Failing before: packages/zone/test/other_zones.test.ts, "an instance that starts later is told of all unanswered starts, also those that are not recent" (the answer to its heartbeat named none).

Cause: heartbeats tell what has become known within 3 s. An instance that starts later, or that was cut off for longer, was told only if it became a holder and asked another zone's holder.

In ordinary times nothing is known, and the answers are as they were.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -28,6 +28,7 @@
 import {JobInquiries} from './job_inquiries.js';
 import {PeerLinks} from './links.js';
 import {LoopDelay} from './loop_delay.js';
+import {Newcomers} from './newcomers.js';
 import {OtherZones} from './other_zones.js';
 import {createOwnHeartbeat} from './own_heartbeat.js';
 import {RoleManager} from './role_manager.js';
@@ -55,6 +56,7 @@
   private readonly activity = new Activity();
   private readonly changes = new StateChangeDetector();
   private readonly history = new TaskHistory();
+  private readonly newcomers = new Newcomers();
   private isLeaving = false;
 
   constructor(private readonly options: InstanceOptions) {
@@ -147,9 +149,10 @@
   /** Handles a peer's heartbeat. */
   heartbeat(message: ZoneHeartbeat): Promise<ZoneHeartbeat> {
     const now = readClock();
+    const tellsAll = this.newcomers.recordHeartbeat(message.id, now);
     this.handleHeartbeat(message, now);
     const isOther = message.zone !== this.options.zone;
-    return Promise.resolve(this.createHeartbeat(now, isOther));
+    return Promise.resolve(this.createHeartbeat(now, isOther, tellsAll));
   }
 
   /** Submits a job to the holder in this process. */
@@ -275,16 +278,16 @@
     if (this.roles.recordClaim(claim, now)) this.step(now);
   }
 
-  private createHeartbeat(now: Millis, withCapacity: boolean): ZoneHeartbeat {
+  private createHeartbeat(now: Millis, isOther: boolean, tellsAll = false) {
     const {id, zone, processors, directory} = this.options;
     const {address, isLeaving, history, roles} = this;
     const {holder} = roles;
     const claim = roles.describeClaim(now);
     const holderHeardMs = claim && this.view.findSilence(claim.holderId, now);
-    const rooms = withCapacity ? holder?.findFreeCapacity() : undefined;
-    const abandoned = withCapacity ? holder?.abandonedJobs.report() : undefined;
+    const rooms = isOther ? holder?.findFreeCapacity() : undefined;
+    const abandoned = isOther ? holder?.abandonedJobs.report() : undefined;
     const self = {id, zone, address, processors, isLeaving, directory};
-    const known = {claim, holderHeardMs, rooms, history, abandoned};
+    const known = {claim, holderHeardMs, rooms, history, tellsAll, abandoned};
     return createOwnHeartbeat({...self, ...known}, now);
   }
 
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -23,6 +23,8 @@
   /** Free capacity of the workers, if it is reported to the receiver. */
   readonly rooms: ZoneHeartbeat['rooms'];
   readonly history: TaskHistory;
+  /** Whether all of it is told, and not only what is recent. */
+  readonly tellsAll: boolean;
   /** Jobs that nobody waits for, if they are reported to the receiver. */
   readonly abandoned: AbandonedJobList | undefined;
 }
@@ -35,11 +37,13 @@
     holderHeardMs,
     rooms,
     history,
+    tellsAll,
     abandoned,
     ...self
   }: OwnState,
   now: Millis,
 ): ZoneHeartbeat {
+  const told = tellsAll ? history.reportAll(now) : history.reportRecent(now);
   const asOf = directory.configurationAsOf();
   return {
     ...self,
@@ -48,7 +52,7 @@
     ...(claim === undefined ? {} : {claim}),
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
-    ...history.reportRecent(now),
+    ...told,
     ...abandoned,
   };
 }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -86,7 +86,7 @@
   configurationAgeMs: z.number().optional(),
   /** Free capacity of the sender's workers, sent by holders to other zones. */
   rooms: z.array(freeCapacitySchema).optional(),
-  /** What the sender got to know recently. */
+  /** What the sender got to know recently; all, for a peer that is new. */
   ...taskHistoryShape,
   /** Sent by holders to other zones. */
   ...abandonedJobsSchema.shape,
--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -161,3 +161,22 @@
   );
   assert.deepEqual(wantedLater, [false, true, true]);
 });
+
+/** Time after which an unanswered start is not told any more as a recent one. */
+const NOT_RECENT_MS = 3_200;
+
+// Guards against instances that start too late to hear of an unanswered start.
+test('an instance that starts later is told of all unanswered starts, also those that are not recent', async () => {
+  const lifecycle = new Lifecycle('test');
+  const instance = createInstance(lifecycle, []);
+  const unansweredStarts = [{task: 'a.0.0.0', remainingMs: 12_000}];
+  await instance.heartbeat({...createHeartbeat(1), unansweredStarts});
+  await sleep(NOT_RECENT_MS);
+  const next = {id: 'west-3', claim: {holderId: 'west-3', token: 2}};
+  const answer = await instance.heartbeat({...createHeartbeat(2), ...next});
+  assert.deepEqual(
+    answer.unansweredStarts?.map(({task}) => task),
+    ['a.0.0.0'],
+  );
+  await lifecycle.close();
+});
