--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -23,6 +23,8 @@
   /** Free capacity of the workers, if it is reported to the receiver. */
   readonly rooms: ZoneHeartbeat['rooms'];
   readonly history: TaskHistory;
+  /** Whether all of it is told, and not only what is recent. */
+  readonly tellsAll: boolean;
   /** Tokens of other zones' holders that have become known recently. */
   readonly zoneTokens: ZoneHeartbeat['zoneTokens'];
   /** Jobs that nobody waits for, if they are reported to the receiver. */
@@ -37,12 +39,14 @@
     holderHeardMs,
     rooms,
     history,
+    tellsAll,
     zoneTokens,
     abandoned,
     ...self
   }: OwnState,
   now: Millis,
 ): ZoneHeartbeat {
+  const told = tellsAll ? history.reportAll(now) : history.reportRecent(now);
   const asOf = directory.configurationAsOf();
   return {
     ...self,
@@ -51,7 +55,7 @@
     ...(claim === undefined ? {} : {claim}),
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
-    ...history.reportRecent(now),
+    ...told,
     ...(zoneTokens === undefined ? {} : {zoneTokens}),
     ...abandoned,
   };
