Simulate workers that slow down, stand still or answer late as holders change

The simulation had no worker that was slow: a run took the time that was drawn at its start.

- New optional faults: slow workers (1.5 to 8 times), workers without progress, workers that execute requests in time and answer late, tasks far longer than declared.
Without them a simulation draws the numbers that it drew before.
- `hasSlowChanges` changes the holders of the zones in turn, by a planned stop or a kill, beside such workers; jobs are sent to the instance just before and after its exit, its callers' connections are reset, and holders of other zones are heard up to 1.2 s late.
- A second check beside that of overlaps: no run ends more than 1,300 ms after the last caller of its job has left or was answered, as the caller may then have sent the job again to an instance that knows nothing of it.

--- a/packages/zone/test/simulation/callers.ts
+++ b/packages/zone/test/simulation/callers.ts
@@ -7,6 +7,7 @@
 } from '@goldcrestpier/runtime';
 import type {OwnerAnswer} from '../../src/owner/index.js';
 import type {RunningInstance, Machine, World} from './machine.js';
+import type {AttendanceChecker} from './attendance_checker.js';
 import {CALLERS} from './network.js';
 import {CRASHING_PAYLOAD} from './crash_checker.js';
 import {LABELLED_PAYLOAD, REQUIRED_LABEL} from './label_checker.js';
@@ -15,7 +16,7 @@
 import type {Workload} from './workload.js';
 
 /** Delay before a job is resent after a failed request, in ms. */
-const RESEND_DELAY_MS = 1_300;
+export const RESEND_DELAY_MS = 1_300;
 /** Maximum number of times that a job is sent. */
 const MAX_SENDS = 5;
 /** Share of jobs that are first sent to a ready machine of their own zone. */
@@ -55,6 +56,7 @@
   /** `crashingShare` of the jobs crash the workers that start them. */
   constructor(
     private readonly world: World,
+    private readonly attendance: AttendanceChecker,
     private readonly crashingShare: number,
     private readonly workload?: Workload,
   ) {
@@ -72,6 +74,12 @@
     next();
   }
 
+  /** Sends a new job to this machine. */
+  sendJobTo(machine: Machine): void {
+    const sent = {...this.createJob(), zone: machine.zone};
+    this.sendTo(sent, machine);
+  }
+
   private createJob(): SentJob {
     const {random, workload} = this;
     const estimateMs = workload?.estimateMs ?? USUAL_TASK_MS;
@@ -118,7 +126,10 @@
   private send(sent: SentJob): void {
     if (sent.sendCount >= MAX_SENDS) return;
     sent.sendCount += 1;
-    const machine = this.chooseMachine(sent);
+    this.sendTo(sent, this.chooseMachine(sent));
+  }
+
+  private sendTo(sent: SentJob, machine: Machine): void {
     const {scheduler, network, timeline} = this.world;
     const running = machine.running;
     timeline.add(
@@ -159,9 +170,12 @@
   ): void {
     const {scheduler, network} = this.world;
     const controller = new AbortController();
+    const {attendance} = this;
+    attendance.recordArrival(sent.id);
     let isFinished = false;
     const finish = (hasCallerLeft: boolean) => {
       isFinished = true;
+      attendance.recordDeparture(sent.id);
       running.exitCallbacks.delete(handleProcessExit);
       running.resetCallbacks.delete(handleReset);
       if (!hasCallerLeft) return;
--- a/packages/zone/test/simulation/checker.ts
+++ b/packages/zone/test/simulation/checker.ts
@@ -1,5 +1,6 @@
 /** Checks that no task has two runs at the same time. */
 import type {Millis} from '@goldcrestpier/runtime';
+import type {AttendanceChecker} from './attendance_checker.js';
 import type {Timeline} from './timeline.js';
 
 /** How far back the timeline of a violation goes, in ms. */
@@ -27,7 +28,10 @@
   startCount = 0;
   private readonly activeRuns = new Map<string, Set<ActiveRun>>();
 
-  constructor(private readonly timeline: Timeline) {}
+  constructor(
+    private readonly timeline: Timeline,
+    private readonly attendance: AttendanceChecker,
+  ) {}
 
   /** Records the start of a run. */
   recordStart(task: string, run: ActiveRun): void {
@@ -43,6 +47,7 @@
   /** Records the end of a run, whatever its outcome. */
   recordEnd(task: string, run: ActiveRun, outcome: string): void {
     this.timeline.add(run.worker, `ends ${task}/${run.run} ${outcome}`);
+    this.attendance.recordEnd(task, run);
     const runs = this.activeRuns.get(task);
     runs?.delete(run);
     if (runs?.size === 0) this.activeRuns.delete(task);
--- a/packages/zone/test/simulation/fault_kinds.ts
+++ b/packages/zone/test/simulation/fault_kinds.ts
@@ -23,6 +23,14 @@
   LateRequests = 'late_requests',
   /** Workers restart at once under their ids, some as another kind. */
   QuickRestarts = 'quick_restarts',
+  /** Runs on some workers take several times as long for a while. */
+  SlowWorkers = 'slow_workers',
+  /** Runs on some workers make no progress for a while. */
+  StandingWorkers = 'standing_workers',
+  /** Workers execute requests in time and answer them late. */
+  LateAnswers = 'late_answers',
+  /** Tasks that start on some workers take far longer than declared. */
+  LongTasks = 'long_tasks',
 }
 
 /** Kinds that are left out unless they are requested. */
@@ -30,6 +38,10 @@
   Fault.DeliverStale,
   Fault.LateRequests,
   Fault.QuickRestarts,
+  Fault.SlowWorkers,
+  Fault.StandingWorkers,
+  Fault.LateAnswers,
+  Fault.LongTasks,
 ];
 
 /** All kinds but the optional ones that are not requested. */
--- a/packages/zone/test/simulation/faults.ts
+++ b/packages/zone/test/simulation/faults.ts
@@ -11,7 +11,7 @@
 /** Injects faults into a simulation. */
 export class FaultInjector {
   private readonly random: Random;
-  private readonly workerFaults: WorkerFaults;
+  readonly workerFaults: WorkerFaults;
 
   constructor(
     private readonly world: World,
@@ -81,6 +81,14 @@
         return this.workerFaults.makeRequestsLate(ms);
       case Fault.QuickRestarts:
         return this.workerFaults.restartQuickly();
+      case Fault.SlowWorkers:
+        return this.workerFaults.slowDown(ms);
+      case Fault.StandingWorkers:
+        return this.workerFaults.standStill(ms);
+      case Fault.LateAnswers:
+        return this.workerFaults.answerLate(ms);
+      case Fault.LongTasks:
+        return this.workerFaults.lengthenTasks(ms);
     }
   }
 
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -3,6 +3,7 @@
  * seed always gives the same simulation.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import {AttendanceChecker, type UnattendedRun} from './attendance_checker.js';
 import {OverlapChecker, type Violation} from './checker.js';
 import {Callers, type JobTally} from './callers.js';
 import {CrashChecker} from './crash_checker.js';
@@ -16,6 +17,7 @@
 import {DelayedRequests} from './request_delays.js';
 import {scheduleRollingStops} from './rolling_stops.js';
 import {Scheduler} from './scheduler.js';
+import {SlowChanges} from './slow_changes.js';
 import {SimulatedStore} from './store.js';
 import {Timeline} from './timeline.js';
 import {scheduleUnheardStops} from './unheard_stops.js';
@@ -45,6 +47,10 @@
   readonly hasRollingStops?: boolean;
   /** Whether holders leave in turn while they hear others too late. */
   readonly hasUnheardStops?: boolean;
+  /** Whether holders change in turn while workers are slow. */
+  readonly hasSlowChanges?: boolean;
+  /** How long a run may go on without a caller; unlimited by default. */
+  readonly maxUnattendedMs?: Millis;
   /** Random jobs by default. */
   readonly workload?: Workload | undefined;
   /** Simulated time that the simulation covers. */
@@ -64,6 +70,8 @@
   readonly labelViolations: readonly string[];
   /** Number of starts of tasks that require a label. */
   readonly labelledStartCount: number;
+  /** Runs that went on too long without a caller. */
+  readonly unattendedRuns: readonly UnattendedRun[];
 }
 
 /** Runs the simulation of a seed to its end. */
@@ -71,13 +79,15 @@
   options: SimulationOptions,
 ): Promise<SimulationResult> {
   const {seed, durationMs = USUAL_DURATION_MS} = options;
+  const {maxUnattendedMs = Infinity} = options;
   const random = new Random(seed);
   const scheduler = new Scheduler();
   const timeline = new Timeline(scheduler);
-  const checker = new OverlapChecker(timeline);
+  const attendance = new AttendanceChecker(timeline, maxUnattendedMs);
+  const checker = new OverlapChecker(timeline, attendance);
   const crashChecker = new CrashChecker(timeline);
   const labelChecker = new LabelChecker(timeline);
-  const checkers = {checker, crashChecker, labelChecker};
+  const checkers = {checker, crashChecker, labelChecker, attendance};
   let tally: JobTally | undefined;
   const globalRandom = random.fork();
   await withSimulatedTime(
@@ -97,6 +107,7 @@
     crashCount: crashChecker.crashCount,
     labelViolations: labelChecker.violations,
     labelledStartCount: labelChecker.startCount,
+    unattendedRuns: attendance.violations,
   };
 }
 
@@ -104,6 +115,7 @@
   readonly checker: OverlapChecker;
   readonly crashChecker: CrashChecker;
   readonly labelChecker: LabelChecker;
+  readonly attendance: AttendanceChecker;
 }
 
 function setUpSimulation(
@@ -114,6 +126,7 @@
     crashingShare = 0,
     hasRollingStops = false,
     hasUnheardStops = false,
+    hasSlowChanges = false,
     workload,
     durationMs = USUAL_DURATION_MS,
   }: SimulationOptions,
@@ -166,7 +179,8 @@
   for (const machine of machines) {
     scheduler.runAfter(random.between(0, 300), () => machine.start());
   }
-  const callers = new Callers(world, crashingShare, workload);
+  const {attendance} = checkers;
+  const callers = new Callers(world, attendance, crashingShare, workload);
   const meanIntervalMs =
     workload?.meanIntervalMs ?? random.between(120, 400) / zones.length;
   scheduler.runAfter(1_000, () => callers.start(meanIntervalMs, quietFrom));
@@ -176,6 +190,10 @@
     scheduleRollingStops(world, {from: FAULTS_START_MS, until: quietFrom});
   if (hasUnheardStops)
     scheduleUnheardStops(world, {from: FAULTS_START_MS, until: quietFrom});
+  if (hasSlowChanges) {
+    const changes = new SlowChanges(world, callers, faults.workerFaults);
+    changes.schedule({from: FAULTS_START_MS, until: quietFrom});
+  }
   return callers.tally;
 }
 
--- a/packages/zone/test/simulation/worker.ts
+++ b/packages/zone/test/simulation/worker.ts
@@ -15,6 +15,7 @@
 } from './worker_messages.js';
 import type {LabelChecker} from './label_checker.js';
 import type {Random} from './random.js';
+import {RunProgress} from './run_progress.js';
 import type {Scheduler} from './scheduler.js';
 import {
   WorkerProcess,
@@ -53,6 +54,10 @@
   private process: WorkerProcess | undefined;
   /** The kind of its next processes. */
   nextKind: WorkerKind;
+  /** Factor of the time that the tasks take which are started from now on. */
+  taskFactor = 1;
+  /** Work done in 1 ms, in ms; 0 while it stands still. */
+  private speed = 1;
 
   constructor(private readonly options: SimulatedWorkerOptions) {
     this.nextKind = options.info;
@@ -94,6 +99,18 @@
     if (this.process !== undefined) this.process.isDraining = true;
   }
 
+  /** Changes the speed of its runs; it answers requests at speed 0, too. */
+  setSpeed(speed: number): void {
+    this.speed = speed;
+    const {process} = this;
+    if (process === undefined) return;
+    for (const [task, run] of process.running) {
+      run.progress.setSpeed(speed, this.options.scheduler.now);
+      if (run.endEvent !== undefined) run.endEvent.isCancelled = true;
+      this.scheduleEnd(process, task, run);
+    }
+  }
+
   /** Starts a new process, unless one runs. */
   startProcess(): void {
     const {scheduler, random} = this.options;
@@ -161,19 +178,34 @@
     const usualMs = isLong
       ? random.between(600, 2_500)
       : random.between(60, 500);
-    const durationMs = (usualMs * taskMs) / USUAL_TASK_MS;
+    const durationMs = ((usualMs * taskMs) / USUAL_TASK_MS) * this.taskFactor;
     const startedAt = scheduler.now;
     const worker = this.id;
-    const details = {worker, run, startedAt, needMillis, durationMs};
-    const running: SimulatedRun = {...details, isStopping: false};
+    const progress = new RunProgress(durationMs, this.speed, startedAt);
+    if (isCrashingTask(task, payload)) this.crashSoon(process, task);
+    const outcome = random.chance(0.04) ? RunEnd.Failed : RunEnd.Done;
+    const details = {worker, run, startedAt, needMillis, progress, outcome};
+    const state = {endEvent: undefined, isStopping: false};
+    const running: SimulatedRun = {...details, ...state};
     process.running.set(task, running);
     checker.recordStart(task, running);
     labelChecker.recordStart(worker, process, message);
-    if (isCrashingTask(task, payload)) this.crashSoon(process, task);
-    const outcome = random.chance(0.04) ? RunEnd.Failed : RunEnd.Done;
-    scheduler.runAfter(durationMs, () =>
-      this.endRun(process, task, running, outcome),
-    );
+    this.scheduleEnd(process, task, running);
+  }
+
+  private scheduleEnd(
+    process: WorkerProcess,
+    task: string,
+    run: SimulatedRun,
+  ): void {
+    const {scheduler} = this.options;
+    const remainingMs = run.progress.findRemainingMs(scheduler.now);
+    run.endEvent =
+      remainingMs === undefined
+        ? undefined
+        : scheduler.runAfter(remainingMs, () =>
+            this.endRun(process, task, run, run.outcome),
+          );
   }
 
   private crashSoon(process: WorkerProcess, task: string): void {
@@ -235,8 +267,8 @@
   private createReport(process: WorkerProcess): WorkerReport {
     const {now} = this.options.scheduler;
     const running = [...process.running].map(([task, {run, ...entry}]) => {
-      const share = (now - entry.startedAt) / entry.durationMs;
-      return {task, run, percent: Math.floor(100 * Math.min(share, 1))};
+      const share = entry.progress.findShare(now);
+      return {task, run, percent: Math.floor(100 * share)};
     });
     const {bornAt, ends: ended} = process;
     return {
--- a/packages/zone/test/simulation/worker_faults.ts
+++ b/packages/zone/test/simulation/worker_faults.ts
@@ -18,6 +18,15 @@
 /** Share of quick restarts that the store shows at once. */
 const SHOWN_AT_ONCE_SHARE = 0.4;
 
+/** Largest share of the workers that slow down or answer late at a time. */
+const DISTURBED_SHARE = 0.5;
+/** Bounds of the factor by which runs take longer. */
+const MIN_SLOW_FACTOR = 1.5;
+const MAX_SLOW_FACTOR = 8;
+/** Bounds of the longest delay of an answer, in ms. */
+const MIN_ANSWER_DELAY_MS = 50;
+const MAX_ANSWER_DELAY_MS = 900;
+
 /** Injects faults of workers. */
 export class WorkerFaults {
   constructor(
@@ -80,6 +89,51 @@
     }
   }
 
+  /** Runs on some workers take several times as long for a while. */
+  slowDown(ms: Millis): void {
+    const factor = this.random.between(MIN_SLOW_FACTOR, MAX_SLOW_FACTOR);
+    this.setSpeeds(1 / factor, `is ${factor.toFixed(1)} times as slow`, ms);
+  }
+
+  /** Runs on some workers make no progress for a while. */
+  standStill(ms: Millis): void {
+    this.setSpeeds(0, 'makes no progress', ms);
+  }
+
+  /** Some workers execute requests in time and answer them late. */
+  answerLate(ms: Millis): void {
+    const {random, world, delayedRequests} = this;
+    const maxMs = random.between(MIN_ANSWER_DELAY_MS, MAX_ANSWER_DELAY_MS);
+    for (const {id} of this.chooseWorkers(DISTURBED_SHARE)) {
+      this.log(`${id} answers up to ${Math.round(maxMs)} ms late`);
+      delayedRequests.setMaxAnswerDelay(id, maxMs);
+      world.scheduler.runAfter(ms, () =>
+        delayedRequests.setMaxAnswerDelay(id, 0),
+      );
+    }
+  }
+
+  /** Tasks that start on some workers take far longer than declared. */
+  lengthenTasks(ms: Millis): void {
+    const {random, world} = this;
+    const factor = random.between(MIN_SLOW_FACTOR, MAX_SLOW_FACTOR);
+    for (const worker of this.chooseWorkers(DISTURBED_SHARE)) {
+      this.log(`tasks on ${worker.id} are ${factor.toFixed(1)} times as long`);
+      worker.taskFactor = factor;
+      world.scheduler.runAfter(ms, () => {
+        worker.taskFactor = 1;
+      });
+    }
+  }
+
+  private setSpeeds(speed: number, label: string, ms: Millis): void {
+    for (const worker of this.chooseWorkers(DISTURBED_SHARE)) {
+      this.log(`${worker.id} ${label} for ${Math.round(ms)} ms`);
+      worker.setSpeed(speed);
+      this.world.scheduler.runAfter(ms, () => worker.setSpeed(1));
+    }
+  }
+
   /** Restarts some workers within less than a second. */
   restartQuickly(): void {
     const {random, world} = this;
--- a/packages/zone/test/simulation/worker_port.ts
+++ b/packages/zone/test/simulation/worker_port.ts
@@ -31,12 +31,14 @@
 const MIN_LATE_MS = 100;
 const MAX_LATE_MS = 12_000;
 
-/** The share of each worker's requests that is executed late. */
+/** What each worker executes or answers late. */
 export interface RequestDelays {
   /** The share that is executed late by the process they were sent to. */
   findDelayedShare(workerId: string): number;
   /** The share that is executed late by whichever process runs then. */
   findLateShare(workerId: string): number;
+  /** The longest delay of an answer to a request that is executed in time. */
+  findMaxAnswerDelay(workerId: string): Millis;
 }
 
 /** Parameters of a port. */
@@ -179,10 +181,18 @@
       // The answer is lost when its connection was cut by a partition.
       if (isPartitioned || !network.isOpen(workerId, machine)) return;
       const backAt = network.drawArrival(workerId, machine);
-      scheduler.deliver(backAt, process, () => settle(result));
+      const delayMs = this.drawAnswerDelay(workerId);
+      scheduler.deliver(backAt + delayMs, process, () => settle(result));
     });
   }
 
+  /** Simulations without late answers keep their random numbers. */
+  private drawAnswerDelay(workerId: string): Millis {
+    const {random, requestDelays} = this.options;
+    const maxMs = requestDelays.findMaxAnswerDelay(workerId);
+    return maxMs === 0 ? 0 : random.between(0, maxMs);
+  }
+
   /** Draws whether a request is executed by whichever process runs later. */
   private drawLateness(workerId: string): boolean {
     const {machine, network, random, requestDelays} = this.options;
--- a/packages/zone/test/simulation/worker_process.ts
+++ b/packages/zone/test/simulation/worker_process.ts
@@ -1,8 +1,9 @@
 /** One process of a simulated worker. */
-import type {Resources, WorkerReport} from '@goldcrestpier/dispatch';
+import type {Resources, RunEnd, WorkerReport} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
 import type {ActiveRun} from './checker.js';
 import type {Random} from './random.js';
+import type {RunProgress} from './run_progress.js';
 import type {ScheduledEvent} from './scheduler.js';
 import {SIMULATION_START_MS} from './simulated_time.js';
 
@@ -15,7 +16,10 @@
 /** A run in a process. */
 export interface SimulatedRun extends ActiveRun {
   readonly needMillis: number;
-  readonly durationMs: Millis;
+  readonly progress: RunProgress;
+  readonly outcome: RunEnd;
+  /** Its end by itself; undefined while the worker stands still. */
+  endEvent: ScheduledEvent | undefined;
   isStopping: boolean;
 }
 
--- a/packages/zone/test/simulation/workload.ts
+++ b/packages/zone/test/simulation/workload.ts
@@ -24,6 +24,13 @@
   timeoutMs: 1_500,
 };
 
+/** Such jobs with tasks that take most of their time limit. */
+export const crowdedLongWorkload: Workload = {
+  ...crowdedWorkload,
+  meanIntervalMs: 200,
+  estimateMs: 900,
+};
+
 /** Jobs whose tasks take long enough to run beside a late start of them. */
 export const lateStartsWorkload: Workload = {
   firstZoneShare: 0.4,
