A holder that steps down records the runs of jobs that are being ended

What callers saw: a task ran twice at a time, both runs number 1, in two zones. A caller's connection broke, its job was cancelled, and when the caller sent it again after 1,300 ms the next holder of the zone started it at once, while the runs that the former holder had delegated to another zone went on.

Cause: the progress of a job goes from one holder to the next with its owner. A job that is being ended has no owner that would carry it, so that the record of its runs ended with the holder; the next one took the silence of a zone, or of a worker, for proof that nothing runs there.

The fix: what a task may still run is already kept by each instance and told to its peers, for starts without an answer.

--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -8,7 +8,12 @@
 import {AbandonReason, createAbandoned} from '../work/index.js';
 import {RunPhase, type Run} from '../workers/index.js';
 import type {JobRecord} from './job_record.js';
-import {DELEGATED_RUN_MAX_MS, computeLateRunEnd} from './options.js';
+import {
+  DELEGATED_RUN_MAX_MS,
+  FORMER_HOLDER_STOP_MS,
+  computeLateRunEnd,
+  computeLeaseExpiry,
+} from './options.js';
 import type {Registry} from './registry.js';
 import type {TaskRecord} from './task_record.js';
 
@@ -26,7 +31,8 @@
 
 /**
  * Records the start commands that have got no answer yet when the holder steps
- * down: the next one learns of them with the jobs.
+ * down: the next one learns of them with the jobs. It learns of jobs that are
+ * being ended from nobody, so that their runs are recorded as well.
  */
 export function recordOutstandingStarts(
   registry: Registry,
@@ -39,6 +45,29 @@
         recordUnansweredStart(registry, run, leaseMs, now);
     }
   }
+  for (const record of registry.jobs.values()) {
+    if (record.pendingOutcome !== undefined && !record.isInbound)
+      recordEndingRuns(registry, record, leaseMs, now);
+  }
+}
+
+/**
+ * Blocks the tasks of a job that is being ended until its runs have ended, also
+ * those that the next holder doesn't find, as a zone or a worker is silent.
+ */
+function recordEndingRuns(
+  registry: Registry,
+  record: JobRecord,
+  leaseMs: Millis,
+  now: Millis,
+): void {
+  for (const {key, delegatedTo} of record.runs()) {
+    const endsAt =
+      delegatedTo === undefined
+        ? computeLeaseExpiry(now + FORMER_HOLDER_STOP_MS, leaseMs)
+        : now + DELEGATED_RUN_MAX_MS;
+    blockTask(registry, key, endsAt, now);
+  }
 }
 
 /**
--- a/packages/zone/test/slow_workers.test.ts
+++ b/packages/zone/test/slow_workers.test.ts
@@ -32,6 +32,11 @@
 
 const regressionCases: readonly SimulationCase[] = [
   {seed: 1, instances: 3, cause: 'none'},
+  {
+    seed: 409,
+    instances: 2,
+    cause: 'a holder steps down while a cancelled job runs in a silent zone',
+  },
 ];
 
 const {PLAY_SLOW_SEED, PLAY_SLOW_COUNT = '1'} = process.env;
