Test owners that exit between the submission and the start of their jobs

One reading of the users' record is that a job was started although its owner was gone. These tests show what the holder does, and hold on the code as it is: a job whose owner exits before the start is not started; one whose submission is read after the exit is started and stopped in the next step; the late submission makes the exited owner count as alive again, for 600 ms at most, or until its host refuses the next connection. So the record needs something else that keeps the runs.

--- a/packages/zone/test/lost_owner.test.ts
+++ b/packages/zone/test/lost_owner.test.ts
@@ -28,6 +28,8 @@
 class HandlerFixture {
   readonly answers = new Map<string, JobAnswer>();
   readonly logged: string[] = [];
+  readonly startedTasks: string[] = [];
+  readonly stoppedTasks: string[] = [];
   readonly pendingAnswers = new PendingAnswers();
   readonly handler: SubmissionHandler;
   private readonly dispatcher: Dispatcher = createDispatcher(START);
@@ -49,16 +51,41 @@
     void this.handler.submit(message, now).then(answer => {
       this.answers.set(ownerId, answer);
     });
-    this.dispatcher.tick(now);
+    this.tick(now);
+  }
+
+  /** Starts the two tasks of another job, which fill the worker. */
+  occupyWorker(now: number): void {
+    this.dispatcher.submit(createJob('other', 2, now), false, now);
+    this.tick(now);
+  }
+
+  /** Makes the worker report that it runs nothing any more. */
+  freeWorker(now: number): void {
+    const ended = [0, 1].map(index => ({
+      sequence: index + 1,
+      task: `other.0.0.${index}`,
+      run: 1,
+      end: RunEnd.Done,
+    }));
+    const report = {clockMs: 5, bornAt: 1, running: [], ended};
+    this.dispatcher.handleReport(worker.id, report, now, now);
+  }
+
+  private tick(now: number): void {
+    for (const command of this.dispatcher.tick(now)) {
+      if (command.kind === 'start') this.startedTasks.push(command.run.key);
+      if (command.kind === 'stop') this.stoppedTasks.push(command.key);
+    }
   }
 
   /** Cancels the job of owners that count as lost, then runs one tick. */
   async step(lost: readonly string[], now: number): Promise<void> {
     this.handler.cancelJobsOfLostOwners(id => !lost.includes(id), now);
-    this.dispatcher.tick(now);
+    this.tick(now);
     for (const ended of this.dispatcher.takeEndedJobs())
       this.handler.answerEndedJob(ended, now);
-    this.dispatcher.tick(now);
+    this.tick(now);
     await nextTurn();
   }
 
@@ -153,3 +180,24 @@
   }
   assert.equal(fixture.answers.size, 2);
 });
+
+test('a job whose owner exits between its submission and its start is not started', async () => {
+  const fixture = new HandlerFixture();
+  fixture.occupyWorker(START - 10);
+  fixture.submit('o-1', START);
+  await fixture.step(['o-1'], START + 50);
+  fixture.freeWorker(START + 60);
+  await fixture.step(['o-1'], START + 60);
+  await fixture.step(['o-1'], START + 100);
+  assert.deepEqual(fixture.startedTasks, ['other.0.0.0', 'other.0.0.1']);
+  assert.notEqual(fixture.answers.get('o-1'), undefined);
+});
+
+test('a job whose submission is read after its owner has exited is stopped in the next step', async () => {
+  const fixture = new HandlerFixture();
+  await fixture.step(['o-1'], START - 50);
+  fixture.submit('o-1', START);
+  assert.deepEqual(fixture.startedTasks, ['a.0.0.0']);
+  await fixture.step(['o-1'], START + 50);
+  assert.deepEqual(fixture.stoppedTasks, ['a.0.0.0']);
+});
--- a/packages/zone/test/zone_view.test.ts
+++ b/packages/zone/test/zone_view.test.ts
@@ -194,6 +194,19 @@
   return view;
 }
 
+test('an owner that has exited counts as alive for 600 ms at most when its submission is read late', () => {
+  const self = {id: 'a-1', processors: 1};
+  const view = new ZoneView('west', '10.0.0.1:7000', self);
+  view.recordHeartbeat(createHeartbeat(), 100);
+  view.recordRefusal('10.0.0.2:7000', 150);
+  view.recordContact('b-1', 700);
+  assert.equal(view.isAlive('b-1', 1_299), true);
+  assert.equal(view.isAlive('b-1', 1_300), false);
+  view.recordContact('b-1', 1_400);
+  view.recordRefusal('10.0.0.2:7000', 1_410);
+  assert.equal(view.isAlive('b-1', 1_410), false);
+});
+
 test('an instance does not count as lost because its predecessor at the address was refused', () => {
   const view = createViewOfRestart();
   const {id, address} = registration;
