--- a/packages/zone/test/simulation/fault_kinds.ts
+++ b/packages/zone/test/simulation/fault_kinds.ts
@@ -25,6 +25,14 @@
   QuickRestarts = 'quick_restarts',
   /** Connections are closed and refused, though the processes live. */
   CutConnections = 'cut_connections',
+  /** Runs on some workers take several times as long for a while. */
+  SlowWorkers = 'slow_workers',
+  /** Runs on some workers make no progress for a while. */
+  StandingWorkers = 'standing_workers',
+  /** Workers execute requests in time and answer them late. */
+  LateAnswers = 'late_answers',
+  /** Tasks that start on some workers take far longer than declared. */
+  LongTasks = 'long_tasks',
 }
 
 /** Kinds that are left out unless they are requested. */
@@ -33,6 +41,10 @@
   Fault.LateRequests,
   Fault.QuickRestarts,
   Fault.CutConnections,
+  Fault.SlowWorkers,
+  Fault.StandingWorkers,
+  Fault.LateAnswers,
+  Fault.LongTasks,
 ];
 
 /** All kinds but the optional ones that are not requested. */
--- a/packages/zone/test/simulation/faults.ts
+++ b/packages/zone/test/simulation/faults.ts
@@ -12,7 +12,7 @@
 /** Injects faults into a simulation. */
 export class FaultInjector {
   private readonly random: Random;
-  private readonly workerFaults: WorkerFaults;
+  readonly workerFaults: WorkerFaults;
   private readonly connectionFaults: ConnectionFaults;
 
   constructor(
@@ -86,6 +86,14 @@
         return this.workerFaults.restartQuickly();
       case Fault.CutConnections:
         return this.connectionFaults.cut(machine);
+      case Fault.SlowWorkers:
+        return this.workerFaults.slowDown(ms);
+      case Fault.StandingWorkers:
+        return this.workerFaults.standStill(ms);
+      case Fault.LateAnswers:
+        return this.workerFaults.answerLate(ms);
+      case Fault.LongTasks:
+        return this.workerFaults.lengthenTasks(ms);
     }
   }
 
