Tests of whole instances create the only one of its zone in one place

Two tests spelled out the 14 options of an instance alike. A newcomer who writes the next test of an instance finds createOnlyInstance in the fixtures, and sees in each test only what it is about: the worker.

--- a/packages/zone/test/other_zones.test.ts
+++ b/packages/zone/test/other_zones.test.ts
@@ -2,21 +2,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {test} from 'node:test';
 import {AbandonReason, TaskHistory, StartAnswer} from '@goldcrestpier/dispatch';
-import {Lifecycle, Logs, LogLevel, readClock} from '@goldcrestpier/runtime';
+import {Lifecycle, readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import type {Holder} from '../src/holder/index.js';
 import {toSubmission} from '../src/holder/job_conversion.js';
 import {DelegationHandler} from '../src/instance/delegation_handler.js';
-import {Instance} from '../src/instance/instance.js';
+import type {Instance} from '../src/instance/instance.js';
 import {OtherZones} from '../src/instance/other_zones.js';
-import {createOpenLink} from '../src/instance/start_instance.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
 import type {WorkerPort} from '../src/ports/index.js';
-import {
-  dispatchOptions,
-  createDirectory,
-  createJob,
-} from './fixtures/dispatcher.js';
+import {createJob} from './fixtures/dispatcher.js';
+import {createOnlyInstance} from './fixtures/only_instance.js';
 
 const ignore = () => undefined;
 
@@ -34,24 +29,7 @@
       return Ok({clockMs: 5, bornAt: 1, running: [], ended: []});
     },
   };
-  const id = 'east-1';
-  const logs = new Logs('test', LogLevel.Silent);
-  return new Instance({
-    id,
-    zone: 'z',
-    processors: 1,
-    listen: {host: '127.0.0.1', port: 1},
-    nonce: 1,
-    dispatchOptions,
-    directory: createDirectory(),
-    workerPort,
-    otherZones: [],
-    seeds: [],
-    logs,
-    openLink: createOpenLink({id, logs}),
-    metrics: new ZoneMetrics(),
-    lifecycle,
-  });
+  return createOnlyInstance('east-1', workerPort, lifecycle);
 }
 
 /** Creates a heartbeat of the holder of another zone. */
--- a/packages/zone/test/short_lived_holder.test.ts
+++ b/packages/zone/test/short_lived_holder.test.ts
@@ -1,22 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {
-  Lifecycle,
-  LogLevel,
-  Logs,
-  readClock,
-  sleep,
-} from '@goldcrestpier/runtime';
+import {Lifecycle, readClock, sleep} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
-import {Instance} from '../src/instance/instance.js';
-import {createOpenLink} from '../src/instance/start_instance.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
 import type {WorkerPort} from '../src/ports/index.js';
-import {
-  createDirectory,
-  dispatchOptions,
-  failOnCall,
-} from './fixtures/dispatcher.js';
+import {failOnCall} from './fixtures/dispatcher.js';
+import {createOnlyInstance} from './fixtures/only_instance.js';
 
 /** Longest time that an unclaimed run is kept after a change of holder, in ms. */
 const MAX_UNCLAIMED_MS = 600;
@@ -48,30 +36,6 @@
   };
 }
 
-function createInstance(
-  lifecycle: Lifecycle,
-  workerPort: WorkerPort,
-): Instance {
-  const id = 'z-1';
-  const logs = new Logs('test', LogLevel.Silent);
-  return new Instance({
-    id,
-    zone: 'z',
-    processors: 1,
-    listen: {host: '127.0.0.1', port: 1},
-    nonce: 1,
-    dispatchOptions,
-    directory: createDirectory(),
-    workerPort,
-    otherZones: [],
-    seeds: [],
-    logs,
-    openLink: createOpenLink({id, logs}),
-    metrics: new ZoneMetrics(),
-    lifecycle,
-  });
-}
-
 /** Creates a heartbeat of another holder of the zone. */
 function createHeartbeat(id: string, token: number, isLeaving = false) {
   return {
@@ -88,7 +52,11 @@
 test('a holder that follows a short-lived one does not extend the lease of an unclaimed run once more', async () => {
   const lifecycle = new Lifecycle('test');
   const received: Received = {leases: [], stopped: []};
-  const instance = createInstance(lifecycle, createWorkerPort(received));
+  const instance = createOnlyInstance(
+    'z-1',
+    createWorkerPort(received),
+    lifecycle,
+  );
   instance.start();
   await instance.heartbeat(createHeartbeat('z-2', 5));
   const claimedAt = readClock();
