A crash told by another instance is taken back when the worker answers

Seen: the new test "a new holder does not fail a job for crashes of workers that answer it as the same processes" failed before the change: the job ended as failed in the first tick, before any worker was polled, and no answer of the workers changed that.

For callers: a run that is lost while its worker refuses connections counts as a crash of its task, and after two of them the task's job is answered as failed, for 60 s and without a start. A cut that refuses looks like that. The holder that recorded such a crash took it back when the same process answered. But holders tell each other of crashes, and the next holder, to which the workers were in reach all the time, never took one back.

Cause: a crash was taken back only for the runs that the same holder had lost (unexplainedLosses), though any answer of the incarnation shows that it lives.

Why this works: an incarnation that answers a poll which was sent after its crash became known has not crashed, whoever recorded that. A poll that was sent before, another incarnation, or a worker without a time of its start takes nothing back. A job is not failed before the workers that crashed under a task of it have answered the first poll or left it unanswered; no task of it is started meanwhile, as a crashing task is not placed.

--- a/packages/dispatch/src/crashes/crash_history.ts
+++ b/packages/dispatch/src/crashes/crash_history.ts
@@ -71,6 +71,21 @@
     if (crash !== undefined) crash.isRetracted = true;
   }
 
+  /**
+   * Takes back the crashes of a worker's incarnation that became known before
+   * `sentAt`, when a poll was sent that it has answered. Other instances may
+   * have told them, to which it refused connections.
+   */
+  retractAnswered(workerId: string, bornAt: number, sentAt: Millis): void {
+    // Without a time of its start, another incarnation may have answered.
+    if (bornAt === 0) return;
+    const incarnation = formatIncarnation(workerId, bornAt);
+    for (const crashes of this.byTask.values()) {
+      const crash = crashes.get(incarnation);
+      if (crash !== undefined && crash.at < sentAt) crash.isRetracted = true;
+    }
+  }
+
   /** Judges a task by the crashes of its workers. */
   judge(task: string): CrashVerdict {
     const crashes = this.listCrashes(task);
--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/crashing_tasks.ts
@@ -39,10 +39,17 @@
   );
   if (crashing === undefined) return;
   const workers = registry.history.crashes.listWorkers(crashing.key);
+  if (workers.some(id => mayAnswer(registry.workers.get(id)))) return;
   registry.observer.jobFailedByCrashes(record.id, crashing.key, workers);
   registry.endJob(record, {kind: 'failed'}, now);
 }
 
+/** Whether the first poll of a worker may show that it has not crashed. */
+function mayAnswer(worker: WorkerRecord | undefined): boolean {
+  if (worker === undefined) return false;
+  return !worker.hasAcceptedToken && !worker.isUnresponsive;
+}
+
 /**
  * Starts the suspected tasks of these jobs on workers without other runs. Where
  * there is none, the worker that will be free first gets no other tasks.
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -41,6 +41,8 @@
   }
   const hasRestarted = report.bornAt !== worker.info.bornAt;
   registry.crashRecorder.explainLosses(worker, hasRestarted, now);
+  const {crashes} = registry.history;
+  crashes.retractAnswered(worker.info.id, report.bornAt, sentAt);
   if (hasRestarted) beginIncarnation(worker, report, now);
   worker.recordClock(report.clockMs, now);
   if (!worker.hasAcceptedToken || worker.isUnresponsive)
--- a/packages/dispatch/test/crashes.test.ts
+++ b/packages/dispatch/test/crashes.test.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
+  Dispatcher,
   RunEnd,
   StartAnswer,
+  TaskHistory,
   WorkerRequestFailure,
-  type Dispatcher,
   type Job,
   type StartCommand,
 } from '../src/index.js';
@@ -14,6 +15,8 @@
   createReport,
   createWorker,
   formatCommands,
+  noopObserver,
+  options,
   pollAllWorkers,
 } from './fixtures/dispatcher_setup.js';
 
@@ -204,6 +207,57 @@
   });
 });
 
+/** Creates a new holder that was told of crashes of `w0` and `w1` at 10. */
+function createInformedHolder(): Dispatcher {
+  const history = new TaskHistory();
+  const crashes = ['w0', 'w1'].map(workerId => {
+    const crash = {task: 'a.0.0.0', workerId, workerBornAt: 1};
+    return {...crash, isShared: false, ageMs: 0};
+  });
+  history.merge({crashes}, 10);
+  const dispatcher = new Dispatcher(options, -10_000, noopObserver, history);
+  dispatcher.setWorkers([createWorker('w0'), createWorker('w1')], 20);
+  dispatcher.confirmWorkerList();
+  dispatcher.submit(createLongJob('a', 1), false, 20);
+  return dispatcher;
+}
+
+test('a new holder does not fail a job for crashes of workers that answer it as the same processes', () => {
+  const dispatcher = createInformedHolder();
+  assert.equal(startDue(dispatcher, 20).length, 0);
+  for (const id of ['w0', 'w1'])
+    dispatcher.handleReport(id, createReport(), 20, 25);
+  assert.equal(startDue(dispatcher, 30).length, 1);
+  assert.deepEqual(dispatcher.takeEndedJobs(), []);
+});
+
+test('a new holder fails a job for crashes of workers that answer it as other processes', () => {
+  const dispatcher = createInformedHolder();
+  for (const id of ['w0', 'w1'])
+    dispatcher.handleReport(id, createReport([], [], 2), 20, 25);
+  assert.equal(startDue(dispatcher, 30).length, 0);
+  const [ended] = dispatcher.takeEndedJobs();
+  assert.equal(ended?.outcome.kind, 'failed');
+});
+
+test('a new holder fails a job for crashes of workers that refuse its polls', () => {
+  const dispatcher = createInformedHolder();
+  const failure = WorkerRequestFailure.NotListening;
+  for (const id of ['w0', 'w1']) dispatcher.handlePollFailure(id, failure, 25);
+  dispatcher.tick(30);
+  const [ended] = dispatcher.takeEndedJobs();
+  assert.equal(ended?.outcome.kind, 'failed');
+});
+
+test('an answer to a poll that was sent before a crash does not take the crash back', () => {
+  const dispatcher = createInformedHolder();
+  for (const id of ['w0', 'w1'])
+    dispatcher.handleReport(id, createReport(), 5, 25);
+  dispatcher.tick(30);
+  const [ended] = dispatcher.takeEndedJobs();
+  assert.equal(ended?.outcome.kind, 'failed');
+});
+
 test('tasks on a worker that was only silent are started again side by side', () => {
   const dispatcher = createSharedWorker([createLongJob('a', 2)], ['w1']);
   dispatcher.handlePollFailure('w0', WorkerRequestFailure.Unanswered, 1);
