Weighed: an instance that all others refuse goes on claiming at once

A refused connection is no proof of an exit, so that an instance of a zone of three which is cut off takes the zone from the two others. A trial had it wait 3 s, as for silence, when two others or more were lost together and it reached too few; its test failed on the code as it is ('claim' in place of 'wait').

--- a/packages/zone/test/election.test.ts
+++ b/packages/zone/test/election.test.ts
@@ -113,6 +113,16 @@
   );
 });
 
+test('one of three instances takes over at once when both others are refused, as they may have been killed', () => {
+  const election = createFollower('a', 10);
+  const members = [
+    createMember('a', {heardAt: 1_990, isRefused: true}),
+    createMember('c', {heardAt: 1_600, isRefused: true}),
+  ];
+  const role = chooseRole(election, members, listReadLongAgo, 2_050);
+  assert.equal(role.kind, 'claim');
+});
+
 test('a holder whose host refuses connections is replaced at once unless a peer hears it', () => {
   const election = createFollower('a', 10);
   const holder = createMember('a', {heardAt: 1_990, isRefused: true});
