--- a/packages/zone/test/silent_peer.test.ts
+++ b/packages/zone/test/silent_peer.test.ts
@@ -75,8 +75,11 @@
     },
     zoneMethods,
   );
+  const {connections} = started.value;
   await waitFor(() => link.isConnected());
+  await waitFor(() => connections.isOpen('b'));
   await waitFor(() => !link.isConnected());
+  await waitFor(() => !connections.isOpen('b'));
   await lifecycle.close();
   assert.equal(link.isConnected(), false);
 });
