--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -11,8 +11,6 @@
   type JobCancellation,
   type JobSubmission,
   type TaskDelegation,
-  type DelegationAnswer,
-  type DelegatedTaskList,
   type DelegatedTasksQuery,
   type DelegationRecall,
   type ZoneClient,
@@ -46,6 +44,14 @@
   readonly connections = new InboundConnections();
   /** Finds or cancels a job for a peer. */
   readonly inquire = (message: JobInquiry) => this.inquiries.answer(message);
+  /** Runs a task that the holder of another zone delegates. */
+  readonly runDelegatedTask = (message: TaskDelegation) =>
+    this.inbound.runDelegatedTask(message);
+  /** Stops a task that another zone recalls. */
+  readonly recall = (message: DelegationRecall) => this.inbound.recall(message);
+  /** Lists the tasks that are known to run here for another zone. */
+  readonly listDelegatedTasks = (query: DelegatedTasksQuery) =>
+    this.inbound.listDelegatedTasks(query);
   private readonly address: string;
   private readonly view: ZoneView;
   private readonly zones: OtherZones;
@@ -95,10 +101,7 @@
         findHolderClient(this.roles, id, other => this.findClient(other)),
       waitForHolderChange: (from, signal) => this.notifier.wait(from, signal),
       isAlive: (other, now) => other === id || this.view.isAlive(other, now),
-      holderExpectedAt: now => {
-        const members = this.view.listMembers(now);
-        return this.roles.findExpectedClaim(members, this.isLeaving, now);
-      },
+      holderExpectedAt: now => this.findExpectedClaim(now),
       onHolderUnavailable: now => this.recordHolderUnavailable(now),
       logger: logs.forPart(LogPart.Jobs),
       metrics,
@@ -179,21 +182,6 @@
     return Promise.resolve(this.options.directory.configuration() ?? null);
   }
 
-  /** Runs a task that the holder of another zone delegates. */
-  runDelegatedTask(message: TaskDelegation): Promise<DelegationAnswer> {
-    return this.inbound.runDelegatedTask(message);
-  }
-
-  /** Stops a task that another zone recalls. */
-  recall(message: DelegationRecall): Promise<boolean> {
-    return this.inbound.recall(message);
-  }
-
-  /** Lists the tasks that are known to run here for another zone. */
-  listDelegatedTasks(query: DelegatedTasksQuery): Promise<DelegatedTaskList> {
-    return this.inbound.listDelegatedTasks(query);
-  }
-
   /** Runs one step; returns the time until the next one, in ms. */
   private step(now: Millis): Millis {
     const {directory} = this.options;
@@ -247,6 +235,11 @@
     return holderId !== undefined && this.view.isSuspected(holderId, now);
   }
 
+  private findExpectedClaim(now: Millis): Millis | undefined {
+    const members = this.view.listMembers(now);
+    return this.roles.findExpectedClaim(members, this.isLeaving, now);
+  }
+
   private recordHolderUnavailable(now: Millis): void {
     if (!this.isHolderUncertain(now)) this.scheduler.wake();
     this.activity.recordHolderUnavailable(now);
@@ -271,36 +264,37 @@
     this.view.recordHeartbeat(message, now);
     this.history.merge(message, now);
     this.zones.mergeTokens(message.zoneTokens ?? [], now);
-    if (message.zone !== this.options.zone) this.handleOtherZone(message, now);
-    else if (message.claim !== undefined) this.handleClaim(message.claim, now);
+    const {zone, claim} = message;
+    if (zone !== this.options.zone) {
+      if (this.zones.recordHeartbeat(message, now))
+        this.roles.holder?.handleZoneHeartbeat(message);
+    } else if (claim !== undefined) this.handleClaim(claim, now);
     const own = this.options.directory.configuration()?.version ?? 0;
     if (message.configurationVersion > own)
       void this.fetcher.fetchFrom(message.address);
   }
 
-  private handleOtherZone(message: ZoneHeartbeat, now: Millis): void {
-    if (this.zones.recordHeartbeat(message, now))
-      this.roles.holder?.handleZoneHeartbeat(message);
-  }
-
   private handleClaim(claim: Claim, now: Millis): void {
     // An immediate step shortens the time during which there are two holders.
     if (this.roles.recordClaim(claim, now)) this.step(now);
   }
 
-  private createHeartbeat(now: Millis, isOther: boolean, tellsAll = false) {
+  private createHeartbeat(
+    now: Millis,
+    isForOtherZone: boolean,
+    tellsAll = false,
+  ) {
     const {id, zone, processors, directory} = this.options;
-    const {address, isLeaving, history, roles} = this;
-    const {holder} = roles;
+    const {address, isLeaving, roles, view} = this;
     const claim = roles.describeClaim(now);
-    const holderHeardMs = claim && this.view.findSilence(claim.holderId, now);
-    const rooms = isOther ? holder?.findFreeCapacity() : undefined;
-    const abandoned = isOther ? holder?.abandonedJobs.report() : undefined;
-    const self = {id, zone, address, processors, isLeaving, directory};
-    const zoneTokens = this.zones.reportTokens(now);
-    const told = {history, tellsAll, abandoned, zoneTokens};
-    const known = {claim, holderHeardMs, rooms, ...told};
-    return createOwnHeartbeat({...self, ...known}, now);
+    const holderHeardMs = claim && view.findSilence(claim.holderId, now);
+    const self = {id, zone, address, processors, isLeaving};
+    const state = {...self, claim, holderHeardMs};
+    const {history, zones} = this;
+    const {holder} = roles;
+    const sources = {directory, history, zones, holder};
+    const receiver = {isForOtherZone, tellsAll};
+    return createOwnHeartbeat(state, sources, receiver, now);
   }
 
   private findClient(id: string | undefined): ZoneClient | undefined {
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -1,12 +1,10 @@
 /** Creates the heartbeat that an instance sends to its peers. */
 import type {TaskHistory} from '@goldcrestpier/dispatch';
 import type {Millis} from '@goldcrestpier/runtime';
+import type {Holder} from '../holder/index.js';
 import type {Directory} from '../ports/index.js';
-import type {
-  AbandonedJobList,
-  Claim,
-  ZoneHeartbeat,
-} from '../protocol/index.js';
+import type {Claim, ZoneHeartbeat} from '../protocol/index.js';
+import type {OtherZones} from './other_zones.js';
 
 /** The state of an instance that its heartbeat reports. */
 export interface OwnState {
@@ -15,39 +13,40 @@
   readonly address: string;
   readonly processors: number;
   readonly isLeaving: boolean;
-  readonly directory: Directory;
   /** The highest claim known. */
   readonly claim: Claim | undefined;
   /** Time since that holder was heard, in ms. */
   readonly holderHeardMs: Millis | undefined;
-  /** Free capacity of the workers, if it is reported to the receiver. */
-  readonly rooms: ZoneHeartbeat['rooms'];
+}
+
+/** What the other parts of a heartbeat are read from. */
+export interface HeartbeatSources {
+  readonly directory: Directory;
   readonly history: TaskHistory;
-  /** Whether all of it is told, and not only what is recent. */
+  readonly zones: Pick<OtherZones, 'reportTokens'>;
+  /** The holder in this process, while there is one. */
+  readonly holder: Holder | undefined;
+}
+
+/** Whom a heartbeat is for. */
+export interface HeartbeatReceiver {
+  /** Whether it gets what holders tell other zones. */
+  readonly isForOtherZone: boolean;
+  /** Whether it is told all that is known of tasks, not only what is recent. */
   readonly tellsAll: boolean;
-  /** Tokens of other zones' holders that have become known recently. */
-  readonly zoneTokens: ZoneHeartbeat['zoneTokens'];
-  /** Jobs that nobody waits for, if they are reported to the receiver. */
-  readonly abandoned: AbandonedJobList | undefined;
 }
 
 /** Creates the heartbeat to send now. */
 export function createOwnHeartbeat(
-  {
-    directory,
-    claim,
-    holderHeardMs,
-    rooms,
-    history,
-    tellsAll,
-    zoneTokens,
-    abandoned,
-    ...self
-  }: OwnState,
+  {claim, holderHeardMs, ...self}: OwnState,
+  {directory, history, zones, holder}: HeartbeatSources,
+  {isForOtherZone, tellsAll}: HeartbeatReceiver,
   now: Millis,
 ): ZoneHeartbeat {
   const told = tellsAll ? history.reportAll(now) : history.reportRecent(now);
+  const zoneTokens = zones.reportTokens(now);
   const asOf = directory.configurationAsOf();
+  const rooms = isForOtherZone ? holder?.findFreeCapacity() : undefined;
   return {
     ...self,
     configurationVersion: directory.configuration()?.version ?? 0,
@@ -57,6 +56,6 @@
     ...(rooms === undefined ? {} : {rooms}),
     ...told,
     ...(zoneTokens === undefined ? {} : {zoneTokens}),
-    ...abandoned,
+    ...(isForOtherZone ? holder?.abandonedJobs.report() : {}),
   };
 }
