--- a/packages/zone/test/worker_pollers.test.ts
+++ b/packages/zone/test/worker_pollers.test.ts
@@ -78,7 +78,8 @@
 /** A worker that is idle, and whose process exits and starts again. */
 class RestartingWorker {
   readonly polls: PollRequest[] = [];
-  isListening = true;
+  /** Why it doesn't answer; undefined if it does. */
+  failure: WorkerRequestFailure | undefined;
   bornAt = 1;
   private exitedAt: Millis = -Infinity;
 
@@ -87,10 +88,9 @@
     poll: request => {
       this.polls.push(request);
       const report = {clockMs: 5, running: [], ended: []};
+      const {failure, bornAt} = this;
       return Promise.resolve(
-        this.isListening
-          ? Ok({...report, bornAt: this.bornAt})
-          : Err(WorkerRequestFailure.NotListening),
+        failure === undefined ? Ok({...report, bornAt}) : Err(failure),
       );
     },
     start: failOnCall,
@@ -100,13 +100,13 @@
 
   /** Its process exits. */
   exit(): void {
-    this.isListening = false;
+    this.failure = WorkerRequestFailure.NotListening;
     this.exitedAt = readClock();
   }
 
-  /** Its next process starts. */
-  restart(): void {
-    this.isListening = true;
+  /** Its next process starts, and fails to answer for this reason. */
+  restart(failure?: WorkerRequestFailure): void {
+    this.failure = failure;
     this.bornAt += 1;
   }
 }
@@ -164,3 +164,16 @@
     assert.ok(restarting.polls.length > pollCount);
   });
 });
+
+test('a new holder soon polls a next process again that did not answer at first', async () => {
+  await withRestartingWorker(async restarting => {
+    restarting.exit();
+    await sleep(600);
+    restarting.restart(WorkerRequestFailure.Unanswered);
+    await sleep(150);
+    restarting.failure = undefined;
+    const pollCount = restarting.polls.length;
+    await sleep(150);
+    assert.ok(restarting.polls.length > pollCount);
+  });
+});
