--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -268,17 +268,15 @@
     if (zone !== this.options.zone) {
       if (this.zones.recordHeartbeat(message, now))
         this.roles.holder?.handleZoneHeartbeat(message);
-    } else if (claim !== undefined) this.handleClaim(claim, now);
+    } else if (claim !== undefined && this.roles.recordClaim(claim, now)) {
+      // An immediate step shortens the time during which there are two holders.
+      this.step(now);
+    }
     const own = this.options.directory.configuration()?.version ?? 0;
     if (message.configurationVersion > own)
       void this.fetcher.fetchFrom(message.address);
   }
 
-  private handleClaim(claim: Claim, now: Millis): void {
-    // An immediate step shortens the time during which there are two holders.
-    if (this.roles.recordClaim(claim, now)) this.step(now);
-  }
-
   private createHeartbeat(
     now: Millis,
     isForOtherZone: boolean,
