--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -5,7 +5,6 @@
 import {Owner, type OwnerAnswer} from '../owner/index.js';
 import type {Configuration} from '../ports/index.js';
 import {
-  type Claim,
   type JobAnswer,
   type JobInquiry,
   type JobCancellation,
