A peer that refuses connections may be the holder as long as it is registered

Seen by callers: none known; by reading.

The test that a refusing peer is no other holder is replaced by a stricter one: it counts as gone only when it is no longer registered (some 3 s after an exit). Until then only the conclusion that a run on a silent worker is over waits, to the job's deadline and a lease.

--- a/packages/zone/src/instance/peer.ts
+++ b/packages/zone/src/instance/peer.ts
@@ -124,14 +124,17 @@
 
 /**
  * Until when no peer can have claimed the zone, if this instance holds it: each
- * has heard it, and waits for its own time of silence before it claims. Nothing
- * is expected of a peer without a link: it ranks below the candidates, which have
- * links and are silent before it claims, or refuses connections.
+ * has heard it, and waits for its own time of silence before it claims. A cut may
+ * refuse connections to a peer that lives; one that has exited is not registered
+ * any more soon after. Nothing is expected of a peer without a link: it ranks
+ * below the candidates, which have links and are silent before it claims.
  */
 export function findProofEnd(peers: Iterable<Peer>): Millis {
   let earliest = Infinity;
-  for (const {id, isRefused, linkedAt, followedAt} of peers) {
-    if (id === '' || isRefused || linkedAt === undefined) continue;
+  for (const peer of peers) {
+    const {id, isRefused, isRegistered, linkedAt, followedAt} = peer;
+    const hasExited = isRefused && !isRegistered;
+    if (id === '' || hasExited || linkedAt === undefined) continue;
     earliest = Math.min(earliest, followedAt + SILENCE_MS);
   }
   return earliest;
--- a/packages/zone/test/sole_holder.test.ts
+++ b/packages/zone/test/sole_holder.test.ts
@@ -46,9 +46,12 @@
   assert.equal(view.findProofEnd(), 1_000 + SILENCE_MS);
 });
 
-test('a peer that refuses connections is no other holder', () => {
+// Guards against a cut that refuses connections to a peer that claims the zone.
+test('a peer that refuses connections may be the holder as long as it is registered', () => {
   const view = createView(1);
   view.recordFollower('b-0', 1_000);
   view.recordRefusal('10.0.1.0:7000', 2_000);
+  assert.equal(view.findProofEnd(), 1_000 + SILENCE_MS);
+  view.setRegistrations([], 5_000);
   assert.equal(view.findProofEnd(), Infinity);
 });
