--- a/packages/zone/test/slow_workers.test.ts
+++ b/packages/zone/test/slow_workers.test.ts
@@ -37,6 +37,7 @@
     instances: 2,
     cause: 'a holder steps down while a cancelled job runs in a silent zone',
   },
+  {seed: 721, instances: 2, cause: 'a recall is heard late'},
 ];
 
 const {PLAY_SLOW_SEED, PLAY_SLOW_COUNT = '1'} = process.env;
