Failing: a holder takes refused or newly listed peers for no holders

From a review; no fix. A cut may refuse, and the peers behind it claim.

'a peer that refuses connections is no other holder' demands the opposite and has to be replaced with the fix.

--- a/packages/zone/test/simulation/cut_off_holders.ts
+++ b/packages/zone/test/simulation/cut_off_holders.ts
@@ -1,5 +1,6 @@
 /** Cuts holders off from their peers and from some of their workers at once. */
 import type {Millis} from '@goldcrestpier/runtime';
+import {CutKind} from './connection_cuts.js';
 import type {Machine, World} from './machine.js';
 import type {Nodes} from './network.js';
 import type {Random} from './random.js';
@@ -11,6 +12,8 @@
 const MAX_CUT_MS = 3_500;
 /** When the cut from the peers begins, and when that from the workers, in ms. */
 const PEERS_AFTER_MS = 250;
+/** The former, if connections to the peers are refused, in ms. */
+const REFUSED_AFTER_MS = 900;
 const MAX_WORKERS_AFTER_MS = 600;
 /** Share of the cuts after which the holder's callers send their jobs again. */
 const RESET_SHARE = 0.2;
@@ -31,6 +34,7 @@
 export function scheduleCutOffHolders(
   world: World,
   {from, until}: {readonly from: Millis; readonly until: Millis},
+  isRefused: boolean,
 ): void {
   const random = world.random.fork();
   let count = 0;
@@ -41,12 +45,17 @@
       const holder = world.machines.find(
         machine => machine.zone === zone && isHolder(machine),
       );
-      if (holder !== undefined) cutOff(world, holder, random);
+      if (holder !== undefined) cutOff(world, holder, random, isRefused);
     });
   }
 }
 
-function cutOff(world: World, machine: Machine, random: Random): void {
+function cutOff(
+  world: World,
+  machine: Machine,
+  random: Random,
+  isRefused: boolean,
+): void {
   const {scheduler, network, timeline} = world;
   const {name, zone} = machine;
   const self: Nodes = other => other === name;
@@ -64,9 +73,11 @@
     timeline.add('fault', `${name} is cut off from ${ids.join(' ')}`);
     partition(world, self, isWorker, workersMs, random);
   });
-  scheduler.runAfter(PEERS_AFTER_MS, () => {
+  const peersAfterMs = isRefused ? REFUSED_AFTER_MS : PEERS_AFTER_MS;
+  scheduler.runAfter(peersAfterMs, () => {
     timeline.add('fault', `${name} is cut off from its peers`);
-    partition(world, self, isPeer, ms, random);
+    if (isRefused) refuse(world, self, isPeer, ms);
+    else partition(world, self, isPeer, ms, random);
   });
   const hasReset = random.chance(RESET_SHARE);
   const resetAfterMs = random.between(MIN_RESET_AFTER_MS, MAX_RESET_AFTER_MS);
@@ -94,6 +105,18 @@
   if (direction !== 'out') network.partition(others, self, ms);
 }
 
+/** Closes connections in both directions and refuses new ones. */
+function refuse(
+  {network}: World,
+  self: Nodes,
+  others: Nodes,
+  ms: Millis,
+): void {
+  const kind = CutKind.Refuse;
+  network.cuts.add({kind, from: self, to: others, ms});
+  network.cuts.add({kind, from: others, to: self, ms});
+}
+
 /** Resets the connections of a machine's callers; both ends notice it. */
 function resetCallers({running}: Machine): void {
   for (const reset of [...(running?.resetCallbacks ?? [])]) reset();
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -50,6 +50,8 @@
   readonly hasUnheardStops?: boolean;
   /** Whether holders are cut off in turn from their peers and some workers. */
   readonly hasCutOffHolders?: boolean;
+  /** Whether connections between these holders and their peers are refused. */
+  readonly areCutsRefused?: boolean;
   /** Whether holders change in turn while workers are slow. */
   readonly hasSlowChanges?: boolean;
   /** How long a run may go on without a caller; unlimited by default. */
@@ -130,6 +132,7 @@
     hasRollingStops = false,
     hasUnheardStops = false,
     hasCutOffHolders = false,
+    areCutsRefused = false,
     hasSlowChanges = false,
     workload,
     durationMs = USUAL_DURATION_MS,
@@ -195,7 +198,11 @@
   if (hasUnheardStops)
     scheduleUnheardStops(world, {from: FAULTS_START_MS, until: quietFrom});
   if (hasCutOffHolders)
-    scheduleCutOffHolders(world, {from: FAULTS_START_MS, until: quietFrom});
+    scheduleCutOffHolders(
+      world,
+      {from: FAULTS_START_MS, until: quietFrom},
+      areCutsRefused,
+    );
   if (hasSlowChanges) {
     const changes = new SlowChanges(world, callers, faults.workerFaults);
     changes.schedule({from: FAULTS_START_MS, until: quietFrom});
--- a/packages/zone/test/sole_holder.test.ts
+++ b/packages/zone/test/sole_holder.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {SILENCE_MS} from '../src/election/index.js';
+import {Election, SILENCE_MS} from '../src/election/index.js';
 import {ZoneView} from '../src/instance/zone_view.js';
 import {createHeartbeat, registerInstances} from './fixtures/zone_members.js';
 
@@ -52,3 +52,34 @@
   view.recordRefusal('10.0.1.0:7000', 2_000);
   assert.equal(view.findProofEnd(), Infinity);
 });
+
+test('a refused peer that claims the zone at once leaves the holder without a proof', () => {
+  const view = createView(1);
+  view.recordFollower('b-0', 1_000);
+  view.recordRefusal('10.0.1.0:7000', 1_010);
+  const peer = new Election({id: 'b-0', processors: 1}, -10_000);
+  peer.recordClaim({holderId: 'a-1', token: 1});
+  const refusedHolder = {
+    id: 'a-1',
+    processors: 1,
+    isConnecting: false,
+    isLeaving: false,
+    heardAt: 1_000,
+    isResponsive: true,
+    isRefused: true,
+    holderId: 'a-1',
+    holderHeardAt: undefined,
+  };
+  const state = {isLeaving: false, registrationsKnownSince: -10_000};
+  assert.equal(peer.chooseRole([refusedHolder], state, 1_010).kind, 'claim');
+  assert.ok(view.findProofEnd() <= 1_010, `${view.findProofEnd()}`);
+});
+
+test('a peer that becomes known by the list of instances may have claimed the zone before', () => {
+  const view = createView(1);
+  view.recordFollower('b-0', 1_000);
+  const next = {id: 'c-0', zone: 'west', address: '10.0.1.0:7000'};
+  view.setRegistrations([{...next, processors: 1}], 4_000);
+  view.chooseLinks(asHolder, 4_000);
+  assert.ok(view.findProofEnd() <= 4_000, `${view.findProofEnd()}`);
+});
