--- a/packages/zone/src/instance/peer.ts
+++ b/packages/zone/src/instance/peer.ts
@@ -34,7 +34,7 @@
   isRefused: boolean;
   /**
    * When the last heartbeat was sent to it whose answer named this instance as
-   * the holder, or when it became known.
+   * the holder.
    */
   followedAt: Millis;
   /** When the link to it was opened; undefined without one. */
@@ -59,7 +59,7 @@
     lastHeartbeat: undefined,
     heardAt: undefined,
     isRefused: false,
-    followedAt: knownSince,
+    followedAt: -Infinity,
     linkedAt: undefined,
     monitoring: initialMonitoring,
     monitoredSince: undefined,
@@ -125,9 +125,9 @@
 /**
  * Until when no peer can have claimed the zone, if this instance holds it: each
  * has heard it, and waits for its own time of silence before it claims. A cut may
- * refuse connections to a peer that lives; one that has exited is not registered
- * any more soon after. Nothing is expected of a peer without a link: it ranks
- * below the candidates, which have links and are silent before it claims.
+ * refuse connections to a peer that lives, and that may claim at once; one that
+ * has exited is not registered any more soon after. Nothing is expected of a peer
+ * without a link, which normally claims only when the candidates are silent.
  */
 export function findProofEnd(peers: Iterable<Peer>): Millis {
   let earliest = Infinity;
@@ -135,7 +135,8 @@
     const {id, isRefused, isRegistered, linkedAt, followedAt} = peer;
     const hasExited = isRefused && !isRegistered;
     if (id === '' || hasExited || linkedAt === undefined) continue;
-    earliest = Math.min(earliest, followedAt + SILENCE_MS);
+    const silenceMs = isRefused ? 0 : SILENCE_MS;
+    earliest = Math.min(earliest, followedAt + silenceMs);
   }
   return earliest;
 }
--- a/packages/zone/test/sole_holder.test.ts
+++ b/packages/zone/test/sole_holder.test.ts
@@ -51,7 +51,7 @@
   const view = createView(1);
   view.recordFollower('b-0', 1_000);
   view.recordRefusal('10.0.1.0:7000', 2_000);
-  assert.equal(view.findProofEnd(), 1_000 + SILENCE_MS);
+  assert.equal(view.findProofEnd(), 1_000);
   view.setRegistrations([], 5_000);
   assert.equal(view.findProofEnd(), Infinity);
 });
