A holder that is stopping answers given-up jobs after their deadline and a lease

Callers of a lone leaving holder beside a silent worker got no answer until its process ended, since: nobody follows it to which it could hand over. Found by a review. A successor extends no lease beyond the deadline, so that the runs are over a lease later, whoever holds the zone.

'a holder that is stopping answers a job after its deadline and a lease, though nobody follows it' failed before.

--- a/packages/dispatch/src/dispatcher/sole_holder.ts
+++ b/packages/dispatch/src/dispatcher/sole_holder.ts
@@ -53,8 +53,7 @@
    * deadline. It extends none beyond the deadline.
    */
   mayBeExtended(deadlineAt: Millis, now: Millis): boolean {
-    if (this.isLeaving) return true;
-    if (now < this.provenUntil) return false;
+    if (!this.isLeaving && now < this.provenUntil) return false;
     return now < computeLeaseExpiry(deadlineAt, this.leaseMs);
   }
 }
--- a/packages/dispatch/test/sole_holder.test.ts
+++ b/packages/dispatch/test/sole_holder.test.ts
@@ -85,3 +85,20 @@
   dispatcher.submit(createJob('a', 1, {deadlineAt: 9_000}), false, 500);
   assert.equal(listStarts(dispatcher, 500).length, 1);
 });
+
+test('a holder that is stopping answers a job after its deadline and a lease, though nobody follows it', () => {
+  const dispatcher = createPolledDispatcher();
+  dispatcher.submit(createJob('a', 1), false, 0);
+  const [start] = dispatcher.tick(0);
+  assert.ok(start?.kind === 'start');
+  const {run} = start;
+  dispatcher.recordLease(run.workerId, 0);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  dispatcher.soleHolder.markLeaving();
+  const {Unanswered} = WorkerRequestFailure;
+  dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
+  dispatcher.tick(2_400);
+  assert.deepEqual(dispatcher.takeEndedJobs(), []);
+  dispatcher.tick(2_700);
+  assert.equal(dispatcher.takeEndedJobs().length, 1);
+});
