A holder that was paused refuses a delegated task that is the first thing it reads

Found by a review.

'a holder that was frozen starts no delegated task if that is the first thing it reads' failed before (start b.0.0.0/1 on w1).

--- a/packages/dispatch/src/dispatcher/sole_holder.ts
+++ b/packages/dispatch/src/dispatcher/sole_holder.ts
@@ -35,8 +35,7 @@
 
   /** Records that the process runs. */
   recordActivity(now: Millis): void {
-    const pauseMs = now - (this.activeAt ?? now);
-    if (pauseMs >= FORMER_HOLDER_STOP_MS) this.resumedAt = now;
+    if (this.wasPaused(now)) this.resumedAt = now;
     this.activeAt = now;
   }
 
@@ -45,7 +44,7 @@
    * may have claimed the zone and started its tasks.
    */
   isResuming(now: Millis): boolean {
-    return now - this.resumedAt < RESUMPTION_MS;
+    return this.wasPaused(now) || now - this.resumedAt < RESUMPTION_MS;
   }
 
   /**
@@ -56,4 +55,9 @@
     if (!this.isLeaving && now < this.provenUntil) return false;
     return now < computeLeaseExpiry(deadlineAt, this.leaseMs);
   }
+
+  /** Whether it has not run for so long until now. */
+  private wasPaused(now: Millis): boolean {
+    return now - (this.activeAt ?? now) >= FORMER_HOLDER_STOP_MS;
+  }
 }
--- a/packages/dispatch/test/sole_holder.test.ts
+++ b/packages/dispatch/test/sole_holder.test.ts
@@ -86,6 +86,19 @@
   assert.equal(listStarts(dispatcher, 500).length, 1);
 });
 
+test('a holder that was frozen starts no delegated task if that is the first thing it reads', () => {
+  const dispatcher = createPolledDispatcher();
+  dispatcher.soleHolder.recordActivity(0);
+  const name = {jobId: 'b', occurrence: 0, step: 0, index: 0};
+  const job = {
+    ...createJob('b', 1, {deadlineAt: 60_000, targetMs: 60_000}),
+    id: 'b.0.0.0@east',
+    delegatedBy: 'east',
+    delegated: {name, run: 1},
+  };
+  assert.deepEqual(dispatcher.acceptDelegated(job, 2_800), []);
+});
+
 test('a holder that is stopping answers a job after its deadline and a lease, though nobody follows it', () => {
   const dispatcher = createPolledDispatcher();
   dispatcher.submit(createJob('a', 1), false, 0);
