Idle workers that close each connection are polled less and less often after a change of holder

A worker that closes each connection after its answer would be polled every 50 ms, with 350 such workers up to 7,000 times a second (found by a review, by reading). The pause doubles while the same process is confirmed, up to 1 s; the next process is polled at once.

--- a/packages/zone/src/holder/worker_poller.ts
+++ b/packages/zone/src/holder/worker_poller.ts
@@ -12,6 +12,7 @@
 } from '@goldcrestpier/dispatch';
 import {readClock, sleep, Wakeup, type Millis} from '@goldcrestpier/runtime';
 import type {WorkerPort} from '../ports/index.js';
+import {ConfirmationPace} from './confirmation_pace.js';
 import type {LostResponses} from './lost_responses.js';
 import type {ProcessWatch} from './process_watch.js';
 
@@ -63,7 +64,7 @@
   private consecutiveFailures = 0;
   /** Whether the process of an idle worker is to be confirmed by a poll. */
   private isConfirmationDue = false;
-  private confirmedAt: Millis = -Infinity;
+  private readonly confirmations = new ConfirmationPace();
 
   constructor(private readonly options: WorkerPollerOptions) {}
 
@@ -76,9 +77,7 @@
   confirmProcess(now: Millis): void {
     const record = this.options.dispatcher.workers.get(this.options.workerId);
     if (record === undefined || !isIdle(record)) return;
-    // A server may close each connection after its answer.
-    if (now - this.confirmedAt < MIN_BACKOFF_MS) return;
-    this.confirmedAt = now;
+    if (!this.confirmations.tryTake(record.info.bornAt, now)) return;
     this.isConfirmationDue = true;
     this.wakeup.notify();
   }
