--- a/packages/dispatch/test/ending_runs.test.ts
+++ b/packages/dispatch/test/ending_runs.test.ts
@@ -34,6 +34,17 @@
   return dispatcher;
 }
 
+/** Creates a holder whose job runs on the worker and has been cancelled. */
+function cancelStartedJob(history: TaskHistory): Dispatcher {
+  const dispatcher = createHolder('w1', history, -10_000);
+  dispatcher.submit(createJob('a', 1, longTimes), false, 0);
+  const [command] = dispatcher.tick(0);
+  assert.ok(command?.kind === 'start');
+  dispatcher.handleStartAnswer(command.run, StartAnswer.Started, 1);
+  dispatcher.cancel('a', AbandonReason.OwnerLost, 800);
+  return dispatcher;
+}
+
 /** Lists the starts of the job that its caller sends again to the next holder. */
 function listStarts(history: TaskHistory, until: number) {
   const sentAt = 1_500;
@@ -61,12 +72,7 @@
 
 test('a task that a silent worker may run for a cancelled job is not started by the next holder', () => {
   const history = new TaskHistory();
-  const dispatcher = createHolder('w1', history, -10_000);
-  dispatcher.submit(createJob('a', 1, longTimes), false, 0);
-  const [command] = dispatcher.tick(0);
-  assert.ok(command?.kind === 'start');
-  dispatcher.handleStartAnswer(command.run, StartAnswer.Started, 1);
-  dispatcher.cancel('a', AbandonReason.OwnerLost, 800);
+  const dispatcher = cancelStartedJob(history);
   dispatcher.recordOutstandingStarts(1_000);
   assert.deepEqual(listStarts(history, 2_640), []);
   assert.deepEqual(listStarts(history, 2_660), ['start a.0.0.0/1 on w2']);
@@ -74,12 +80,7 @@
 
 test('a cancelled job whose run has ended is started by the next holder at once', () => {
   const history = new TaskHistory();
-  const dispatcher = createHolder('w1', history, -10_000);
-  dispatcher.submit(createJob('a', 1, longTimes), false, 0);
-  const [command] = dispatcher.tick(0);
-  assert.ok(command?.kind === 'start');
-  dispatcher.handleStartAnswer(command.run, StartAnswer.Started, 1);
-  dispatcher.cancel('a', AbandonReason.OwnerLost, 800);
+  const dispatcher = cancelStartedJob(history);
   const end = {sequence: 1, task: 'a.0.0.0', run: 1, end: RunEnd.Stopped};
   dispatcher.handleReport('w1', createReport([], [end]), 900, 900);
   dispatcher.recordOutstandingStarts(1_000);
--- a/packages/dispatch/test/sole_holder.test.ts
+++ b/packages/dispatch/test/sole_holder.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Dispatcher, StartAnswer, WorkerRequestFailure} from '../src/index.js';
+import {
+  Dispatcher,
+  StartAnswer,
+  WorkerRequestFailure,
+  type Run,
+} from '../src/index.js';
 import {
   createJob,
   createWorker,
@@ -19,6 +24,16 @@
   return dispatcher;
 }
 
+/** Starts the waiting task under a lease, which its worker confirms. */
+function startRun(dispatcher: Dispatcher): Run {
+  const [start] = dispatcher.tick(0);
+  assert.ok(start?.kind === 'start');
+  const {run} = start;
+  dispatcher.recordLease(run.workerId, 0);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  return run;
+}
+
 function listStarts(dispatcher: Dispatcher, now: number): string[] {
   return formatCommands(dispatcher.tick(now)).filter(line =>
     line.startsWith('start'),
@@ -29,11 +44,7 @@
   const dispatcher = createPolledDispatcher();
   const times = {deadlineAt: 6_000};
   dispatcher.submit(createJob('a', 1, times), false, 0);
-  const [start] = dispatcher.tick(0);
-  assert.ok(start?.kind === 'start');
-  const {run} = start;
-  dispatcher.recordLease(run.workerId, 0);
-  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  const run = startRun(dispatcher);
   dispatcher.soleHolder.proveUntil(900);
   const {Unanswered} = WorkerRequestFailure;
   dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
@@ -46,11 +57,7 @@
 test('a holder that may have been replaced answers a job after its deadline and a lease', () => {
   const dispatcher = createPolledDispatcher();
   dispatcher.submit(createJob('a', 1), false, 0);
-  const [start] = dispatcher.tick(0);
-  assert.ok(start?.kind === 'start');
-  const {run} = start;
-  dispatcher.recordLease(run.workerId, 0);
-  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  const run = startRun(dispatcher);
   dispatcher.soleHolder.proveUntil(600);
   const {Unanswered} = WorkerRequestFailure;
   dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
@@ -102,11 +109,7 @@
 test('a holder that is stopping answers a job after its deadline and a lease, though nobody follows it', () => {
   const dispatcher = createPolledDispatcher();
   dispatcher.submit(createJob('a', 1), false, 0);
-  const [start] = dispatcher.tick(0);
-  assert.ok(start?.kind === 'start');
-  const {run} = start;
-  dispatcher.recordLease(run.workerId, 0);
-  dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
+  const run = startRun(dispatcher);
   dispatcher.soleHolder.markLeaving();
   const {Unanswered} = WorkerRequestFailure;
   dispatcher.handlePollFailure(run.workerId, Unanswered, 200);
