--- a/packages/zone/src/holder/free_capacity.ts
+++ b/packages/zone/src/holder/free_capacity.ts
@@ -65,10 +65,10 @@
   return free;
 }
 
-/** Updates the free capacity of another zone from its holder's heartbeat. */
+/** Updates the free capacity of another zone, as its holder has told it. */
 export function updateZoneVacancies(
   dispatcher: Dispatcher,
-  {zone, rooms = []}: ZoneHeartbeat,
+  {zone, rooms = []}: Pick<ZoneHeartbeat, 'zone' | 'rooms'>,
   now: Millis,
 ): void {
   for (const capacity of rooms)
--- a/packages/zone/src/holder/task_delegator.ts
+++ b/packages/zone/src/holder/task_delegator.ts
@@ -17,7 +17,7 @@
   ZoneCallFailure,
 } from '../protocol/index.js';
 import type {DelegationDiscoveryOptions} from './delegation_discovery.js';
-import {toZoneCapacity} from './free_capacity.js';
+import {updateZoneVacancies} from './free_capacity.js';
 import {toSubmission} from './job_conversion.js';
 import {nameRecallFailure} from './recall_failure.js';
 import {OriginalRequest, type Reattachment} from './reattachment.js';
@@ -190,17 +190,11 @@
 
   private async handleDelegationAnswer(
     command: DelegateCommand,
-    {answer, rooms = []}: DelegationAnswer,
+    {answer, rooms}: DelegationAnswer,
   ): Promise<void> {
     await this.handleAnswer(command, answer);
-    const {dispatcher} = this.options;
-    const now = readClock();
-    for (const capacity of rooms) {
-      dispatcher.updateZoneVacancies(
-        toZoneCapacity(command.zone, capacity),
-        now,
-      );
-    }
+    const {zone} = command;
+    updateZoneVacancies(this.options.dispatcher, {zone, rooms}, readClock());
   }
 
   private async handleAnswer(
