A holder answers what has ended before it takes the next message about a job

Callers saw: a job that was sent again as its caller left was answered 'abandoned', or 'refused' although its tasks then started; nobody waited for the job that ran. Cause: an ended job is queued by its id until the end of the holder's turn, and answered to all that wait for that id then. A request that was read in the same turn as the end was among them. Delegated tasks were guarded against this, submissions, cancellations and inquiries were not. Evidence: returning_callers, three of five tests failed before (same instance, another instance, refused while starting) and pass now; two others, of cancellations that are kept or late, still fail. A DELETE that crosses the end of its job now finds it answered.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -129,17 +129,21 @@
   /** Accepts a job; resolves when it has ended. */
   submit(message: JobSubmission): Promise<JobAnswer> {
     if (this.isClosed) return notHolderAnswer;
+    // What has ended is answered to those that waited for it, not to this one.
+    this.answerEndedJobs();
     this.pollers.wakeReported(message.progress);
     return this.submissions.submit(message, readClock());
   }
 
   /** Cancels a job for one owner; it is stopped when no other owner waits. */
   cancel(ownerId: string, jobId: string, reason: AbandonReason): void {
+    this.answerEndedJobs();
     this.submissions.cancel(ownerId, jobId, reason, readClock());
   }
 
   /** Finds a job, or cancels it for all its owners. */
   inquire(jobId: string, action: JobAction): JobPresence {
+    this.answerEndedJobs();
     const now = readClock();
     const isKnown = this.submissions.inquire(jobId, action, now);
     return judgePresence(isKnown, this.isClosed ? 0 : now - this.holderSince);
