A cancellation names the requests that it ends, and why

Callers saw: a job that was sent again was answered 200 'cancelled', though nobody had cancelled it. Cause: a cancellation was kept and applied by owner and job, so that it ended each request of the same instance for that job: one that was sent after the caller had left, when the cancellation came late, and one within 1 s after a cancellation that found its job ended, or that was repeated to a new holder. One reason stood for a caller's DELETE, for a caller that left and for a recall between zones. Now each request of an owner has a number that rises; a cancellation ends those up to one and says whether the callers left or the job was cancelled. Messages of an older version carry neither: their cancellations end all requests, as before.

--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -25,8 +25,12 @@
 export enum AbandonReason {
   /** The caller's deadline or the queue's timeout passed. */
   Deadline = 'deadline',
-  /** The caller disconnected or cancelled the job. */
+  /** A request to cancel the job, whoever waited for it. */
   Cancelled = 'cancelled',
+  /** Every caller that waited for the job has disconnected. */
+  CallerLeft = 'caller_left',
+  /** The zone that delegated the task has recalled it. */
+  Recalled = 'recalled',
   /** The run of a delegated task was lost; it does not run any more. */
   RunLost = 'run_lost',
   /** The worker of a task crashed, and there is no time to run it again. */
--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -68,7 +68,8 @@
     if (known === undefined && this.isRecalled(job.id, message, now))
       return Promise.resolve(outdatedRefusal);
     return new Promise(answer => {
-      pendingAnswers.add(job.id, {ownerId: message.homeZone, answer});
+      const request = message.run;
+      pendingAnswers.add(job.id, {ownerId: message.homeZone, request, answer});
       this.tasks.set(job.id, {run, token});
       if (message.isJoin) {
         dispatcher.resumeDelegated(job, now, progress);
@@ -82,7 +83,7 @@
   recall({homeZone, token, task, run}: DelegationRecall, now: Millis): void {
     const id = formatDelegatedTaskId(homeZone, task);
     if (run !== undefined) this.recalled.add(id, {token, run}, now);
-    this.cancel(id, AbandonReason.Cancelled, now);
+    this.cancel(id, AbandonReason.Recalled, now);
   }
 
   /**
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -2,13 +2,14 @@
  * The holder of a zone, that is, its elected leader: it executes the commands
  * of the dispatcher at the workers and returns the results to job owners.
  */
-import {AbandonReason, Dispatcher, type Command} from '@goldcrestpier/dispatch';
+import {Dispatcher, type Command} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import type {WorkerListing} from '../ports/index.js';
 import type {
   JobAction,
   JobPresence,
   JobAnswer,
+  JobCancellation,
   JobSubmission,
   TaskDelegation,
   DelegatedTaskList,
@@ -33,7 +34,7 @@
   updateZoneVacancies,
 } from './free_capacity.js';
 import {OverloadDetector} from './overload_detector.js';
-import {createObserver, logPlacements} from './observer.js';
+import {createObserver, logDelegatedTasks, logPlacements} from './observer.js';
 import {PendingAnswers} from './pending_answers.js';
 import {WorkerPollers} from './worker_pollers.js';
 
@@ -135,10 +136,10 @@
     return this.submissions.submit(message, readClock());
   }
 
-  /** Cancels a job for one owner; it is stopped when no other owner waits. */
-  cancel(ownerId: string, jobId: string, reason: AbandonReason): void {
+  /** Cancels requests of one owner; the job is stopped when no other waits. */
+  cancel(message: JobCancellation): void {
     this.answerEndedJobs();
-    this.submissions.cancel(ownerId, jobId, reason, readClock());
+    this.submissions.cancel(message, readClock());
   }
 
   /** Finds a job, or cancels it for all its owners. */
@@ -209,13 +210,10 @@
   listDelegatedTasks(homeZone: string): DelegatedTaskList {
     const now = readClock();
     const delegated = this.delegatedTasks.list(homeZone, now);
-    this.options.logger.info('listed delegated tasks for another zone', {
-      zone: homeZone,
-      tasks: delegated.tasks.length,
-      isComplete: delegated.isComplete,
-      unknownRuns: countOrphans(this.dispatcher),
-      heldMs: Math.round(now - this.holderSince),
-    });
+    const unknownRuns = countOrphans(this.dispatcher);
+    const heldMs = now - this.holderSince;
+    const context = {zone: homeZone, unknownRuns, heldMs};
+    logDelegatedTasks(delegated, context, this.options.logger);
     return delegated;
   }
 
@@ -287,7 +285,7 @@
     for (const command of commands) void this.execute(command);
   }
 
-  private async execute(command: Command): Promise<void> {
+  private execute(command: Command): Promise<void> {
     switch (command.kind) {
       case 'start':
         return this.commandSender.start(command);
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -9,7 +9,11 @@
 } from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {JobSubmission, TaskDelegation} from '../protocol/index.js';
+import type {
+  DelegatedTaskList,
+  JobSubmission,
+  TaskDelegation,
+} from '../protocol/index.js';
 import {countRunsOf} from './run_counts.js';
 
 /** Age from which a list of workers is logged with the placed tasks, in ms. */
@@ -218,6 +222,31 @@
   });
 }
 
+/** What a list of delegated tasks is based on. */
+export interface DelegatedTaskContext {
+  /** The zone that delegated them. */
+  readonly zone: string;
+  /** Number of runs that no known job has claimed. */
+  readonly unknownRuns: number;
+  /** Time since this instance became the holder. */
+  readonly heldMs: Millis;
+}
+
+/** Logs a list of tasks that another zone delegated. */
+export function logDelegatedTasks(
+  {tasks, isComplete}: DelegatedTaskList,
+  {zone, unknownRuns, heldMs}: DelegatedTaskContext,
+  logger: Logger,
+): void {
+  logger.info('listed delegated tasks for another zone', {
+    zone,
+    tasks: tasks.length,
+    isComplete,
+    unknownRuns,
+    heldMs: Math.round(heldMs),
+  });
+}
+
 /** What the record of a join depends on. */
 export interface JoinContext {
   readonly dispatcher: Dispatcher;
--- a/packages/zone/src/holder/pending_answers.ts
+++ b/packages/zone/src/holder/pending_answers.ts
@@ -1,9 +1,17 @@
 /** The owners that wait for the result of each job. */
 import type {JobAnswer} from '../protocol/index.js';
 
-/** One owner that waits for the result of one job. */
+/** Requests of one owner, up to and including one. */
+export interface OwnerRequests {
+  readonly ownerId: string;
+  readonly lastRequest: number;
+}
+
+/** One request of an owner that waits for the result of one job. */
 export interface PendingAnswer {
   readonly ownerId: string;
+  /** Number of the owner's request. */
+  readonly request: number;
   readonly answer: (answer: JobAnswer) => void;
 }
 
@@ -22,9 +30,9 @@
   }
 
   /** Adds an owner that waits for a record. */
-  add(recordId: string, {ownerId, answer}: PendingAnswer): void {
+  add(recordId: string, {ownerId, request, answer}: PendingAnswer): void {
     const entries = this.findEntries(recordId);
-    const entry = {ownerId, answer, isLost: false};
+    const entry = {ownerId, request, answer, isLost: false};
     this.byRecord.set(recordId, [...entries, entry]);
   }
 
@@ -44,15 +52,21 @@
     }
   }
 
-  /** Answers one owner; returns how many still wait and aren't lost. */
-  answerOwner(recordId: string, ownerId: string, answer: JobAnswer): number {
+  /** Answers requests of one owner; returns whether any of them waited. */
+  answerRequests(
+    recordId: string,
+    {ownerId, lastRequest}: OwnerRequests,
+    answer: JobAnswer,
+  ): boolean {
     const entries = this.findEntries(recordId);
-    const remaining = entries.filter(entry => entry.ownerId !== ownerId);
-    for (const entry of entries) {
-      if (entry.ownerId === ownerId) entry.answer(answer);
-    }
+    const answered = entries.filter(
+      entry => entry.ownerId === ownerId && entry.request <= lastRequest,
+    );
+    if (answered.length === 0) return false;
+    const remaining = entries.filter(entry => !answered.includes(entry));
     this.byRecord.set(recordId, remaining);
-    return this.findOwners(recordId).length;
+    for (const entry of answered) entry.answer(answer);
+    return true;
   }
 
   /** Answers all owners that wait for a record. */
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -7,13 +7,15 @@
   type JobProgress,
   type TaskHistory,
 } from '@goldcrestpier/dispatch';
-import {ExpiringMap, type Logger, type Millis} from '@goldcrestpier/runtime';
+import type {Logger, Millis} from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import {
   JobAction,
   type JobAnswer,
+  type JobCancellation,
   type JobSubmission,
 } from '../protocol/index.js';
+import {EarlyCancellations, UNNUMBERED_REQUEST} from './early_cancellations.js';
 import {busyRefusal, busyAnswer} from './refusals.js';
 import type {OverloadDetector} from './overload_detector.js';
 import {logAcceptedJob} from './observer.js';
@@ -22,14 +24,6 @@
 import {toJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
 
-/**
- * Time in which a submission may arrive after its cancellation, in ms; shorter
- * than that after which a caller sends its job again.
- */
-const EARLY_CANCELLATION_MS = 1_000;
-/** Maximum number of such cancellations that are kept. */
-const MAX_EARLY_CANCELLATIONS = 10_000;
-
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
   readonly dispatcher: Dispatcher;
@@ -54,21 +48,18 @@
 export class SubmissionHandler {
   /** Resubmitted jobs whose earlier record is still being stopped. */
   private readonly postponed = new Map<string, PostponedJob>();
-  /** Cancellations that may arrive before submissions, by owner and job. */
-  private readonly earlyCancellations = new ExpiringMap<string, AbandonReason>(
-    EARLY_CANCELLATION_MS,
-    MAX_EARLY_CANCELLATIONS,
-  );
+  private readonly earlyCancellations = new EarlyCancellations();
 
   constructor(private readonly options: SubmissionHandlerOptions) {}
 
   /** Accepts or refuses a job; resolves when it has ended. */
   submit(message: JobSubmission, now: Millis): Promise<JobAnswer> {
     const {overloadDetector, logger, metrics} = this.options;
-    const {id, ownerId} = message;
-    const reason = this.findEarlyCancellation(message, now);
+    const {id, ownerId, request} = message;
+    const reason = this.earlyCancellations.find(message, now);
     if (reason !== undefined) {
-      logger.info('job was cancelled before it arrived', {job: id, ownerId});
+      const fields = {job: id, ownerId, request, reason};
+      logger.info('job was cancelled before it arrived', fields);
       return Promise.resolve({kind: 'abandoned', reason});
     }
     if (overloadDetector.isOverloaded(now) && this.isNew(message, now)) {
@@ -79,24 +70,26 @@
     return new Promise(answer => this.accept(message, answer, now));
   }
 
-  /** Cancels a job for one owner; it is stopped when no other owner waits. */
+  /** Cancels requests of one owner; the job is stopped when no other waits. */
   cancel(
-    ownerId: string,
-    jobId: string,
-    reason: AbandonReason,
+    {ownerId, jobId, lastRequest = Infinity, reason}: JobCancellation,
     now: Millis,
   ): void {
     const {dispatcher, pendingAnswers, onChange} = this.options;
-    if (!pendingAnswers.findOwners(jobId).includes(ownerId)) {
-      this.earlyCancellations.set(`${ownerId} ${jobId}`, reason, now);
-      // An earlier holder may have left runs of it.
-      if (!dispatcher.jobs.has(jobId)) dispatcher.cancel(jobId, reason, now);
-      onChange();
+    const abandonReason = reason ?? AbandonReason.CallerLeft;
+    const answer = {kind: 'abandoned', reason: abandonReason} as const;
+    const requests = {ownerId, lastRequest};
+    if (pendingAnswers.answerRequests(jobId, requests, answer)) {
+      if (pendingAnswers.findOwners(jobId).length > 0) return;
+      this.stopJob(ownerId, jobId, abandonReason, now);
       return;
     }
-    const answer = {kind: 'abandoned', reason} as const;
-    if (pendingAnswers.answerOwner(jobId, ownerId, answer) > 0) return;
-    this.stopJob(ownerId, jobId, reason, now);
+    const cancelled = {...requests, jobId, reason: abandonReason};
+    this.earlyCancellations.add(cancelled, now);
+    // An earlier holder may have left runs of it.
+    if (!dispatcher.jobs.has(jobId))
+      dispatcher.cancel(jobId, abandonReason, now);
+    onChange();
   }
 
   /**
@@ -125,7 +118,7 @@
   private cancelForAllOwners(jobId: string, now: Millis): void {
     const {pendingAnswers} = this.options;
     const reason = AbandonReason.Cancelled;
-    this.earlyCancellations.set(formatAnyOwner(jobId), reason, now);
+    this.earlyCancellations.addForAllOwners(jobId, now);
     if (!this.isKnown(jobId)) return;
     const owners = pendingAnswers.findOwners(jobId);
     pendingAnswers.answerAll(jobId, {kind: 'abandoned', reason});
@@ -223,14 +216,6 @@
     }
   }
 
-  private findEarlyCancellation(
-    {ownerId, id}: JobSubmission,
-    now: Millis,
-  ): AbandonReason | undefined {
-    const byOwner = this.earlyCancellations.get(`${ownerId} ${id}`, now);
-    return byOwner ?? this.earlyCancellations.get(formatAnyOwner(id), now);
-  }
-
   private stopJob(
     ownerId: string,
     jobId: string,
@@ -260,7 +245,8 @@
   ): void {
     const {dispatcher, pendingAnswers, logger, onChange} = this.options;
     const {id, ownerId, isResumed, progress} = message;
-    pendingAnswers.add(id, {ownerId, answer});
+    const {request = UNNUMBERED_REQUEST} = message;
+    pendingAnswers.add(id, {ownerId, request, answer});
     const known = dispatcher.jobs.get(id);
     // A message says how much time is left from its arrival on.
     const job = toJob(message, now);
@@ -275,8 +261,3 @@
     onChange();
   }
 }
-
-/** The key of a cancellation for all owners; no owner has an empty id. */
-function formatAnyOwner(jobId: string): string {
-  return ` ${jobId}`;
-}
--- a/packages/zone/src/instance/holder_client.ts
+++ b/packages/zone/src/instance/holder_client.ts
@@ -1,5 +1,4 @@
 /** Clients for the holder, which runs in this process or at a peer. */
-import {AbandonReason} from '@goldcrestpier/dispatch';
 import {Ok} from 'ts-results-es';
 import type {Holder} from '../holder/index.js';
 import type {HolderClient} from '../owner/index.js';
@@ -36,8 +35,8 @@
   return {
     id: selfId,
     submit: async message => Ok(await holder.submit(message)),
-    cancel: jobId => {
-      holder.cancel(selfId, jobId, AbandonReason.Cancelled);
+    cancel: cancellation => {
+      holder.cancel({ownerId: selfId, ...cancellation});
       return Promise.resolve(true);
     },
   };
@@ -52,8 +51,8 @@
   return {
     id: holderId,
     submit: (message, timeoutMs) => client.submit(message, timeoutMs),
-    cancel: async jobId => {
-      const message = {ownerId: selfId, jobId};
+    cancel: async cancellation => {
+      const message = {ownerId: selfId, ...cancellation};
       const result = await client.cancel(message, CANCEL_TIMEOUT_MS);
       return result.isOk() && result.value;
     },
--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -1,5 +1,5 @@
 /** One instance of a zone: owns its callers' jobs and may be the holder. */
-import {AbandonReason, TaskHistory, type Job} from '@goldcrestpier/dispatch';
+import {TaskHistory, type Job} from '@goldcrestpier/dispatch';
 import {LogPart, readClock, type Millis} from '@goldcrestpier/runtime';
 import {notHolderAnswer} from '../holder/index.js';
 import {Owner, type OwnerAnswer} from '../owner/index.js';
@@ -169,10 +169,10 @@
     return this.roles.holder?.submit(message) ?? notHolderAnswer;
   }
 
-  /** Cancels a job that a peer submitted. */
-  cancel({ownerId, jobId}: JobCancellation): Promise<boolean> {
+  /** Cancels requests of a peer for a job. */
+  cancel(message: JobCancellation): Promise<boolean> {
     const {holder} = this.roles;
-    holder?.cancel(ownerId, jobId, AbandonReason.Cancelled);
+    holder?.cancel(message);
     return Promise.resolve(holder !== undefined);
   }
 
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -18,11 +18,7 @@
 import type {Result} from 'ts-results-es';
 import {toSubmission} from '../holder/index.js';
 import type {ZoneMetrics} from '../metrics/index.js';
-import type {
-  JobAnswer,
-  JobSubmission,
-  ZoneCallFailure,
-} from '../protocol/index.js';
+import type {JobAnswer, ZoneCallFailure} from '../protocol/index.js';
 import {
   OwnerRefusal,
   findLastSubmission,
@@ -33,6 +29,11 @@
 } from './attempt.js';
 import {Callers} from './callers.js';
 import {findEarlyAnswerReason} from './early_answer.js';
+import type {
+  HolderClient,
+  OwnCancellation,
+  OwnRequest,
+} from './holder_client.js';
 import {findHolderWaitEnd} from './holder_wait.js';
 
 /** Pause before the holder is looked up again, in ms. */
@@ -52,17 +53,6 @@
 /** Abort reason of a finished attempt; a string avoids an error per job. */
 const ATTEMPT_ENDED = 'attempt ended';
 
-/** A client of the holder, which is local or a peer. */
-export interface HolderClient {
-  readonly id: string;
-  submit(
-    message: JobSubmission,
-    timeoutMs: Millis,
-  ): Promise<Result<JobAnswer, ZoneCallFailure>>;
-  /** Cancels a job; true if the holder has accepted that. */
-  cancel(jobId: string): Promise<boolean>;
-}
-
 /** Dependencies of an owner. */
 export interface OwnerOptions {
   readonly selfId: string;
@@ -88,21 +78,27 @@
 /** Submits jobs to the holder and returns the results. */
 export class Owner {
   private readonly callers = new Callers();
+  private lastRequest = 0;
 
   constructor(private readonly options: OwnerOptions) {}
 
   /** Runs a job. Aborting `signal` cancels it for this caller. */
   async run(job: Job, signal: AbortSignal): Promise<OwnerAnswer> {
     const caller = new AbortController();
+    this.lastRequest += 1;
+    const request = {job, number: this.lastRequest};
     this.callers.register(job.id, caller);
     caller.signal.addEventListener('abort', () => {
+      const reason = signal.aborted
+        ? AbandonReason.CallerLeft
+        : AbandonReason.Cancelled;
       if (this.callers.unregister(job.id, caller))
-        void this.cancelAtHolder(job);
+        void this.cancelAtHolder(job, reason);
     });
     const abort = () => caller.abort();
     signal.addEventListener('abort', abort, {once: true});
     if (signal.aborted) abort();
-    const answer = await this.submitUntilAnswered(job, caller.signal);
+    const answer = await this.submitUntilAnswered(request, caller.signal);
     // A caller that has left gets no answer.
     if (!signal.aborted) this.recordAnswer(job, answer, caller.signal.aborted);
     signal.removeEventListener('abort', abort);
@@ -126,9 +122,10 @@
   }
 
   private async submitUntilAnswered(
-    job: Job,
+    request: OwnRequest,
     signal: AbortSignal,
   ): Promise<OwnerAnswer> {
+    const {job} = request;
     let history: History = {kind: 'none'};
     for (;;) {
       const now = readClock();
@@ -144,7 +141,7 @@
         await sleep(HOLDER_RETRY_MS, signal);
         continue;
       }
-      const attempt = await this.tryHolder(holder, job, history);
+      const attempt = await this.tryHolder(holder, request, history);
       if (attempt.kind === 'answered') return attempt.answer;
       if (attempt.kind === 'cancelled') return this.awaitRunEnds(signal);
       history = attempt.history;
@@ -167,10 +164,10 @@
 
   private async tryHolder(
     holder: HolderClient,
-    job: Job,
+    request: OwnRequest,
     history: History,
   ): Promise<Attempt> {
-    const result = await this.submit(holder, job, history);
+    const result = await this.submit(holder, request, history);
     if (result === undefined) {
       return {
         kind: 'lost',
@@ -196,13 +193,14 @@
   /** Returns the answer; undefined if the holder was replaced without one. */
   private async submit(
     holder: HolderClient,
-    job: Job,
+    {job, number: request}: OwnRequest,
     history: History,
   ): Promise<Result<JobAnswer, ZoneCallFailure> | undefined> {
     const {selfId, history: known, waitForHolderChange, isAlive} = this.options;
     const now = readClock();
     const message = {
       ...toSubmission(job, selfId, history.kind !== 'none', now),
+      request,
       progress: history.kind === 'told' ? history.progress : undefined,
       ...known.reportJob(job.id, now),
     };
@@ -222,15 +220,20 @@
   }
 
   /**
-   * Cancels the job of a caller that left, retrying until it must be over. A
+   * Cancels all requests so far for a job, retrying until it must be over. A
    * holder that follows while its runs are being stopped has to stop them, too.
    */
-  private async cancelAtHolder({id, deadlineAt}: Job): Promise<void> {
+  private async cancelAtHolder(
+    {id, deadlineAt}: Job,
+    reason: OwnCancellation['reason'],
+  ): Promise<void> {
+    const {lastRequest} = this;
+    const cancellation = {jobId: id, lastRequest, reason};
     while (readClock() < deadlineAt + CANCELLATION_MARGIN_MS) {
       // The job was sent again, so its runs are still needed.
       if (this.callers.has(id)) return;
       const holder = this.options.findHolder();
-      if (holder !== undefined && (await holder.cancel(id))) {
+      if (holder !== undefined && (await holder.cancel(cancellation))) {
         if (await this.isHolderKept(holder.id)) return;
         continue;
       }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -149,6 +149,8 @@
 export const jobSubmissionSchema = z.object({
   /** Id of the job's owner, the instance that answers the caller. */
   ownerId: z.string(),
+  /** Number of the owner's request, which rises; none from an older version. */
+  request: z.number().int().positive().optional(),
   /** Whether another holder may have started some of its tasks. */
   isResumed: z.boolean(),
   id: z.string(),
@@ -250,10 +252,16 @@
   ...taskHistoryShape,
 });
 
-/** Cancels a job: the caller disconnected or cancelled it. */
+/** Cancels an owner's requests for a job; later ones are not concerned. */
 export const jobCancellationSchema = z.object({
   ownerId: z.string(),
   jobId: z.string(),
+  /** Number of the last request; from an older version none, for all. */
+  lastRequest: z.number().int().positive().optional(),
+  /** Why; an older version doesn't tell. */
+  reason: z
+    .enum([AbandonReason.Cancelled, AbandonReason.CallerLeft])
+    .optional(),
 });
 
 /** The claim of an instance to be the holder of a zone, with its token. */
--- a/packages/zone/test/caller_disconnect.test.ts
+++ b/packages/zone/test/caller_disconnect.test.ts
@@ -26,7 +26,7 @@
         setImmediate(() => caller.abort());
         return Promise.resolve(Err(disconnected));
       },
-      cancel: jobId => {
+      cancel: ({jobId}) => {
         cancelled.push(jobId);
         return Promise.resolve(true);
       },
@@ -54,7 +54,7 @@
         ? {
             id: 'holder',
             submit: () => Promise.resolve(Ok({kind: 'completed'})),
-            cancel: jobId => {
+            cancel: ({jobId}) => {
               cancelled.push(jobId);
               return Promise.resolve(true);
             },
--- a/packages/zone/test/handed_over_jobs.test.ts
+++ b/packages/zone/test/handed_over_jobs.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-  AbandonReason,
   RunEnd,
   StartAnswer,
   type Dispatcher,
@@ -11,7 +10,10 @@
 import {toSubmission} from '../src/holder/job_conversion.js';
 import type {JobAnswer} from '../src/protocol/index.js';
 import {createDispatcher, createJob} from './fixtures/dispatcher.js';
-import {createSubmissionHandler} from './fixtures/submission_handler.js';
+import {
+  createCancellation,
+  createSubmissionHandler,
+} from './fixtures/submission_handler.js';
 
 /** A submission handler on a dispatcher that has held since time 0. */
 class HandlerFixture {
@@ -53,8 +55,7 @@
   const fixture = new HandlerFixture();
   const job = createJob('a', 1, 5);
   void fixture.submit(job, 'owner-1', 5, isResumed);
-  const {Cancelled} = AbandonReason;
-  fixture.handler.cancel('owner-1', 'a', Cancelled, 10);
+  fixture.handler.cancel(createCancellation('owner-1', 'a'), 10);
   fixture.tick(11);
   const answer = fixture.submit(job, 'owner-2', 20, isNew);
   fixture.tick(21);
@@ -69,8 +70,7 @@
   const job = createJob('a', 1, 3_000);
   void fixture.submit(job, 'owner-1', 3_000, isNew);
   assert.deepEqual(fixture.tick(3_001), ['start']);
-  const {Cancelled} = AbandonReason;
-  fixture.handler.cancel('owner-1', 'a', Cancelled, 3_010);
+  fixture.handler.cancel(createCancellation('owner-1', 'a'), 3_010);
   assert.deepEqual(fixture.tick(3_011), ['stop']);
   const state = {kind: 'lent', run: 2, zone: 'east', tookMs: 5} as const;
   const task = {key: 'a.0.0.0', lastRun: 2, failures: 0, state};
@@ -100,8 +100,7 @@
 
 test('a job is not started that was cancelled before its submission was read', () => {
   const fixture = new HandlerFixture();
-  const {Cancelled} = AbandonReason;
-  fixture.handler.cancel('owner-1', 'a', Cancelled, 3_000);
+  fixture.handler.cancel(createCancellation('owner-1', 'a'), 3_000);
   void fixture.submit(createJob('a', 1, 3_000), 'owner-1', 3_001, isNew);
   assert.deepEqual(fixture.tick(3_002), []);
 });
@@ -114,8 +113,7 @@
   const report = {clockMs: 50, bornAt: 1, running, ended: []};
   fixture.dispatcher.handleReport('w1', report, 1, 2);
   assert.deepEqual(fixture.tick(3), []);
-  const {Cancelled} = AbandonReason;
-  fixture.handler.cancel('owner-1', 'a', Cancelled, 10);
+  fixture.handler.cancel(createCancellation('owner-1', 'a'), 10);
   assert.equal(fixture.dispatcher.chooseLease('w1', 11), undefined);
   const [stop, ...others] = fixture.dispatcher.tick(12);
   assert.ok(stop?.kind === 'stop' && stop.key === 'a.0.0.0');
@@ -127,8 +125,7 @@
   const tasks = ['a', 'b'].map(id => ({key: `${id}.0.0.0`, run: 1}));
   const report = {isComplete: true, tasks};
   fixture.dispatcher.handleDelegationReport('east', report, 2);
-  const {Cancelled} = AbandonReason;
-  fixture.handler.cancel('owner-1', 'a', Cancelled, 10);
+  fixture.handler.cancel(createCancellation('owner-1', 'a'), 10);
   const [recall, ...others] = fixture.dispatcher.tick(12);
   assert.ok(recall?.kind === 'recall' && recall.key === 'a.0.0.0');
   assert.deepEqual(others, []);
--- a/packages/zone/test/lost_owner.test.ts
+++ b/packages/zone/test/lost_owner.test.ts
@@ -19,6 +19,7 @@
   noopLogger,
   worker,
 } from './fixtures/dispatcher.js';
+import {createCancellation} from './fixtures/submission_handler.js';
 
 const START = 1_000;
 const TICK_MS = 25;
@@ -149,7 +150,7 @@
   fixture.submit('o-1', START);
   await fixture.step(['o-1'], START + 50);
   fixture.submit('o-2', START + 60);
-  fixture.handler.cancel('o-2', 'a', AbandonReason.Cancelled, START + 70);
+  fixture.handler.cancel(createCancellation('o-2', 'a'), START + 70);
   fixture.endRun(1, RunEnd.Stopped, START + 200);
   await fixture.step(['o-1'], START + 200);
   assert.deepEqual(fixture.answers.get('o-1'), ownerLost);
--- a/packages/zone/test/returning_callers.test.ts
+++ b/packages/zone/test/returning_callers.test.ts
@@ -10,6 +10,8 @@
 import {createJob, noopLogger, worker} from './fixtures/dispatcher.js';
 
 const LABEL = 'labelled';
+/** Event loop turns after which a start has certainly been sent. */
+const MAX_TURNS = 2_000;
 const openGate = Promise.resolve();
 
 /** A message that waits on its way until the test delivers it. */
@@ -53,6 +55,15 @@
     for (let turn = 0; turn < 8; turn += 1) await nextTurn();
   }
 
+  /** Waits until a task has been started so often; throws after many turns. */
+  async waitForStarts(count: number): Promise<void> {
+    for (let turn = 0; turn < MAX_TURNS; turn += 1) {
+      if (this.startCount === count) return;
+      await nextTurn();
+    }
+    throw new Error(`${this.startCount} starts`);
+  }
+
   /** Changes the labels of the only worker. */
   setLabels(labels: readonly string[]): void {
     const workers = [{...worker, labels}];
@@ -151,8 +162,7 @@
     await fixture.settle();
     answers.deliver();
     void fixture.send(job, 'owner-1');
-    await fixture.settle();
-    assert.equal(fixture.startCount, 2);
+    await fixture.waitForStarts(2);
   }));
 
 test('a cancellation that arrives late does not cancel the job that was sent again', () =>
