A caller whose job another request cancelled is not told 504 when there is no holder

Callers saw: after a DELETE that was answered 200, the POST of the same job was answered 504 when its zone had lost its holder. On 504 a job is sent again, and it ran. Cause: an aborted wait ended as 'unknown', whoever aborted it. Evidence: two_callers, the new test failed before ('unknown') and passes now.

--- a/packages/zone/src/owner/early_answer.ts
+++ b/packages/zone/src/owner/early_answer.ts
@@ -26,3 +26,12 @@
     answer.kind === 'abandoned' && answer.reason === AbandonReason.OwnerLost;
   return isOwnerLost ? EarlyAnswerReason.OwnerLost : undefined;
 }
+
+/**
+ * The answer to a caller whose job another request has cancelled: that it is
+ * unknown how the job ended would have the caller send it again.
+ */
+export function toCancelledAnswer(answer: OwnerAnswer): OwnerAnswer {
+  if (answer.kind !== 'unknown') return answer;
+  return {kind: 'abandoned', reason: AbandonReason.Cancelled};
+}
--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -28,7 +28,7 @@
   type OwnerAnswer,
 } from './attempt.js';
 import {Callers} from './callers.js';
-import {findEarlyAnswerReason} from './early_answer.js';
+import {findEarlyAnswerReason, toCancelledAnswer} from './early_answer.js';
 import type {
   HolderClient,
   OwnCancellation,
@@ -103,7 +103,7 @@
     if (!signal.aborted) this.recordAnswer(job, answer, caller.signal.aborted);
     signal.removeEventListener('abort', abort);
     this.callers.unregister(job.id, caller);
-    return answer;
+    return caller.signal.aborted ? toCancelledAnswer(answer) : answer;
   }
 
   /** Whether any caller of this instance waits. */
--- a/packages/zone/test/two_callers.test.ts
+++ b/packages/zone/test/two_callers.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {test} from 'node:test';
-import {TaskHistory} from '@goldcrestpier/dispatch';
+import {AbandonReason, TaskHistory} from '@goldcrestpier/dispatch';
 import {readClock} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {createLocalHolderClient} from '../src/instance/holder_client.js';
@@ -66,3 +66,28 @@
   );
   assert.equal(owner.cancelForAllCallers('a'), false);
 });
+
+// Guards against 504, on which a caller sends its job again, after a DELETE.
+test('a job that is cancelled while its zone has no holder is answered as cancelled', async () => {
+  const {lifecycle, metrics} = new OwnerFixture();
+  const owner = new Owner({
+    history: new TaskHistory(),
+    selfId: OWNER_ID,
+    findHolder: () => undefined,
+    waitForHolderChange: () => new Promise(() => undefined),
+    isAlive: () => true,
+    holderExpectedAt: () => undefined,
+    onHolderUnavailable: () => undefined,
+    logger: noopLogger,
+    metrics,
+  });
+  const job = createJob('a', 1, readClock());
+  const answer = owner.run(job, new AbortController().signal);
+  await nextTurn();
+  owner.cancelForAllCallers('a');
+  assert.deepEqual(await answer, {
+    kind: 'abandoned',
+    reason: AbandonReason.Cancelled,
+  });
+  void lifecycle.close();
+});
