Simulation: callers leave, send the same job again at once, and cancel jobs

The simulated callers that left never came back, so that no simulation had two requests for a job close together. Other simulations draw no random number more.

--- a/packages/zone/test/simulation/callers.ts
+++ b/packages/zone/test/simulation/callers.ts
@@ -12,6 +12,7 @@
 import {CRASHING_PAYLOAD} from './crash_checker.js';
 import {LABELLED_PAYLOAD, REQUIRED_LABEL} from './label_checker.js';
 import type {Random} from './random.js';
+import type {ReturningCallers} from './returning_callers.js';
 import {USUAL_TASK_MS} from './worker.js';
 import type {Workload} from './workload.js';
 
@@ -59,6 +60,7 @@
     private readonly attendance: AttendanceChecker,
     private readonly crashingShare: number,
     private readonly workload?: Workload,
+    private readonly returns?: ReturningCallers,
   ) {
     this.random = world.random.fork();
   }
@@ -129,6 +131,12 @@
     this.sendTo(sent, this.chooseMachine(sent));
   }
 
+  private sendAgain(sent: SentJob, machine: Machine): void {
+    if (sent.sendCount >= MAX_SENDS) return;
+    sent.sendCount += 1;
+    this.sendTo(sent, machine);
+  }
+
   private sendTo(sent: SentJob, machine: Machine): void {
     const {scheduler, network, timeline} = this.world;
     const running = machine.running;
@@ -173,13 +181,13 @@
     const {attendance} = this;
     attendance.recordArrival(sent.id);
     let isFinished = false;
-    const finish = (hasCallerLeft: boolean) => {
+    const finish = (hasCallerLeft: boolean, heldMs = 0) => {
       isFinished = true;
       attendance.recordDeparture(sent.id);
       running.exitCallbacks.delete(handleProcessExit);
       running.resetCallbacks.delete(handleReset);
       if (!hasCallerLeft) return;
-      const at = network.drawArrival(CALLERS, machine.name);
+      const at = network.drawArrival(CALLERS, machine.name) + heldMs;
       scheduler.deliver(at, running.process, () => controller.abort());
     };
     const deliverToCaller = (onArrival: () => void) => {
@@ -210,13 +218,25 @@
         if (!isFinished) finish(true);
       });
     }
+    this.returns?.watch({
+      jobId: sent.id,
+      machine,
+      leave: heldMs => {
+        if (isFinished) return false;
+        finish(true, heldMs);
+        return true;
+      },
+      sendAgain: next => this.sendAgain(sent, next),
+    });
     const arrivesAt = network.drawArrival(CALLERS, machine.name);
     scheduler.deliver(arrivesAt, running.process, () => {
       const job = toJob(sent, readClock());
       void runIfWaiting(running, job, controller.signal).then(answer => {
         if (answer === undefined) return;
+        this.returns?.handleAnswer(sent.id, answer);
         deliverToCaller(() => {
           finish(false);
+          this.returns?.handleReceived(sent.id, answer);
           this.handleAnswer(sent, answer);
         });
       });
--- a/packages/zone/test/simulation/checker.ts
+++ b/packages/zone/test/simulation/checker.ts
@@ -1,5 +1,6 @@
 /** Checks that no task has two runs at the same time. */
 import type {Millis} from '@goldcrestpier/runtime';
+import type {AnswerChecker} from './answer_checker.js';
 import type {AttendanceChecker} from './attendance_checker.js';
 import type {Timeline} from './timeline.js';
 
@@ -31,12 +32,14 @@
   constructor(
     private readonly timeline: Timeline,
     private readonly attendance: AttendanceChecker,
+    private readonly answers: AnswerChecker,
   ) {}
 
   /** Records the start of a run. */
   recordStart(task: string, run: ActiveRun): void {
     this.startCount += 1;
     this.timeline.add(run.worker, `starts ${task}/${run.run}`);
+    this.answers.recordStart(task);
     const concurrentRuns = this.activeRuns.get(task) ?? new Set<ActiveRun>();
     const [other] = concurrentRuns;
     if (other !== undefined) this.report(task, other, run);
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -3,6 +3,7 @@
  * seed always gives the same simulation.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import {AnswerChecker} from './answer_checker.js';
 import {AttendanceChecker, type UnattendedRun} from './attendance_checker.js';
 import {OverlapChecker, type Violation} from './checker.js';
 import {Callers, type JobTally} from './callers.js';
@@ -16,6 +17,7 @@
 import {Network} from './network.js';
 import {Random} from './random.js';
 import {DelayedRequests} from './request_delays.js';
+import {ReturningCallers} from './returning_callers.js';
 import {scheduleRollingStops} from './rolling_stops.js';
 import {Scheduler} from './scheduler.js';
 import {SlowChanges} from './slow_changes.js';
@@ -54,6 +56,8 @@
   readonly areCutsRefused?: boolean;
   /** Whether holders change in turn while workers are slow. */
   readonly hasSlowChanges?: boolean;
+  /** Whether callers leave and come back at once, and cancel jobs. */
+  readonly hasReturningCallers?: boolean;
   /** How long a run may go on without a caller; unlimited by default. */
   readonly maxUnattendedMs?: Millis;
   /** Random jobs by default. */
@@ -77,6 +81,8 @@
   readonly labelledStartCount: number;
   /** Runs that went on too long without a caller. */
   readonly unattendedRuns: readonly UnattendedRun[];
+  /** What callers were answered, if they come back. */
+  readonly answers: AnswerChecker;
 }
 
 /** Runs the simulation of a seed to its end. */
@@ -89,10 +95,17 @@
   const scheduler = new Scheduler();
   const timeline = new Timeline(scheduler);
   const attendance = new AttendanceChecker(timeline, maxUnattendedMs);
-  const checker = new OverlapChecker(timeline, attendance);
+  const answers = new AnswerChecker(timeline);
+  const checker = new OverlapChecker(timeline, attendance, answers);
   const crashChecker = new CrashChecker(timeline);
   const labelChecker = new LabelChecker(timeline);
-  const checkers = {checker, crashChecker, labelChecker, attendance};
+  const checkers = {
+    checker,
+    crashChecker,
+    labelChecker,
+    attendance,
+    answers,
+  };
   let tally: JobTally | undefined;
   const globalRandom = random.fork();
   await withSimulatedTime(
@@ -113,6 +126,7 @@
     labelViolations: labelChecker.violations,
     labelledStartCount: labelChecker.startCount,
     unattendedRuns: attendance.violations,
+    answers,
   };
 }
 
@@ -121,6 +135,7 @@
   readonly crashChecker: CrashChecker;
   readonly labelChecker: LabelChecker;
   readonly attendance: AttendanceChecker;
+  readonly answers: AnswerChecker;
 }
 
 function setUpSimulation(
@@ -134,6 +149,7 @@
     hasCutOffHolders = false,
     areCutsRefused = false,
     hasSlowChanges = false,
+    hasReturningCallers = false,
     workload,
     durationMs = USUAL_DURATION_MS,
   }: SimulationOptions,
@@ -186,8 +202,18 @@
   for (const machine of machines) {
     scheduler.runAfter(random.between(0, 300), () => machine.start());
   }
-  const {attendance} = checkers;
-  const callers = new Callers(world, attendance, crashingShare, workload);
+  const {attendance, answers} = checkers;
+  // Other simulations keep their sequence of random numbers.
+  const returns = hasReturningCallers
+    ? new ReturningCallers(world, answers)
+    : undefined;
+  const callers = new Callers(
+    world,
+    attendance,
+    crashingShare,
+    workload,
+    returns,
+  );
   const meanIntervalMs =
     workload?.meanIntervalMs ?? random.between(120, 400) / zones.length;
   scheduler.runAfter(1_000, () => callers.start(meanIntervalMs, quietFrom));
