Tests of the zone that counted in real time run in simulated time

Six tests in KNOWN-RED.txt failed at load 23 to 40. Each pauses for some tens of ms and then counts what happened meanwhile, and the code under test decides by the same clock (deadlines of 100 ms, a wait that follows a run's estimate, retries every 20 or 200 ms), so that a process without a CPU for 100 ms gives another count. testInSimulatedTime runs a test on the scheduler of the simulations: time passes only while all code waits. The other tests of the five files use it as well; a turn of the event loop in worker_pollers is now 1 ms. Scheduler.runUntil is split into single events, in the same order.

As strict as before: the tests, their times and bounds are unchanged, and are now exact.

--- a/packages/zone/test/abandoned_submissions.test.ts
+++ b/packages/zone/test/abandoned_submissions.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
 import {AbandonReason, TaskHistory} from '@goldcrestpier/dispatch';
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
@@ -11,6 +10,7 @@
 } from '../src/owner/index.js';
 import type {JobAnswer, JobSubmission} from '../src/protocol/index.js';
 import {createJob, noopLogger} from './fixtures/dispatcher.js';
+import {testInSimulatedTime as test} from './simulation/simulated_time.js';
 
 /** Time limit of the jobs in these tests, in ms. */
 const TIME_LIMIT_MS = 100;
--- a/packages/zone/test/caller_disconnect.test.ts
+++ b/packages/zone/test/caller_disconnect.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
 import {TaskHistory} from '@goldcrestpier/dispatch';
 import {PeerFailureKind, UnknownReason} from '@goldcrestpier/peers';
 import {readClock, sleep} from '@goldcrestpier/runtime';
@@ -7,6 +6,7 @@
 import {ZoneMetrics} from '../src/metrics/index.js';
 import {Owner} from '../src/owner/index.js';
 import {createJob, noopLogger} from './fixtures/dispatcher.js';
+import {testInSimulatedTime as test} from './simulation/simulated_time.js';
 
 const disconnected = {
   kind: PeerFailureKind.Unknown,
--- a/packages/zone/test/cancelled_recalls.test.ts
+++ b/packages/zone/test/cancelled_recalls.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
 import {
   AbandonReason,
   TaskHistory,
@@ -14,6 +13,7 @@
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {ZoneClient} from '../src/protocol/index.js';
 import {createBusyDispatcher, noopLogger} from './fixtures/dispatcher.js';
+import {testInSimulatedTime as test} from './simulation/simulated_time.js';
 
 /** A delegated task whose job is cancelled, and what its zone is asked. */
 class CancelledDelegation {
--- a/packages/zone/test/simulation/scheduler.ts
+++ b/packages/zone/test/simulation/scheduler.ts
@@ -86,29 +86,36 @@
 
   /** Runs events until a time; `drain` runs the pending promise callbacks. */
   async runUntil(until: Millis, drain: () => Promise<void>): Promise<void> {
-    for (;;) {
-      const event = this.pop();
-      if (event === undefined || event.at > until) return;
-      if (event.isCancelled || event.owner?.hasExited === true) continue;
-      const pausedUntil = event.owner?.pausedUntil ?? 0;
-      if (pausedUntil > event.at) {
-        event.at = pausedUntil;
-        this.push(event);
-        continue;
-      }
-      this.now = event.at;
-      this.currentProcess = event.owner;
-      event.run();
-      await drain();
-      const {owner} = event;
-      if (owner !== undefined && owner.eventCostMs > 0) {
-        owner.pausedUntil = Math.max(
-          owner.pausedUntil,
-          this.now + owner.eventCostMs,
-        );
-      }
-      this.currentProcess = undefined;
+    while (this.nextEventAt <= until) await this.runNext(drain);
+  }
+
+  /** The time of the next event; Infinity if there is none. */
+  get nextEventAt(): Millis {
+    return this.heap[0]?.at ?? Infinity;
+  }
+
+  /** Runs the next event, or postpones it if its process is paused. */
+  async runNext(drain: () => Promise<void>): Promise<void> {
+    const event = this.pop();
+    if (event === undefined) return;
+    const {owner} = event;
+    if (event.isCancelled || owner?.hasExited === true) return;
+    if (owner !== undefined && owner.pausedUntil > event.at) {
+      event.at = owner.pausedUntil;
+      this.push(event);
+      return;
+    }
+    this.now = event.at;
+    this.currentProcess = owner;
+    event.run();
+    await drain();
+    if (owner !== undefined && owner.eventCostMs > 0) {
+      owner.pausedUntil = Math.max(
+        owner.pausedUntil,
+        this.now + owner.eventCostMs,
+      );
     }
+    this.currentProcess = undefined;
   }
 
   private push(event: ScheduledEvent): void {
--- a/packages/zone/test/simulation/simulated_time.ts
+++ b/packages/zone/test/simulation/simulated_time.ts
@@ -1,5 +1,6 @@
-/** Replaces Node's timers and clocks by simulated ones during a simulation. */
-import {Phase, type ScheduledEvent, type Scheduler} from './scheduler.js';
+/** Replaces Node's timers and clocks by simulated ones. */
+import {test} from 'node:test';
+import {Phase, Scheduler, type ScheduledEvent} from './scheduler.js';
 
 /** Time at which every simulation begins, Unix time in ms. */
 export const SIMULATION_START_MS = Date.UTC(2026, 0, 5);
@@ -53,6 +54,44 @@
   }
 }
 
+/** Simulated time at which a test begins, and that it takes at most, in ms. */
+const TEST_START_MS = 1_000;
+const MAX_TEST_MS = 60_000;
+
+/**
+ * Defines a test that runs in simulated time: time passes only while all code
+ * waits for it, however slow the machine is.
+ */
+export function testInSimulatedTime(
+  name: string,
+  body: () => void | Promise<void>,
+): void {
+  void test(name, () => {
+    const scheduler = new Scheduler();
+    scheduler.now = TEST_START_MS;
+    return withSimulatedTime(scheduler, Math.random, () =>
+      runToEnd(scheduler, body),
+    );
+  });
+}
+
+async function runToEnd(
+  scheduler: Scheduler,
+  body: () => void | Promise<void>,
+): Promise<void> {
+  let end: PromiseSettledResult<void> | undefined;
+  void Promise.allSettled([Promise.resolve().then(body)]).then(([result]) => {
+    end = result;
+  });
+  await drainPromises();
+  while (end === undefined) {
+    if (scheduler.nextEventAt > TEST_START_MS + MAX_TEST_MS)
+      throw new Error(`the test has not ended at ${scheduler.now} ms`);
+    await scheduler.runNext(drainPromises);
+  }
+  if (end.status === 'rejected') throw end.reason;
+}
+
 function createTimers(scheduler: Scheduler) {
   const addEvent = (
     ms: number,
--- a/packages/zone/test/worker_poller.test.ts
+++ b/packages/zone/test/worker_poller.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
 import {
   RunEnd,
   WorkerRequestFailure,
@@ -17,6 +16,7 @@
   noopLogger,
   worker,
 } from './fixtures/dispatcher.js';
+import {testInSimulatedTime as test} from './simulation/simulated_time.js';
 
 /** Returns the first polls of a worker that runs a 200 ms task and never answers. */
 async function pollSilentWorker(
--- a/packages/zone/test/worker_pollers.test.ts
+++ b/packages/zone/test/worker_pollers.test.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import {setImmediate as nextTurn} from 'node:timers/promises';
-import {test} from 'node:test';
 import {
   TaskHistory,
   WorkerRequestFailure,
@@ -20,6 +18,7 @@
   noopLogger,
   worker,
 } from './fixtures/dispatcher.js';
+import {testInSimulatedTime as test} from './simulation/simulated_time.js';
 
 /** Counts the polls of an idle worker after this change of the list of workers. */
 async function countPolls(
@@ -49,10 +48,10 @@
     onFenced: failOnCall,
   });
   pollers.updatePollers();
-  await nextTurn();
+  await sleep(1);
   assert.equal(pollCount, 0);
   changeList(dispatcher, () => pollers.updatePollers());
-  await nextTurn();
+  await sleep(1);
   await lifecycle.close();
   return pollCount;
 }
