--- a/packages/measure/src/fleet/cpu_profiles.ts
+++ b/packages/measure/src/fleet/cpu_profiles.ts
@@ -3,6 +3,8 @@
 import {join} from 'node:path';
 
 const MICROS_PER_SECOND = 1_000_000;
+/** Position of the process ID in the name of a profile, split at its dots. */
+const PROCESS_ID_FIELD = 3;
 
 /** Processor time of one kind of work. */
 export interface WorkTime {
@@ -74,13 +76,34 @@
   {work: 'sockets', path: 'node:internal/stream'},
 ];
 
-/** Sums all profiles of a folder by kind of work, longest time first. */
-export function sumProfilesByWork(folder: string): WorkTime[] {
-  const seconds = new Map<string, number>();
+/**
+ * Sums the profiles of a folder by group of processes and kind of work, longest
+ * time first; `groupOf` names the group of a process ID.
+ */
+export function sumProfilesByWork<Group extends string>(
+  folder: string,
+  groupOf: (processId: number) => Group | undefined,
+): Map<Group, WorkTime[]> {
+  const sums = new Map<Group, Map<string, number>>();
   for (const file of readdirSync(folder)) {
+    const group = groupOf(readProcessId(file));
+    if (group === undefined) continue;
+    const seconds = sums.get(group) ?? new Map<string, number>();
+    sums.set(group, seconds);
     const text = readFileSync(join(folder, file), 'utf8');
     addProfile(JSON.parse(text) as CpuProfile, seconds);
   }
+  return new Map(
+    [...sums].map(([group, seconds]) => [group, sortWorks(seconds)]),
+  );
+}
+
+/** The process ID in a name such as `CPU.20260101.120000.4711.0.001.cpuprofile`. */
+function readProcessId(file: string): number {
+  return Number(file.split('.')[PROCESS_ID_FIELD]);
+}
+
+function sortWorks(seconds: ReadonlyMap<string, number>): WorkTime[] {
   return [...seconds]
     .map(([work, each]) => ({work, seconds: each}))
     .sort((one, other) => other.seconds - one.seconds);
--- a/packages/measure/src/modes/fleet.ts
+++ b/packages/measure/src/modes/fleet.ts
@@ -10,6 +10,7 @@
   readUsage,
   sendJobs,
   type Usage,
+  type WorkTime,
 } from '../fleet/index.js';
 import type {MeasureOptions} from './options.js';
 
@@ -65,16 +66,29 @@
     summarizeRole(role, measured, tookSeconds),
   );
   await fleet.stop();
+  const rolesByProcess = new Map(
+    instances.map(({process: child}, index) => [
+      child.pid,
+      instanceRoles[index],
+    ]),
+  );
   const works =
     fleet.profileFolder === undefined
-      ? []
-      : sumProfilesByWork(fleet.profileFolder);
+      ? {}
+      : Object.fromEntries(
+          sumProfilesByWork(fleet.profileFolder, id => rolesByProcess.get(id)),
+        );
   console.table(roles);
-  console.table(works.map(({work, seconds: each}) => ({work, s: round(each)})));
+  for (const [role, each] of Object.entries(works)) printWorks(role, each);
   console.log(JSON.stringify(sent));
   return {size, tookSeconds, roles, works, sent};
 }
 
+function printWorks(role: string, works: readonly WorkTime[]): void {
+  console.log(`profiles of role ${role}`);
+  console.table(works.map(({work, seconds: s}) => ({work, s: round(s)})));
+}
+
 function readUsageOf({process: child}: TestInstance): Usage | undefined {
   return child.pid === undefined ? undefined : readUsage(child.pid);
 }
