A late cancellation does not replace a later one that is kept

Callers saw nothing; a job ran for nobody until its deadline. Cause: one cancellation is kept for each owner and job, the last to arrive. If that of an earlier request arrived after that of a later one, the later request was accepted when it arrived.

--- a/packages/zone/src/holder/early_cancellations.ts
+++ b/packages/zone/src/holder/early_cancellations.ts
@@ -33,10 +33,13 @@
     MAX_CANCELLATIONS,
   );
 
-  /** Adds a cancellation of one owner's requests. */
+  /** Adds a cancellation of one owner's requests; it may be late. */
   add(cancelled: CancelledRequests, now: Millis): void {
-    const {ownerId, jobId} = cancelled;
-    this.requests.set(formatKey(ownerId, jobId), cancelled, now);
+    const key = formatKey(cancelled.ownerId, cancelled.jobId);
+    const known = this.requests.get(key, now);
+    const isKnownLater =
+      known !== undefined && known.lastRequest > cancelled.lastRequest;
+    this.requests.set(key, isKnownLater ? known : cancelled, now);
   }
 
   /** Adds a cancellation of a job for all its owners. */
