A cancellation that answers a request is kept for the others that it names

Callers saw nothing; a job ran for nobody until its deadline. Cause: a cancellation up to request 2 that found request 1 waiting ended that one and was dropped, so that request 2 was accepted if the cancellation had overtaken it. One of an older version, without numbers, is kept only if none waited, as before.

--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -79,13 +79,17 @@
     const abandonReason = reason ?? AbandonReason.CallerLeft;
     const answer = {kind: 'abandoned', reason: abandonReason} as const;
     const requests = {ownerId, lastRequest};
-    if (pendingAnswers.answerRequests(jobId, requests, answer)) {
+    const isAnswered = pendingAnswers.answerRequests(jobId, requests, answer);
+    // Others that it names may still be on their way.
+    if (!isAnswered || Number.isFinite(lastRequest)) {
+      const cancelled = {...requests, jobId, reason: abandonReason};
+      this.earlyCancellations.add(cancelled, now);
+    }
+    if (isAnswered) {
       if (pendingAnswers.findOwners(jobId).length > 0) return;
       this.stopJob(ownerId, jobId, abandonReason, now);
       return;
     }
-    const cancelled = {...requests, jobId, reason: abandonReason};
-    this.earlyCancellations.add(cancelled, now);
     // An earlier holder may have left runs of it.
     if (!dispatcher.jobs.has(jobId))
       dispatcher.cancel(jobId, abandonReason, now);
