A holder answers also what ended as soon as it was submitted again

Callers saw: 'completed', or a refusal, for a request whose own tasks then ran for nobody. Cause: when the record of an earlier request ends, the postponed one is submitted in its place and may end at once. It was answered at the end of the turn, to all that waited for the job by then, so also to a request that was read in the same turn.

--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -173,9 +173,8 @@
   updateAbandonedJobs(isConfirmed: IsTaskWanted): void {
     const now = readClock();
     const jobs = this.dispatcher.findAbandonedJobs(now);
-    for (const jobId of this.delegatedTasks.findUnconfirmed(isConfirmed)) {
+    for (const jobId of this.delegatedTasks.findUnconfirmed(isConfirmed))
       if (!jobs.has(jobId)) jobs.set(jobId, now);
-    }
     this.abandonedJobs.update(jobs, now);
   }
 
@@ -184,9 +183,8 @@
     const now = readClock();
     const capacities = formatFreeCapacity(this.dispatcher, now);
     // An overloaded holder refuses delegated tasks, so it reports none.
-    return this.overloadDetector.wasRecentlyOverloaded(now)
-      ? clearVacancies(capacities)
-      : capacities;
+    const isOverloaded = this.overloadDetector.wasRecentlyOverloaded(now);
+    return isOverloaded ? clearVacancies(capacities) : capacities;
   }
 
   /** Runs one task for another zone; refuses it if it can't start now. */
@@ -275,6 +273,8 @@
     const endedJobs = this.dispatcher.takeEndedJobs();
     for (const job of endedJobs) this.delegatedTasks.recordEnd(job, now);
     this.submissions.answerJobs(endedJobs, now);
+    // A job that was postponed may have ended as soon as it was submitted.
+    if (endedJobs.length > 0) this.answerEndedJobs();
   }
 
   private executeAll(commands: readonly Command[]): void {
