--- a/packages/measure/src/modes/fleet.ts
+++ b/packages/measure/src/modes/fleet.ts
@@ -112,6 +112,7 @@
   return {
     part: role,
     instances: own.length,
+    startSeconds: round(mean(({before}) => before.processorSeconds)),
     core: round(rate(({processorSeconds}) => processorSeconds)),
     wakesPerSecond: round(rate(({wakes}) => wakes)),
     writtenKbPerSecond: round(rate(usage => usage.writtenBytes) / KIBIBYTE),
