--- a/packages/measure/src/fleet/launch.ts
+++ b/packages/measure/src/fleet/launch.ts
@@ -88,10 +88,14 @@
 
 /** The Node.js arguments of the deployment, and those of the profiler. */
 function createNodeArguments(profileFolder: string | undefined): string[] {
-  const heap = ['--max-old-space-size=160', '--max-semi-space-size=4'];
-  if (profileFolder === undefined) return heap;
+  const usual = [
+    '--max-old-space-size=160',
+    '--max-semi-space-size=4',
+    '--liftoff-only',
+  ];
+  if (profileFolder === undefined) return usual;
   const interval = `--cpu-prof-interval=${SAMPLE_INTERVAL_MICROS}`;
-  return [...heap, '--cpu-prof', interval, `--cpu-prof-dir=${profileFolder}`];
+  return [...usual, '--cpu-prof', interval, `--cpu-prof-dir=${profileFolder}`];
 }
 
 async function stopAll(instances: readonly TestInstance[]): Promise<void> {
