A postponed request is not replaced by one that joins it

Callers saw: 504 'deadline' before their deadline; and a task could run twice at a time, in the zone to which a former holder had delegated it and here. Cause: while a record is being stopped, the last request for its job was kept, with its history and deadline, and stood for all that waited. Now the histories of all are kept, and the latest deadline.

--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -4,7 +4,6 @@
   type Dispatcher,
   type EndedJob,
   type Job,
-  type JobProgress,
   type TaskHistory,
 } from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
@@ -23,6 +22,7 @@
 import {countRunsOf, hasRunsOf} from './run_counts.js';
 import {toJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
+import {postpone, submitPostponed, type PostponedJob} from './postponed_job.js';
 
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
@@ -37,13 +37,6 @@
   readonly onChange: () => void;
 }
 
-/** A resubmitted job that waits until the runs of its earlier record end. */
-interface PostponedJob {
-  readonly job: Job;
-  readonly isResumed: boolean;
-  readonly progress: JobProgress | undefined;
-}
-
 /** Submits jobs to the dispatcher and returns the results to the owners. */
 export class SubmissionHandler {
   /** Resubmitted jobs whose earlier record is still being stopped. */
@@ -164,8 +157,7 @@
     const postponed = this.postponed.get(id);
     if (postponed !== undefined) {
       this.postponed.delete(id);
-      const {job, isResumed, progress} = postponed;
-      dispatcher.submit(job, isResumed, now, progress);
+      submitPostponed(dispatcher, postponed, now);
       onChange();
       return;
     }
@@ -254,9 +246,13 @@
     const known = dispatcher.jobs.get(id);
     // A message says how much time is left from its arrival on.
     const job = toJob(message, now);
-    if (known?.pendingOutcome !== undefined)
-      this.postponed.set(id, {job, isResumed, progress});
-    else dispatcher.submit(job, isResumed, now, progress);
+    if (known?.pendingOutcome === undefined)
+      dispatcher.submit(job, isResumed, now, progress);
+    else {
+      const history = {isResumed, progress};
+      const earlier = this.postponed.get(id);
+      this.postponed.set(id, postpone(earlier, job, history));
+    }
     const freeMillis = sumFreeMillis(dispatcher, now);
     const record = dispatcher.jobs.get(id);
     const objectiveMs = record && record.dueAt - record.job.arrivedAt;
