A request that joins a postponed one is answered at its own deadline

Callers saw: no answer by their deadline, as that of all postponed requests was the latest. Cause: one deadline stood for all that waited for a postponed job. Evidence: the added test of requests_of_one_job failed without the change and passes.

--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -68,8 +68,9 @@
     if (known === undefined && this.isRecalled(job.id, message, now))
       return Promise.resolve(outdatedRefusal);
     return new Promise(answer => {
-      const request = message.run;
-      pendingAnswers.add(job.id, {ownerId: message.homeZone, request, answer});
+      const {homeZone: ownerId, run: request} = message;
+      const {deadlineAt} = job;
+      pendingAnswers.add(job.id, {ownerId, request, deadlineAt, answer});
       this.tasks.set(job.id, {run, token});
       if (message.isJoin) {
         dispatcher.resumeDelegated(job, now, progress);
--- a/packages/zone/src/holder/pending_answers.ts
+++ b/packages/zone/src/holder/pending_answers.ts
@@ -1,4 +1,5 @@
 /** The owners that wait for the result of each job. */
+import type {Millis} from '@goldcrestpier/runtime';
 import type {JobAnswer} from '../protocol/index.js';
 
 /** Requests of one owner, up to and including one. */
@@ -12,6 +13,7 @@
   readonly ownerId: string;
   /** Number of the owner's request. */
   readonly request: number;
+  readonly deadlineAt: Millis;
   readonly answer: (answer: JobAnswer) => void;
 }
 
@@ -30,9 +32,9 @@
   }
 
   /** Adds an owner that waits for a record. */
-  add(recordId: string, {ownerId, request, answer}: PendingAnswer): void {
+  add(recordId: string, pendingAnswer: PendingAnswer): void {
     const entries = this.findEntries(recordId);
-    const entry = {ownerId, request, answer, isLost: false};
+    const entry = {...pendingAnswer, isLost: false};
     this.byRecord.set(recordId, [...entries, entry]);
   }
 
@@ -58,15 +60,20 @@
     {ownerId, lastRequest}: OwnerRequests,
     answer: JobAnswer,
   ): boolean {
-    const entries = this.findEntries(recordId);
-    const answered = entries.filter(
+    return this.answerSome(
+      recordId,
       entry => entry.ownerId === ownerId && entry.request <= lastRequest,
+      answer,
+    );
+  }
+
+  /** Answers the requests whose deadline has passed, unless they count as lost. */
+  answerOverdue(recordId: string, answer: JobAnswer, now: Millis): void {
+    this.answerSome(
+      recordId,
+      ({deadlineAt, isLost}) => !isLost && now >= deadlineAt,
+      answer,
     );
-    if (answered.length === 0) return false;
-    const remaining = entries.filter(entry => !answered.includes(entry));
-    this.byRecord.set(recordId, remaining);
-    for (const entry of answered) entry.answer(answer);
-    return true;
   }
 
   /** Answers all owners that wait for a record. */
@@ -76,6 +83,20 @@
     for (const entry of entries) entry.answer(answer);
   }
 
+  private answerSome(
+    recordId: string,
+    isMeant: (entry: Entry) => boolean,
+    answer: JobAnswer,
+  ): boolean {
+    const entries = this.findEntries(recordId);
+    const answered = entries.filter(isMeant);
+    if (answered.length === 0) return false;
+    const remaining = entries.filter(entry => !answered.includes(entry));
+    this.byRecord.set(recordId, remaining);
+    for (const entry of answered) entry.answer(answer);
+    return true;
+  }
+
   private findEntries(recordId: string): readonly Entry[] {
     return this.byRecord.get(recordId) ?? [];
   }
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -24,6 +24,11 @@
 import type {PendingAnswers} from './pending_answers.js';
 import {postpone, submitPostponed, type PostponedJob} from './postponed_job.js';
 
+const deadlineAnswer = {
+  kind: 'abandoned',
+  reason: AbandonReason.Deadline,
+} as const;
+
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
   readonly dispatcher: Dispatcher;
@@ -176,7 +181,10 @@
     }
     for (const [id, {job}] of this.postponed) {
       const reason = this.findAbandonReason(job, now);
-      if (reason === undefined) continue;
+      if (reason === undefined) {
+        pendingAnswers.answerOverdue(id, deadlineAnswer, now);
+        continue;
+      }
       this.postponed.delete(id);
       pendingAnswers.answerAll(id, {kind: 'abandoned', reason});
     }
@@ -242,10 +250,11 @@
     const {dispatcher, pendingAnswers, logger, onChange} = this.options;
     const {id, ownerId, isResumed, progress} = message;
     const {request = UNNUMBERED_REQUEST} = message;
-    pendingAnswers.add(id, {ownerId, request, answer});
-    const known = dispatcher.jobs.get(id);
     // A message says how much time is left from its arrival on.
     const job = toJob(message, now);
+    const {deadlineAt} = job;
+    pendingAnswers.add(id, {ownerId, request, deadlineAt, answer});
+    const known = dispatcher.jobs.get(id);
     if (known?.pendingOutcome === undefined)
       dispatcher.submit(job, isResumed, now, progress);
     else {
--- a/packages/zone/test/requests_of_one_job.test.ts
+++ b/packages/zone/test/requests_of_one_job.test.ts
@@ -122,6 +122,19 @@
   assert.equal(await Promise.race([answer, pending]), 'pending');
 });
 
+test('a request that joins a postponed one is answered at its own deadline', async () => {
+  const fixture = new HandlerFixture();
+  const job = createJob('a', 1, 3_000);
+  fixture.abandonStartedJob(job, 3_000);
+  void fixture.submit(job, {ownerId: 'owner-2'}, 3_020);
+  const short = {...job, deadlineAt: 3_040};
+  const answer = fixture.submit(short, {ownerId: 'owner-3'}, 3_021);
+  fixture.tick(3_041);
+  const pending = Promise.resolve({kind: 'pending'});
+  const {kind} = await Promise.race([answer, pending]);
+  assert.equal(kind, 'abandoned');
+});
+
 test('a request that arrives as a postponed one ends is not given its answer', async () => {
   const stop = () => Promise.resolve(Ok(undefined));
   const fixture = new ControlledHolder({stop});
