The late recall of an earlier run does not replace that of a later one

Callers saw nothing; a task ran for nobody, or beside its next run. Cause: one recall is kept for each task, the last to arrive. If that of an earlier run came after that of a later one, a delegation of the later run that was still on its way was accepted. Evidence: the named test of runs_of_one_task failed and passes; its entry is taken out.

--- a/packages/zone/src/holder/recalled_tasks.ts
+++ b/packages/zone/src/holder/recalled_tasks.ts
@@ -18,9 +18,14 @@
 export class RecalledTasks {
   private readonly recalls = new ExpiringMap<string, NumberedRun>(RETENTION_MS);
 
-  /** Records a recall; the run may be one that has not arrived yet. */
+  /**
+   * Records a recall, which may be late; the run may be one that has not arrived
+   * yet.
+   */
   add(recordId: string, {token, run}: NumberedRun, now: Millis): void {
-    this.recalls.set(recordId, {token, run}, now);
+    const known = this.recalls.get(recordId, now);
+    const isKnownLater = known?.token === token && known.run > run;
+    this.recalls.set(recordId, isKnownLater ? known : {token, run}, now);
   }
 
   /** Whether the run was recalled, so that it must not start. */
