The late recall of an earlier run does not stop a later run of its task

Callers saw their job end later: a run was stopped and the task started again. Cause: a recall stopped the task's record, whichever run of the same holder it was about. Evidence: the named test of runs_of_one_task failed and passes; its entry is taken out.

--- a/packages/zone/src/holder/delegated_tasks.ts
+++ b/packages/zone/src/holder/delegated_tasks.ts
@@ -84,7 +84,10 @@
   recall({homeZone, token, task, run}: DelegationRecall, now: Millis): void {
     const id = formatDelegatedTaskId(homeZone, task);
     if (run !== undefined) this.recalled.add(id, {token, run}, now);
-    this.cancel(id, AbandonReason.Recalled, now);
+    const known = this.tasks.get(id);
+    const isLate =
+      run !== undefined && known?.token === token && known.run > run;
+    if (!isLate) this.cancel(id, AbandonReason.Recalled, now);
   }
 
   /**
