Requests whose callers left are cancelled with the last request for their job

Callers saw nothing; a job went on for nobody until its deadline. Cause: the request of a caller that left was not cancelled while another of the same instance waited for the job, in the belief that both wait for one record. If the other was refused, or ended at another holder, nothing ever cancelled the first.

--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -92,7 +92,7 @@
       const reason = signal.aborted
         ? AbandonReason.CallerLeft
         : AbandonReason.Cancelled;
-      if (this.callers.unregister(job.id, caller))
+      if (this.callers.leave(job.id, caller))
         void this.cancelAtHolder(job, reason);
     });
     const abort = () => caller.abort();
@@ -102,7 +102,8 @@
     // A caller that has left gets no answer.
     if (!signal.aborted) this.recordAnswer(job, answer, caller.signal.aborted);
     signal.removeEventListener('abort', abort);
-    this.callers.unregister(job.id, caller);
+    if (this.callers.end(job.id, caller, answer))
+      void this.cancelAtHolder(job, AbandonReason.CallerLeft);
     return answer;
   }
 
@@ -231,7 +232,7 @@
     const cancellation = {jobId: id, lastRequest, reason};
     while (readClock() < deadlineAt + CANCELLATION_MARGIN_MS) {
       // The job was sent again, so its runs are still needed.
-      if (this.callers.has(id)) return;
+      if (this.callers.deferCancellation(id)) return;
       const holder = this.options.findHolder();
       if (holder !== undefined && (await holder.cancel(cancellation))) {
         if (await this.isHolderKept(holder.id)) return;
