A stop that is answered before the start proves nothing, and is sent again

A caller that leaves while the start of a run is in flight has the run stopped. The same happened when the start was answered while its stop was in flight, as a run that was already being stopped was never marked as confirmed.

Now a stop counts only if it was sent after the start was answered; otherwise the run stays in the phase Stopping, and the stop is sent again as soon as the start is answered.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -214,9 +214,9 @@
     recordOutstandingStarts(this.registry, this.options.leaseMs, now);
   }
 
-  /** Handles a worker's confirmation of a stop command. */
-  handleStopAccepted(run: Run, now: Millis): void {
-    applyStopAccepted(this.registry, run, this.options, now);
+  /** Handles a worker's confirmation of the stop that was sent at `sentAt`. */
+  handleStopAccepted(run: Run, sentAt: Millis, now: Millis): void {
+    applyStopAccepted(run, this.options.stopMs, sentAt, now);
   }
 
   /** Handles a worker's answer to the poll that was sent at `sentAt`. */
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -3,11 +3,7 @@
 import {RunPhase, StartAnswer, type Run} from '../workers/index.js';
 import {StrikeReason} from './health.js';
 import {isStartOutstanding, recordUnansweredStart} from './late_starts.js';
-import {
-  computeLateRunEnd,
-  computeStopCompletion,
-  type DispatcherOptions,
-} from './options.js';
+import {computeLateRunEnd, computeStopCompletion} from './options.js';
 import type {Registry} from './registry.js';
 import {recordStartRefusal} from './start_refusal.js';
 
@@ -39,21 +35,33 @@
   } else if (answer !== StartAnswer.Started) {
     recordStartRefusal(registry, run, answer, now);
     registry.endRun(run, 'refused', now);
-  } else if (run.phase === RunPhase.Starting) {
-    run.phase = RunPhase.Running;
-    run.confirmedAt = now;
+  } else {
+    confirmStart(run, now);
   }
 }
 
-/** Applies a worker's confirmation of a stop command. */
+function confirmStart(run: Run, now: Millis): void {
+  if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running;
+  if (run.confirmedAt !== Infinity) return;
+  run.confirmedAt = now;
+  // A stop that was sent before is not known to have followed the start.
+  run.stopSentAt = -Infinity;
+}
+
+/**
+ * Applies a worker's confirmation of the stop that was sent at `sentAt`. One
+ * that was sent before the start was answered proves nothing: the start may be
+ * executed after it, by the next process of the worker.
+ */
 export function applyStopAccepted(
-  registry: Registry,
   run: Run,
-  {leaseMs, stopMs}: DispatcherOptions,
+  stopMs: Millis,
+  sentAt: Millis,
   now: Millis,
 ): void {
-  if (isStartOutstanding(run))
-    recordUnansweredStart(registry, run, leaseMs, now);
+  const {confirmedAt} = run;
+  const isEarly = confirmedAt !== Infinity && sentAt < confirmedAt;
+  if (isEarly || isStartOutstanding(run)) return;
   run.phase = RunPhase.StopAccepted;
   run.confirmedAt = now;
   run.latestEndAt = computeStopCompletion(now, stopMs);
@@ -61,7 +69,7 @@
 
 /** Limits for how long a run counts whose start command may be late. */
 function boundUnconfirmedRun(run: Run, leaseMs: Millis, now: Millis): void {
-  // A poll or an accepted stop has shown meanwhile what became of it.
+  // A poll has shown meanwhile what became of it.
   if (run.confirmedAt !== Infinity) return;
   run.startUnansweredAt = now;
   run.latestEndAt = computeLateRunEnd(now, leaseMs);
--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -86,7 +86,7 @@
   ]);
   const [stopped] = starts;
   assert.ok(stopped !== undefined);
-  dispatcher.handleStopAccepted(stopped.run, 20);
+  dispatcher.handleStopAccepted(stopped.run, 10, 20);
   assert.deepEqual(formatCommands(dispatcher.tick(20)), []);
   reportEnd(dispatcher, starts, RunEnd.Stopped, 30);
   assert.equal(startDue(dispatcher, 30).length, 1);
--- a/packages/dispatch/test/large_jobs.test.ts
+++ b/packages/dispatch/test/large_jobs.test.ts
@@ -167,7 +167,7 @@
     sizes.push(stops.length);
     for (const {key, run} of stops) {
       stopped.push(key);
-      if (run !== undefined) dispatcher.handleStopAccepted(run, now);
+      if (run !== undefined) dispatcher.handleStopAccepted(run, now, now);
     }
   }
   assert.deepEqual(new Set(sizes), new Set([32, 300 % 32]));
--- a/packages/dispatch/test/late_starts.test.ts
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -122,7 +122,7 @@
   const fixture = new UnansweredFixture(longTimes);
   const {dispatcher, run} = fixture;
   dispatcher.handleStartAnswer(run, StartAnswer.Unanswered, 300);
-  dispatcher.handleStopAccepted(run, 400);
+  dispatcher.handleStopAccepted(run, 300, 400);
   assert.deepEqual(listStarts(dispatcher, 600), []);
   assert.deepEqual(listStarts(dispatcher, 12_000), []);
   const [start] = listStarts(dispatcher, AFTER_LATE_RUN + 200);
@@ -160,7 +160,7 @@
   const {dispatcher, run} = fixture;
   dispatcher.handleStartAnswer(run, StartAnswer.Unanswered, 300);
   dispatcher.tick(300);
-  dispatcher.handleStopAccepted(run, 320);
+  dispatcher.handleStopAccepted(run, 300, 320);
   dispatcher.tick(420);
   assert.deepEqual(listOutcomes(dispatcher), ['start_unanswered']);
 });
--- a/packages/dispatch/test/outstanding_starts.test.ts
+++ b/packages/dispatch/test/outstanding_starts.test.ts
@@ -52,6 +52,16 @@
   return command.run;
 }
 
+function cancelJob(dispatcher: Dispatcher, now: number): void {
+  dispatcher.cancel('a', AbandonReason.Cancelled, now);
+  dispatcher.tick(now);
+}
+
+function submitAgain(dispatcher: Dispatcher, now: number): void {
+  const job = createJob('a', 1, {...longTimes, arrivedAt: now});
+  dispatcher.submit(job, false, now);
+}
+
 /** A run of job `b` on a restarted worker that falls silent at 1,000 ms. */
 function loseRunOnRestarted(dispatcher: Dispatcher): void {
   const run = start(dispatcher, 'b', 900);
@@ -97,11 +107,48 @@
 test('a job that is sent again while the start of its stopped run is outstanding is not started', () => {
   const dispatcher = createPolledDispatcher();
   const run = start(dispatcher, 'a', 0);
-  dispatcher.cancel('a', AbandonReason.Cancelled, 1);
-  dispatcher.tick(1);
-  dispatcher.handleStopAccepted(run, 3);
+  cancelJob(dispatcher, 1);
+  dispatcher.handleStopAccepted(run, 1, 3);
   dispatcher.tick(90);
-  const job = createJob('a', 1, {...longTimes, arrivedAt: 90});
-  dispatcher.submit(job, false, 90);
+  submitAgain(dispatcher, 90);
   assert.deepEqual(listStarts(dispatcher, 90), []);
 });
+
+test('a job that is sent again runs soon if the start of its stopped run was answered after the stop', () => {
+  const dispatcher = createPolledDispatcher();
+  const run = start(dispatcher, 'a', 0);
+  cancelJob(dispatcher, 1);
+  dispatcher.handleStopAccepted(run, 1, 3);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 5);
+  const stops = formatCommands(dispatcher.tick(5));
+  assert.deepEqual(stops, [`stop a.0.0.0/1 on ${run.workerId}`]);
+  dispatcher.handleStopAccepted(run, 5, 7);
+  dispatcher.tick(90);
+  submitAgain(dispatcher, 1_300);
+  const [again] = listStarts(dispatcher, 1_300);
+  assert.match(again ?? '', /^start a\.0\.0\.0\/2 on w/);
+});
+
+test('a stop that was sent before the start was answered does not show that the run is stopped', () => {
+  const dispatcher = createPolledDispatcher();
+  const run = start(dispatcher, 'a', 0);
+  cancelJob(dispatcher, 1);
+  dispatcher.handleStartAnswer(run, StartAnswer.Started, 2);
+  dispatcher.handleStopAccepted(run, 1, 3);
+  dispatcher.tick(90);
+  assert.ok(dispatcher.workers.get(run.workerId)?.runs.has(run.key));
+});
+
+test('a job is not started again while the start of its run may come late after a stop', () => {
+  const dispatcher = createPolledDispatcher();
+  const run = start(dispatcher, 'a', 0);
+  cancelJob(dispatcher, 1);
+  dispatcher.handleStopAccepted(run, 1, 3);
+  dispatcher.handleStartAnswer(run, StartAnswer.Unanswered, 100);
+  dispatcher.tick(300);
+  dispatcher.handleStopAccepted(run, 300, 301);
+  dispatcher.tick(400);
+  submitAgain(dispatcher, 1_300);
+  assert.deepEqual(listStarts(dispatcher, 1_300), []);
+  assert.deepEqual(listStarts(dispatcher, 12_000), []);
+});
--- a/packages/dispatch/test/runs.test.ts
+++ b/packages/dispatch/test/runs.test.ts
@@ -98,7 +98,7 @@
   assert.deepEqual(formatCommands(dispatcher.tick(200)), [
     `stop a.0.0.0/1 on ${run.workerId}`,
   ]);
-  dispatcher.handleStopAccepted(run, 201);
+  dispatcher.handleStopAccepted(run, 200, 201);
   const [again] = formatCommands(dispatcher.tick(290));
   assert.match(again ?? '', /^start a\.0\.0\.0\/2 on w/);
   assert.ok(!(again ?? '').endsWith(run.workerId));
@@ -114,7 +114,7 @@
   assert.deepEqual(formatCommands(dispatcher.tick(200)), [
     `stop a.0.0.0/1 on ${run.workerId}`,
   ]);
-  dispatcher.handleStopAccepted(run, 201);
+  dispatcher.handleStopAccepted(run, 200, 201);
   assert.deepEqual(formatCommands(dispatcher.tick(270)), []);
   assert.deepEqual(formatCommands(dispatcher.tick(290)), []);
   const [ended] = dispatcher.takeEndedJobs();
@@ -222,7 +222,7 @@
   const {run} = startOne(dispatcher, 0);
   dispatcher.handleStartAnswer(run, StartAnswer.Started, 1);
   dispatcher.cancel('a', AbandonReason.Cancelled, 10);
-  dispatcher.handleStopAccepted(run, 11);
+  dispatcher.handleStopAccepted(run, 10, 11);
   dispatcher.tick(100);
   const again = createJob('a', 1, {arrivedAt: 1_400, deadlineAt: 3_000});
   dispatcher.submit(again, false, 1_400);
@@ -238,7 +238,7 @@
   for (let now = 0; now < 20_000; now += 100) {
     for (const command of dispatcher.tick(now)) {
       if (command.kind === 'stop' && command.run !== undefined) {
-        dispatcher.handleStopAccepted(command.run, now);
+        dispatcher.handleStopAccepted(command.run, now, now);
       }
       if (command.kind !== 'start') continue;
       places.push(command.run.workerId);
--- a/packages/dispatch/test/unknown_runs.test.ts
+++ b/packages/dispatch/test/unknown_runs.test.ts
@@ -57,7 +57,7 @@
   assert.deepEqual(formatCommands(dispatcher.tick(2)), [
     'stop a.0.0.0/3 on w1',
   ]);
-  dispatcher.handleStopAccepted(start.run, 5);
+  dispatcher.handleStopAccepted(start.run, 2, 5);
   assert.deepEqual(formatCommands(dispatcher.tick(80)), []);
   assert.deepEqual(formatCommands(dispatcher.tick(90)), [
     'start a.0.0.0/1 on w1',
--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -167,6 +167,7 @@
     const record = dispatcher.workers.get(workerId);
     if (record === undefined) return;
     const worker = record.info;
+    const sentAt = readClock();
     const result = await workerPort.stop({worker, task, run: runNumber, token});
     const outcome = result.isOk() ? 'taken' : result.error;
     logger.info('stop request finished', {
@@ -176,7 +177,7 @@
       outcome,
     });
     if (run === undefined) return;
-    if (result.isOk()) dispatcher.handleStopAccepted(run, readClock());
+    if (result.isOk()) dispatcher.handleStopAccepted(run, sentAt, readClock());
     onChange();
   }
 }
