--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -4,7 +4,6 @@
   type Dispatcher,
   type EndedJob,
   type Job,
-  type JobProgress,
   type TaskHistory,
 } from '@goldcrestpier/dispatch';
 import type {Logger, Millis} from '@goldcrestpier/runtime';
@@ -23,6 +22,12 @@
 import {countRunsOf, hasRunsOf} from './run_counts.js';
 import {toJob} from './job_conversion.js';
 import type {PendingAnswers} from './pending_answers.js';
+import {postpone, submitPostponed, type PostponedJob} from './postponed_job.js';
+
+const deadlineAnswer = {
+  kind: 'abandoned',
+  reason: AbandonReason.Deadline,
+} as const;
 
 /** Dependencies of a submission handler. */
 export interface SubmissionHandlerOptions {
@@ -37,13 +42,6 @@
   readonly onChange: () => void;
 }
 
-/** A resubmitted job that waits until the runs of its earlier record end. */
-interface PostponedJob {
-  readonly job: Job;
-  readonly isResumed: boolean;
-  readonly progress: JobProgress | undefined;
-}
-
 /** Submits jobs to the dispatcher and returns the results to the owners. */
 export class SubmissionHandler {
   /** Resubmitted jobs whose earlier record is still being stopped. */
@@ -79,13 +77,17 @@
     const abandonReason = reason ?? AbandonReason.CallerLeft;
     const answer = {kind: 'abandoned', reason: abandonReason} as const;
     const requests = {ownerId, lastRequest};
-    if (pendingAnswers.answerRequests(jobId, requests, answer)) {
+    const isAnswered = pendingAnswers.answerRequests(jobId, requests, answer);
+    // Others that it names may still be on their way.
+    if (!isAnswered || Number.isFinite(lastRequest)) {
+      const cancelled = {...requests, jobId, reason: abandonReason};
+      this.earlyCancellations.add(cancelled, now);
+    }
+    if (isAnswered) {
       if (pendingAnswers.findOwners(jobId).length > 0) return;
       this.stopJob(ownerId, jobId, abandonReason, now);
       return;
     }
-    const cancelled = {...requests, jobId, reason: abandonReason};
-    this.earlyCancellations.add(cancelled, now);
     // An earlier holder may have left runs of it.
     if (!dispatcher.jobs.has(jobId))
       dispatcher.cancel(jobId, abandonReason, now);
@@ -160,8 +162,7 @@
     const postponed = this.postponed.get(id);
     if (postponed !== undefined) {
       this.postponed.delete(id);
-      const {job, isResumed, progress} = postponed;
-      dispatcher.submit(job, isResumed, now, progress);
+      submitPostponed(dispatcher, postponed, now);
       onChange();
       return;
     }
@@ -180,7 +181,10 @@
     }
     for (const [id, {job}] of this.postponed) {
       const reason = this.findAbandonReason(job, now);
-      if (reason === undefined) continue;
+      if (reason === undefined) {
+        pendingAnswers.answerOverdue(id, deadlineAnswer, now);
+        continue;
+      }
       this.postponed.delete(id);
       pendingAnswers.answerAll(id, {kind: 'abandoned', reason});
     }
@@ -246,13 +250,18 @@
     const {dispatcher, pendingAnswers, logger, onChange} = this.options;
     const {id, ownerId, isResumed, progress} = message;
     const {request = UNNUMBERED_REQUEST} = message;
-    pendingAnswers.add(id, {ownerId, request, answer});
-    const known = dispatcher.jobs.get(id);
     // A message says how much time is left from its arrival on.
     const job = toJob(message, now);
-    if (known?.pendingOutcome !== undefined)
-      this.postponed.set(id, {job, isResumed, progress});
-    else dispatcher.submit(job, isResumed, now, progress);
+    const {deadlineAt} = job;
+    pendingAnswers.add(id, {ownerId, request, deadlineAt, answer});
+    const known = dispatcher.jobs.get(id);
+    if (known?.pendingOutcome === undefined)
+      dispatcher.submit(job, isResumed, now, progress);
+    else {
+      const history = {isResumed, progress};
+      const earlier = this.postponed.get(id);
+      this.postponed.set(id, postpone(earlier, job, history));
+    }
     const freeMillis = sumFreeMillis(dispatcher, now);
     const record = dispatcher.jobs.get(id);
     const objectiveMs = record && record.dueAt - record.job.arrivedAt;
