An instance remembers the holder at which a left request may run

Cause: an owner knew that tasks of a job may run at a holder that was lost, or that hasn't answered, only as long as the caller that had sent it waited. A caller that left and came back submitted the job as new to the next holder, which started it beside a run of the lost one.

--- a/packages/zone/src/owner/owner.ts
+++ b/packages/zone/src/owner/owner.ts
@@ -34,25 +34,20 @@
   OwnCancellation,
   OwnRequest,
 } from './holder_client.js';
+import {
+  ATTEMPT_ENDED,
+  cancelAtHolder,
+  HOLDER_RETRY_MS,
+} from './holder_cancellation.js';
 import {findHolderWaitEnd} from './holder_wait.js';
+import {UnansweredSubmissions} from './unanswered_submissions.js';
 
-/** Pause before the holder is looked up again, in ms. */
-const HOLDER_RETRY_MS = 20;
 /** Delay after which a caller may retry if there is no holder, in ms. */
 const NO_HOLDER_RETRY_AFTER_MS = 2_000;
 /** How long to wait for the last answer of a replaced holder, in ms. */
 const FORMER_HOLDER_REPORT_MS = 250;
 /** Added to a job's remaining time to send back its answer, in ms. */
 const ANSWER_MARGIN_MS = 500;
-/** How long past its deadline a job's cancellation is repeated, in ms. */
-const CANCELLATION_MARGIN_MS = 2_000;
-
-/** Time in which a holder normally stops the runs of a job, in ms. */
-const USUAL_STOP_MS = 250;
-
-/** Abort reason of a finished attempt; a string avoids an error per job. */
-const ATTEMPT_ENDED = 'attempt ended';
-
 /** Dependencies of an owner. */
 export interface OwnerOptions {
   readonly selfId: string;
@@ -78,6 +73,7 @@
 /** Submits jobs to the holder and returns the results. */
 export class Owner {
   private readonly callers = new Callers();
+  private readonly unanswered = new UnansweredSubmissions();
   private lastRequest = 0;
 
   constructor(private readonly options: OwnerOptions) {}
@@ -93,7 +89,7 @@
         ? AbandonReason.CallerLeft
         : AbandonReason.Cancelled;
       if (this.callers.leave(job.id, caller))
-        void this.cancelAtHolder(job, reason);
+        void this.cancelRequests(job, reason);
     });
     const abort = () => caller.abort();
     signal.addEventListener('abort', abort, {once: true});
@@ -103,7 +99,7 @@
     if (!signal.aborted) this.recordAnswer(job, answer, caller.signal.aborted);
     signal.removeEventListener('abort', abort);
     if (this.callers.end(job.id, caller, answer))
-      void this.cancelAtHolder(job, AbandonReason.CallerLeft);
+      void this.cancelRequests(job, AbandonReason.CallerLeft);
     return caller.signal.aborted ? toCancelledAnswer(answer) : answer;
   }
 
@@ -122,6 +118,16 @@
     return this.callers.abort(jobId);
   }
 
+  /** Cancels all requests so far for a job. */
+  private cancelRequests(
+    job: Job,
+    reason: OwnCancellation['reason'],
+  ): Promise<void> {
+    const {lastRequest} = this;
+    const cancellation = {jobId: job.id, lastRequest, reason};
+    return cancelAtHolder(job, cancellation, this.callers, this.options);
+  }
+
   private async submitUntilAnswered(
     request: OwnRequest,
     signal: AbortSignal,
@@ -142,6 +148,8 @@
         await sleep(HOLDER_RETRY_MS, signal);
         continue;
       }
+      if (history.kind === 'none' && this.mayRunElsewhere(job, holder.id, now))
+        history = {kind: 'unknown'};
       const attempt = await this.tryHolder(holder, request, history);
       if (attempt.kind === 'answered') return attempt.answer;
       if (attempt.kind === 'cancelled') return this.awaitRunEnds(signal);
@@ -158,6 +166,15 @@
     return {kind: 'abandoned', reason: AbandonReason.OwnerLost};
   }
 
+  /** Whether an earlier request for the job may run at another holder. */
+  private mayRunElsewhere(
+    {id}: Job,
+    holderId: string | undefined,
+    now: Millis,
+  ): boolean {
+    return this.unanswered.isElsewhere(id, holderId, now);
+  }
+
   /** The earliest time at which there may be a holder again. */
   private findHolderTime(now: Millis): Millis {
     return Math.max(now, this.options.holderExpectedAt(now) ?? now);
@@ -168,6 +185,8 @@
     request: OwnRequest,
     history: History,
   ): Promise<Attempt> {
+    const {id} = request.job;
+    const earlier = this.unanswered.record(id, holder.id, readClock());
     const result = await this.submit(holder, request, history);
     if (result === undefined) {
       return {
@@ -179,6 +198,7 @@
     if (result.isErr()) {
       const {kind: reason} = result.error;
       const wasSent = reason !== PeerFailureKind.NotSent;
+      if (!wasSent) this.unanswered.restore(id, earlier, readClock());
       return {
         kind: 'lost',
         reason,
@@ -188,6 +208,7 @@
     const answer = result.value;
     if (answer.kind === 'not_holder')
       this.options.history.merge(answer, readClock());
+    else this.unanswered.settle(id, holder.id, readClock());
     return toAttempt(answer, history);
   }
 
@@ -220,43 +241,6 @@
     ]);
   }
 
-  /**
-   * Cancels all requests so far for a job, retrying until it must be over. A
-   * holder that follows while its runs are being stopped has to stop them, too.
-   */
-  private async cancelAtHolder(
-    {id, deadlineAt}: Job,
-    reason: OwnCancellation['reason'],
-  ): Promise<void> {
-    const {lastRequest} = this;
-    const cancellation = {jobId: id, lastRequest, reason};
-    while (readClock() < deadlineAt + CANCELLATION_MARGIN_MS) {
-      // The job was sent again, so its runs are still needed.
-      if (this.callers.deferCancellation(id)) return;
-      const holder = this.options.findHolder();
-      if (holder !== undefined && (await holder.cancel(cancellation))) {
-        if (await this.isHolderKept(holder.id)) return;
-        continue;
-      }
-      await sleep(HOLDER_RETRY_MS);
-    }
-    this.options.logger.warn('job could not be cancelled in time', {
-      job: id,
-    });
-  }
-
-  /** Whether an instance is still the holder when it has stopped the runs. */
-  private async isHolderKept(id: string): Promise<boolean> {
-    const attempt = new AbortController();
-    const change = this.options.waitForHolderChange(id, attempt.signal);
-    const isKept = await Promise.race([
-      change.then(() => false),
-      sleep(USUAL_STOP_MS).then(() => true),
-    ]);
-    attempt.abort(ATTEMPT_ENDED);
-    return isKept;
-  }
-
   /** Logs an answer that is given while runs of the job may go on. */
   private recordAnswer(
     {id, deadlineAt}: Job,
@@ -287,8 +271,9 @@
       job: job.id,
       past: history.kind,
     });
-    if (history.kind !== 'none') return {kind: 'unknown'};
     const now = readClock();
+    if (history.kind !== 'none' || this.mayRunElsewhere(job, undefined, now))
+      return {kind: 'unknown'};
     const untilHolderMs = this.findHolderTime(now) - now;
     return {
       kind: 'refused',
