--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -29,6 +29,10 @@
     build.onResolve({filter: /^(https|tls|zlib)$/}, ({importer}) =>
       /[/\\]ws[/\\]lib[/\\]/.test(importer) ? unused : undefined,
     );
+    // Messages of the schemas are in English only.
+    build.onResolve({filter: /^\.\.\/locales\/index\.js$/}, ({importer}) =>
+      /[/\\]zod[/\\]v4[/\\]/.test(importer) ? unused : undefined,
+    );
     // The metrics are the program's own, and are fetched, not pushed.
     build.onResolve(
       {filter: /^\.\/lib\/(pushgateway|defaultMetrics|cluster)$/},
