dispatch: runs are looked through for their end only when one may be due

Each tick of a holder went through all runs of all jobs, and through those of each worker, for the few that end by a known time, by way of two nested generators: 30% of the time of deciding at 177 jobs a second on 76 workers (profile of a trial in virtual time with 1,185 ticks a second).

The registry keeps the earliest of these times, and the running tasks of a job stand in one set.

--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/job_record.ts
@@ -138,14 +138,14 @@
 
   /** Iterates over the runs that may still go on. */
   *runs(): Iterable<Run> {
-    for (const {state} of this.index.iterateRunning()) {
+    for (const {state} of this.index.running) {
       if (state.kind === 'running') yield state.run;
     }
   }
 
-  /** Iterates over the tasks with a run that may still go on. */
+  /** The tasks with a run that may still go on. */
   runningTasks(): Iterable<TaskRecord> {
-    return this.index.iterateRunning();
+    return this.index.running;
   }
 
   /** Iterates over waiting tasks whose earlier steps are done. */
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/late_starts.ts
@@ -81,7 +81,7 @@
   now: Millis,
 ): void {
   run.phase = RunPhase.StopAccepted;
-  run.latestEndAt = now + DELEGATED_RUN_MAX_MS;
+  registry.runEnds.bound(run, now + DELEGATED_RUN_MAX_MS);
   const endsAt = computeLateRunEnd(run.latestEndAt, leaseMs);
   blockTask(registry, run.key, endsAt, now);
 }
--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/move_late_runs.ts
@@ -27,7 +27,8 @@
   now: Millis,
 ): void {
   for (const record of registry.jobs.values()) {
-    if (record.pendingOutcome !== undefined || record.isInbound) continue;
+    if (!record.isRunning || record.isInbound) continue;
+    if (record.pendingOutcome !== undefined) continue;
     for (const task of record.runningTasks()) {
       const run = findLateRun(record, task, now);
       if (run === undefined) continue;
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/overdue.ts
@@ -14,26 +14,46 @@
 
 /** Ends runs whose leases have expired or whose stops have completed. */
 export function endOverdueRuns(registry: Registry, now: Millis): void {
+  const {runEnds, soleHolder} = registry;
+  const isAnyRunOver = runEnds.isAnyDue(now);
   let isProofNeeded = false;
   for (const [id, worker] of registry.workers) {
     startProbation(worker, now);
     const areLeasesOver = worker.areLeasesOver(now);
     if (worker.isUnresponsive && worker.runs.size > 0) isProofNeeded = true;
-    for (const run of worker.runs.values()) {
-      if (areLeasesOver) handleLeaseEnd(registry, worker, run, now);
-      const isOver = now >= run.latestEndAt;
-      if (isOver && worker.runs.get(run.key) === run)
-        registry.endRun(run, LossCause.Expired, now);
-    }
+    if (areLeasesOver || isAnyRunOver)
+      endOverdueRunsOn(registry, worker, areLeasesOver, now);
     const isGone = worker.info.isDraining && worker.isUnresponsive;
     if (isGone && worker.canBeRemoved(now)) registry.removeWorker(id);
   }
-  registry.soleHolder.isProofNeeded = isProofNeeded;
+  soleHolder.isProofNeeded = isProofNeeded;
+  if (!isAnyRunOver) return;
   for (const record of registry.jobs.values()) {
     for (const run of record.runs()) {
       if (now >= run.latestEndAt) registry.endRun(run, LossCause.Expired, now);
     }
   }
+  runEnds.update(iterateRuns(registry));
+}
+
+function endOverdueRunsOn(
+  registry: Registry,
+  worker: WorkerRecord,
+  areLeasesOver: boolean,
+  now: Millis,
+): void {
+  for (const run of worker.runs.values()) {
+    if (areLeasesOver) handleLeaseEnd(registry, worker, run, now);
+    const isOver = now >= run.latestEndAt;
+    if (isOver && worker.runs.get(run.key) === run)
+      registry.endRun(run, LossCause.Expired, now);
+  }
+}
+
+/** Iterates over the runs on workers and in other zones; some come twice. */
+function* iterateRuns({workers, jobs}: Registry): Iterable<Run> {
+  for (const {runs} of workers.values()) yield* runs.values();
+  for (const record of jobs.values()) yield* record.runs();
 }
 
 /**
--- a/packages/dispatch/src/dispatcher/progress.ts
+++ b/packages/dispatch/src/dispatcher/progress.ts
@@ -105,7 +105,7 @@
   const found = {workerId, number, startedAt: now - tookMs};
   const run = addFoundRun(registry, record, task, found, now);
   const worker = registry.workers.get(workerId);
-  if (worker === undefined) run.latestEndAt = latestEndAt;
+  if (worker === undefined) registry.runEnds.bound(run, latestEndAt);
   else worker.leasesExpireAt = Math.max(worker.leasesExpireAt, latestEndAt);
   worker?.orphans.delete(task.key);
   return run;
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -32,6 +32,7 @@
 import {JobRecord} from './job_record.js';
 import {DelegationSurvey} from './delegation_survey.js';
 import type {DispatchObserver} from './observer.js';
+import {RunEnds} from './run_ends.js';
 import {RunNumbers} from './run_numbers.js';
 import type {SoleHolder} from './sole_holder.js';
 import type {TaskRecord} from './task_record.js';
@@ -71,6 +72,8 @@
   private endedJobs: EndedJob[] = [];
   /** Run numbers of jobs that have ended. */
   readonly runNumbers = new RunNumbers();
+  /** Runs that end by a known time. */
+  readonly runEnds = new RunEnds();
   /** Runs that an earlier holder delegated to other zones. */
   readonly delegationSurvey = new DelegationSurvey();
   /** When late leases on workers that were removed have expired, by their ID. */
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -34,7 +34,7 @@
   if (uncertainAnswers.has(answer)) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
     run.isStartRefused = answer === StartAnswer.NotListening;
-    boundUnconfirmedRun(run, leaseMs, now);
+    boundUnconfirmedRun(registry, run, leaseMs, now);
     registry.recordStrike(run, StrikeReason.StartUnanswered, now);
   } else if (answer !== StartAnswer.Started) {
     recordStartRefusal(registry, run, answer, now);
@@ -56,13 +56,18 @@
     recordUnansweredStart(registry, run, leaseMs, now);
   run.phase = RunPhase.StopAccepted;
   run.confirmedAt = now;
-  run.latestEndAt = computeStopCompletion(now, stopMs);
+  registry.runEnds.bound(run, computeStopCompletion(now, stopMs));
 }
 
 /** Limits for how long a run counts whose start command may be late. */
-function boundUnconfirmedRun(run: Run, leaseMs: Millis, now: Millis): void {
+function boundUnconfirmedRun(
+  {runEnds}: Registry,
+  run: Run,
+  leaseMs: Millis,
+  now: Millis,
+): void {
   // A poll or an accepted stop has shown meanwhile what became of it.
   if (run.confirmedAt !== Infinity) return;
   run.startUnansweredAt = now;
-  run.latestEndAt = computeLateRunEnd(now, leaseMs);
+  runEnds.bound(run, computeLateRunEnd(now, leaseMs));
 }
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -104,8 +104,9 @@
     worker: WorkerRecord,
     now: Millis,
   ): void {
-    const workerId = worker.info.id;
     const {runs} = worker;
+    if (runs.size === 0) return;
+    const workerId = worker.info.id;
     for (const run of takeDue(runs.values(), MAX_UNCONFIRMED_STOPS, now)) {
       const {key, number: runNumber} = run;
       commands.push({kind: 'stop', workerId, key, runNumber, run});
--- a/packages/dispatch/src/dispatcher/task_index.ts
+++ b/packages/dispatch/src/dispatcher/task_index.ts
@@ -58,8 +58,8 @@
   private readonly byKey = new Map<string, TaskRecord>();
   /** By the index of the step in the job that was submitted. */
   private readonly bySteps = new Map<number, StepEntry>();
+  private readonly runningTasks = new Set<TaskRecord>();
   private waitingTasks = 0;
-  private runningTasks = 0;
 
   constructor(tasks: readonly TaskRecord[]) {
     for (const task of tasks) this.add(task);
@@ -73,7 +73,7 @@
 
   /** Number of tasks with a run that may go on. */
   get runningCount(): number {
-    return this.runningTasks;
+    return this.runningTasks.size;
   }
 
   /** Number of all tasks. */
@@ -103,10 +103,9 @@
     }
   }
 
-  /** Iterates over the tasks with a run that may go on. */
-  *iterateRunning(): Iterable<TaskRecord> {
-    if (this.runningTasks === 0) return;
-    for (const {running} of this.bySteps.values()) yield* running;
+  /** The tasks with a run that may go on. */
+  get running(): Iterable<TaskRecord> {
+    return this.runningTasks;
   }
 
   /** Changes the state of a task; a done one stays done. */
@@ -150,7 +149,7 @@
         return;
       case 'running':
         entry.running.add(task);
-        this.runningTasks += 1;
+        this.runningTasks.add(task);
         return;
       case 'done':
         return;
@@ -159,6 +158,7 @@
 
   private remove(entry: StepEntry, task: TaskRecord): void {
     if (entry.removeWaiting(task)) this.waitingTasks -= 1;
-    if (entry.running.delete(task)) this.runningTasks -= 1;
+    entry.running.delete(task);
+    this.runningTasks.delete(task);
   }
 }
