dispatch: places that can't be chosen are not listed

A bound for each worker, and the weight that enough places reach, now leave out the others before they are made. Lists are filled by plain loops, without a spread and an iterator for each.

--- a/packages/dispatch/src/placement/fit.ts
+++ b/packages/dispatch/src/placement/fit.ts
@@ -14,12 +14,12 @@
 
 /** Returns how many times `need` fits into `available`. */
 export function countFitting(need: Resources, available: Resources): number {
-  const counts = [
+  const count = Math.min(
     divide(available.cpuMillis, need.cpuMillis),
     divide(available.memoryMb, need.memoryMb),
     divide(available.accelerators, need.accelerators),
-  ];
-  return Math.max(0, Math.floor(Math.min(...counts)));
+  );
+  return Math.max(0, Math.floor(count));
 }
 
 function divide(available: number, need: number): number {
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -1,11 +1,11 @@
-/** Lists the places that one worker has for tasks of a step, now and later. */
+/** Finds the places that one worker has for tasks of a step, now and later. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {RunTimes} from '../run_times/index.js';
 import type {Step} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 import {estimateWorth, type DueTimes} from './worth.js';
 import {canEverRun, countFitting} from './fit.js';
-import type {Place} from './place.js';
+import {weighLater, type Place} from './place.js';
 import type {UpcomingVacancies} from './upcoming_vacancies.js';
 
 /** Factor on the run time of a task outside the rack that has its data. */
@@ -36,43 +36,87 @@
   readonly upcoming: UpcomingVacancies;
 }
 
+/** What one worker offers for a demand. */
+export interface WorkerOffer {
+  readonly worker: WorkerRecord;
+  readonly expectedMs: Millis;
+  /** Maximum number of its places. */
+  readonly maxPlaces: number;
+  /** The places that are free now. */
+  readonly free: readonly Place[];
+  /** When its current runs free their capacity, the next time first. */
+  readonly vacantAt: readonly Millis[];
+  /** Weight that none of its later places exceeds; 0 if it has none. */
+  readonly maxLaterWeight: number;
+}
+
 /**
- * Lists the worker's places for the demand: those that are free now, those that
- * its current runs will free, and the same places again after a task of the
- * step has ended there.
+ * Finds what the worker offers for the demand; undefined if it can't run it. Its
+ * later places aren't listed yet, as most of them are of no interest.
  */
-export function listPlaces(
+export function findOffer(
   demand: Demand,
   worker: WorkerRecord,
   {runTimes, upcoming}: Forecast,
   now: Millis,
-): Place[] {
-  const {queue, step, due, count, countRunningOn} = demand;
-  if (!canEverRun(step, worker)) return [];
+): WorkerOffer | undefined {
+  const {queue, step, due} = demand;
+  if (!canEverRun(step, worker)) return undefined;
   const {id, labels} = worker.info;
   const isDataRemote =
     step.dataRack !== undefined && !labels.includes(step.dataRack);
   const localMs = runTimes.predictOn(id, queue, step.estimateMs);
   const expectedMs = localMs * (isDataRemote ? REMOTE_DATA_FACTOR : 1);
-  const maxPlaces =
-    step.maxPerWorker === undefined
-      ? count
-      : Math.min(count, step.maxPerWorker - countRunningOn(id));
-  const places = listFreePlaces(demand, worker, expectedMs, maxPlaces, now);
-  const starts = places.map(() => now);
-  const addLater = (at: Millis, isVacancy: boolean) => {
-    if (places.length >= maxPlaces || at > due.usefulUntil) return;
-    const worth = estimateWorth(due, expectedMs, at);
-    places.push({kind: 'later', worker, worth, expectedMs, isVacancy});
-  };
-  for (const vacantAt of upcoming.listTimes(worker)) {
-    addLater(vacantAt, true);
-    starts.push(vacantAt);
-  }
-  for (let wave = 1; wave < MAX_WAVES; wave += 1) {
-    for (const start of starts) addLater(start + wave * expectedMs, false);
+  const maxPlaces = limitPlaces(demand, id);
+  const free = listFreePlaces(demand, worker, expectedMs, maxPlaces, now);
+  const vacantAt = upcoming.listTimes(worker);
+  const vacancyAt = vacantAt[0] ?? Infinity;
+  const laterAt =
+    free.length > 0 ? Math.min(vacancyAt, now + expectedMs) : vacancyAt;
+  const hasLater = free.length < maxPlaces && laterAt <= due.usefulUntil;
+  const maxLaterWeight = hasLater
+    ? weighLater(estimateWorth(due, expectedMs, laterAt))
+    : 0;
+  return {worker, expectedMs, maxPlaces, free, vacantAt, maxLaterWeight};
+}
+
+function limitPlaces(
+  {step, count, countRunningOn}: Demand,
+  workerId: string,
+): number {
+  if (step.maxPerWorker === undefined) return count;
+  return Math.min(count, step.maxPerWorker - countRunningOn(workerId));
+}
+
+/**
+ * Adds the worker's later places to `places`: those that its current runs will
+ * free, and the same places, or the free ones, again after a task of the step
+ * has ended there. Those of less weight than `minWeight` are left out.
+ */
+export function addLaterPlaces(
+  places: Place[],
+  {due}: Demand,
+  {worker, expectedMs, maxPlaces, free, vacantAt}: WorkerOffer,
+  minWeight: number,
+  now: Millis,
+): void {
+  let left = maxPlaces - free.length;
+  for (let wave = 0; wave < MAX_WAVES; wave += 1) {
+    const isVacancy = wave === 0;
+    // A task that starts on a free place now is no later place itself.
+    const first = isVacancy ? free.length : 0;
+    for (let index = first; index < free.length + vacantAt.length; index += 1) {
+      const isFree = index < free.length;
+      const start = isFree ? now : (vacantAt[index - free.length] ?? now);
+      const at = isVacancy ? start : start + wave * expectedMs;
+      if (left <= 0) return;
+      if (at > due.usefulUntil) continue;
+      left -= 1;
+      const worth = estimateWorth(due, expectedMs, at);
+      if (weighLater(worth) < minWeight) continue;
+      places.push({kind: 'later', worker, worth, expectedMs, isVacancy});
+    }
   }
-  return places;
 }
 
 function listFreePlaces(
--- a/packages/dispatch/src/placement/place.ts
+++ b/packages/dispatch/src/placement/place.ts
@@ -62,10 +62,15 @@
     case 'remote':
       return worth * REMOTE_DISCOUNT;
     case 'later':
-      return worth * LATER_DISCOUNT;
+      return weighLater(worth);
   }
 }
 
+/** Weight of a place of this worth that will be free later. */
+export function weighLater(worth: number): number {
+  return worth * LATER_DISCOUNT;
+}
+
 /** A place with its sort keys. */
 interface RankedPlace {
   readonly place: Place;
--- a/packages/dispatch/src/placement/plan_step.ts
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -8,7 +8,13 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {WorkerRecord} from '../workers/index.js';
-import {listPlaces, type Demand, type Forecast} from './list_places.js';
+import {
+  findOffer,
+  addLaterPlaces,
+  type Demand,
+  type Forecast,
+  type WorkerOffer,
+} from './list_places.js';
 import {sortPlaces, weighPlace, type Place, type RemotePlace} from './place.js';
 
 /** Share of the last task's worth from which a place counts as good enough. */
@@ -30,10 +36,7 @@
   forecast: Forecast,
   now: Millis,
 ): StepPlan {
-  const places: Place[] = [];
-  for (const worker of workers) {
-    places.push(...listPlaces(demand, worker, forecast, now));
-  }
+  const places = listPlaces(demand, workers, forecast, now);
   if (!isStartable(places, demand.count)) places.push(...listRemotes());
   const last = findRanked(places, demand.count);
   if (last === undefined) {
@@ -48,6 +51,48 @@
   };
 }
 
+/**
+ * Lists the places on these workers without later ones that can't be chosen, as
+ * enough others are better by more than what counts as equivalent.
+ */
+function listPlaces(
+  demand: Demand,
+  workers: readonly WorkerRecord[],
+  forecast: Forecast,
+  now: Millis,
+): Place[] {
+  const offers: WorkerOffer[] = [];
+  for (const worker of workers) {
+    const offer = findOffer(demand, worker, forecast, now);
+    if (offer !== undefined) offers.push(offer);
+  }
+  const minWeight = findRankedWeight(offers, demand.count) * EQUIVALENT_SHARE;
+  const places: Place[] = [];
+  for (const offer of offers) {
+    for (const place of offer.free) places.push(place);
+    if (offer.maxLaterWeight >= minWeight)
+      addLaterPlaces(places, demand, offer, minWeight, now);
+  }
+  return places;
+}
+
+/**
+ * Finds the weight at this rank, from 1, among the free places and the first
+ * vacancy of each worker without any; 0 if they are fewer.
+ */
+function findRankedWeight(
+  offers: readonly WorkerOffer[],
+  rank: number,
+): number {
+  const weights: number[] = [];
+  for (const {free, maxLaterWeight} of offers) {
+    for (const place of free) weights.push(weighPlace(place));
+    if (free.length === 0 && maxLaterWeight > 0) weights.push(maxLaterWeight);
+  }
+  if (weights.length < rank) return 0;
+  return new Float64Array(weights).sort()[weights.length - rank] ?? 0;
+}
+
 /**
  * Whether this zone has the capacity for all tasks and only their start commands
  * have to wait. To delegate them would cost more than those commands.
@@ -64,7 +109,7 @@
  */
 function findRanked(places: readonly Place[], rank: number): Place | undefined {
   if (places.length < rank) return undefined;
-  const weights = Float64Array.from(places, weighPlace).sort();
+  const weights = new Float64Array(places.map(weighPlace)).sort();
   const weight = weights[places.length - rank] ?? 0;
   const better = places.length - 1 - weights.lastIndexOf(weight);
   const equal = places.filter(place => weighPlace(place) === weight);
