--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -216,7 +216,8 @@
 
   /** Handles a worker's confirmation of the stop that was sent at `sentAt`. */
   handleStopAccepted(run: Run, sentAt: Millis, now: Millis): void {
-    applyStopAccepted(run, this.options.stopMs, sentAt, now);
+    const {stopMs} = this.options;
+    applyStopAccepted(this.registry, run, {stopMs, sentAt}, now);
   }
 
   /** Handles a worker's answer to the poll that was sent at `sentAt`. */
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -30,7 +30,7 @@
   if (uncertainAnswers.has(answer)) {
     if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
     run.isStartRefused = answer === StartAnswer.NotListening;
-    boundUnconfirmedRun(run, leaseMs, now);
+    boundUnconfirmedRun(registry, run, leaseMs, now);
     registry.recordStrike(run, StrikeReason.StartUnanswered, now);
   } else if (answer !== StartAnswer.Started) {
     recordStartRefusal(registry, run, answer, now);
@@ -54,9 +54,9 @@
  * executed after it, by the next process of the worker.
  */
 export function applyStopAccepted(
+  {runEnds}: Registry,
   run: Run,
-  stopMs: Millis,
-  sentAt: Millis,
+  {stopMs, sentAt}: {stopMs: Millis; sentAt: Millis},
   now: Millis,
 ): void {
   const {confirmedAt} = run;
@@ -64,13 +64,18 @@
   if (isEarly || isStartOutstanding(run)) return;
   run.phase = RunPhase.StopAccepted;
   run.confirmedAt = now;
-  run.latestEndAt = computeStopCompletion(now, stopMs);
+  runEnds.bound(run, computeStopCompletion(now, stopMs));
 }
 
 /** Limits for how long a run counts whose start command may be late. */
-function boundUnconfirmedRun(run: Run, leaseMs: Millis, now: Millis): void {
+function boundUnconfirmedRun(
+  {runEnds}: Registry,
+  run: Run,
+  leaseMs: Millis,
+  now: Millis,
+): void {
   // A poll has shown meanwhile what became of it.
   if (run.confirmedAt !== Infinity) return;
   run.startUnansweredAt = now;
-  run.latestEndAt = computeLateRunEnd(now, leaseMs);
+  runEnds.bound(run, computeLateRunEnd(now, leaseMs));
 }
