--- a/packages/zone/src/holder/process_confirmation.ts
+++ b/packages/zone/src/holder/process_confirmation.ts
@@ -138,9 +138,12 @@
 /** Whether the entry of the worker's process was read and names this kind. */
 function isSameKind(
   {info, listedBornAt}: WorkerRecord,
-  {service, address, capacity, labels}: Worker,
+  placedOn: Worker,
 ): boolean {
-  if (listedBornAt !== info.bornAt || service !== info.service) return false;
+  if (listedBornAt !== info.bornAt) return false;
+  if (placedOn === info) return true;
+  const {service, address, capacity, labels} = placedOn;
+  if (service !== info.service) return false;
   return (
     address === info.address &&
     isDeepStrictEqual(capacity, info.capacity) &&
