dispatch: runs are looked through for stops only while there may be any

Each tick took the runs to stop from a list of all runs of each worker, and of all delegated ones, mostly to find none. A run that is to be stopped is marked through the registry, and the search stops when it finds none left.

--- a/packages/dispatch/src/dispatcher/adoption.ts
+++ b/packages/dispatch/src/dispatcher/adoption.ts
@@ -74,7 +74,7 @@
 ): boolean {
   if (record.pendingOutcome !== undefined) return false;
   if (task.state.kind === 'running') {
-    return reattachRun(task.state.run, worker, runNumber, now);
+    return reattachRun(registry, task.state.run, worker, runNumber, now);
   }
   if (task.state.kind !== 'waiting') return false;
   const found = {workerId: worker.info.id, number: runNumber, startedAt: now};
@@ -132,6 +132,7 @@
 
 /** Attaches a known run to its worker, which was not listed before. */
 function reattachRun(
+  {runEnds}: Registry,
   known: Run,
   worker: WorkerRecord,
   runNumber: number,
@@ -142,5 +143,7 @@
   known.latestEndAt = Infinity;
   known.confirmedAt = now;
   worker.addRun(known);
+  // It may be one that is to be stopped.
+  runEnds.mayHaveStops = true;
   return true;
 }
--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/move_late_runs.ts
@@ -35,7 +35,7 @@
       if (findBlockEnd(registry, task, now) !== undefined) continue;
       if (!hasBetterPlace(registry, record, task, run, round, now)) continue;
       task.movedFrom = run.workerId;
-      run.phase = RunPhase.Stopping;
+      registry.runEnds.stop(run);
     }
   }
 }
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -72,7 +72,7 @@
   private endedJobs: EndedJob[] = [];
   /** Run numbers of jobs that have ended. */
   readonly runNumbers = new RunNumbers();
-  /** Runs that end by a known time. */
+  /** Whether any run is to be stopped, or ends by a known time. */
   readonly runEnds = new RunEnds();
   /** Runs that an earlier holder delegated to other zones. */
   readonly delegationSurvey = new DelegationSurvey();
@@ -159,7 +159,7 @@
     for (const run of record.runs()) {
       if (run.phase === RunPhase.Stopping) continue;
       if (run.phase === RunPhase.StopAccepted) continue;
-      run.phase = RunPhase.Stopping;
+      this.runEnds.stop(run);
     }
     this.finishIfPossible(record, now);
   }
--- a/packages/dispatch/src/dispatcher/run_ends.ts
+++ b/packages/dispatch/src/dispatcher/run_ends.ts
@@ -1,14 +1,23 @@
 /**
- * Runs that end by a known time. Few runs have one, so that the others needn't
- * be looked through whenever the dispatcher checks its timeouts.
+ * Tells whether any run is to be stopped, or may have ended by a known time. Few
+ * runs are, so that the others needn't be looked through in each tick.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {Run} from '../workers/index.js';
+import {RunPhase, type Run} from '../workers/index.js';
 
-/** The earliest of the times by which runs have certainly ended. */
+/** What is known of the ends of all runs together. */
 export class RunEnds {
+  /** Whether any run may be one that is to be stopped. */
+  mayHaveStops = false;
+  /** The earliest of the times by which runs have certainly ended. */
   private earliest: Millis = Infinity;
 
+  /** Marks a run to be stopped. */
+  stop(run: Run): void {
+    run.phase = RunPhase.Stopping;
+    this.mayHaveStops = true;
+  }
+
   /** Sets the time by which a run has certainly ended. */
   bound(run: Run, latestEndAt: Millis): void {
     run.latestEndAt = latestEndAt;
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/start_answer.ts
@@ -32,7 +32,7 @@
   if (answer === StartAnswer.Unanswered)
     recordUnansweredStart(registry, run, leaseMs, now);
   if (uncertainAnswers.has(answer)) {
-    if (run.phase === RunPhase.Starting) run.phase = RunPhase.Stopping;
+    if (run.phase === RunPhase.Starting) registry.runEnds.stop(run);
     run.isStartRefused = answer === StartAnswer.NotListening;
     boundUnconfirmedRun(registry, run, leaseMs, now);
     registry.recordStrike(run, StrikeReason.StartUnanswered, now);
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/stopper.ts
@@ -75,15 +75,29 @@
   stop(now: Millis): Command[] {
     const commands: Command[] = [];
     this.expireOrphanStops(now);
-    for (const worker of this.registry.workers.values()) {
-      this.stopRuns(commands, worker, now);
+    const {workers, runEnds} = this.registry;
+    const {mayHaveStops} = runEnds;
+    runEnds.mayHaveStops = false;
+    for (const worker of workers.values()) {
+      if (mayHaveStops) this.stopRuns(commands, worker, now);
       this.stopOrphans(commands, worker, now);
     }
-    this.recallDelegatedRuns(commands, now);
+    if (mayHaveStops) this.recallDelegatedRuns(commands, now);
     this.recallOrphans(commands, now);
     return commands;
   }
 
+  /** Takes the stops that are due now; the others, if any, are tried again. */
+  private takeDue(
+    runs: Iterable<Run>,
+    limit: number,
+    now: Millis,
+  ): readonly Run[] {
+    const stopping = selectStopping(runs);
+    if (stopping.length > 0) this.registry.runEnds.mayHaveStops = true;
+    return takeDue(stopping, limit, now);
+  }
+
   /** Whether jobs may still adopt runs that an earlier holder started. */
   private isAdopting(now: Millis): boolean {
     const windowEnd = this.unclaimedSince + ADOPTION_WINDOW_MS;
@@ -107,7 +121,8 @@
     const {runs} = worker;
     if (runs.size === 0) return;
     const workerId = worker.info.id;
-    for (const run of takeDue(runs.values(), MAX_UNCONFIRMED_STOPS, now)) {
+    const due = this.takeDue(runs.values(), MAX_UNCONFIRMED_STOPS, now);
+    for (const run of due) {
       const {key, number: runNumber} = run;
       commands.push({kind: 'stop', workerId, key, runNumber, run});
     }
@@ -142,7 +157,8 @@
   /** Recalls the delegated runs of jobs that are about to end. */
   private recallDelegatedRuns(commands: Command[], now: Millis): void {
     const {delegatedRuns} = this.registry;
-    for (const run of takeDue(delegatedRuns, MAX_UNCONFIRMED_RECALLS, now)) {
+    const due = this.takeDue(delegatedRuns, MAX_UNCONFIRMED_RECALLS, now);
+    for (const run of due) {
       const {delegatedTo: zone, key, number: runNumber} = run;
       if (zone === undefined) continue;
       commands.push({kind: 'recall', zone, key, runNumber, run});
@@ -165,11 +181,10 @@
  * stopped later, or end with their leases.
  */
 function takeDue(
-  runs: Iterable<Run>,
+  stopping: readonly Run[],
   limit: number,
   now: Millis,
 ): readonly Run[] {
-  const stopping = selectStopping(runs);
   if (stopping.length === 0) return stopping;
   const due = stopping.filter(
     ({stopSentAt}) => now - stopSentAt >= STOP_RETRY_MS,
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_reports.ts
@@ -175,7 +175,7 @@
   if (task === undefined || task.movedFrom !== undefined) return;
   if (findBlockEnd(registry, task, now) !== undefined) return;
   task.movedFrom = run.workerId;
-  run.phase = RunPhase.Stopping;
+  registry.runEnds.stop(run);
   registry.recordStrike(run, StrikeReason.TaskStalled, now);
 }
 
