dispatch: a late run is not planned anew while no worker has room for its task

Under overload nearly every run is late, and for each of them each round made a whole plan, to find that no place is free at once. That is asked first.

--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/move_late_runs.ts
@@ -4,7 +4,7 @@
  * task in time; a task is moved only once.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {planStep} from '../placement/index.js';
+import {countFitting, planStep} from '../placement/index.js';
 import {RunPhase, type Run} from '../workers/index.js';
 import type {Registry} from './registry.js';
 import {createDemand} from './create_demand.js';
@@ -68,6 +68,11 @@
   const others = round
     .usableWorkers(record.job.service)
     .filter(({info}) => info.id !== workerId);
+  const {need} = task.step;
+  const isAnyFree = others.some(
+    worker => countFitting(need, worker.computeFreeResources()) > 0,
+  );
+  if (!isAnyFree) return false;
   const demand = createDemand(record, task, 1);
   const {runTimes} = registry;
   const forecast = {runTimes, upcoming: round.upcoming};
