Rank the peers of a zone once for each change, not in each step

A step of an instance of a large fleet costs what the others of its zone cost: it sorted all of them for its links, went over the registrations of all zones, and described each for the election with a spread that V8 copies slowly (8 us each, half of the step). The order is kept until a peer or its processors change, the list of registrations until one changes, and members are described field by field. What is chosen is the same.

--- a/packages/zone/src/instance/links.ts
+++ b/packages/zone/src/instance/links.ts
@@ -8,7 +8,7 @@
   PING_INTERVAL_MS,
   type PeerMonitoring,
 } from './peer_monitoring.js';
-import type {LinkedPeer} from './zone_view.js';
+import type {LinkedPeer} from './link_choice.js';
 
 /** Timeout of a heartbeat, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 450;
--- a/packages/zone/src/instance/peer.ts
+++ b/packages/zone/src/instance/peer.ts
@@ -99,8 +99,12 @@
 }
 
 /** Finds the latest time; undefined counts as before all others. */
-export function findLatest(...times: readonly (Millis | undefined)[]): Millis {
-  return Math.max(...times.map(time => time ?? -Infinity));
+export function findLatest(
+  first: Millis | undefined,
+  second: Millis | undefined,
+  third: Millis | undefined = undefined,
+): Millis {
+  return Math.max(first ?? -Infinity, second ?? -Infinity, third ?? -Infinity);
 }
 
 /** Extracts what the election ranks a peer by. */
@@ -143,10 +147,11 @@
 
 /** Describes a peer for the election. */
 export function toMember(peer: Peer, now: Millis): Member {
-  const {lastHeartbeat, heardAt, isRefused} = peer;
+  const {id, processors = 0, lastHeartbeat, heardAt, isRefused} = peer;
   const holderHeardMs = lastHeartbeat?.holderHeardMs;
   return {
-    ...toCandidate(peer),
+    id,
+    processors,
     isConnecting: isConnecting(peer, now),
     isLeaving: lastHeartbeat?.isLeaving ?? false,
     heardAt,
--- a/packages/zone/src/instance/zone_view.ts
+++ b/packages/zone/src/instance/zone_view.ts
@@ -1,11 +1,6 @@
 /** Tracks the peers in the zone by registrations and heartbeats. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {
-  compareCandidates,
-  SILENCE_MS,
-  type Candidate,
-  type Member,
-} from '../election/index.js';
+import {SILENCE_MS, type Candidate, type Member} from '../election/index.js';
 import type {Registration} from '../ports/index.js';
 import type {ZoneHeartbeat} from '../protocol/index.js';
 import {InboundConnections} from './inbound_connections.js';
@@ -18,15 +13,13 @@
   findProofEnd,
   MAX_SILENCE_TIMEOUT_MS,
   setMonitoring,
-  toCandidate,
   toMember,
   type Peer,
 } from './peer.js';
-import {
-  chooseMonitoring,
-  type PeerMonitoring,
-  type MonitoringContext,
-} from './peer_monitoring.js';
+import {chooseMonitoring, type MonitoringContext} from './peer_monitoring.js';
+import type {LinkChoice} from './link_choice.js';
+import {Ranking} from './ranking.js';
+import {ZoneRegistrations} from './zone_registrations.js';
 
 /**
  * Number of highest-ranked instances to keep links to; any two of them may fail
@@ -40,19 +33,6 @@
 /** How long a stale message may name a replaced instance, in ms. */
 const REPLACED_RETENTION_MS = 60_000;
 
-/** A peer to keep a link to. */
-export interface LinkedPeer {
-  readonly address: string;
-  readonly monitoring: PeerMonitoring;
-}
-
-/** The links that an instance keeps. */
-export interface LinkChoice {
-  readonly links: readonly LinkedPeer[];
-  /** Whether the instance is one that its peers keep links to. */
-  readonly isCandidate: boolean;
-}
-
 /** Keeps one record for each address in the zone. */
 export class ZoneView {
   private readonly peers = new Map<string, Peer>();
@@ -63,13 +43,18 @@
    * these, so that the process has exited.
    */
   private readonly replacedIds = new Map<string, Millis>();
+  private readonly ranking: Ranking;
+  private readonly zoneRegistrations: ZoneRegistrations;
 
   constructor(
     private readonly zone: string,
     private readonly selfAddress: string,
     private readonly self: Candidate,
     private readonly connections = new InboundConnections(),
-  ) {}
+  ) {
+    this.ranking = new Ranking(self);
+    this.zoneRegistrations = new ZoneRegistrations(zone, selfAddress);
+  }
 
   /**
    * Chooses the peers to keep links to: the highest-ranked ones presumed alive,
@@ -109,13 +94,9 @@
 
   /** Chooses the highest-ranked instances; undefined stands for this one. */
   private chooseCandidates(now: Millis): (Peer | undefined)[] {
-    const known = [...this.peers.values()]
-      .filter(({id}) => id !== '')
-      .map(peer => ({...toCandidate(peer), peer}));
-    const ranked = [...known, {...this.self, peer: undefined}];
     const chosen: (Peer | undefined)[] = [];
     let presumedAliveCount = 0;
-    for (const {peer} of ranked.sort(compareCandidates)) {
+    for (const peer of this.ranking.list(this.peers.values())) {
       if (presumedAliveCount === CANDIDATE_COUNT) break;
       chosen.push(peer);
       if (peer === undefined || isPresumedAlive(peer, now))
@@ -132,13 +113,14 @@
     for (const registration of this.chooseRegistrations(list, now)) {
       const known = this.applyRegistration(registration, now);
       known.isRegistered = true;
-      known.processors ??= registration.processors;
+      if (known.processors === undefined)
+        this.setProcessors(known, registration.processors);
     }
     removeOlder(this.contacts, now - SILENCE_MS);
     removeOlder(this.replacedIds, now - REPLACED_RETENTION_MS);
     for (const [address, {isRegistered, heardAt}] of this.peers) {
       const isOld = now - (heardAt ?? 0) > RETENTION_MS;
-      if (!isRegistered && isOld) this.peers.delete(address);
+      if (!isRegistered && isOld) this.deletePeer(address);
     }
   }
 
@@ -151,7 +133,7 @@
   /** Records a received heartbeat or the answer to a sent one. */
   recordHeartbeat(message: ZoneHeartbeat, now: Millis): void {
     if (message.zone !== this.zone || message.address === this.selfAddress) {
-      this.peers.delete(message.address);
+      this.deletePeer(message.address);
       return;
     }
     const {id, address} = message;
@@ -161,7 +143,7 @@
     if (before !== undefined && before.id !== id && before.id !== '')
       this.replacedIds.set(before.id, now);
     known.isRegistered = before?.isRegistered ?? false;
-    known.processors = message.processors;
+    this.setProcessors(known, message.processors);
     known.lastHeartbeat = message;
     known.heardAt = now;
     known.isRefused = false;
@@ -253,9 +235,8 @@
     now: Millis,
   ): Iterable<Registration> {
     const chosen = new Map<string, Registration>();
-    for (const registration of list) {
-      const {id, zone, address} = registration;
-      if (zone !== this.zone || address === this.selfAddress) continue;
+    for (const registration of this.zoneRegistrations.select(list)) {
+      const {id, address} = registration;
       if (this.replacedIds.has(id)) continue;
       const other = chosen.get(address);
       if (other !== undefined && this.hadContact(other.id, now)) continue;
@@ -278,9 +259,20 @@
   private setPeer(address: string, id: string, now: Millis): Peer {
     const added = createPeer(address, id, now);
     this.peers.set(address, added);
+    this.ranking.invalidate();
     return added;
   }
 
+  private deletePeer(address: string): void {
+    if (this.peers.delete(address)) this.ranking.invalidate();
+  }
+
+  private setProcessors(peer: Peer, processors: number): void {
+    if (peer.processors === processors) return;
+    peer.processors = processors;
+    this.ranking.invalidate();
+  }
+
   private hadContact(id: string, now: Millis): boolean {
     return wasHeardWithin(this.contacts.get(id), SILENCE_MS, now);
   }
