--- a/packages/zone/test/callers_that_return.test.ts
+++ b/packages/zone/test/callers_that_return.test.ts
@@ -35,6 +35,7 @@
   {seed: 4, cause: 'none'},
   {seed: 8, cause: 'its instance forgets what may run as its caller leaves'},
   {seed: 1070, cause: 'its instance forgets what may run as its caller leaves'},
+  {seed: 1172, cause: 'its instance forgets what may run as its caller leaves'},
 ];
 
 const {PLAY_RETURN_SEED, PLAY_RETURN_COUNT = '1'} = process.env;
