A call to the platform's store does not time out while its response is unread

Node runs due timers before it reads from sockets. The transport aborted its calls with AbortSignal.timeout, so that an instance whose event loop was blocked past the timeout took a response that had arrived for a silent service: a read failed as timed_out, a write as of unknown outcome, and later calls avoided the endpoint. It now uses startTimeoutAfterReads, as the exchange with workers does.

Not changed: the poller of the instance list, which has the same timeout.

--- a/packages/platform/src/key_value/transport.ts
+++ b/packages/platform/src/key_value/transport.ts
@@ -3,7 +3,12 @@
  * endpoint is retried at the next one; a write only if none of it was sent.
  */
 import {Readable} from 'node:stream';
-import {readClock, type Logger, type Millis} from '@goldcrestpier/runtime';
+import {
+  readClock,
+  startTimeoutAfterReads,
+  type Logger,
+  type Millis,
+} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {Agent, request} from 'undici';
 import type {PlatformFailure} from '../failure.js';
@@ -121,6 +126,11 @@
   ): Promise<Attempt> {
     const endpoint = this.options.endpoints[index] ?? '';
     const trackedBody = createTrackedBody(JSON.stringify(call.body));
+    const timeout = new AbortController();
+    const cancelTimeout = startTimeoutAfterReads(
+      () => timeout.abort(new DOMException('call timed out', 'TimeoutError')),
+      timeoutMs,
+    );
     try {
       const {statusCode, body} = await request(`${endpoint}/v3/${call.path}`, {
         method: 'POST',
@@ -130,7 +140,7 @@
         },
         body: trackedBody.body,
         dispatcher: this.agent,
-        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+        signal: timeout.signal,
       });
       if (statusCode === 200) {
         return {
@@ -161,6 +171,8 @@
         isFailing: true,
         canTryNext,
       };
+    } finally {
+      cancelTimeout();
     }
   }
 }
