Tests of the dispatcher list starts, and poll two workers, in one place

listStarts stood three times word for word, and createPolledDispatcher three times with other parameters (late_starts, outstanding_starts, sole_holder). Both are now in dispatcher_setup.ts; the 27 tests of the three files pass as before.

--- a/packages/dispatch/test/late_starts.test.ts
+++ b/packages/dispatch/test/late_starts.test.ts
@@ -11,12 +11,13 @@
 } from '../src/index.js';
 import {
   createJob,
+  createPolledDispatcher,
   createReport,
   createWorker,
   formatCommands,
+  listStarts,
   noopObserver,
   options,
-  pollAllWorkers,
 } from './fixtures/dispatcher_setup.js';
 
 /** When the first start command counts as unanswered, in ms. */
@@ -37,7 +38,7 @@
   readonly run: Run;
 
   constructor(changes: Partial<Job> = {}) {
-    this.dispatcher = createPolledDispatcher(this.history, 0);
+    this.dispatcher = createPolledDispatcher(this.history);
     this.dispatcher.submit(createJob('a', 1, changes), false, 0);
     const [start] = this.dispatcher.tick(0);
     assert.ok(start?.kind === 'start');
@@ -66,20 +67,6 @@
   }
 }
 
-function createPolledDispatcher(history: TaskHistory, now: number): Dispatcher {
-  const dispatcher = new Dispatcher(options, -10_000, noopObserver, history);
-  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], now);
-  dispatcher.confirmWorkerList();
-  pollAllWorkers(dispatcher, now);
-  return dispatcher;
-}
-
-function listStarts(dispatcher: Dispatcher, now: number): string[] {
-  return formatCommands(dispatcher.tick(now)).filter(line =>
-    line.startsWith('start'),
-  );
-}
-
 /** The reasons for which jobs have ended since the last call. */
 function listOutcomes(dispatcher: Dispatcher): string[] {
   return dispatcher.takeEndedJobs().map(({outcome}) => {
@@ -200,7 +187,7 @@
 });
 
 test('other tasks of a job go on while one of them waits for a late start', () => {
-  const dispatcher = createPolledDispatcher(new TaskHistory(), 0);
+  const dispatcher = createPolledDispatcher();
   const [step] = createJob('a', 1).steps;
   assert.ok(step !== undefined);
   const steps = [step, {...step, after: []}, {...step, after: [1]}];
@@ -221,7 +208,7 @@
 
 test('the leases of a silent worker that has restarted last as long as a late poll extends them', () => {
   const history = new TaskHistory();
-  const dispatcher = createPolledDispatcher(history, 0);
+  const dispatcher = createPolledDispatcher(history);
   const {Unanswered} = WorkerRequestFailure;
   const restarted = ['w1', 'w2'].map(id => createWorker(id, {bornAt: 2}));
   for (const {id} of restarted) {
@@ -241,7 +228,7 @@
 });
 
 test('a holder that is stopping does not take a run for over, as the next one may extend its lease', () => {
-  const dispatcher = createPolledDispatcher(new TaskHistory(), 0);
+  const dispatcher = createPolledDispatcher();
   dispatcher.submit(createJob('a', 1, longTimes), false, 0);
   const [start] = dispatcher.tick(0);
   assert.ok(start?.kind === 'start');
--- a/packages/dispatch/test/outstanding_starts.test.ts
+++ b/packages/dispatch/test/outstanding_starts.test.ts
@@ -2,46 +2,25 @@
 import {test} from 'node:test';
 import {
   AbandonReason,
-  Dispatcher,
+  type Dispatcher,
   RunEnd,
   StartAnswer,
-  TaskHistory,
   WorkerRequestFailure,
   type Run,
 } from '../src/index.js';
 import {
   createJob,
+  createPolledDispatcher,
   createReport,
   createWorker,
   formatCommands,
-  noopObserver,
-  options,
-  pollAllWorkers,
+  listStarts,
 } from './fixtures/dispatcher_setup.js';
 
 const {Unanswered} = WorkerRequestFailure;
 /** A job that outlasts a late start command. */
 const longTimes = {deadlineAt: 60_000, targetMs: 60_000};
 
-function createPolledDispatcher(): Dispatcher {
-  const dispatcher = new Dispatcher(
-    options,
-    -10_000,
-    noopObserver,
-    new TaskHistory(),
-  );
-  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 0);
-  dispatcher.confirmWorkerList();
-  pollAllWorkers(dispatcher, 0);
-  return dispatcher;
-}
-
-function listStarts(dispatcher: Dispatcher, now: number): string[] {
-  return formatCommands(dispatcher.tick(now)).filter(line =>
-    line.startsWith('start'),
-  );
-}
-
 /** Starts the only task of a job; the start is sent but not answered yet. */
 function start(dispatcher: Dispatcher, jobId: string, now: number): Run {
   const job = createJob(jobId, 1, {...longTimes, arrivedAt: now});
--- a/packages/dispatch/test/sole_holder.test.ts
+++ b/packages/dispatch/test/sole_holder.test.ts
@@ -1,29 +1,17 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-  Dispatcher,
+  type Dispatcher,
   StartAnswer,
   WorkerRequestFailure,
   type Run,
 } from '../src/index.js';
 import {
   createJob,
-  createWorker,
-  formatCommands,
-  noopObserver,
-  options,
-  pollAllWorkers,
+  createPolledDispatcher,
+  listStarts,
 } from './fixtures/dispatcher_setup.js';
 
-/** A dispatcher with two workers that have answered it. */
-function createPolledDispatcher(): Dispatcher {
-  const dispatcher = new Dispatcher(options, -10_000, noopObserver);
-  dispatcher.setWorkers([createWorker('w1'), createWorker('w2')], 0);
-  dispatcher.confirmWorkerList();
-  pollAllWorkers(dispatcher, 0);
-  return dispatcher;
-}
-
 /** Starts the waiting task under a lease, which its worker confirms. */
 function startRun(dispatcher: Dispatcher): Run {
   const [start] = dispatcher.tick(0);
@@ -34,12 +22,6 @@
   return run;
 }
 
-function listStarts(dispatcher: Dispatcher, now: number): string[] {
-  return formatCommands(dispatcher.tick(now)).filter(line =>
-    line.startsWith('start'),
-  );
-}
-
 test('a holder that may have been replaced does not take a run for over by its own lease before the deadline', () => {
   const dispatcher = createPolledDispatcher();
   const times = {deadlineAt: 6_000};
