--- a/packages/zone/test/cancelled_delegations.test.ts
+++ b/packages/zone/test/cancelled_delegations.test.ts
@@ -1,18 +1,18 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {AbandonReason, TaskHistory} from '@goldcrestpier/dispatch';
+import {AbandonReason} from '@goldcrestpier/dispatch';
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Ok} from 'ts-results-es';
 import {DelegatedTasks} from '../src/holder/delegated_tasks.js';
 import {toSubmission} from '../src/holder/job_conversion.js';
 import {PendingAnswers} from '../src/holder/pending_answers.js';
-import {TaskDelegator} from '../src/holder/task_delegator.js';
 import {ZoneMetrics} from '../src/metrics/index.js';
 import type {
   DelegationAnswer,
   TaskDelegation,
   ZoneClient,
 } from '../src/protocol/index.js';
+import {createDelegator} from './fixtures/delegator.js';
 import {
   createDispatcher,
   createJob,
@@ -51,17 +51,7 @@
       return Promise.resolve(Ok(recallCount >= acceptedAttempt));
     },
   };
-  const delegator = new TaskDelegator({
-    isActive: () => true,
-    zone: 'west',
-    token: 7,
-    dispatcher,
-    history: new TaskHistory(),
-    findZoneClient: () => client as ZoneClient,
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  const delegator = createDelegator(dispatcher, client);
   void delegator.delegate(lend);
   const runCommands = async () => {
     for (const command of dispatcher.tick(readClock())) {
--- a/packages/zone/test/cancelled_recalls.test.ts
+++ b/packages/zone/test/cancelled_recalls.test.ts
@@ -9,10 +9,10 @@
 import {PeerFailureKind, UnknownReason} from '@goldcrestpier/peers';
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Err, Ok} from 'ts-results-es';
-import {TaskDelegator} from '../src/holder/task_delegator.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
+import type {TaskDelegator} from '../src/holder/task_delegator.js';
 import type {ZoneClient} from '../src/protocol/index.js';
-import {createBusyDispatcher, noopLogger} from './fixtures/dispatcher.js';
+import {createDelegator} from './fixtures/delegator.js';
+import {createBusyDispatcher} from './fixtures/dispatcher.js';
 import {testInSimulatedTime as test} from './simulation/simulated_time.js';
 
 /** A delegated task whose job is cancelled, and what its zone is asked. */
@@ -46,17 +46,7 @@
         return Promise.resolve(isAccepted ? Ok(true) : timedOut);
       },
     };
-    this.delegator = new TaskDelegator({
-      isActive: () => true,
-      zone: 'west',
-      token: 7,
-      dispatcher: this.dispatcher,
-      history: new TaskHistory(),
-      findZoneClient: () => client as ZoneClient,
-      logger: noopLogger,
-      metrics: new ZoneMetrics(),
-      onChange: () => undefined,
-    });
+    this.delegator = createDelegator(this.dispatcher, client);
   }
 
   /** Cancels the job; returns the recall that is due. */
--- a/packages/zone/test/task_delegator.test.ts
+++ b/packages/zone/test/task_delegator.test.ts
@@ -9,8 +9,6 @@
 import {PeerFailureKind, UnknownReason} from '@goldcrestpier/peers';
 import {readClock, sleep} from '@goldcrestpier/runtime';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {TaskDelegator} from '../src/holder/task_delegator.js';
-import {ZoneMetrics} from '../src/metrics/index.js';
 import type {
   JobAnswer,
   DelegationAnswer,
@@ -18,11 +16,11 @@
   ZoneCallFailure,
   ZoneClient,
 } from '../src/protocol/index.js';
+import {createDelegator} from './fixtures/delegator.js';
 import {
   createBusyDispatcher,
   createDispatcher,
   createJob,
-  noopLogger,
 } from './fixtures/dispatcher.js';
 
 const freeCapacity = {
@@ -43,17 +41,7 @@
   const client: Pick<ZoneClient, 'delegateTask'> = {
     delegateTask: () => Promise.resolve(Ok(answer)),
   };
-  const delegator = new TaskDelegator({
-    isActive: () => true,
-    zone: 'west',
-    token: 7,
-    dispatcher,
-    history,
-    findZoneClient: () => client as ZoneClient,
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  const delegator = createDelegator(dispatcher, client, {history});
   await delegator.delegate(command);
   return dispatcher.tick(now).some(({kind}) => kind === 'lend');
 }
@@ -110,17 +98,7 @@
   dispatcher.submit(createJob('a', 1, now), true, now, progress);
   const [command] = dispatcher.tick(now);
   assert.ok(command?.kind === 'lend' && command.isAdopted);
-  const delegator = new TaskDelegator({
-    isActive: () => true,
-    zone: 'west',
-    token: 7,
-    dispatcher,
-    history: new TaskHistory(),
-    findZoneClient: () => client,
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  const delegator = createDelegator(dispatcher, client);
   await delegator.delegate(command);
   return formatRuns(dispatcher.tick(readClock()));
 }
@@ -190,17 +168,7 @@
   const client = createClient(({isJoin}) =>
     isJoin ? Ok({answer: runLost}) : first,
   );
-  const delegator = new TaskDelegator({
-    isActive: () => true,
-    zone: 'west',
-    token: 7,
-    dispatcher,
-    history,
-    findZoneClient: () => client,
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  const delegator = createDelegator(dispatcher, client, {history});
   await delegator.delegate(command);
   const vacancies = [{slowness: 1, cpuMillis: 64_000, memoryMb: 1_000}];
   const capacity = {zone: 'north', service: 'pricing', vacancies};
@@ -233,17 +201,7 @@
       return Promise.resolve(Ok(recalled.length >= acceptedAttempt));
     },
   };
-  const delegator = new TaskDelegator({
-    isActive: () => true,
-    zone: 'west',
-    token: 7,
-    dispatcher,
-    history: new TaskHistory(),
-    findZoneClient: () => client as ZoneClient,
-    logger: noopLogger,
-    metrics: new ZoneMetrics(),
-    onChange: () => undefined,
-  });
+  const delegator = createDelegator(dispatcher, client);
   await delegator.delegate(command);
   return {recalled, task: command.run.key};
 }
