Simulation: a machine knows whether it is the holder, and faults of holders are scheduled in one place

isHolder stood word for word in four modules, finding a zone's holder in three, and the loop over the zones in two (cut_off_holders, unheard_stops). Machine has isHolder now, machine.ts findHolder, and the new holder_faults.ts the loop.

--- a/packages/zone/test/simulation/cut_off_holders.ts
+++ b/packages/zone/test/simulation/cut_off_holders.ts
@@ -1,6 +1,7 @@
 /** Cuts holders off from their peers and from some of their workers at once. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {CutKind} from './connection_cuts.js';
+import {scheduleHolderFaults} from './holder_faults.js';
 import type {Machine, World} from './machine.js';
 import type {Nodes} from './network.js';
 import type {Random} from './random.js';
@@ -37,17 +38,10 @@
   isRefused: boolean,
 ): void {
   const random = world.random.fork();
-  let count = 0;
-  for (let at = from; at < until; at += INTERVAL_MS) {
-    const zone = world.zones[count % world.zones.length];
-    count += 1;
-    world.scheduler.runAfter(at, () => {
-      const holder = world.machines.find(
-        machine => machine.zone === zone && isHolder(machine),
-      );
-      if (holder !== undefined) cutOff(world, holder, random, isRefused);
-    });
-  }
+  const period = {from, until, intervalMs: INTERVAL_MS};
+  scheduleHolderFaults(world, period, holder =>
+    cutOff(world, holder, random, isRefused),
+  );
 }
 
 function cutOff(
@@ -131,7 +125,3 @@
   timeline.add('fault', `${running.id} frozen for ${Math.round(ms)} ms`);
   running.process.pausedUntil = scheduler.now + ms;
 }
-
-function isHolder({running}: Machine): boolean {
-  return running?.directory.isHolder === true;
-}
--- a/packages/zone/test/simulation/faults.ts
+++ b/packages/zone/test/simulation/faults.ts
@@ -100,7 +100,7 @@
   /** Kills one instance, often a holder, or the holders of all zones. */
   private kill(): void {
     const {random, world} = this;
-    const holders = world.machines.filter(isHolder);
+    const holders = world.machines.filter(({isHolder}) => isHolder);
     const killsAllHolders = random.chance(0.3);
     const chosen = killsAllHolders
       ? holders
@@ -234,7 +234,3 @@
 function equals(name: string): Nodes {
   return other => other === name;
 }
-
-function isHolder({running}: Machine): boolean {
-  return running?.directory.isHolder === true;
-}
--- a/packages/zone/test/simulation/machine.ts
+++ b/packages/zone/test/simulation/machine.ts
@@ -107,6 +107,11 @@
     return running.instance.isReady(now);
   }
 
+  /** Whether its instance is the holder of the zone. */
+  get isHolder(): boolean {
+    return this.running?.directory.isHolder === true;
+  }
+
   private createRunningInstance(
     id: string,
     process: SimulatedProcess,
@@ -167,6 +172,14 @@
   }
 }
 
+/** Finds a machine whose instance is the holder of the zone. */
+export function findHolder(
+  {machines}: World,
+  zone: string | undefined,
+): Machine | undefined {
+  return machines.find(machine => machine.zone === zone && machine.isHolder);
+}
+
 /** Creates a log stream that passes each line to `onLine`. */
 function createStream(onLine: (text: string) => void): NodeJS.WritableStream {
   const stream = {write: (text: string) => onLine(text)};
--- a/packages/zone/test/simulation/slow_changes.ts
+++ b/packages/zone/test/simulation/slow_changes.ts
@@ -4,7 +4,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Callers} from './callers.js';
-import type {Machine, World} from './machine.js';
+import {findHolder, type Machine, type World} from './machine.js';
 import type {Random} from './random.js';
 import type {WorkerFaults} from './worker_faults.js';
 
@@ -70,9 +70,7 @@
     const slowMs = random.between(MIN_SLOW_MS, MAX_SLOW_MS);
     this.disturbWorkers(slowMs);
     world.scheduler.runAfter(random.between(0, MAX_LEAD_MS), () => {
-      const holder = world.machines.find(
-        machine => machine.zone === zone && isHolder(machine),
-      );
+      const holder = findHolder(world, zone);
       if (holder !== undefined) this.change(holder);
     });
   }
@@ -114,7 +112,7 @@
   private delayOtherZones(zone: string): void {
     const {random, world} = this;
     const delayMs = random.between(MIN_ZONE_DELAY_MS, MAX_ZONE_DELAY_MS);
-    for (const {name} of world.machines.filter(isHolder)) {
+    for (const {name} of world.machines.filter(machine => machine.isHolder)) {
       if (name.startsWith(`${zone}-`)) continue;
       world.timeline.add('fault', `${name}: instances hear it late`);
       const isSender = (other: string) => other === name;
@@ -146,7 +144,3 @@
   timeline.add('fault', `caller connections of ${running.id} are reset`);
   for (const reset of [...running.resetCallbacks]) reset();
 }
-
-function isHolder({running}: Machine): boolean {
-  return running?.directory.isHolder === true;
-}
--- a/packages/zone/test/simulation/unheard_stops.ts
+++ b/packages/zone/test/simulation/unheard_stops.ts
@@ -1,5 +1,6 @@
 /** Stops holders that hear their workers and their successors too late. */
 import type {Millis} from '@goldcrestpier/runtime';
+import {scheduleHolderFaults} from './holder_faults.js';
 import type {Machine, World} from './machine.js';
 import type {Random} from './random.js';
 
@@ -23,17 +24,10 @@
   {from, until}: {readonly from: Millis; readonly until: Millis},
 ): void {
   const random = world.random.fork();
-  let count = 0;
-  for (let at = from; at < until; at += INTERVAL_MS) {
-    const zone = world.zones[count % world.zones.length];
-    count += 1;
-    world.scheduler.runAfter(at, () => {
-      const holder = world.machines.find(
-        machine => machine.zone === zone && isHolder(machine),
-      );
-      if (holder !== undefined) stopUnheard(world, holder, random);
-    });
-  }
+  const period = {from, until, intervalMs: INTERVAL_MS};
+  scheduleHolderFaults(world, period, holder =>
+    stopUnheard(world, holder, random),
+  );
 }
 
 function stopUnheard(
@@ -52,7 +46,3 @@
     scheduler.runAfter(RESTART_AFTER_MS, () => machine.start());
   });
 }
-
-function isHolder({running}: Machine): boolean {
-  return running?.directory.isHolder === true;
-}
