A job that was cancelled is not started by a copy that arrives seconds later

Cause: a cancellation for all owners was kept for 1 s, that of a job that was known here like one that came before its job. Now that of a known job is kept for 10 s; that of an unknown one, which is answered 410, for 1 s as before. Evidence: the new test of cancelled_jobs failed before (the job started) and passes now.

--- a/packages/zone/src/holder/early_cancellations.ts
+++ b/packages/zone/src/holder/early_cancellations.ts
@@ -9,6 +9,8 @@
  * than that after which a caller sends its job again.
  */
 const RETENTION_MS = 1_000;
+/** Time in which a copy of a job that was cancelled may arrive, in ms. */
+const JOB_RETENTION_MS = 10_000;
 /** Maximum number of such cancellations that are kept. */
 const MAX_CANCELLATIONS = 10_000;
 /** The request of an owner of an older version, which doesn't number them. */
@@ -29,6 +31,11 @@
   );
   /** Jobs that were cancelled for all owners, also for later requests. */
   private readonly jobs = new ExpiringMap<string, true>(
+    JOB_RETENTION_MS,
+    MAX_CANCELLATIONS,
+  );
+  /** The same of jobs that no owner had submitted yet. */
+  private readonly unknownJobs = new ExpiringMap<string, true>(
     RETENTION_MS,
     MAX_CANCELLATIONS,
   );
@@ -43,8 +50,9 @@
   }
 
   /** Adds a cancellation of a job for all its owners. */
-  addForAllOwners(jobId: string, now: Millis): void {
-    this.jobs.set(jobId, true, now);
+  addForAllOwners(jobId: string, isKnown: boolean, now: Millis): void {
+    const jobs = isKnown ? this.jobs : this.unknownJobs;
+    jobs.set(jobId, true, now);
   }
 
   /** Finds why a request was cancelled; undefined if it wasn't. */
@@ -55,7 +63,8 @@
     const cancelled = this.requests.get(formatKey(ownerId, id), now);
     if (cancelled !== undefined && request <= cancelled.lastRequest)
       return cancelled.reason;
-    const isJobCancelled = this.jobs.get(id, now) === true;
+    const isJobCancelled =
+      this.jobs.get(id, now) ?? this.unknownJobs.get(id, now) ?? false;
     return isJobCancelled ? AbandonReason.Cancelled : undefined;
   }
 }
--- a/packages/zone/src/holder/submission_handler.ts
+++ b/packages/zone/src/holder/submission_handler.ts
@@ -120,8 +120,9 @@
   private cancelForAllOwners(jobId: string, now: Millis): void {
     const {pendingAnswers} = this.options;
     const reason = AbandonReason.Cancelled;
-    this.earlyCancellations.addForAllOwners(jobId, now);
-    if (!this.isKnown(jobId)) return;
+    const isKnown = this.isKnown(jobId);
+    this.earlyCancellations.addForAllOwners(jobId, isKnown, now);
+    if (!isKnown) return;
     const owners = pendingAnswers.findOwners(jobId);
     pendingAnswers.answerAll(jobId, {kind: 'abandoned', reason});
     this.stopJob(owners.join(), jobId, reason, now);
--- a/packages/zone/test/cancelled_jobs.test.ts
+++ b/packages/zone/test/cancelled_jobs.test.ts
@@ -39,6 +39,21 @@
   assert.deepEqual(dispatcher.tick(now + 900), []);
 });
 
+// Guards against a copy that is seconds late after a DELETE that was answered 200.
+test('a job that was cancelled is not started by a late copy of its submission', async () => {
+  const now = readClock();
+  const dispatcher = createDispatcher(now);
+  const submissions = createSubmissionHandler(dispatcher);
+  const submission = toSubmission(createJob('a', 1, now), 'o', false, now);
+  const answer = submissions.submit(submission, now);
+  assert.equal(submissions.inquire('a', JobAction.Cancel, now), true);
+  assert.deepEqual(await answer, cancelled);
+  submissions.answerJobs(dispatcher.takeEndedJobs(), now);
+  const late = {...submission, request: 2};
+  assert.deepEqual(await submissions.submit(late, now + 5_000), cancelled);
+  assert.deepEqual(dispatcher.tick(now + 5_000), []);
+});
+
 test('a job that has ended is not known any more', async () => {
   const now = readClock();
   const dispatcher = createDispatcher(now);
