--- a/review/lib-2/http.mjs
+++ b/review/lib-2/http.mjs
@@ -34,6 +34,11 @@
     response.end(bytes);
   });
   server.keepAliveTimeout = 120_000;
+  const sockets = new Set();
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   await new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen({host, port}, resolve);
@@ -41,6 +46,13 @@
   return {
     port: server.address().port,
     resetConnections: () => server.closeAllConnections(),
+    /** Lets the open channels go silent for good; new ones work. */
+    silence: () => {
+      for (const socket of sockets) {
+        socket.pause();
+        socket.write = () => true;
+      }
+    },
     close: () =>
       new Promise(resolve => {
         server.close(resolve);
