Split the dispatcher's folder by what its files decide

They are now in jobs, intake, placing, ending, starts and worker_state, each with an index; dispatcher.ts and registry.ts stay above them.

--- a/packages/dispatch/src/dispatcher/commands.ts
+++ b/packages/dispatch/src/dispatcher/commands.ts
@@ -1,5 +1,5 @@
 /** Commands of a dispatcher, which its holder executes. */
-import type {JobRecord} from './job_record.js';
+import type {JobRecord} from './jobs/index.js';
 import type {Run} from '../workers/index.js';
 
 /** Starts a run on a worker. */
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -21,33 +21,40 @@
   type Worker,
   type WorkerRequestFailure,
 } from '../workers/index.js';
-import {findAbandonedJobs} from './abandoned_jobs.js';
-import {AnswerableJobs} from './answerable_jobs.js';
+import {
+  findAbandonedJobs,
+  AnswerableJobs,
+  type EndedJob,
+  type JobRecord,
+  describeProgress,
+} from './jobs/index.js';
 import type {DispatchObserver} from './observer.js';
-import {Registry, type EndedJob} from './registry.js';
-import {Intake} from './intake.js';
-import {mayRunElsewhere} from './job_admission.js';
-import type {JobRecord} from './job_record.js';
-import {applyPollAnswer, applyPollFailure, recordLease} from './poll_answer.js';
+import {Registry} from './registry.js';
+import {
+  Intake,
+  mayRunElsewhere,
+  type DelegationReport,
+  type DelegationSurvey,
+  EarlierRuns,
+} from './intake/index.js';
+import {
+  applyPollAnswer,
+  applyPollFailure,
+  recordLease,
+  applyWorkerList,
+} from './worker_state/index.js';
 import type {DispatcherOptions} from './options.js';
 import type {Command} from './commands.js';
-import type {DelegationReport} from './delegation_survey.js';
-import {EarlierRuns} from './earlier_runs.js';
-import {applyStartAnswer, applyStopAccepted} from './start_answer.js';
-import {endOverdue} from './end_overdue.js';
 import {
+  applyStartAnswer,
+  applyStopAccepted,
   isStartWanted,
   loseDelegatedRun,
   recordOutstandingStarts,
   recordUnansweredStart,
-} from './late_starts.js';
-import {abandonJob} from './overdue.js';
-import {Placer} from './placer.js';
-import {describeProgress} from './progress.js';
-import {SoleHolder} from './sole_holder.js';
-import {Stopper} from './stopper.js';
-import {listVacancies} from './vacancies.js';
-import {applyWorkerList} from './worker_list.js';
+} from './starts/index.js';
+import {endOverdue, abandonJob, SoleHolder, Stopper} from './ending/index.js';
+import {Placer, listVacancies} from './placing/index.js';
 
 /** Schedules tasks on the workers of one zone, on behalf of its holder. */
 export class Dispatcher {
@@ -125,9 +132,9 @@
     this.intake.submit(job, {isResumed, progress}, now);
   }
 
-  /** The zones that have not yet listed all that they run for this one. */
-  get zonesPending(): readonly string[] {
-    return this.registry.delegationSurvey.zonesPending;
+  /** What other zones have listed that they run for this one. */
+  get delegationSurvey(): DelegationSurvey {
+    return this.registry.delegationSurvey;
   }
 
   /** Whether each listed worker has answered a poll, or left one unanswered. */
@@ -142,13 +149,11 @@
 
   /** Describes the state of a job for the next holder. */
   describeProgress(recordId: string, now: Millis): JobProgress | undefined {
-    const record = this.registry.jobs.get(recordId);
+    const {registry, earlierRuns} = this;
+    const record = registry.jobs.get(recordId);
     if (record === undefined) return undefined;
-    return describeProgress(
-      record,
-      this.earlierRuns.areAllKnown(record, now),
-      now,
-    );
+    const isComplete = earlierRuns.areAllKnown(record, now);
+    return describeProgress(record, isComplete, now);
   }
 
   /** Resumes a delegated task that an earlier holder of this zone started. */
@@ -256,11 +261,6 @@
     return listVacancies(this.registry, service, now);
   }
 
-  /** Holds back jobs until these zones have reported their runs. */
-  expectDelegationReports(zones: readonly string[], now: Millis): void {
-    this.registry.delegationSurvey.expect(zones, now);
-  }
-
   /** Finds since when jobs run here though nobody waits for them. */
   findAbandonedJobs(now: Millis): Map<string, Millis> {
     const {unclaimedSince} = this.stopper;
--- a/packages/dispatch/src/dispatcher/end_overdue.ts
+++ b/packages/dispatch/src/dispatcher/ending/end_overdue.ts
@@ -1,10 +1,10 @@
 /** Ends the runs and jobs that are over, or can't go on. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {failCrashingJobs} from './crashing_tasks.js';
-import type {EarlierRuns} from './earlier_runs.js';
-import {endBlockedJobs} from './late_starts.js';
+import {failCrashingJobs} from '../placing/index.js';
+import type {EarlierRuns} from '../intake/index.js';
+import {endBlockedJobs} from '../starts/index.js';
 import {endLostTasks, endOverdueJobs, endOverdueRuns} from './overdue.js';
-import type {Registry} from './registry.js';
+import type {Registry} from '../registry.js';
 
 /** Ends the runs and jobs whose time is over or that can't go on. */
 export function endOverdue(
--- a/packages/dispatch/src/dispatcher/overdue.ts
+++ b/packages/dispatch/src/dispatcher/ending/overdue.ts
@@ -1,16 +1,20 @@
 /** Ends runs and jobs whose lease, stop time or deadline has passed. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {AbandonReason, RefusalReason, createAbandoned} from '../work/index.js';
-import type {Registry} from './registry.js';
+import {
+  AbandonReason,
+  RefusalReason,
+  createAbandoned,
+} from '../../work/index.js';
+import type {Registry} from '../registry.js';
 import {
   LossCause,
   isCrashLoss,
   type Run,
   type WorkerRecord,
-} from '../workers/index.js';
-import type {EarlierRuns} from './earlier_runs.js';
-import {startProbation} from './health.js';
-import type {JobRecord} from './job_record.js';
+} from '../../workers/index.js';
+import type {EarlierRuns} from '../intake/index.js';
+import {startProbation} from '../worker_state/index.js';
+import type {JobRecord} from '../jobs/index.js';
 
 /** Ends runs whose leases have expired or whose stops have completed. */
 export function endOverdueRuns(registry: Registry, now: Millis): void {
--- a/packages/dispatch/src/dispatcher/run_ends.ts
+++ b/packages/dispatch/src/dispatcher/ending/run_ends.ts
@@ -3,7 +3,7 @@
  * runs are, so that the others needn't be looked through in each tick.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {RunPhase, type Run} from '../workers/index.js';
+import {RunPhase, type Run} from '../../workers/index.js';
 
 /** What is known of the ends of all runs together. */
 export class RunEnds {
--- a/packages/dispatch/src/dispatcher/sole_holder.ts
+++ b/packages/dispatch/src/dispatcher/ending/sole_holder.ts
@@ -4,7 +4,7 @@
  * this holder granted no longer show that a run is over.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {FORMER_HOLDER_STOP_MS, computeLeaseExpiry} from './options.js';
+import {FORMER_HOLDER_STOP_MS, computeLeaseExpiry} from '../options.js';
 
 /**
  * Time from the end of a pause of the process until it has read what arrived
--- a/packages/dispatch/src/dispatcher/stopper.ts
+++ b/packages/dispatch/src/dispatcher/ending/stopper.ts
@@ -1,9 +1,9 @@
 /** Decides which stop and recall commands are due. */
 import {ExpiringMap, type Millis} from '@goldcrestpier/runtime';
-import {parseTaskName} from '../work/index.js';
-import {RunPhase, type Run, type WorkerRecord} from '../workers/index.js';
-import type {Registry} from './registry.js';
-import type {Command} from './commands.js';
+import {parseTaskName} from '../../work/index.js';
+import {RunPhase, type Run, type WorkerRecord} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
+import type {Command} from '../commands.js';
 
 /** Time after which an unconfirmed stop command is sent again, in ms. */
 const STOP_RETRY_MS = 200;
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -1,12 +1,12 @@
 /** The scheduler that runs on the holder of a zone. */
 export type {DispatchObserver, RefusedJob} from './observer.js';
-export type {EndedJob} from './registry.js';
-export type {DelegatedRun, DelegationReport} from './delegation_survey.js';
+export type {EndedJob} from './jobs/index.js';
+export type {DelegatedRun, DelegationReport} from './intake/index.js';
 export {Dispatcher} from './dispatcher.js';
-export {findNextEndTime, findNextOverdueTime} from './worker_reports.js';
-export type {SoleHolder} from './sole_holder.js';
-export {StrikeReason} from './health.js';
-export type {JobRecord} from './job_record.js';
+export {findNextEndTime, findNextOverdueTime} from './worker_state/index.js';
+export type {SoleHolder} from './ending/index.js';
+export {StrikeReason} from './worker_state/index.js';
+export type {JobRecord} from './jobs/index.js';
 export type * from './commands.js';
 export {
   DELEGATED_RUN_MAX_MS,
--- a/packages/dispatch/src/dispatcher/adoption.ts
+++ b/packages/dispatch/src/dispatcher/intake/adoption.ts
@@ -1,11 +1,10 @@
 /** Adopts runs that an earlier holder started. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {parseTaskName} from '../work/index.js';
-import {RunPhase, type Run, type WorkerRecord} from '../workers/index.js';
-import type {Registry} from './registry.js';
-import {createRun} from './create_run.js';
-import type {JobRecord} from './job_record.js';
-import type {TaskRecord} from './task_record.js';
+import {parseTaskName} from '../../work/index.js';
+import {RunPhase, type Run, type WorkerRecord} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
+import {createRun} from '../placing/index.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
 
 /** Adopts a run that a worker reported; false when its job is not known. */
 export function adoptReported(
--- a/packages/dispatch/src/dispatcher/delegation_survey.ts
+++ b/packages/dispatch/src/dispatcher/intake/delegation_survey.ts
@@ -1,6 +1,6 @@
 /** Finds tasks that an earlier holder of this zone delegated to other zones. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {DELEGATED_RUN_MAX_MS} from './options.js';
+import {DELEGATED_RUN_MAX_MS} from '../options.js';
 
 /** Longest time that new jobs wait for the first reports, in ms. */
 const FIRST_REPORT_WAIT_MS = 400;
--- a/packages/dispatch/src/dispatcher/earlier_runs.ts
+++ b/packages/dispatch/src/dispatcher/intake/earlier_runs.ts
@@ -3,13 +3,13 @@
  * here. A task is started only when that is excluded.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {JobRecord} from './job_record.js';
+import type {JobRecord} from '../jobs/index.js';
 import {
   DELEGATED_RUN_MAX_MS,
   FORMER_HOLDER_STOP_MS,
   computeLeaseExpiry,
-} from './options.js';
-import type {Registry} from './registry.js';
+} from '../options.js';
+import type {Registry} from '../registry.js';
 
 /** The runs that earlier holders may have left, as far as one holder knows. */
 export class EarlierRuns {
--- a/packages/dispatch/src/dispatcher/inbound_tasks.ts
+++ b/packages/dispatch/src/dispatcher/intake/inbound_tasks.ts
@@ -1,5 +1,5 @@
 /** Tasks that other zones have delegated to this one, by their jobs. */
-import type {JobRecord} from './job_record.js';
+import type {JobRecord} from '../jobs/index.js';
 
 /** Index of the delegated tasks, by the ID of the job in the other zone. */
 export class InboundTasks {
--- a/packages/dispatch/src/dispatcher/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake/intake.ts
@@ -6,21 +6,19 @@
   createAbandoned,
   type Job,
   type JobProgress,
-} from '../work/index.js';
-import type {AbandonedJobReport} from '../remote_runs/index.js';
-import type {Run} from '../workers/index.js';
+} from '../../work/index.js';
+import type {AbandonedJobReport} from '../../remote_runs/index.js';
+import type {Run} from '../../workers/index.js';
 import {adoptDelegated, adoptOrphans} from './adoption.js';
-import type {Registry} from './registry.js';
+import type {Registry} from '../registry.js';
 import {findRejection, mayHaveOtherRuns, rejectJob} from './job_admission.js';
-import type {JobRecord} from './job_record.js';
+import {type JobRecord, applyProgress, type TaskRecord} from '../jobs/index.js';
 import type {DelegationReport} from './delegation_survey.js';
-import {computeLeaseExpiry} from './options.js';
-import type {Command} from './commands.js';
-import type {Placer} from './placer.js';
-import {abandonJob} from './overdue.js';
-import {applyProgress} from './progress.js';
+import {computeLeaseExpiry} from '../options.js';
+import type {Command} from '../commands.js';
+import type {Placer} from '../placing/index.js';
+import {abandonJob} from '../ending/index.js';
 import {findRefusal} from './refusal.js';
-import type {TaskRecord} from './task_record.js';
 
 /** What is known of a job from before it was submitted here. */
 export interface JobHistory {
--- a/packages/dispatch/src/dispatcher/job_admission.ts
+++ b/packages/dispatch/src/dispatcher/intake/job_admission.ts
@@ -8,17 +8,17 @@
   chooseRetryAfter,
   measureJob,
   type JobSize,
-} from '../admission/index.js';
+} from '../../admission/index.js';
 import {
   AbandonReason,
   createAbandoned,
   parseTaskName,
   RefusalReason,
   type Job,
-} from '../work/index.js';
-import type {JobRecord} from './job_record.js';
-import {countTasksAhead, isLargeJob} from './start_sharing.js';
-import type {Registry} from './registry.js';
+} from '../../work/index.js';
+import type {JobRecord} from '../jobs/index.js';
+import {countTasksAhead, isLargeJob} from '../placing/index.js';
+import type {Registry} from '../registry.js';
 
 /** Multiple of the estimated time in which all tasks of a job are started. */
 const START_TIME_MARGIN = 1.25;
--- a/packages/dispatch/src/dispatcher/refusal.ts
+++ b/packages/dispatch/src/dispatcher/intake/refusal.ts
@@ -1,9 +1,9 @@
 /** Refuses jobs that can never run, and estimates the work ahead of a job. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {estimateWait, sumCapacity} from '../admission/index.js';
-import {canEverRun} from '../placement/index.js';
-import {RefusalReason, type Job} from '../work/index.js';
-import type {Registry} from './registry.js';
+import {estimateWait, sumCapacity} from '../../admission/index.js';
+import {canEverRun} from '../../placement/index.js';
+import {RefusalReason, type Job} from '../../work/index.js';
+import type {Registry} from '../registry.js';
 
 /** Returns why no worker can ever run the job; undefined when one can. */
 export function findRefusal(
--- a/packages/dispatch/src/dispatcher/abandoned_jobs.ts
+++ b/packages/dispatch/src/dispatcher/jobs/abandoned_jobs.ts
@@ -1,7 +1,7 @@
 /** Finds the jobs that still run here though nobody waits for them. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {parseTaskName} from '../work/index.js';
-import type {Registry} from './registry.js';
+import {parseTaskName} from '../../work/index.js';
+import type {Registry} from '../registry.js';
 
 /**
  * Finds the jobs that are being stopped, and those whose runs no submission has
--- a/packages/dispatch/src/dispatcher/answerable_jobs.ts
+++ b/packages/dispatch/src/dispatcher/jobs/answerable_jobs.ts
@@ -6,7 +6,8 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {JobRecord} from './job_record.js';
-import type {EndedJob, Registry} from './registry.js';
+import type {Registry} from '../registry.js';
+import type {EndedJob} from './ended_job.js';
 
 /** Reports each such job once. */
 export class AnswerableJobs {
--- a/packages/dispatch/src/dispatcher/job_order.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_order.ts
@@ -7,7 +7,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {JobRecord} from './job_record.js';
-import {haveFirstStarted} from './start_sharing.js';
+import {haveFirstStarted} from '../placing/index.js';
 
 /** Slack per level of priority, in ms. */
 const PRIORITY_SLACK_MS = 60;
--- a/packages/dispatch/src/dispatcher/job_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_record.ts
@@ -1,9 +1,9 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {measureJob, type JobSize} from '../admission/index.js';
-import type {DueTimes} from '../placement/index.js';
-import type {Job, Outcome} from '../work/index.js';
-import type {Run} from '../workers/index.js';
+import {measureJob, type JobSize} from '../../admission/index.js';
+import type {DueTimes} from '../../placement/index.js';
+import type {Job, Outcome} from '../../work/index.js';
+import type {Run} from '../../workers/index.js';
 import {TaskIndex, type StepTasks} from './task_index.js';
 import {createTasks, type TaskRecord, type TaskState} from './task_record.js';
 
--- a/packages/dispatch/src/dispatcher/progress.ts
+++ b/packages/dispatch/src/dispatcher/jobs/progress.ts
@@ -4,10 +4,10 @@
   JobProgress,
   TaskProgress,
   TaskProgressState,
-} from '../work/index.js';
-import type {Run} from '../workers/index.js';
-import {addFoundRun, addDelegatedRun} from './adoption.js';
-import type {Registry} from './registry.js';
+} from '../../work/index.js';
+import type {Run} from '../../workers/index.js';
+import {addFoundRun, addDelegatedRun} from '../intake/index.js';
+import type {Registry} from '../registry.js';
 import type {JobRecord} from './job_record.js';
 import type {TaskRecord} from './task_record.js';
 
--- a/packages/dispatch/src/dispatcher/task_index.ts
+++ b/packages/dispatch/src/dispatcher/jobs/task_index.ts
@@ -2,7 +2,7 @@
  * The tasks of one job by step and state. A job may have thousands of tasks, so
  * that nothing that happens to one of them may scan the others.
  */
-import type {Step} from '../work/index.js';
+import type {Step} from '../../work/index.js';
 import type {TaskRecord, TaskState} from './task_record.js';
 
 /** The tasks of one step that are not done, by state. */
--- a/packages/dispatch/src/dispatcher/task_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/task_record.ts
@@ -5,8 +5,8 @@
   type Job,
   type Step,
   type TaskName,
-} from '../work/index.js';
-import type {Run} from '../workers/index.js';
+} from '../../work/index.js';
+import type {Run} from '../../workers/index.js';
 
 /** State of a task as the holder knows it. */
 export type TaskState =
--- a/packages/dispatch/src/dispatcher/observer.ts
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -3,8 +3,8 @@
 import type {CrashVerdict} from '../crashes/index.js';
 import type {RefusalReason} from '../work/index.js';
 import type {Run, RunConclusion} from '../workers/index.js';
-import type {StrikeReason} from './health.js';
-import type {JobRecord} from './job_record.js';
+import type {StrikeReason} from './worker_state/index.js';
+import type {JobRecord} from './jobs/index.js';
 
 /** What is known of a job that is refused. */
 export type RefusedJob = Pick<JobRecord, 'job' | 'isInbound' | 'planned'>;
--- a/packages/dispatch/src/dispatcher/crashing_tasks.ts
+++ b/packages/dispatch/src/dispatcher/placing/crashing_tasks.ts
@@ -4,16 +4,15 @@
  * workers have crashed fails.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {CrashVerdict} from '../crashes/index.js';
-import {canEverRun} from '../placement/index.js';
-import {AbandonReason, createAbandoned} from '../work/index.js';
-import type {Run, WorkerRecord} from '../workers/index.js';
-import type {StartCommand} from './commands.js';
+import {CrashVerdict} from '../../crashes/index.js';
+import {canEverRun} from '../../placement/index.js';
+import {AbandonReason, createAbandoned} from '../../work/index.js';
+import type {Run, WorkerRecord} from '../../workers/index.js';
+import type {StartCommand} from '../commands.js';
 import {createRun} from './create_run.js';
-import type {JobRecord} from './job_record.js';
-import type {TaskRecord} from './task_record.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
 import type {PlacementRound} from './placement_round.js';
-import type {Registry} from './registry.js';
+import type {Registry} from '../registry.js';
 
 /** Largest share of a service's workers that are kept free at a time. */
 const MAX_RESERVED_SHARE = 0.1;
--- a/packages/dispatch/src/dispatcher/create_demand.ts
+++ b/packages/dispatch/src/dispatcher/placing/create_demand.ts
@@ -1,8 +1,7 @@
 /** Creates the planner's input for a job. */
-import type {Demand} from '../placement/index.js';
-import type {JobRecord} from './job_record.js';
+import type {Demand} from '../../placement/index.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
 import {limitUnansweredStarts} from './start_sharing.js';
-import type {TaskRecord} from './task_record.js';
 
 /** Creates a demand for `count` tasks like this one. */
 export function createDemand(
--- a/packages/dispatch/src/dispatcher/create_run.ts
+++ b/packages/dispatch/src/dispatcher/placing/create_run.ts
@@ -1,8 +1,7 @@
 /** Creates the record of a run that is about to start or has been found. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {RunPhase, type Run} from '../workers/index.js';
-import type {JobRecord} from './job_record.js';
-import type {TaskRecord} from './task_record.js';
+import {RunPhase, type Run} from '../../workers/index.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
 
 /** Creates a run of a task, with the next run number by default. */
 export function createRun(
--- a/packages/dispatch/src/dispatcher/min_worth.ts
+++ b/packages/dispatch/src/dispatcher/placing/min_worth.ts
@@ -3,8 +3,8 @@
  * while many jobs wait, capacity goes to jobs that are likely to end in time.
  * While few wait, a job that may be late takes nothing away from others.
  */
-import {estimateWorth} from '../placement/index.js';
-import type {JobRecord} from './job_record.js';
+import {estimateWorth} from '../../placement/index.js';
+import type {JobRecord} from '../jobs/index.js';
 
 /** Number of jobs waiting to start above which the load counts as high. */
 const MAX_WAITING_JOBS = 3;
--- a/packages/dispatch/src/dispatcher/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
@@ -4,14 +4,13 @@
  * task in time; a task is moved only once.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {countFitting, planStep} from '../placement/index.js';
-import {RunPhase, type Run} from '../workers/index.js';
-import type {Registry} from './registry.js';
+import {countFitting, planStep} from '../../placement/index.js';
+import {RunPhase, type Run} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
 import {createDemand} from './create_demand.js';
-import type {JobRecord} from './job_record.js';
-import {findBlockEnd} from './late_starts.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
+import {findBlockEnd} from '../starts/index.js';
 import type {PlacementRound} from './placement_round.js';
-import type {TaskRecord} from './task_record.js';
 
 /** Time a run must have taken before its progress is judged, in ms. */
 const MIN_RUN_TIME_MS = 150;
--- a/packages/dispatch/src/dispatcher/placement_round.ts
+++ b/packages/dispatch/src/dispatcher/placing/placement_round.ts
@@ -1,9 +1,9 @@
 /** State that is shared by all placements of one round. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {UpcomingVacancies} from '../placement/index.js';
-import type {WorkerRecord} from '../workers/index.js';
-import type {Registry} from './registry.js';
-import type {JobRecord} from './job_record.js';
+import {UpcomingVacancies} from '../../placement/index.js';
+import type {WorkerRecord} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
+import type {JobRecord} from '../jobs/index.js';
 import {areManyWaiting} from './min_worth.js';
 
 /** The usable workers, their upcoming vacancies, and the load of a round. */
--- a/packages/dispatch/src/dispatcher/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -1,34 +1,31 @@
 /** Assigns waiting tasks to workers; refuses jobs that can't end in time. */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {RemoteVacancies} from '../remote_vacancies/index.js';
+import type {RemoteVacancies} from '../../remote_vacancies/index.js';
 import {
   planStep,
   type Demand,
   type Place,
   type RemotePlace,
   type StepPlan,
-} from '../placement/index.js';
-import {RefusalReason} from '../work/index.js';
-import type {WorkerRecord} from '../workers/index.js';
-import type {Registry} from './registry.js';
+} from '../../placement/index.js';
+import {RefusalReason} from '../../work/index.js';
+import type {WorkerRecord} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
 import {createRun} from './create_run.js';
 import {mustRunAlone, placeSuspectedTasks} from './crashing_tasks.js';
 import {createDemand} from './create_demand.js';
-import type {EarlierRuns} from './earlier_runs.js';
-import type {JobRecord} from './job_record.js';
+import {type EarlierRuns, estimateDrain} from '../intake/index.js';
+import {type JobRecord, sortJobs, type TaskRecord} from '../jobs/index.js';
 import {findMinWorth} from './min_worth.js';
 import {
   isLargeJob,
   limitPlannedTasks,
   limitUnansweredStarts,
 } from './start_sharing.js';
-import {findBlockEnd, endIfBlocked} from './late_starts.js';
+import {findBlockEnd, endIfBlocked} from '../starts/index.js';
 import {moveLateRuns} from './move_late_runs.js';
-import {sortJobs} from './job_order.js';
-import type {Command} from './commands.js';
-import {estimateDrain} from './refusal.js';
+import type {Command} from '../commands.js';
 import {PlacementRound} from './placement_round.js';
-import type {TaskRecord} from './task_record.js';
 
 /**
  * Longest time between placements, in ms: expected ends and deadlines come
--- a/packages/dispatch/src/dispatcher/start_sharing.ts
+++ b/packages/dispatch/src/dispatcher/placing/start_sharing.ts
@@ -3,8 +3,8 @@
  * wait, the first tasks of each job go before the others of larger jobs, so that
  * a job of many tasks doesn't delay the ordinary ones beside it.
  */
-import {MAX_UNANSWERED_STARTS} from '../workers/index.js';
-import type {JobRecord} from './job_record.js';
+import {MAX_UNANSWERED_STARTS} from '../../workers/index.js';
+import type {JobRecord} from '../jobs/index.js';
 
 /** Number of the first tasks of a job, which go before those of larger jobs. */
 const FIRST_TASKS = 16;
--- a/packages/dispatch/src/dispatcher/vacancies.ts
+++ b/packages/dispatch/src/dispatcher/placing/vacancies.ts
@@ -1,7 +1,7 @@
 /** Free capacity that is reported to other zones. */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {Vacancy} from '../remote_vacancies/index.js';
-import type {Registry} from './registry.js';
+import type {Vacancy} from '../../remote_vacancies/index.js';
+import type {Registry} from '../registry.js';
 
 /** Lists the free capacity on each usable worker of a service. */
 export function listVacancies(
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -25,25 +25,21 @@
   type RunConclusion,
   type WorkerRecord,
 } from '../workers/index.js';
-import {adoptOrphansOf} from './adoption.js';
-import {CrashRecorder} from './crash_recorder.js';
-import {addSuccess, addStrike, StrikeReason} from './health.js';
-import {InboundTasks} from './inbound_tasks.js';
-import {JobRecord} from './job_record.js';
-import {DelegationSurvey} from './delegation_survey.js';
+import {
+  adoptOrphansOf,
+  InboundTasks,
+  DelegationSurvey,
+} from './intake/index.js';
+import {
+  CrashRecorder,
+  StrikeReason,
+  StrikeRecorder,
+  addSuccess,
+} from './worker_state/index.js';
+import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
 import type {DispatchObserver} from './observer.js';
-import {RunEnds} from './run_ends.js';
-import {RunNumbers} from './run_numbers.js';
-import type {SoleHolder} from './sole_holder.js';
-import type {TaskRecord} from './task_record.js';
-
-/** A job that has ended, to be reported to the instance that submitted it. */
-export interface EndedJob {
-  readonly id: string;
-  readonly queue: string;
-  readonly outcome: Outcome;
-  readonly hasStarted: boolean;
-}
+import {RunEnds, type SoleHolder} from './ending/index.js';
+import {RunNumbers} from './starts/index.js';
 
 /** Jobs, workers and runs that one holder knows. */
 export class Registry {
@@ -80,10 +76,8 @@
   readonly lateLeases = new Map<string, Millis>();
   /** Jobs that other zones may still run. */
   readonly remoteRuns = new RemoteRuns();
-  /** The job of each worker's last strike, by worker ID. */
-  private readonly lastStrikeJobIds = new Map<string, string>();
-
   readonly crashRecorder: CrashRecorder;
+  readonly strikeRecorder: StrikeRecorder;
 
   constructor(
     readonly observer: DispatchObserver,
@@ -91,6 +85,7 @@
     readonly soleHolder: SoleHolder,
   ) {
     this.crashRecorder = new CrashRecorder(history.crashes, observer);
+    this.strikeRecorder = new StrikeRecorder(this.workers, observer);
   }
 
   /** Adds a job; its run numbers continue those of an earlier submission. */
@@ -181,17 +176,6 @@
     this.endedJobs.push({id, queue, outcome, hasStarted});
   }
 
-  /** Records a strike against a worker, once for consecutive runs of a job. */
-  recordStrike(run: Run, reason: StrikeReason, now: Millis): void {
-    const worker = this.workers.get(run.workerId);
-    if (worker === undefined) return;
-    // If a job can't succeed, all of its tasks fail, whatever the worker.
-    if (this.lastStrikeJobIds.get(run.workerId) === run.recordId) return;
-    this.lastStrikeJobIds.set(run.workerId, run.recordId);
-    const isEjected = addStrike(worker, this.workers, now);
-    this.observer.workerStruck(run.workerId, reason, isEjected);
-  }
-
   /** Returns the jobs that have ended since the last call. */
   takeEndedJobs(): EndedJob[] {
     const {endedJobs} = this;
@@ -274,7 +258,7 @@
     now: Millis,
   ): void {
     task.failures += 1;
-    this.recordStrike(run, StrikeReason.TaskFailed, now);
+    this.strikeRecorder.record(run, StrikeReason.TaskFailed, now);
     if (task.failures < record.job.maxAttempts) return;
     this.endJob(record, {kind: 'failed'}, now);
   }
--- a/packages/dispatch/src/dispatcher/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/starts/late_starts.ts
@@ -5,17 +5,16 @@
  * starts a run once.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {AbandonReason, createAbandoned} from '../work/index.js';
-import {RunPhase, type Run} from '../workers/index.js';
-import type {JobRecord} from './job_record.js';
+import {AbandonReason, createAbandoned} from '../../work/index.js';
+import {RunPhase, type Run} from '../../workers/index.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
 import {
   DELEGATED_RUN_MAX_MS,
   FORMER_HOLDER_STOP_MS,
   computeLateRunEnd,
   computeLeaseExpiry,
-} from './options.js';
-import type {Registry} from './registry.js';
-import type {TaskRecord} from './task_record.js';
+} from '../options.js';
+import type {Registry} from '../registry.js';
 
 /** Records that a start command has got no answer so far. */
 export function recordUnansweredStart(
--- a/packages/dispatch/src/dispatcher/run_numbers.ts
+++ b/packages/dispatch/src/dispatcher/starts/run_numbers.ts
@@ -1,6 +1,6 @@
 /** Run numbers of ended jobs, which continue if a job is submitted again. */
 import {ExpiringMap, type Millis} from '@goldcrestpier/runtime';
-import type {JobRecord} from './job_record.js';
+import type {JobRecord} from '../jobs/index.js';
 
 /** Time for which the numbers of an ended job are retained, in ms. */
 const RETENTION_MS = 20_000;
--- a/packages/dispatch/src/dispatcher/start_answer.ts
+++ b/packages/dispatch/src/dispatcher/starts/start_answer.ts
@@ -1,10 +1,10 @@
 /** Applies a worker's answers to commands that start or stop a run. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {RunPhase, StartAnswer, type Run} from '../workers/index.js';
-import {StrikeReason} from './health.js';
+import {RunPhase, StartAnswer, type Run} from '../../workers/index.js';
+import {StrikeReason} from '../worker_state/index.js';
 import {isStartOutstanding, recordUnansweredStart} from './late_starts.js';
-import {computeLateRunEnd, computeStopCompletion} from './options.js';
-import type {Registry} from './registry.js';
+import {computeLateRunEnd, computeStopCompletion} from '../options.js';
+import type {Registry} from '../registry.js';
 import {recordStartRefusal} from './start_refusal.js';
 
 /** Answers after which the worker may still execute the start command. */
@@ -31,7 +31,7 @@
     if (run.phase === RunPhase.Starting) registry.runEnds.stop(run);
     run.isStartRefused = answer === StartAnswer.NotListening;
     boundUnconfirmedRun(registry, run, leaseMs, now);
-    registry.recordStrike(run, StrikeReason.StartUnanswered, now);
+    registry.strikeRecorder.record(run, StrikeReason.StartUnanswered, now);
   } else if (answer !== StartAnswer.Started) {
     recordStartRefusal(registry, run, answer, now);
     registry.endRun(run, 'refused', now);
--- a/packages/dispatch/src/dispatcher/start_refusal.ts
+++ b/packages/dispatch/src/dispatcher/starts/start_refusal.ts
@@ -1,8 +1,8 @@
 /** Updates a worker's record after it refused to start a run. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {StartAnswer, type Run} from '../workers/index.js';
-import type {Registry} from './registry.js';
-import {StrikeReason} from './health.js';
+import {StartAnswer, type Run} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
+import {StrikeReason} from '../worker_state/index.js';
 
 /** Time for which a worker that reported to be full gets no task, in ms. */
 const FULL_BACKOFF_MS = 50;
@@ -27,7 +27,7 @@
       return;
     case StartAnswer.Unavailable:
       worker.fullUntil = now + FULL_BACKOFF_MS;
-      registry.recordStrike(run, StrikeReason.StartRefused, now);
+      registry.strikeRecorder.record(run, StrikeReason.StartRefused, now);
       return;
     case StartAnswer.OtherIncarnation:
       worker.hasAcceptedToken = false;
--- a/packages/dispatch/src/dispatcher/crash_recorder.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/crash_recorder.ts
@@ -1,8 +1,8 @@
 /** Records which runs were on a worker when it crashed. */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {Crash, CrashHistory} from '../crashes/index.js';
-import type {Run, WorkerRecord} from '../workers/index.js';
-import type {DispatchObserver} from './observer.js';
+import type {Crash, CrashHistory} from '../../crashes/index.js';
+import type {Run, WorkerRecord} from '../../workers/index.js';
+import type {DispatchObserver} from '../observer.js';
 
 /** Adds crashes to the history of an instance. */
 export class CrashRecorder {
--- a/packages/dispatch/src/dispatcher/health.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/health.ts
@@ -4,7 +4,7 @@
  * workers that fail all or some of their tasks although they look healthy.
  */
 import type {Millis} from '@goldcrestpier/runtime';
-import {Health, type WorkerRecord} from '../workers/index.js';
+import {Health, type WorkerRecord} from '../../workers/index.js';
 
 /** Strikes after which a worker is ejected. */
 const MAX_STRIKES = 2;
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/worker_state/index.ts
@@ -0,0 +1,7 @@
+/** What the list of workers and their answers to polls change. */
+export * from './crash_recorder.js';
+export * from './health.js';
+export * from './poll_answer.js';
+export * from './strike_recorder.js';
+export * from './worker_list.js';
+export * from './worker_reports.js';
--- a/packages/dispatch/src/dispatcher/poll_answer.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/poll_answer.ts
@@ -4,13 +4,13 @@
   WorkerRequestFailure,
   type WorkerRecord,
   type WorkerReport,
-} from '../workers/index.js';
+} from '../../workers/index.js';
 import {
   computeLateRunEnd,
   computeLeaseExpiry,
   type DispatcherOptions,
-} from './options.js';
-import type {Registry} from './registry.js';
+} from '../options.js';
+import type {Registry} from '../registry.js';
 import {applyReport} from './worker_reports.js';
 
 /** Records that a command that grants a lease is being sent. */
--- a/packages/dispatch/src/dispatcher/worker_list.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/worker_list.ts
@@ -1,7 +1,7 @@
 /** Applies the platform's list of workers. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {WorkerRecord, type Worker} from '../workers/index.js';
-import type {Registry} from './registry.js';
+import {WorkerRecord, type Worker} from '../../workers/index.js';
+import type {Registry} from '../registry.js';
 
 /** Replaces the list of workers with the current one. */
 export function applyWorkerList(
--- a/packages/dispatch/src/dispatcher/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
@@ -7,11 +7,11 @@
   type Run,
   type RunningEntry,
   type WorkerRecord,
-} from '../workers/index.js';
-import {adoptReported} from './adoption.js';
-import type {Registry} from './registry.js';
+} from '../../workers/index.js';
+import {adoptReported} from '../intake/index.js';
+import type {Registry} from '../registry.js';
 import {StrikeReason} from './health.js';
-import {findBlockEnd} from './late_starts.js';
+import {findBlockEnd} from '../starts/index.js';
 
 /** Maximum number of ended runs that a worker lists in one report. */
 const MAX_LISTED_ENDS = 500;
@@ -176,7 +176,7 @@
   if (findBlockEnd(registry, task, now) !== undefined) return;
   task.movedFrom = run.workerId;
   registry.runEnds.stop(run);
-  registry.recordStrike(run, StrikeReason.TaskStalled, now);
+  registry.strikeRecorder.record(run, StrikeReason.TaskStalled, now);
 }
 
 function replaceAll(
--- a/packages/dispatch/test/ending_runs.test.ts
+++ b/packages/dispatch/test/ending_runs.test.ts
@@ -49,7 +49,7 @@
 function listStarts(history: TaskHistory, until: number) {
   const sentAt = 1_500;
   const next = createHolder('w2', history, 1_000);
-  next.expectDelegationReports(['east'], 1_000);
+  next.delegationSurvey.expect(['east'], 1_000);
   next.submit(createJob('a', 1, longTimes), false, sentAt);
   return formatCommands([...next.tick(sentAt), ...next.tick(until)]);
 }
--- a/packages/dispatch/test/remote_runs.test.ts
+++ b/packages/dispatch/test/remote_runs.test.ts
@@ -34,7 +34,7 @@
 
 test('a new holder does not start a job beside a delegated run that another zone has yet to report', () => {
   const dispatcher = createIdleDispatcher(0);
-  dispatcher.expectDelegationReports(['east', 'west'], 0);
+  dispatcher.delegationSurvey.expect(['east', 'west'], 0);
   dispatcher.submit(jobOfOneTask, false, 5);
   const west = {isComplete: true, tasks: []};
   dispatcher.handleDelegationReport('west', west, 10);
@@ -135,7 +135,7 @@
 
 test('a list of a zone whose holder has not polled its workers does not end the wait for it', () => {
   const dispatcher = createIdleDispatcher(0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   dispatcher.submit(jobOfOneTask, false, 5);
   const unknown = {isComplete: false, hasPolledWorkers: false, tasks: []};
   dispatcher.handleDelegationReport('east', unknown, 10);
@@ -147,7 +147,7 @@
 
 test('a job whose progress is known does not wait for the lists of other zones', () => {
   const dispatcher = createIdleDispatcher(0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   const progress = {isComplete: true, tasks: []};
   dispatcher.submit(jobOfOneTask, true, 5, progress);
   assert.deepEqual(formatCommands(dispatcher.tick(10)), startOfTask);
--- a/packages/dispatch/test/takeover.test.ts
+++ b/packages/dispatch/test/takeover.test.ts
@@ -77,7 +77,7 @@
 
 test('a resumed job waits until other zones have reported its delegated tasks', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   pollAllWorkers(dispatcher, 2);
   dispatcher.submit(createJob('a', 2, longDeadline), true, 5);
   assert.deepEqual(formatCommands(dispatcher.tick(1_700)), []);
@@ -157,7 +157,7 @@
 
 test('a zone that does not answer delays new jobs by 400 ms and resumed jobs by 2 s', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   pollAllWorkers(dispatcher, 2);
   dispatcher.submit(createJob('a', 1, longDeadline), true, 5);
   dispatcher.submit(createJob('b', 1, longDeadline), false, 5);
@@ -224,7 +224,7 @@
 
 test('a zone that has a new holder may report its delegated tasks later', () => {
   const dispatcher = createDispatcher([createWorker('w1')], 0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   pollAllWorkers(dispatcher, 2);
   dispatcher.submit(createJob('a', 1, longDeadline), true, 5);
   dispatcher.handleDelegationReport('east', {isComplete: false, tasks: []}, 8);
--- a/packages/dispatch/test/task_index.test.ts
+++ b/packages/dispatch/test/task_index.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {TaskIndex} from '../src/dispatcher/task_index.js';
-import {createTasks} from '../src/dispatcher/task_record.js';
+import {TaskIndex} from '../src/dispatcher/jobs/index.js';
+import {createTasks} from '../src/dispatcher/jobs/index.js';
 import {createJob} from './fixtures/dispatcher_setup.js';
 
 const need = {cpuMillis: 1_000, memoryMb: 1, accelerators: 0};
--- a/packages/dispatch/test/unknown_runs.test.ts
+++ b/packages/dispatch/test/unknown_runs.test.ts
@@ -131,7 +131,7 @@
 test('a delegated task that no job adopts in time is recalled', () => {
   const dispatcher = createDispatcher([first], 0);
   pollAllWorkers(dispatcher, 1);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   const tasks = [{key: 'a.0.0.0', run: 4}];
   dispatcher.handleDelegationReport('east', {isComplete: true, tasks}, 5);
   assert.deepEqual(formatCommands(dispatcher.tick(510)), [
@@ -151,7 +151,7 @@
 test('a job that is submitted after its delegated task was recalled waits for its end', () => {
   const dispatcher = createDispatcher([first], 0);
   pollAllWorkers(dispatcher, 1);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   const tasks = [{key: 'a.0.0.0', run: 4}];
   dispatcher.handleDelegationReport('east', {isComplete: true, tasks}, 5);
   dispatcher.tick(510);
@@ -188,7 +188,7 @@
 
 test('a job that is sent again waits until other zones have told a new holder which tasks of it they run', () => {
   const dispatcher = createDispatcher([first, second], 0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   pollAllWorkers(dispatcher, 1);
   dispatcher.submit(createJob('a', 1), false, 5);
   assert.deepEqual(formatCommands(dispatcher.tick(5)), []);
@@ -211,7 +211,7 @@
 
 test('a job resumed without progress waits for a zone that never reported, however long this holder has held', () => {
   const dispatcher = createDispatcher([first], 0);
-  dispatcher.expectDelegationReports(['east'], 0);
+  dispatcher.delegationSurvey.expect(['east'], 0);
   pollAllWorkers(dispatcher, 1);
   const arrivedAt = 5_000;
   const times = {arrivedAt, deadlineAt: 10_000, targetMs: 3_000};
--- a/packages/zone/src/holder/delegation_discovery.ts
+++ b/packages/zone/src/holder/delegation_discovery.ts
@@ -33,7 +33,7 @@
   /** Discovers the tasks that an earlier holder of this zone delegated. */
   async discover(zones: readonly string[]): Promise<void> {
     const {dispatcher, onChange} = this.options;
-    dispatcher.expectDelegationReports(zones, readClock());
+    dispatcher.delegationSurvey.expect(zones, readClock());
     await Promise.all(zones.map(zone => this.queryZone(zone)));
     onChange();
   }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -183,7 +183,10 @@
  * Names the zones that have not yet listed all that they run for this one, to
  * a new holder that places a job new to it: they may run tasks of the job.
  */
-function describePendingZones({zonesPending}: Dispatcher, heldMs: Millis) {
+function describePendingZones(
+  {delegationSurvey: {zonesPending}}: Dispatcher,
+  heldMs: Millis,
+) {
   const isTold = zonesPending.length === 0 || heldMs >= DELEGATED_RUN_MAX_MS;
   if (isTold) return {};
   return {heldMs: Math.round(heldMs), zonesPending: zonesPending.join(' ')};
--- a/packages/zone/test/holder_log.test.ts
+++ b/packages/zone/test/holder_log.test.ts
@@ -48,7 +48,7 @@
 
 test('a new holder that places a new job names the zones that have yet to list their tasks', () => {
   const dispatcher = createDispatcher(0);
-  dispatcher.expectDelegationReports(['east', 'west', 'south'], -400);
+  dispatcher.delegationSurvey.expect(['east', 'west', 'south'], -400);
   dispatcher.handleDelegationReport('west', {isComplete: true, tasks: []}, 0);
   dispatcher.handleDelegationReport('south', {isComplete: false, tasks: []}, 0);
   const fields = placeNewJob(dispatcher, 120);
@@ -58,14 +58,14 @@
 
 test('a holder to which all zones have listed their tasks names none', () => {
   const dispatcher = createDispatcher(0);
-  dispatcher.expectDelegationReports(['east'], -400);
+  dispatcher.delegationSurvey.expect(['east'], -400);
   dispatcher.handleDelegationReport('east', {isComplete: true, tasks: []}, 0);
   assert.equal('zonesPending' in placeNewJob(dispatcher, 120), false);
 });
 
 test('a holder names no zone once the tasks of its predecessor have ended', () => {
   const dispatcher = createDispatcher(0);
-  dispatcher.expectDelegationReports(['east'], -400);
+  dispatcher.delegationSurvey.expect(['east'], -400);
   assert.equal('zonesPending' in placeNewJob(dispatcher, 2_000), false);
 });
 
