Read the evacuated zones and pass them between instances

Cause: the operator writes op/evacuate/ZONE, which no instance reads. Change: the adapter decodes the keys with the store's revision, heartbeats carry them once any evacuation was seen, and the highest revision counts. The operator's keys are read within the shorter of config_apply_ms and evacuate_ms. The simulation's store evacuates zones and can reject single machines. Result: every instance knows the evacuated zones as it knows the configuration; nothing acts on them yet.

--- a/packages/zone/src/instance/instance.ts
+++ b/packages/zone/src/instance/instance.ts
@@ -262,6 +262,8 @@
   private handleHeartbeat(message: ZoneHeartbeat, now: Millis): void {
     this.view.recordHeartbeat(message, now);
     this.history.merge(message, now);
+    if (message.evacuated !== undefined)
+      this.options.directory.offerEvacuatedZones(message.evacuated);
     this.zones.mergeTokens(message.zoneTokens ?? [], now);
     const {zone, claim} = message;
     if (zone !== this.options.zone) {
@@ -282,14 +284,12 @@
     tellsAll = false,
   ) {
     const {id, zone, processors, directory} = this.options;
-    const {address, isLeaving, roles, view} = this;
+    const {address, isLeaving, roles, view, history, zones} = this;
     const claim = roles.describeClaim(now);
     const holderHeardMs = claim && view.findSilence(claim.holderId, now);
     const self = {id, zone, address, processors, isLeaving};
     const state = {...self, claim, holderHeardMs};
-    const {history, zones} = this;
-    const {holder} = roles;
-    const sources = {directory, history, zones, holder};
+    const sources = {directory, history, zones, holder: roles.holder};
     const receiver = {isForOtherZone, tellsAll};
     return createOwnHeartbeat(state, sources, receiver, now);
   }
--- a/packages/zone/src/instance/own_heartbeat.ts
+++ b/packages/zone/src/instance/own_heartbeat.ts
@@ -46,11 +46,13 @@
   const told = tellsAll ? history.reportAll(now) : history.reportRecent(now);
   const zoneTokens = zones.reportTokens(now);
   const asOf = directory.configurationAsOf();
+  const evacuated = directory.evacuatedZones();
   const rooms = isForOtherZone ? holder?.findFreeCapacity() : undefined;
   return {
     ...self,
     configurationVersion: directory.configuration()?.version ?? 0,
     ...(asOf === undefined ? {} : {configurationAgeMs: now - asOf}),
+    ...(evacuated === undefined ? {} : {evacuated}),
     ...(claim === undefined ? {} : {claim}),
     ...(holderHeardMs === undefined ? {} : {holderHeardMs}),
     ...(rooms === undefined ? {} : {rooms}),
--- a/packages/zone/src/ports/directory.ts
+++ b/packages/zone/src/ports/directory.ts
@@ -51,6 +51,13 @@
   readonly isReachable: boolean;
 }
 
+/** The zones in which the operator lets nothing start, all at one revision. */
+export interface EvacuatedZones {
+  /** Revision of the platform's store at which exactly these were evacuated. */
+  readonly revision: number;
+  readonly zones: readonly string[];
+}
+
 /** The newest known state; each part is undefined until its first read. */
 export interface Directory {
   configuration(): Configuration | undefined;
@@ -68,4 +75,10 @@
   registrationsSince(): Millis | undefined;
   /** Applies a peer's configuration if it is newer than the known one. */
   offerConfiguration(configuration: Configuration): void;
+  /** The evacuated zones; undefined before any evacuation was seen. */
+  evacuatedZones(): EvacuatedZones | undefined;
+  /** Whether an evacuation before this process started would be known. */
+  areEvacuationsKnown(): boolean;
+  /** Applies what a peer knows, if it is of a higher revision. */
+  offerEvacuatedZones(evacuated: EvacuatedZones): void;
 }
--- a/packages/zone/src/protocol/messages.ts
+++ b/packages/zone/src/protocol/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the instances of one deployment. */
 import {AbandonReason, RefusalReason} from '@goldcrestpier/dispatch';
 import {z} from 'zod';
+import {evacuatedZonesSchema} from './evacuated_zones.js';
 
 /** Maximum number of workers in one row of free capacity. */
 const MAX_WORKERS_PER_ROW = 10_000;
@@ -87,6 +88,8 @@
   configurationVersion: z.number(),
   /** Time since that version was known to be the newest, in ms. */
   configurationAgeMs: z.number().optional(),
+  /** The evacuated zones; left out before any evacuation was seen. */
+  evacuated: evacuatedZonesSchema.optional(),
   /** Free capacity of the sender's workers, sent by holders to other zones. */
   rooms: z.array(freeCapacitySchema).optional(),
   /** What the sender got to know recently; all, for a peer that is new. */
--- a/packages/zone/test/simulation/directory.ts
+++ b/packages/zone/test/simulation/directory.ts
@@ -9,9 +9,11 @@
 import type {
   Configuration,
   Directory,
+  EvacuatedZones,
   Registration,
   WorkerListing,
 } from '../../src/ports/index.js';
+import {OperatorKeys} from './operator_keys.js';
 import type {SimulatedProcess} from './scheduler.js';
 import type {SimulatedStore, Snapshot} from './store.js';
 
@@ -46,6 +48,8 @@
   readonly process: SimulatedProcess;
   readonly store: SimulatedStore;
   readonly lifecycle: Lifecycle;
+  /** Whether the operator evacuates zones, for which their keys are read. */
+  readonly hasEvacuation: boolean;
 }
 
 interface KnownWorker {
@@ -64,13 +68,19 @@
   private readonly knownWorkers = new Map<string, KnownWorker>();
   private instances: readonly Registration[] = [];
   private isRegistered = false;
+  private readonly operatorKeys = new OperatorKeys(
+    () => this.isHolder,
+    () => this.read(false),
+  );
 
   constructor(private readonly options: SimulatedDirectoryOptions) {}
 
   /** Starts to poll the store and to renew the registration. */
   start(): void {
-    const {lifecycle} = this.options;
+    const {lifecycle, hasEvacuation} = this.options;
+    const keys = (signal: AbortSignal) => this.operatorKeys.follow(signal);
     const loops = {
+      ...(hasEvacuation ? {keys} : {}),
       workers: (signal: AbortSignal) => this.pollWorkers(signal),
       instances: (signal: AbortSignal) => this.pollInstances(signal),
       registration: (signal: AbortSignal) => this.keepRegistered(signal),
@@ -92,14 +102,30 @@
     return configuration;
   }
 
-  /** Not simulated. */
-  configurationAsOf(): undefined {
-    return undefined;
+  /** When the operator's keys were known to be the newest. */
+  configurationAsOf(): Millis | undefined {
+    return this.operatorKeys.asOf;
   }
 
-  /** Not simulated. */
-  confirmConfiguration(): void {
-    return undefined;
+  /** Records that a peer knew the newest keys at that time. */
+  confirmConfiguration(_version: number, asOf: Millis): void {
+    this.operatorKeys.confirm(asOf);
+  }
+
+  /** The evacuated zones; undefined before any evacuation was seen. */
+  evacuatedZones(): EvacuatedZones | undefined {
+    return this.operatorKeys.current;
+  }
+
+  /** Whether the operator's keys were read, in a simulation that has any. */
+  areEvacuationsKnown(): boolean {
+    if (!this.options.hasEvacuation) return true;
+    return this.operatorKeys.asOf !== undefined;
+  }
+
+  /** Applies what a peer knows. */
+  offerEvacuatedZones(evacuated: EvacuatedZones): void {
+    this.operatorKeys.offer(evacuated);
   }
 
   /** Not simulated. */
--- a/packages/zone/test/simulation/machine.ts
+++ b/packages/zone/test/simulation/machine.ts
@@ -31,6 +31,8 @@
   readonly timeline: Timeline;
   readonly zones: readonly string[];
   readonly machines: Machine[];
+  /** Whether the operator evacuates a zone. */
+  readonly hasEvacuation?: boolean;
 }
 
 /** A running instance with its process. */
@@ -126,6 +128,7 @@
       machine,
       process,
       lifecycle,
+      hasEvacuation: world.hasEvacuation === true,
     });
     directory.start();
     const findListener = (other: string) =>
--- a/packages/zone/test/simulation/simulate.ts
+++ b/packages/zone/test/simulation/simulate.ts
@@ -9,6 +9,11 @@
 import {Callers, type JobTally} from './callers.js';
 import {CrashChecker} from './crash_checker.js';
 import {scheduleCutOffHolders} from './cut_off_holders.js';
+import {
+  EvacuationChecker,
+  scheduleEvacuation,
+  type EvacuationPlan,
+} from './evacuation.js';
 import type {Fault} from './fault_kinds.js';
 import {FaultInjector} from './faults.js';
 import {LabelChecker} from './label_checker.js';
@@ -28,6 +33,7 @@
 import {createUsualKind} from './worker_kinds.js';
 import type {Workload} from './workload.js';
 
+const ZONES = ['east', 'north', 'west'];
 /** Simulated time that a simulation covers by default. */
 const USUAL_DURATION_MS = 16_000;
 /** Faults are injected from this time on. */
@@ -58,6 +64,8 @@
   readonly hasSlowChanges?: boolean;
   /** Whether callers leave and come back at once, and cancel jobs. */
   readonly hasReturningCallers?: boolean;
+  /** When the first zone is evacuated, if it is. */
+  readonly evacuation?: EvacuationPlan;
   /** How long a run may go on without a caller; unlimited by default. */
   readonly maxUnattendedMs?: Millis;
   /** Random jobs by default. */
@@ -83,6 +91,8 @@
   readonly unattendedRuns: readonly UnattendedRun[];
   /** What callers were answered, if they come back. */
   readonly answers: AnswerChecker;
+  /** What started in and beside the evacuated zone. */
+  readonly evacuation: EvacuationChecker;
 }
 
 /** Runs the simulation of a seed to its end. */
@@ -99,10 +109,16 @@
   const checker = new OverlapChecker(timeline, attendance, answers);
   const crashChecker = new CrashChecker(timeline);
   const labelChecker = new LabelChecker(timeline);
+  const evacuationChecker = new EvacuationChecker(
+    timeline,
+    ZONES[0],
+    options.evacuation,
+  );
   const checkers = {
     checker,
     crashChecker,
     labelChecker,
+    evacuationChecker,
     attendance,
     answers,
   };
@@ -127,6 +143,7 @@
     labelledStartCount: labelChecker.startCount,
     unattendedRuns: attendance.violations,
     answers,
+    evacuation: evacuationChecker,
   };
 }
 
@@ -134,6 +151,7 @@
   readonly checker: OverlapChecker;
   readonly crashChecker: CrashChecker;
   readonly labelChecker: LabelChecker;
+  readonly evacuationChecker: EvacuationChecker;
   readonly attendance: AttendanceChecker;
   readonly answers: AnswerChecker;
 }
@@ -150,6 +168,7 @@
     areCutsRefused = false,
     hasSlowChanges = false,
     hasReturningCallers = false,
+    evacuation,
     workload,
     durationMs = USUAL_DURATION_MS,
   }: SimulationOptions,
@@ -160,7 +179,7 @@
 ): JobTally {
   const quietFrom = durationMs - QUIET_END_MS;
   const network = new Network(scheduler, random.fork());
-  const zones = ['east', 'north', 'west'].slice(0, zoneCount);
+  const zones = ZONES.slice(0, zoneCount);
   const workers = new Map<string, SimulatedWorker>();
   for (const zone of zones) {
     const count = random.integer(4, 7);
@@ -190,7 +209,8 @@
     requestDelays: delayedRequests,
     timeline,
   };
-  const world: World = {...parts, zones, machines};
+  const hasEvacuation = evacuation !== undefined;
+  const world: World = {...parts, zones, machines, hasEvacuation};
   for (const zone of zones) {
     const count = instances ?? random.integer(2, 3);
     for (let index = 0; index < count; index += 1) {
@@ -219,6 +239,7 @@
   scheduler.runAfter(1_000, () => callers.start(meanIntervalMs, quietFrom));
   const faults = new FaultInjector(world, delayedRequests);
   faults.scheduleFaults(FAULTS_START_MS, quietFrom, faultKinds);
+  if (evacuation !== undefined) scheduleEvacuation(world, evacuation);
   if (hasRollingStops)
     scheduleRollingStops(world, {from: FAULTS_START_MS, until: quietFrom});
   if (hasUnheardStops)
--- a/packages/zone/test/simulation/store.ts
+++ b/packages/zone/test/simulation/store.ts
@@ -4,7 +4,7 @@
  */
 import type {Worker} from '@goldcrestpier/dispatch';
 import {startTimeoutAfterReads, type Millis} from '@goldcrestpier/runtime';
-import type {Registration} from '../../src/ports/index.js';
+import type {EvacuatedZones, Registration} from '../../src/ports/index.js';
 import {STORE, type Network} from './network.js';
 import type {Random} from './random.js';
 import type {SimulatedProcess, Scheduler} from './scheduler.js';
@@ -24,6 +24,8 @@
 export interface Snapshot {
   readonly workers: readonly Worker[];
   readonly instances: readonly Registration[];
+  /** The zones that the operator evacuates. */
+  readonly evacuated: EvacuatedZones;
 }
 
 interface InstanceEntry {
@@ -50,6 +52,9 @@
   private isDroppingCalls = false;
   private readonly workers = new Map<string, WorkerEntry>();
   private readonly instances = new Map<string, InstanceEntry>();
+  /** Machines whose calls the store rejects while it serves the others. */
+  readonly rejectedMachines = new Set<string>();
+  private evacuated: EvacuatedZones = {revision: 1, zones: []};
   private history: {readonly at: Millis; readonly snapshot: Snapshot}[] = [];
 
   constructor(private readonly options: SimulatedStoreOptions) {
@@ -90,7 +95,8 @@
       if (!network.isOpen(machine, STORE)) return;
       scheduler.deliver(network.drawArrival(machine, STORE), undefined, () => {
         if (this.isDown && this.isDroppingCalls) return;
-        const result = this.isDown ? undefined : {value: apply()};
+        const isRejected = this.isDown || this.rejectedMachines.has(machine);
+        const result = isRejected ? undefined : {value: apply()};
         if (!network.isOpen(STORE, machine)) return;
         const backAt = network.drawArrival(STORE, machine);
         scheduler.deliver(backAt, process, () => end(result));
@@ -108,6 +114,11 @@
     return old?.snapshot ?? present;
   }
 
+  /** Writes the keys of all zones that are evacuated from now on. */
+  evacuate(zones: readonly string[]): void {
+    this.evacuated = {revision: this.evacuated.revision + 1, zones};
+  }
+
   /** Writes the entry of an instance under a lease. */
   register(registration: Registration, leaseMs: Millis): void {
     const leaseUntil = this.options.scheduler.now + leaseMs;
@@ -189,6 +200,7 @@
       instances: [...this.instances.values()].map(
         ({registration}) => registration,
       ),
+      evacuated: this.evacuated,
     };
   }
 }
--- a/packages/zone/test/simulation/worker.ts
+++ b/packages/zone/test/simulation/worker.ts
@@ -13,6 +13,7 @@
   StartMessage,
   StopMessage,
 } from './worker_messages.js';
+import type {EvacuationChecker} from './evacuation.js';
 import type {LabelChecker} from './label_checker.js';
 import type {Random} from './random.js';
 import {RunProgress} from './run_progress.js';
@@ -43,6 +44,7 @@
   readonly checker: OverlapChecker;
   readonly crashChecker: CrashChecker;
   readonly labelChecker: LabelChecker;
+  readonly evacuationChecker: EvacuationChecker;
   /** Crashes the worker, which is started again later. */
   readonly crash: (worker: SimulatedWorker) => void;
 }
@@ -190,6 +192,7 @@
     process.running.set(task, running);
     checker.recordStart(task, running);
     labelChecker.recordStart(worker, process, message);
+    this.options.evacuationChecker.recordStart(task, this.options.info.zone);
     this.scheduleEnd(process, task, running);
   }
 
