Start nothing on the workers of an evacuated zone

Cause: a holder that knows of the evacuation still places on its workers. Change: the holder reads the state before each decision. While the zone is evacuated it places nothing on its workers, reports no free capacity, refuses delegated tasks, sends no queued or repeated start command, and delegates all tasks of its callers' jobs, also those with constraints. A new holder places nothing before the operator's keys, or a peer, have told whether the zone is evacuated.

--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -28,6 +28,7 @@
   type JobRecord,
   describeProgress,
 } from './jobs/index.js';
+import type {Evacuation} from './evacuation/index.js';
 import type {DispatchObserver} from './observer.js';
 import {Registry} from './registry.js';
 import {
@@ -60,6 +61,8 @@
 export class Dispatcher {
   /** Until when no other instance can be the holder. */
   readonly soleHolder: SoleHolder;
+  /** Whether nothing may start on the workers of this zone. */
+  readonly evacuation: Evacuation;
   private readonly registry: Registry;
   private readonly remoteVacancies = new RemoteVacancies();
   private readonly earlierRuns: EarlierRuns;
@@ -80,6 +83,7 @@
   ) {
     this.soleHolder = new SoleHolder(options.leaseMs);
     this.registry = new Registry(observer, history, this.soleHolder);
+    this.evacuation = this.registry.evacuation;
     this.earlierRuns = new EarlierRuns(this.registry, options.leaseMs);
     const {registry, remoteVacancies, earlierRuns} = this;
     this.placer = new Placer(registry, remoteVacancies, earlierRuns);
@@ -149,10 +153,9 @@
 
   /** Describes the state of a job for the next holder. */
   describeProgress(recordId: string, now: Millis): JobProgress | undefined {
-    const {registry, earlierRuns} = this;
-    const record = registry.jobs.get(recordId);
+    const record = this.jobs.get(recordId);
     if (record === undefined) return undefined;
-    const isComplete = earlierRuns.areAllKnown(record, now);
+    const isComplete = this.earlierRuns.areAllKnown(record, now);
     return describeProgress(record, isComplete, now);
   }
 
@@ -232,10 +235,9 @@
     sentAt: Millis,
     now: Millis,
   ): void {
-    const {registry, options} = this;
-    const worker = registry.workers.get(workerId);
+    const worker = this.workers.get(workerId);
     if (worker !== undefined)
-      applyPollAnswer(registry, worker, report, options, sentAt, now);
+      applyPollAnswer(this.registry, worker, report, this.options, sentAt, now);
   }
 
   /** Handles a poll that failed. */
@@ -244,10 +246,9 @@
     failure: WorkerRequestFailure,
     now: Millis,
   ): void {
-    const {registry, options} = this;
-    const worker = registry.workers.get(workerId);
+    const worker = this.workers.get(workerId);
     if (worker !== undefined)
-      applyPollFailure(registry, worker, failure, options, now);
+      applyPollFailure(this.registry, worker, failure, this.options, now);
   }
 
   /** Updates the free capacity that the holder of another zone reported. */
@@ -263,8 +264,7 @@
 
   /** Finds since when jobs run here though nobody waits for them. */
   findAbandonedJobs(now: Millis): Map<string, Millis> {
-    const {unclaimedSince} = this.stopper;
-    return findAbandonedJobs(this.registry, unclaimedSince, now);
+    return findAbandonedJobs(this.registry, this.stopper.unclaimedSince, now);
   }
 
   /** Handles another zone's report of the jobs that nobody waits for there. */
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/evacuation/index.ts
@@ -0,0 +1,2 @@
+/** Evacuation of the zone by its operator. */
+export * from './evacuation.js';
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -3,6 +3,7 @@
 export type {EndedJob} from './jobs/index.js';
 export type {DelegatedRun, DelegationReport} from './intake/index.js';
 export {Dispatcher} from './dispatcher.js';
+export type {Evacuation as ZoneEvacuation} from './evacuation/index.js';
 export {findNextEndTime, findNextOverdueTime} from './worker_state/index.js';
 export type {SoleHolder} from './ending/index.js';
 export {StrikeReason} from './worker_state/index.js';
--- a/packages/dispatch/src/dispatcher/intake/intake.ts
+++ b/packages/dispatch/src/dispatcher/intake/intake.ts
@@ -52,7 +52,10 @@
     if (known !== undefined) return this.applyHistory(known, history, now);
     const mayRun =
       history.isResumed || mayHaveOtherRuns(this.registry, job.id, now);
-    const refusal = mayRun ? undefined : findRefusal(this.registry, job);
+    // Only the workers of other zones count while this one is evacuated.
+    const {isActive: isEvacuated} = this.registry.evacuation;
+    const refusal =
+      mayRun || isEvacuated ? undefined : findRefusal(this.registry, job);
     const rejection = mayRun
       ? undefined
       : findRejection(this.registry, job, now);
@@ -109,7 +112,8 @@
       job.delegated?.name.jobId ?? '',
     );
     const record = this.registry.addJob(job, now);
-    const commands = isSubmittedHere ? [] : this.placer.place(now);
+    const isRefused = isSubmittedHere || this.registry.evacuation.isActive;
+    const commands = isRefused ? [] : this.placer.place(now);
     if (!record.hasStarted) {
       this.registry.refuse(record, RefusalReason.TooLate, 0, now);
     }
--- a/packages/dispatch/src/dispatcher/placing/placement_round.ts
+++ b/packages/dispatch/src/dispatcher/placing/placement_round.ts
@@ -40,6 +40,7 @@
 
   /** Returns the workers of a service that can be given tasks now. */
   usableWorkers(service: string): readonly WorkerRecord[] {
+    if (this.registry.evacuation.isActive) return [];
     const known = this.byService.get(service);
     if (known !== undefined) return known;
     const workers = [...this.registry.iterateWorkers(service)].filter(worker =>
--- a/packages/dispatch/src/dispatcher/placing/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -25,6 +25,7 @@
 import {findBlockEnd, endIfBlocked} from '../starts/index.js';
 import {moveLateRuns} from './move_late_runs.js';
 import type {Command} from '../commands.js';
+import {limitToZones} from './limit_to_zones.js';
 import {PlacementRound} from './placement_round.js';
 
 /**
@@ -32,8 +33,6 @@
  * closer although nothing changes.
  */
 const MAX_PLACEMENT_INTERVAL_MS = 20;
-/** Maximum number of runs in other zones; each is a pending call to one. */
-const MAX_DELEGATED_RUNS = 256;
 
 /** Excludes one worker, unless it is the only one. */
 function excludeWorker(
@@ -72,7 +71,8 @@
     this.registry.hasStartBacklog = false;
     this.lastPlacedAt = now;
     // With a stale list, tasks would start on workers that have left since.
-    if (!this.registry.isListConfirmed) return [];
+    const {isListConfirmed, evacuation} = this.registry;
+    if (!isListConfirmed && !evacuation.isActive) return [];
     const waiting = [...this.registry.jobs.values()]
       .filter(record => this.isPlaceable(record, now))
       .filter(record => !endIfBlocked(this.registry, record, now));
@@ -170,7 +170,9 @@
   ): Command[] {
     // Another step may just have caused the job to be refused.
     if (record.pendingOutcome !== undefined) return [];
-    const plan = this.plan(record, tasks, round, now);
+    const {remoteVacancies, registry} = this;
+    const planned = limitToZones(registry, remoteVacancies, record, tasks, now);
+    const plan = this.plan(record, planned, round, now);
     if (this.isNotWorthStarting(record, plan, round)) {
       const waitMs = estimateDrain(this.registry, record.job, now);
       this.registry.refuse(record, RefusalReason.Overloaded, waitMs, now);
@@ -210,11 +212,16 @@
     now: Millis,
   ): readonly RemotePlace[] {
     if (record.isInbound) return [];
-    const {runTimes, delegatedRuns} = this.registry;
+    const {runTimes, delegatedRuns, evacuation} = this.registry;
     const {service} = record.job;
+    const limits = {
+      isAnyTask: evacuation.isActive,
+      isExcluded: (zone: string) =>
+        !evacuation.mayDelegate(record.id, zone, now),
+    };
     return this.remoteVacancies
-      .listPlaces(service, demand, runTimes, now)
-      .slice(0, Math.max(0, MAX_DELEGATED_RUNS - delegatedRuns.size));
+      .listPlaces(service, demand, runTimes, limits, now)
+      .slice(0, Math.max(0, evacuation.maxDelegatedRuns - delegatedRuns.size));
   }
 
   /** Whether the job has not started and its plan is worth too little. */
@@ -226,7 +233,9 @@
     const {hasStarted, isInbound, planned, job} = record;
     if (hasStarted || isInbound) return false;
     // Workers that a new holder has not polled yet may have free capacity.
-    if (this.registry.hasUnpolledWorkersFor(job.service)) return false;
+    const {evacuation} = this.registry;
+    const mayBeFree = this.registry.hasUnpolledWorkersFor(job.service);
+    if (mayBeFree && !evacuation.isActive) return false;
     const isNew = planned === undefined;
     const minWorth = findMinWorth(record, {hasManyWaiting, isNew});
     record.planned = {worth, minWorth};
--- a/packages/dispatch/src/dispatcher/placing/vacancies.ts
+++ b/packages/dispatch/src/dispatcher/placing/vacancies.ts
@@ -10,6 +10,7 @@
   now: Millis,
 ): Vacancy[] {
   const vacancies: Vacancy[] = [];
+  if (registry.evacuation.isActive) return vacancies;
   for (const worker of registry.iterateWorkers(service)) {
     const {cpuMillis, memoryMb} = worker.computeFreeResources();
     if (!worker.isUsable(now) || cpuMillis <= 0) continue;
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -37,6 +37,7 @@
   addSuccess,
 } from './worker_state/index.js';
 import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
+import {Evacuation} from './evacuation/index.js';
 import type {DispatchObserver} from './observer.js';
 import {RunEnds, type SoleHolder} from './ending/index.js';
 import {RunNumbers} from './starts/index.js';
@@ -76,6 +77,7 @@
   readonly lateLeases = new Map<string, Millis>();
   /** Jobs that other zones may still run. */
   readonly remoteRuns = new RemoteRuns();
+  readonly evacuation = new Evacuation();
   readonly crashRecorder: CrashRecorder;
   readonly strikeRecorder: StrikeRecorder;
 
@@ -127,6 +129,8 @@
     const worker = this.workers.get(run.workerId);
     if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
     this.delegatedRuns.delete(run);
+    if (end === 'refused' && run.delegatedTo !== undefined)
+      this.evacuation.recordRefusal(run.recordId, run.delegatedTo, now);
     this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
--- a/packages/dispatch/src/dispatcher/starts/late_starts.ts
+++ b/packages/dispatch/src/dispatcher/starts/late_starts.ts
@@ -116,11 +116,11 @@
 
 /** Whether the run is still to be started, and is expected to end in time. */
 export function isStartWanted(
-  {jobs}: Registry,
+  {jobs, evacuation}: Registry,
   run: Run,
   now: Millis,
 ): boolean {
-  if (run.phase !== RunPhase.Starting) return false;
+  if (run.phase !== RunPhase.Starting || evacuation.isActive) return false;
   const record = jobs.get(run.recordId);
   const state = record?.findTask(run.key)?.state;
   // A poll may have reported its end.
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -9,7 +9,7 @@
 import type {UpcomingVacancies} from './upcoming_vacancies.js';
 
 /** Factor on the run time of a task outside the rack that has its data. */
-const REMOTE_DATA_FACTOR = 2;
+export const REMOTE_DATA_FACTOR = 2;
 /** Number of tasks of a step that are planned in one place in sequence. */
 const MAX_WAVES = 4;
 /** Maximum number of runs on a worker, which lists them all in each report. */
--- a/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
+++ b/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
@@ -9,6 +9,7 @@
 import {
   countFitting,
   estimateWorth,
+  REMOTE_DATA_FACTOR,
   type Demand,
   type RemotePlace,
 } from '../placement/index.js';
@@ -35,6 +36,13 @@
   readonly vacancies: readonly Vacancy[];
 }
 
+/** What is delegated, and where to. */
+export interface DelegationLimits {
+  /** Whether tasks with constraints are delegated too; their zone checks them. */
+  readonly isAnyTask: boolean;
+  readonly isExcluded: (zone: string) => boolean;
+}
+
 interface VacancyRecord {
   readonly reported: ZoneVacancies;
   readonly reportedAt: Millis;
@@ -60,26 +68,51 @@
     }
   }
 
+  /** Lists the zones with a recent report for the service. */
+  listZones(service: string, now: Millis): readonly string[] {
+    return [...this.records.values()]
+      .filter(record => isRecent(record, service, now))
+      .map(({reported}) => reported.zone);
+  }
+
   /** Lists places in other zones for the demand. */
   listPlaces(
     service: string,
     demand: Demand,
     runTimes: RunTimes,
+    {isAnyTask, isExcluded}: DelegationLimits,
     now: Millis,
   ): RemotePlace[] {
-    if (!isDelegable(demand.step)) return [];
+    if (!isAnyTask && !isDelegable(demand.step)) return [];
     const places: RemotePlace[] = [];
     for (const record of this.records.values()) {
-      const isFresh = now - record.reportedAt < MAX_AGE_MS;
-      if (record.reported.service !== service || !isFresh) continue;
+      const {zone} = record.reported;
+      if (!isRecent(record, service, now) || isExcluded(zone)) continue;
+      const inZone: RemotePlace[] = [];
       for (const index of record.remaining.keys()) {
-        places.push(...listWorkerPlaces(record, index, demand, runTimes, now));
+        inZone.push(...listWorkerPlaces(record, index, demand, runTimes, now));
       }
+      const max = limitPlaces(demand, zone);
+      places.push(...(max < inZone.length ? inZone.slice(0, max) : inZone));
     }
     return places;
   }
 }
 
+function isRecent(
+  {reported, reportedAt}: VacancyRecord,
+  service: string,
+  now: Millis,
+): boolean {
+  return reported.service === service && now - reportedAt < MAX_AGE_MS;
+}
+
+/** A zone may have one worker for the tasks, so its limit is that of a worker. */
+function limitPlaces({step, countRunningOn}: Demand, zone: string): number {
+  if (step.maxPerWorker === undefined) return Infinity;
+  return Math.max(0, step.maxPerWorker - countRunningOn(zone));
+}
+
 /** Lists the places on one worker of another zone. */
 function listWorkerPlaces(
   record: VacancyRecord,
@@ -90,13 +123,13 @@
 ): RemotePlace[] {
   const vacancy = record.remaining[index];
   if (vacancy === undefined) return [];
-  const fitting = Math.min(
-    count,
-    countFitting(step.need, toResources(vacancy)),
-  );
+  // Reports don't tell accelerators, so the other zone decides about them.
+  const need = {...step.need, accelerators: 0};
+  const fitting = Math.min(count, countFitting(need, toResources(vacancy)));
   if (fitting === 0) return [];
   const typicalMs = runTimes.predict(queue, step.estimateMs);
-  const expectedMs = typicalMs * vacancy.slowness + ROUND_TRIP_MS;
+  const dataFactor = step.dataRack === undefined ? 1 : REMOTE_DATA_FACTOR;
+  const expectedMs = typicalMs * vacancy.slowness * dataFactor + ROUND_TRIP_MS;
   const worth = estimateWorth(due, expectedMs, now);
   const {zone} = record.reported;
   const reserve = () => reserveVacancy(record, index, step);
--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -17,6 +17,7 @@
 } from '@goldcrestpier/runtime';
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
+import {WithheldStart, type EvacuationState} from './evacuation_state.js';
 import type {LostResponses} from './lost_responses.js';
 import type {WorkerProcesses} from './process_confirmation.js';
 
@@ -44,6 +45,7 @@
   readonly metrics: ZoneMetrics;
   readonly lostResponses: LostResponses;
   readonly processes: WorkerProcesses;
+  readonly evacuation: Pick<EvacuationState, 'refresh' | 'withholds'>;
   /** Whether this instance is still the holder. */
   readonly isActive: () => boolean;
   /** Called before a command is sent to a worker. */
@@ -118,6 +120,8 @@
   ): Promise<StartAnswer> {
     const {dispatchOptions, token, dispatcher, workerPort, onCommand} =
       this.options;
+    const {evacuation} = this.options;
+    if (evacuation.withholds(WithheldStart.Command)) return StartAnswer.NotSent;
     const record = dispatcher.workers.get(run.workerId);
     const sentAt = readClock();
     const workerTime = record?.estimateClock(sentAt);
@@ -133,6 +137,7 @@
       token,
       leaseUntil,
       timeoutMs,
+      isWanted: () => !evacuation.withholds(WithheldStart.Command),
     });
     const now = readClock();
     if (clockMs !== undefined) record.recordClock(clockMs, now);
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -22,6 +22,8 @@
 import {CommandSender} from './command_sender.js';
 import {DelegationDiscovery} from './delegation_discovery.js';
 import {DelegatedTasks, type IsTaskWanted} from './delegated_tasks.js';
+import {EvacuationState, WithheldStart} from './evacuation_state.js';
+import {executeCommand} from './execute_command.js';
 import type {HolderOptions} from './holder_options.js';
 import {SubmissionHandler} from './submission_handler.js';
 import {TaskDelegator} from './task_delegator.js';
@@ -52,6 +54,7 @@
   private readonly submissions: SubmissionHandler;
   private readonly delegatedTasks: DelegatedTasks;
   private readonly pollers: WorkerPollers;
+  private readonly evacuation: EvacuationState;
   private readonly pendingAnswers = new PendingAnswers();
   private readonly holderSince = readClock();
   private readonly overloadDetector = new OverloadDetector(TICK_INTERVAL_MS);
@@ -68,9 +71,12 @@
       createObserver(logger, metrics),
       history,
     );
+    const {dispatcher} = this;
+    this.evacuation = new EvacuationState({...options, dispatcher});
     const shared = {
       ...options,
-      dispatcher: this.dispatcher,
+      dispatcher,
+      evacuation: this.evacuation,
       pendingAnswers: this.pendingAnswers,
       lostResponses: new LostResponses(),
       isActive: () => !this.isClosed,
@@ -121,7 +127,8 @@
     if (this.isClosed) return;
     this.workerListing = listing;
     this.dispatcher.setWorkers(listing.workers, now);
-    if (!isListingAwaited(listing, this.holderSince, now))
+    const isAwaited = isListingAwaited(listing, this.holderSince, now);
+    if (this.evacuation.checkKnown() && !isAwaited)
       this.dispatcher.confirmWorkerList();
     this.pollers.updatePollers();
     this.scheduleTick();
@@ -165,7 +172,8 @@
     const now = readClock();
     reportAbandonedJobs(this.dispatcher, message, now);
     // Delegating a task costs more processor time than starting it here.
-    if (this.overloadDetector.wasRecentlyOverloaded(now)) return;
+    const isOverloaded = this.overloadDetector.wasRecentlyOverloaded(now);
+    if (isOverloaded && !this.evacuation.refresh()) return;
     updateZoneVacancies(this.dispatcher, message, now);
   }
 
@@ -181,6 +189,7 @@
   /** Finds the free capacity of each service, as reported to other zones. */
   findFreeCapacity(): ZoneHeartbeat['rooms'] {
     const now = readClock();
+    this.evacuation.refresh();
     const capacities = formatFreeCapacity(this.dispatcher, now);
     // An overloaded holder refuses delegated tasks, so it reports none.
     const isOverloaded = this.overloadDetector.wasRecentlyOverloaded(now);
@@ -195,6 +204,9 @@
     this.answerEndedJobs();
     const isAccepted =
       message.isJoin || !this.overloadDetector.wasRecentlyOverloaded(now);
+    const isStart = isAccepted && !message.isJoin;
+    if (isStart && this.evacuation.withholds(WithheldStart.Delegated))
+      return busyAnswer;
     this.pollers.wakeReported(message.progress);
     return isAccepted ? this.delegatedTasks.accept(message, now) : busyAnswer;
   }
@@ -208,9 +220,8 @@
   listDelegatedTasks(homeZone: string): DelegatedTaskList {
     const now = readClock();
     const delegated = this.delegatedTasks.list(homeZone, now);
-    const unknownRuns = countOrphans(this.dispatcher);
-    const heldMs = now - this.holderSince;
-    const context = {zone: homeZone, unknownRuns, heldMs};
+    const counts = {unknownRuns: countOrphans(this.dispatcher)};
+    const context = {zone: homeZone, ...counts, heldMs: now - this.holderSince};
     logDelegatedTasks(delegated, context, this.options.logger);
     return delegated;
   }
@@ -264,6 +275,7 @@
     if (this.isClosed) return;
     const now = readClock();
     this.soleHolder.recordActivity(now);
+    this.evacuation.refresh();
     this.executeAll(this.dispatcher.tick(now));
     this.answerEndedJobs();
   }
@@ -282,19 +294,7 @@
     const listAgeMs = findListingAge(this.workerListing, now);
     const basis = {listAgeMs, heldMs: now - this.holderSince};
     logPlacements(commands, this.dispatcher, basis, this.options.logger);
-    for (const command of commands) void this.execute(command);
-  }
-
-  private execute(command: Command): Promise<void> {
-    switch (command.kind) {
-      case 'start':
-        return this.commandSender.start(command);
-      case 'stop':
-        return this.commandSender.stop(command);
-      case 'lend':
-        return this.delegator.delegate(command);
-      case 'recall':
-        return this.delegator.recall(command);
-    }
+    for (const command of commands)
+      void executeCommand(command, this.commandSender, this.delegator);
   }
 }
--- a/packages/zone/src/holder/holder_options.ts
+++ b/packages/zone/src/holder/holder_options.ts
@@ -4,6 +4,7 @@
 import type {ZoneMetrics} from '../metrics/index.js';
 import type {WorkerPort} from '../ports/index.js';
 import type {FindZoneClient} from './delegation_discovery.js';
+import type {EvacuationSource} from './evacuation_state.js';
 
 /** Dependencies and settings of a holder. */
 export interface HolderOptions {
@@ -14,6 +15,7 @@
   readonly dispatchOptions: DispatcherOptions;
   /** What the instance knows of tasks. */
   readonly history: TaskHistory;
+  readonly evacuation: EvacuationSource;
   readonly workerPort: WorkerPort;
   readonly logger: Logger;
   readonly metrics: ZoneMetrics;
--- a/packages/zone/src/instance/role_manager.ts
+++ b/packages/zone/src/instance/role_manager.ts
@@ -193,6 +193,7 @@
     const {
       zone,
       findZoneClient,
+      directory,
       dispatchOptions,
       history,
       workerPort,
@@ -210,6 +211,11 @@
       token,
       dispatchOptions: {...dispatchOptions, unclaimedSince},
       history,
+      evacuation: {
+        isKnown: () => directory.areEvacuationsKnown(),
+        isActive: () =>
+          directory.evacuatedZones()?.zones.includes(zone) === true,
+      },
       workerPort,
       logger: logs.forPart(LogPart.Holding),
       metrics,
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -141,6 +141,16 @@
     'Entries of the platform store that could not be decoded, by key prefix.',
     ['prefix'],
   );
+  readonly withheldStarts = this.createCounter(
+    'goldcrestpier_evacuation_withheld_total',
+    'Starts withheld at the holder of an evacuated zone, by kind of start.',
+    ['start'],
+  );
+  readonly isEvacuated = new Gauge({
+    name: 'goldcrestpier_evacuated',
+    help: '1 at the holder of an evacuated zone, otherwise 0.',
+    registers: [this.registry],
+  });
   readonly isReady = new Gauge({
     name: 'goldcrestpier_ready',
     help: '1 while this instance accepts new connections, otherwise 0.',
--- a/packages/zone/src/ports/worker_port.ts
+++ b/packages/zone/src/ports/worker_port.ts
@@ -19,6 +19,11 @@
   readonly leaseUntil: Millis;
   /** Timeout of the request, in ms. */
   readonly timeoutMs: Millis;
+  /**
+   * Asked when a request that waited for others is about to be sent; if it is
+   * not wanted any more, the answer is `NotSent`.
+   */
+  readonly isWanted: () => boolean;
 }
 
 /** A request to stop a run. */
--- a/packages/zone/test/worker_pollers.test.ts
+++ b/packages/zone/test/worker_pollers.test.ts
@@ -16,6 +16,7 @@
   dispatchOptions,
   failOnCall,
   noopLogger,
+  notEvacuated,
   worker,
 } from './fixtures/dispatcher.js';
 import {testInSimulatedTime as test} from './simulation/simulated_time.js';
@@ -121,6 +122,7 @@
     findZoneClient: () => undefined,
     token: 7,
     dispatchOptions,
+    evacuation: notEvacuated,
     workerPort: restarting.port,
     logger: noopLogger,
     metrics: new ZoneMetrics(),
