Drop the learned speed of workers that restart or are cold

Cause: a restarted worker is judged by the speed of its former process, and its slow first runs by a speed that it no longer has. Runs in that time teach a speed that counts for it only, and nothing about the queue or the kind.

--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -35,6 +35,7 @@
   StrikeReason,
   StrikeRecorder,
   addSuccess,
+  learnRunTime,
 } from './worker_state/index.js';
 import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
 import {Evacuation} from './evacuation/index.js';
@@ -250,8 +251,9 @@
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
     if (run.delegatedTo !== undefined) return;
-    this.runTimes.learn(run.workerId, job.queue, estimateMs, tookMs);
     const worker = this.workers.get(run.workerId);
+    const declared = {queue: job.queue, estimateMs};
+    learnRunTime(this.runTimes, worker, run, declared, tookMs);
     if (worker !== undefined) addSuccess(worker);
   }
 
--- a/packages/dispatch/src/dispatcher/worker_state/index.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/index.ts
@@ -1,4 +1,5 @@
 /** What the list of workers and their answers to polls change. */
+export * from './cold_workers.js';
 export * from './crash_recorder.js';
 export * from './health.js';
 export * from './poll_answer.js';
--- a/packages/dispatch/src/dispatcher/worker_state/worker_list.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/worker_list.ts
@@ -1,6 +1,7 @@
 /** Applies the platform's list of workers. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {WorkerRecord, type Worker} from '../../workers/index.js';
+import {updateColdness} from './cold_workers.js';
 import type {Registry} from '../registry.js';
 
 /** Replaces the list of workers with the current one. */
@@ -35,6 +36,7 @@
     record.leasesExpireAt = registry.lateLeases.get(worker.id) ?? 0;
     registry.lateLeases.delete(worker.id);
     registry.workers.set(worker.id, record);
+    updateColdness(registry.runTimes, record, worker.coldUntil, now);
     return;
   }
   const {bornAt} = known.info;
@@ -42,7 +44,9 @@
   const isRestart = isChanged && worker.bornAt > bornAt;
   known.listedBornAt = worker.bornAt;
   known.info = {...worker, bornAt: isRestart ? worker.bornAt : bornAt};
+  updateColdness(registry.runTimes, known, worker.coldUntil, now);
   if (!isRestart) return;
+  registry.runTimes.forgetSpeed(worker.id);
   registry.crashRecorder.explainLosses(known, true, now);
   // The known runs may belong to the new incarnation, which only the next
   // poll shows.
--- a/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
@@ -43,7 +43,10 @@
   registry.crashRecorder.explainLosses(worker, hasRestarted, now);
   const {crashes} = registry.history;
   crashes.retractAnswered(worker.info.id, report.bornAt, sentAt);
-  if (hasRestarted) beginIncarnation(worker, report, now);
+  if (hasRestarted) {
+    beginIncarnation(worker, report, now);
+    registry.runTimes.forgetSpeed(worker.info.id);
+  }
   worker.recordClock(report.clockMs, now);
   if (!worker.hasAcceptedToken || worker.isUnresponsive)
     registry.isPlacementDue = true;
--- a/packages/dispatch/src/run_times/run_times.ts
+++ b/packages/dispatch/src/run_times/run_times.ts
@@ -97,6 +97,30 @@
     this.learnKind(workerId, ofWorker);
   }
 
+  /**
+   * Learns the present speed of a worker that is slow for a while after its start.
+   * It says nothing about its queue, its kind, or the worker's speed later.
+   */
+  learnCold(
+    workerId: string,
+    queue: string,
+    estimateMs: Millis,
+    tookMs: Millis,
+  ): void {
+    const ratio = tookMs / Math.max(this.predict(queue, estimateMs), 1);
+    const bounded = Math.min(Math.max(ratio, MIN_RATIO), MAX_RATIO);
+    const own = this.workers.get(workerId) ?? this.createSlowness(workerId);
+    this.workers.set(
+      workerId,
+      own.learn(Math.log(bounded), FIRST_WORKER_WEIGHT, LATER_WORKER_WEIGHT),
+    );
+  }
+
+  /** Forgets the speed that was learned for a worker. */
+  forgetSpeed(workerId: string): void {
+    this.workers.delete(workerId);
+  }
+
   /** Forgets a worker that is gone. */
   forget(workerId: string): void {
     this.workers.delete(workerId);
--- a/packages/dispatch/src/workers/worker.ts
+++ b/packages/dispatch/src/workers/worker.ts
@@ -18,6 +18,8 @@
   readonly kind?: string | undefined;
   /** Unix time of its start in ms, which identifies its incarnation. */
   readonly bornAt: number;
+  /** Until when it is slow after a start; undefined if it is not cold. */
+  readonly coldUntil?: Millis | undefined;
 }
 
 /** One run that a worker reports as running. */
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -57,6 +57,10 @@
   strikes = 0;
   /** Time until which it gets no tasks because it reported to be full. */
   fullUntil: Millis = 0;
+  /** Whether it is slow for a while after its start. */
+  isCold = false;
+  /** Since when it is not cold any more. */
+  warmSince: Millis = -Infinity;
   readonly startWindow = new StartWindow();
   private clock: ClockReading | undefined;
   private readonly running = new Map<string, Run>();
