--- a/packages/dispatch/src/dispatcher/evacuation/evacuation.ts
+++ b/packages/dispatch/src/dispatcher/evacuation/evacuation.ts
@@ -54,6 +54,7 @@
 
   /** Whether tasks of the job may be delegated to the zone now. */
   mayDelegate(jobId: string, zone: string, now: Millis): boolean {
+    if (this.refusals.size === 0) return true;
     const at = this.refusals.get(toKey(jobId, zone));
     return at === undefined || now - at >= REFUSAL_PAUSE_MS;
   }
