Declare a fixture's function as a property

Cause: the linter rejects a method that is taken from its object. Change: it is a property of the fixture.

--- a/packages/zone/test/evacuation.test.ts
+++ b/packages/zone/test/evacuation.test.ts
@@ -33,7 +33,7 @@
 
 interface SenderFixture {
   readonly sent: readonly StartRequest[];
-  start(): Promise<void>;
+  readonly start: () => Promise<void>;
 }
 
 /** Creates a command sender with a task to start on the only worker. */
