Move only runs that end earlier elsewhere, and learn robustly

Cause: a run that took longer than declared was taken for one on a slow worker, stopped and started elsewhere, where a long task takes as long.

Change: work_estimates judges by the tasks of the same job on other workers, by other runs on the worker and by the learned share of long tasks. A run is moved if its task, as long as it shows, ends earlier in the new place. The stall rule asks the same unless the run stands still. A run's end is conditioned on the time that it has taken while there is no progress; likelyEndBy is the time by which it ends with probability 0.9. One outlier counts at most as three standard deviations in a queue's factor and a worker's slowness.

--- a/packages/dispatch/src/dispatcher/jobs/task_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/task_record.ts
@@ -26,6 +26,15 @@
   failures: number;
   /** The worker on which a run was stopped because it was late or stalled. */
   movedFrom: string | undefined;
+  /** Where it was done in this zone, and how long that took. */
+  finished: FinishedTask | undefined;
+}
+
+/** The run that did a task. */
+export interface FinishedTask {
+  readonly workerId: string;
+  /** Its run time relative to the expected one. */
+  readonly ratio: number;
 }
 
 /** Creates the tasks of a job, which all wait; `lastRun` is an earlier run. */
@@ -59,5 +68,6 @@
     lastRun,
     failures: 0,
     movedFrom: undefined,
+    finished: undefined,
   };
 }
--- a/packages/dispatch/src/dispatcher/placing/create_run.ts
+++ b/packages/dispatch/src/dispatcher/placing/create_run.ts
@@ -1,8 +1,16 @@
 /** Creates the record of a run that is about to start or has been found. */
 import type {Millis} from '@goldcrestpier/runtime';
+import {
+  findQuantile,
+  NO_TAIL,
+  RunProgress,
+} from '../../work_estimates/index.js';
 import {RunPhase, type Run} from '../../workers/index.js';
 import type {JobRecord, TaskRecord} from '../jobs/index.js';
 
+/** Multiple of its expected time within which a usual run likely ends. */
+const LIKELY_FACTOR = findQuantile(0.9, 0, NO_TAIL);
+
 /** Creates a run of a task, with the next run number by default. */
 export function createRun(
   record: JobRecord,
@@ -22,6 +30,9 @@
     startedAt: now,
     expectedMs,
     expectedEndAt: now + expectedMs,
+    likelyEndBy: now + expectedMs * LIKELY_FACTOR,
+    judgeAt: now,
+    progress: new RunProgress(),
     phase: RunPhase.Starting,
     isShared: false,
     isIsolated: false,
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -9,6 +9,7 @@
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
 import type {TaskHistory} from '../task_history/index.js';
+import {RecentRuns} from '../work_estimates/index.js';
 import {
   AbandonReason,
   createAbandoned,
@@ -46,6 +47,8 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly runTimes = new RunTimes();
+  /** How long the latest runs on each worker took. */
+  readonly recentRuns = new RecentRuns();
   /** Runs in other zones that may go on. */
   readonly delegatedRuns = new Set<Run>();
   /** Tasks that other zones have delegated to this one. */
@@ -139,7 +142,7 @@
     // A zone starts a delegated run once, so no other run has its number.
     if (run.number === record.job.delegated?.run)
       record.mayHaveUnknownRuns = false;
-    if (end === RunEnd.Done) this.recordSuccess(record, task, run, tookMs);
+    if (end === RunEnd.Done) this.recordSuccess(record, task, run, now);
     else if (end === RunEnd.Failed) this.recordFailure(record, task, run, now);
     else if (record.isInbound)
       record.pendingOutcome ??= createAbandoned(AbandonReason.RunLost);
@@ -232,22 +235,28 @@
     if (worker !== undefined) this.lateLeases.set(id, worker.lateLeasesEndAt);
     this.workers.delete(id);
     this.runTimes.forget(id);
+    this.recentRuns.forget(id);
   }
 
   private recordSuccess(
     record: JobRecord,
     task: TaskRecord,
     run: Run,
-    tookMs: Millis,
+    now: Millis,
   ): void {
+    const tookMs = now - run.startedAt;
     record.setState(task, {kind: 'done'});
     const {job} = record;
     const {estimateMs} = task.step;
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
     if (run.delegatedTo !== undefined) return;
-    this.runTimes.learn(run.workerId, job.queue, estimateMs, tookMs);
-    const worker = this.workers.get(run.workerId);
+    const {workerId} = run;
+    const ratio = tookMs / Math.max(run.expectedMs, 1);
+    task.finished = {workerId, ratio};
+    this.recentRuns.add(workerId, record.id, ratio, now);
+    this.runTimes.learn(workerId, job.queue, estimateMs, tookMs);
+    const worker = this.workers.get(workerId);
     if (worker !== undefined) addSuccess(worker);
   }
 
--- /dev/null
+++ b/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
@@ -0,0 +1,128 @@
+/** Applies what a worker reports of one run: when it ends, and if it stalls. */
+import type {Millis} from '@goldcrestpier/runtime';
+import {
+  estimateLengthFactor,
+  findQuantile,
+  isWorkerSlow,
+} from '../../work_estimates/index.js';
+import {
+  RunPhase,
+  type Run,
+  type RunningEntry,
+  type WorkerRecord,
+} from '../../workers/index.js';
+import type {JobRecord} from '../jobs/index.js';
+import type {Registry} from '../registry.js';
+import {findBlockEnd} from '../starts/index.js';
+import {StrikeReason} from './health.js';
+import {collectEvidence} from './slowness_evidence.js';
+
+/** Multiple of the expected run time after which a run is overdue. */
+const OVERDUE_FACTOR = 2;
+/** Added to that multiple before a run counts as overdue, in ms. */
+const OVERDUE_MARGIN_MS = 60;
+/**
+ * An overdue run counts as stalled if its extrapolated run time is at least this
+ * multiple of the expected one.
+ */
+const STALLED_FACTOR = 4;
+/** Time after which a stopped run has certainly ended, in ms. */
+const MAX_STOP_MS = 60;
+/** Probability with which a run ends by the later of its estimates. */
+const LIKELY = 0.9;
+/** Relative error of the remaining time, confirmed by a second report or not. */
+const CONFIRMED_ERROR = 0.15;
+const UNCONFIRMED_ERROR = 0.4;
+
+/** When the next run of the worker should end; Infinity without runs. */
+export function findNextEndTime(worker: WorkerRecord): Millis {
+  let next = Infinity;
+  for (const {expectedEndAt} of worker.runs.values())
+    next = Math.min(next, expectedEndAt);
+  return next;
+}
+
+/** When the first run of the worker becomes overdue; Infinity without runs. */
+export function findNextOverdueTime(worker: WorkerRecord): Millis {
+  let next = Infinity;
+  for (const run of worker.runs.values()) {
+    next = Math.min(next, computeOverdueTime(run));
+  }
+  return next;
+}
+
+function computeOverdueTime({startedAt, expectedMs}: Run): Millis {
+  return startedAt + OVERDUE_FACTOR * expectedMs + OVERDUE_MARGIN_MS;
+}
+
+/** Records the reported progress; stops a run that stalls. */
+export function updateProgress(
+  registry: Registry,
+  run: Run,
+  {percent}: RunningEntry,
+  now: Millis,
+): void {
+  if (run.phase === RunPhase.Starting) {
+    run.phase = RunPhase.Running;
+    run.confirmedAt = now;
+  }
+  run.progress.record(percent, run.startedAt, now);
+  const record = registry.jobs.get(run.recordId);
+  estimateEnd(registry, record, run, now);
+  if (record === undefined) return;
+  if (run.phase !== RunPhase.Running || now < computeOverdueTime(run)) return;
+  const totalMs = ((now - run.startedAt) * 100) / Math.max(percent, 1);
+  if (totalMs < STALLED_FACTOR * run.expectedMs) return;
+  const task = record.findTask(run.key);
+  // A task that seems to hang on a second worker as well just takes longer than
+  // declared.
+  if (task === undefined || task.movedFrom !== undefined) return;
+  if (findBlockEnd(registry, task, now) !== undefined) return;
+  if (!isWorkerAtFault(registry, record, run, now)) return;
+  task.movedFrom = run.workerId;
+  registry.runEnds.stop(run);
+  registry.strikeRecorder.record(run, StrikeReason.TaskStalled, now);
+}
+
+/** Whether the run stalls, or would end earlier on a worker that is not slow. */
+function isWorkerAtFault(
+  registry: Registry,
+  record: JobRecord,
+  run: Run,
+  now: Millis,
+): boolean {
+  if (run.progress.hasStalled(run.startedAt, now)) return true;
+  const evidence = collectEvidence(registry, record, run, now);
+  if (!isWorkerSlow(evidence)) return false;
+  const againMs = run.expectedMs * estimateLengthFactor(evidence);
+  return now + MAX_STOP_MS + againMs < run.expectedEndAt;
+}
+
+/**
+ * Estimates the run's end from its progress, or else from the time that it has
+ * taken so far.
+ */
+function estimateEnd(
+  {runTimes}: Registry,
+  record: JobRecord | undefined,
+  run: Run,
+  now: Millis,
+): void {
+  const {progress, startedAt, expectedMs} = run;
+  const {totalMs} = progress;
+  if (totalMs !== undefined) {
+    const remainingMs = Math.max(0, startedAt + totalMs - now);
+    const isConfirmed = progress.isConfirmed(now);
+    const error = isConfirmed ? CONFIRMED_ERROR : UNCONFIRMED_ERROR;
+    run.expectedEndAt = startedAt + totalMs;
+    run.likelyEndBy = now + remainingMs * (1 + error);
+    return;
+  }
+  if (record === undefined) return;
+  const tail = runTimes.getTail(record.job.queue);
+  const elapsed = (now - startedAt) / Math.max(expectedMs, 1);
+  const best = findQuantile(0.5, elapsed, tail);
+  const likely = findQuantile(LIKELY, elapsed, tail);
+  run.expectedEndAt = startedAt + expectedMs * best;
+  run.likelyEndBy = startedAt + expectedMs * likely;
+}
--- a/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
@@ -4,29 +4,14 @@
   LossCause,
   RunPhase,
   type WorkerReport,
-  type Run,
-  type RunningEntry,
   type WorkerRecord,
 } from '../../workers/index.js';
 import {adoptReported} from '../intake/index.js';
 import type {Registry} from '../registry.js';
-import {StrikeReason} from './health.js';
-import {findBlockEnd} from '../starts/index.js';
+import {updateProgress} from './run_reports.js';
 
 /** Maximum number of ended runs that a worker lists in one report. */
 const MAX_LISTED_ENDS = 500;
-/** Minimum progress to extrapolate a run's end from it, in percent. */
-const MIN_PROGRESS_PERCENT = 4;
-/** Multiple of the expected run time after which a run is overdue. */
-const OVERDUE_FACTOR = 2;
-/** Added to that multiple before a run counts as overdue, in ms. */
-const OVERDUE_MARGIN_MS = 60;
-/**
- * An overdue run counts as stalled if its extrapolated run time is at least this
- * multiple of the expected one.
- */
-const STALLED_FACTOR = 4;
-
 /** Applies a worker's answer to the poll that was sent at `sentAt`. */
 export function applyReport(
   registry: Registry,
@@ -58,27 +43,6 @@
   applyRunning(registry, worker, report, sentAt, now);
 }
 
-/** When the next run of the worker should end; Infinity without runs. */
-export function findNextEndTime(worker: WorkerRecord): Millis {
-  let next = Infinity;
-  for (const {expectedEndAt} of worker.runs.values())
-    next = Math.min(next, expectedEndAt);
-  return next;
-}
-
-/** When the first run of the worker becomes overdue; Infinity without runs. */
-export function findNextOverdueTime(worker: WorkerRecord): Millis {
-  let next = Infinity;
-  for (const run of worker.runs.values()) {
-    next = Math.min(next, computeOverdueTime(run));
-  }
-  return next;
-}
-
-function computeOverdueTime({startedAt, expectedMs}: Run): Millis {
-  return startedAt + OVERDUE_FACTOR * expectedMs + OVERDUE_MARGIN_MS;
-}
-
 /**
  * Whether the report is from an earlier incarnation and its poll was sent
  * before the later one became known. A report to a poll sent afterwards is
@@ -153,32 +117,6 @@
   }
 }
 
-function updateProgress(
-  registry: Registry,
-  run: Run,
-  {percent}: RunningEntry,
-  now: Millis,
-): void {
-  if (run.phase === RunPhase.Starting) {
-    run.phase = RunPhase.Running;
-    run.confirmedAt = now;
-  }
-  const elapsedMs = now - run.startedAt;
-  const totalMs = (elapsedMs * 100) / Math.max(percent, 1);
-  if (percent >= MIN_PROGRESS_PERCENT)
-    run.expectedEndAt = run.startedAt + totalMs;
-  if (run.phase !== RunPhase.Running || now < computeOverdueTime(run)) return;
-  if (totalMs < STALLED_FACTOR * run.expectedMs) return;
-  const task = registry.jobs.get(run.recordId)?.findTask(run.key);
-  // A task that seems to hang on a second worker as well just takes longer than
-  // declared.
-  if (task === undefined || task.movedFrom !== undefined) return;
-  if (findBlockEnd(registry, task, now) !== undefined) return;
-  task.movedFrom = run.workerId;
-  registry.runEnds.stop(run);
-  registry.strikeRecorder.record(run, StrikeReason.TaskStalled, now);
-}
-
 function replaceAll(
   target: Map<string, number>,
   source: ReadonlyMap<string, number>,
--- /dev/null
+++ b/packages/dispatch/src/run_times/queue_tail.ts
@@ -0,0 +1,39 @@
+/** Learns which share of a queue's tasks is far longer than predicted. */
+import {NO_TAIL, type Tail} from '../work_estimates/index.js';
+
+/** Deviation of the logarithm from which a task is a long one: 3.5 times. */
+const LONG_DEVIATION = Math.log(3.5);
+/** Weight of older runs after each run, so that about 1,000 runs count. */
+const RETENTION = 0.999;
+/** Usual runs that a queue is taken to have had before its first one. */
+const PRIOR_RUNS = 30;
+/** Runs that show a long task before the tail is used in estimates. */
+const MIN_LONG_RUNS = 2;
+/** Weight of the latest long task in the length of all of them. */
+const FACTOR_WEIGHT = 0.1;
+
+/** The long tasks of one queue. */
+export class QueueTail {
+  private runs = PRIOR_RUNS;
+  private longRuns = 0;
+  private longLog = LONG_DEVIATION;
+  /** The tail as far as it is known. */
+  tail: Tail = NO_TAIL;
+
+  /** Adds a run with this deviation from its prediction. */
+  learn(deviation: number): void {
+    const isLong = deviation >= LONG_DEVIATION;
+    this.runs = this.runs * RETENTION + 1;
+    this.longRuns = this.longRuns * RETENTION + (isLong ? 1 : 0);
+    if (isLong) {
+      const weight = Math.max(1 / this.longRuns, FACTOR_WEIGHT);
+      this.longLog += weight * (deviation - this.longLog);
+    }
+    if (this.longRuns < MIN_LONG_RUNS) this.tail = NO_TAIL;
+    else
+      this.tail = {
+        share: this.longRuns / this.runs,
+        factor: Math.exp(this.longLog),
+      };
+  }
+}
--- a/packages/dispatch/src/run_times/run_times.ts
+++ b/packages/dispatch/src/run_times/run_times.ts
@@ -4,6 +4,8 @@
  * a slowness for each worker, which starts from that of its kind.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import type {Tail} from '../work_estimates/index.js';
+import {QueueTail} from './queue_tail.js';
 
 /** Weight of the latest run in a queue's factor. */
 const QUEUE_WEIGHT = 0.05;
@@ -16,6 +18,11 @@
 
 /** Weight of its kind's slowness in that of a new worker, in runs. */
 const KIND_PRIOR_RUNS = 2;
+/**
+ * Largest deviation of the logarithm with which a single run counts, three
+ * standard deviations of usual run times: one long task is not a slow worker.
+ */
+const MAX_DEVIATION = 1.05;
 /** Minimum weight of the latest run in the slowness of a kind. */
 const MIN_KIND_WEIGHT = 0.03;
 
@@ -27,25 +34,39 @@
     /** The ratio itself. */
     readonly factor: number,
     private readonly runs: number,
+    /** Sign of the deviation if the last run was an outlier; else 0. */
+    private readonly outlier: number,
   ) {}
 
   /** Creates a slowness whose prior `log` has the weight of `runs` runs. */
   static create(log = 0, runs = 0): Slowness {
-    return new Slowness(log, Math.exp(log), runs);
+    return new Slowness(log, Math.exp(log), runs, 0);
   }
 
-  /** Adds a run, whose weight falls from `firstWeight` to `minWeight`. */
+  /**
+   * Adds a run, whose weight falls from `firstWeight` to `minWeight`. The
+   * deviation of an outlier is limited unless the run before was one as well.
+   */
   learn(observedLog: number, firstWeight: number, minWeight: number): Slowness {
     const weight = Math.max(firstWeight / (this.runs + 1), minWeight);
-    const log = this.log + weight * (observedLog - this.log);
-    return new Slowness(log, Math.exp(log), this.runs + 1);
+    const deviation = observedLog - this.log;
+    const limited = limitDeviation(deviation);
+    const outlier = limited === deviation ? 0 : Math.sign(deviation);
+    const isRepeated = outlier !== 0 && outlier === this.outlier;
+    const log = this.log + weight * (isRepeated ? deviation : limited);
+    return new Slowness(log, Math.exp(log), this.runs + 1, outlier);
   }
 }
 
+function limitDeviation(deviation: number): number {
+  return Math.min(Math.max(deviation, -MAX_DEVIATION), MAX_DEVIATION);
+}
+
 /** Predicts run times and learns them from finished runs. */
 export class RunTimes {
   /** Ratio of actual to declared run time of each queue. */
   private readonly queues = new Map<string, Slowness>();
+  private readonly tails = new Map<string, QueueTail>();
   private readonly workers = new Map<string, Slowness>();
   /** Slowness of each kind, as a prior for workers with few runs. */
   private readonly kinds = new Map<string, Slowness>();
@@ -86,6 +107,7 @@
     const own = this.workers.get(workerId) ?? this.createSlowness(workerId);
     const ofQueue = observedLog - own.log;
     const ofWorker = observedLog - queueSlowness.log;
+    this.getQueueTail(queue).learn(ofQueue - queueSlowness.log);
     this.queues.set(
       queue,
       queueSlowness.learn(ofQueue, QUEUE_WEIGHT, QUEUE_WEIGHT),
@@ -97,6 +119,24 @@
     this.learnKind(workerId, ofWorker);
   }
 
+  /** The long tasks that the queue has shown. */
+  getTail(queue: string): Tail {
+    return this.getQueueTail(queue).tail;
+  }
+
+  /** Learns from a run that was stopped, `ratio` times as long as expected. */
+  learnStopped(queue: string, ratio: number): void {
+    this.getQueueTail(queue).learn(Math.log(Math.min(ratio, MAX_RATIO)));
+  }
+
+  private getQueueTail(queue: string): QueueTail {
+    const known = this.tails.get(queue);
+    if (known !== undefined) return known;
+    const tail = new QueueTail();
+    this.tails.set(queue, tail);
+    return tail;
+  }
+
   /** Forgets a worker that is gone. */
   forget(workerId: string): void {
     this.workers.delete(workerId);
--- /dev/null
+++ b/packages/dispatch/src/work_estimates/run_time_distribution.ts
@@ -0,0 +1,59 @@
+/**
+ * Distribution of run times relative to their predictions: log-normal, which a
+ * logistic curve approximates, and a tail of tasks that are far longer.
+ */
+
+/** Standard deviation of the logarithm of actual over expected run time. */
+const RUN_TIME_SPREAD = 0.35;
+/** Slope with which the logistic curve approximates the normal CDF. */
+const LOGISTIC_SLOPE = 1.702;
+const EXPONENT = LOGISTIC_SLOPE / RUN_TIME_SPREAD;
+
+/** The long tasks of a queue. */
+export interface Tail {
+  /** Their share of all tasks. */
+  readonly share: number;
+  /** How many times longer than predicted they are. */
+  readonly factor: number;
+}
+
+/** The tail of a queue that has shown none. */
+export const NO_TAIL: Tail = {share: 0, factor: 1};
+
+/** Probability that a run takes at most `ratio` times its prediction. */
+export function estimateProbability(ratio: number, tail: Tail): number {
+  const body = estimateBody(ratio);
+  if (tail.share === 0) return body;
+  const long = estimateBody(ratio / tail.factor);
+  return body + tail.share * (long - body);
+}
+
+/**
+ * The ratio that a run stays within with `probability`, given that it has
+ * already taken `elapsed` times its prediction.
+ */
+export function findQuantile(
+  probability: number,
+  elapsed: number,
+  tail: Tail,
+): number {
+  const bodyLeft = (1 - tail.share) * (1 - estimateBody(elapsed));
+  const longLeft = tail.share * (1 - estimateBody(elapsed / tail.factor));
+  const longShare = longLeft / Math.max(bodyLeft + longLeft, Number.MIN_VALUE);
+  if (probability <= 1 - longShare)
+    return findBodyQuantile(probability / (1 - longShare), elapsed);
+  const within = (probability - (1 - longShare)) / longShare;
+  return tail.factor * findBodyQuantile(within, elapsed / tail.factor);
+}
+
+function findBodyQuantile(probability: number, elapsed: number): number {
+  // The survival function is 1 / (1 + ratio ** EXPONENT).
+  const odds = Math.max(elapsed, 0) ** EXPONENT;
+  const survival = Math.max(1 - probability, 1e-3) / (1 + odds);
+  return (1 / survival - 1) ** (1 / EXPONENT);
+}
+
+function estimateBody(ratio: number): number {
+  if (ratio <= 0) return 0;
+  return 1 / (1 + ratio ** -EXPONENT);
+}
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -1,6 +1,7 @@
 /** One run of one task on one worker. */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Resources} from '../work/index.js';
+import type {RunProgress} from '../work_estimates/index.js';
 import type {RunEnd} from './worker.js';
 
 /** Phase of a run, as far as the holder knows. */
@@ -65,8 +66,14 @@
   readonly startedAt: Millis;
   /** Expected run time on this worker, in ms. */
   readonly expectedMs: Millis;
-  /** When it is expected to end, by its last reported progress. */
+  /** Best estimate of its end, by its progress or the time that it has taken. */
   expectedEndAt: Millis;
+  /** The time by which it ends with a probability of nine tenths. */
+  likelyEndBy: Millis;
+  /** When it may be judged again whether to move it. */
+  judgeAt: Millis;
+  /** What its worker has reported of its progress. */
+  readonly progress: RunProgress;
   phase: RunPhase;
   /** Whether another run has been on its worker at the same time. */
   isShared: boolean;
