Let due times follow the work, and end jobs whose runs can't end in time

Cause: the objective grows with the true length of a job's tasks, but due times were fixed by the prediction; jobs with a run far beyond the deadline kept their capacity until then.

Change: estimateWorth sums over typical lengths of the task, with its queue's learned tail, and compares each with the objective of that length. dueAt and usefulUntil move with the longest task that runs show. A job ends with run_too_long when three reports in a row agree that a run can't end before the deadline, here or on the fastest other worker; not by stale, contradictory or untrusted progress. Counters and log lines for moved runs and such jobs.

--- a/packages/dispatch/src/dispatcher/jobs/job_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_record.ts
@@ -1,15 +1,22 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {measureJob, type JobSize} from '../../admission/index.js';
-import type {DueTimes} from '../../placement/index.js';
-import type {Job, Outcome} from '../../work/index.js';
+import {
+  USEFUL_OBJECTIVE_FACTOR,
+  type DueTimes,
+  type Objective,
+} from '../../placement/index.js';
+import {
+  findLongestChain,
+  type Job,
+  type Outcome,
+  type Step,
+} from '../../work/index.js';
+import {NO_TAIL, ShownLengths, type Tail} from '../../work_estimates/index.js';
 import type {Run} from '../../workers/index.js';
 import {TaskIndex, type StepTasks} from './task_index.js';
 import {createTasks, type TaskRecord, type TaskState} from './task_record.js';
 
-/** Multiple of its objective up to which a late job is still useful. */
-const USEFUL_OBJECTIVE_FACTOR = 3;
-
 /** Expected worth of a plan, and the minimum to accept it; both 0 to 1. */
 export interface PlannedWorth {
   readonly worth: number;
@@ -17,15 +24,18 @@
 }
 
 /** A job with its tasks. */
-export class JobRecord {
+export class JobRecord implements DueTimes {
   readonly tasks: readonly TaskRecord[];
   private readonly index: TaskIndex;
   /** What it takes of the holder's memory. */
   readonly size: JobSize;
-  /** Time by which the job should end. */
-  readonly dueAt: Millis;
-  /** Time after which an answer is useless. */
-  readonly usefulUntil: Millis;
+  /** Time by which the job should end, as far as its length is known. */
+  dueAt: Millis = 0;
+  /** Time after which an answer is useless, as far as its length is known. */
+  usefulUntil: Millis = 0;
+  /** What its due times are computed from. */
+  objective: Objective;
+  private readonly shown = new ShownLengths();
   /** Whether a start command was ever sent for any of its tasks. */
   hasStarted = false;
   /** Worth of its last plan; undefined before the first one. */
@@ -44,13 +54,56 @@
     readonly job: Job,
     readonly expectedMs: Millis,
     lastRun: number,
+    private readonly tail: Tail = NO_TAIL,
   ) {
     this.tasks = createTasks(job, lastRun);
     this.index = new TaskIndex(this.tasks);
     this.size = measureJob(job);
-    const {dueAt, usefulUntil} = computeDueTimes(job, expectedMs);
-    this.dueAt = dueAt;
-    this.usefulUntil = usefulUntil;
+    this.objective = this.setChain(expectedMs, undefined);
+  }
+
+  /**
+   * Sets what a task shows of its length on a worker of typical speed; the due
+   * times of the job move with its longest tasks.
+   */
+  showLength({name, key, step}: TaskRecord, lengthMs: Millis): void {
+    const {job, shown, queueFactor} = this;
+    if (!shown.set(name.step, key, lengthMs)) return;
+    const predict = (one: Step) => one.estimateMs * queueFactor;
+    const longestMs = shown.findLongest(name.step) ?? lengthMs;
+    const chainMs =
+      job.steps.length === 1
+        ? longestMs
+        : findLongestChain(
+            job.steps,
+            (one, index) => shown.findLongest(index) ?? predict(one),
+          );
+    this.setChain(chainMs, longestMs / Math.max(predict(step), 1));
+  }
+
+  /** Predicted relative to declared run time of its tasks. */
+  private get queueFactor(): number {
+    const declaredMs = findLongestChain(
+      this.job.steps,
+      ({estimateMs}) => estimateMs,
+    );
+    return this.expectedMs / Math.max(declaredMs, 1);
+  }
+
+  private setChain(
+    chainMs: Millis,
+    shownFactor: number | undefined,
+  ): Objective {
+    const {job, tail} = this;
+    const {arrivedAt, deadlineAt, targetMs, stretch} = job;
+    const stretchedMs = stretch * chainMs;
+    const objectiveMs = stretchedMs + targetMs;
+    const usefulMs = USEFUL_OBJECTIVE_FACTOR * objectiveMs;
+    this.dueAt = Math.min(arrivedAt + objectiveMs, deadlineAt);
+    this.usefulUntil = Math.min(arrivedAt + usefulMs, deadlineAt);
+    const times = {arrivedAt, deadlineAt, targetMs, stretchedMs};
+    this.objective = {...times, tail, shownFactor};
+    return this.objective;
   }
 
   /** Identifies the record among those of its holder. */
@@ -169,13 +222,3 @@
     return count;
   }
 }
-
-/** Computes when a job should end; `expectedMs` is its ideal run time. */
-export function computeDueTimes(job: Job, expectedMs: Millis): DueTimes {
-  const objectiveMs = job.stretch * expectedMs + job.targetMs;
-  const usefulMs = USEFUL_OBJECTIVE_FACTOR * objectiveMs;
-  return {
-    dueAt: Math.min(job.arrivedAt + objectiveMs, job.deadlineAt),
-    usefulUntil: Math.min(job.arrivedAt + usefulMs, job.deadlineAt),
-  };
-}
--- a/packages/dispatch/src/dispatcher/observer.ts
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -38,6 +38,13 @@
   jobBlocked(jobId: string, task: string, blockedMs: Millis): void;
   /** This many unanswered starts were forgotten, as there were too many. */
   startsForgotten(count: number): void;
+  /** A late run is moved, as it would take that multiple of its time there. */
+  runMoved(run: Run, lengthFactor: number): void;
+  /**
+   * A job ends as this run takes `totalMs` by its progress, more than is left of
+   * its time; `leftMs` is the time to the deadline.
+   */
+  jobOverlong(run: Run, totalMs: Millis, leftMs: Millis): void;
   /** `waitMs` is the time until the work ahead of the job has drained. */
   jobRefused(
     refused: RefusedJob,
--- a/packages/dispatch/src/dispatcher/placing/create_run.ts
+++ b/packages/dispatch/src/dispatcher/placing/create_run.ts
@@ -31,6 +31,7 @@
     expectedMs,
     expectedEndAt: now + expectedMs,
     likelyEndBy: now + expectedMs * LIKELY_FACTOR,
+    recheckAt: Infinity,
     judgeAt: now,
     progress: new RunProgress(),
     phase: RunPhase.Starting,
--- a/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
@@ -44,6 +44,7 @@
       if (!hasBetterPlace(registry, late, round, now)) continue;
       task.movedFrom = run.workerId;
       registry.runEnds.stop(run);
+      registry.observer.runMoved(run, lengthFactor);
     }
   }
 }
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -9,7 +9,7 @@
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
 import type {TaskHistory} from '../task_history/index.js';
-import {RecentRuns} from '../work_estimates/index.js';
+import {ProgressTrust, RecentRuns} from '../work_estimates/index.js';
 import {
   AbandonReason,
   createAbandoned,
@@ -36,6 +36,7 @@
   StrikeReason,
   StrikeRecorder,
   addSuccess,
+  showLength,
 } from './worker_state/index.js';
 import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
 import type {DispatchObserver} from './observer.js';
@@ -47,7 +48,9 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly runTimes = new RunTimes();
-  /** How long the latest runs on each worker took. */
+  /** Runs that can't end before the deadlines of their jobs by their progress. */
+  readonly overlongRuns = new Set<Run>();
+  readonly progressTrust = new ProgressTrust();
   readonly recentRuns = new RecentRuns();
   /** Runs in other zones that may go on. */
   readonly delegatedRuns = new Set<Run>();
@@ -95,7 +98,8 @@
   addJob(job: Job, now: Millis): JobRecord {
     const expectedMs = this.predictJob(job);
     const lastRun = this.runNumbers.findLast(job.id, now);
-    const record = new JobRecord(job, expectedMs, lastRun);
+    const tail = this.runTimes.getTail(job.queue);
+    const record = new JobRecord(job, expectedMs, lastRun, tail);
     record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id, now);
     this.jobs.set(job.id, record);
     this.heldWork.add(record.size);
@@ -130,6 +134,7 @@
     const worker = this.workers.get(run.workerId);
     if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
     this.delegatedRuns.delete(run);
+    this.overlongRuns.delete(run);
     this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
@@ -251,9 +256,14 @@
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
     if (run.delegatedTo !== undefined) return;
-    const {workerId} = run;
+    const {workerId, progress} = run;
+    const shownMs = progress.isConfirmed(now) ? progress.totalMs : undefined;
+    if (progress.hasGoneBack) this.progressTrust.learn(job.queue, 0);
+    else if (shownMs !== undefined)
+      this.progressTrust.learn(job.queue, tookMs / shownMs);
     const ratio = tookMs / Math.max(run.expectedMs, 1);
     task.finished = {workerId, ratio};
+    showLength(this, record, task, run, ratio, now);
     this.recentRuns.add(workerId, record.id, ratio, now);
     this.runTimes.learn(workerId, job.queue, estimateMs, tookMs);
     const worker = this.workers.get(workerId);
--- a/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
@@ -15,7 +15,7 @@
 import type {Registry} from '../registry.js';
 import {findBlockEnd} from '../starts/index.js';
 import {StrikeReason} from './health.js';
-import {collectEvidence} from './slowness_evidence.js';
+import {collectEvidence, showLength} from './slowness_evidence.js';
 
 /** Multiple of the expected run time after which a run is overdue. */
 const OVERDUE_FACTOR = 2;
@@ -46,7 +46,7 @@
 export function findNextOverdueTime(worker: WorkerRecord): Millis {
   let next = Infinity;
   for (const run of worker.runs.values()) {
-    next = Math.min(next, computeOverdueTime(run));
+    next = Math.min(next, computeOverdueTime(run), run.recheckAt);
   }
   return next;
 }
@@ -69,14 +69,20 @@
   run.progress.record(percent, run.startedAt, now);
   const record = registry.jobs.get(run.recordId);
   estimateEnd(registry, record, run, now);
-  if (record === undefined) return;
-  if (run.phase !== RunPhase.Running || now < computeOverdueTime(run)) return;
+  const task = record?.findTask(run.key);
+  if (record === undefined || task === undefined) return;
+  if (run.phase !== RunPhase.Running) return;
+  recordOverlong(registry, record, run, now);
+  if (run.progress.isConfirmed(now) && run.progress.totalMs !== undefined) {
+    const ratio = run.progress.totalMs / Math.max(run.expectedMs, 1);
+    showLength(registry, record, task, run, ratio, now);
+  }
+  if (now < computeOverdueTime(run)) return;
   const totalMs = ((now - run.startedAt) * 100) / Math.max(percent, 1);
   if (totalMs < STALLED_FACTOR * run.expectedMs) return;
-  const task = record.findTask(run.key);
   // A task that seems to hang on a second worker as well just takes longer than
   // declared.
-  if (task === undefined || task.movedFrom !== undefined) return;
+  if (task.movedFrom !== undefined) return;
   if (findBlockEnd(registry, task, now) !== undefined) return;
   if (!isWorkerAtFault(registry, record, run, now)) return;
   task.movedFrom = run.workerId;
@@ -84,6 +90,24 @@
   registry.strikeRecorder.record(run, StrikeReason.TaskStalled, now);
 }
 
+/** Records whether the run can end before the deadline of its job. */
+function recordOverlong(
+  {overlongRuns}: Registry,
+  {job: {deadlineAt}, isInbound}: JobRecord,
+  run: Run,
+  now: Millis,
+): void {
+  // The zone that delegated the task would start it again.
+  if (isInbound) return;
+  const {progress, startedAt} = run;
+  const isLate = run.expectedEndAt > deadlineAt;
+  run.recheckAt = isLate ? progress.confirmableAt : Infinity;
+  const earliestEnd = progress.findEarliestEnd(startedAt, now);
+  if (earliestEnd !== undefined && earliestEnd > deadlineAt)
+    overlongRuns.add(run);
+  else overlongRuns.delete(run);
+}
+
 /** Whether the run stalls, or would end earlier on a worker that is not slow. */
 function isWorkerAtFault(
   registry: Registry,
--- a/packages/dispatch/src/dispatcher/worker_state/slowness_evidence.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/slowness_evidence.ts
@@ -1,8 +1,11 @@
 /** Collects what speaks for a slow worker or for a long task. */
 import type {Millis} from '@goldcrestpier/runtime';
-import type {SlownessEvidence} from '../../work_estimates/index.js';
+import {
+  isWorkerSlow,
+  type SlownessEvidence,
+} from '../../work_estimates/index.js';
 import {RunPhase, type Run} from '../../workers/index.js';
-import type {JobRecord} from '../jobs/index.js';
+import type {JobRecord, TaskRecord} from '../jobs/index.js';
 import type {Registry} from '../registry.js';
 
 /** Number of other tasks of a job that are compared. */
@@ -25,6 +28,25 @@
   };
 }
 
+/**
+ * Records the length that a task shows with a run of `ratio` times its expected
+ * time, unless that is the worker's fault.
+ */
+export function showLength(
+  registry: Registry,
+  record: JobRecord,
+  task: TaskRecord,
+  run: Run,
+  ratio: number,
+  now: Millis,
+): void {
+  if (ratio >= SLOW_RATIO) {
+    const evidence = collectEvidence(registry, record, run, now);
+    if (isWorkerSlow({...evidence, ratio})) return;
+  }
+  record.showLength(task, ratio * registry.predictTask(record, task));
+}
+
 /** The run's time relative to the expected one; undefined if it is unknown. */
 function findRatio({phase, progress, expectedMs}: Run): number | undefined {
   if (phase !== RunPhase.Running || progress.totalMs === undefined)
--- a/packages/dispatch/src/run_times/queue_tail.ts
+++ b/packages/dispatch/src/run_times/queue_tail.ts
@@ -1,5 +1,5 @@
 /** Learns which share of a queue's tasks is far longer than predicted. */
-import {NO_TAIL, type Tail} from '../work_estimates/index.js';
+import {createTail, NO_TAIL, type Tail} from '../work_estimates/index.js';
 
 /** Deviation of the logarithm from which a task is a long one: 3.5 times. */
 const LONG_DEVIATION = Math.log(3.5);
@@ -29,11 +29,9 @@
       const weight = Math.max(1 / this.longRuns, FACTOR_WEIGHT);
       this.longLog += weight * (deviation - this.longLog);
     }
-    if (this.longRuns < MIN_LONG_RUNS) this.tail = NO_TAIL;
-    else
-      this.tail = {
-        share: this.longRuns / this.runs,
-        factor: Math.exp(this.longLog),
-      };
+    this.tail =
+      this.longRuns < MIN_LONG_RUNS
+        ? NO_TAIL
+        : createTail(this.longRuns / this.runs, Math.exp(this.longLog));
   }
 }
--- a/packages/dispatch/src/work/job.ts
+++ b/packages/dispatch/src/work/job.ts
@@ -55,12 +55,12 @@
 /** Returns the time of the longest chain of steps, in ms. */
 export function findLongestChain(
   steps: readonly Step[],
-  predict: (step: Step) => Millis,
+  predict: (step: Step, index: number) => Millis,
 ): Millis {
   const ends: Millis[] = [];
-  for (const step of steps) {
+  for (const [own, step] of steps.entries()) {
     const before = step.after.map(index => ends[index] ?? 0);
-    ends.push(findLatest(before) + predict(step));
+    ends.push(findLatest(before) + predict(step, own));
   }
   return findLatest(ends);
 }
--- a/packages/dispatch/src/work/outcome.ts
+++ b/packages/dispatch/src/work/outcome.ts
@@ -40,6 +40,8 @@
    * the task can't be started again in time.
    */
   StartUnanswered = 'start_unanswered',
+  /** A run shows by its progress that it can't end before the deadline. */
+  RunTooLong = 'run_too_long',
   /** The instance that submitted the job is gone. */
   OwnerLost = 'owner_lost',
 }
--- /dev/null
+++ b/packages/dispatch/src/work_estimates/progress_trust.ts
@@ -0,0 +1,29 @@
+/**
+ * Learns whether the progress that runs report is right: a queue whose runs end
+ * much earlier than their confirmed progress says gets none of its jobs ended by
+ * it.
+ */
+import {PROGRESS_ERROR} from './run_progress.js';
+
+/** Weight of the latest run. */
+const WEIGHT = 0.03;
+/** Share of wrong reports from which progress isn't relied on. */
+const MAX_WRONG_SHARE = 0.1;
+
+/** How often the progress of each queue's runs was wrong. */
+export class ProgressTrust {
+  private readonly wrongShares = new Map<string, number>();
+
+  /** Adds a finished run that took `share` of what its progress said; 0 if
+   * that was no progress at all. */
+  learn(queue: string, share: number): void {
+    const wrong = share < 1 - PROGRESS_ERROR ? 1 : 0;
+    const before = this.wrongShares.get(queue) ?? 0;
+    this.wrongShares.set(queue, before + WEIGHT * (wrong - before));
+  }
+
+  /** Whether the progress of the queue's runs is relied on. */
+  isTrusted(queue: string): boolean {
+    return (this.wrongShares.get(queue) ?? 0) < MAX_WRONG_SHARE;
+  }
+}
--- a/packages/dispatch/src/work_estimates/run_progress.ts
+++ b/packages/dispatch/src/work_estimates/run_progress.ts
@@ -1,12 +1,15 @@
 /**
  * Extrapolates a run's length from the progress that its worker reports. A
  * report may be late, rounded or wrong, so a length counts as confirmed only
- * when two reports apart in time agree on it.
+ * when three reports in a row, apart in time, agree on it: two that mean nothing
+ * agree by chance in some of a thousand runs.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 
 /** Minimum progress to extrapolate from, in percent. */
 const MIN_PERCENT = 4;
+/** Number of reports that have to agree. */
+const MIN_REPORTS = 3;
 /** Minimum time between two reports that confirm each other, in ms. */
 const MIN_GAP_MS = 40;
 /** Progress is reported in whole percents; both reports are rounded. */
@@ -18,6 +21,9 @@
 /** Age from which a report says nothing of the run any more, in ms. */
 const MAX_AGE_MS = 600;
 
+/** Relative error of the remaining time that two agreeing reports may have. */
+export const PROGRESS_ERROR = 0.15;
+
 /** A report with the run time that it was extrapolated to. */
 interface Report {
   readonly percent: number;
@@ -33,12 +39,16 @@
   private lastPercent = 0;
   private lastAdvanceAt: Millis = -Infinity;
   private hasAdvanced = false;
+  private agreeing = 0;
+  /** Whether a report has ever shown less progress than the one before. */
+  hasGoneBack = false;
 
   /** Records a report of a run that started at `startedAt`. */
   record(percent: number, startedAt: Millis, now: Millis): void {
     const isBackward = percent < this.lastPercent;
     if (percent !== this.lastPercent) this.lastAdvanceAt = now;
     this.lastPercent = percent;
+    if (isBackward) this.hasGoneBack = true;
     if (percent < MIN_PERCENT || isBackward) {
       this.anchor = undefined;
       this.last = undefined;
@@ -50,8 +60,10 @@
     this.last = report;
     if (this.anchor === undefined || !doAgree(this.anchor, report)) {
       this.anchor = report;
+      this.agreeing = 1;
       this.hasAdvanced = false;
     } else {
+      this.agreeing += 1;
       this.hasAdvanced = percent > this.anchor.percent;
     }
   }
@@ -61,12 +73,12 @@
     return this.last?.totalMs;
   }
 
-  /** Whether two reports apart in time agree, the last one of them fresh. */
+  /** Whether enough reports agree, the last one of them fresh. */
   isConfirmed(now: Millis): boolean {
     const {anchor, last} = this;
     if (anchor === undefined || last === undefined) return false;
     if (now - last.at > MAX_AGE_MS) return false;
-    return this.hasAdvanced && last.at - anchor.at >= MIN_GAP_MS;
+    return this.doReportsAgree(anchor, last);
   }
 
   /**
@@ -80,14 +92,40 @@
     return standingMs > this.lastAdvanceAt - startedAt + STALL_MARGIN_MS;
   }
 
-  /** Whether a second report is needed to confirm the only one. */
+  /**
+   * The earliest time at which the run may end by the first and the last report
+   * that agree, with a margin for their error; undefined while none are confirmed.
+   */
+  findEarliestEnd(startedAt: Millis, now: Millis): Millis | undefined {
+    const {anchor, last} = this;
+    if (anchor === undefined || last === undefined) return undefined;
+    if (!this.isConfirmed(now)) return undefined;
+    return Math.min(
+      findEarliestEnd(anchor, startedAt),
+      findEarliestEnd(last, startedAt),
+    );
+  }
+
+  /** When a further report may confirm the others; Infinity if none needs to. */
   get confirmableAt(): Millis {
     const {anchor, last} = this;
     if (anchor === undefined || last === undefined) return Infinity;
-    return this.hasAdvanced && last.at - anchor.at >= MIN_GAP_MS
+    return this.hasGoneBack || this.doReportsAgree(anchor, last)
       ? Infinity
       : anchor.at + MIN_GAP_MS;
   }
+
+  private doReportsAgree(anchor: Report, last: Report): boolean {
+    if (this.hasGoneBack || this.agreeing < MIN_REPORTS) return false;
+    return this.hasAdvanced && last.at - anchor.at >= MIN_GAP_MS;
+  }
+}
+
+function findEarliestEnd({percent, at}: Report, startedAt: Millis): Millis {
+  // Progress is rounded down to whole percents.
+  const totalMs = ((at - startedAt) * 100) / (percent + 1);
+  const remainingMs = Math.max(0, startedAt + totalMs - at);
+  return at + remainingMs * (1 - PROGRESS_ERROR);
 }
 
 /** Whether progress has gone on as the earlier report says. */
--- a/packages/dispatch/src/work_estimates/run_time_distribution.ts
+++ b/packages/dispatch/src/work_estimates/run_time_distribution.ts
@@ -9,16 +9,33 @@
 const LOGISTIC_SLOPE = 1.702;
 const EXPONENT = LOGISTIC_SLOPE / RUN_TIME_SPREAD;
 
+/** Inverses of equally likely run times relative to their prediction. */
+export const INVERSE_LENGTHS: readonly number[] = [
+  -1.15, -0.319, 0.319, 1.15,
+].map(deviation => Math.exp(-RUN_TIME_SPREAD * deviation));
+/** Fewer of them for long tasks, which are a small part. */
+const INVERSE_LONG_LENGTHS = [-0.674, 0.674].map(deviation =>
+  Math.exp(-RUN_TIME_SPREAD * deviation),
+);
+
 /** The long tasks of a queue. */
 export interface Tail {
   /** Their share of all tasks. */
   readonly share: number;
   /** How many times longer than predicted they are. */
   readonly factor: number;
+  /** Inverses of equally likely run times of one, relative to the prediction. */
+  readonly inverseLengths: readonly number[];
 }
 
 /** The tail of a queue that has shown none. */
-export const NO_TAIL: Tail = {share: 0, factor: 1};
+export const NO_TAIL: Tail = {share: 0, factor: 1, inverseLengths: []};
+
+/** Creates the tail of a queue. */
+export function createTail(share: number, factor: number): Tail {
+  const inverseLengths = INVERSE_LONG_LENGTHS.map(inverse => inverse / factor);
+  return {share, factor, inverseLengths};
+}
 
 /** Probability that a run takes at most `ratio` times its prediction. */
 export function estimateProbability(ratio: number, tail: Tail): number {
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -70,6 +70,8 @@
   expectedEndAt: Millis;
   /** The time by which it ends with a probability of nine tenths. */
   likelyEndBy: Millis;
+  /** When a second report is needed to confirm that it can't end in time. */
+  recheckAt: Millis;
   /** When it may be judged again whether to move it. */
   judgeAt: Millis;
   /** What its worker has reported of its progress. */
--- a/packages/dispatch/test/lost_runs.test.ts
+++ b/packages/dispatch/test/lost_runs.test.ts
@@ -34,6 +34,8 @@
     startsForgotten: () => undefined,
     workerStruck: () => undefined,
     jobRefused: () => undefined,
+    runMoved: () => undefined,
+    jobOverlong: () => undefined,
   });
   dispatcher.setWorkers([createWorker('w1')], 0);
   dispatcher.confirmWorkerList();
--- a/packages/dispatch/test/run_times.test.ts
+++ b/packages/dispatch/test/run_times.test.ts
@@ -27,3 +27,23 @@
   assert.ok(runTimes.getSlowness('w2') > 1.6);
   assert.ok(runTimes.getSlowness('w1') < 1.1);
 });
+
+test('one long run changes neither the factor of its queue nor its worker much', () => {
+  const runTimes = new RunTimes();
+  for (let count = 0; count < 50; count += 1)
+    runTimes.learn('w1', 'quotes', 100, 100);
+  runTimes.learn('w1', 'quotes', 100, 700);
+  assert.ok(runTimes.getSlowness('w1') < 1.2);
+  assert.ok(runTimes.predict('quotes', 100) < 106);
+});
+
+test('the share and the length of the long tasks of a queue are learned', () => {
+  const runTimes = new RunTimes();
+  for (let count = 0; count < 1_000; count += 1) {
+    const tookMs = count % 33 === 0 ? 700 : 100;
+    runTimes.learn(`w${count % 7}`, 'quotes', 100, tookMs);
+  }
+  const {share, factor} = runTimes.getTail('quotes');
+  assert.ok(Math.abs(share - 0.03) < 0.01, `${share}`);
+  assert.ok(Math.abs(factor - 7) < 1.5, `${factor}`);
+});
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -14,6 +14,7 @@
   JobSubmission,
   TaskDelegation,
 } from '../protocol/index.js';
+import {createLengthObserver} from './length_observer.js';
 import {countRunsOf} from './run_counts.js';
 
 /** Age from which a list of workers is logged with the placed tasks, in ms. */
@@ -67,6 +68,7 @@
       });
     },
     ...createCrashObserver(logger, metrics),
+    ...createLengthObserver(logger, metrics),
     workerStruck(worker, reason, ejected) {
       metrics.strikes.inc({reason});
       if (ejected) metrics.ejections.inc({reason});
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -61,6 +61,16 @@
     'Jobs failed because several workers crashed under one of their tasks.',
     [],
   );
+  readonly movedRuns = this.createCounter(
+    'goldcrestpier_moved_runs_total',
+    'Late runs that were stopped to run elsewhere.',
+    [],
+  );
+  readonly overlongJobs = this.createCounter(
+    'goldcrestpier_overlong_jobs_total',
+    'Jobs ended because a run could not end before the deadline.',
+    [],
+  );
   readonly blockedJobs = this.createCounter(
     'goldcrestpier_blocked_jobs_total',
     'Jobs ended because a start of a task got no answer and may come late.',
