--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -9,6 +9,7 @@
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
 import type {TaskHistory} from '../task_history/index.js';
+import {ProgressTrust, RecentRuns} from '../work_estimates/index.js';
 import {
   AbandonReason,
   createAbandoned,
@@ -36,6 +37,7 @@
   StrikeRecorder,
   addSuccess,
   learnRunTime,
+  showLength,
 } from './worker_state/index.js';
 import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
 import {Evacuation} from './evacuation/index.js';
@@ -48,6 +50,10 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly runTimes = new RunTimes();
+  /** Runs that can't end before the deadlines of their jobs by their progress. */
+  readonly overlongRuns = new Set<Run>();
+  readonly progressTrust = new ProgressTrust();
+  readonly recentRuns = new RecentRuns();
   /** Runs in other zones that may go on. */
   readonly delegatedRuns = new Set<Run>();
   /** Tasks that other zones have delegated to this one. */
@@ -95,7 +101,8 @@
   addJob(job: Job, now: Millis): JobRecord {
     const expectedMs = this.predictJob(job);
     const lastRun = this.runNumbers.findLast(job.id, now);
-    const record = new JobRecord(job, expectedMs, lastRun);
+    const tail = this.runTimes.getTail(job.queue);
+    const record = new JobRecord(job, expectedMs, lastRun, tail);
     record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id, now);
     this.jobs.set(job.id, record);
     this.heldWork.add(record.size);
@@ -132,6 +139,7 @@
     this.delegatedRuns.delete(run);
     if (end === 'refused' && run.delegatedTo !== undefined)
       this.evacuation.recordRefusal(run.recordId, run.delegatedTo, now);
+    this.overlongRuns.delete(run);
     this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
@@ -144,7 +152,7 @@
     // A zone starts a delegated run once, so no other run has its number.
     if (run.number === record.job.delegated?.run)
       record.mayHaveUnknownRuns = false;
-    if (end === RunEnd.Done) this.recordSuccess(record, task, run, tookMs);
+    if (end === RunEnd.Done) this.recordSuccess(record, task, run, now);
     else if (end === RunEnd.Failed) this.recordFailure(record, task, run, now);
     else if (record.isInbound)
       record.pendingOutcome ??= createAbandoned(AbandonReason.RunLost);
@@ -237,21 +245,32 @@
     if (worker !== undefined) this.lateLeases.set(id, worker.lateLeasesEndAt);
     this.workers.delete(id);
     this.runTimes.forget(id);
+    this.recentRuns.forget(id);
   }
 
   private recordSuccess(
     record: JobRecord,
     task: TaskRecord,
     run: Run,
-    tookMs: Millis,
+    now: Millis,
   ): void {
+    const tookMs = now - run.startedAt;
     record.setState(task, {kind: 'done'});
     const {job} = record;
     const {estimateMs} = task.step;
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
     if (run.delegatedTo !== undefined) return;
-    const worker = this.workers.get(run.workerId);
+    const {workerId, progress} = run;
+    const shownMs = progress.isConfirmed(now) ? progress.totalMs : undefined;
+    if (progress.hasGoneBack) this.progressTrust.learn(job.queue, 0);
+    else if (shownMs !== undefined)
+      this.progressTrust.learn(job.queue, tookMs / shownMs);
+    const ratio = tookMs / Math.max(run.expectedMs, 1);
+    task.finished = {workerId, ratio};
+    showLength(this, record, task, run, ratio, now);
+    this.recentRuns.add(workerId, record.id, ratio, now);
+    const worker = this.workers.get(workerId);
     const declared = {queue: job.queue, estimateMs};
     learnRunTime(this.runTimes, worker, run, declared, tookMs);
     if (worker !== undefined) addSuccess(worker);
