--- a/packages/dispatch/src/work_estimates/run_progress.ts
+++ b/packages/dispatch/src/work_estimates/run_progress.ts
@@ -2,7 +2,7 @@
  * Extrapolates a run's length from the progress that its worker reports. A
  * report may be late, rounded or wrong, so a length counts as confirmed only
  * when three reports in a row, apart in time, agree on it: two that mean nothing
- * agree by chance in some of a thousand runs.
+ * often agree by chance.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 
@@ -21,7 +21,7 @@
 /** Age from which a report says nothing of the run any more, in ms. */
 const MAX_AGE_MS = 600;
 
-/** Relative error of the remaining time that two agreeing reports may have. */
+/** Relative error of the remaining time that agreeing reports may have. */
 export const PROGRESS_ERROR = 0.15;
 
 /** A report with the run time that it was extrapolated to. */
