--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -36,8 +36,7 @@
   StrikeReason,
   StrikeRecorder,
   addSuccess,
-  learnRunTime,
-  showLength,
+  learnFromRun,
 } from './worker_state/index.js';
 import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
 import {Evacuation} from './evacuation/index.js';
@@ -254,25 +253,12 @@
     run: Run,
     now: Millis,
   ): void {
-    const tookMs = now - run.startedAt;
     record.setState(task, {kind: 'done'});
-    const {job} = record;
-    const {estimateMs} = task.step;
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
     if (run.delegatedTo !== undefined) return;
-    const {workerId, progress} = run;
-    const shownMs = progress.isConfirmed(now) ? progress.totalMs : undefined;
-    if (progress.hasGoneBack) this.progressTrust.learn(job.queue, 0);
-    else if (shownMs !== undefined)
-      this.progressTrust.learn(job.queue, tookMs / shownMs);
-    const ratio = tookMs / Math.max(run.expectedMs, 1);
-    task.finished = {workerId, ratio};
-    showLength(this, record, task, run, ratio, now);
-    this.recentRuns.add(workerId, record.id, ratio, now);
-    const worker = this.workers.get(workerId);
-    const declared = {queue: job.queue, estimateMs};
-    learnRunTime(this.runTimes, worker, run, declared, tookMs);
+    learnFromRun(this, record, task, run, now);
+    const worker = this.workers.get(run.workerId);
     if (worker !== undefined) addSuccess(worker);
   }
 
