--- a/packages/dispatch/src/dispatcher/worker_state/learn_from_run.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/learn_from_run.ts
@@ -4,7 +4,7 @@
 import type {JobRecord, TaskRecord} from '../jobs/index.js';
 import type {Registry} from '../registry.js';
 import {learnRunTime} from './cold_workers.js';
-import {showLength} from './run_reports.js';
+import {showLength} from './slowness_evidence.js';
 
 /**
  * Learns the length of the task, the speed of the worker, and whether the progress
