Even out refusals over queues and sizes, and spread returns of refused callers

Cause: min_worth.ts compares a plan with constants that know nothing of earlier refusals, so that under load wide and long jobs are refused more often; all refused callers are told nearly the same time and return together.

Change: the holder keeps fading counts of served and unserved jobs by queue and size class (admission/fair_shares.ts). A refusal for overload takes its work out of a virtual schedule of returns by service (admission/return_schedule.ts). New counter and log fields.

--- a/packages/dispatch/src/admission/index.ts
+++ b/packages/dispatch/src/admission/index.ts
@@ -1,3 +1,5 @@
 /** What a holder can take on, and retry delays for refused callers. */
 export * from './estimate.js';
+export * from './fair_shares.js';
 export * from './held_work.js';
+export * from './return_schedule.js';
--- a/packages/dispatch/src/dispatcher/intake/job_admission.ts
+++ b/packages/dispatch/src/dispatcher/intake/job_admission.ts
@@ -92,8 +92,9 @@
     return;
   }
   const refused = {job, isInbound: false, planned: undefined};
-  registry.observer.jobRefused(refused, reason, waitMs, now);
   const retryAfterMs = chooseRetryAfter(waitMs);
+  const times = {waitMs, retryAfterMs};
+  registry.observer.jobRefused(refused, reason, times, now);
   registry.endOnArrival(job, {kind: 'refused', reason, retryAfterMs}, false);
 }
 
--- a/packages/dispatch/src/dispatcher/intake/refusal.ts
+++ b/packages/dispatch/src/dispatcher/intake/refusal.ts
@@ -1,8 +1,14 @@
 /** Refuses jobs that can never run, and estimates the work ahead of a job. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {estimateWait, sumCapacity} from '../../admission/index.js';
+import {
+  chooseRetryAfter,
+  estimateWait,
+  measureWork,
+  sumCapacity,
+} from '../../admission/index.js';
 import {canEverRun} from '../../placement/index.js';
 import {RefusalReason, type Job} from '../../work/index.js';
+import type {JobRecord} from '../jobs/index.js';
 import type {Registry} from '../registry.js';
 
 /** Returns why no worker can ever run the job; undefined when one can. */
@@ -42,3 +48,21 @@
     sumCapacity(registry.iterateWorkers(service), service),
   );
 }
+
+/** Refuses a job of which nothing has started; its return takes capacity. */
+export function refuseOverloaded(
+  registry: Registry,
+  record: JobRecord,
+  now: Millis,
+): void {
+  const {job, isInbound} = record;
+  const {service} = job;
+  const waitMs = estimateDrain(registry, job, now);
+  const capacity = sumCapacity(registry.iterateWorkers(service), service);
+  const demand = {service, work: measureWork(job), waitMs, capacity};
+  const retryAfterMs = isInbound
+    ? chooseRetryAfter(waitMs)
+    : registry.returns.promise(demand, now);
+  const reason = RefusalReason.Overloaded;
+  registry.refuse(record, reason, waitMs, now, retryAfterMs);
+}
--- a/packages/dispatch/src/dispatcher/jobs/job_order.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_order.ts
@@ -6,30 +6,48 @@
  * queue starves. While starts have to wait, the first tasks of each job go first.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import type {Job} from '../../work/index.js';
 import type {JobRecord} from './job_record.js';
 import {haveFirstStarted} from '../placing/index.js';
 
 /** Slack per level of priority, in ms. */
 const PRIORITY_SLACK_MS = 60;
 
+/** Time by which jobs that are wholly behind in being served go ahead, in ms. */
+const BEHIND_SLACK_MS = 200;
+
+/** What the order depends on besides the jobs. */
+export interface OrderConditions {
+  readonly hasStartBacklog: boolean;
+  /** Whether many jobs wait to start. */
+  readonly hasManyWaiting: boolean;
+  /** Share of the usual worth that is asked of a job; less if it is behind. */
+  readonly standingOf: (job: Job) => number;
+}
+
 /** Sorts jobs by the order in which they are placed, the first one first. */
 export function sortJobs(
   jobs: readonly JobRecord[],
-  {hasStartBacklog}: {readonly hasStartBacklog: boolean},
+  conditions: OrderConditions,
 ): JobRecord[] {
+  const {hasStartBacklog} = conditions;
+  const ranks = new Map<JobRecord, Millis>();
+  for (const record of jobs) ranks.set(record, computeRank(record, conditions));
+  const rankOf = (record: JobRecord) => ranks.get(record) ?? 0;
   return [...jobs].sort((a, b) => {
     const isLater = haveFirstStarted(a);
-    if (!hasStartBacklog || isLater === haveFirstStarted(b))
-      return compareJobs(a, b);
-    return isLater ? 1 : -1;
+    if (hasStartBacklog && isLater !== haveFirstStarted(b))
+      return isLater ? 1 : -1;
+    if (a.hasStarted !== b.hasStarted) return a.hasStarted ? -1 : 1;
+    return rankOf(a) - rankOf(b);
   });
 }
 
-function compareJobs(a: JobRecord, b: JobRecord): number {
-  if (a.hasStarted !== b.hasStarted) return a.hasStarted ? -1 : 1;
-  return computeRank(a) - computeRank(b);
-}
-
-function computeRank({job, startBy}: JobRecord): Millis {
-  return startBy + PRIORITY_SLACK_MS * job.priority;
+function computeRank(
+  {job, startBy}: JobRecord,
+  {hasManyWaiting, standingOf}: OrderConditions,
+): Millis {
+  const rank = startBy + PRIORITY_SLACK_MS * job.priority;
+  if (!hasManyWaiting) return rank;
+  return rank - BEHIND_SLACK_MS * Math.max(0, 1 - standingOf(job));
 }
--- a/packages/dispatch/src/dispatcher/jobs/job_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_record.ts
@@ -1,6 +1,10 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {measureJob, type JobSize} from '../../admission/index.js';
+import {
+  measureJob,
+  type JobSize,
+  type SizeClass,
+} from '../../admission/index.js';
 import type {DueTimes} from '../../placement/index.js';
 import type {Job, Outcome} from '../../work/index.js';
 import type {Run} from '../../workers/index.js';
@@ -14,6 +18,9 @@
 export interface PlannedWorth {
   readonly worth: number;
   readonly minWorth: number;
+  /** Share of the usual worth that is asked of it; less if it is behind others. */
+  readonly standing: number;
+  readonly sizeClass: SizeClass;
 }
 
 /** A job with its tasks. */
--- a/packages/dispatch/src/dispatcher/observer.ts
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -9,6 +9,14 @@
 /** What is known of a job that is refused. */
 export type RefusedJob = Pick<JobRecord, 'job' | 'isInbound' | 'planned'>;
 
+/** What a refusal says of the time. */
+export interface RefusalTimes {
+  /** Time until the work ahead of the job has drained. */
+  readonly waitMs: Millis;
+  /** When its caller is told to return. */
+  readonly retryAfterMs: Millis;
+}
+
 /** Receives state changes, for logs and metrics. */
 export interface DispatchObserver {
   runEnded(run: Run, conclusion: RunConclusion, tookMs: Millis): void;
@@ -38,11 +46,10 @@
   jobBlocked(jobId: string, task: string, blockedMs: Millis): void;
   /** This many unanswered starts were forgotten, as there were too many. */
   startsForgotten(count: number): void;
-  /** `waitMs` is the time until the work ahead of the job has drained. */
   jobRefused(
     refused: RefusedJob,
     reason: RefusalReason,
-    waitMs: Millis,
+    times: RefusalTimes,
     now: Millis,
   ): void;
 }
--- a/packages/dispatch/src/dispatcher/placing/min_worth.ts
+++ b/packages/dispatch/src/dispatcher/placing/min_worth.ts
@@ -23,6 +23,8 @@
   readonly hasManyWaiting: boolean;
   /** Whether the job has just arrived. */
   readonly isNew: boolean;
+  /** Share of the usual worth that is asked of it; less if it is behind others. */
+  readonly standing: number;
 }
 
 /** Whether many of the jobs wait to start. */
@@ -40,7 +42,12 @@
   return best * chooseShare(conditions);
 }
 
-function chooseShare({hasManyWaiting, isNew}: LoadConditions): number {
+function chooseShare({
+  hasManyWaiting,
+  isNew,
+  standing,
+}: LoadConditions): number {
   if (!hasManyWaiting) return LOW_LOAD_SHARE;
-  return isNew ? HIGH_LOAD_NEW_SHARE : HIGH_LOAD_SHARE;
+  const share = isNew ? HIGH_LOAD_NEW_SHARE : HIGH_LOAD_SHARE;
+  return Math.max(LOW_LOAD_SHARE, share * standing);
 }
--- a/packages/dispatch/src/dispatcher/placing/placement_round.ts
+++ b/packages/dispatch/src/dispatcher/placing/placement_round.ts
@@ -15,7 +15,7 @@
   constructor(
     private readonly registry: Registry,
     waiting: readonly JobRecord[],
-    private readonly now: Millis,
+    readonly now: Millis,
   ) {
     this.hasManyWaiting = areManyWaiting(waiting);
     this.upcoming = new UpcomingVacancies(now);
--- a/packages/dispatch/src/dispatcher/placing/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -8,13 +8,12 @@
   type RemotePlace,
   type StepPlan,
 } from '../../placement/index.js';
-import {RefusalReason} from '../../work/index.js';
 import type {WorkerRecord} from '../../workers/index.js';
 import type {Registry} from '../registry.js';
 import {createRun} from './create_run.js';
 import {mustRunAlone, placeSuspectedTasks} from './crashing_tasks.js';
 import {createDemand} from './create_demand.js';
-import {type EarlierRuns, estimateDrain} from '../intake/index.js';
+import {type EarlierRuns, refuseOverloaded} from '../intake/index.js';
 import {type JobRecord, sortJobs, type TaskRecord} from '../jobs/index.js';
 import {findMinWorth} from './min_worth.js';
 import {
@@ -78,7 +77,11 @@
       .filter(record => !endIfBlocked(this.registry, record, now));
     const round = new PlacementRound(this.registry, waiting, now);
     moveLateRuns(this.registry, round, now);
-    const sorted = sortJobs(waiting, {hasStartBacklog});
+    const sorted = sortJobs(waiting, {
+      hasStartBacklog,
+      hasManyWaiting: round.hasManyWaiting,
+      standingOf: job => this.registry.fairShares.getStanding(job, now),
+    });
     const alone = placeSuspectedTasks(this.registry, sorted, round, now);
     const others = sorted.flatMap(record => this.placeJob(record, round, now));
     this.registry.startRate.record(0, this.registry.hasStartBacklog, now);
@@ -172,8 +175,7 @@
     if (record.pendingOutcome !== undefined) return [];
     const plan = this.plan(record, tasks, round, now);
     if (this.isNotWorthStarting(record, plan, round)) {
-      const waitMs = estimateDrain(this.registry, record.job, now);
-      this.registry.refuse(record, RefusalReason.Overloaded, waitMs, now);
+      refuseOverloaded(this.registry, record, now);
       return [];
     }
     return plan.places.flatMap((place, index) => {
@@ -221,15 +223,19 @@
   private isNotWorthStarting(
     record: JobRecord,
     {worth}: StepPlan,
-    {hasManyWaiting}: PlacementRound,
+    {hasManyWaiting, now}: PlacementRound,
   ): boolean {
     const {hasStarted, isInbound, planned, job} = record;
     if (hasStarted || isInbound) return false;
     // Workers that a new holder has not polled yet may have free capacity.
     if (this.registry.hasUnpolledWorkersFor(job.service)) return false;
     const isNew = planned === undefined;
-    const minWorth = findMinWorth(record, {hasManyWaiting, isNew});
-    record.planned = {worth, minWorth};
+    const {fairShares} = this.registry;
+    const standing = fairShares.getStanding(job, now);
+    const sizeClass = fairShares.classOf(job);
+    const conditions = {hasManyWaiting, isNew, standing};
+    const minWorth = findMinWorth(record, conditions);
+    record.planned = {worth, minWorth, standing, sizeClass};
     return worth < minWorth;
   }
 
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -4,7 +4,13 @@
  */
 import {DrainRate} from '@goldcrestpier/limits';
 import type {Millis} from '@goldcrestpier/runtime';
-import {HeldWork, chooseRetryAfter} from '../admission/index.js';
+import {
+  chooseRetryAfter,
+  FairShares,
+  HeldWork,
+  ReturnSchedule,
+  wasServed,
+} from '../admission/index.js';
 import {CrashVerdict} from '../crashes/index.js';
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
@@ -63,6 +69,10 @@
   hasStartBacklog = false;
   /** The jobs that are kept, in number and bytes. */
   readonly heldWork = new HeldWork();
+  /** How often jobs were served, by queue and size. */
+  readonly fairShares = new FairShares();
+  /** When refused callers are told to return. */
+  readonly returns = new ReturnSchedule();
   /** The rate at which tasks are started while others wait for it. */
   readonly startRate = new DrainRate();
   private endedJobs: EndedJob[] = [];
@@ -98,6 +108,7 @@
     this.heldWork.add(record.size);
     this.isPlacementDue = true;
     this.inboundTasks.add(record);
+    if (!record.isInbound) this.fairShares.add(job);
     return record;
   }
 
@@ -165,9 +176,9 @@
     reason: RefusalReason,
     waitMs: Millis,
     now: Millis,
+    retryAfterMs = chooseRetryAfter(waitMs),
   ): void {
-    this.observer.jobRefused(record, reason, waitMs, now);
-    const retryAfterMs = chooseRetryAfter(waitMs);
+    this.observer.jobRefused(record, reason, {waitMs, retryAfterMs}, now);
     this.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
   }
 
@@ -276,6 +287,8 @@
     this.inboundTasks.remove(record);
     this.runNumbers.retain(record, now);
     const {pendingOutcome: outcome, hasStarted} = record;
+    const isServed = record.isInbound ? undefined : wasServed(outcome);
+    if (isServed !== undefined) this.fairShares.record(job, isServed, now);
     this.endedJobs.push({id, queue, outcome, hasStarted});
   }
 }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -2,6 +2,7 @@
 import {
   DELEGATED_RUN_MAX_MS,
   isLoss,
+  RefusalReason,
   RunEnd,
   type Dispatcher,
   type DispatchObserver,
@@ -52,18 +53,23 @@
     jobRefused(
       {isInbound, planned, job: {id: job, arrivedAt}},
       reason,
-      waitMs,
+      {waitMs, retryAfterMs},
       now,
     ) {
       // The zone that delegated the task logs the refusal.
       if (isInbound) return;
+      if (reason === RefusalReason.Overloaded)
+        metrics.overloadRefusals.inc({size: planned?.sizeClass});
       logger.info('job refused', {
         job,
         reason,
         ageMs: Math.round(now - arrivedAt),
         worth: roundToHundredths(planned?.worth),
         leastWorth: roundToHundredths(planned?.minWorth),
+        size: planned?.sizeClass,
+        standing: roundToHundredths(planned?.standing),
         waitMs: Math.round(waitMs),
+        retryAfterMs: Math.round(retryAfterMs),
       });
     },
     ...createCrashObserver(logger, metrics),
