--- a/packages/dispatch/src/dispatcher/jobs/job_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_record.ts
@@ -1,6 +1,10 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {measureJob, type JobSize} from '../../admission/index.js';
+import {
+  measureJob,
+  type JobSize,
+  type SizeClass,
+} from '../../admission/index.js';
 import {
   USEFUL_OBJECTIVE_FACTOR,
   type DueTimes,
@@ -21,6 +25,9 @@
 export interface PlannedWorth {
   readonly worth: number;
   readonly minWorth: number;
+  /** Share of the usual worth that is asked of it; less if it is behind others. */
+  readonly standing: number;
+  readonly sizeClass: SizeClass;
 }
 
 /** A job with its tasks. */
@@ -96,11 +103,10 @@
   ): Objective {
     const {job, tail} = this;
     const {arrivedAt, deadlineAt, targetMs, stretch} = job;
+    const {dueAt, usefulUntil} = computeDueTimes(job, chainMs);
+    this.dueAt = dueAt;
+    this.usefulUntil = usefulUntil;
     const stretchedMs = stretch * chainMs;
-    const objectiveMs = stretchedMs + targetMs;
-    const usefulMs = USEFUL_OBJECTIVE_FACTOR * objectiveMs;
-    this.dueAt = Math.min(arrivedAt + objectiveMs, deadlineAt);
-    this.usefulUntil = Math.min(arrivedAt + usefulMs, deadlineAt);
     const times = {arrivedAt, deadlineAt, targetMs, stretchedMs};
     this.objective = {...times, tail, shownFactor};
     return this.objective;
@@ -222,3 +228,16 @@
     return count;
   }
 }
+
+/** Computes when a job should end whose longest chain of tasks takes `chainMs`. */
+export function computeDueTimes(
+  {arrivedAt, deadlineAt, stretch, targetMs}: Job,
+  chainMs: Millis,
+): Pick<DueTimes, 'dueAt' | 'usefulUntil'> {
+  const objectiveMs = stretch * chainMs + targetMs;
+  const usefulMs = USEFUL_OBJECTIVE_FACTOR * objectiveMs;
+  return {
+    dueAt: Math.min(arrivedAt + objectiveMs, deadlineAt),
+    usefulUntil: Math.min(arrivedAt + usefulMs, deadlineAt),
+  };
+}
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -4,7 +4,13 @@
  */
 import {DrainRate} from '@goldcrestpier/limits';
 import type {Millis} from '@goldcrestpier/runtime';
-import {HeldWork, chooseRetryAfter} from '../admission/index.js';
+import {
+  chooseRetryAfter,
+  FairShares,
+  HeldWork,
+  ReturnSchedule,
+  wasServed,
+} from '../admission/index.js';
 import {CrashVerdict} from '../crashes/index.js';
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
@@ -70,6 +76,10 @@
   hasStartBacklog = false;
   /** The jobs that are kept, in number and bytes. */
   readonly heldWork = new HeldWork();
+  /** How often jobs were served, by queue and size. */
+  readonly fairShares = new FairShares();
+  /** When refused callers are told to return. */
+  readonly returns = new ReturnSchedule();
   /** The rate at which tasks are started while others wait for it. */
   readonly startRate = new DrainRate();
   private endedJobs: EndedJob[] = [];
@@ -107,6 +117,7 @@
     this.heldWork.add(record.size);
     this.isPlacementDue = true;
     this.inboundTasks.add(record);
+    if (!record.isInbound) this.fairShares.add(job);
     return record;
   }
 
@@ -177,9 +188,9 @@
     reason: RefusalReason,
     waitMs: Millis,
     now: Millis,
+    retryAfterMs = chooseRetryAfter(waitMs),
   ): void {
-    this.observer.jobRefused(record, reason, waitMs, now);
-    const retryAfterMs = chooseRetryAfter(waitMs);
+    this.observer.jobRefused(record, reason, {waitMs, retryAfterMs}, now);
     this.endJob(record, {kind: 'refused', reason, retryAfterMs}, now);
   }
 
@@ -215,20 +226,14 @@
 
   /** Whether a worker of the service has neither answered nor missed a poll. */
   hasUnpolledWorkersFor(service: string): boolean {
-    for (const {info, hasAcceptedToken, isUnresponsive} of this.iterateWorkers(
-      service,
-    )) {
-      if (!hasAcceptedToken && !isUnresponsive && !info.isDraining) return true;
-    }
-    return false;
+    return [...this.iterateWorkers(service)].some(
+      ({isUnpolled, info}) => isUnpolled && !info.isDraining,
+    );
   }
 
   /** Whether any worker has neither answered nor missed a poll. */
   get hasUnpolledWorkers(): boolean {
-    for (const {hasAcceptedToken, isUnresponsive} of this.workers.values()) {
-      if (!hasAcceptedToken && !isUnresponsive) return true;
-    }
-    return false;
+    return [...this.workers.values()].some(({isUnpolled}) => isUnpolled);
   }
 
   /** Whether any worker may obey an earlier holder, as it has no later token. */
@@ -287,6 +292,8 @@
     this.inboundTasks.remove(record);
     this.runNumbers.retain(record, now);
     const {pendingOutcome: outcome, hasStarted} = record;
+    const isServed = record.isInbound ? undefined : wasServed(outcome);
+    if (isServed !== undefined) this.fairShares.record(job, isServed, now);
     this.endedJobs.push({id, queue, outcome, hasStarted});
   }
 }
--- a/packages/dispatch/src/workers/worker_record.ts
+++ b/packages/dispatch/src/workers/worker_record.ts
@@ -80,6 +80,11 @@
     return this.pollFailure !== undefined;
   }
 
+  /** Whether it has neither answered nor missed a poll. */
+  get isUnpolled(): boolean {
+    return !this.hasAcceptedToken && !this.isUnresponsive;
+  }
+
   /** Why runs there are lost if their leases expire now. */
   get lossCause(): LossCause {
     switch (this.pollFailure) {
