Collect request bodies in one growing buffer

Cause: a body was kept as the buffers in which it arrived. Each chunk costs some 150 bytes and keeps its read buffer, so that 40 clients with one-byte chunks ended a process (361 MB).

Change: collectBody copies the chunks into one buffer, which doubles up to the declared size or the limit, asks for memory before it grows, and gives up on a body that doesn't end in time. readBody uses it, also for the product's own interface.

--- a/packages/http/src/body/index.ts
+++ b/packages/http/src/body/index.ts
@@ -8,39 +8,27 @@
 } from '@goldcrestpier/protocol';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {z} from 'zod';
+import {collectBody} from './collect_body.js';
+
+export {
+  BodyRefusal,
+  collectBody,
+  type BodyLimits,
+  type CollectedBody,
+} from './collect_body.js';
 
 /**
  * Reads the whole body. The result is the failure `BodyTooLarge` if the body is
  * larger than `limitBytes`. Rejects if the client closes the connection before
  * the end of the body.
  */
-export function readBody(
+export async function readBody(
   request: IncomingMessage,
   limitBytes: number,
 ): Promise<Result<Buffer, Failure>> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const rejectOnClose = () =>
-      reject(
-        new Error(
-          'the client closed the connection before the end of the request body',
-        ),
-      );
-    request.once('close', rejectOnClose);
-    request.once('error', reject);
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      // The rest of a body over the limit is read and discarded, so that the
-      // connection stays usable.
-      if (size <= limitBytes) chunks.push(chunk);
-      else resolve(Err(createFailure(FailureCode.BodyTooLarge, {limitBytes})));
-    });
-    request.once('end', () => {
-      request.off('close', rejectOnClose);
-      resolve(Ok(Buffer.concat(chunks)));
-    });
-  });
+  const body = await collectBody(request, {limitBytes});
+  if (body.kind === 'complete') return Ok(body.bytes);
+  return Err(createFailure(FailureCode.BodyTooLarge, {limitBytes}));
 }
 
 /** Reads the body as JSON and validates it with `schema`. */
