Limit what callers make an instance hold

Cause: bodies had a fixed limit of 32 MB on every machine, with chunked ones counted as the largest allowed; the HTTP server parses all requests of one read, up to 64 KB, and keeps them while earlier responses wait; connections had no limit; a job's id kept the whole path of its request.

Connections hand over received bytes in small pieces and stop at 64 requests in progress, at one while half of the budget is used. Connections are limited by limits.max_fds (idle ones and those that are sending close first), bodies by the caller's timeout (503 body_too_late), unread responses by time.

--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -26,6 +26,16 @@
     'Jobs that were read but not submitted, by reason.',
     ['reason'],
   );
+  readonly closedClients = this.createCounter(
+    'goldcrestpier_clients_closed_total',
+    'Connections of callers closed by a limit, by reason.',
+    ['reason'],
+  );
+  readonly pausedClients = this.createCounter(
+    'goldcrestpier_clients_paused_total',
+    'Times that reading from a connection stopped until its requests end.',
+    [],
+  );
   readonly abandoned = this.createCounter(
     'goldcrestpier_abandoned_total',
     'Jobs abandoned after one of their tasks was started, by reason.',
