--- a/packages/http/src/body/body_buffer.ts
+++ b/packages/http/src/body/body_buffer.ts
@@ -4,8 +4,8 @@
 const FIRST_CAPACITY = 1_024;
 
 /**
- * Copies chunks into one buffer. Keeping the chunks themselves would cost a
- * hundred bytes and more for each, and keep the read buffers that they share.
+ * Copies chunks into one buffer. Keeping the chunks themselves would cost an
+ * object for each of them, and keep the read buffers that they share.
  */
 export class BodyBuffer {
   private buffer = Buffer.alloc(0);
