Tell peers at once only when the evacuated zones change

Cause: the revision with which they are known rises with each listing of the store, and each rise made an instance send heartbeats to all of its peers at once, which took it over and did the same.

Change: the announced state names the zones. Heartbeats still carry the revision.

--- a/packages/zone/src/instance/state_change_detector.ts
+++ b/packages/zone/src/instance/state_change_detector.ts
@@ -12,8 +12,11 @@
   readonly isLeaving: boolean;
   /** Version of the current configuration. */
   readonly version: number | undefined;
-  /** Revision of the evacuated zones; undefined before any evacuation. */
-  readonly evacuationRevision: number | undefined;
+  /**
+   * The evacuated zones as text; undefined before any evacuation. Their revision
+   * rises with each listing, also when they are the same.
+   */
+  readonly evacuatedZones: string | undefined;
   /** Revision of the known history of tasks. */
   readonly historyRevision: number;
   /** Revision of the jobs that nobody waits for; undefined if not holder. */
@@ -43,7 +46,7 @@
     claim,
     isLeaving,
     version: directory.configuration()?.version,
-    evacuationRevision: directory.evacuatedZones()?.revision,
+    evacuatedZones: directory.evacuatedZones()?.zones.join(' '),
     historyRevision: history.revision,
     abandonedRevision: holder?.abandonedJobs.revision,
     tokensRevision: zones.tokensRevision,
@@ -61,7 +64,7 @@
     if (previous === undefined) return true;
     if (previous.isLeaving !== state.isLeaving) return true;
     if (previous.version !== state.version) return true;
-    if (previous.evacuationRevision !== state.evacuationRevision) return true;
+    if (previous.evacuatedZones !== state.evacuatedZones) return true;
     if (previous.historyRevision !== state.historyRevision) return true;
     if (previous.abandonedRevision !== state.abandonedRevision) return true;
     if (previous.tokensRevision !== state.tokensRevision) return true;
