--- a/packages/zone/src/holder/evacuation_state.ts
+++ b/packages/zone/src/holder/evacuation_state.ts
@@ -47,7 +47,7 @@
     dispatcher.evacuation.update(isActive);
     metrics.isEvacuated.set(isActive ? 1 : 0);
     const change = isActive ? 'evacuation begins' : 'evacuation ends';
-    logger.info(`${change}`, {zone});
+    logger.info(change, {zone});
     return isActive;
   }
 
