--- a/packages/dispatch/src/placement/capacity_forecast.ts
+++ b/packages/dispatch/src/placement/capacity_forecast.ts
@@ -112,13 +112,19 @@
    * its capacity is also held free, so that none of them starts there before.
    */
   reserve({worker, need, startAt, expectedMs}: PlannedUse): boolean {
-    this.getProfile(worker).reserve(need, startAt, Infinity);
-    if (!this.isUneven || this.reservations >= MAX_RESERVATIONS) return false;
-    if (startAt - this.now > MAX_HOLD_SHARE * expectedMs) return false;
+    const isHeld =
+      this.isUneven &&
+      this.reservations < MAX_RESERVATIONS &&
+      startAt - this.now <= MAX_HOLD_SHARE * expectedMs;
+    const endAt = startAt + expectedMs;
+    // A task kept off held capacity is planned after it, rather than refused.
+    const until = isHeld ? endAt : Infinity;
+    this.getProfile(worker).reserve(need, startAt, until);
+    if (!isHeld) return false;
     this.reservations += 1;
     const held = this.heldProfiles.get(worker) ?? this.createProfile(worker);
     this.heldProfiles.set(worker, held);
-    held.reserve(need, startAt, startAt + expectedMs);
+    held.reserve(need, startAt, endAt);
     return true;
   }
 
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -110,6 +110,8 @@
 ): void {
   const vacantAt = upcoming.listVacancies(worker, step.need, maxPlaces);
   let left = maxPlaces - free.length;
+  // The worth falls with the time, so that later places need no estimate.
+  let tooLateAt = Infinity;
   for (let wave = 0; wave < MAX_WAVES; wave += 1) {
     const isVacancy = wave === 0;
     // A task that starts on a free place now is no later place itself.
@@ -121,8 +123,12 @@
       if (left <= 0) return;
       if (at > due.usefulUntil) continue;
       left -= 1;
+      if (at >= tooLateAt) continue;
       const worth = estimateWorth(due, expectedMs, at);
-      if (weighLater(worth) < minWeight) continue;
+      if (weighLater(worth) < minWeight) {
+        tooLateAt = at;
+        continue;
+      }
       const base = {kind: 'later', worker, worth, expectedMs} as const;
       places.push({...base, startAt: at, isVacancy});
     }
