--- a/packages/dispatch/src/dispatcher/observer.ts
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -50,6 +50,13 @@
   startsForgotten(count: number): void;
   /** Tasks were placed with regard to others that wait, in one round. */
   startsPlanned(counts: PlannedCounts): void;
+  /** A late run is moved, as it would take that multiple of its time there. */
+  runMoved(run: Run, lengthFactor: number): void;
+  /**
+   * A job ends as this run takes `totalMs` by its progress, more than is left of
+   * its time; `leftMs` is the time to the deadline.
+   */
+  jobOverlong(run: Run, totalMs: Millis, leftMs: Millis): void;
   /** `waitMs` is the time until the work ahead of the job has drained. */
   jobRefused(
     refused: RefusedJob,
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -19,9 +19,6 @@
   readonly remoteFactor?: number | undefined;
 }
 
-/** The factor for remote data where the settings don't name one. */
-export const DEFAULT_REMOTE_FACTOR = 2;
-
 /** Time after which a task of a lost delegate has certainly ended, in ms. */
 export const DELEGATED_RUN_MAX_MS = 2_000;
 
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -9,6 +9,7 @@
 import {RemoteRuns} from '../remote_runs/index.js';
 import {RunTimes} from '../run_times/index.js';
 import type {TaskHistory} from '../task_history/index.js';
+import {ProgressTrust, RecentRuns} from '../work_estimates/index.js';
 import {
   AbandonReason,
   createAbandoned,
@@ -35,8 +36,10 @@
   StrikeReason,
   StrikeRecorder,
   addSuccess,
+  learnFromRun,
 } from './worker_state/index.js';
 import {JobRecord, type EndedJob, type TaskRecord} from './jobs/index.js';
+import {Evacuation} from './evacuation/index.js';
 import type {DispatchObserver} from './observer.js';
 import {RunEnds, type SoleHolder} from './ending/index.js';
 import {RunNumbers} from './starts/index.js';
@@ -46,6 +49,10 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly runTimes = new RunTimes();
+  /** Runs that can't end before the deadlines of their jobs by their progress. */
+  readonly overlongRuns = new Set<Run>();
+  readonly progressTrust = new ProgressTrust();
+  readonly recentRuns = new RecentRuns();
   /** Runs in other zones that may go on. */
   readonly delegatedRuns = new Set<Run>();
   /** Tasks that other zones have delegated to this one. */
@@ -76,6 +83,7 @@
   readonly lateLeases = new Map<string, Millis>();
   /** Jobs that other zones may still run. */
   readonly remoteRuns = new RemoteRuns();
+  readonly evacuation = new Evacuation();
   readonly crashRecorder: CrashRecorder;
   readonly strikeRecorder: StrikeRecorder;
 
@@ -92,7 +100,8 @@
   addJob(job: Job, now: Millis): JobRecord {
     const expectedMs = this.predictJob(job);
     const lastRun = this.runNumbers.findLast(job.id, now);
-    const record = new JobRecord(job, expectedMs, lastRun);
+    const tail = this.runTimes.getTail(job.queue);
+    const record = new JobRecord(job, expectedMs, lastRun, tail);
     record.mayHaveUnknownRuns = this.runNumbers.mayHaveUnknownRuns(job.id, now);
     this.jobs.set(job.id, record);
     this.heldWork.add(record.size);
@@ -127,6 +136,9 @@
     const worker = this.workers.get(run.workerId);
     if (worker?.runs.get(run.key) === run) worker.removeRun(run.key);
     this.delegatedRuns.delete(run);
+    if (end === 'refused' && run.delegatedTo !== undefined)
+      this.evacuation.recordRefusal(run.recordId, run.delegatedTo, now);
+    this.overlongRuns.delete(run);
     this.isPlacementDue = true;
     const tookMs = now - run.startedAt;
     this.observer.runEnded(run, end, tookMs);
@@ -139,7 +151,7 @@
     // A zone starts a delegated run once, so no other run has its number.
     if (run.number === record.job.delegated?.run)
       record.mayHaveUnknownRuns = false;
-    if (end === RunEnd.Done) this.recordSuccess(record, task, run, tookMs);
+    if (end === RunEnd.Done) this.recordSuccess(record, task, run, now);
     else if (end === RunEnd.Failed) this.recordFailure(record, task, run, now);
     else if (record.isInbound)
       record.pendingOutcome ??= createAbandoned(AbandonReason.RunLost);
@@ -232,21 +244,20 @@
     if (worker !== undefined) this.lateLeases.set(id, worker.lateLeasesEndAt);
     this.workers.delete(id);
     this.runTimes.forget(id);
+    this.recentRuns.forget(id);
   }
 
   private recordSuccess(
     record: JobRecord,
     task: TaskRecord,
     run: Run,
-    tookMs: Millis,
+    now: Millis,
   ): void {
     record.setState(task, {kind: 'done'});
-    const {job} = record;
-    const {estimateMs} = task.step;
     // The time includes the transfer between zones, so that it does not show
     // the worker's speed.
     if (run.delegatedTo !== undefined) return;
-    this.runTimes.learn(run.workerId, job.queue, estimateMs, tookMs);
+    learnFromRun(this, record, task, run, now);
     const worker = this.workers.get(run.workerId);
     if (worker !== undefined) addSuccess(worker);
   }
--- a/packages/dispatch/src/placement/capacity_forecast.ts
+++ b/packages/dispatch/src/placement/capacity_forecast.ts
@@ -26,12 +26,6 @@
 /** Maximum number of reservations in a round, which bounds its time. */
 const MAX_RESERVATIONS = 256;
 
-/**
- * Factor on the expected run time within which a run ends with a probability of
- * nine in ten: 1.28 standard deviations of 0.35 of its logarithm.
- */
-const LATE_END_FACTOR = 1.57;
-
 /** A place in the future on one worker. */
 export interface PlannedUse {
   readonly worker: WorkerRecord;
@@ -60,13 +54,13 @@
   }
 
   /**
-   * What is free for a task that starts now: with reservations, what it can use
-   * until it ends with high probability.
+   * What is free for a task that starts now and ends within `likelyMs` with high
+   * probability: with reservations, what it can use all that time.
    */
-  findFree(worker: WorkerRecord, expectedMs: Millis): Resources {
+  findFree(worker: WorkerRecord, likelyMs: Millis): Resources {
     const held = this.heldProfiles.get(worker);
     if (held === undefined) return worker.computeFreeResources();
-    return held.findFree(this.now, this.now + expectedMs * LATE_END_FACTOR);
+    return held.findFree(this.now, this.now + likelyMs);
   }
 
   /** Whether a task that starts now uses capacity that is reserved later. */
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -7,7 +7,10 @@
 import {canEverRun, countFitting, subtract} from './fit.js';
 import {weighLater, type Place} from './place.js';
 import type {CapacityForecast} from './capacity_forecast.js';
+import {LIKELY_FACTOR} from '../work_estimates/index.js';
 
+/** The factor for remote data where the settings don't name one. */
+export const DEFAULT_REMOTE_FACTOR = 2;
 /** Number of tasks of a step that are planned in one place in sequence. */
 const MAX_WAVES = 4;
 /** Maximum number of runs on a worker, which lists them all in each report. */
@@ -71,7 +74,7 @@
   const maxPlaces = limitPlaces(demand, id);
   const resources = demand.ignoresReservations
     ? worker.computeFreeResources()
-    : upcoming.findFree(worker, expectedMs);
+    : upcoming.findFree(worker, expectedMs * LIKELY_FACTOR);
   const limits = {expectedMs, maxPlaces};
   const free = listFreePlaces(demand, worker, resources, limits, now);
   const vacancyAt =
--- a/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
+++ b/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
@@ -8,6 +8,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {
   countFitting,
+  DEFAULT_REMOTE_FACTOR,
   estimateWorth,
   type Demand,
   type RemotePlace,
@@ -35,6 +36,19 @@
   readonly vacancies: readonly Vacancy[];
 }
 
+/** What is delegated, and where to. */
+export interface DelegationLimits {
+  /** Whether tasks with constraints are delegated too; their zone checks them. */
+  readonly isAnyTask: boolean;
+  readonly isExcluded: (zone: string) => boolean;
+}
+
+/** What the run time of a task in another zone is predicted from. */
+interface RunTimeFactors {
+  readonly runTimes: RunTimes;
+  readonly remoteFactor: number;
+}
+
 interface VacancyRecord {
   readonly reported: ZoneVacancies;
   readonly reportedAt: Millis;
@@ -46,6 +60,9 @@
 export class RemoteVacancies {
   private readonly records = new Map<string, VacancyRecord>();
 
+  /** The factor applies to a task outside the rack that has its data. */
+  constructor(private readonly remoteFactor = DEFAULT_REMOTE_FACTOR) {}
+
   /** Replaces the report of a zone. */
   update(reported: ZoneVacancies, now: Millis): void {
     const remaining = [...reported.vacancies];
@@ -60,43 +77,69 @@
     }
   }
 
+  /** Lists the zones with a recent report for the service. */
+  listZones(service: string, now: Millis): readonly string[] {
+    return [...this.records.values()]
+      .filter(record => isRecent(record, service, now))
+      .map(({reported}) => reported.zone);
+  }
+
   /** Lists places in other zones for the demand. */
   listPlaces(
     service: string,
     demand: Demand,
     runTimes: RunTimes,
+    {isAnyTask, isExcluded}: DelegationLimits,
     now: Millis,
   ): RemotePlace[] {
-    if (!isDelegable(demand.step)) return [];
+    if (!isAnyTask && !isDelegable(demand.step)) return [];
     const places: RemotePlace[] = [];
     for (const record of this.records.values()) {
-      const isFresh = now - record.reportedAt < MAX_AGE_MS;
-      if (record.reported.service !== service || !isFresh) continue;
+      const {zone} = record.reported;
+      if (!isRecent(record, service, now) || isExcluded(zone)) continue;
+      const inZone: RemotePlace[] = [];
       for (const index of record.remaining.keys()) {
-        places.push(...listWorkerPlaces(record, index, demand, runTimes, now));
+        const factors = {runTimes, remoteFactor: this.remoteFactor};
+        inZone.push(...listWorkerPlaces(record, index, demand, factors, now));
       }
+      const max = limitPlaces(demand, zone);
+      places.push(...(max < inZone.length ? inZone.slice(0, max) : inZone));
     }
     return places;
   }
 }
 
+function isRecent(
+  {reported, reportedAt}: VacancyRecord,
+  service: string,
+  now: Millis,
+): boolean {
+  return reported.service === service && now - reportedAt < MAX_AGE_MS;
+}
+
+/** A zone may have one worker for the tasks, so its limit is that of a worker. */
+function limitPlaces({step, countRunningOn}: Demand, zone: string): number {
+  if (step.maxPerWorker === undefined) return Infinity;
+  return Math.max(0, step.maxPerWorker - countRunningOn(zone));
+}
+
 /** Lists the places on one worker of another zone. */
 function listWorkerPlaces(
   record: VacancyRecord,
   index: number,
   {queue, step, due, count}: Demand,
-  runTimes: RunTimes,
+  {runTimes, remoteFactor}: RunTimeFactors,
   now: Millis,
 ): RemotePlace[] {
   const vacancy = record.remaining[index];
   if (vacancy === undefined) return [];
-  const fitting = Math.min(
-    count,
-    countFitting(step.need, toResources(vacancy)),
-  );
+  // Reports don't tell accelerators, so the other zone decides about them.
+  const need = {...step.need, accelerators: 0};
+  const fitting = Math.min(count, countFitting(need, toResources(vacancy)));
   if (fitting === 0) return [];
   const typicalMs = runTimes.predict(queue, step.estimateMs);
-  const expectedMs = typicalMs * vacancy.slowness + ROUND_TRIP_MS;
+  const dataFactor = step.dataRack === undefined ? 1 : remoteFactor;
+  const expectedMs = typicalMs * vacancy.slowness * dataFactor + ROUND_TRIP_MS;
   const worth = estimateWorth(due, expectedMs, now);
   const {zone} = record.reported;
   const reserve = () => reserveVacancy(record, index, step);
--- a/packages/dispatch/test/lookahead.test.ts
+++ b/packages/dispatch/test/lookahead.test.ts
@@ -20,7 +20,7 @@
   options,
   pollAllWorkers,
 } from './fixtures/dispatcher_setup.js';
-import {simulateSizes} from './fixtures/simulated_load.js';
+import {simulateSizes, type SimulatedTail} from './fixtures/simulated_load.js';
 import {createUnevenSizes} from './fixtures/uneven_sizes.js';
 
 function need(cpuMillis: number, memoryMb = 64, accelerators = 0) {
@@ -161,11 +161,10 @@
 });
 
 /** Results by size of two seeds: small, middle and large tasks. */
-function simulateBySize(busyShare: number, overruns?: {share: number}) {
+function simulateBySize(busyShare: number, tail?: SimulatedTail) {
   const results = [1, 2].map(seed => {
     const base = {seed, busyShare, workers: 41, lengthMs: 8_000};
-    const tasks = overruns ? {overruns: {...overruns, factor: 7}} : {};
-    return simulateSizes(createUnevenSizes({...base, tasks}));
+    return simulateSizes(createUnevenSizes({...base, ...(tail && {tail})}));
   });
   return [0, 1, 2].map(index => {
     const both = results.map(sizes => sizes[index]?.served ?? 0);
@@ -185,7 +184,7 @@
 });
 
 test('no size starves when some tasks take seven times as long as declared', t => {
-  const shares = simulateBySize(0.8, {share: 0.03});
+  const shares = simulateBySize(0.8, {share: 0.03, factor: 7});
   t.diagnostic(`served by size: ${shares.join(' ')}`);
   for (const share of shares) assert.ok(share > 0.75, `${share}`);
 });
--- a/packages/dispatch/test/lost_runs.test.ts
+++ b/packages/dispatch/test/lost_runs.test.ts
@@ -35,6 +35,8 @@
     startsPlanned: () => undefined,
     workerStruck: () => undefined,
     jobRefused: () => undefined,
+    runMoved: () => undefined,
+    jobOverlong: () => undefined,
   });
   dispatcher.setWorkers([createWorker('w1')], 0);
   dispatcher.confirmWorkerList();
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -61,6 +61,16 @@
     'Jobs failed because several workers crashed under one of their tasks.',
     [],
   );
+  readonly movedRuns = this.createCounter(
+    'goldcrestpier_moved_runs_total',
+    'Late runs that were stopped to run elsewhere.',
+    [],
+  );
+  readonly overlongJobs = this.createCounter(
+    'goldcrestpier_overlong_jobs_total',
+    'Jobs ended because a run could not end before the deadline.',
+    [],
+  );
   readonly blockedJobs = this.createCounter(
     'goldcrestpier_blocked_jobs_total',
     'Jobs ended because a start of a task got no answer and may come late.',
@@ -146,6 +156,16 @@
     'Entries of the platform store that could not be decoded, by key prefix.',
     ['prefix'],
   );
+  readonly withheldStarts = this.createCounter(
+    'goldcrestpier_evacuation_withheld_total',
+    'Starts withheld at the holder of an evacuated zone, by kind of start.',
+    ['start'],
+  );
+  readonly isEvacuated = new Gauge({
+    name: 'goldcrestpier_evacuated',
+    help: '1 at the holder of an evacuated zone, otherwise 0.',
+    registers: [this.registry],
+  });
   readonly isReady = new Gauge({
     name: 'goldcrestpier_ready',
     help: '1 while this instance accepts new connections, otherwise 0.',
