--- a/packages/dispatch/bench/placement.ts
+++ b/packages/dispatch/bench/placement.ts
@@ -41,7 +41,7 @@
 
 measureTicks();
 for (const isEven of [true, false]) {
-  for (const busyShare of [0.6, 0.83]) {
+  for (const busyShare of [0.6, 0.83, 1.1]) {
     const times = Array.from({length: REPEATS}, () =>
       measure(busyShare, isEven),
     ).sort((a, b) => a - b);
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -132,8 +132,8 @@
         tooLateAt = at;
         continue;
       }
-      const base = {kind: 'later', worker, worth, expectedMs} as const;
-      places.push({...base, startAt: at, isVacancy});
+      const startAt = at;
+      places.push({kind: 'later', worker, worth, expectedMs, startAt, isVacancy});
     }
   }
 }
