--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -64,7 +64,7 @@
   /** Whether nothing may start on the workers of this zone. */
   readonly evacuation: Evacuation;
   private readonly registry: Registry;
-  private readonly remoteVacancies: RemoteVacancies;
+  private readonly remoteVacancies = new RemoteVacancies();
   private readonly earlierRuns: EarlierRuns;
   private readonly placer: Placer;
   private readonly intake: Intake;
@@ -85,7 +85,6 @@
     this.registry = new Registry(observer, history, this.soleHolder);
     this.evacuation = this.registry.evacuation;
     this.earlierRuns = new EarlierRuns(this.registry, options.leaseMs);
-    this.remoteVacancies = new RemoteVacancies(options.remoteFactor);
     const {registry, remoteVacancies, earlierRuns} = this;
     this.placer = new Placer(registry, remoteVacancies, earlierRuns, options);
     this.intake = new Intake(registry, this.placer, options.leaseMs);
--- a/packages/dispatch/src/dispatcher/placing/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -228,6 +228,7 @@
   ): readonly RemotePlace[] {
     if (record.isInbound) return [];
     const {runTimes, delegatedRuns, evacuation} = this.registry;
+    const factors = {runTimes, remoteFactor: this.remoteFactor};
     const {service} = record.job;
     const limits = {
       isAnyTask: evacuation.isActive,
@@ -235,7 +236,7 @@
         !evacuation.mayDelegate(record.id, zone, now),
     };
     return this.remoteVacancies
-      .listPlaces(service, demand, runTimes, limits, now)
+      .listPlaces(service, demand, factors, limits, now)
       .slice(0, Math.max(0, evacuation.maxDelegatedRuns - delegatedRuns.size));
   }
 
--- a/packages/dispatch/src/placement/capacity_forecast.ts
+++ b/packages/dispatch/src/placement/capacity_forecast.ts
@@ -8,7 +8,7 @@
 import type {Resources} from '../work/index.js';
 import type {Run, WorkerRecord} from '../workers/index.js';
 import {fits} from './fit.js';
-import {ResourceProfile} from './resource_profile.js';
+import {ResourceProfile, type Release} from './resource_profile.js';
 import type {WaitingSizes} from './waiting_sizes.js';
 
 /** Time from now in which an overdue run is expected to end, in ms. */
@@ -93,10 +93,9 @@
   }
 
   private createProfile(worker: WorkerRecord): ResourceProfile {
-    const releases = [...worker.runs.values()].map(run => ({
-      at: this.predictEnd(run),
-      need: run.need,
-    }));
+    const releases: Release[] = [];
+    for (const run of worker.runs.values())
+      releases.push({at: this.predictEnd(run), need: run.need});
     const free = worker.computeFreeResources();
     return ResourceProfile.create(free, releases, this.now);
   }
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -50,7 +50,7 @@
   readonly maxPlaces: number;
   /** The places that are free now. */
   readonly free: readonly Place[];
-  /** Weight that none of its later places exceeds; 0 if it has none. */
+  /** Weight that none of its later places exceeds; -1 if it has none. */
   readonly maxLaterWeight: number;
 }
 
@@ -86,7 +86,7 @@
   const hasLater = free.length < maxPlaces && laterAt <= due.usefulUntil;
   const maxLaterWeight = hasLater
     ? weighLater(estimateWorth(due, expectedMs, laterAt))
-    : 0;
+    : -1;
   return {worker, expectedMs, maxPlaces, free, maxLaterWeight};
 }
 
@@ -133,7 +133,14 @@
         continue;
       }
       const startAt = at;
-      places.push({kind: 'later', worker, worth, expectedMs, startAt, isVacancy});
+      places.push({
+        kind: 'later',
+        worker,
+        worth,
+        expectedMs,
+        startAt,
+        isVacancy,
+      });
     }
   }
 }
--- a/packages/dispatch/src/placement/plan_step.ts
+++ b/packages/dispatch/src/placement/plan_step.ts
@@ -73,7 +73,7 @@
   const places: Place[] = [];
   for (const offer of offers) {
     for (const place of offer.free) places.push(place);
-    if (offer.maxLaterWeight > 0 && offer.maxLaterWeight >= minWeight)
+    if (offer.maxLaterWeight >= minWeight)
       addLaterPlaces(places, demand, offer, forecast.upcoming, minWeight, now);
   }
   return places;
--- a/packages/dispatch/src/placement/resource_profile.ts
+++ b/packages/dispatch/src/placement/resource_profile.ts
@@ -6,6 +6,8 @@
 import type {Resources} from '../work/index.js';
 import {countFitting, fits, subtract} from './fit.js';
 
+const NOTHING: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+
 /** From `at` until the next level, `free` is available. */
 interface Level {
   readonly at: Millis;
@@ -32,7 +34,10 @@
     releases: readonly Release[],
     now: Millis,
   ): ResourceProfile {
-    const sorted = [...releases].sort((a, b) => a.at - b.at);
+    const sorted =
+      releases.length > 1
+        ? [...releases].sort((a, b) => a.at - b.at)
+        : releases;
     const levels: Level[] = [{at: now, free}];
     let current = free;
     for (const {at, need} of sorted) {
@@ -46,26 +51,29 @@
 
   /** What is free during all of the time from `from` until before `until`. */
   findFree(from: Millis, until: Millis): Resources {
+    const {levels} = this;
     let least: Resources | undefined;
-    for (const [index, {at, free}] of this.levels.entries()) {
-      if (at >= until) break;
-      const end = this.levels[index + 1]?.at ?? Infinity;
-      if (end <= from) continue;
-      least = least === undefined ? free : takeLess(least, free);
+    for (let index = 0; index < levels.length; index += 1) {
+      const level = levels[index];
+      if (level === undefined || level.at >= until) break;
+      const next = levels[index + 1];
+      if (next !== undefined && next.at <= from) continue;
+      least = least === undefined ? level.free : takeLess(least, level.free);
     }
-    return least ?? {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+    return least ?? NOTHING;
   }
 
   /** Finds the first time after the first level at which `need` fits once more. */
   findVacancy(need: Resources): Millis {
     const steady = this.getSteady();
-    const last = steady[steady.length - 1];
-    if (last === undefined || !fits(need, last)) return Infinity;
-    const [first = last] = steady;
-    const before = countFitting(need, first);
+    const first = steady[0] ?? NOTHING;
+    const last = steady[steady.length - 1] ?? NOTHING;
+    if (!fits(need, last)) return Infinity;
+    // Most workers are full, where no division is needed.
+    const before = fits(need, first) ? countFitting(need, first) : 0;
     for (let index = 1; index < steady.length; index += 1) {
-      const free = steady[index];
-      if (free !== undefined && countFitting(need, free) > before)
+      const free = steady[index] ?? NOTHING;
+      if (before === 0 ? fits(need, free) : countFitting(need, free) > before)
         return this.levels[index]?.at ?? Infinity;
     }
     return Infinity;
@@ -76,13 +84,17 @@
    * stays free from then on; at most `limit`, the first one first.
    */
   listVacancies(need: Resources, limit: number): Millis[] {
-    const counts = this.getSteady().map(free => countFitting(need, free));
+    const steady = this.getSteady();
     const times: Millis[] = [];
-    for (let index = 1; index < counts.length; index += 1) {
-      const [before = 0, count = 0] = counts.slice(index - 1, index + 1);
-      const added = Math.min(limit - times.length, count - before);
+    let before = countFitting(need, steady[0] ?? NOTHING);
+    for (let index = 1; index < steady.length; index += 1) {
+      if (times.length >= limit) break;
+      const count = countFitting(need, steady[index] ?? NOTHING);
       const at = this.levels[index]?.at ?? Infinity;
-      for (let place = 0; place < added; place += 1) times.push(at);
+      while (before < count && times.length < limit) {
+        times.push(at);
+        before += 1;
+      }
     }
     return times;
   }
@@ -90,13 +102,11 @@
   /** What is free from each level on, which grows from level to level. */
   private getSteady(): readonly Resources[] {
     if (this.steady !== undefined) return this.steady;
-    const {levels} = this;
-    const steady: Resources[] = levels.map(({free}) => free);
+    const steady = this.levels.map(({free}) => free);
     if (this.hasReservations) {
       for (let index = steady.length - 2; index >= 0; index -= 1) {
-        const [free, next] = [steady[index], steady[index + 1]];
-        if (free !== undefined && next !== undefined)
-          steady[index] = takeLess(free, next);
+        const free = steady[index] ?? NOTHING;
+        steady[index] = takeLess(free, steady[index + 1] ?? free);
       }
     }
     this.steady = steady;
@@ -125,7 +135,10 @@
   }
 }
 
+/** Returns one of the two where it is less in all, which is the usual case. */
 function takeLess(a: Resources, b: Resources): Resources {
+  if (fits(a, b)) return a;
+  if (fits(b, a)) return b;
   return {
     cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
     memoryMb: Math.min(a.memoryMb, b.memoryMb),
--- a/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
+++ b/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
@@ -8,7 +8,6 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {
   countFitting,
-  DEFAULT_REMOTE_FACTOR,
   estimateWorth,
   type Demand,
   type RemotePlace,
@@ -44,8 +43,9 @@
 }
 
 /** What the run time of a task in another zone is predicted from. */
-interface RunTimeFactors {
+export interface RunTimeFactors {
   readonly runTimes: RunTimes;
+  /** Factor on the run time of a task outside the rack that has its data. */
   readonly remoteFactor: number;
 }
 
@@ -60,9 +60,6 @@
 export class RemoteVacancies {
   private readonly records = new Map<string, VacancyRecord>();
 
-  /** The factor applies to a task outside the rack that has its data. */
-  constructor(private readonly remoteFactor = DEFAULT_REMOTE_FACTOR) {}
-
   /** Replaces the report of a zone. */
   update(reported: ZoneVacancies, now: Millis): void {
     const remaining = [...reported.vacancies];
@@ -88,7 +85,7 @@
   listPlaces(
     service: string,
     demand: Demand,
-    runTimes: RunTimes,
+    factors: RunTimeFactors,
     {isAnyTask, isExcluded}: DelegationLimits,
     now: Millis,
   ): RemotePlace[] {
@@ -99,7 +96,6 @@
       if (!isRecent(record, service, now) || isExcluded(zone)) continue;
       const inZone: RemotePlace[] = [];
       for (const index of record.remaining.keys()) {
-        const factors = {runTimes, remoteFactor: this.remoteFactor};
         inZone.push(...listWorkerPlaces(record, index, demand, factors, now));
       }
       const max = limitPlaces(demand, zone);
