Weigh waiting sizes only where a remainder is measured

Each round averaged all workers' capacities several times over, also where no place was compared by its fit. A profile keeps its last answer.

--- a/packages/dispatch/src/placement/capacity_forecast.ts
+++ b/packages/dispatch/src/placement/capacity_forecast.ts
@@ -58,7 +58,9 @@
    * probability: with reservations, what it can use all that time.
    */
   findFree(worker: WorkerRecord, likelyMs: Millis): Resources {
-    const held = this.heldProfiles.get(worker);
+    // In most rounds nothing is held.
+    const held =
+      this.heldProfiles.size > 0 ? this.heldProfiles.get(worker) : undefined;
     if (held === undefined) return worker.computeFreeResources();
     return held.findFree(this.now, this.now + likelyMs);
   }
--- a/packages/dispatch/src/placement/fit.ts
+++ b/packages/dispatch/src/placement/fit.ts
@@ -22,7 +22,8 @@
   return Math.max(0, Math.floor(count));
 }
 
-function divide(available: number, need: number): number {
+/** How often `need` goes into `available`; no limit where nothing is needed. */
+export function divide(available: number, need: number): number {
   return need > 0 ? available / need : Infinity;
 }
 
@@ -47,3 +48,13 @@
     accelerators: from.accelerators - times * need.accelerators,
   };
 }
+
+/** Whether the amounts are the same. */
+export function areEqual(a: Resources, b: Resources): boolean {
+  return (
+    a === b ||
+    (a.cpuMillis === b.cpuMillis &&
+      a.memoryMb === b.memoryMb &&
+      a.accelerators === b.accelerators)
+  );
+}
--- a/packages/dispatch/src/placement/resource_profile.ts
+++ b/packages/dispatch/src/placement/resource_profile.ts
@@ -4,7 +4,7 @@
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Resources} from '../work/index.js';
-import {countFitting, fits, subtract} from './fit.js';
+import {areEqual, countFitting, fits, subtract} from './fit.js';
 
 const NOTHING: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
@@ -25,6 +25,8 @@
   private hasReservations = false;
   /** Kept until the next reservation. */
   private steady: readonly Resources[] | undefined;
+  /** The last answer; tasks of equal size often ask one after another. */
+  private vacancy: {readonly need: Resources; readonly at: Millis} | undefined;
 
   private constructor(private readonly levels: Level[]) {}
 
@@ -65,6 +67,14 @@
 
   /** Finds the first time after the first level at which `need` fits once more. */
   findVacancy(need: Resources): Millis {
+    if (this.vacancy !== undefined && areEqual(this.vacancy.need, need))
+      return this.vacancy.at;
+    const at = this.searchVacancy(need);
+    this.vacancy = {need, at};
+    return at;
+  }
+
+  private searchVacancy(need: Resources): Millis {
     const steady = this.getSteady();
     const first = steady[0] ?? NOTHING;
     const last = steady[steady.length - 1] ?? NOTHING;
@@ -117,6 +127,7 @@
   reserve(need: Resources, from: Millis, until: Millis): void {
     this.hasReservations = true;
     this.steady = undefined;
+    this.vacancy = undefined;
     this.split(from);
     this.split(until);
     for (const level of this.levels) {
--- a/packages/dispatch/src/placement/waiting_sizes.ts
+++ b/packages/dispatch/src/placement/waiting_sizes.ts
@@ -3,7 +3,7 @@
  * whether placement looks ahead, and how much of a remainder is unusable.
  */
 import type {Resources} from '../work/index.js';
-import {fits, subtract} from './fit.js';
+import {areEqual, divide, fits, subtract} from './fit.js';
 
 /** Maximum number of distinct sizes that are tried on a remainder. */
 const MAX_SIZES = 5;
@@ -18,15 +18,15 @@
 export class WaitingSizes {
   /** Whether tasks of different sizes wait, or none fills its worker evenly. */
   readonly isUneven: boolean;
-  private readonly sizes: readonly Resources[];
-  private readonly weights: Resources;
+  private packing: Packing | undefined;
   private readonly wasteByRemainder = new Map<number, number>();
 
   /** Both lists may be long; equal entries that follow each other are cheap. */
-  constructor(needs: readonly Resources[], capacities: readonly Resources[]) {
+  constructor(
+    private readonly needs: readonly Resources[],
+    private readonly capacities: readonly Resources[],
+  ) {
     this.isUneven = areUneven(needs, capacities);
-    this.sizes = this.isUneven ? sample(needs) : [];
-    this.weights = weighDimensions(this.sizes, capacities);
   }
 
   /**
@@ -37,33 +37,12 @@
     const key = this.toKey(remainder);
     const known = this.wasteByRemainder.get(key);
     if (known !== undefined) return known;
-    const waste = Math.round(this.findWaste(remainder, 0, MAX_PACKED));
+    this.packing ??= createPacking(this.needs, this.capacities);
+    const waste = Math.round(findWaste(this.packing, remainder, 0, MAX_PACKED));
     this.wasteByRemainder.set(key, waste);
     return waste;
   }
 
-  /** Tries sizes from `first` on, so that each combination is tried once. */
-  private findWaste(remainder: Resources, first: number, left: number): number {
-    let least = this.weigh(remainder);
-    if (left === 0) return least;
-    for (let index = first; index < this.sizes.length; index += 1) {
-      const size = this.sizes[index];
-      if (size === undefined || !fits(size, remainder)) continue;
-      const rest = subtract(remainder, size, 1);
-      least = Math.min(least, this.findWaste(rest, index, left - 1));
-    }
-    return least;
-  }
-
-  private weigh({cpuMillis, memoryMb, accelerators}: Resources): number {
-    const {weights} = this;
-    return (
-      cpuMillis * weights.cpuMillis +
-      memoryMb * weights.memoryMb +
-      accelerators * weights.accelerators
-    );
-  }
-
   private toKey({cpuMillis, memoryMb, accelerators}: Resources): number {
     // Distinct for up to 4,096 GB and 64 accelerators.
     const cpu = Math.round(cpuMillis / 100);
@@ -71,26 +50,65 @@
   }
 }
 
+/** What remainders are measured with. */
+interface Packing {
+  readonly sizes: readonly Resources[];
+  /** Weight of each resource. */
+  readonly weights: Resources;
+}
+
+function createPacking(
+  needs: readonly Resources[],
+  capacities: readonly Resources[],
+): Packing {
+  const sizes = sample(needs);
+  return {sizes, weights: weighDimensions(sizes, capacities)};
+}
+
+/** Tries sizes from `first` on, so that each combination is tried once. */
+function findWaste(
+  packing: Packing,
+  remainder: Resources,
+  first: number,
+  left: number,
+): number {
+  const {sizes, weights} = packing;
+  let least = weigh(remainder, weights);
+  if (left === 0) return least;
+  for (let index = first; index < sizes.length; index += 1) {
+    const size = sizes[index];
+    if (size === undefined || !fits(size, remainder)) continue;
+    const rest = subtract(remainder, size, 1);
+    least = Math.min(least, findWaste(packing, rest, index, left - 1));
+  }
+  return least;
+}
+
+function weigh(amounts: Resources, weights: Resources): number {
+  return (
+    amounts.cpuMillis * weights.cpuMillis +
+    amounts.memoryMb * weights.memoryMb +
+    amounts.accelerators * weights.accelerators
+  );
+}
+
 function areUneven(
   needs: readonly Resources[],
   capacities: readonly Resources[],
 ): boolean {
   const [first] = needs;
   if (first === undefined) return false;
-  if (needs.some(need => !isEqual(need, first))) return true;
+  if (needs.some(need => !areEqual(need, first))) return true;
   return capacities.some(capacity => leavesRemainder(first, capacity));
 }
 
-function isEqual(a: Resources, b: Resources): boolean {
-  return a === b || DIMENSIONS.every(name => a[name] === b[name]);
-}
-
 /** Whether the resource that runs out first is not used up by equal tasks. */
 function leavesRemainder(need: Resources, capacity: Resources): boolean {
-  let count = Infinity;
-  for (const name of DIMENSIONS) {
-    if (need[name] > 0) count = Math.min(count, capacity[name] / need[name]);
-  }
+  const count = Math.min(
+    divide(capacity.cpuMillis, need.cpuMillis),
+    divide(capacity.memoryMb, need.memoryMb),
+    divide(capacity.accelerators, need.accelerators),
+  );
   return Number.isFinite(count) && !Number.isInteger(count);
 }
 
@@ -99,7 +117,7 @@
   const sorted = [...needs].sort((a, b) => b.cpuMillis - a.cpuMillis);
   const distinct = sorted.filter((need, index) => {
     const before = sorted[index - 1];
-    return before === undefined || !isEqual(need, before);
+    return before === undefined || !areEqual(need, before);
   });
   if (distinct.length <= MAX_SIZES) return distinct;
   const gap = (distinct.length - 1) / (MAX_SIZES - 1);
@@ -117,23 +135,27 @@
   const weights = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
   if (sizes.length === 0) return weights;
   const scarcities = {...weights};
+  const capacity = average(capacities);
+  const size = average(sizes);
   for (const name of DIMENSIONS) {
-    const capacity = average(capacities, name);
-    if (capacity > 0) scarcities[name] = average(sizes, name) / capacity;
+    if (capacity[name] > 0) scarcities[name] = size[name] / capacity[name];
   }
   const most = Math.max(...DIMENSIONS.map(name => scarcities[name]));
   for (const name of DIMENSIONS) {
-    const capacity = average(capacities, name);
-    if (capacity > 0 && most > 0)
-      weights[name] = (REMAINDER_STEPS * scarcities[name]) / most / capacity;
+    if (capacity[name] > 0 && most > 0)
+      weights[name] =
+        (REMAINDER_STEPS * scarcities[name]) / most / capacity[name];
   }
   return weights;
 }
 
-function average(
-  amounts: readonly Resources[],
-  name: (typeof DIMENSIONS)[number],
-): number {
-  const total = amounts.reduce((sum, amount) => sum + amount[name], 0);
-  return total / Math.max(1, amounts.length);
+function average(amounts: readonly Resources[]): Resources {
+  const mean = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  const share = 1 / Math.max(1, amounts.length);
+  for (const {cpuMillis, memoryMb, accelerators} of amounts) {
+    mean.cpuMillis += share * cpuMillis;
+    mean.memoryMb += share * memoryMb;
+    mean.accelerators += share * accelerators;
+  }
+  return mean;
 }
