--- a/packages/dispatch/src/placement/capacity_forecast.ts
+++ b/packages/dispatch/src/placement/capacity_forecast.ts
@@ -13,11 +13,6 @@
 
 /** Time from now in which an overdue run is expected to end, in ms. */
 const OVERDUE_DELAY_MS = 30;
-/**
- * The same as a share of its delay. The longer a run is overdue, the longer it
- * goes on: its place must not be held free all that time.
- */
-const OVERDUE_SHARE = 0.5;
 /**
  * Longest time for which capacity is held, as a share of the run time of the
  * task that waits for it: to hold it longer costs more than the task is late.
@@ -131,9 +126,6 @@
   }
 
   private predictEnd({expectedEndAt}: Run): Millis {
-    const lateMs = Math.max(0, this.now - expectedEndAt);
-    const share = this.isUneven ? OVERDUE_SHARE : 0;
-    const delayMs = Math.max(OVERDUE_DELAY_MS, share * lateMs);
-    return Math.max(expectedEndAt, this.now + delayMs);
+    return Math.max(expectedEndAt, this.now + OVERDUE_DELAY_MS);
   }
 }
