--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -12,6 +12,11 @@
    * holder's time if it follows a short-lived one; else left out.
    */
   readonly unclaimedSince?: Millis | undefined;
+  /**
+   * Factor on the run time of a task outside the rack that has its data;
+   * `DEFAULT_REMOTE_FACTOR` if left out.
+   */
+  readonly remoteFactor?: number | undefined;
 }
 
 /** Time after which a task of a lost delegate has certainly ended, in ms. */
--- a/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
@@ -93,7 +93,7 @@
   run.judgeAt = now + JUDGE_INTERVAL_MS;
   const demand = lengthenDemand(createDemand(record, task, 1), lengthFactor);
   const {runTimes} = registry;
-  const forecast = {runTimes, upcoming: round.upcoming};
+  const forecast = {runTimes, upcoming: round.findForecast(record.job.service)};
   const {places} = planStep(
     demand,
     others,
--- a/packages/dispatch/src/dispatcher/placing/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import type {RemoteVacancies} from '../../remote_vacancies/index.js';
 import {
+  DEFAULT_REMOTE_FACTOR,
   planStep,
   type Demand,
   type Place,
@@ -9,6 +10,7 @@
   type StepPlan,
 } from '../../placement/index.js';
 import type {WorkerRecord} from '../../workers/index.js';
+import type {DispatcherOptions} from '../options.js';
 import type {Registry} from '../registry.js';
 import {createRun} from './create_run.js';
 import {mustRunAlone, placeSuspectedTasks} from './crashing_tasks.js';
@@ -26,6 +28,7 @@
 import type {Command} from '../commands.js';
 import {limitToZones} from './limit_to_zones.js';
 import {PlacementRound} from './placement_round.js';
+import {PlannedStarts} from './planned_starts.js';
 
 /**
  * Longest time between placements, in ms: expected ends and deadlines come
@@ -46,12 +49,18 @@
 /** Places the waiting tasks of one registry. */
 export class Placer {
   private lastPlacedAt: Millis = -Infinity;
+  private readonly remoteFactor: number;
+  private readonly plannedStarts: PlannedStarts;
 
   constructor(
     private readonly registry: Registry,
     private readonly remoteVacancies: RemoteVacancies,
     private readonly earlierRuns: EarlierRuns,
-  ) {}
+    {remoteFactor = DEFAULT_REMOTE_FACTOR}: DispatcherOptions,
+  ) {
+    this.remoteFactor = remoteFactor;
+    this.plannedStarts = new PlannedStarts(registry.observer);
+  }
 
   /**
    * Places all tasks that fit somewhere now, if anything that decides about it
@@ -75,7 +84,12 @@
     const waiting = [...this.registry.jobs.values()]
       .filter(record => this.isPlaceable(record, now))
       .filter(record => !endIfBlocked(this.registry, record, now));
-    const round = new PlacementRound(this.registry, waiting, now);
+    const round = new PlacementRound(
+      this.registry,
+      waiting,
+      now,
+      this.remoteFactor,
+    );
     moveLateRuns(this.registry, round, now);
     const sorted = sortJobs(waiting, {
       hasStartBacklog,
@@ -84,6 +98,7 @@
     });
     const alone = placeSuspectedTasks(this.registry, sorted, round, now);
     const others = sorted.flatMap(record => this.placeJob(record, round, now));
+    this.plannedStarts.report();
     this.registry.startRate.record(0, this.registry.hasStartBacklog, now);
     return [...alone, ...others];
   }
@@ -203,7 +218,7 @@
       first.movedFrom,
     );
     const listRemotes = () => this.listRemotePlaces(record, demand, now);
-    const forecast = {runTimes, upcoming: round.upcoming};
+    const forecast = {runTimes, upcoming: round.findForecast(service)};
     return planStep(demand, workers, listRemotes, forecast, now);
   }
 
@@ -215,6 +230,7 @@
   ): readonly RemotePlace[] {
     if (record.isInbound) return [];
     const {runTimes, delegatedRuns, evacuation} = this.registry;
+    const factors = {runTimes, remoteFactor: this.remoteFactor};
     const {service} = record.job;
     const limits = {
       isAnyTask: evacuation.isActive,
@@ -222,7 +238,7 @@
         !evacuation.mayDelegate(record.id, zone, now),
     };
     return this.remoteVacancies
-      .listPlaces(service, demand, runTimes, limits, now)
+      .listPlaces(service, demand, factors, limits, now)
       .slice(0, Math.max(0, evacuation.maxDelegatedRuns - delegatedRuns.size));
   }
 
@@ -255,10 +271,12 @@
     round: PlacementRound,
     now: Millis,
   ): Command[] {
+    const forecast = round.findForecast(record.job.service);
     switch (place.kind) {
       case 'free': {
         const {worker, expectedMs} = place;
         const run = createRun(record, task, worker.info.id, expectedMs, now);
+        this.plannedStarts.start(forecast, task, place, now);
         this.registry.beginRun(record, task, run);
         worker.startWindow.add(run);
         return [{kind: 'start', run, payload: record.job.payload}];
@@ -275,7 +293,7 @@
         return [{kind: 'lend', zone, run, record, isAdopted: false}];
       }
       case 'later':
-        if (place.isVacancy) round.upcoming.reserve(place.worker);
+        this.plannedStarts.reserve(forecast, task, place);
         return [];
     }
   }
--- a/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
@@ -4,6 +4,7 @@
   estimateLengthFactor,
   findQuantile,
   isWorkerSlow,
+  LIKELY,
 } from '../../work_estimates/index.js';
 import {
   RunPhase,
@@ -28,8 +29,6 @@
 const STALLED_FACTOR = 4;
 /** Time after which a stopped run has certainly ended, in ms. */
 const MAX_STOP_MS = 60;
-/** Probability with which a run ends by the later of its estimates. */
-const LIKELY = 0.9;
 /** Relative error of the remaining time, confirmed by a second report or not. */
 const CONFIRMED_ERROR = 0.15;
 const UNCONFIRMED_ERROR = 0.4;
--- a/packages/dispatch/src/placement/fit.ts
+++ b/packages/dispatch/src/placement/fit.ts
@@ -22,6 +22,39 @@
   return Math.max(0, Math.floor(count));
 }
 
-function divide(available: number, need: number): number {
+/** How often `need` goes into `available`; no limit where nothing is needed. */
+export function divide(available: number, need: number): number {
   return need > 0 ? available / need : Infinity;
 }
+
+/** Whether `need` fits into `available`. */
+export function fits(need: Resources, available: Resources): boolean {
+  return (
+    need.cpuMillis <= available.cpuMillis &&
+    need.memoryMb <= available.memoryMb &&
+    need.accelerators <= available.accelerators
+  );
+}
+
+/** Returns `from` without `times` the amounts of `need`. */
+export function subtract(
+  from: Resources,
+  need: Resources,
+  times: number,
+): Resources {
+  return {
+    cpuMillis: from.cpuMillis - times * need.cpuMillis,
+    memoryMb: from.memoryMb - times * need.memoryMb,
+    accelerators: from.accelerators - times * need.accelerators,
+  };
+}
+
+/** Whether the amounts are the same. */
+export function areEqual(a: Resources, b: Resources): boolean {
+  return (
+    a === b ||
+    (a.cpuMillis === b.cpuMillis &&
+      a.memoryMb === b.memoryMb &&
+      a.accelerators === b.accelerators)
+  );
+}
--- a/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
+++ b/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
@@ -9,7 +9,6 @@
 import {
   countFitting,
   estimateWorth,
-  REMOTE_DATA_FACTOR,
   type Demand,
   type RemotePlace,
 } from '../placement/index.js';
@@ -43,6 +42,13 @@
   readonly isExcluded: (zone: string) => boolean;
 }
 
+/** What the run time of a task in another zone is predicted from. */
+export interface RunTimeFactors {
+  readonly runTimes: RunTimes;
+  /** Factor on the run time of a task outside the rack that has its data. */
+  readonly remoteFactor: number;
+}
+
 interface VacancyRecord {
   readonly reported: ZoneVacancies;
   readonly reportedAt: Millis;
@@ -79,7 +85,7 @@
   listPlaces(
     service: string,
     demand: Demand,
-    runTimes: RunTimes,
+    factors: RunTimeFactors,
     {isAnyTask, isExcluded}: DelegationLimits,
     now: Millis,
   ): RemotePlace[] {
@@ -90,7 +96,7 @@
       if (!isRecent(record, service, now) || isExcluded(zone)) continue;
       const inZone: RemotePlace[] = [];
       for (const index of record.remaining.keys()) {
-        inZone.push(...listWorkerPlaces(record, index, demand, runTimes, now));
+        inZone.push(...listWorkerPlaces(record, index, demand, factors, now));
       }
       const max = limitPlaces(demand, zone);
       places.push(...(max < inZone.length ? inZone.slice(0, max) : inZone));
@@ -118,7 +124,7 @@
   record: VacancyRecord,
   index: number,
   {queue, step, due, count}: Demand,
-  runTimes: RunTimes,
+  {runTimes, remoteFactor}: RunTimeFactors,
   now: Millis,
 ): RemotePlace[] {
   const vacancy = record.remaining[index];
@@ -128,7 +134,7 @@
   const fitting = Math.min(count, countFitting(need, toResources(vacancy)));
   if (fitting === 0) return [];
   const typicalMs = runTimes.predict(queue, step.estimateMs);
-  const dataFactor = step.dataRack === undefined ? 1 : REMOTE_DATA_FACTOR;
+  const dataFactor = step.dataRack === undefined ? 1 : remoteFactor;
   const expectedMs = typicalMs * vacancy.slowness * dataFactor + ROUND_TRIP_MS;
   const worth = estimateWorth(due, expectedMs, now);
   const {zone} = record.reported;
--- a/packages/dispatch/src/work_estimates/run_time_distribution.ts
+++ b/packages/dispatch/src/work_estimates/run_time_distribution.ts
@@ -37,6 +37,11 @@
   return {share, factor, inverseLengths};
 }
 
+/** Probability with which a run ends by the later of its estimates. */
+export const LIKELY = 0.9;
+/** Multiple of its expected time within which a usual run likely ends. */
+export const LIKELY_FACTOR = findQuantile(LIKELY, 0, NO_TAIL);
+
 /** Probability that a run takes at most `ratio` times its prediction. */
 export function estimateProbability(ratio: number, tail: Tail): number {
   const body = estimateBody(ratio);
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -16,6 +16,7 @@
   TaskDelegation,
 } from '../protocol/index.js';
 import {createLengthObserver} from './length_observer.js';
+import {createPlanObserver} from './plan_observer.js';
 import {countRunsOf} from './run_counts.js';
 
 /** Age from which a list of workers is logged with the placed tasks, in ms. */
@@ -75,6 +76,7 @@
     },
     ...createCrashObserver(logger, metrics),
     ...createLengthObserver(logger, metrics),
+    ...createPlanObserver(metrics),
     workerStruck(worker, reason, ejected) {
       metrics.strikes.inc({reason});
       if (ejected) metrics.ejections.inc({reason});
