Add the command that checks a configuration

Cause: operators have no way to see the effect of a configuration before they send it; a malformed one is only logged as such by the instances, with its size.

Change: goldcrestpier check FILE decodes as much of the document as can be, reports each malformed or unknown field and the findings of the check in the document's words, and compares it with the version in force from a file or the store. The deployed program has the check in a bundle of its own (target/check.cjs), which only this command loads.

--- a/packages/zone/src/check/candidate.ts
+++ b/packages/zone/src/check/candidate.ts
@@ -22,5 +22,7 @@
   /** Whether queues were left out because they could not be decoded. */
   readonly lacksQueues: boolean;
   readonly services: readonly ServiceEntry[];
+  /** Whether services were left out because they could not be decoded. */
+  readonly lacksServices: boolean;
   readonly limits: CallerLimits | undefined;
 }
--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -53,9 +53,18 @@
   },
 };
 
-await build({
-  entryPoints: ['platform/src/bin/goldcrestpier.ts'],
-  outfile: 'target/goldcrestpier.cjs',
+/** Leaves the check of a configuration to a bundle that only it loads. */
+const separateCheck = {
+  name: 'separate check',
+  setup(build) {
+    build.onResolve({filter: /^\.\.\/check\/index\.js$/}, () => ({
+      path: './check.cjs',
+      external: true,
+    }));
+  },
+};
+
+const options = {
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -64,7 +73,21 @@
   legalComments: 'none',
   minifySyntax: true,
   minifyWhitespace: true,
-  plugins: [lean],
+  // The bundle is run as a script, which can require modules but not import them.
+  supported: {'dynamic-import': false},
   logLevel: 'warning',
+};
+
+await build({
+  ...options,
+  entryPoints: ['platform/src/bin/goldcrestpier.ts'],
+  outfile: 'target/goldcrestpier.cjs',
+  plugins: [lean, separateCheck],
+});
+await build({
+  ...options,
+  entryPoints: ['platform/src/check/index.ts'],
+  outfile: 'target/check.cjs',
+  plugins: [lean],
 });
 copyFileSync('scripts/start_target.cjs', 'target/start.cjs');
