--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -88,6 +88,8 @@
   ...options,
   entryPoints: ['platform/src/check/index.ts'],
   outfile: 'target/check.cjs',
+  // The JSON parser's main module is UMD, which can't be bundled.
+  mainFields: ['module', 'main'],
   plugins: [lean],
 });
 copyFileSync('scripts/start_target.cjs', 'target/start.cjs');
