--- a/packages/dispatch/src/admission/estimate.ts
+++ b/packages/dispatch/src/admission/estimate.ts
@@ -3,6 +3,7 @@
  * caller that is refused under overload when to retry.
  */
 import type {Millis} from '@goldcrestpier/runtime';
+import type {Job} from '../work/index.js';
 import type {WorkerRecord} from '../workers/index.js';
 
 /** Share of the processors that tasks of different sizes fill on average. */
@@ -40,3 +41,12 @@
   const finite = Number.isFinite(waitMs) ? waitMs : MIN_RETRY_MS;
   return Math.max(finite, MIN_RETRY_MS);
 }
+
+/** The declared work of a job. */
+export function measureWork({steps}: Job): Work {
+  return steps.reduce(
+    (sum, {tasks, need, estimateMs}) =>
+      sum + tasks * need.cpuMillis * estimateMs,
+    0,
+  );
+}
--- a/packages/dispatch/src/admission/index.ts
+++ b/packages/dispatch/src/admission/index.ts
@@ -1,5 +1,4 @@
 /** What a holder can take on, and retry delays for refused callers. */
 export * from './estimate.js';
-export * from './fair_shares.js';
 export * from './held_work.js';
 export * from './return_schedule.js';
--- a/packages/dispatch/src/dispatcher/jobs/job_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_record.ts
@@ -1,10 +1,6 @@
 /** A job that has not ended, and the state of each of its tasks. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {
-  measureJob,
-  type JobSize,
-  type SizeClass,
-} from '../../admission/index.js';
+import {measureJob, type JobSize} from '../../admission/index.js';
 import {
   USEFUL_OBJECTIVE_FACTOR,
   type DueTimes,
@@ -25,9 +21,6 @@
 export interface PlannedWorth {
   readonly worth: number;
   readonly minWorth: number;
-  /** Factor on the minimum worth, up to 1; lower if its queue or size is behind. */
-  readonly fairness: number;
-  readonly sizeClass: SizeClass;
 }
 
 /** A job with its tasks. */
--- a/packages/dispatch/src/dispatcher/placing/min_worth.ts
+++ b/packages/dispatch/src/dispatcher/placing/min_worth.ts
@@ -23,8 +23,6 @@
   readonly hasManyWaiting: boolean;
   /** Whether the job has just arrived. */
   readonly isNew: boolean;
-  /** Factor on the minimum worth, up to 1; lower if its queue or size is behind. */
-  readonly fairness: number;
 }
 
 /** Whether many of the jobs wait to start. */
@@ -42,12 +40,7 @@
   return best * chooseShare(conditions);
 }
 
-function chooseShare({
-  hasManyWaiting,
-  isNew,
-  fairness,
-}: LoadConditions): number {
+function chooseShare({hasManyWaiting, isNew}: LoadConditions): number {
   if (!hasManyWaiting) return LOW_LOAD_SHARE;
-  const share = isNew ? HIGH_LOAD_NEW_SHARE : HIGH_LOAD_SHARE;
-  return Math.max(LOW_LOAD_SHARE, share * fairness);
+  return isNew ? HIGH_LOAD_NEW_SHARE : HIGH_LOAD_SHARE;
 }
--- a/packages/dispatch/src/dispatcher/placing/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -91,11 +91,7 @@
       this.remoteFactor,
     );
     moveLateRuns(this.registry, round, now);
-    const sorted = sortJobs(waiting, {
-      hasStartBacklog,
-      hasManyWaiting: round.hasManyWaiting,
-      fairnessOf: job => this.registry.fairShares.getFairness(job, now),
-    });
+    const sorted = sortJobs(waiting, {hasStartBacklog});
     const alone = placeSuspectedTasks(this.registry, sorted, round, now);
     const others = sorted.flatMap(record => this.placeJob(record, round, now));
     this.plannedStarts.report();
@@ -246,7 +242,7 @@
   private isNotWorthStarting(
     record: JobRecord,
     {worth}: StepPlan,
-    {hasManyWaiting, now}: PlacementRound,
+    {hasManyWaiting}: PlacementRound,
   ): boolean {
     const {hasStarted, isInbound, planned, job} = record;
     if (hasStarted || isInbound) return false;
@@ -255,12 +251,8 @@
     const mayBeFree = this.registry.hasUnpolledWorkersFor(job.service);
     if (mayBeFree && !evacuation.isActive) return false;
     const isNew = planned === undefined;
-    const {fairShares} = this.registry;
-    const fairness = fairShares.getFairness(job, now);
-    const sizeClass = fairShares.classOf(job);
-    const conditions = {hasManyWaiting, isNew, fairness};
-    const minWorth = findMinWorth(record, conditions);
-    record.planned = {worth, minWorth, fairness, sizeClass};
+    const minWorth = findMinWorth(record, {hasManyWaiting, isNew});
+    record.planned = {worth, minWorth};
     return worth < minWorth;
   }
 
--- a/packages/dispatch/src/dispatcher/registry.ts
+++ b/packages/dispatch/src/dispatcher/registry.ts
@@ -6,10 +6,8 @@
 import type {Millis} from '@goldcrestpier/runtime';
 import {
   chooseRetryAfter,
-  FairShares,
   HeldWork,
   ReturnSchedule,
-  wasServed,
 } from '../admission/index.js';
 import {CrashVerdict} from '../crashes/index.js';
 import {RemoteRuns} from '../remote_runs/index.js';
@@ -76,8 +74,6 @@
   hasStartBacklog = false;
   /** The jobs that are kept, in number and bytes. */
   readonly heldWork = new HeldWork();
-  /** How often jobs were served, by queue and size. */
-  readonly fairShares = new FairShares();
   /** When refused callers are told to return. */
   readonly returns = new ReturnSchedule();
   /** The rate at which tasks are started while others wait for it. */
@@ -117,7 +113,6 @@
     this.heldWork.add(record.size);
     this.isPlacementDue = true;
     this.inboundTasks.add(record);
-    if (!record.isInbound) this.fairShares.add(job);
     return record;
   }
 
@@ -292,8 +287,6 @@
     this.inboundTasks.remove(record);
     this.runNumbers.retain(record, now);
     const {pendingOutcome: outcome, hasStarted} = record;
-    const isServed = record.isInbound ? undefined : wasServed(outcome);
-    if (isServed !== undefined) this.fairShares.record(job, isServed, now);
     this.endedJobs.push({id, queue, outcome, hasStarted});
   }
 }
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -2,7 +2,6 @@
 import {
   DELEGATED_RUN_MAX_MS,
   isLoss,
-  RefusalReason,
   RunEnd,
   type Dispatcher,
   type DispatchObserver,
@@ -60,16 +59,12 @@
     ) {
       // The zone that delegated the task logs the refusal.
       if (isInbound) return;
-      if (reason === RefusalReason.Overloaded)
-        metrics.overloadRefusals.inc({size: planned?.sizeClass});
       logger.info('job refused', {
         job,
         reason,
         ageMs: Math.round(now - arrivedAt),
         worth: roundToHundredths(planned?.worth),
         leastWorth: roundToHundredths(planned?.minWorth),
-        size: planned?.sizeClass,
-        fairness: roundToHundredths(planned?.fairness),
         waitMs: Math.round(waitMs),
         retryAfterMs: Math.round(retryAfterMs),
       });
--- a/packages/zone/src/metrics/index.ts
+++ b/packages/zone/src/metrics/index.ts
@@ -21,11 +21,6 @@
     'Jobs refused, by reason.',
     ['reason'],
   );
-  readonly overloadRefusals = this.createCounter(
-    'goldcrestpier_overload_refusals_total',
-    'Jobs refused as overloaded, by their size among those of their queue.',
-    ['size'],
-  );
   readonly unsubmitted = this.createCounter(
     'goldcrestpier_unsubmitted_total',
     'Jobs that were read but not submitted, by reason.',
