--- a/packages/dispatch/src/dispatcher/ending/end_overlong.ts
+++ b/packages/dispatch/src/dispatcher/ending/end_overlong.ts
@@ -1,7 +1,7 @@
 /**
- * Ends jobs of which a run shows by its progress that it can't end before the
- * deadline. The caller can't be served any more, so that the job's other runs
- * and tasks would take capacity for nothing.
+ * Ends jobs with a run whose progress shows that it can't end before the
+ * deadline. The caller can't be served any more, so the job's other runs and
+ * tasks would waste capacity.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {estimateLengthFactor} from '../../work_estimates/index.js';
@@ -9,12 +9,10 @@
 import {RunPhase, type Run} from '../../workers/index.js';
 import {collectEvidence} from '../worker_state/index.js';
 import type {JobRecord, TaskRecord} from '../jobs/index.js';
+import {EXPECTED_STOP_MS} from '../options.js';
 import type {Registry} from '../registry.js';
 import {abandonJob} from './overdue.js';
 
-/** Time after which a stopped run has certainly ended, in ms. */
-const MAX_STOP_MS = 60;
-
 /** Ends the jobs whose runs can't end in time, here or elsewhere. */
 export function endOverlongJobs(registry: Registry, now: Millis): void {
   for (const run of registry.overlongRuns) {
@@ -25,7 +23,7 @@
       continue;
     }
     if (record.pendingOutcome !== undefined) continue;
-    if (!isCertain(registry, record, run, now)) continue;
+    if (!isStillOverlong(registry, record, run, now)) continue;
     if (mayEndElsewhere(registry, record, task, run, now)) continue;
     const {job} = record;
     const totalMs = run.progress.totalMs ?? 0;
@@ -40,8 +38,8 @@
   return run.phase === RunPhase.Running;
 }
 
-/** Whether the last reports still count: they are fresh and from a worker that answers. */
-function isCertain(
+/** Whether fresh, trusted reports of a worker that answers still say so. */
+function isStillOverlong(
   {workers, progressTrust}: Registry,
   {job}: JobRecord,
   {workerId, progress, startedAt}: Run,
@@ -70,5 +68,5 @@
   const evidence = collectEvidence(registry, record, run, now);
   const lengthMs = run.expectedMs * estimateLengthFactor(evidence);
   const againMs = (lengthMs * fastest) / runTimes.getSlowness(run.workerId);
-  return now + MAX_STOP_MS + againMs < record.job.deadlineAt;
+  return now + EXPECTED_STOP_MS + againMs < record.job.deadlineAt;
 }
--- a/packages/dispatch/src/dispatcher/index.ts
+++ b/packages/dispatch/src/dispatcher/index.ts
@@ -3,7 +3,6 @@
 export type {EndedJob} from './jobs/index.js';
 export type {DelegatedRun, DelegationReport} from './intake/index.js';
 export {Dispatcher} from './dispatcher.js';
-export type {Evacuation as ZoneEvacuation} from './evacuation/index.js';
 export {findNextEndTime, findNextOverdueTime} from './worker_state/index.js';
 export type {SoleHolder} from './ending/index.js';
 export {StrikeReason} from './worker_state/index.js';
--- a/packages/dispatch/src/dispatcher/options.ts
+++ b/packages/dispatch/src/dispatcher/options.ts
@@ -19,6 +19,9 @@
   readonly remoteFactor?: number | undefined;
 }
 
+/** Time in which a stopped run is expected to end when a move is planned, in ms. */
+export const EXPECTED_STOP_MS = 60;
+
 /** Time after which a task of a lost delegate has certainly ended, in ms. */
 export const DELEGATED_RUN_MAX_MS = 2_000;
 
--- a/packages/dispatch/src/dispatcher/placing/create_run.ts
+++ b/packages/dispatch/src/dispatcher/placing/create_run.ts
@@ -1,6 +1,6 @@
 /** Creates the record of a run that is about to start or has been found. */
 import type {Millis} from '@goldcrestpier/runtime';
-import {LIKELY_FACTOR, RunProgress} from '../../work_estimates/index.js';
+import {RunProgress} from '../../work_estimates/index.js';
 import {RunPhase, type Run} from '../../workers/index.js';
 import type {JobRecord, TaskRecord} from '../jobs/index.js';
 
@@ -23,7 +23,6 @@
     startedAt: now,
     expectedMs,
     expectedEndAt: now + expectedMs,
-    likelyEndBy: now + expectedMs * LIKELY_FACTOR,
     recheckAt: Infinity,
     judgeAt: now,
     progress: new RunProgress(),
--- a/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
+++ b/packages/dispatch/src/dispatcher/placing/move_late_runs.ts
@@ -9,6 +9,7 @@
 import {countFitting, planStep, type Demand} from '../../placement/index.js';
 import {estimateLengthFactor} from '../../work_estimates/index.js';
 import {RunPhase, type Run} from '../../workers/index.js';
+import {EXPECTED_STOP_MS} from '../options.js';
 import type {Registry} from '../registry.js';
 import {createDemand} from './create_demand.js';
 import type {JobRecord, TaskRecord} from '../jobs/index.js';
@@ -22,8 +23,6 @@
 const JUDGE_INTERVAL_MS = 50;
 /** Share of its run time by which a task may take longer in its new place. */
 const LENGTH_MARGIN = 0.1;
-/** Time after which a stopped run has certainly ended, in ms. */
-const MAX_STOP_MS = 60;
 
 /** Marks late runs to be stopped if another worker can take their tasks. */
 export function moveLateRuns(
@@ -67,7 +66,7 @@
   return run.expectedEndAt > usefulUntil ? run : undefined;
 }
 
-/** A late run. */
+/** A late run, and how long its task takes. */
 interface LateRun {
   readonly record: JobRecord;
   readonly task: TaskRecord;
@@ -99,11 +98,12 @@
     others,
     listNone,
     forecast,
-    now + MAX_STOP_MS,
+    now + EXPECTED_STOP_MS,
   );
   const [place] = places;
   if (place?.kind !== 'free') return false;
-  const endsBy = now + MAX_STOP_MS + place.expectedMs * (1 + LENGTH_MARGIN);
+  const endsBy =
+    now + EXPECTED_STOP_MS + place.expectedMs * (1 + LENGTH_MARGIN);
   return endsBy < Math.min(run.expectedEndAt, record.usefulUntil);
 }
 
--- a/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/run_reports.ts
@@ -4,7 +4,6 @@
   estimateLengthFactor,
   findQuantile,
   isWorkerSlow,
-  LIKELY,
 } from '../../work_estimates/index.js';
 import {
   RunPhase,
@@ -13,6 +12,7 @@
   type WorkerRecord,
 } from '../../workers/index.js';
 import type {JobRecord} from '../jobs/index.js';
+import {EXPECTED_STOP_MS} from '../options.js';
 import type {Registry} from '../registry.js';
 import {findBlockEnd} from '../starts/index.js';
 import {StrikeReason} from './health.js';
@@ -27,11 +27,6 @@
  * multiple of the expected one.
  */
 const STALLED_FACTOR = 4;
-/** Time after which a stopped run has certainly ended, in ms. */
-const MAX_STOP_MS = 60;
-/** Relative error of the remaining time, confirmed by a second report or not. */
-const CONFIRMED_ERROR = 0.15;
-const UNCONFIRMED_ERROR = 0.4;
 
 /** When the next run of the worker should end; Infinity without runs. */
 export function findNextEndTime(worker: WorkerRecord): Millis {
@@ -89,7 +84,7 @@
   registry.strikeRecorder.record(run, StrikeReason.TaskStalled, now);
 }
 
-/** Records whether the run can end before the deadline of its job. */
+/** Updates the set of runs that can't end before the deadlines of their jobs. */
 function recordOverlong(
   {overlongRuns}: Registry,
   {job: {deadlineAt}, isInbound}: JobRecord,
@@ -107,7 +102,7 @@
   else overlongRuns.delete(run);
 }
 
-/** Whether the run stalls, or would end earlier on a worker that is not slow. */
+/** Whether the run stalls, or its worker is slow and another would end it earlier. */
 function isWorkerAtFault(
   registry: Registry,
   record: JobRecord,
@@ -118,7 +113,7 @@
   const evidence = collectEvidence(registry, record, run, now);
   if (!isWorkerSlow(evidence)) return false;
   const againMs = run.expectedMs * estimateLengthFactor(evidence);
-  return now + MAX_STOP_MS + againMs < run.expectedEndAt;
+  return now + EXPECTED_STOP_MS + againMs < run.expectedEndAt;
 }
 
 /**
@@ -134,18 +129,12 @@
   const {progress, startedAt, expectedMs} = run;
   const {totalMs} = progress;
   if (totalMs !== undefined) {
-    const remainingMs = Math.max(0, startedAt + totalMs - now);
-    const isConfirmed = progress.isConfirmed(now);
-    const error = isConfirmed ? CONFIRMED_ERROR : UNCONFIRMED_ERROR;
     run.expectedEndAt = startedAt + totalMs;
-    run.likelyEndBy = now + remainingMs * (1 + error);
     return;
   }
   if (record === undefined) return;
   const tail = runTimes.getTail(record.job.queue);
   const elapsed = (now - startedAt) / Math.max(expectedMs, 1);
-  const best = findQuantile(0.5, elapsed, tail);
-  const likely = findQuantile(LIKELY, elapsed, tail);
-  run.expectedEndAt = startedAt + expectedMs * best;
-  run.likelyEndBy = startedAt + expectedMs * likely;
+  const median = findQuantile(0.5, elapsed, tail);
+  run.expectedEndAt = startedAt + expectedMs * median;
 }
--- a/packages/dispatch/src/dispatcher/worker_state/slowness_evidence.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/slowness_evidence.ts
@@ -1,7 +1,8 @@
-/** Collects what speaks for a slow worker or for a long task. */
+/** Collects the evidence for a slow worker or for a long task. */
 import type {Millis} from '@goldcrestpier/runtime';
 import {
   isWorkerSlow,
+  SLOWER_FACTOR,
   type SlownessEvidence,
 } from '../../work_estimates/index.js';
 import {RunPhase, type Run} from '../../workers/index.js';
@@ -10,10 +11,8 @@
 
 /** Number of other tasks of a job that are compared. */
 const MAX_SIBLINGS = 16;
-/** Multiple of its prediction from which an earlier run was slow. */
-const SLOW_RATIO = 1.8;
 
-/** Collects the evidence on a run that takes long; the run has progress. */
+/** Collects the evidence on a run; its ratio is 1 while it shows no progress. */
 export function collectEvidence(
   registry: Registry,
   record: JobRecord,
@@ -40,7 +39,7 @@
   ratio: number,
   now: Millis,
 ): void {
-  if (ratio >= SLOW_RATIO) {
+  if (ratio >= SLOWER_FACTOR) {
     const evidence = collectEvidence(registry, record, run, now);
     if (isWorkerSlow({...evidence, ratio})) return;
   }
@@ -79,7 +78,7 @@
   }
   for (const {ratio, at} of recentRuns.list(workerId, recordId, now)) {
     // The worker may have become slow after a run that was not.
-    if (ratio >= SLOW_RATIO || at >= startedAt) ratios.push(ratio);
+    if (ratio >= SLOWER_FACTOR || at >= startedAt) ratios.push(ratio);
   }
   return ratios;
 }
--- a/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
+++ b/packages/dispatch/src/dispatcher/worker_state/worker_reports.ts
@@ -12,6 +12,7 @@
 
 /** Maximum number of ended runs that a worker lists in one report. */
 const MAX_LISTED_ENDS = 500;
+
 /** Applies a worker's answer to the poll that was sent at `sentAt`. */
 export function applyReport(
   registry: Registry,
--- a/packages/dispatch/src/work_estimates/progress_trust.ts
+++ b/packages/dispatch/src/work_estimates/progress_trust.ts
@@ -1,7 +1,6 @@
 /**
- * Learns whether the progress that runs report is right: a queue whose runs end
- * much earlier than their confirmed progress says gets none of its jobs ended by
- * it.
+ * Learns whether the progress that runs report is right: no job is
+ * ended by it in a queue whose runs often end much earlier than it says.
  */
 import {PROGRESS_ERROR} from './run_progress.js';
 
@@ -14,8 +13,10 @@
 export class ProgressTrust {
   private readonly wrongShares = new Map<string, number>();
 
-  /** Adds a finished run that took `share` of what its progress said; 0 if
-   * that was no progress at all. */
+  /**
+   * Adds a finished run that took `share` of the time that its progress said; 0 if
+   * the progress has gone back.
+   */
   learn(queue: string, share: number): void {
     const wrong = share < 1 - PROGRESS_ERROR ? 1 : 0;
     const before = this.wrongShares.get(queue) ?? 0;
--- a/packages/dispatch/src/work_estimates/run_progress.ts
+++ b/packages/dispatch/src/work_estimates/run_progress.ts
@@ -1,8 +1,8 @@
 /**
  * Extrapolates a run's length from the progress that its worker reports. A
  * report may be late, rounded or wrong, so a length counts as confirmed only
- * when three reports in a row, apart in time, agree on it: two that mean nothing
- * often agree by chance.
+ * when three reports in a row, apart in time, agree on it: two wrong reports often
+ * agree by chance.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 
@@ -10,7 +10,7 @@
 const MIN_PERCENT = 4;
 /** Number of reports that have to agree. */
 const MIN_REPORTS = 3;
-/** Minimum time between two reports that confirm each other, in ms. */
+/** Minimum time from the first to the last report that agree, in ms. */
 const MIN_GAP_MS = 40;
 /** Progress is reported in whole percents; both reports are rounded. */
 const ROUNDING_PERCENT = 1.5;
@@ -58,7 +58,7 @@
     const totalMs = ((now - startedAt) * 100) / percent;
     const report = {percent, at: now, totalMs};
     this.last = report;
-    if (this.anchor === undefined || !doAgree(this.anchor, report)) {
+    if (this.anchor === undefined || !isConsistent(this.anchor, report)) {
       this.anchor = report;
       this.agreeing = 1;
       this.hasAdvanced = false;
@@ -78,7 +78,7 @@
     const {anchor, last} = this;
     if (anchor === undefined || last === undefined) return false;
     if (now - last.at > MAX_AGE_MS) return false;
-    return this.doReportsAgree(anchor, last);
+    return this.areConsistent(anchor, last);
   }
 
   /**
@@ -101,8 +101,8 @@
     if (anchor === undefined || last === undefined) return undefined;
     if (!this.isConfirmed(now)) return undefined;
     return Math.min(
-      findEarliestEnd(anchor, startedAt),
-      findEarliestEnd(last, startedAt),
+      extrapolateEarliestEnd(anchor, startedAt),
+      extrapolateEarliestEnd(last, startedAt),
     );
   }
 
@@ -110,18 +110,21 @@
   get confirmableAt(): Millis {
     const {anchor, last} = this;
     if (anchor === undefined || last === undefined) return Infinity;
-    return this.hasGoneBack || this.doReportsAgree(anchor, last)
+    return this.hasGoneBack || this.areConsistent(anchor, last)
       ? Infinity
       : anchor.at + MIN_GAP_MS;
   }
 
-  private doReportsAgree(anchor: Report, last: Report): boolean {
+  private areConsistent(anchor: Report, last: Report): boolean {
     if (this.hasGoneBack || this.agreeing < MIN_REPORTS) return false;
     return this.hasAdvanced && last.at - anchor.at >= MIN_GAP_MS;
   }
 }
 
-function findEarliestEnd({percent, at}: Report, startedAt: Millis): Millis {
+function extrapolateEarliestEnd(
+  {percent, at}: Report,
+  startedAt: Millis,
+): Millis {
   // Progress is rounded down to whole percents.
   const totalMs = ((at - startedAt) * 100) / (percent + 1);
   const remainingMs = Math.max(0, startedAt + totalMs - at);
@@ -129,7 +132,7 @@
 }
 
 /** Whether progress has gone on as the earlier report says. */
-function doAgree(earlier: Report, later: Report): boolean {
+function isConsistent(earlier: Report, later: Report): boolean {
   const advance = ((later.at - earlier.at) * 100) / earlier.totalMs;
   const deviation = Math.abs(later.percent - earlier.percent - advance);
   return deviation <= ROUNDING_PERCENT + AGREEMENT_SHARE * advance;
--- a/packages/dispatch/src/work_estimates/run_time_distribution.ts
+++ b/packages/dispatch/src/work_estimates/run_time_distribution.ts
@@ -7,13 +7,14 @@
 const RUN_TIME_SPREAD = 0.35;
 /** Slope with which the logistic curve approximates the normal CDF. */
 const LOGISTIC_SLOPE = 1.702;
+/** Exponent of the log-logistic curve that approximates the log-normal one. */
 const EXPONENT = LOGISTIC_SLOPE / RUN_TIME_SPREAD;
 
-/** Inverses of equally likely run times relative to their prediction. */
+/** Inverses of four equally likely run times relative to their prediction. */
 export const INVERSE_LENGTHS: readonly number[] = [
   -1.15, -0.319, 0.319, 1.15,
 ].map(deviation => Math.exp(-RUN_TIME_SPREAD * deviation));
-/** Fewer of them for long tasks, which are a small part. */
+/** The same for long tasks; two are enough, as few tasks are long. */
 const INVERSE_LONG_LENGTHS = [-0.674, 0.674].map(deviation =>
   Math.exp(-RUN_TIME_SPREAD * deviation),
 );
@@ -37,10 +38,8 @@
   return {share, factor, inverseLengths};
 }
 
-/** Probability with which a run ends by the later of its estimates. */
-export const LIKELY = 0.9;
-/** Multiple of its expected time within which a usual run likely ends. */
-export const LIKELY_FACTOR = findQuantile(LIKELY, 0, NO_TAIL);
+/** Multiple of its expected time within which nine of ten usual runs end. */
+export const LIKELY_FACTOR = findQuantile(0.9, 0, NO_TAIL);
 
 /** Probability that a run takes at most `ratio` times its prediction. */
 export function estimateProbability(ratio: number, tail: Tail): number {
--- a/packages/dispatch/src/work_estimates/shown_lengths.ts
+++ b/packages/dispatch/src/work_estimates/shown_lengths.ts
@@ -10,11 +10,6 @@
 export class ShownLengths {
   private readonly steps = new Map<number, StepLengths>();
 
-  /** Whether any task has shown its length. */
-  get isEmpty(): boolean {
-    return this.steps.size === 0;
-  }
-
   /** The longest shown length of a step's tasks; undefined if none is shown. */
   findLongest(step: number): Millis | undefined {
     return this.steps.get(step)?.longest;
--- a/packages/dispatch/src/work_estimates/slow_worker.ts
+++ b/packages/dispatch/src/work_estimates/slow_worker.ts
@@ -11,7 +11,7 @@
 /** Minimum share of long tasks, as a queue may have them without showing any. */
 const MIN_TAIL_SHARE = 0.002;
 /** Multiple from which a run is slower than another one, or than predicted. */
-const SLOWER_FACTOR = 1.8;
+export const SLOWER_FACTOR = 1.8;
 /**
  * Log of the odds of one piece of evidence: nine of ten runs on a slow worker
  * are slow, and about one in twenty elsewhere.
--- a/packages/dispatch/src/workers/run.ts
+++ b/packages/dispatch/src/workers/run.ts
@@ -68,11 +68,9 @@
   readonly expectedMs: Millis;
   /** Best estimate of its end, by its progress or the time that it has taken. */
   expectedEndAt: Millis;
-  /** The time by which it ends with a probability of nine tenths. */
-  likelyEndBy: Millis;
-  /** When a second report is needed to confirm that it can't end in time. */
+  /** When a further report may confirm that it can't end in time; else Infinity. */
   recheckAt: Millis;
-  /** When it may be judged again whether to move it. */
+  /** Earliest time at which it is next considered for a move. */
   judgeAt: Millis;
   /** What its worker has reported of its progress. */
   readonly progress: RunProgress;
--- a/packages/zone/src/holder/command_sender.ts
+++ b/packages/zone/src/holder/command_sender.ts
@@ -45,7 +45,7 @@
   readonly metrics: ZoneMetrics;
   readonly lostResponses: LostResponses;
   readonly processes: WorkerProcesses;
-  readonly evacuation: Pick<EvacuationState, 'refresh' | 'withholds'>;
+  readonly evacuation: Pick<EvacuationState, 'withholds'>;
   /** Whether this instance is still the holder. */
   readonly isActive: () => boolean;
   /** Called before a command is sent to a worker. */
--- a/packages/zone/test/command_sender.test.ts
+++ b/packages/zone/test/command_sender.test.ts
@@ -62,7 +62,7 @@
     metrics: new ZoneMetrics(),
     lostResponses: new LostResponses(),
     processes: {isConfirmed: () => true, confirm: failOnCall},
-    evacuation: {refresh: () => false, withholds: () => false},
+    evacuation: {withholds: () => false},
     isActive: () => isActive,
     onCommand: () => undefined,
     onChange: () => undefined,
--- a/packages/zone/test/process_confirmation.test.ts
+++ b/packages/zone/test/process_confirmation.test.ts
@@ -117,7 +117,7 @@
   const commandSender = new CommandSender({
     ...shared,
     processes,
-    evacuation: {refresh: () => false, withholds: () => false},
+    evacuation: {withholds: () => false},
     isActive: () => true,
     onCommand: () => undefined,
   });
