--- a/packages/dispatch/src/admission/fair_shares.ts
+++ b/packages/dispatch/src/admission/fair_shares.ts
@@ -3,7 +3,7 @@
  * wide or long job is worth less, as its last task decides, so that by worth
  * alone the largest jobs of a queue would be refused far more often than the
  * others, though a larger job is worth more to its caller. The counts are those
- * of one holder and fade: a new holder starts with no queue or size ahead.
+ * of one holder and decay: a new holder starts with no queue or size ahead.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import {
@@ -23,57 +23,60 @@
   Largest = 'largest',
 }
 
-/** Time constant with which counts fade, in ms: an overload lasts seconds. */
-const FADE_MS = 5_000;
+/** Time constant of the decay of counts, in ms: an overload lasts seconds. */
+const DECAY_MS = 5_000;
 /** Number of recent jobs of a queue that sizes are compared with. */
 const MAX_SAMPLES = 64;
-/** Number of jobs from which on their sizes are told apart. */
+/** Number of recent jobs without which each job is of the usual size. */
 const MIN_SAMPLES = 10;
 const LARGE_QUANTILE = 0.7;
 const LARGEST_QUANTILE = 0.9;
-/** Jobs with the overall rate that are added to the counts of each class. */
+/** Weight of the prior rate in the rate of a queue or class, in jobs. */
 const PRIOR_JOBS = 2;
 /**
- * Share of its queue's rate below which a class is behind. The requirement is a
- * half; at 0.9 a class gets help well before it falls that far.
+ * Share of its queue's rate below which a class is behind. It is well above the
+ * required half, so that a class gets help before it falls that far.
  */
 const CLASS_SHARE = 0.9;
 /** Share of the rate of all queues below which a queue is behind. */
 const QUEUE_SHARE = 0.6;
-/** The lowest standing, so that what can't be of use is refused all the same. */
-const MIN_STANDING = 0.3;
+/** The lowest fairness factor, so that jobs of little worth are still refused. */
+const MIN_FAIRNESS = 0.3;
 /** Number of queues whose counts are kept; the oldest is removed. */
 const MAX_QUEUES = 256;
 
-/** Fading numbers of jobs. */
-class FadingCounts {
+/** Exponentially decaying numbers of served jobs and of all jobs. */
+class DecayingCounts {
   private served = 0;
   private all = 0;
   private updatedAt: Millis = -Infinity;
 
   record(isServed: boolean, now: Millis): void {
-    const kept = Math.exp(-Math.max(0, now - this.updatedAt) / FADE_MS);
+    const kept = Math.exp(-Math.max(0, now - this.updatedAt) / DECAY_MS);
     this.served = this.served * kept + (isServed ? 1 : 0);
     this.all = this.all * kept + 1;
     this.updatedAt = now;
   }
 
-  /** Share of served jobs, which tends to `usualRate` while few are known. */
+  /** Share of served jobs, 0 to 1; close to `usualRate` while few are known. */
   getRate(usualRate: number, now: Millis): number {
-    const kept = Math.exp(-Math.max(0, now - this.updatedAt) / FADE_MS);
+    const kept = Math.exp(-Math.max(0, now - this.updatedAt) / DECAY_MS);
     const served = this.served * kept + PRIOR_JOBS * usualRate;
     return served / (this.all * kept + PRIOR_JOBS);
   }
 }
 
 class QueueCounts {
-  /** Results for the present round of placement, by size class. */
-  readonly shares = new Map<SizeClass, {share: number; now: Millis}>();
-  readonly counts = new FadingCounts();
+  /** Factors computed last, by size class; each is valid at its time only. */
+  readonly cachedFairness = new Map<
+    SizeClass,
+    {readonly fairness: number; readonly at: Millis}
+  >();
+  readonly counts = new DecayingCounts();
   readonly byClass = {
-    [SizeClass.Usual]: new FadingCounts(),
-    [SizeClass.Large]: new FadingCounts(),
-    [SizeClass.Largest]: new FadingCounts(),
+    [SizeClass.Usual]: new DecayingCounts(),
+    [SizeClass.Large]: new DecayingCounts(),
+    [SizeClass.Largest]: new DecayingCounts(),
   };
   private readonly samples: number[] = [];
   private next = 0;
@@ -93,7 +96,7 @@
 
 /** Counts the served and the unserved jobs of one holder. */
 export class FairShares {
-  private readonly all = new FadingCounts();
+  private readonly all = new DecayingCounts();
   private readonly queues = new Map<string, QueueCounts>();
   private readonly classes = new WeakMap<Job, SizeClass>();
 
@@ -117,23 +120,23 @@
   }
 
   /**
-   * Share of the usual worth that is asked of a job under overload: less the more
-   * often its queue and its size class went unserved in comparison.
+   * Factor, 0.3 to 1, on the minimum worth of a job under overload: the lower, the
+   * more often its queue and its size class went unserved compared with others.
    */
-  getStanding(job: Job, now: Millis): number {
+  getFairness(job: Job, now: Millis): number {
     const queue = this.queues.get(job.queue);
     if (queue === undefined) return 1;
     const sizeClass = this.classOf(job);
-    const known = queue.shares.get(sizeClass);
-    if (known?.now === now) return known.share;
+    const cached = queue.cachedFairness.get(sizeClass);
+    if (cached?.at === now) return cached.fairness;
     const rate = this.all.getRate(1, now);
     const queueRate = queue.counts.getRate(rate, now);
     const classRate = queue.byClass[sizeClass].getRate(queueRate, now);
     const ofQueue = Math.min(1, queueRate / (QUEUE_SHARE * rate));
     const ofClass = Math.min(1, classRate / (CLASS_SHARE * queueRate));
-    const share = Math.max(MIN_STANDING, ofQueue * ofClass);
-    queue.shares.set(sizeClass, {share, now});
-    return share;
+    const fairness = Math.max(MIN_FAIRNESS, ofQueue * ofClass);
+    queue.cachedFairness.set(sizeClass, {fairness, at: now});
+    return fairness;
   }
 
   private findQueue(name: string): QueueCounts {
--- a/packages/dispatch/src/dispatcher/jobs/job_order.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_order.ts
@@ -13,7 +13,10 @@
 /** Slack per level of priority, in ms. */
 const PRIORITY_SLACK_MS = 60;
 
-/** Time by which jobs that are wholly behind in being served go ahead, in ms. */
+/**
+ * Slack of a job whose fairness factor is 0, in ms. The lowest factor is 0.3, so
+ * that a job goes up to 140 ms ahead.
+ */
 const BEHIND_SLACK_MS = 200;
 
 /** What the order depends on besides the jobs. */
@@ -21,8 +24,8 @@
   readonly hasStartBacklog: boolean;
   /** Whether many jobs wait to start. */
   readonly hasManyWaiting: boolean;
-  /** Share of the usual worth that is asked of a job; less if it is behind. */
-  readonly standingOf: (job: Job) => number;
+  /** Fairness factor of a job, up to 1; lower if its queue or size is behind. */
+  readonly fairnessOf: (job: Job) => number;
 }
 
 /** Sorts jobs by the order in which they are placed, the first one first. */
@@ -45,9 +48,9 @@
 
 function computeRank(
   {job, startBy}: JobRecord,
-  {hasManyWaiting, standingOf}: OrderConditions,
+  {hasManyWaiting, fairnessOf}: OrderConditions,
 ): Millis {
   const rank = startBy + PRIORITY_SLACK_MS * job.priority;
   if (!hasManyWaiting) return rank;
-  return rank - BEHIND_SLACK_MS * Math.max(0, 1 - standingOf(job));
+  return rank - BEHIND_SLACK_MS * Math.max(0, 1 - fairnessOf(job));
 }
--- a/packages/dispatch/src/dispatcher/jobs/job_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/job_record.ts
@@ -25,8 +25,8 @@
 export interface PlannedWorth {
   readonly worth: number;
   readonly minWorth: number;
-  /** Share of the usual worth that is asked of it; less if it is behind others. */
-  readonly standing: number;
+  /** Factor on the minimum worth, up to 1; lower if its queue or size is behind. */
+  readonly fairness: number;
   readonly sizeClass: SizeClass;
 }
 
--- a/packages/dispatch/src/dispatcher/jobs/task_record.ts
+++ b/packages/dispatch/src/dispatcher/jobs/task_record.ts
@@ -26,7 +26,7 @@
   failures: number;
   /** The worker on which a run was stopped because it was late or stalled. */
   movedFrom: string | undefined;
-  /** Where it was done in this zone, and how long that took. */
+  /** Its successful run in this zone; undefined until then, or in another zone. */
   finished: FinishedTask | undefined;
 }
 
--- a/packages/dispatch/src/dispatcher/placing/min_worth.ts
+++ b/packages/dispatch/src/dispatcher/placing/min_worth.ts
@@ -23,8 +23,8 @@
   readonly hasManyWaiting: boolean;
   /** Whether the job has just arrived. */
   readonly isNew: boolean;
-  /** Share of the usual worth that is asked of it; less if it is behind others. */
-  readonly standing: number;
+  /** Factor on the minimum worth, up to 1; lower if its queue or size is behind. */
+  readonly fairness: number;
 }
 
 /** Whether many of the jobs wait to start. */
@@ -45,9 +45,9 @@
 function chooseShare({
   hasManyWaiting,
   isNew,
-  standing,
+  fairness,
 }: LoadConditions): number {
   if (!hasManyWaiting) return LOW_LOAD_SHARE;
   const share = isNew ? HIGH_LOAD_NEW_SHARE : HIGH_LOAD_SHARE;
-  return Math.max(LOW_LOAD_SHARE, share * standing);
+  return Math.max(LOW_LOAD_SHARE, share * fairness);
 }
--- a/packages/dispatch/src/dispatcher/placing/placer.ts
+++ b/packages/dispatch/src/dispatcher/placing/placer.ts
@@ -94,7 +94,7 @@
     const sorted = sortJobs(waiting, {
       hasStartBacklog,
       hasManyWaiting: round.hasManyWaiting,
-      standingOf: job => this.registry.fairShares.getStanding(job, now),
+      fairnessOf: job => this.registry.fairShares.getFairness(job, now),
     });
     const alone = placeSuspectedTasks(this.registry, sorted, round, now);
     const others = sorted.flatMap(record => this.placeJob(record, round, now));
@@ -233,7 +233,7 @@
     const factors = {runTimes, remoteFactor: this.remoteFactor};
     const {service} = record.job;
     const limits = {
-      isAnyTask: evacuation.isActive,
+      includesConstrained: evacuation.isActive,
       isExcluded: (zone: string) =>
         !evacuation.mayDelegate(record.id, zone, now),
     };
@@ -256,11 +256,11 @@
     if (mayBeFree && !evacuation.isActive) return false;
     const isNew = planned === undefined;
     const {fairShares} = this.registry;
-    const standing = fairShares.getStanding(job, now);
+    const fairness = fairShares.getFairness(job, now);
     const sizeClass = fairShares.classOf(job);
-    const conditions = {hasManyWaiting, isNew, standing};
+    const conditions = {hasManyWaiting, isNew, fairness};
     const minWorth = findMinWorth(record, conditions);
-    record.planned = {worth, minWorth, standing, sizeClass};
+    record.planned = {worth, minWorth, fairness, sizeClass};
     return worth < minWorth;
   }
 
--- a/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
+++ b/packages/dispatch/src/remote_vacancies/remote_vacancies.ts
@@ -35,10 +35,10 @@
   readonly vacancies: readonly Vacancy[];
 }
 
-/** What is delegated, and where to. */
+/** Which tasks are delegated, and to which zones. */
 export interface DelegationLimits {
   /** Whether tasks with constraints are delegated too; their zone checks them. */
-  readonly isAnyTask: boolean;
+  readonly includesConstrained: boolean;
   readonly isExcluded: (zone: string) => boolean;
 }
 
@@ -86,10 +86,10 @@
     service: string,
     demand: Demand,
     factors: RunTimeFactors,
-    {isAnyTask, isExcluded}: DelegationLimits,
+    {includesConstrained, isExcluded}: DelegationLimits,
     now: Millis,
   ): RemotePlace[] {
-    if (!isAnyTask && !isDelegable(demand.step)) return [];
+    if (!includesConstrained && !isDelegable(demand.step)) return [];
     const places: RemotePlace[] = [];
     for (const record of this.records.values()) {
       const {zone} = record.reported;
--- a/packages/dispatch/test/fair_shares.test.ts
+++ b/packages/dispatch/test/fair_shares.test.ts
@@ -36,10 +36,10 @@
   }
   const [average, largest] = [jobs.at(94), jobs.at(99)];
   assert.ok(average !== undefined && largest !== undefined);
-  assert.ok(fairShares.getStanding(largest, 0) < 0.5);
-  assert.ok(fairShares.getStanding(average, 0) > 0.9);
-  // The counts fade, so that nobody stays ahead after the overload.
-  assert.ok(fairShares.getStanding(largest, 60_000) > 0.9);
+  assert.ok(fairShares.getFairness(largest, 0) < 0.5);
+  assert.ok(fairShares.getFairness(average, 0) > 0.9);
+  // The counts decay, so that nobody stays ahead after the overload.
+  assert.ok(fairShares.getFairness(largest, 60_000) > 0.9);
 });
 
 // Guards against a queue that starves beside others.
@@ -51,8 +51,8 @@
     fairShares.record(job, true, 0);
   const ofRuns = createJob('r', 5, {queue: 'runs'});
   const ofQuotes = createJob('q', 5, {queue: 'quotes'});
-  assert.ok(fairShares.getStanding(ofRuns, 0) < 0.5);
-  assert.equal(fairShares.getStanding(ofQuotes, 0), 1);
+  assert.ok(fairShares.getFairness(ofRuns, 0) < 0.5);
+  assert.equal(fairShares.getFairness(ofQuotes, 0), 1);
 });
 
 // A holder is lost with its counts.
@@ -60,7 +60,7 @@
   const fairShares = new FairShares();
   const job = createJob('a', 8);
   fairShares.add(job);
-  assert.equal(fairShares.getStanding(job, 0), 1);
+  assert.equal(fairShares.getFairness(job, 0), 1);
   assert.equal(fairShares.classOf(job), SizeClass.Usual);
 });
 
--- a/packages/zone/src/holder/observer.ts
+++ b/packages/zone/src/holder/observer.ts
@@ -69,7 +69,7 @@
         worth: roundToHundredths(planned?.worth),
         leastWorth: roundToHundredths(planned?.minWorth),
         size: planned?.sizeClass,
-        standing: roundToHundredths(planned?.standing),
+        fairness: roundToHundredths(planned?.fairness),
         waitMs: Math.round(waitMs),
         retryAfterMs: Math.round(retryAfterMs),
       });
