--- a/packages/dispatch/src/dispatcher/intake/refusal.ts
+++ b/packages/dispatch/src/dispatcher/intake/refusal.ts
@@ -49,7 +49,7 @@
   );
 }
 
-/** Refuses a job of which nothing has started; its return takes capacity. */
+/** Refuses a job of which nothing has started, and schedules its caller's return. */
 export function refuseOverloaded(
   registry: Registry,
   record: JobRecord,
--- a/packages/dispatch/src/dispatcher/observer.ts
+++ b/packages/dispatch/src/dispatcher/observer.ts
@@ -9,11 +9,11 @@
 /** What is known of a job that is refused. */
 export type RefusedJob = Pick<JobRecord, 'job' | 'isInbound' | 'planned'>;
 
-/** What a refusal says of the time. */
+/** Times that belong to a refusal. */
 export interface RefusalTimes {
   /** Time until the work ahead of the job has drained. */
   readonly waitMs: Millis;
-  /** When its caller is told to return. */
+  /** Retry delay that its caller is told. */
   readonly retryAfterMs: Millis;
 }
 
@@ -58,11 +58,11 @@
   startsForgotten(count: number): void;
   /** Tasks were placed with regard to others that wait, in one round. */
   startsPlanned(counts: PlannedCounts): void;
-  /** A late run is moved, as it would take that multiple of its time there. */
+  /** A late run is stopped; elsewhere it takes `lengthFactor` times `expectedMs`. */
   runMoved(run: Run, lengthFactor: number): void;
   /**
-   * A job ends as this run takes `totalMs` by its progress, more than is left of
-   * its time; `leftMs` is the time to the deadline.
+   * A job ends early: by its progress this run takes `totalMs` in all, and only
+   * `leftMs` remain until the deadline.
    */
   jobOverlong(run: Run, totalMs: Millis, leftMs: Millis): void;
   jobRefused(
--- a/packages/dispatch/src/placement/capacity_forecast.ts
+++ b/packages/dispatch/src/placement/capacity_forecast.ts
@@ -1,8 +1,9 @@
 /**
  * Forecast of the capacity of a service's workers, for one placement round. A
- * task that is planned for later reserves its capacity until the round is over.
- * Later jobs are planned beside it. While sizes are uneven, a task that starts
- * now also keeps off capacity that is held, unless it ends before it is needed.
+ * task that is planned for later reserves its capacity until the round is over,
+ * so that later jobs are planned beside it. While sizes are uneven, a reservation
+ * may also hold its capacity free: another task starts there now only if it ends
+ * before that capacity is needed.
  */
 import type {Millis} from '@goldcrestpier/runtime';
 import type {Resources} from '../work/index.js';
@@ -21,7 +22,7 @@
 /** Maximum number of reservations in a round, which bounds its time. */
 const MAX_RESERVATIONS = 256;
 
-/** A place in the future on one worker. */
+/** A task's use of a worker, from now on or in the future. */
 export interface PlannedUse {
   readonly worker: WorkerRecord;
   readonly need: Resources;
@@ -32,7 +33,7 @@
 /** Forecast of the capacity of each worker. */
 export class CapacityForecast {
   private readonly profiles = new Map<WorkerRecord, ResourceProfile>();
-  /** The profiles with those reservations only that hold capacity. */
+  /** The profiles with only those reservations that hold capacity. */
   private readonly heldProfiles = new Map<WorkerRecord, ResourceProfile>();
   private reservations = 0;
 
@@ -43,14 +44,14 @@
     readonly remoteFactor: number,
   ) {}
 
-  /** Whether the sizes that wait call for a plan by size. */
+  /** Whether reservations hold capacity and places are ranked by fit. */
   get isUneven(): boolean {
     return this.sizes.isUneven;
   }
 
   /**
-   * What is free for a task that starts now and ends within `likelyMs` with high
-   * probability: with reservations, what it can use all that time.
+   * What is free for a task that starts now and likely ends within `likelyMs`,
+   * without the capacity that is held in that time.
    */
   findFree(worker: WorkerRecord, likelyMs: Millis): Resources {
     // In most rounds nothing is held.
--- a/packages/dispatch/src/placement/list_places.ts
+++ b/packages/dispatch/src/placement/list_places.ts
@@ -9,7 +9,7 @@
 import type {CapacityForecast} from './capacity_forecast.js';
 import {LIKELY_FACTOR} from '../work_estimates/index.js';
 
-/** The factor for remote data where the settings don't name one. */
+/** Default factor on the run time of a task outside the rack that has its data. */
 export const DEFAULT_REMOTE_FACTOR = 2;
 /** Number of tasks of a step that are planned in one place in sequence. */
 const MAX_WAVES = 4;
@@ -113,7 +113,7 @@
 ): void {
   const vacantAt = upcoming.listVacancies(worker, step.need, maxPlaces);
   let left = maxPlaces - free.length;
-  // The worth falls with the time, so that later places need no estimate.
+  // The worth falls with time, so later places are too late as well.
   let tooLateAt = Infinity;
   for (let wave = 0; wave < MAX_WAVES; wave += 1) {
     const isVacancy = wave === 0;
@@ -132,13 +132,12 @@
         tooLateAt = at;
         continue;
       }
-      const startAt = at;
       places.push({
         kind: 'later',
         worker,
         worth,
         expectedMs,
-        startAt,
+        startAt: at,
         isVacancy,
       });
     }
--- a/packages/dispatch/src/placement/resource_profile.ts
+++ b/packages/dispatch/src/placement/resource_profile.ts
@@ -23,7 +23,7 @@
 /** Free resources over time, as a list of levels in the order of their times. */
 export class ResourceProfile {
   private hasReservations = false;
-  /** Kept until the next reservation. */
+  /** Result of `getSteady`, kept until the next reservation. */
   private steady: readonly Resources[] | undefined;
   /** The last answer; tasks of equal size often ask one after another. */
   private vacancy: {readonly need: Resources; readonly at: Millis} | undefined;
@@ -109,7 +109,7 @@
     return times;
   }
 
-  /** What is free from each level on, which grows from level to level. */
+  /** What stays free from each level on; it never falls from level to level. */
   private getSteady(): readonly Resources[] {
     if (this.steady !== undefined) return this.steady;
     const steady = this.levels.map(({free}) => free);
@@ -146,7 +146,7 @@
   }
 }
 
-/** Returns one of the two where it is less in all, which is the usual case. */
+/** The lesser amount of each resource. */
 function takeLess(a: Resources, b: Resources): Resources {
   if (fits(a, b)) return a;
   if (fits(b, a)) return b;
--- a/packages/dispatch/src/placement/waiting_sizes.ts
+++ b/packages/dispatch/src/placement/waiting_sizes.ts
@@ -9,19 +9,19 @@
 const MAX_SIZES = 5;
 /** Maximum number of tasks that are packed into a remainder. */
 const MAX_PACKED = 3;
-/** Remainders that differ by less than this share of a worker are equal. */
-const REMAINDER_STEPS = 64;
+/** Number of steps of waste on a worker; wastes in the same step are equal. */
+const WASTE_STEPS = 64;
 
 const DIMENSIONS = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
 
 /** Sizes that wait, and the capacities on which they are placed. */
 export class WaitingSizes {
-  /** Whether tasks of different sizes wait, or none fills its worker evenly. */
+  /** Whether sizes differ, or a worker full of equal tasks has a remainder. */
   readonly isUneven: boolean;
   private packing: Packing | undefined;
   private readonly wasteByRemainder = new Map<number, number>();
 
-  /** Both lists may be long; equal entries that follow each other are cheap. */
+  /** `needs` of all waiting tasks' steps, `capacities` of all usable workers. */
   constructor(
     private readonly needs: readonly Resources[],
     private readonly capacities: readonly Resources[],
@@ -50,7 +50,7 @@
   }
 }
 
-/** What remainders are measured with. */
+/** What the waste of a remainder is computed from. */
 interface Packing {
   readonly sizes: readonly Resources[];
   /** Weight of each resource. */
@@ -143,8 +143,7 @@
   const most = Math.max(...DIMENSIONS.map(name => scarcities[name]));
   for (const name of DIMENSIONS) {
     if (capacity[name] > 0 && most > 0)
-      weights[name] =
-        (REMAINDER_STEPS * scarcities[name]) / most / capacity[name];
+      weights[name] = (WASTE_STEPS * scarcities[name]) / most / capacity[name];
   }
   return weights;
 }
--- a/packages/dispatch/src/placement/worth.ts
+++ b/packages/dispatch/src/placement/worth.ts
@@ -11,8 +11,8 @@
 /** Worth of an answer after its objective, relative to one before it. */
 const LATE_WORTH = 0.2;
 /**
- * Half of the range of a run's time around its expected one, once the length of
- * its task is given: a standard deviation of 0.17.
+ * Half of the range, as a share of the expected time, over which a run's time is
+ * evenly distributed once the length of its task is given.
  */
 const UNCERTAINTY = 0.3;
 /** Multiple of its objective up to which a late job is still useful. */
@@ -54,8 +54,8 @@
   const {shownFactor, tail, deadlineAt} = objective;
   if (shownFactor !== undefined) {
     const knownMs = typicalMs * shownFactor;
-    const inTime = estimateChance((dueAt - now) / knownMs);
-    const useful = estimateChance((usefulUntil - now) / knownMs);
+    const inTime = estimateProbabilityWithin((dueAt - now) / knownMs);
+    const useful = estimateProbabilityWithin((usefulUntil - now) / knownMs);
     return inTime + LATE_WORTH * (useful - inTime);
   }
   if (now >= deadlineAt) return 0;
@@ -84,20 +84,23 @@
     const limit = left * inverse;
     const objective = stretched + target * inverse;
     const waitedShare = waited * inverse;
-    const inTime = estimateChance(Math.min(objective - waitedShare, limit));
+    const inTime = estimateProbabilityWithin(
+      Math.min(objective - waitedShare, limit),
+    );
     sum += inTime;
     if (inTime === 1) continue;
     const late = USEFUL_OBJECTIVE_FACTOR * objective - waitedShare;
-    sum += LATE_WORTH * (estimateChance(Math.min(late, limit)) - inTime);
+    sum +=
+      LATE_WORTH * (estimateProbabilityWithin(Math.min(late, limit)) - inTime);
   }
   return sum / inverseLengths.length;
 }
 
 /**
- * Chance that a run ends within `share` of its expected time, as tasks of a job
+ * Probability that a run ends within `share` of its expected time, as tasks of a job
  * differ from each other and the speed of a worker is known only roughly.
  */
-function estimateChance(share: number): number {
+function estimateProbabilityWithin(share: number): number {
   if (share <= 1 - UNCERTAINTY) return 0;
   if (share >= 1 + UNCERTAINTY) return 1;
   return (share - 1 + UNCERTAINTY) / (2 * UNCERTAINTY);
--- a/packages/dispatch/src/run_times/queue_tail.ts
+++ b/packages/dispatch/src/run_times/queue_tail.ts
@@ -1,11 +1,11 @@
 /** Learns which share of a queue's tasks is far longer than predicted. */
 import {createTail, NO_TAIL, type Tail} from '../work_estimates/index.js';
 
-/** Deviation of the logarithm from which a task is a long one: 3.5 times. */
+/** Log of the ratio to its prediction from which a task is a long one. */
 const LONG_DEVIATION = Math.log(3.5);
 /** Weight of older runs after each run, so that about 1,000 runs count. */
 const RETENTION = 0.999;
-/** Usual runs that a queue is taken to have had before its first one. */
+/** Weight of the prior without long tasks, in runs. */
 const PRIOR_RUNS = 30;
 /** Runs that show a long task before the tail is used in estimates. */
 const MIN_LONG_RUNS = 2;
@@ -20,7 +20,7 @@
   /** The tail as far as it is known. */
   tail: Tail = NO_TAIL;
 
-  /** Adds a run with this deviation from its prediction. */
+  /** Adds a run; `deviation` is the log of its ratio to its prediction. */
   learn(deviation: number): void {
     const isLong = deviation >= LONG_DEVIATION;
     this.runs = this.runs * RETENTION + 1;
