--- a/packages/zone/src/holder/evacuation_state.ts
+++ b/packages/zone/src/holder/evacuation_state.ts
@@ -39,7 +39,7 @@
     this.refresh();
   }
 
-  /** Whether nothing may start here now; the dispatcher knows it from then on. */
+  /** Reads the state and passes it to the dispatcher; whether nothing may start. */
   refresh(): boolean {
     const {zone, evacuation, dispatcher, logger, metrics} = this.options;
     const isActive = evacuation.isActive();
@@ -61,7 +61,7 @@
     return false;
   }
 
-  /** Whether a start has to be withheld, which is counted. */
+  /** Whether a start has to be withheld; counts it if so. */
   withholds(start: WithheldStart): boolean {
     if (!this.refresh()) return false;
     this.options.metrics.withheldStarts.inc({start});
--- a/packages/zone/src/holder/holder.ts
+++ b/packages/zone/src/holder/holder.ts
@@ -220,9 +220,9 @@
   listDelegatedTasks(homeZone: string): DelegatedTaskList {
     const now = readClock();
     const delegated = this.delegatedTasks.list(homeZone, now);
-    const counts = {unknownRuns: countOrphans(this.dispatcher)};
-    const context = {zone: homeZone, ...counts, heldMs: now - this.holderSince};
-    logDelegatedTasks(delegated, context, this.options.logger);
+    const unknownRuns = countOrphans(this.dispatcher);
+    const basis = {zone: homeZone, unknownRuns, heldMs: now - this.holderSince};
+    logDelegatedTasks(delegated, basis, this.options.logger);
     return delegated;
   }
 
--- a/packages/zone/src/owner/holder_wait.ts
+++ b/packages/zone/src/owner/holder_wait.ts
@@ -27,8 +27,8 @@
 /** Delay after which a caller may retry if no holder is expected, in ms. */
 const UNKNOWN_RETRY_AFTER_MS = 2_000;
 /**
- * Limits of what waits at one owner: two seconds of 400 jobs, and a quarter of
- * what a holder keeps, as an instance may have to become the holder meanwhile.
+ * Limits of what waits at one owner: 400 jobs a second for two seconds, and a
+ * quarter of the memory of a holder's jobs, as the instance may become the holder.
  */
 const MAX_WAITING = {jobs: 800, tasks: 8_000, bytes: 8 * 1024 * 1024};
 
