--- a/packages/dispatch/src/placement/waiting_sizes.ts
+++ b/packages/dispatch/src/placement/waiting_sizes.ts
@@ -44,7 +44,7 @@
   }
 
   private toKey({cpuMillis, memoryMb, accelerators}: Resources): number {
-    // Distinct for up to 4,096 GB and 64 accelerators.
+    // Distinct below 4,096 GB and 64 accelerators.
     const cpu = Math.round(cpuMillis / 100);
     return (cpu * 65_536 + Math.round(memoryMb / 64)) * 64 + accelerators;
   }
