--- a/platform/src/callers/limits/client_connections.ts
+++ b/packages/client-limits/src/client_connections.ts
@@ -7,8 +7,8 @@
   type Logger,
   type Millis,
 } from '@goldcrestpier/runtime';
-import type {ZoneMetrics} from '@goldcrestpier/zone';
 import {ClientConnection, CloseReason} from './client_connection.js';
+import type {ClientCounters} from './client_counters.js';
 import type {MemoryBudget} from './memory_budget.js';
 import {PieceScheduler} from './piece_scheduler.js';
 
@@ -40,7 +40,7 @@
   readonly maxDescriptors: number | undefined;
   readonly budget: MemoryBudget;
   readonly logger: Logger;
-  readonly metrics: ZoneMetrics;
+  readonly counters: ClientCounters;
 }
 
 /** Keeps the connections in the order in which they were opened. */
@@ -72,7 +72,7 @@
       this.scheduler,
       readClock,
       {
-        onPause: () => this.options.metrics.pausedClients.inc(),
+        onPause: () => this.options.counters.countPaused(),
         onMemoryShort: each => this.close(each, CloseReason.Memory),
       },
     );
@@ -111,7 +111,7 @@
     this.open.delete(connection);
     if (connection.destroyed) return;
     if (reason === CloseReason.LateHeaders) connection.refuseHeaders();
-    this.options.metrics.closedClients.inc({reason});
+    this.options.counters.countClosed(reason);
     this.options.logger.warn('connection closed by a limit', {reason});
     connection.destroy();
   }
--- a/platform/src/callers/limits/client_limits.ts
+++ b/packages/client-limits/src/client_limits.ts
@@ -2,12 +2,12 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {readClock, type Logger, type Millis} from '@goldcrestpier/runtime';
-import type {ZoneMetrics} from '@goldcrestpier/zone';
-import {watchClose} from '../caller_presence.js';
 import {ClientConnection} from './client_connection.js';
 import {ClientConnections} from './client_connections.js';
+import type {ClientCounters} from './client_counters.js';
 import {computeBudget, MemoryBudget} from './memory_budget.js';
 import {RequestMemory} from './request_memory.js';
+import {watchClose} from './watch_close.js';
 
 /** Time in which the body of a request that submits no job has to end, in ms. */
 const OTHER_BODY_MS = 15_000;
@@ -21,11 +21,11 @@
   readonly maxDescriptors: number | undefined;
 }
 
-/** Where limits that take effect are recorded. */
+/** What clients are limited by, and where limits that take effect are recorded. */
 export interface ClientLimitOptions {
   readonly machine: MachineLimits;
   readonly logger: Logger;
-  readonly metrics: ZoneMetrics;
+  readonly counters: ClientCounters;
 }
 
 /** The limits of all connections and requests of callers. */
@@ -33,14 +33,14 @@
   private readonly budget: MemoryBudget;
   private readonly connections: ClientConnections;
 
-  constructor({machine, logger, metrics}: ClientLimitOptions) {
+  constructor({machine, logger, counters}: ClientLimitOptions) {
     const {memoryMb, maxDescriptors} = machine;
     this.budget = new MemoryBudget(computeBudget(memoryMb));
     this.connections = new ClientConnections({
       maxDescriptors,
       budget: this.budget,
       logger,
-      metrics,
+      counters,
     });
   }
 
--- a/platform/test/memory_budget.test.ts
+++ b/packages/client-limits/test/memory_budget.test.ts
@@ -1,11 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {
-  computeBudget,
-  MemoryBudget,
-} from '../src/callers/limits/memory_budget.js';
-import {RequestMemory} from '../src/callers/limits/request_memory.js';
-import {computeMaxConnections} from '../src/callers/limits/client_connections.js';
+import {computeBudget, MemoryBudget} from '../src/memory_budget.js';
+import {RequestMemory} from '../src/request_memory.js';
+import {computeMaxConnections} from '../src/client_connections.js';
 
 const MB = 1_024 * 1_024;
 const SMALLEST_MACHINE_MB = 210;
