Read what clients send at once, and close the largest holder when memory is short

Clients that send faster than they are served made an instance hold far more than its budget: the sockets were paused while requests were in progress or pieces waited for their turn, and the kernel held what had arrived, up to the receive window of each connection, in nobody's account. With 1,000 clients on a machine of 160 MB that was 31 to 85 MB, beside 113 to 138 MB resident.

The connections now read all that arrives and charge it. What the budget has no room for is not kept: the connection that holds the most received bytes is closed, so that requests of others are not refused on its account; among equal ones it is the one that sends.

--- a/packages/client-limits/src/client_connection.ts
+++ b/packages/client-limits/src/client_connection.ts
@@ -8,8 +8,11 @@
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import type {Millis} from '@goldcrestpier/runtime';
+import type {BlockPool} from './block_pool.js';
 import type {MemoryAccount, MemoryBudget} from './memory_budget.js';
 import type {PieceReader, PieceScheduler} from './piece_scheduler.js';
+import {ReceivedBytes} from './received_bytes.js';
+import {readShared} from './shared_read_buffer.js';
 
 /** Maximum number of requests in progress on a connection. */
 const MAX_PIPELINED = 64;
@@ -52,32 +55,60 @@
   private wantsData = false;
   private isReading = false;
   private headerBytes = 0;
-  /** Bytes that the socket had received when the connection was read last. */
-  private bytesSeen = 0;
+  private readonly received: ReceivedBytes;
+  /** Whether the client has sent all that it will send. */
+  private hasEnded = false;
   /** Since when headers are awaited and may be read. */
   private headersSince: Millis;
   /** Time by which the last body has to end. */
   private bodyDueAt: Millis = Infinity;
   /** Since when the client has taken no bytes; Infinity if none wait. */
   private unsentSince: Millis = Infinity;
+  private isCutOff = false;
   private readonly account: MemoryAccount;
+  private readonly socket: Socket;
 
   constructor(
-    readonly socket: Socket,
+    accepted: Socket,
     private readonly budget: MemoryBudget,
     private readonly scheduler: PieceScheduler,
+    pool: BlockPool,
     private readonly readClock: () => Millis,
     private readonly events: ConnectionEvents,
   ) {
     // Each piece is parsed before the next one is read.
     super({readableHighWaterMark: 1});
-    this.account = budget.openAccount();
+    this.received = new ReceivedBytes(pool);
+    this.account = budget.openAccount(() => events.onMemoryShort(this));
+    // What isn't read would be held by the kernel, in nobody's account.
+    this.socket = readShared(accepted, bytes => this.receive(bytes));
     this.headersSince = readClock();
-    socket.on('readable', () => this.readOn());
-    socket.once('end', () => this.push(null));
-    socket.once('error', cause => this.destroy(cause));
-    socket.once('close', () => this.destroy());
-    socket.on('timeout', () => this.emit('timeout'));
+    this.socket.resume();
+    this.socket.once('end', () => this.receiveEnd());
+    this.socket.once('error', cause => this.destroy(cause));
+    this.socket.once('close', () => this.handleClose());
+    this.socket.on('timeout', () => this.emit('timeout'));
+  }
+
+  get remoteAddress(): string | undefined {
+    return this.socket.remoteAddress;
+  }
+
+  /** Whether nothing is read or sent any more. */
+  get isClosed(): boolean {
+    return this.destroyed || this.socket.destroyed;
+  }
+
+  /**
+   * Closes the socket and returns the memory at once, also what the kernel holds.
+   * The HTTP server is told in one of the next turns: that takes far longer, and
+   * what other clients send waits meanwhile.
+   */
+  cutOff(): void {
+    this.isCutOff = true;
+    this.account.close();
+    this.received.clear();
+    this.socket.destroy();
   }
 
   /** Reserves the memory of the connection; false if there is none. */
@@ -188,9 +219,8 @@
 
   /** Closes the socket and returns the memory. */
   override _destroy(cause: Error | null, done: (cause: null) => void): void {
-    this.account.close();
+    this.cutOff();
     this.scheduler.remove(this);
-    this.socket.destroy();
     // The HTTP server closes the connection either way.
     void cause;
     done(null);
@@ -223,40 +253,55 @@
     };
   }
 
-  /** Reads the first piece of what has arrived at once, and all others in turn. */
-  private readOn(): void {
-    const {bytesRead} = this.socket;
-    const isFirst = this.isIdle && bytesRead > this.bytesSeen;
-    this.bytesSeen = bytesRead;
+  /** Takes over what the socket has read, unless there is no memory for it. */
+  private receive(bytes: Buffer): void {
+    if (this.isClosed) return;
+    if (!this.charge(this.received.findGrowth(bytes.length))) return;
+    const isFirst = this.isIdle && this.received.isEmpty;
+    this.received.append(bytes);
+    this.readOn(isFirst);
+  }
+
+  private handleClose(): void {
+    if (this.isCutOff) this.scheduler.add(this);
+    else this.destroy();
+  }
+
+  private receiveEnd(): void {
+    this.hasEnded = true;
+    this.passEnd();
+  }
+
+  /** Passes the end on once all that came before it was handed over. */
+  private passEnd(): void {
+    if (this.hasEnded && this.received.isEmpty) this.push(null);
+  }
+
+  /** Hands over the first piece of a request at once, and all others in turn. */
+  private readOn(isFirst = false): void {
     const hasMore = isFirst ? this.readPiece() : this.mayHaveMore;
     if (hasMore) this.scheduler.add(this);
-    this.noticeEnd();
     this.charge();
   }
 
-  /** An empty read lets the socket report its end while nothing more is read. */
-  private noticeEnd(): void {
-    if (this.socket.readableLength === 0) this.socket.read();
-  }
-
   private get mayHaveMore(): boolean {
-    return !this.destroyed && this.socket.readableLength > 0;
+    return !this.isClosed && !this.received.isEmpty;
   }
 
   /** Hands over one piece unless a limit is reached; whether there is another. */
   readPiece(): boolean {
+    if (this.isCutOff) this.destroy();
     if (this.isReading || !this.wantsData || !this.mayHaveMore) return false;
     if (!this.canRead()) return false;
-    const size = Math.min(this.choosePieceBytes(), this.socket.readableLength);
-    const piece = this.socket.read(size) as Buffer | null;
-    if (piece === null) return false;
+    const piece = this.received.take(this.choosePieceBytes());
+    if (piece === undefined) return false;
     if (!this.isReadingBody) this.countHeaders(piece);
     // Handing over a piece may end a request, which reads on.
     this.isReading = true;
     this.wantsData = this.push(piece);
     this.isReading = false;
     if (this.mayHaveMore) return true;
-    this.noticeEnd();
+    this.passEnd();
     this.charge();
     return false;
   }
@@ -278,18 +323,20 @@
     // The body of a single request is charged by its reader.
     const isOwnBody = this.requestsInProgress === 1 && this.isReadingBody;
     const canRead = this.requestsInProgress < limit || isOwnBody;
-    if (!canRead && !this.isBlocked && this.socket.readableLength > 0)
+    if (!canRead && !this.isBlocked && !this.received.isEmpty)
       this.events.onPause();
     if (this.isBlocked && canRead) this.headersSince = this.readClock();
     this.isBlocked = !canRead;
     return canRead;
   }
 
-  /** Charges received bytes and incomplete headers. */
-  private charge(): void {
-    if (this.destroyed) return;
+  /** Charges what is held and what is added; closes the connection if it can't. */
+  private charge(addedBytes = 0): boolean {
+    if (this.isClosed) return false;
     const headers = Math.max(0, this.headerBytes - FREE_HEADER_BYTES);
-    const bytes = CONNECTION_BYTES + this.socket.readableLength + headers;
-    if (!this.account.trySet(bytes)) this.events.onMemoryShort(this);
+    const heldBytes = CONNECTION_BYTES + this.received.heldBytes + headers;
+    if (this.account.trySet(heldBytes + addedBytes)) return true;
+    this.events.onMemoryShort(this);
+    return false;
   }
 }
--- a/packages/client-limits/src/client_connections.ts
+++ b/packages/client-limits/src/client_connections.ts
@@ -7,9 +7,11 @@
   type Logger,
   type Millis,
 } from '@goldcrestpier/runtime';
+import {BlockPool} from './block_pool.js';
 import {ClientConnection, CloseReason} from './client_connection.js';
 import type {ClientCounters} from './client_counters.js';
 import type {MemoryBudget} from './memory_budget.js';
+import {ClosureLog} from './closure_log.js';
 import {PieceScheduler} from './piece_scheduler.js';
 
 /** Descriptors kept for files and for connections that are being opened. */
@@ -46,13 +48,18 @@
 /** Keeps the connections in the order in which they were opened. */
 export class ClientConnections {
   private readonly scheduler = new PieceScheduler(readClock);
+  private readonly pool = new BlockPool();
   private readonly open = new Set<ClientConnection>();
   /** Time in which headers have to end, in ms. */
   headersTimeoutMs: Millis = Infinity;
   private ownDescriptors = 0;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: ConnectionLimitOptions) {}
+  private readonly closureLog: ClosureLog;
+
+  constructor(private readonly options: ConnectionLimitOptions) {
+    this.closureLog = new ClosureLog(options.logger);
+  }
 
   /** Starts the periodic checks; returns a function that stops them. */
   start(): () => void {
@@ -70,6 +77,7 @@
       socket,
       this.options.budget,
       this.scheduler,
+      this.pool,
       readClock,
       {
         onPause: () => this.options.counters.countPaused(),
@@ -109,11 +117,11 @@
 
   private close(connection: ClientConnection, reason: CloseReason): void {
     this.open.delete(connection);
-    if (connection.destroyed) return;
+    if (connection.isClosed) return;
     if (reason === CloseReason.LateHeaders) connection.refuseHeaders();
     this.options.counters.countClosed(reason);
-    this.options.logger.warn('connection closed by a limit', {reason});
-    connection.destroy();
+    this.closureLog.record(reason, connection.remoteAddress);
+    connection.cutOff();
   }
 
   private async check(now: Millis): Promise<void> {
@@ -128,6 +136,7 @@
         this.close(connection, CloseReason.LateHeaders);
       else connection.retry();
     }
+    this.closureLog.flush();
     if (this.options.maxDescriptors === undefined) return;
     const all = await readdir('/proc/self/fd').catch(() => undefined);
     // Without /proc the least number is taken.
--- a/packages/client-limits/src/memory_budget.ts
+++ b/packages/client-limits/src/memory_budget.ts
@@ -12,6 +12,8 @@
 const MIN_BUDGET_BYTES = 8 * BYTES_PER_MB;
 /** Limit on large machines: the heap (160 MB) does not grow with the machine. */
 const MAX_BUDGET_BYTES = 48 * BYTES_PER_MB;
+/** Accounts that hold no more are not reclaimed: a connection and some requests. */
+const MIN_RECLAIMED_BYTES = 10 * 1_024;
 /** Share of the budget from which clients are read in small steps. */
 const PRESSURE_SHARE = 0.5;
 
@@ -24,6 +26,7 @@
 /** Counts the memory that clients hold, in bytes. */
 export class MemoryBudget {
   private used = 0;
+  private readonly reclaimable = new Set<MemoryAccount>();
 
   constructor(private readonly limitBytes: number) {}
 
@@ -32,17 +35,52 @@
     return this.used >= this.limitBytes * PRESSURE_SHARE;
   }
 
-  /** Opens an account, which its owner has to close. */
-  openAccount(): MemoryAccount {
-    return new MemoryAccount((bytes, share) => this.tryAdd(bytes, share));
+  /**
+   * Opens an account, which its owner has to close. With `onReclaim` the owner is
+   * told to give back all that it holds, at once, if others need memory.
+   */
+  openAccount(onReclaim?: () => void): MemoryAccount {
+    const account = new MemoryAccount(this, onReclaim);
+    if (onReclaim !== undefined) this.reclaimable.add(account);
+    return account;
   }
 
-  private tryAdd(bytes: number, share: number): boolean {
+  /** Changes what an account holds, if a share of the budget has room for it. */
+  tryMove(account: MemoryAccount, toBytes: number, share: number): boolean {
     const limitBytes = this.limitBytes * share;
-    if (bytes > 0 && this.used + bytes > limitBytes) return false;
-    this.used += bytes;
+    const isOver = () => this.used + toBytes - account.heldBytes > limitBytes;
+    while (toBytes > account.heldBytes && isOver()) {
+      const largest = this.findLargest(account, toBytes);
+      if (largest === undefined) return false;
+      largest.reclaim();
+    }
+    this.used += toBytes - account.heldBytes;
     return true;
   }
+
+  /** Forgets a closed account. */
+  forget(account: MemoryAccount): void {
+    this.reclaimable.delete(account);
+  }
+
+  /**
+   * The largest account that can be reclaimed for another one. One that can be
+   * reclaimed itself takes nothing from those that hold no more than it wants.
+   */
+  private findLargest(
+    account: MemoryAccount,
+    toBytes: number,
+  ): MemoryAccount | undefined {
+    const isReclaimable = this.reclaimable.has(account);
+    let mostBytes = isReclaimable ? toBytes : MIN_RECLAIMED_BYTES;
+    let largest: MemoryAccount | undefined;
+    for (const other of this.reclaimable) {
+      if (other.heldBytes <= mostBytes || other === account) continue;
+      mostBytes = other.heldBytes;
+      largest = other;
+    }
+    return largest;
+  }
 }
 
 /** What one client or one request holds of the budget. */
@@ -51,9 +89,14 @@
   private isClosed = false;
 
   constructor(
-    private readonly tryAdd: (bytes: number, share: number) => boolean,
+    private readonly budget: MemoryBudget,
+    private readonly onReclaim: () => void = () => undefined,
   ) {}
 
+  get heldBytes(): number {
+    return this.held;
+  }
+
   /**
    * Adds to what is held, as long as no more than a share of the budget is used;
    * false, and nothing is added, if there is too little.
@@ -64,14 +107,21 @@
 
   /** Changes what is held; a smaller amount is always possible. */
   trySet(bytes: number, share = 1): boolean {
-    if (this.isClosed || !this.tryAdd(bytes - this.held, share)) return false;
+    if (this.isClosed || !this.budget.tryMove(this, bytes, share)) return false;
     this.held = bytes;
     return true;
   }
 
+  /** Returns all that is held, after its owner has closed what held it. */
+  reclaim(): void {
+    this.onReclaim();
+    this.close();
+  }
+
   /** Returns all that is held. */
   close(): void {
     this.trySet(0);
     this.isClosed = true;
+    this.budget.forget(this);
   }
 }
