Count the trailers of chunked bodies, and what fields cost the parser

Clients sent small bodies and then trailers without end. Once the data of a body had ended, neither the connection nor the reader of the body counted anything: the parser kept up to 64 KB of trailers a connection, in strings that take two to three times as much.

The HTTP server creates requests that count the body bytes that it reports. Each name and value of a read request is charged with 32 bytes more.

Also here, as it was found beside it: a body of 17 MB on a calm instance was cut off in place of refused, since its own received bytes were closed for its growth. Large amounts don't reclaim others' memory any more, and up to four sockets that wait for their turn are paused.

--- a/packages/client-limits/src/client_connections.ts
+++ b/packages/client-limits/src/client_connections.ts
@@ -8,11 +8,13 @@
   type Millis,
 } from '@goldcrestpier/runtime';
 import {BlockPool} from './block_pool.js';
-import {ClientConnection, CloseReason} from './client_connection.js';
+import {ClientConnection} from './client_connection.js';
+import {CloseReason} from './close_reason.js';
 import type {ClientCounters} from './client_counters.js';
 import type {MemoryBudget} from './memory_budget.js';
 import {ClosureLog} from './closure_log.js';
 import {PieceScheduler} from './piece_scheduler.js';
+import {PauseQuota} from './socket_pause.js';
 
 /** Descriptors kept for files and for connections that are being opened. */
 const RESERVED_DESCRIPTORS = 200;
@@ -48,13 +50,12 @@
 /** Keeps the connections in the order in which they were opened. */
 export class ClientConnections {
   private readonly scheduler = new PieceScheduler(readClock);
-  private readonly pool = new BlockPool();
+  private readonly shared = {pool: new BlockPool(), pauses: new PauseQuota()};
   private readonly open = new Set<ClientConnection>();
   /** Time in which headers have to end, in ms. */
   headersTimeoutMs: Millis = Infinity;
   private ownDescriptors = 0;
   private timer: NodeJS.Timeout | undefined;
-
   private readonly closureLog: ClosureLog;
 
   constructor(private readonly options: ConnectionLimitOptions) {
@@ -77,7 +78,7 @@
       socket,
       this.options.budget,
       this.scheduler,
-      this.pool,
+      this.shared,
       readClock,
       {
         onPause: () => this.options.counters.countPaused(),
@@ -109,8 +110,9 @@
     let sending: ClientConnection | undefined;
     for (const connection of this.open) {
       if (connection === newest) continue;
-      if (connection.isIdle) return connection;
-      if (connection.isReceiving) sending ??= connection;
+      const {isIdle, isReceiving} = connection.requests;
+      if (isIdle) return connection;
+      if (isReceiving) sending ??= connection;
     }
     return sending ?? newest;
   }
@@ -128,7 +130,7 @@
     const isShort = this.options.budget.isUnderPressure;
     const maxUnreadMs = isShort ? MAX_UNREAD_SHORT_MS : MAX_UNREAD_MS;
     for (const connection of this.open) {
-      if (connection.isBodyLate(now))
+      if (connection.requests.isBodyLate(now))
         this.close(connection, CloseReason.SlowBody);
       else if (connection.findUnreadMs(now) > maxUnreadMs)
         this.close(connection, CloseReason.UnreadResponse);
--- a/packages/client-limits/src/client_counters.ts
+++ b/packages/client-limits/src/client_counters.ts
@@ -1,5 +1,5 @@
 /** What is counted of the limits of clients. */
-import type {CloseReason} from './client_connection.js';
+import type {CloseReason} from './close_reason.js';
 
 /** Counts limits that take effect. */
 export interface ClientCounters {
--- a/packages/client-limits/src/client_limits.ts
+++ b/packages/client-limits/src/client_limits.ts
@@ -5,6 +5,7 @@
 import {ClientConnection} from './client_connection.js';
 import {ClientConnections} from './client_connections.js';
 import type {ClientCounters} from './client_counters.js';
+import {CountedRequest} from './counted_request.js';
 import {computeBudget, MemoryBudget} from './memory_budget.js';
 import {RequestMemory} from './request_memory.js';
 import {watchClose} from './watch_close.js';
@@ -33,17 +34,23 @@
   private readonly budget: MemoryBudget;
   private readonly connections: ClientConnections;
 
-  constructor({machine, logger, counters}: ClientLimitOptions) {
+  constructor({machine, ...options}: ClientLimitOptions) {
     const {memoryMb, maxDescriptors} = machine;
     this.budget = new MemoryBudget(computeBudget(memoryMb));
     this.connections = new ClientConnections({
       maxDescriptors,
       budget: this.budget,
-      logger,
-      counters,
+      ...options,
     });
   }
 
+  /** Options with which the limited HTTP server has to be created. */
+  static readonly serverOptions = {
+    IncomingMessage: CountedRequest,
+    // The connections limit the time for headers.
+    headersTimeout: 0,
+  };
+
   /** Limits the connections of a server; returns a function that stops the checks. */
   attach(server: Server): () => void {
     const listeners = server.listeners('connection');
@@ -71,7 +78,7 @@
     const memory = new RequestMemory(this.budget.openAccount(), request);
     const connection = findConnection(request);
     connection?.beginRequest(request);
-    connection?.limitBody(readClock() + OTHER_BODY_MS);
+    connection?.requests.limitBody(readClock() + OTHER_BODY_MS);
     watchClose(request, response, () => {
       memory.close();
       connection?.endRequest();
@@ -82,7 +89,7 @@
   /** Sets the time in which the body of a submission has to end. */
   limitBody(request: IncomingMessage, timeoutMs: Millis): void {
     const dueAt = readClock() + timeoutMs + REFUSAL_MARGIN_MS;
-    findConnection(request)?.limitBody(dueAt);
+    findConnection(request)?.requests.limitBody(dueAt);
   }
 }
 
--- a/packages/client-limits/src/closure_log.ts
+++ b/packages/client-limits/src/closure_log.ts
@@ -3,7 +3,7 @@
  * however many clients there are.
  */
 import type {Logger} from '@goldcrestpier/runtime';
-import type {CloseReason} from './client_connection.js';
+import type {CloseReason} from './close_reason.js';
 
 /** Maximum number of addresses that are counted for a line. */
 const MAX_ADDRESSES = 100;
--- a/packages/client-limits/src/memory_budget.ts
+++ b/packages/client-limits/src/memory_budget.ts
@@ -14,6 +14,8 @@
 const MAX_BUDGET_BYTES = 48 * BYTES_PER_MB;
 /** Accounts that hold no more are not reclaimed: a connection and some requests. */
 const MIN_RECLAIMED_BYTES = 10 * 1_024;
+/** Greatest amount for which others are reclaimed; no large body is worth it. */
+const MAX_RECLAIMING_BYTES = 64 * 1_024 + 4_096;
 /** Share of the budget from which clients are read in small steps. */
 const PRESSURE_SHARE = 0.5;
 
@@ -45,16 +47,21 @@
     return account;
   }
 
-  /** Changes what an account holds, if a share of the budget has room for it. */
+  /**
+   * Changes what an account holds, if a share of the budget has room for it. For a
+   * small amount that may use the whole budget, the largest others are reclaimed.
+   */
   tryMove(account: MemoryAccount, toBytes: number, share: number): boolean {
     const limitBytes = this.limitBytes * share;
-    const isOver = () => this.used + toBytes - account.heldBytes > limitBytes;
-    while (toBytes > account.heldBytes && isOver()) {
+    const growth = toBytes - account.heldBytes;
+    const mayReclaim = share === 1 && growth <= MAX_RECLAIMING_BYTES;
+    while (growth > 0 && this.used + growth > limitBytes) {
+      if (!mayReclaim) return false;
       const largest = this.findLargest(account, toBytes);
       if (largest === undefined) return false;
       largest.reclaim();
     }
-    this.used += toBytes - account.heldBytes;
+    this.used += growth;
     return true;
   }
 
@@ -93,6 +100,7 @@
     private readonly onReclaim: () => void = () => undefined,
   ) {}
 
+  /** What is held now, in bytes. */
   get heldBytes(): number {
     return this.held;
   }
--- a/packages/client-limits/src/piece_scheduler.ts
+++ b/packages/client-limits/src/piece_scheduler.ts
@@ -18,15 +18,25 @@
 export class PieceScheduler {
   private readonly waiting = new Set<PieceReader>();
   private isScheduled = false;
+  /** Time spent on pieces since the last turn began, in ms. */
+  private spentMs: Millis = 0;
 
   constructor(private readonly readClock: () => Millis) {}
 
+  /** Has a reader read at once if there is time, else in one of the next turns. */
+  addFirst(reader: PieceReader): void {
+    this.schedule();
+    if (this.spentMs >= TURN_MS) return this.add(reader);
+    const startedAt = this.readClock();
+    const hasMore = reader.readPiece();
+    this.spentMs += this.readClock() - startedAt;
+    if (hasMore) this.add(reader);
+  }
+
   /** Has a reader read in one of the next turns. */
   add(reader: PieceReader): void {
     this.waiting.add(reader);
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    setImmediate(() => this.runTurn());
+    this.schedule();
   }
 
   /** Forgets a reader. */
@@ -34,8 +44,15 @@
     this.waiting.delete(reader);
   }
 
+  private schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => this.runTurn());
+  }
+
   private runTurn(): void {
     this.isScheduled = false;
+    this.spentMs = 0;
     const endAt = this.readClock() + TURN_MS;
     for (const reader of this.waiting) {
       this.waiting.delete(reader);
@@ -43,7 +60,6 @@
       if (reader.readPiece()) this.waiting.add(reader);
       if (this.readClock() >= endAt) break;
     }
-    const [next] = this.waiting;
-    if (next !== undefined) this.add(next);
+    if (this.waiting.size > 0) this.schedule();
   }
 }
--- a/packages/client-limits/src/received_bytes.ts
+++ b/packages/client-limits/src/received_bytes.ts
@@ -16,6 +16,7 @@
     return this.blocks.length * BLOCK_BYTES;
   }
 
+  /** Whether there are no bytes. */
   get isEmpty(): boolean {
     return this.blocks.length === 0;
   }
--- a/packages/client-limits/src/request_memory.ts
+++ b/packages/client-limits/src/request_memory.ts
@@ -4,6 +4,8 @@
 
 /** A request, its response and its job without a body, in bytes. */
 const REQUEST_BYTES = 8 * 1_024;
+/** What a header's name or value costs beside its characters, in bytes. */
+const STRING_OVERHEAD_BYTES = 32;
 /**
  * Share of the budget for bodies: while bodies that don't end hold it, other
  * requests are still served.
@@ -23,7 +25,8 @@
     {rawHeaders, url = ''}: Pick<IncomingMessage, 'rawHeaders' | 'url'>,
   ) {
     const headerBytes = rawHeaders.reduce((sum, {length}) => sum + length, 0);
-    const bytes = REQUEST_BYTES + headerBytes + url.length;
+    const stringBytes = rawHeaders.length * STRING_OVERHEAD_BYTES;
+    const bytes = REQUEST_BYTES + headerBytes + stringBytes + url.length;
     this.isAvailable = account.tryTake(bytes);
   }
 
--- a/packages/client-limits/src/shared_read_buffer.ts
+++ b/packages/client-limits/src/shared_read_buffer.ts
@@ -3,7 +3,7 @@
  * runtime allocates 64 KB for each read, which stay until the garbage is collected:
  * a thousand clients that are closed as soon as they send leave 64 MB behind.
  */
-import {Socket, type SocketConstructorOpts} from 'node:net';
+import {Socket} from 'node:net';
 
 const BUFFER_BYTES = 65_536;
 const sharedBuffer = Buffer.allocUnsafeSlow(BUFFER_BYTES);
@@ -36,7 +36,7 @@
       },
     },
   };
-  const socket = new Socket(options as SocketConstructorOpts);
+  const socket = new Socket(options);
   accepted.destroy();
   return socket;
 }
--- a/packages/client-limits/test/memory_budget.test.ts
+++ b/packages/client-limits/test/memory_budget.test.ts
@@ -64,3 +64,24 @@
   limits.push(computeMaxConnections(undefined, 500));
   assert.deepEqual(limits, [1_948, 1_512, 16, Infinity]);
 });
+
+// Guards against requests that are refused while others hold what they don't use.
+test('the largest account that can be reclaimed gives way to small requests', () => {
+  const budget = new MemoryBudget(100_000);
+  const reclaimed: string[] = [];
+  const open = (name: string, bytes: number) => {
+    const account = budget.openAccount(() => reclaimed.push(name));
+    assert.ok(account.trySet(bytes));
+    return account;
+  };
+  open('small', 8_000);
+  open('large', 60_000);
+  const medium = open('medium', 30_000);
+  assert.ok(budget.openAccount().tryTake(5_000));
+  assert.deepEqual(reclaimed, ['large']);
+  // None is larger than what this one wants.
+  assert.ok(!medium.trySet(95_000));
+  assert.ok(!budget.openAccount().tryTake(70_000));
+  assert.ok(!budget.openAccount().tryTake(60_000, 0.5));
+  assert.deepEqual(reclaimed, ['large']);
+});
