Limit the time for headers before any request has been read

A client that connected first and never ended its headers kept its connection: the time for headers was taken from the configuration with the first complete request, and without one there was none.

--- a/packages/client-limits/src/client_connections.ts
+++ b/packages/client-limits/src/client_connections.ts
@@ -45,6 +45,8 @@
   readonly budget: MemoryBudget;
   readonly logger: Logger;
   readonly counters: ClientCounters;
+  /** Returns the time in which headers have to end, in ms. */
+  readonly readHeadersTimeout: () => Millis;
 }
 
 /** Keeps the connections in the order in which they were opened. */
@@ -52,8 +54,6 @@
   private readonly scheduler = new PieceScheduler(readClock);
   private readonly shared = {pool: new BlockPool(), pauses: new PauseQuota()};
   private readonly open = new Set<ClientConnection>();
-  /** Time in which headers have to end, in ms. */
-  headersTimeoutMs: Millis = Infinity;
   private ownDescriptors = 0;
   private timer: NodeJS.Timeout | undefined;
   private readonly closureLog: ClosureLog;
@@ -128,13 +128,14 @@
 
   private async check(now: Millis): Promise<void> {
     const isShort = this.options.budget.isUnderPressure;
+    const headersTimeoutMs = this.options.readHeadersTimeout();
     const maxUnreadMs = isShort ? MAX_UNREAD_SHORT_MS : MAX_UNREAD_MS;
     for (const connection of this.open) {
       if (connection.requests.isBodyLate(now))
         this.close(connection, CloseReason.SlowBody);
       else if (connection.findUnreadMs(now) > maxUnreadMs)
         this.close(connection, CloseReason.UnreadResponse);
-      else if (connection.areHeadersLate(now, this.headersTimeoutMs))
+      else if (connection.areHeadersLate(now, headersTimeoutMs))
         this.close(connection, CloseReason.LateHeaders);
       else connection.retry();
     }
--- a/packages/client-limits/src/client_limits.ts
+++ b/packages/client-limits/src/client_limits.ts
@@ -27,6 +27,8 @@
   readonly machine: MachineLimits;
   readonly logger: Logger;
   readonly counters: ClientCounters;
+  /** Returns the time in which headers have to end, in ms. */
+  readonly readHeadersTimeout: () => Millis;
 }
 
 /** The limits of all connections and requests of callers. */
@@ -65,11 +67,6 @@
     return this.connections.start();
   }
 
-  /** Sets the time in which the headers of a request have to end. */
-  limitHeaders(timeoutMs: Millis): void {
-    this.connections.headersTimeoutMs = timeoutMs;
-  }
-
   /** Accounts for a request until its response was sent. */
   beginRequest(
     request: IncomingMessage,
