Discard the rest of a chunked body that is refused, and close its connection

After a refusal the rest of a chunked body was still parsed, trailers included, for as long as the client sent, and nothing counted what the parser kept: the body's reader had stopped, and the request drops what comes. A body of declared length has no trailers; its connection stays usable as before.

--- a/packages/client-limits/src/client_connection.ts
+++ b/packages/client-limits/src/client_connection.ts
@@ -20,6 +20,8 @@
 
 /** Maximum number of requests in progress on a connection. */
 const MAX_PIPELINED = 64;
+/** How long the rest of a request is discarded before its connection closes, in ms. */
+const LINGER_MS = 1_000;
 /** Received bytes that wait for their turn from which the socket is paused. */
 const READ_AHEAD_BYTES = 64 * 1_024;
 /** What a connection holds without any data, in bytes. */
@@ -39,6 +41,10 @@
   /** Whether the client has sent all that it will send. */
   private hasEnded = false;
   private isCutOff = false;
+  /** Whether all responses were sent that the connection will send. */
+  private isClosing = false;
+  /** Until when the rest of a request is discarded. */
+  private lingerUntil: Millis = Infinity;
   private readonly account: MemoryAccount;
   private readonly socket: Socket;
   private readonly socketPause: SocketPause;
@@ -125,9 +131,10 @@
     return this.writer.findUnreadMs(now);
   }
 
-  /** Reads on if it stopped for lack of memory. */
-  retry(): void {
-    if (this.isBlocked) this.readOn();
+  /** Reads on if it stopped for lack of memory, and ends a late lingering close. */
+  retry(now: Millis): void {
+    if (now >= this.lingerUntil) this.destroy();
+    else if (this.isBlocked) this.readOn();
   }
 
   /** Hands over the next piece. */
@@ -170,9 +177,10 @@
 
   /** Closes the connection when all has been sent; the HTTP server calls it. */
   destroySoon(): void {
+    this.isClosing = true;
     if (this.writable) this.end();
-    if (this.writableFinished) this.destroy();
-    else this.once('finish', () => this.destroy());
+    if (this.writableFinished) this.linger();
+    else this.once('finish', () => this.linger());
   }
 
   /** Closes idle connections; the HTTP server calls it. */
@@ -181,9 +189,18 @@
     return this;
   }
 
+  /**
+   * Discards for a while what the client still sends of its request: to close at
+   * once would reset the connection, and the client might not read its response.
+   */
+  private linger(): void {
+    if (this.hasEnded || !this.requests.isReadingBody) this.destroy();
+    else this.lingerUntil = this.readClock() + LINGER_MS;
+  }
+
   /** Takes over what the socket has read, unless there is no memory for it. */
   private receive(bytes: Buffer): void {
-    if (this.isClosed) return;
+    if (this.isClosed || this.discardsInput) return;
     if (!this.charge(this.received.findGrowth(bytes.length))) return;
     const isFirst = this.requests.isIdle && this.received.isEmpty;
     this.received.append(bytes);
@@ -199,7 +216,13 @@
 
   private receiveEnd(): void {
     this.hasEnded = true;
-    this.passEnd();
+    if (this.lingerUntil < Infinity) this.destroy();
+    else this.passEnd();
+  }
+
+  /** Whether nothing that the client still sends will be answered. */
+  private get discardsInput(): boolean {
+    return this.isClosing;
   }
 
   /** Passes the end on once all that came before it was handed over. */
@@ -221,6 +244,7 @@
   /** Hands over one piece unless a limit is reached; whether there is another. */
   readPiece(): boolean {
     if (this.isCutOff) this.destroy();
+    if (this.discardsInput) this.received.clear();
     if (this.isReading || !this.wantsData || !this.mayHaveMore) return false;
     if (!this.canRead()) return false;
     const {isUnderPressure} = this.budget;
--- a/packages/client-limits/src/client_connections.ts
+++ b/packages/client-limits/src/client_connections.ts
@@ -137,7 +137,7 @@
         this.close(connection, CloseReason.UnreadResponse);
       else if (connection.areHeadersLate(now, headersTimeoutMs))
         this.close(connection, CloseReason.LateHeaders);
-      else connection.retry();
+      else connection.retry(now);
     }
     this.closureLog.flush();
     if (this.options.maxDescriptors === undefined) return;
