Count the requests that the HTTP server refuses by itself, and none after the last

After a request that closes its connection (HTTP/1.0 without keep-alive, or "connection: close") no further request is answered; those sent ahead were parsed and submitted all the same. They are now discarded.

--- a/packages/client-limits/src/client_connection.ts
+++ b/packages/client-limits/src/client_connection.ts
@@ -4,7 +4,7 @@
  * progress: the HTTP server parses all requests of a piece at once, and keeps
  * thousands of them from one read of a socket.
  */
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import type {Millis} from '@goldcrestpier/runtime';
@@ -41,6 +41,8 @@
   /** Whether the client has sent all that it will send. */
   private hasEnded = false;
   private isCutOff = false;
+  /** Whether the connection closes with the response to the last request. */
+  private isLastRequest = false;
   /** Whether all responses were sent that the connection will send. */
   private isClosing = false;
   /** Until when the rest of a request is discarded. */
@@ -103,8 +105,9 @@
   }
 
   /** Records a request that has been read; `endRequest` has to report its end. */
-  beginRequest(request: IncomingMessage): void {
+  beginRequest(request: IncomingMessage, response: ServerResponse): void {
     this.requests.begin(request);
+    this.isLastRequest = !response.shouldKeepAlive;
   }
 
   /** Records that a response was sent, and reads on. */
@@ -222,7 +225,8 @@
 
   /** Whether nothing that the client still sends will be answered. */
   private get discardsInput(): boolean {
-    return this.isClosing;
+    if (this.isClosing) return true;
+    return this.isLastRequest && !this.requests.isReadingBody;
   }
 
   /** Passes the end on once all that came before it was handed over. */
--- a/packages/client-limits/src/client_limits.ts
+++ b/packages/client-limits/src/client_limits.ts
@@ -51,6 +51,8 @@
     IncomingMessage: CountedRequest,
     // The connections limit the time for headers.
     headersTimeout: 0,
+    // The handler of requests refuses them, so that they are counted.
+    requireHostHeader: false,
   };
 
   /** Limits the connections of a server; returns a function that stops the checks. */
@@ -74,7 +76,7 @@
   ): RequestMemory {
     const memory = new RequestMemory(this.budget.openAccount(), request);
     const connection = findConnection(request);
-    connection?.beginRequest(request);
+    connection?.beginRequest(request, response);
     connection?.requests.limitBody(readClock() + OTHER_BODY_MS);
     watchClose(request, response, () => {
       memory.close();
