Take shorter turns while clients connect

The runtime accepts one connection a turn of the event loop. Beside a crowd that sends requests ahead each turn took 5 ms and more for what was received, so that of 1,000 clients some 200 were accepted while the kernel held what all others had sent: 46 MB.

--- a/packages/client-limits/src/client_connections.ts
+++ b/packages/client-limits/src/client_connections.ts
@@ -85,6 +85,7 @@
         onMemoryShort: each => this.close(each, CloseReason.Memory),
       },
     );
+    this.scheduler.recordAccepted();
     this.open.add(connection);
     connection.once('close', () => this.open.delete(connection));
     while (this.open.size > this.maxConnections) {
